--- /dev/null
+++ b/config/domains.c
@@ -0,0 +1,72 @@
+#include "config/domains.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#define DOMAIN_FIELD_NR 3
+
+static struct domain_record *lookup(const struct domain_set *ds,
+				    const char *name)
+{
+	for (size_t i = 0; i < ds->nr; i++)
+		if (!strcmp(ds->at[i].name, name))
+			return (struct domain_record *)&ds->at[i];
+	return NULL;
+}
+
+const struct domain_record *find_domain(const struct domain_set *ds,
+					const char *name)
+{
+	return lookup(ds, name);
+}
+
+bool merge_domain_record(struct domain_set *ds, const struct domain_record *rec)
+{
+	struct domain_record *have = lookup(ds, rec->name);
+
+	if (!have && ds->nr == DOMAINS_MAX)
+		return false;
+	if (have && rec->epoch <= have->epoch)
+		return false;
+	if (!have)
+		have = &ds->at[ds->nr++];
+	*have = *rec;
+	return true;
+}
+
+uint64_t domain_set_digest(const struct domain_set *ds)
+{
+	uint64_t sum = 0;
+
+	for (size_t i = 0; i < ds->nr; i++) {
+		const struct domain_record *rec = &ds->at[i];
+
+		sum += XXH64(rec->name, strlen(rec->name),
+			     rec->epoch * 2 + rec->out);
+	}
+	return sum;
+}
+
+void encode_domain_record(struct wire_writer *w,
+			  const struct domain_record *rec)
+{
+	put_array(w, DOMAIN_FIELD_NR);
+	put_str(w, rec->name);
+	put_uint(w, rec->epoch);
+	put_bool(w, rec->out);
+}
+
+bool decode_domain_record(struct wire_reader *r, struct domain_record *rec)
+{
+	struct wire_reader f;
+
+	memset(rec, 0, sizeof(*rec));
+	take_array(r, &f);
+	take_str(&f, rec->name, sizeof(rec->name));
+	rec->epoch = take_uint(&f, UINT64_MAX);
+	rec->out = take_bool(&f);
+	if (!f.bad && !f.left && valid_name(rec->name))
+		return true;
+	r->bad = true;
+	return false;
+}
--- a/t/lib.sh
+++ b/t/lib.sh
@@ -1,7 +1,11 @@
 # Shell functions shared by the demo and the whole-path tests. Sets up real
 # processes on loopback and ends exactly those it started.
 
+# BV_TEST_NET (0 to 255) is the second byte of every loopback address used, so
+# that several checkouts can be tested at once.
+
 set -u
+net=127.${BV_TEST_NET:-0}
 pids=
 work=$(mktemp -d)
 
@@ -62,6 +66,16 @@
 	EOT
 }
 
+# copy_services DIR: the examples in DIR, moved to $net, in $work/services.
+copy_services () {
+	rm -rf "$work/services"
+	mkdir "$work/services"
+	for f in "$1"/*.ini
+	do
+		sed "s/127\.0\./$net./" "$f" >"$work/services/${f##*/}"
+	done
+}
+
 # in_force ADDRESS EPOCH: the instance has this epoch or a later one.
 in_force () {
 	epoch=$("$bin/baobabvalve" status "$1:7400" |
--- a/t/whole-path.sh
+++ b/t/whole-path.sh
@@ -4,8 +4,8 @@
 
 bin=$1
 . "$(dirname "$0")/lib.sh"
-store=127.0.0.1:22479
-seeds=127.0.51.1:7401
+store=$net.0.1:22479
+seeds=$net.51.1:7401
 
 fail () {
 	echo "FAILED: $*"
@@ -13,19 +13,20 @@
 	exit 1
 }
 
+copy_services examples/demo
 start store "$bin/store-stand-in" $store
-write_settings one north 127.0.51.1
+write_settings one north $net.51.1
 start one "$bin/baobabvalved" --config="$work/one.ini"
 for n in 1 2 3 4
 do
 	start "desk-$n" "$bin/upstream-stand-in" "desk-$n" \
-		"127.0.41.$n:9001" 1000
+		"$net.41.$n:9001" 1000
 done
-wait_until 5 "$bin/baobabvalve" publish --store=$store examples/demo ||
+wait_until 5 "$bin/baobabvalve" publish --store=$store "$work/services" ||
 	fail publish
-wait_until 10 in_force 127.0.51.1 1 || fail "epoch 1"
+wait_until 10 in_force $net.51.1 1 || fail "epoch 1"
 
-curl -sS --max-time 10 http://127.0.51.1:8080/slow >"$work/answer" &
+curl -sS --max-time 10 http://$net.51.1:8080/slow >"$work/answer" &
 asker=$!
 sleep 0.4
 kill -s TERM "$(cat "$work/one.pid")"
