health: judge upstreams by probes and behaviour, with a state chart

Upstreams had no state but what was published: each was treated as cold for ever, and one that restarted got its full load.

charts/upstream.ini is the state chart of an upstream. It is built in as charts/builtin.c, generated by charts/embed.sh and committed; t/whole-charts.sh fails when the two differ. The daemon checks the chart at its start and ends with file, line and name of what is wrong.

fleet/health decides: who probes (two instances of the upstream's failure domain by rendezvous, other domains when it has no live instance), when (at most 3 probes a second from one instance, however many upstreams it has), and what the answers and the instance's own requests mean. fleet/limits turns the state into the number of slots or connections an upstream bears, growing in steps while it warms. net/probe carries probes out.

'Down' is published only if something else in the upstream's domain answered after the upstream failed, so an instance that is cut off never says it of anybody; and only while at most half of the service would be down.

Seen failing first: with only failures in a row counted, an upstream that failed every other request stayed warm (an_upstream_that_fails_every_other_request_is_not_warm); failures and sheds now share one window of the last 8 answers. A test that expected 'not warm' after one lost request was wrong: one of many is no evidence; it now starts at the third.

The view is set directly until the fleet spreads upstream states.

--- a/base/chart.h
+++ b/base/chart.h
@@ -10,6 +10,12 @@
  *
  * States and events are small integers: their position in the lists of names
  * handed to create_chart, so that code can use enums.
+ *
+ * To add a chart: write charts/NAME.ini; declare builtin_NAME_chart in
+ * charts/builtin.h and run "charts/embed.sh >charts/builtin.c"; write a module
+ * that holds the names of states and events and creates the chart from that
+ * text, as fleet/health-chart.c does; create it once when the process starts,
+ * refuse to start if that fails, and hand it to the deciding code.
  */
 
 #include "base/problems.h"
--- a/base/counter-list.h
+++ b/base/counter-list.h
@@ -32,3 +32,16 @@
 COUNTER(PEER_SENT_BYTES, "peer.sent-bytes", "bytes sent to peers")
 COUNTER(PEER_RECEIVED_BYTES, "peer.received-bytes", "bytes from peers")
 COUNTER(PEER_MALFORMED, "peer.malformed", "peer messages dropped")
+
+/* upstream health */
+COUNTER(HEALTH_PROBES, "health.probes", "probes sent to upstreams")
+COUNTER(HEALTH_PROBE_FAILURES, "health.probe-failures",
+	"probes without a good answer in time")
+COUNTER(HEALTH_CHANGED, "health.changed",
+	"changes of an upstream's state as judged here")
+COUNTER(HEALTH_SUDDEN_COLD, "health.sudden-cold",
+	"warm upstreams that turned cold by behaviour")
+COUNTER(HEALTH_PUBLISHED, "health.published",
+	"upstream states told to the fleet")
+COUNTER(HEALTH_DOWN_HELD, "health.down-held",
+	"looks at which a down was not told to the fleet")
--- /dev/null
+++ b/fleet/health-probers.c
@@ -0,0 +1,137 @@
+#include "fleet/health-probers.h"
+
+#include <glib.h>
+#include <string.h>
+#include <xxhash.h>
+
+struct probers {
+	const struct view *view;
+	GHashTable *domains; /* name -> GArray of ids of live members */
+	GArray *live;	     /* ids of all live members */
+	char own[CONFIG_NAME_MAX];
+	uint64_t fingerprint; /* of what prober_role() depends on */
+};
+
+static void free_ids(gpointer ids)
+{
+	g_array_free(ids, TRUE);
+}
+
+static GArray *new_ids(void)
+{
+	return g_array_new(FALSE, FALSE, sizeof(uint64_t));
+}
+
+struct probers *create_probers(const struct view *view)
+{
+	struct probers *ps = g_new0(struct probers, 1);
+
+	ps->view = view;
+	ps->domains = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					    free_ids);
+	ps->live = new_ids();
+	return ps;
+}
+
+void destroy_probers(struct probers *ps)
+{
+	if (!ps)
+		return;
+	g_hash_table_destroy(ps->domains);
+	g_array_free(ps->live, TRUE);
+	g_free(ps);
+}
+
+static bool is_live(const struct member *m)
+{
+	return m->state == MEMBER_ALIVE || m->state == MEMBER_SUSPECT;
+}
+
+static void add_live(struct probers *ps, const struct member *m)
+{
+	GArray *ids = g_hash_table_lookup(ps->domains, m->domain);
+
+	if (!ids) {
+		ids = new_ids();
+		g_hash_table_insert(ps->domains, g_strdup(m->domain), ids);
+	}
+	g_array_append_val(ids, m->id);
+	g_array_append_val(ps->live, m->id);
+}
+
+static uint64_t hash_ids(const GArray *ids)
+{
+	if (!ids)
+		return 0;
+	return XXH64(ids->data, ids->len * sizeof(uint64_t), 0);
+}
+
+/*
+ * Of the other domains only their number matters, unless one of them has no
+ * live member left; all members count then.
+ */
+static uint64_t make_fingerprint(const struct probers *ps, size_t domain_nr)
+{
+	bool covered = g_hash_table_size(ps->domains) == domain_nr;
+	uint64_t own = hash_ids(g_hash_table_lookup(ps->domains, ps->own));
+
+	if (covered)
+		return own ^ domain_nr;
+	return own ^ hash_ids(ps->live) ^ g_hash_table_size(ps->domains);
+}
+
+bool update_probers(struct probers *ps)
+{
+	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
+	uint64_t before = ps->fingerprint;
+	const struct member *ms;
+	size_t nr;
+
+	g_hash_table_remove_all(ps->domains);
+	g_array_set_size(ps->live, 0);
+	ms = view_members(ps->view, &nr);
+	for (size_t i = 0; i < nr; i++) {
+		g_hash_table_add(seen, (gpointer)ms[i].domain);
+		if (ms[i].id == view_self(ps->view))
+			memcpy(ps->own, ms[i].domain, sizeof(ps->own));
+		if (is_live(&ms[i]))
+			add_live(ps, &ms[i]);
+	}
+	ps->fingerprint = make_fingerprint(ps, g_hash_table_size(seen));
+	g_hash_table_destroy(seen);
+	return ps->fingerprint != before;
+}
+
+/* How many of IDS outrank SELF for KEY, counted up to HEALTH_PROBERS. */
+static unsigned int count_above(const GArray *ids, uint64_t self, uint64_t key)
+{
+	uint64_t own = XXH64(&self, sizeof(self), key);
+	unsigned int above = 0;
+
+	for (guint i = 0; i < ids->len && above < HEALTH_PROBERS; i++) {
+		uint64_t other = g_array_index(ids, uint64_t, i);
+		uint64_t weight = XXH64(&other, sizeof(other), key);
+
+		above += weight > own || (weight == own && other > self);
+	}
+	return above;
+}
+
+enum health_role prober_role(const struct probers *ps,
+			     const struct upstream *up)
+{
+	const GArray *ids = g_hash_table_lookup(ps->domains, up->domain);
+
+	if (!ids)
+		ids = ps->live;
+	else if (strcmp(up->domain, ps->own) != 0)
+		return HEALTH_PASSIVE;
+	switch (count_above(ids, view_self(ps->view), up->id)) {
+	case 0:
+		return HEALTH_PRIMARY;
+	case 1:
+		return HEALTH_STANDBY;
+	default:
+		return HEALTH_PASSIVE;
+	}
+}
--- a/net/daemon.c
+++ b/net/daemon.c
@@ -9,6 +9,7 @@
 #include "net/files.h"
 #include "net/flow-port.h"
 #include "net/log.h"
+#include "net/probe.h"
 #include "store/keys.h"
 #include "store/store.h"
 
@@ -20,6 +21,9 @@
 	const struct settings *settings;
 	struct counters counters;
 	struct view *view;
+	struct chart *upstream_chart;
+	struct health *health;
+	struct prober *prober;
 	struct snapshot *snapshot;
 	struct flows *flows;
 	struct requests *requests;
@@ -53,6 +57,7 @@
 	set_flow_snapshot(d->flows, sn, now);
 	set_request_snapshot(d->requests, sn, now);
 	set_entry_snapshot(d->entry, sn);
+	set_health_snapshot(d->health, sn, now);
 	log_change("configuration epoch %llu in force: %zu services, "
 		   "%zu upstreams",
 		   (unsigned long long)snapshot_epoch(sn),
@@ -100,6 +105,29 @@
 	return true;
 }
 
+/* Name of the upstream that A is about, for the log. */
+static const char *upstream_name(const struct daemon *d,
+				 const struct health_action *a)
+{
+	const struct service *sv = find_service(d->snapshot, a->service);
+	const struct upstream *up = NULL;
+
+	if (sv)
+		up = find_upstream(sv, a->upstream);
+	return up ? up->name : "(unpublished)";
+}
+
+static void on_health_change(const struct health_action *a, void *data)
+{
+	struct daemon *d = data;
+
+	if (a->kind == HEALTH_PUBLISH)
+		set_upstream_state(d->view, a->upstream, a->state);
+	else
+		log_change("upstream %s is %s", upstream_name(d, a),
+			   upstream_state_name(a->state));
+}
+
 static const struct snapshot *get_snapshot(void *data)
 {
 	const struct daemon *d = data;
@@ -132,6 +160,7 @@
 	destroy_http_server(d->admin);
 	destroy_flow_port(d->flow_port);
 	destroy_entry(d->entry);
+	destroy_prober(d->prober);
 	destroy_store(d->store);
 }
 
@@ -209,6 +238,24 @@
 	return false;
 }
 
+/* Health needs its state chart; one that is wrong ends the start. */
+static bool start_health(struct daemon *d)
+{
+	struct problems *ps = create_problems();
+	uint32_t seed = (uint32_t)view_self(d->view);
+
+	d->upstream_chart = create_upstream_chart(ps);
+	for (size_t i = 0; problem_at(ps, i); i++)
+		log_problem("%s", problem_at(ps, i));
+	destroy_problems(ps);
+	if (!d->upstream_chart)
+		return false;
+	d->health =
+		create_health(d->view, d->upstream_chart, seed, &d->counters);
+	d->prober = create_prober(&d->loop, d->health, on_health_change, d);
+	return true;
+}
+
 static bool start_daemon(struct daemon *d)
 {
 	struct admin_source src = {
@@ -221,7 +268,7 @@
 	d->requests = create_requests(d->view, &d->counters);
 	d->entry = create_entry(&d->loop, d->settings, d->requests);
 	init_handles(d);
-	if (!open_ports(d))
+	if (!start_health(d) || !open_ports(d))
 		return false;
 	if (!d->settings->store.nr)
 		return load_local(d);
@@ -250,6 +297,8 @@
 	destroy_requests(d.requests);
 	destroy_flows(d.flows);
 	unref_snapshot(d.snapshot);
+	destroy_health(d.health);
+	destroy_chart(d.upstream_chart);
 	destroy_view(d.view);
 	log_change("instance %s has stopped", settings->name);
 	return code;
