--- a/builtin/publish.c
+++ b/builtin/publish.c
@@ -3,19 +3,24 @@
 #include "builtin/builtin.h"
 
 #include <stdio.h>
+#include <time.h>
 
 #include "builtin/session.h"
+#include "config/carry.h"
 #include "net/files.h"
 #include "store/keys.h"
 
-/* The epoch in force and the revision of its record; false if unreadable. */
-static bool read_current(struct session *s, uint64_t *epoch, uint64_t *revision)
+/*
+ * The snapshot in force, NULL if there is none, and the revision of its
+ * record; false if it cannot be read.
+ */
+static bool read_current(struct session *s, struct snapshot **current,
+			 uint64_t *revision)
 {
 	const struct store_answer *a = wait_range(s, KEY_CONFIG, false);
-	struct snapshot *sn;
 	struct status st;
 
-	*epoch = 0;
+	*current = NULL;
 	*revision = 0;
 	if (a->status.kind != STATUS_OK) {
 		fprintf(stderr, "%s\n", a->status.message);
@@ -23,14 +28,12 @@
 	}
 	if (!a->entry_nr)
 		return true;
-	sn = decode_snapshot(a->entries[0].value, a->entries[0].len, &st);
-	if (!sn) {
+	*current = decode_snapshot(a->entries[0].value, a->entries[0].len, &st);
+	if (!*current) {
 		fprintf(stderr, "%s\n", st.message);
 		return false;
 	}
-	*epoch = snapshot_epoch(sn);
 	*revision = a->entries[0].mod_revision;
-	unref_snapshot(sn);
 	return true;
 }
 
@@ -82,19 +85,23 @@
 {
 	char *id = g_uuid_string_random();
 	struct problems *ps = create_problems();
+	struct snapshot *current = NULL;
 	struct snapshot *sn = NULL;
 	uint64_t epoch;
 	uint64_t revision;
 	int code = EXIT_REFUSED;
 
-	if (read_current(s, &epoch, &revision)) {
+	if (read_current(s, &current, &revision)) {
+		epoch = current ? snapshot_epoch(current) : 0;
 		sn = load_services(paths, nr, epoch + 1, id, ps);
-		if (sn)
+		if (sn) {
+			sn = carry_snapshot(current, sn, (uint64_t)time(NULL));
 			code = commit(s, sn, revision);
-		else
+		} else
 			print_problems(ps);
 	}
 	unref_snapshot(sn);
+	unref_snapshot(current);
 	destroy_problems(ps);
 	g_free(id);
 	return code;
--- a/config/service.c
+++ b/config/service.c
@@ -9,7 +9,7 @@
 #define IDLE_MS_DEFAULT (3600 * 1000)
 
 #define SERVICE_FIELD_NR 8
-#define UPSTREAM_FIELD_NR 8
+#define UPSTREAM_FIELD_NR 10
 
 static uint64_t hash_name(const char *name, uint64_t seed)
 {
@@ -122,6 +122,8 @@
 	put_uint(w, up->connections);
 	put_uint(w, up->cold_connections);
 	put_bool(w, up->draining);
+	put_uint(w, up->joined_s);
+	put_uint(w, up->removed_s);
 }
 
 void encode_service(struct wire_writer *w, const struct service *sv)
@@ -153,6 +155,8 @@
 	up->connections = (uint32_t)take_uint(&f, UINT32_MAX);
 	up->cold_connections = (uint32_t)take_uint(&f, UINT32_MAX);
 	up->draining = take_bool(&f);
+	up->joined_s = take_uint(&f, UINT32_MAX);
+	up->removed_s = take_uint(&f, UINT32_MAX);
 	return !f.bad && !f.left && valid_name(up->name) &&
 	       valid_name(up->domain);
 }
--- a/config/service.h
+++ b/config/service.h
@@ -38,6 +38,8 @@
 	uint32_t connections;	   /* flows it holds when warm */
 	uint32_t cold_connections; /* the same in cold start */
 	bool draining;		   /* takes no new work */
+	uint64_t joined_s; /* since 1970; 0: was there from the first publish */
+	uint64_t removed_s; /* since 1970, deleted but still listed; 0: not */
 };
 
 struct service {
