--- a/t/check-flow-carry.c
+++ b/t/check-flow-carry.c
@@ -1,8 +1,8 @@
 /* Tests of what a snapshot inherits from the one before it. */
 
 #include <check.h>
+#include <glib.h>
 #include <stdlib.h>
-#include <string.h>
 
 #include "config/carry.h"
 
@@ -16,7 +16,7 @@
 	for (size_t i = 0; names[i]; i++) {
 		struct upstream up = { .domain = "north" };
 
-		strcpy(up.name, names[i]);
+		g_strlcpy(up.name, names[i], sizeof(up.name));
 		add_upstream(sv, &up);
 	}
 	seal_service(sv);
