--- a/fleet/share.c
+++ b/fleet/share.c
@@ -1,25 +1,39 @@
 #include "fleet/share.h"
 
 #include <glib.h>
+#include <string.h>
 #include <xxhash.h>
 
-#define HANDOVER_MS 2000 /* rest of a unit that changes its holder */
+#define HISTORY_MAX 32 /* changes of members remembered */
+
+/* The live members from one moment until the next division. */
+struct division {
+	uint64_t since; /* ms */
+	GArray *live;	/* uint64_t ids, sorted */
+};
 
 struct shares {
 	const struct view *view;
-	uint64_t fingerprint; /* of the live members */
-	uint64_t changed;     /* ms when the fingerprint last changed */
-	GArray *live;	      /* ids of live members, sorted */
-	GArray *before;	      /* the same before the last change */
+	GArray *history; /* of struct division, the oldest first */
 };
 
+static void clear_division(void *item)
+{
+	struct division *d = item;
+
+	g_array_free(d->live, TRUE);
+}
+
 struct shares *create_shares(const struct view *view)
 {
 	struct shares *sh = g_new0(struct shares, 1);
+	struct division none = { 0,
+				 g_array_new(FALSE, FALSE, sizeof(uint64_t)) };
 
 	sh->view = view;
-	sh->live = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-	sh->before = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	sh->history = g_array_new(FALSE, FALSE, sizeof(struct division));
+	g_array_set_clear_func(sh->history, clear_division);
+	g_array_append_val(sh->history, none);
 	return sh;
 }
 
@@ -27,71 +41,115 @@
 {
 	if (!sh)
 		return;
-	g_array_free(sh->live, TRUE);
-	g_array_free(sh->before, TRUE);
+	g_array_free(sh->history, TRUE);
 	g_free(sh);
 }
 
-void update_shares(struct shares *sh, uint64_t now_ms)
+static const struct division *division_at(const struct shares *sh, guint i)
+{
+	return &g_array_index(sh->history, struct division, i);
+}
+
+static const struct division *last_division(const struct shares *sh)
+{
+	return division_at(sh, sh->history->len - 1);
+}
+
+static GArray *live_members(const struct view *v)
 {
 	GArray *live = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	const struct member *ms;
-	uint64_t print = 0;
 	size_t nr;
 
-	ms = view_members(sh->view, &nr);
-	for (size_t i = 0; i < nr; i++) {
-		if (ms[i].state != MEMBER_ALIVE &&
-		    ms[i].state != MEMBER_SUSPECT)
-			continue;
-		g_array_append_val(live, ms[i].id);
-		print = XXH64(&ms[i].id, sizeof(ms[i].id), print + 1);
-	}
-	if (print == sh->fingerprint) {
-		g_array_free(live, TRUE);
+	ms = view_members(v, &nr);
+	for (size_t i = 0; i < nr; i++)
+		if (ms[i].state == MEMBER_ALIVE ||
+		    ms[i].state == MEMBER_SUSPECT)
+			g_array_append_val(live, ms[i].id);
+	return live;
+}
+
+static bool same_members(const GArray *a, const GArray *b)
+{
+	return a->len == b->len &&
+	       (!a->len ||
+		!memcmp(a->data, b->data, a->len * sizeof(uint64_t)));
+}
+
+void update_shares(struct shares *sh, uint64_t now_ms)
+{
+	struct division next = { MAX(now_ms, 1), live_members(sh->view) };
+
+	if (same_members(next.live, last_division(sh)->live)) {
+		g_array_free(next.live, TRUE);
 		return;
 	}
-	g_array_free(sh->before, TRUE);
-	sh->before = sh->live;
-	sh->live = live;
-	sh->fingerprint = print;
-	sh->changed = now_ms;
+	g_array_append_val(sh->history, next);
+	if (sh->history->len > HISTORY_MAX)
+		g_array_remove_index(sh->history, 0);
 }
 
-/* How many of LIVE outrank MEMBER for the upstream ID. */
+void trust_shares(struct shares *sh)
+{
+	guint last = sh->history->len - 1;
+
+	g_array_index(sh->history, struct division, last).since = 0;
+	if (last)
+		g_array_remove_range(sh->history, 0, last);
+}
+
+/* How many of LIVE outrank MEMBER for the upstream ID; UINT32_MAX if absent. */
 static uint32_t rank_of(const GArray *live, uint64_t id, uint64_t member)
 {
 	uint64_t own = XXH64(&member, sizeof(member), id);
 	uint32_t rank = 0;
+	bool found = false;
 
 	for (guint i = 0; i < live->len; i++) {
 		uint64_t other = g_array_index(live, uint64_t, i);
 		uint64_t weight = XXH64(&other, sizeof(other), id);
 
+		found |= other == member;
 		rank += weight > own || (weight == own && other > member);
 	}
-	return rank;
+	return found ? rank : UINT32_MAX;
 }
 
 static uint32_t share_among(const GArray *live, uint64_t id, uint64_t member,
 			    uint32_t total)
 {
-	uint32_t rank;
+	uint32_t rank = rank_of(live, id, member);
 
-	if (!live->len)
+	if (rank == UINT32_MAX)
 		return 0;
-	rank = rank_of(live, id, member);
 	return total / live->len + (rank < total % live->len);
 }
 
+uint32_t upstream_share_after(const struct shares *sh, uint64_t id,
+			      uint32_t total, uint64_t rest_ms, uint64_t now_ms)
+{
+	uint64_t self = view_self(sh->view);
+	uint32_t least = UINT32_MAX;
+
+	for (guint i = sh->history->len; i-- > 0;) {
+		const struct division *d = division_at(sh, i);
+
+		least = MIN(least, share_among(d->live, id, self, total));
+		if (!least || !d->since || now_ms - d->since >= rest_ms)
+			return least;
+	}
+	return 0; /* what held before the oldest division is not known */
+}
+
 uint32_t upstream_share(const struct shares *sh, uint64_t id, uint32_t total,
 			uint64_t now_ms)
 {
-	uint64_t self = view_self(sh->view);
-	uint32_t now = share_among(sh->live, id, self, total);
-	uint32_t before = share_among(sh->before, id, self, total);
+	return upstream_share_after(sh, id, total, SHARE_REST_MS, now_ms);
+}
 
-	if (now_ms - sh->changed < HANDOVER_MS && before < now)
-		return before;
-	return now;
+uint32_t upstream_share_now(const struct shares *sh, uint64_t id,
+			    uint32_t total)
+{
+	return share_among(last_division(sh)->live, id, view_self(sh->view),
+			   total);
 }
--- a/net/daemon.c
+++ b/net/daemon.c
@@ -256,6 +256,30 @@
 	return true;
 }
 
+/* True if no seed names another instance. */
+static bool is_alone(const struct settings *s)
+{
+	struct endpoint self = s->address;
+
+	self.port = s->peer_port;
+	for (size_t i = 0; i < s->seeds.nr; i++)
+		if (!same_endpoint(&s->seeds.at[i], &self))
+			return false;
+	return true;
+}
+
+static void start_requests(struct daemon *d)
+{
+	struct request_options options = { .alone = is_alone(d->settings) };
+
+	uv_random(NULL, NULL, &options.incarnation, sizeof(options.incarnation),
+		  0, NULL);
+	options.seed = (uint32_t)options.incarnation;
+	d->requests = create_requests(d->view, &d->counters, &options,
+				      uv_now(&d->loop));
+	d->entry = create_entry(&d->loop, d->settings, d->requests);
+}
+
 static bool start_daemon(struct daemon *d)
 {
 	struct admin_source src = {
@@ -265,8 +289,7 @@
 
 	d->admin_source = src;
 	d->flows = create_flows(d->view, &d->counters);
-	d->requests = create_requests(d->view, &d->counters);
-	d->entry = create_entry(&d->loop, d->settings, d->requests);
+	start_requests(d);
 	init_handles(d);
 	if (!start_health(d) || !open_ports(d))
 		return false;
--- a/net/entry.c
+++ b/net/entry.c
@@ -42,11 +42,11 @@
 
 static struct http_message *outcome_answer(const struct request_action *a)
 {
-	const struct status_row *row = find_status_row(a->outcome);
+	const struct outcome_row *row = find_outcome_row(a->outcome);
 	struct http_message *m = create_http_message();
 	char seconds[16];
 
-	m->code = (unsigned int)row->http_code;
+	m->code = row->code;
 	add_http_header(m, HEADER_OUTCOME, row->name);
 	add_http_header(m, "Content-Type", "text/plain");
 	if (a->retry_after_ms) {
@@ -54,7 +54,7 @@
 			   (a->retry_after_ms + 999) / 1000);
 		add_http_header(m, "Retry-After", seconds);
 	}
-	set_http_body(m, row->name);
+	set_http_body(m, row->text);
 	g_byte_array_append(m->body, (const guint8 *)"\n", 1);
 	return m;
 }
@@ -79,13 +79,13 @@
 	const char *outcome = find_http_header(answer, HEADER_OUTCOME);
 
 	return answer->code == 503 && outcome &&
-	       !strcmp(outcome, find_status_row(STATUS_NOT_RUN)->name);
+	       !strcmp(outcome, find_outcome_row(OUTCOME_NOT_RUN)->name);
 }
 
 static void on_call_done(const struct http_call_result *r, void *data)
 {
 	struct open_request *o = data;
-	struct request_event ev = { .request = o->handle };
+	struct request_event ev = { .request = o->handle, .repeatable = true };
 
 	o->call = NULL;
 	o->answer = r->answer;
@@ -131,8 +131,13 @@
 		end_request(o, outcome_answer(a));
 		break;
 	case REQUEST_CANCEL:
+	case REQUEST_CUT:
 		end_request(o, NULL);
 		break;
+	case REQUEST_REPLAY:
+	case REQUEST_READ_ON:
+	case REQUEST_SEND_PEER:
+		break;
 	}
 }
 
