fleet, net: tell instances of each other and of the configuration

Instances only read the store, so an instance that started while it was down had nothing, and nobody knew who lived.

fleet/ keeps three sets of versioned records (members, domains, upstream states) alike at all instances: a change is pushed along a few links, what was missed is found by digests in pings and compared bucket by bucket. Links are successors on three rings of the own failure domain, which are watched, and on two rings of the whole fleet in other domains. A silent member is pinged through others, then suspect, then dead after 3 s; it refutes by its incarnation. Whole domains are judged by one number for each domain instead of by member: a domain that is cut off costs no message for each of its members.

A process that notices by its ticks that it was paused says so in the view (is_view_settled) until it has caught up with a peer.

--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -25,7 +25,8 @@
 	FLEET_DOMAIN,	/* read from the store: DOMAIN */
 	FLEET_UPSTREAM, /* this instance judged UPSTREAM to be in STATE */
 	FLEET_LISTED,	/* the platform lists an instance: MEMBER */
-	FLEET_LEAVE	/* this instance begins its graceful stop */
+	FLEET_LEAVE,	/* this instance begins its graceful stop */
+	FLEET_GONE	/* this instance ends now */
 };
 
 #define FLEET_TICK_MS 200
@@ -49,6 +50,7 @@
 
 enum fleet_action_kind {
 	FLEET_SEND,		/* send DATA, LEN to the peer at TO */
+	FLEET_RESET,		/* the connection to TO makes no progress */
 	FLEET_APPLY,		/* SNAPSHOT is in force now */
 	FLEET_DOMAIN_CHANGED,	/* DOMAIN went out or came back */
 	FLEET_UPSTREAM_CHANGED, /* UPSTREAM has another state in the view */
--- /dev/null
+++ b/fleet/heads.c
@@ -0,0 +1,68 @@
+/*
+ * Heads: the few numbers in each ping and each answer from which the other
+ * side sees whether anything differs. About 60 bytes at three failure
+ * domains, 8 more for each further one.
+ */
+
+#include "fleet/internal.h"
+
+static uint64_t config_epoch(const struct fleet *f)
+{
+	const struct snapshot *sn = current_snapshot(f->config);
+
+	return sn ? snapshot_epoch(sn) : 0;
+}
+
+void put_heads(struct wire_writer *w, const struct fleet *f)
+{
+	put_uint(w, config_epoch(f));
+	put_uint(w, current_digest(f->config));
+	for (int s = 0; s < FLEET_SET_NR; s++)
+		put_uint(w, records_digest(f->sets[s]));
+	put_array(w, beat_nr(f->beats) * 2);
+	for (size_t i = 0; i < beat_nr(f->beats); i++) {
+		put_uint(w, beat_hash(f->beats, i));
+		put_uint(w, beat_value(f->beats, i));
+	}
+}
+
+static bool is_level(const struct fleet *f, uint64_t epoch,
+		     const uint32_t *digests)
+{
+	return epoch <= config_epoch(f) &&
+	       digests[SET_DOMAINS] == records_digest(f->sets[SET_DOMAINS]);
+}
+
+static void take_beats(struct fleet *f, struct wire_reader *r)
+{
+	struct wire_reader list;
+
+	take_array(r, &list);
+	while (list.left && !list.bad) {
+		uint32_t hash = (uint32_t)take_uint(&list, UINT32_MAX);
+		uint64_t at = take_uint(&list, UINT64_MAX);
+
+		if (!list.bad)
+			take_beat(f->beats, hash, at, f->now);
+	}
+	r->bad |= list.bad;
+}
+
+bool take_heads(struct fleet *f, const struct sender *from,
+		struct wire_reader *r)
+{
+	uint64_t epoch = take_uint(r, UINT64_MAX);
+	uint32_t digest = (uint32_t)take_uint(r, UINT32_MAX);
+	uint32_t digests[FLEET_SET_NR];
+
+	for (int s = 0; s < FLEET_SET_NR; s++)
+		digests[s] = (uint32_t)take_uint(r, UINT32_MAX);
+	take_beats(f, r);
+	if (r->bad)
+		return false;
+	note_epoch(f, from, epoch, digest);
+	for (int s = 0; s < FLEET_SET_NR; s++)
+		if (digests[s] != records_digest(f->sets[s]))
+			compare_set(f, (enum fleet_set)s, &from->at);
+	return is_level(f, epoch, digests);
+}
--- /dev/null
+++ b/fleet/links.c
@@ -0,0 +1,112 @@
+/*
+ * Chooses the few members that this instance keeps links to. Members of a
+ * domain stand on FLEET_LOCAL_RINGS rings, each in another order, and each
+ * watches its successor on every ring; on FLEET_CROSS_RINGS further rings of
+ * the whole fleet each has its successor from another domain. Every member
+ * has as many links out as in, and the union of some random rings has a short
+ * diameter. One member that comes or goes changes one link on each ring.
+ */
+
+#include "fleet/internal.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#define PROBE_MS_FIRST 100 /* a new link is first pinged within this */
+
+static uint64_t ring_position(uint64_t id, unsigned int ring)
+{
+	return XXH64(&id, sizeof(id), ring + 1);
+}
+
+static bool is_avoided(const struct fleet *f, uint64_t id)
+{
+	const uint64_t *until = g_hash_table_lookup(f->avoided, &id);
+
+	return until && f->now < *until;
+}
+
+static bool may_follow(const struct fleet *f, const struct member *m,
+		       bool cross)
+{
+	bool own = !strcmp(m->domain, f->self.domain);
+
+	if (m->id == f->self.id || own == cross)
+		return false;
+	if (m->state != MEMBER_ALIVE && m->state != MEMBER_SUSPECT)
+		return false;
+	return !cross || (m->state == MEMBER_ALIVE && !is_avoided(f, m->id));
+}
+
+static const struct member *find_successor(const struct fleet *f,
+					   unsigned int ring, bool cross)
+{
+	uint64_t own = ring_position(f->self.id, ring);
+	const struct member *best = NULL;
+	uint64_t best_distance = 0;
+	const struct member *ms;
+	size_t nr;
+
+	ms = view_members(f->view, &nr);
+	for (size_t i = 0; i < nr; i++) {
+		uint64_t distance;
+
+		if (!may_follow(f, &ms[i], cross))
+			continue;
+		distance = ring_position(ms[i].id, ring) - own;
+		if (best && distance >= best_distance)
+			continue;
+		best = &ms[i];
+		best_distance = distance;
+	}
+	return best;
+}
+
+static struct link *find_in(struct link *links, size_t nr, uint64_t id)
+{
+	for (size_t i = 0; i < nr; i++)
+		if (links[i].id == id)
+			return &links[i];
+	return NULL;
+}
+
+struct link *find_link(struct fleet *f, uint64_t id)
+{
+	return find_in(f->links, f->link_nr, id);
+}
+
+/* Appends a link to M, with its history if it was linked before. */
+static void append_link(struct fleet *f, struct link *new, size_t *nr,
+			const struct member *m, bool watched)
+{
+	const struct link *old = find_link(f, m->id);
+	struct link l = { .id = m->id };
+
+	if (find_in(new, *nr, m->id))
+		return;
+	if (old)
+		l = *old;
+	else
+		l.due = f->now +
+			(uint64_t)g_rand_int_range(f->rand, 0, PROBE_MS_FIRST);
+	l.at = member_endpoint(m);
+	l.watched = watched;
+	new[(*nr)++] = l;
+}
+
+void choose_links(struct fleet *f)
+{
+	struct link new[FLEET_LINK_MAX];
+	size_t nr = 0;
+
+	for (unsigned int r = 0; r < FLEET_LINK_MAX; r++) {
+		bool cross = r >= FLEET_LOCAL_RINGS;
+		const struct member *m = find_successor(f, r, cross);
+
+		if (m)
+			append_link(f, new, &nr, m, !cross);
+	}
+	memcpy(f->links, new, nr * sizeof(*new));
+	f->link_nr = nr;
+	f->links_stale = false;
+}
--- /dev/null
+++ b/fleet/records.c
@@ -0,0 +1,161 @@
+#include "fleet/records.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+struct bucket {
+	GPtrArray *at; /* of struct record, sorted by key */
+	uint32_t digest;
+};
+
+struct records {
+	unsigned int bits;
+	size_t nr;
+	uint32_t digest;
+	struct bucket *buckets;
+};
+
+struct records *create_records(unsigned int bits)
+{
+	struct records *rs = g_new0(struct records, 1);
+
+	rs->bits = bits;
+	rs->buckets = g_new0(struct bucket, bucket_nr(rs));
+	for (size_t i = 0; i < bucket_nr(rs); i++)
+		rs->buckets[i].at = g_ptr_array_new_with_free_func(g_free);
+	return rs;
+}
+
+void destroy_records(struct records *rs)
+{
+	if (!rs)
+		return;
+	for (size_t i = 0; i < bucket_nr(rs); i++)
+		g_ptr_array_free(rs->buckets[i].at, TRUE);
+	g_free(rs->buckets);
+	g_free(rs);
+}
+
+size_t record_nr(const struct records *rs)
+{
+	return rs->nr;
+}
+
+size_t bucket_nr(const struct records *rs)
+{
+	return (size_t)1 << rs->bits;
+}
+
+size_t bucket_of(const struct records *rs, uint64_t key)
+{
+	return rs->bits ? (size_t)(key >> (64 - rs->bits)) : 0;
+}
+
+/* Index of the first record of B whose key is not below KEY. */
+static guint record_index(const struct bucket *b, uint64_t key)
+{
+	guint low = 0;
+	guint high = b->at->len;
+
+	while (low < high) {
+		guint mid = low + (high - low) / 2;
+		const struct record *r = g_ptr_array_index(b->at, mid);
+
+		if (r->key < key)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	return low;
+}
+
+static const struct record *record_at(const struct bucket *b, guint i,
+				      uint64_t key)
+{
+	const struct record *r;
+
+	if (i == b->at->len)
+		return NULL;
+	r = g_ptr_array_index(b->at, i);
+	return r->key == key ? r : NULL;
+}
+
+const struct record *find_record(const struct records *rs, uint64_t key)
+{
+	const struct bucket *b = &rs->buckets[bucket_of(rs, key)];
+
+	return record_at(b, record_index(b, key), key);
+}
+
+/* Adds R to the digests, or takes it away: the same operation. */
+static void toggle_digest(struct records *rs, struct bucket *b,
+			  const struct record *r)
+{
+	uint32_t h = (uint32_t)XXH64(&r->key, sizeof(r->key), r->version);
+
+	if (r->hidden)
+		return;
+	b->digest ^= h;
+	rs->digest ^= h;
+}
+
+static struct record *new_record(const struct record *head, const void *body)
+{
+	struct record *r = g_malloc(sizeof(*r) + head->len);
+
+	memcpy(r, head, sizeof(*r));
+	if (head->len)
+		memcpy(r->body, body, head->len);
+	return r;
+}
+
+const struct record *put_record(struct records *rs, const struct record *head,
+				const void *body)
+{
+	struct bucket *b = &rs->buckets[bucket_of(rs, head->key)];
+	guint i = record_index(b, head->key);
+	const struct record *old = record_at(b, i, head->key);
+	struct record *r;
+
+	if (old && old->version >= head->version)
+		return NULL;
+	r = new_record(head, body);
+	if (old) {
+		toggle_digest(rs, b, old);
+		g_free(g_ptr_array_index(b->at, i));
+		g_ptr_array_index(b->at, i) = r;
+	} else {
+		g_ptr_array_insert(b->at, (gint)i, r);
+		rs->nr++;
+	}
+	toggle_digest(rs, b, r);
+	return r;
+}
+
+void remove_record(struct records *rs, uint64_t key)
+{
+	struct bucket *b = &rs->buckets[bucket_of(rs, key)];
+	guint i = record_index(b, key);
+	const struct record *r = record_at(b, i, key);
+
+	if (!r)
+		return;
+	toggle_digest(rs, b, r);
+	g_ptr_array_remove_index(b->at, i);
+	rs->nr--;
+}
+
+const GPtrArray *record_bucket(const struct records *rs, size_t i)
+{
+	return rs->buckets[i].at;
+}
+
+uint32_t bucket_digest(const struct records *rs, size_t i)
+{
+	return rs->buckets[i].digest;
+}
+
+uint32_t records_digest(const struct records *rs)
+{
+	return rs->digest;
+}
--- /dev/null
+++ b/fleet/spread.c
@@ -0,0 +1,511 @@
+/*
+ * How records reach everyone. A record that is new here is pushed at once to
+ * every link but the one it came from: some rounds reach the whole fleet.
+ * What a lost message or a cut held back is found by comparing digests: pings
+ * carry one digest for each set; where they differ one side sends the digests
+ * of its buckets (COMPARE), the other lists the versions in those that differ
+ * (LIST), and both send what is newer (RECORDS, WANT).
+ *
+ * Changes on their way make digests differ without need. So comparisons of a
+ * set that bring nothing are repeated less and less often.
+ */
+
+#include "fleet/internal.h"
+
+#include <string.h>
+
+#define MEMBER_BUCKET_BITS 6 /* 83 of 5,300 members in each */
+#define DOMAIN_BUCKET_BITS 0
+#define UPSTREAM_BUCKET_BITS 8 /* 160 of 41,000 upstreams in each */
+#define COMPARE_MS 200	       /* least time between two comparisons */
+#define COMPARE_MAX_MS 8000    /* the same after many that brought nothing */
+#define COMPARE_DOMAIN_MAX_MS 400
+#define SPREAD_MAX 64 /* records of one reply that are pushed on */
+#define RECORD_FIELD_NR 4
+#define LIST_ITEM 16 /* bytes: key and version */
+
+void init_spread(struct fleet *f)
+{
+	static const unsigned int bits[FLEET_SET_NR] = { MEMBER_BUCKET_BITS,
+							 DOMAIN_BUCKET_BITS,
+							 UPSTREAM_BUCKET_BITS };
+
+	for (int s = 0; s < FLEET_SET_NR; s++) {
+		f->sets[s] = create_records(bits[s]);
+		f->compare[s].backoff = COMPARE_MS;
+	}
+	f->changes = g_array_new(FALSE, FALSE, sizeof(struct change));
+}
+
+void release_spread(struct fleet *f)
+{
+	for (int s = 0; s < FLEET_SET_NR; s++)
+		destroy_records(f->sets[s]);
+	g_array_free(f->changes, TRUE);
+}
+
+static void put_full_record(struct wire_writer *w, enum fleet_set set,
+			    const struct record *rec)
+{
+	put_array(w, RECORD_FIELD_NR);
+	put_uint(w, set);
+	put_uint(w, rec->key);
+	put_uint(w, rec->version);
+	put_bin(w, rec->body, rec->len);
+}
+
+/* Sends the records of LIST (struct record *) of SET to TO. */
+static void send_records(struct fleet *f, enum fleet_set set,
+			 const GPtrArray *list, const struct endpoint *to)
+{
+	struct wire_writer w;
+
+	if (!list->len)
+		return;
+	begin_message(&w, f, FLEET_RECORDS, 2);
+	put_bool(&w, false);
+	put_array(&w, list->len);
+	for (guint i = 0; i < list->len; i++)
+		put_full_record(&w, set, g_ptr_array_index(list, i));
+	end_message(f, &w, to);
+}
+
+void send_record(struct fleet *f, enum fleet_set set, uint64_t key,
+		 const struct endpoint *to)
+{
+	const struct record *rec = find_record(f->sets[set], key);
+	GPtrArray *list = g_ptr_array_new();
+
+	if (rec)
+		g_ptr_array_add(list, (gpointer)rec);
+	send_records(f, set, list, to);
+	g_ptr_array_free(list, TRUE);
+}
+
+static void put_change(struct wire_writer *w, const struct fleet *f,
+		       const struct change *c)
+{
+	const struct record *rec = find_record(f->sets[c->set], c->key);
+
+	if (rec)
+		put_full_record(w, c->set, rec);
+	else
+		put_array(w, 0);
+}
+
+static void push_to(struct fleet *f, const struct endpoint *to)
+{
+	struct wire_writer w;
+
+	begin_message(&w, f, FLEET_RECORDS, 2);
+	put_bool(&w, true);
+	put_array(&w, f->changes->len);
+	for (guint i = 0; i < f->changes->len; i++)
+		put_change(&w, f, &g_array_index(f->changes, struct change, i));
+	end_message(f, &w, to);
+}
+
+void push_changes(struct fleet *f)
+{
+	if (f->changes->len)
+		for (size_t i = 0; i < f->link_nr; i++)
+			if (f->links[i].id != f->changes_from)
+				push_to(f, &f->links[i].at);
+	g_array_set_size(f->changes, 0);
+	f->changes_from = 0;
+}
+
+static void note_change(struct fleet *f, enum fleet_set set, uint64_t key)
+{
+	struct change c = { set, key };
+
+	g_array_append_val(f->changes, c);
+}
+
+static void take_domain(struct fleet *f, const struct record *rec)
+{
+	struct wire_message msg;
+	struct wire_reader r;
+	struct domain_record d;
+	struct fleet_action *a;
+	bool ok = open_wire(&msg, &r, rec->body, rec->len);
+
+	/* The body is an array of one record, as the wire reader wants. */
+	ok = ok && decode_domain_record(&r, &d);
+	release_wire(&msg);
+	if (!ok || !merge_domain_record(&f->domains, &d))
+		return;
+	set_domain_out(f->view, d.name, d.out);
+	a = add_action(f, FLEET_DOMAIN_CHANGED);
+	memcpy(a->domain, d.name, sizeof(a->domain));
+}
+
+static void act_on_record(struct fleet *f, enum fleet_set set,
+			  const struct record *rec)
+{
+	switch (set) {
+	case SET_MEMBERS:
+		take_member(f, rec);
+		break;
+	case SET_DOMAINS:
+		take_domain(f, rec);
+		break;
+	case SET_UPSTREAMS:
+		take_upstream(f, rec);
+		break;
+	case FLEET_SET_NR:
+		break;
+	}
+}
+
+/* Puts the record; true if it is news. */
+static bool take_record(struct fleet *f, enum fleet_set set,
+			struct record *head, const void *body, bool spread)
+{
+	const struct record *rec;
+
+	if (set == SET_MEMBERS) {
+		if (!is_member_news(f, head))
+			return false;
+		head->hidden = record_state(head) == MEMBER_DEAD;
+	}
+	head->taken = f->now;
+	rec = put_record(f->sets[set], head, body);
+	if (!rec)
+		return false;
+	if (spread)
+		note_change(f, set, head->key);
+	act_on_record(f, set, rec);
+	return true;
+}
+
+void publish_record(struct fleet *f, enum fleet_set set, uint64_t key,
+		    uint64_t version, const struct wire_writer *body)
+{
+	struct record head = { .key = key,
+			       .version = version,
+			       .len = (uint32_t)body->buf.size };
+
+	take_record(f, set, &head, body->buf.data, true);
+}
+
+/* Tells the sender of an old record of itself what is known of it. */
+static void answer_old(struct fleet *f, const struct sender *from,
+		       enum fleet_set set, const struct record *head)
+{
+	const struct record *rec = find_record(f->sets[set], head->key);
+
+	if (set == SET_MEMBERS && head->key == from->id && rec &&
+	    rec->version > head->version)
+		send_record(f, set, head->key, &from->at);
+}
+
+static void read_record(struct fleet *f, const struct sender *from,
+			struct wire_reader *list, bool pushed, bool spread)
+{
+	struct wire_reader r;
+	struct record head = { 0 };
+	enum fleet_set set;
+	const void *body;
+
+	if (!take_array(list, &r))
+		return;
+	set = (enum fleet_set)take_uint(&r, FLEET_SET_NR - 1);
+	head.key = take_uint(&r, UINT64_MAX);
+	head.version = take_uint(&r, UINT64_MAX);
+	head.len = (uint32_t)take_bin(&r, &body);
+	if (r.bad || r.left) {
+		list->bad = true;
+		return;
+	}
+	if (!take_record(f, set, &head, body, spread || set == SET_DOMAINS)) {
+		answer_old(f, from, set, &head);
+		return;
+	}
+	count(f->counters, COUNT_FLEET_RECORDS);
+	if (!pushed)
+		f->compare[set].taken++;
+}
+
+void on_records(struct fleet *f, const struct sender *from,
+		struct wire_reader *r)
+{
+	bool pushed = take_bool(r);
+	struct wire_reader list;
+	bool spread;
+
+	take_array(r, &list);
+	spread = pushed || list.left <= SPREAD_MAX;
+	f->changes_from = from->id;
+	while (list.left && !list.bad)
+		read_record(f, from, &list, pushed, spread);
+	r->bad |= list.bad;
+}
+
+static uint64_t next_backoff(const struct compare_state *c, enum fleet_set set)
+{
+	uint64_t max =
+		set == SET_DOMAINS ? COMPARE_DOMAIN_MAX_MS : COMPARE_MAX_MS;
+
+	if (c->taken)
+		return COMPARE_MS;
+	return c->backoff * 2 < max ? c->backoff * 2 : max;
+}
+
+void compare_set(struct fleet *f, enum fleet_set set, const struct endpoint *to)
+{
+	struct compare_state *c = &f->compare[set];
+	const struct records *rs = f->sets[set];
+	uint32_t digests[256];
+	struct wire_writer w;
+
+	if (f->now < c->next)
+		return;
+	for (size_t b = 0; b < bucket_nr(rs); b++)
+		digests[b] = GUINT32_TO_BE(bucket_digest(rs, b));
+	begin_message(&w, f, FLEET_COMPARE, 2);
+	put_uint(&w, set);
+	put_bin(&w, digests, bucket_nr(rs) * sizeof(*digests));
+	end_message(f, &w, to);
+	count(f->counters, COUNT_FLEET_SYNCS);
+	c->backoff = next_backoff(c, set);
+	c->next = f->now + c->backoff;
+	c->taken = 0;
+	c->with = *to;
+}
+
+/* Goes on with a comparison that brought something. */
+void tick_spread(struct fleet *f)
+{
+	for (int s = 0; s < FLEET_SET_NR; s++)
+		if (f->compare[s].taken)
+			compare_set(f, (enum fleet_set)s, &f->compare[s].with);
+}
+
+/* Appends the records of bucket B that count to LIST; returns their bytes. */
+static size_t collect_bucket(const struct records *rs, size_t b,
+			     GPtrArray *list)
+{
+	const GPtrArray *at = record_bucket(rs, b);
+	size_t bytes = 0;
+
+	for (guint i = 0; i < at->len; i++) {
+		const struct record *rec = g_ptr_array_index(at, i);
+
+		if (rec->hidden)
+			continue;
+		g_ptr_array_add(list, (gpointer)rec);
+		bytes += sizeof(*rec) + rec->len;
+	}
+	return bytes;
+}
+
+static void put_versions(struct wire_writer *w, const struct records *rs,
+			 size_t b)
+{
+	GPtrArray *list = g_ptr_array_new();
+	GByteArray *raw = g_byte_array_new();
+
+	collect_bucket(rs, b, list);
+	for (guint i = 0; i < list->len; i++) {
+		const struct record *rec = g_ptr_array_index(list, i);
+		uint64_t item[2] = { GUINT64_TO_BE(rec->key),
+				     GUINT64_TO_BE(rec->version) };
+
+		g_byte_array_append(raw, (const guint8 *)item, LIST_ITEM);
+	}
+	put_array(w, 2);
+	put_uint(w, b);
+	put_bin(w, raw->data, raw->len);
+	g_byte_array_free(raw, TRUE);
+	g_ptr_array_free(list, TRUE);
+}
+
+static void send_list(struct fleet *f, enum fleet_set set,
+		      const GArray *buckets, const struct endpoint *to)
+{
+	struct wire_writer w;
+
+	if (!buckets->len)
+		return;
+	begin_message(&w, f, FLEET_LIST, 2);
+	put_uint(&w, set);
+	put_array(&w, buckets->len);
+	for (guint i = 0; i < buckets->len; i++)
+		put_versions(&w, f->sets[set],
+			     g_array_index(buckets, size_t, i));
+	end_message(f, &w, to);
+}
+
+/*
+ * Of the buckets that differ: the records themselves where the other side
+ * has none, the versions of the others; up to FLEET_REPLY_MAX in all.
+ */
+static void answer_compare(struct fleet *f, enum fleet_set set,
+			   const uint32_t *digests, const struct endpoint *to)
+{
+	const struct records *rs = f->sets[set];
+	GPtrArray *records = g_ptr_array_new();
+	GArray *listed = g_array_new(FALSE, FALSE, sizeof(size_t));
+	size_t nr = bucket_nr(rs);
+	size_t start = (size_t)g_rand_int_range(f->rand, 0, (gint32)nr);
+	size_t bytes = 0;
+
+	for (size_t i = 0; i < nr && bytes < FLEET_REPLY_MAX; i++) {
+		size_t b = (start + i) % nr;
+
+		if (GUINT32_FROM_BE(digests[b]) == bucket_digest(rs, b))
+			continue;
+		if (!digests[b]) {
+			bytes += collect_bucket(rs, b, records);
+		} else {
+			g_array_append_val(listed, b);
+			bytes += record_bucket(rs, b)->len * LIST_ITEM;
+		}
+	}
+	send_records(f, set, records, to);
+	send_list(f, set, listed, to);
+	g_ptr_array_free(records, TRUE);
+	g_array_free(listed, TRUE);
+}
+
+void on_compare(struct fleet *f, const struct sender *from,
+		struct wire_reader *r)
+{
+	enum fleet_set set = (enum fleet_set)take_uint(r, FLEET_SET_NR - 1);
+	const void *raw;
+	size_t len = take_bin(r, &raw);
+	uint32_t digests[256];
+
+	if (r->bad || len != bucket_nr(f->sets[set]) * sizeof(*digests)) {
+		r->bad = true;
+		return;
+	}
+	memcpy(digests, raw, len);
+	answer_compare(f, set, digests, &from->at);
+}
+
+/* A LIST of one bucket, sorted by key, being compared with the own one. */
+struct listing {
+	const uint8_t *raw;
+	size_t nr;
+	size_t next;
+	GPtrArray *newer; /* own records that the other side lacks */
+	GByteArray *want; /* keys that this side lacks */
+};
+
+static uint64_t read_item(const struct listing *l, size_t field)
+{
+	uint64_t v;
+
+	memcpy(&v, l->raw + l->next * LIST_ITEM + field * sizeof(v), sizeof(v));
+	return GUINT64_FROM_BE(v);
+}
+
+static void want_key(struct listing *l, uint64_t key)
+{
+	uint64_t raw = GUINT64_TO_BE(key);
+
+	g_byte_array_append(l->want, (const guint8 *)&raw, sizeof(raw));
+}
+
+/* Wants every listed key below KEY: the own bucket has none of them. */
+static void skip_below(struct listing *l, uint64_t key)
+{
+	for (; l->next < l->nr && read_item(l, 0) < key; l->next++)
+		want_key(l, read_item(l, 0));
+}
+
+static void compare_item(struct listing *l, const struct record *rec)
+{
+	uint64_t version;
+
+	skip_below(l, rec->key);
+	if (l->next == l->nr || read_item(l, 0) != rec->key) {
+		if (!rec->hidden)
+			g_ptr_array_add(l->newer, (gpointer)rec);
+		return;
+	}
+	version = read_item(l, 1);
+	l->next++;
+	if (version < rec->version)
+		g_ptr_array_add(l->newer, (gpointer)rec);
+	else if (version > rec->version)
+		want_key(l, rec->key);
+}
+
+static void read_listed(const struct records *rs, struct wire_reader *list,
+			struct listing *l)
+{
+	struct wire_reader r;
+	const GPtrArray *at;
+	const void *raw;
+	size_t b;
+
+	take_array(list, &r);
+	b = (size_t)take_uint(&r, bucket_nr(rs) - 1);
+	l->nr = take_bin(&r, &raw) / LIST_ITEM;
+	l->raw = raw;
+	l->next = 0;
+	if (r.bad) {
+		list->bad = true;
+		return;
+	}
+	at = record_bucket(rs, b);
+	for (guint i = 0; i < at->len; i++)
+		compare_item(l, g_ptr_array_index(at, i));
+	skip_below(l, UINT64_MAX);
+}
+
+static void send_want(struct fleet *f, enum fleet_set set,
+		      const GByteArray *want, const struct endpoint *to)
+{
+	struct wire_writer w;
+
+	if (!want->len)
+		return;
+	begin_message(&w, f, FLEET_WANT, 2);
+	put_uint(&w, set);
+	put_bin(&w, want->data, want->len);
+	end_message(f, &w, to);
+}
+
+void on_list(struct fleet *f, const struct sender *from, struct wire_reader *r)
+{
+	enum fleet_set set = (enum fleet_set)take_uint(r, FLEET_SET_NR - 1);
+	struct listing l = { .newer = g_ptr_array_new(),
+			     .want = g_byte_array_new() };
+	struct wire_reader list;
+
+	take_array(r, &list);
+	while (list.left && !list.bad)
+		read_listed(f->sets[set], &list, &l);
+	r->bad |= list.bad;
+	if (!r->bad) {
+		send_records(f, set, l.newer, &from->at);
+		send_want(f, set, l.want, &from->at);
+	}
+	g_ptr_array_free(l.newer, TRUE);
+	g_byte_array_free(l.want, TRUE);
+}
+
+void on_want(struct fleet *f, const struct sender *from, struct wire_reader *r)
+{
+	enum fleet_set set = (enum fleet_set)take_uint(r, FLEET_SET_NR - 1);
+	GPtrArray *list = g_ptr_array_new();
+	const void *raw;
+	size_t len = take_bin(r, &raw);
+
+	for (size_t at = 0; !r->bad && at + sizeof(uint64_t) <= len;
+	     at += sizeof(uint64_t)) {
+		const struct record *rec;
+		uint64_t key;
+
+		memcpy(&key, (const uint8_t *)raw + at, sizeof(key));
+		rec = find_record(f->sets[set], GUINT64_FROM_BE(key));
+		if (rec)
+			g_ptr_array_add(list, (gpointer)rec);
+	}
+	send_records(f, set, list, &from->at);
+	g_ptr_array_free(list, TRUE);
+}
--- a/fleet/view.c
+++ b/fleet/view.c
@@ -6,6 +6,7 @@
 
 struct view {
 	uint64_t self;
+	bool settled;
 	GArray *members;      /* of struct member, sorted by id */
 	GHashTable *out;      /* names of domains taken out */
 	GHashTable *upstream; /* uint64_t id -> enum upstream_state */
@@ -88,6 +89,16 @@
 	return (const struct member *)(void *)v->members->data;
 }
 
+bool is_view_settled(const struct view *v)
+{
+	return v->settled;
+}
+
+void set_view_settled(struct view *v, bool settled)
+{
+	v->settled = settled;
+}
+
 static bool is_live(const struct member *m)
 {
 	return m->state == MEMBER_ALIVE || m->state == MEMBER_SUSPECT;
@@ -121,11 +132,16 @@
 			    GINT_TO_POINTER(s));
 }
 
+enum upstream_state judged_upstream_state(const struct view *v, uint64_t id)
+{
+	return (enum upstream_state)GPOINTER_TO_INT(
+		g_hash_table_lookup(v->upstream, &id));
+}
+
 enum upstream_state upstream_state(const struct view *v,
 				   const struct upstream *up)
 {
-	enum upstream_state s = (enum upstream_state)GPOINTER_TO_INT(
-		g_hash_table_lookup(v->upstream, &up->id));
+	enum upstream_state s = judged_upstream_state(v, up->id);
 
 	if (is_domain_out(v, up->domain))
 		return UPSTREAM_OUT;
--- a/fleet/view.h
+++ b/fleet/view.h
@@ -31,6 +31,8 @@
 	uint16_t flow_port;
 	uint16_t admin_port;
 	enum member_state state;
+	uint32_t incarnation; /* grows when it refutes or restarts */
+	uint32_t start;	      /* random; another after each restart */
 };
 
 enum upstream_state {
@@ -63,12 +65,24 @@
 /* Number of members that are alive or suspect. */
 size_t live_member_nr(const struct view *v);
 
+/*
+ * False from start, and again from the moment this instance notices that it
+ * was paused, until it has compared what it knows with a peer (or found none
+ * for some seconds). Until then it must not use shares or keeper roles that
+ * it remembers: others may have them.
+ */
+bool is_view_settled(const struct view *v);
+void set_view_settled(struct view *v, bool settled);
+
 /* Marks DOMAIN as taken out, or as back. */
 void set_domain_out(struct view *v, const char *domain, bool out);
 bool is_domain_out(const struct view *v, const char *domain);
 
 void set_upstream_state(struct view *v, uint64_t id, enum upstream_state s);
 
+/* What was judged about upstream ID, whatever overrides it. */
+enum upstream_state judged_upstream_state(const struct view *v, uint64_t id);
+
 /*
  * The state of UP with what overrides its health taken into account: out if
  * its domain is out, else down if it is down, else draining if published so.
--- a/net/daemon.c
+++ b/net/daemon.c
@@ -7,6 +7,7 @@
 #include "net/admin.h"
 #include "net/entry.h"
 #include "net/files.h"
+#include "net/fleet-port.h"
 #include "net/flow-port.h"
 #include "net/log.h"
 #include "store/keys.h"
@@ -20,7 +21,7 @@
 	const struct settings *settings;
 	struct counters counters;
 	struct view *view;
-	struct snapshot *snapshot;
+	struct fleet_port *fleet;
 	struct flows *flows;
 	struct requests *requests;
 	struct entry *entry;
@@ -37,19 +38,10 @@
 	bool stopping;
 };
 
-static void apply_snapshot(struct daemon *d, struct snapshot *sn)
+static void apply_snapshot(struct daemon *d, const struct snapshot *sn)
 {
 	uint64_t now = uv_now(&d->loop);
 
-	if (d->snapshot && snapshot_epoch(sn) <= snapshot_epoch(d->snapshot)) {
-		if (snapshot_epoch(sn) < snapshot_epoch(d->snapshot))
-			count(&d->counters, COUNT_CONFIG_STALE);
-		unref_snapshot(sn);
-		return;
-	}
-	unref_snapshot(d->snapshot);
-	d->snapshot = sn;
-	count(&d->counters, COUNT_CONFIG_APPLIED);
 	set_flow_snapshot(d->flows, sn, now);
 	set_request_snapshot(d->requests, sn, now);
 	set_entry_snapshot(d->entry, sn);
@@ -59,6 +51,44 @@
 		   snapshot_service_nr(sn), snapshot_upstream_nr(sn));
 }
 
+static void log_member(const struct daemon *d, uint64_t id)
+{
+	const struct member *m = find_member(d->view, id);
+
+	if (m)
+		log_change("instance %s of domain %s is %s", m->name, m->domain,
+			   member_state_name(m->state));
+}
+
+static void on_fleet_action(const struct fleet_action *a, void *data)
+{
+	struct daemon *d = data;
+
+	switch (a->kind) {
+	case FLEET_APPLY:
+		apply_snapshot(d, a->snapshot);
+		break;
+	case FLEET_DOMAIN_CHANGED:
+		log_change("domain %s is %s", a->domain,
+			   is_domain_out(d->view, a->domain) ? "out" : "back");
+		break;
+	case FLEET_MEMBER_CHANGED:
+		log_member(d, a->id);
+		break;
+	default:
+		break;
+	}
+}
+
+/* Tells the fleet of a snapshot read from the store or the directory. */
+static void offer_read_snapshot(struct daemon *d, struct snapshot *sn)
+{
+	struct fleet_event ev = { .kind = FLEET_SNAPSHOT, .snapshot = sn };
+
+	step_fleet_port(d->fleet, &ev);
+	unref_snapshot(sn);
+}
+
 static void on_config(const struct store_answer *a, void *data)
 {
 	struct daemon *d = data;
@@ -72,7 +102,7 @@
 		return;
 	sn = decode_snapshot(a->entries[0].value, a->entries[0].len, &st);
 	if (sn)
-		apply_snapshot(d, sn);
+		offer_read_snapshot(d, sn);
 	else
 		count(&d->counters, COUNT_CONFIG_CORRUPT);
 }
@@ -96,7 +126,7 @@
 	destroy_problems(ps);
 	if (!sn)
 		return false;
-	apply_snapshot(d, sn);
+	offer_read_snapshot(d, sn);
 	return true;
 }
 
@@ -104,7 +134,7 @@
 {
 	const struct daemon *d = data;
 
-	return d->snapshot;
+	return fleet_snapshot(port_fleet(d->fleet));
 }
 
 static uint64_t get_store_age(void *data)
@@ -133,6 +163,8 @@
 	destroy_flow_port(d->flow_port);
 	destroy_entry(d->entry);
 	destroy_store(d->store);
+	destroy_fleet_port(d->fleet);
+	d->fleet = NULL;
 }
 
 static void on_stop_timer(uv_timer_t *timer)
@@ -150,6 +182,7 @@
 
 static void on_signal(uv_signal_t *sig, int signum)
 {
+	struct fleet_event leave = { .kind = FLEET_LEAVE };
 	struct daemon *d = sig->data;
 
 	if (d->stopping)
@@ -158,6 +191,7 @@
 	d->stop_deadline = uv_now(&d->loop) + d->settings->stop_ms;
 	log_change("stopping on signal %d: %zu requests to finish", signum,
 		   open_request_nr(d->requests));
+	step_fleet_port(d->fleet, &leave);
 	stop_entry(d->entry);
 	uv_timer_start(&d->stop_timer, on_stop_timer, STOP_CHECK_MS,
 		       STOP_CHECK_MS);
@@ -177,9 +211,8 @@
 	uv_signal_start(&d->sigint, on_signal, SIGINT);
 }
 
-static void join_view(struct daemon *d)
+static struct member describe_self(const struct settings *s)
 {
-	const struct settings *s = d->settings;
 	struct member self = { .id = service_id(s->name),
 			       .address = s->address,
 			       .peer_port = s->peer_port,
@@ -189,8 +222,16 @@
 
 	memcpy(self.name, s->name, sizeof(self.name));
 	memcpy(self.domain, s->domain, sizeof(self.domain));
-	d->view = create_view(self.id);
-	put_member(d->view, &self);
+	return self;
+}
+
+static bool join_fleet(struct daemon *d, struct status *st)
+{
+	struct member self = describe_self(d->settings);
+
+	d->fleet = create_fleet_port(&d->loop, d->settings, &self, d->view,
+				     &d->counters, on_fleet_action, d, st);
+	return d->fleet;
 }
 
 static bool open_ports(struct daemon *d)
@@ -201,7 +242,7 @@
 	flow_at.port = d->settings->flow_port;
 	d->flow_port = create_flow_port(&d->loop, &flow_at, d->flows,
 					&d->counters, &st);
-	if (d->flow_port)
+	if (d->flow_port && join_fleet(d, &st))
 		d->admin = create_admin(&d->loop, &d->admin_source, &st);
 	if (d->flow_port && d->admin)
 		return true;
@@ -237,7 +278,7 @@
 	int code = 0;
 
 	uv_loop_init(&d.loop);
-	join_view(&d);
+	d.view = create_view(service_id(settings->name));
 	if (start_daemon(&d)) {
 		log_change("instance %s of domain %s runs", settings->name,
 			   settings->domain);
@@ -249,7 +290,6 @@
 	uv_loop_close(&d.loop);
 	destroy_requests(d.requests);
 	destroy_flows(d.flows);
-	unref_snapshot(d.snapshot);
 	destroy_view(d.view);
 	log_change("instance %s has stopped", settings->name);
 	return code;
--- a/net/peers.h
+++ b/net/peers.h
@@ -13,7 +13,7 @@
 #include "base/endpoint.h"
 #include "base/status.h"
 
-#define PEER_MESSAGE_MAX (256 * 1024) /* bytes */
+#define PEER_MESSAGE_MAX (1280 * 1024) /* bytes; one store value fits */
 
 enum peer_channel {
 	PEER_FLEET,    /* membership, configuration, domains, health */
@@ -29,6 +29,7 @@
 /* Listens at AT. NULL with ST filled if that fails. */
 struct peers *create_peers(uv_loop_t *loop, const struct endpoint *at,
 			   struct counters *counters, struct status *st);
+/* Memory goes when the loop has run. */
 void destroy_peers(struct peers *ps);
 
 /* Messages of channel C go to FN. */
@@ -39,4 +40,10 @@
 void send_peer(struct peers *ps, const struct endpoint *to, enum peer_channel c,
 	       const void *data, size_t len);
 
+/*
+ * Closes the connection to TO, which made no progress; what waits on it is
+ * lost. The next message opens another.
+ */
+void reset_peer(struct peers *ps, const struct endpoint *to);
+
 #endif
