--- a/base/counter-list.h
+++ b/base/counter-list.h
@@ -43,3 +43,16 @@
 COUNTER(CONFIG_CONFLICT, "config.conflict", "other contents at a known epoch")
 COUNTER(CONFIG_DELTAS, "config.deltas", "deltas taken into force")
 COUNTER(CONFIG_PARTS, "config.parts", "parts of snapshots taken from peers")
+
+/* upstream health */
+COUNTER(HEALTH_PROBES, "health.probes", "probes sent to upstreams")
+COUNTER(HEALTH_PROBE_FAILURES, "health.probe-failures",
+	"probes without a good answer in time")
+COUNTER(HEALTH_CHANGED, "health.changed",
+	"changes of an upstream's state as judged here")
+COUNTER(HEALTH_SUDDEN_COLD, "health.sudden-cold",
+	"warm upstreams that turned cold by behaviour")
+COUNTER(HEALTH_PUBLISHED, "health.published",
+	"upstream states told to the fleet")
+COUNTER(HEALTH_DOWN_HELD, "health.down-held",
+	"looks at which a down was not told to the fleet")
--- a/fleet/internal.h
+++ b/fleet/internal.h
@@ -189,7 +189,7 @@
 bool take_heads(struct fleet *f, const struct sender *from,
 		struct wire_reader *r);
 
-/* health-records.c: upstream states */
+/* upstream-records.c */
 void judge_upstream(struct fleet *f, uint64_t id, enum upstream_state state);
 void take_upstream(struct fleet *f, const struct record *rec);
 void note_judge(struct fleet *f, uint64_t judge, bool dead);
--- a/fleet/links.c
+++ b/fleet/links.c
@@ -96,7 +96,7 @@
 
 void choose_links(struct fleet *f)
 {
-	struct link new[FLEET_LINK_MAX];
+	struct link new[FLEET_LINK_MAX] = { 0 };
 	size_t nr = 0;
 
 	for (unsigned int r = 0; r < FLEET_LINK_MAX; r++) {
--- a/net/daemon.c
+++ b/net/daemon.c
@@ -10,6 +10,7 @@
 #include "net/fleet-port.h"
 #include "net/flow-port.h"
 #include "net/log.h"
+#include "net/probe.h"
 #include "store/keys.h"
 #include "store/store.h"
 
@@ -22,6 +23,9 @@
 	struct counters counters;
 	struct view *view;
 	struct fleet_port *fleet;
+	struct chart *upstream_chart;
+	struct health *health;
+	struct prober *prober;
 	struct flows *flows;
 	struct requests *requests;
 	struct entry *entry;
@@ -45,6 +49,7 @@
 	set_flow_snapshot(d->flows, sn, now);
 	set_request_snapshot(d->requests, sn, now);
 	set_entry_snapshot(d->entry, sn);
+	set_health_snapshot(d->health, sn, now);
 	log_change("configuration epoch %llu in force: %zu services, "
 		   "%zu upstreams",
 		   (unsigned long long)snapshot_epoch(sn),
@@ -130,6 +135,32 @@
 	return true;
 }
 
+/* Name of the upstream that A is about, for the log. */
+static const char *upstream_name(const struct daemon *d,
+				 const struct health_action *a)
+{
+	const struct snapshot *sn = fleet_snapshot(port_fleet(d->fleet));
+	const struct service *sv = sn ? find_service(sn, a->service) : NULL;
+	const struct upstream *up = NULL;
+
+	if (sv)
+		up = find_upstream(sv, a->upstream);
+	return up ? up->name : "(unpublished)";
+}
+
+static void on_health_change(const struct health_action *a, void *data)
+{
+	struct fleet_event ev = { .kind = FLEET_UPSTREAM,
+				  .upstream = { a->upstream, a->state } };
+	struct daemon *d = data;
+
+	if (a->kind == HEALTH_PUBLISH)
+		step_fleet_port(d->fleet, &ev);
+	else
+		log_change("upstream %s is %s", upstream_name(d, a),
+			   upstream_state_name(a->state));
+}
+
 static const struct snapshot *get_snapshot(void *data)
 {
 	const struct daemon *d = data;
@@ -162,6 +193,7 @@
 	destroy_http_server(d->admin);
 	destroy_flow_port(d->flow_port);
 	destroy_entry(d->entry);
+	destroy_prober(d->prober);
 	destroy_store(d->store);
 	destroy_fleet_port(d->fleet);
 	d->fleet = NULL;
@@ -250,6 +282,24 @@
 	return false;
 }
 
+/* Health needs its state chart; one that is wrong ends the start. */
+static bool start_health(struct daemon *d)
+{
+	struct problems *ps = create_problems();
+	uint32_t seed = (uint32_t)view_self(d->view);
+
+	d->upstream_chart = create_upstream_chart(ps);
+	for (size_t i = 0; problem_at(ps, i); i++)
+		log_problem("%s", problem_at(ps, i));
+	destroy_problems(ps);
+	if (!d->upstream_chart)
+		return false;
+	d->health =
+		create_health(d->view, d->upstream_chart, seed, &d->counters);
+	d->prober = create_prober(&d->loop, d->health, on_health_change, d);
+	return true;
+}
+
 static bool start_daemon(struct daemon *d)
 {
 	struct admin_source src = {
@@ -262,7 +312,7 @@
 	d->requests = create_requests(d->view, &d->counters);
 	d->entry = create_entry(&d->loop, d->settings, d->requests);
 	init_handles(d);
-	if (!open_ports(d))
+	if (!start_health(d) || !open_ports(d))
 		return false;
 	if (!d->settings->store.nr)
 		return load_local(d);
@@ -290,6 +340,8 @@
 	uv_loop_close(&d.loop);
 	destroy_requests(d.requests);
 	destroy_flows(d.flows);
+	destroy_health(d.health);
+	destroy_chart(d.upstream_chart);
 	destroy_view(d.view);
 	log_change("instance %s has stopped", settings->name);
 	return code;
