flow: steer by slots and remember what is opened while they are unsettled

Replaces the bare rendezvous over the present upstreams, which moves a flow whenever its choice changes. Upstreams whose slots may hold remembered flows carry a mark that instances pass on, so that a settled slot needs neither memory nor a hop.

- packet: reasons for refusal, IPv4 header checksum, contradictory flags
- reset: tells a caller at once that its flow is lost
- progress: the same bytes sent again after 10 s are a silent flow

--- a/base/counter-list.h
+++ b/base/counter-list.h
@@ -21,10 +21,26 @@
 
 /* flows */
 COUNTER(FLOW_PACKETS, "flow.packets", "packets received")
+COUNTER(FLOW_FORWARDED, "flow.forwarded", "packets sent to an upstream")
+COUNTER(FLOW_HOPS, "flow.hops", "packets sent to another instance")
 COUNTER(FLOW_MALFORMED, "flow.malformed", "packets dropped as malformed")
+COUNTER(FLOW_TRUNCATED, "flow.truncated", "packets dropped as cut short")
+COUNTER(FLOW_FRAGMENTS, "flow.fragments", "fragments dropped")
+COUNTER(FLOW_OVERSIZED, "flow.oversized", "packets dropped as too long")
+COUNTER(FLOW_LOOPED, "flow.looped", "packets dropped: hop limit used up")
+COUNTER(FLOW_STRANGER, "flow.stranger", "messages from no known instance")
+COUNTER(FLOW_MISMATCH, "flow.mismatch", "packets of another service dropped")
 COUNTER(FLOW_NO_SERVICE, "flow.no-service", "packets for no known service")
 COUNTER(FLOW_NO_UPSTREAM, "flow.no-upstream", "packets with no upstream")
-COUNTER(FLOW_FORWARDED, "flow.forwarded", "packets sent to an upstream")
+COUNTER(FLOW_GIVEN_UP, "flow.given-up",
+	"resets for dead or taken-out upstreams")
+COUNTER(FLOW_SILENT, "flow.silent", "resets of flows without progress")
+COUNTER(FLOW_PLACED, "flow.placed", "new flows placed and remembered")
+COUNTER(FLOW_LEARNED, "flow.learned", "flows learned from a keeper")
+COUNTER(FLOW_COPIED, "flow.copied", "remembered flows handed to a new keeper")
+COUNTER(FLOW_LOST, "flow.lost", "open flows forgotten for lack of room")
+COUNTER(FLOW_LEARN_BYTES, "flow.learn-bytes", "bytes of answers by keepers")
+COUNTER(FLOW_CONTROL_BYTES, "flow.control-bytes", "bytes of marks and copies")
 
 /* fleet */
 COUNTER(PEER_SENT, "peer.sent", "messages sent to peers")
--- a/flow/packet.c
+++ b/flow/packet.c
@@ -4,9 +4,16 @@
 #include <xxhash.h>
 
 #define IPV4_HEADER_MIN 20 /* bytes */
+#define IPV4_TTL 8	   /* offset of the field */
+#define IPV4_CHECKSUM 10
+#define IPV4_MULTICAST 224 /* first byte from here on: no single sender */
 #define IPV6_HEADER 40
+#define IPV6_HOP_LIMIT 7
+#define IPV6_FRAGMENT 44 /* next-header number */
+#define IPV6_MULTICAST 0xff
 #define TCP_HEADER_MIN 20
 #define UDP_HEADER 8
+#define IPV4_RESERVED_FLAG 0x8000
 #define IPV4_FRAGMENT_MASK 0x3fff /* more-fragments bit and offset */
 
 static uint16_t read_u16(const uint8_t *p)
@@ -14,39 +21,99 @@
 	return (uint16_t)(p[0] << 8 | p[1]);
 }
 
-static bool read_transport(const uint8_t *data, size_t len, struct packet *p)
+static uint32_t read_u32(const uint8_t *p)
+{
+	return (uint32_t)read_u16(p) << 16 | read_u16(p + 2);
+}
+
+uint16_t internet_checksum(const uint8_t *data, size_t len, uint32_t sum)
+{
+	for (size_t i = 0; i + 1 < len; i += 2)
+		sum += read_u16(data + i);
+	if (len & 1)
+		sum += (uint32_t)data[len - 1] << 8;
+	while (sum >> 16)
+		sum = (sum & 0xffff) + (sum >> 16);
+	return (uint16_t)~sum;
+}
+
+/* Flags that no TCP sends together, or none at all. */
+static bool flags_contradict(uint8_t flags)
+{
+	if (flags & TCP_SYN)
+		return flags & (TCP_FIN | TCP_RST);
+	return !(flags & (TCP_FIN | TCP_RST | TCP_ACK));
+}
+
+static enum packet_fault read_tcp(const uint8_t *data, size_t len,
+				  struct packet *p)
 {
 	size_t header;
 
-	if (p->protocol == FLOW_UDP) {
-		if (len < UDP_HEADER || read_u16(data + 4) < UDP_HEADER ||
-		    read_u16(data + 4) > len)
-			return false;
-	} else if (p->protocol == FLOW_TCP) {
-		if (len < TCP_HEADER_MIN)
-			return false;
-		header = (size_t)(data[12] >> 4) * 4;
-		if (header < TCP_HEADER_MIN || header > len)
-			return false;
-		p->flags = data[13];
-	} else
-		return false;
+	if (len < TCP_HEADER_MIN)
+		return PACKET_TRUNCATED;
+	header = (size_t)(data[12] >> 4) * 4;
+	if (header < TCP_HEADER_MIN)
+		return PACKET_MALFORMED;
+	if (header > len)
+		return PACKET_TRUNCATED;
+	p->flags = data[13];
+	p->seq = read_u32(data + 4);
+	p->ack = read_u32(data + 8);
+	p->payload = (uint16_t)(len - header);
+	return flags_contradict(p->flags) ? PACKET_MALFORMED : PACKET_WHOLE;
+}
+
+static enum packet_fault read_udp(const uint8_t *data, size_t len,
+				  struct packet *p)
+{
+	if (len < UDP_HEADER || read_u16(data + 4) > len)
+		return PACKET_TRUNCATED;
+	if (read_u16(data + 4) != len)
+		return PACKET_MALFORMED;
+	p->payload = (uint16_t)(len - UDP_HEADER);
+	return PACKET_WHOLE;
+}
+
+static enum packet_fault read_transport(const uint8_t *data, size_t len,
+					struct packet *p)
+{
+	enum packet_fault fault = PACKET_MALFORMED;
+
+	if (p->protocol == FLOW_UDP)
+		fault = read_udp(data, len, p);
+	else if (p->protocol == FLOW_TCP)
+		fault = read_tcp(data, len, p);
+	if (fault != PACKET_WHOLE)
+		return fault;
 	p->caller.port = read_u16(data);
 	p->service.port = read_u16(data + 2);
-	return p->caller.port && p->service.port;
+	if (!p->caller.port || !p->service.port)
+		return PACKET_MALFORMED;
+	return PACKET_WHOLE;
 }
 
-static bool read_ipv4(const uint8_t *data, size_t len, struct packet *p)
+static enum packet_fault read_ipv4(const uint8_t *data, size_t len,
+				   struct packet *p)
 {
 	size_t header;
 
 	if (len < IPV4_HEADER_MIN)
-		return false;
+		return PACKET_TRUNCATED;
 	header = (size_t)(data[0] & 0xf) * 4;
-	if (header < IPV4_HEADER_MIN || header > len ||
-	    read_u16(data + 2) != len ||
-	    read_u16(data + 6) & IPV4_FRAGMENT_MASK)
-		return false;
+	if (header < IPV4_HEADER_MIN)
+		return PACKET_MALFORMED;
+	if (read_u16(data + 2) > len || header > len)
+		return PACKET_TRUNCATED;
+	if (read_u16(data + 2) != len || internet_checksum(data, header, 0) ||
+	    read_u16(data + 6) & IPV4_RESERVED_FLAG)
+		return PACKET_MALFORMED;
+	if (read_u16(data + 6) & IPV4_FRAGMENT_MASK)
+		return PACKET_FRAGMENT;
+	if (data[IPV4_TTL] < 2)
+		return PACKET_EXPIRED;
+	if (!data[12] || data[12] >= IPV4_MULTICAST)
+		return PACKET_MALFORMED;
 	p->caller.family = p->service.family = 4;
 	memcpy(p->caller.ip, data + 12, 4);
 	memcpy(p->service.ip, data + 16, 4);
@@ -54,10 +121,21 @@
 	return read_transport(data + header, len - header, p);
 }
 
-static bool read_ipv6(const uint8_t *data, size_t len, struct packet *p)
+static enum packet_fault read_ipv6(const uint8_t *data, size_t len,
+				   struct packet *p)
 {
-	if (len < IPV6_HEADER || read_u16(data + 4) != len - IPV6_HEADER)
-		return false;
+	static const uint8_t unspecified[16];
+
+	if (len < IPV6_HEADER || read_u16(data + 4) > len - IPV6_HEADER)
+		return PACKET_TRUNCATED;
+	if (read_u16(data + 4) != len - IPV6_HEADER)
+		return PACKET_MALFORMED;
+	if (data[6] == IPV6_FRAGMENT)
+		return PACKET_FRAGMENT;
+	if (data[IPV6_HOP_LIMIT] < 2)
+		return PACKET_EXPIRED;
+	if (data[8] == IPV6_MULTICAST || !memcmp(data + 8, unspecified, 16))
+		return PACKET_MALFORMED;
 	p->caller.family = p->service.family = 6;
 	memcpy(p->caller.ip, data + 8, 16);
 	memcpy(p->service.ip, data + 24, 16);
@@ -65,6 +143,20 @@
 	return read_transport(data + IPV6_HEADER, len - IPV6_HEADER, p);
 }
 
+static enum packet_fault read_ip(const uint8_t *data, size_t len,
+				 struct packet *p)
+{
+	if (!len)
+		return PACKET_TRUNCATED;
+	if (len > FLOW_PACKET_MAX)
+		return PACKET_OVERSIZED;
+	if (data[0] >> 4 == 4)
+		return read_ipv4(data, len, p);
+	if (data[0] >> 4 == 6)
+		return read_ipv6(data, len, p);
+	return PACKET_MALFORMED;
+}
+
 static uint64_t hash_packet(const struct packet *p)
 {
 	uint8_t raw[2 * 16 + 2 * 2 + 1];
@@ -81,16 +173,28 @@
 
 bool read_packet(const uint8_t *data, size_t len, struct packet *p)
 {
-	bool ok = false;
-
 	memset(p, 0, sizeof(*p));
-	if (!len || len > FLOW_PACKET_MAX)
+	p->fault = read_ip(data, len, p);
+	if (p->fault == PACKET_WHOLE && same_endpoint(&p->caller, &p->service))
+		p->fault = PACKET_MALFORMED;
+	if (p->fault != PACKET_WHOLE)
 		return false;
-	if (data[0] >> 4 == 4)
-		ok = read_ipv4(data, len, p);
-	else if (data[0] >> 4 == 6)
-		ok = read_ipv6(data, len, p);
-	if (ok)
-		p->hash = hash_packet(p);
-	return ok;
+	p->hash = hash_packet(p);
+	return true;
+}
+
+void lower_hop_limit(uint8_t *data)
+{
+	size_t header = (size_t)(data[0] & 0xf) * 4;
+	uint16_t sum;
+
+	if (data[0] >> 4 == 6) {
+		data[IPV6_HOP_LIMIT]--;
+		return;
+	}
+	data[IPV4_TTL]--;
+	memset(data + IPV4_CHECKSUM, 0, 2);
+	sum = internet_checksum(data, header, 0);
+	data[IPV4_CHECKSUM] = (uint8_t)(sum >> 8);
+	data[IPV4_CHECKSUM + 1] = (uint8_t)sum;
 }
--- a/net/flow-port.h
+++ b/net/flow-port.h
@@ -3,7 +3,9 @@
 
 /*
  * The UDP port for flows: unwraps what the fabric sends, asks the deciding
- * code and sends the packet on, wrapped again.
+ * code and sends the packet on, wrapped again, to an upstream or to another
+ * instance. Packets for callers go, wrapped, to the sender of the last packet
+ * that came from the fabric, which passes them on.
  */
 
 #include <uv.h>
--- a/stand-in/caller.c
+++ b/stand-in/caller.c
@@ -61,6 +61,7 @@
 	p[9] = FLOW_TCP;
 	memcpy(p + 12, f->self.ip, 4);
 	memcpy(p + 16, to->ip, 4);
+	put_u16(p + 10, internet_checksum(p, 20, 0));
 	p += 20;
 	put_u16(p, f->self.port);
 	put_u16(p + 2, to->port);
