daemon: leave the fleet after the last accepted answer

Three causes, found one after the other: - the entry sent no ticks, so a queued request was never offered; - the instance announced that it leaves before its queue was empty, and so lost the shares that the queue needed. It now leaves once it is idle; - the requests were created before the instance was a member of its own view, so that the shares it trusts when alone were none.

Two modules both had 'keepers'; those of idempotency keys are key_keepers.

--- a/net/daemon.c
+++ b/net/daemon.c
@@ -16,6 +16,7 @@
 
 #define STORE_READ_MS 500 /* between two reads of the store */
 #define STOP_CHECK_MS 20  /* between two looks whether all is done */
+#define LEAVE_MS 300	  /* for the last messages to peers */
 
 struct daemon {
 	uv_loop_t loop;
@@ -39,6 +40,7 @@
 	uv_signal_t sigterm;
 	uv_signal_t sigint;
 	uint64_t stop_deadline; /* loop time */
+	uint64_t left;		/* loop time when peers were told; 0: not */
 	bool stopping;
 };
 
@@ -199,22 +201,37 @@
 	d->fleet = NULL;
 }
 
+/*
+ * Tells peers that this instance leaves. Not before the last accepted request
+ * has its answer: until then the instance needs its shares of the upstreams.
+ */
+static void leave_fleet(struct daemon *d, uint64_t now)
+{
+	struct fleet_event leave = { .kind = FLEET_LEAVE };
+
+	step_fleet_port(d->fleet, &leave);
+	d->left = now;
+}
+
 static void on_stop_timer(uv_timer_t *timer)
 {
 	struct daemon *d = timer->data;
-	bool late = uv_now(&d->loop) >= d->stop_deadline;
+	uint64_t now = uv_now(&d->loop);
+	bool late = now >= d->stop_deadline;
 
 	if (!entry_is_idle(d->entry) && !late)
 		return;
 	if (late)
 		log_problem("stop took too long; %zu requests cut",
 			    open_request_nr(d->requests));
-	close_daemon(d);
+	if (!d->left)
+		leave_fleet(d, now);
+	if (late || now >= d->left + LEAVE_MS)
+		close_daemon(d);
 }
 
 static void on_signal(uv_signal_t *sig, int signum)
 {
-	struct fleet_event leave = { .kind = FLEET_LEAVE };
 	struct daemon *d = sig->data;
 
 	if (d->stopping)
@@ -223,7 +240,6 @@
 	d->stop_deadline = uv_now(&d->loop) + d->settings->stop_ms;
 	log_change("stopping on signal %d: %zu requests to finish", signum,
 		   open_request_nr(d->requests));
-	step_fleet_port(d->fleet, &leave);
 	stop_entry(d->entry);
 	uv_timer_start(&d->stop_timer, on_stop_timer, STOP_CHECK_MS,
 		       STOP_CHECK_MS);
@@ -333,10 +349,10 @@
 
 	d->admin_source = src;
 	d->flows = create_flows(d->view, &d->counters);
-	start_requests(d);
 	init_handles(d);
 	if (!start_health(d) || !open_ports(d))
 		return false;
+	start_requests(d);
 	if (!d->settings->store.nr)
 		return load_local(d);
 	d->store =
--- a/net/entry.c
+++ b/net/entry.c
@@ -19,6 +19,7 @@
 	GHashTable *listeners; /* service id -> struct listener */
 	GHashTable *open;      /* handle -> struct open_request */
 	bool stopping;
+	uv_timer_t *tick;
 };
 
 struct listener {
@@ -226,6 +227,15 @@
 	g_free(l);
 }
 
+static void on_tick(uv_timer_t *timer)
+{
+	struct request_event ev = { .kind = REQUEST_TICK };
+	struct entry *en = timer->data;
+
+	step(en, &ev, NULL);
+	uv_timer_start(timer, on_tick, next_request_tick(en->requests), 0);
+}
+
 struct entry *create_entry(uv_loop_t *loop, const struct settings *settings,
 			   struct requests *requests)
 {
@@ -237,6 +247,10 @@
 	en->listeners = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					      free_listener);
 	en->open = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	en->tick = g_new0(uv_timer_t, 1);
+	uv_timer_init(loop, en->tick);
+	en->tick->data = en;
+	uv_timer_start(en->tick, on_tick, 0, 0);
 	return en;
 }
 
@@ -321,6 +335,7 @@
 {
 	if (!en)
 		return;
+	uv_close((uv_handle_t *)en->tick, (uv_close_cb)g_free);
 	g_hash_table_destroy(en->listeners);
 	g_hash_table_destroy(en->open);
 	g_free(en);
--- a/request/claim-wire.h
+++ b/request/claim-wire.h
@@ -36,7 +36,7 @@
 	/* of CLAIM_HELLO: */
 	struct member member;
 	/* of CLAIM_HELLO_ACK: */
-	uint64_t members; /* keepers_digest() of the sender */
+	uint64_t members; /* key_keepers_digest() of the sender */
 	/* of CLAIM_ASK: */
 	struct endpoint reply_to;
 	uint64_t digest;
--- a/request/claims.c
+++ b/request/claims.c
@@ -42,7 +42,7 @@
 
 struct claims {
 	const struct view *view;
-	struct keepers *keepers;
+	struct key_keepers *keepers;
 	struct key_records *records;
 	uint64_t incarnation;
 	uint64_t next_number;
@@ -54,7 +54,7 @@
 	GQueue with_answer; /* struct claim, the oldest first */
 	uint64_t hello_sent;
 	uint64_t hello_gap;
-	uint64_t hello_members; /* keepers_digest() at the last hello */
+	uint64_t hello_members; /* key_keepers_digest() at the last hello */
 };
 
 static void free_claim(gpointer item)
@@ -74,7 +74,7 @@
 	cs->view = view;
 	cs->incarnation = incarnation;
 	cs->next_number = 1;
-	cs->keepers = create_keepers(view, alone, now_ms);
+	cs->keepers = create_key_keepers(view, alone, now_ms);
 	cs->records = create_key_records();
 	cs->claims = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					   free_claim);
@@ -94,7 +94,7 @@
 	g_hash_table_destroy(cs->by_request);
 	g_hash_table_destroy(cs->claims);
 	destroy_key_records(cs->records);
-	destroy_keepers(cs->keepers);
+	destroy_key_keepers(cs->keepers);
 	g_free(cs);
 }
 
@@ -371,8 +371,8 @@
 	struct keeper_group own;
 
 	m->vote = VOTE_REFUSED;
-	find_keepers(cs->keepers, &m->key, &own);
-	if (cs->leaving || !same_keepers(&own, &m->group))
+	find_key_keepers(cs->keepers, &m->key, &own);
+	if (cs->leaving || !same_key_keepers(&own, &m->group))
 		return;
 	r = find_key_record(cs->records, &m->key, now_ms);
 	if (r && !same_claim(&r->claim, &m->claim)) {
@@ -454,10 +454,10 @@
 		decide(cs, c, CLAIM_HELD_UNKNOWN, out);
 		return;
 	}
-	update_keepers(cs->keepers, now_ms);
-	find_keepers(cs->keepers, &cr->key, &c->group);
+	update_key_keepers(cs->keepers, now_ms);
+	find_key_keepers(cs->keepers, &cr->key, &c->group);
 	ask_keepers(cs, c, now_ms, out);
-	if (is_keeper(&c->group, self_id(cs))) {
+	if (is_key_keeper(&c->group, self_id(cs))) {
 		fill_ask(cs, c, &m, now_ms);
 		vote(cs, &m, now_ms);
 		take_vote(c, self_id(cs), &m);
@@ -532,7 +532,7 @@
 	g_queue_push_tail(&cs->ended, c);
 	keep_answer(cs, c, answer, len);
 	m.digest = c->request.digest;
-	if (is_keeper(&c->group, self_id(cs)))
+	if (is_key_keeper(&c->group, self_id(cs)))
 		record_result(cs, &c->request.key, &c->id, c->request.digest,
 			      state, now_ms);
 	send_to_group(cs, c, &m, out);
@@ -549,7 +549,7 @@
 	if (cs->leaving || m->member.id == self_id(cs))
 		return;
 	note_keeper(cs->keepers, &m->member);
-	ack.members = keepers_digest(cs->keepers);
+	ack.members = key_keepers_digest(cs->keepers);
 	to.port = m->member.peer_port;
 	send_to(out, &to, &ack);
 }
@@ -658,7 +658,7 @@
 		open_wire(&msg, &r, data, len) && decode_claim_message(&r, &m);
 
 	if (ok) {
-		update_keepers(cs->keepers, now_ms);
+		update_key_keepers(cs->keepers, now_ms);
 		take_message(cs, &m, now_ms, out);
 	}
 	release_wire(&msg);
@@ -684,7 +684,7 @@
 	struct hello h = { .m = { .kind = CLAIM_HELLO, .sender = self_id(cs) },
 			   .out = out };
 	const struct member *self = find_member(cs->view, self_id(cs));
-	uint64_t members = keepers_digest(cs->keepers);
+	uint64_t members = key_keepers_digest(cs->keepers);
 
 	if (members != cs->hello_members)
 		cs->hello_gap = HELLO_MIN_MS;
@@ -735,7 +735,7 @@
 {
 	GList *open = g_hash_table_get_values(cs->by_request);
 
-	update_keepers(cs->keepers, now_ms);
+	update_key_keepers(cs->keepers, now_ms);
 	say_hello(cs, now_ms, out);
 	for (GList *l = open; l; l = l->next)
 		tick_claim(cs, l->data, now_ms, out);
@@ -746,7 +746,7 @@
 void leave_claims(struct claims *cs, uint64_t now_ms)
 {
 	cs->leaving = true;
-	leave_keepers(cs->keepers, now_ms);
+	leave_key_keepers(cs->keepers, now_ms);
 }
 
 size_t undecided_claim_nr(const struct claims *cs)
--- a/request/claims.h
+++ b/request/claims.h
@@ -4,7 +4,7 @@
 /*
  * Claims of idempotency keys: before a non-idempotent request with a key is
  * offered to an upstream, its instance claims the key at the key's keepers
- * (request/keepers.h) and needs a majority that neither knows another claim
+ * (request/key-keepers.h) and needs a majority that neither knows another claim
  * nor may have forgotten one. The instance that won keeps the answer; a
  * resend finds it through any keeper. Events and the present time go in,
  * actions come out.
--- a/request/keepers.c
+++ b/request/key-keepers.c
@@ -1,4 +1,4 @@
-#include "request/keepers.h"
+#include "request/key-keepers.h"
 
 #include <glib.h>
 #include <string.h>
@@ -20,7 +20,7 @@
 	uint64_t dropped; /* ms at which it left the choice; 0: takes part */
 };
 
-struct keepers {
+struct key_keepers {
 	const struct view *view;
 	bool alone;
 	bool leaving;
@@ -36,12 +36,13 @@
 	return key;
 }
 
-static struct candidate *candidate_at(const struct keepers *ks, guint i)
+static struct candidate *candidate_at(const struct key_keepers *ks, guint i)
 {
 	return &g_array_index(ks->all, struct candidate, i);
 }
 
-static struct candidate *find_candidate(const struct keepers *ks, uint64_t id)
+static struct candidate *find_candidate(const struct key_keepers *ks,
+					uint64_t id)
 {
 	for (guint i = 0; i < ks->all->len; i++)
 		if (candidate_at(ks, i)->m.id == id)
@@ -55,20 +56,20 @@
 	return MAX(now_ms, 1);
 }
 
-struct keepers *create_keepers(const struct view *view, bool alone,
-			       uint64_t now_ms)
+struct key_keepers *create_key_keepers(const struct view *view, bool alone,
+				       uint64_t now_ms)
 {
-	struct keepers *ks = g_new0(struct keepers, 1);
+	struct key_keepers *ks = g_new0(struct key_keepers, 1);
 
 	ks->view = view;
 	ks->alone = alone;
 	ks->started = now_ms;
 	ks->all = g_array_new(FALSE, TRUE, sizeof(struct candidate));
-	update_keepers(ks, now_ms);
+	update_key_keepers(ks, now_ms);
 	return ks;
 }
 
-void destroy_keepers(struct keepers *ks)
+void destroy_key_keepers(struct key_keepers *ks)
 {
 	if (!ks)
 		return;
@@ -82,7 +83,7 @@
 		c->dropped = mark(now_ms);
 }
 
-static void take_member(struct keepers *ks, const struct member *m,
+static void take_member(struct key_keepers *ks, const struct member *m,
 			uint64_t now_ms)
 {
 	struct candidate *c = find_candidate(ks, m->id);
@@ -103,7 +104,7 @@
 }
 
 /* Drops members that the view has not had for too long. */
-static void check_missing(struct keepers *ks, struct candidate *c,
+static void check_missing(struct key_keepers *ks, struct candidate *c,
 			  uint64_t now_ms)
 {
 	if (find_member(ks->view, c->m.id))
@@ -115,7 +116,7 @@
 }
 
 /* Forgets members that were dropped long ago. */
-static void forget_dropped(struct keepers *ks, uint64_t now_ms)
+static void forget_dropped(struct key_keepers *ks, uint64_t now_ms)
 {
 	for (guint i = ks->all->len; i-- > 0;) {
 		const struct candidate *c = candidate_at(ks, i);
@@ -126,7 +127,7 @@
 	}
 }
 
-void update_keepers(struct keepers *ks, uint64_t now_ms)
+void update_key_keepers(struct key_keepers *ks, uint64_t now_ms)
 {
 	const struct member *ms;
 	size_t nr;
@@ -139,13 +140,13 @@
 	forget_dropped(ks, now_ms);
 }
 
-void leave_keepers(struct keepers *ks, uint64_t now_ms)
+void leave_key_keepers(struct key_keepers *ks, uint64_t now_ms)
 {
 	ks->leaving = true;
-	update_keepers(ks, now_ms);
+	update_key_keepers(ks, now_ms);
 }
 
-void note_keeper(struct keepers *ks, const struct member *m)
+void note_keeper(struct key_keepers *ks, const struct member *m)
 {
 	struct candidate fresh = { .m = *m };
 
@@ -153,16 +154,16 @@
 		g_array_append_val(ks->all, fresh);
 }
 
-void note_keeper_ack(struct keepers *ks, uint64_t id, uint64_t digest,
+void note_keeper_ack(struct key_keepers *ks, uint64_t id, uint64_t digest,
 		     uint64_t now_ms)
 {
 	struct candidate *c = find_candidate(ks, id);
 
-	if (c && !c->acked && digest == keepers_digest(ks))
+	if (c && !c->acked && digest == key_keepers_digest(ks))
 		c->acked = mark(now_ms);
 }
 
-uint64_t keepers_digest(const struct keepers *ks)
+uint64_t key_keepers_digest(const struct key_keepers *ks)
 {
 	uint64_t digest = 0;
 
@@ -201,7 +202,7 @@
 	size_t nr;
 };
 
-static const struct candidate *best_candidate(const struct keepers *ks,
+static const struct candidate *best_candidate(const struct key_keepers *ks,
 					      const struct request_key *key,
 					      const struct ranking *r,
 					      size_t each, uint64_t since)
@@ -228,7 +229,7 @@
  * The NR best candidates that took part since SINCE, at most EACH of one
  * failure domain while another has one.
  */
-static void rank_candidates(const struct keepers *ks,
+static void rank_candidates(const struct key_keepers *ks,
 			    const struct request_key *key, size_t nr,
 			    size_t each, uint64_t since, struct ranking *r)
 {
@@ -245,7 +246,7 @@
 	}
 }
 
-static void find_keepers_since(const struct keepers *ks,
+static void find_keepers_since(const struct key_keepers *ks,
 			       const struct request_key *key, uint64_t since,
 			       struct keeper_group *out)
 {
@@ -257,13 +258,13 @@
 		out->id[i] = r.at[i]->m.id;
 }
 
-void find_keepers(const struct keepers *ks, const struct request_key *key,
-		  struct keeper_group *out)
+void find_key_keepers(const struct key_keepers *ks,
+		      const struct request_key *key, struct keeper_group *out)
 {
 	find_keepers_since(ks, key, UINT64_MAX, out);
 }
 
-bool is_keeper(const struct keeper_group *g, uint64_t id)
+bool is_key_keeper(const struct keeper_group *g, uint64_t id)
 {
 	for (size_t i = 0; i < g->nr; i++)
 		if (g->id[i] == id)
@@ -271,12 +272,13 @@
 	return false;
 }
 
-bool same_keepers(const struct keeper_group *a, const struct keeper_group *b)
+bool same_key_keepers(const struct keeper_group *a,
+		      const struct keeper_group *b)
 {
 	if (a->nr != b->nr)
 		return false;
 	for (size_t i = 0; i < a->nr; i++)
-		if (!is_keeper(b, a->id[i]))
+		if (!is_key_keeper(b, a->id[i]))
 			return false;
 	return true;
 }
@@ -287,8 +289,8 @@
 }
 
 /* True if all that may have been keepers of KEY knew this instance by SINCE. */
-static bool is_known(const struct keepers *ks, const struct request_key *key,
-		     uint64_t since)
+static bool is_known(const struct key_keepers *ks,
+		     const struct request_key *key, uint64_t since)
 {
 	struct ranking r;
 
@@ -303,25 +305,26 @@
 	return true;
 }
 
-bool remembers_key(const struct keepers *ks, const struct request_key *key,
+bool remembers_key(const struct key_keepers *ks, const struct request_key *key,
 		   const struct keeper_group *group, uint64_t age_ms,
 		   uint64_t now_ms)
 {
 	uint64_t since = now_ms > age_ms ? now_ms - age_ms : 0;
 	struct keeper_group then;
 
-	if (!is_keeper(group, view_self(ks->view)))
+	if (!is_key_keeper(group, view_self(ks->view)))
 		return false;
 	if (age_ms && ks->started > since)
 		return false;
 	if (group->nr == 1)
 		return ks->alone;
 	find_keepers_since(ks, key, since, &then);
-	return is_keeper(&then, view_self(ks->view)) &&
+	return is_key_keeper(&then, view_self(ks->view)) &&
 	       is_known(ks, key, since);
 }
 
-bool keeper_endpoint(const struct keepers *ks, uint64_t id, struct endpoint *ep)
+bool keeper_endpoint(const struct key_keepers *ks, uint64_t id,
+		     struct endpoint *ep)
 {
 	const struct candidate *c = find_candidate(ks, id);
 
@@ -332,7 +335,7 @@
 	return true;
 }
 
-void each_unacknowledged(const struct keepers *ks,
+void each_unacknowledged(const struct key_keepers *ks,
 			 void (*each)(const struct endpoint *ep, void *data),
 			 void *data)
 {
--- a/request/keepers.h
+++ b/request/key-keepers.h
@@ -1,5 +1,5 @@
-#ifndef REQUEST_KEEPERS_H
-#define REQUEST_KEEPERS_H
+#ifndef REQUEST_KEY_KEEPERS_H
+#define REQUEST_KEY_KEEPERS_H
 
 /*
  * Which instances keep an idempotency key, and how far back this instance's
@@ -43,36 +43,37 @@
 	size_t nr;
 };
 
-struct keepers;
+struct key_keepers;
 
 /*
  * The keepers as the owner of VIEW sees them. ALONE: it may act as the only
  * member, since no other was ever named to it.
  */
-struct keepers *create_keepers(const struct view *view, bool alone,
-			       uint64_t now_ms);
-void destroy_keepers(struct keepers *ks);
+struct key_keepers *create_key_keepers(const struct view *view, bool alone,
+				       uint64_t now_ms);
+void destroy_key_keepers(struct key_keepers *ks);
 
 /* Takes over changes of the view. */
-void update_keepers(struct keepers *ks, uint64_t now_ms);
+void update_key_keepers(struct key_keepers *ks, uint64_t now_ms);
 
 /* This instance stops: it is no keeper from now on. */
-void leave_keepers(struct keepers *ks, uint64_t now_ms);
+void leave_key_keepers(struct key_keepers *ks, uint64_t now_ms);
 
 /* A member made itself known, perhaps before the view did. */
-void note_keeper(struct keepers *ks, const struct member *m);
+void note_keeper(struct key_keepers *ks, const struct member *m);
 
 /* Member ID acknowledged this instance; DIGEST is of the members it knows. */
-void note_keeper_ack(struct keepers *ks, uint64_t id, uint64_t digest,
+void note_keeper_ack(struct key_keepers *ks, uint64_t id, uint64_t digest,
 		     uint64_t now_ms);
 
 /* Hash of the members that take part in the choice. */
-uint64_t keepers_digest(const struct keepers *ks);
+uint64_t key_keepers_digest(const struct key_keepers *ks);
 
-void find_keepers(const struct keepers *ks, const struct request_key *key,
-		  struct keeper_group *out);
-bool same_keepers(const struct keeper_group *a, const struct keeper_group *b);
-bool is_keeper(const struct keeper_group *g, uint64_t id);
+void find_key_keepers(const struct key_keepers *ks,
+		      const struct request_key *key, struct keeper_group *out);
+bool same_key_keepers(const struct keeper_group *a,
+		      const struct keeper_group *b);
+bool is_key_keeper(const struct keeper_group *g, uint64_t id);
 
 /* True if N of the group's members are a majority. */
 bool is_majority(const struct keeper_group *g, size_t n);
@@ -81,16 +82,16 @@
  * True if this instance, in GROUP, would know of every claim of KEY that was
  * made in the last AGE_MS.
  */
-bool remembers_key(const struct keepers *ks, const struct request_key *key,
+bool remembers_key(const struct key_keepers *ks, const struct request_key *key,
 		   const struct keeper_group *group, uint64_t age_ms,
 		   uint64_t now_ms);
 
 /* The peer endpoint of member ID; false if it is unknown. */
-bool keeper_endpoint(const struct keepers *ks, uint64_t id,
+bool keeper_endpoint(const struct key_keepers *ks, uint64_t id,
 		     struct endpoint *ep);
 
 /* Calls EACH for every member that has not acknowledged this instance. */
-void each_unacknowledged(const struct keepers *ks,
+void each_unacknowledged(const struct key_keepers *ks,
 			 void (*each)(const struct endpoint *ep, void *data),
 			 void *data);
 
--- a/request/key-records.h
+++ b/request/key-records.h
@@ -10,7 +10,7 @@
 #include <stdbool.h>
 #include <stddef.h>
 
-#include "request/keepers.h"
+#include "request/key-keepers.h"
 
 #define KEY_LIFE_MS (5 * 60 * 1000)
 #define KEY_RECORDS_MAX 65536
