--- a/fleet/config-sync.c
+++ b/fleet/config-sync.c
@@ -21,7 +21,8 @@
 #define SOURCE_MS 10000		 /* a source not heard of is dropped */
 #define ASK_MS 200		 /* between two rounds of questions */
 #define ASK_SOURCES 4		 /* peers asked in one round */
-#define ASK_BUCKETS 4		 /* buckets asked of one peer in one round */
+#define ASK_BUCKETS 16		 /* buckets asked for in one round */
+#define PART_MAX (256 * 1024)	 /* bytes; a part stops growing there */
 #define TARGET_MS 5000		 /* a target without progress is given up */
 #define PART_FIELD_NR 5
 
@@ -252,18 +253,33 @@
 	return n;
 }
 
+/* The sources that have the target's epoch or a later one. */
+static size_t find_holders(const struct config_sync *cs,
+			   const struct source **out)
+{
+	size_t nr = 0;
+
+	for (size_t i = 0; i < cs->source_nr; i++)
+		if (cs->sources[i].epoch >= cs->target.epoch)
+			out[nr++] = &cs->sources[i];
+	return nr;
+}
+
 static void ask_for_parts(struct fleet *f)
 {
 	struct config_sync *cs = f->config;
+	const struct source *holders[SOURCE_MAX];
+	size_t nr = find_holders(cs, holders);
 	size_t start = (size_t)g_rand_int_range(f->rand, 0, SOURCE_MAX);
+	size_t asked = nr < ASK_SOURCES ? nr : ASK_SOURCES;
 
-	for (size_t i = 0; i < cs->source_nr && i < ASK_SOURCES; i++) {
+	for (size_t i = 0; i < asked; i++) {
 		uint8_t buckets[ASK_BUCKETS];
-		size_t nr = next_buckets(&cs->target, buckets, ASK_BUCKETS);
+		size_t n =
+			next_buckets(&cs->target, buckets, ASK_BUCKETS / asked);
 
-		if (nr)
-			ask(f, &cs->sources[(start + i) % cs->source_nr],
-			    buckets, nr);
+		if (n)
+			ask(f, holders[(start + i) % nr], buckets, n);
 	}
 }
 
@@ -461,7 +477,7 @@
 {
 	size_t n = 0;
 
-	for (; n < nr && w->buf.size < FLEET_REPLY_MAX; n++)
+	for (; n < nr && w->buf.size < PART_MAX; n++)
 		put_bucket(w, sn, buckets[n], starts);
 	return n;
 }
--- a/fleet/internal.h
+++ b/fleet/internal.h
@@ -155,7 +155,6 @@
 void on_want(struct fleet *f, const struct sender *from, struct wire_reader *r);
 
 /* member.c: what member records mean */
-#define VERSION_STATE_BITS 2 /* below the incarnation */
 void announce_self(struct fleet *f, enum member_state state);
 void judge_member(struct fleet *f, uint64_t id, enum member_state state);
 bool decode_member(const struct record *rec, struct member *m);
--- a/fleet/member.c
+++ b/fleet/member.c
@@ -1,7 +1,7 @@
 /*
  * Member records. The version is the incarnation, which only the member
- * itself raises, above the state; within one incarnation a worse state wins.
- * A member that hears anything of itself that it did not say answers with a
+ * itself raises, above the random start of its process, above the state; of
+ * one process and incarnation a worse state wins. A member that hears anything of itself that it did not say answers with a
  * higher incarnation. That covers a wrong suspicion, a pause, and a restart
  * under the same name, and needs neither a disk nor a clock.
  */
@@ -10,8 +10,10 @@
 
 #include <string.h>
 
-#define MEMBER_FIELD_NR 7
-#define STATE_MASK 3
+#define MEMBER_FIELD_NR 6
+#define STATE_MASK 3 /* lowest bits of a version */
+#define START_SHIFT 2
+#define INCARNATION_SHIFT 34
 #define FORGET_MS (10 * 60 * 1000)	    /* a dead member is forgotten */
 #define LEAVE_MAX_MS (35 * 60 * 1000)	    /* a leaving one is dead by then */
 #define DOMAIN_FORGET_MS (24 * 3600 * 1000) /* members of a silent domain */
@@ -26,7 +28,13 @@
 
 static uint64_t record_incarnation(const struct record *rec)
 {
-	return rec->version >> VERSION_STATE_BITS;
+	return rec->version >> INCARNATION_SHIFT;
+}
+
+static uint64_t own_version(const struct fleet *f)
+{
+	return (uint64_t)f->self.incarnation << INCARNATION_SHIFT |
+	       (uint64_t)f->self.start << START_SHIFT | (uint64_t)f->self.state;
 }
 
 struct endpoint member_endpoint(const struct member *m)
@@ -46,7 +54,6 @@
 	put_uint(w, m->peer_port);
 	put_uint(w, m->flow_port);
 	put_uint(w, m->admin_port);
-	put_uint(w, m->start);
 }
 
 static void read_member(struct wire_reader *r, struct member *m)
@@ -57,7 +64,6 @@
 	m->peer_port = (uint16_t)take_uint(r, UINT16_MAX);
 	m->flow_port = (uint16_t)take_uint(r, UINT16_MAX);
 	m->admin_port = (uint16_t)take_uint(r, UINT16_MAX);
-	m->start = (uint32_t)take_uint(r, UINT32_MAX);
 	if (r->left || !valid_name(m->name) || !valid_name(m->domain) ||
 	    !m->address.family || m->id != service_id(m->name))
 		r->bad = true;
@@ -73,6 +79,7 @@
 	m->id = rec->key;
 	m->state = record_state(rec);
 	m->incarnation = (uint32_t)record_incarnation(rec);
+	m->start = (uint32_t)(rec->version >> START_SHIFT);
 	ok = open_wire(&msg, &r, rec->body, rec->len);
 	if (ok)
 		read_member(&r, m);
@@ -82,14 +89,12 @@
 
 void announce_self(struct fleet *f, enum member_state state)
 {
-	uint64_t version = f->self.incarnation;
 	struct wire_writer w;
 
 	f->self.state = state;
 	init_wire_writer(&w);
 	encode_member(&w, &f->self);
-	publish_record(f, SET_MEMBERS, f->self.id,
-		       version << VERSION_STATE_BITS | state, &w);
+	publish_record(f, SET_MEMBERS, f->self.id, own_version(f), &w);
 	release_wire_writer(&w);
 }
 
@@ -187,10 +192,7 @@
 /* Somebody says of this instance what it did not say itself. */
 static void refute(struct fleet *f, const struct record *rec)
 {
-	uint64_t own = f->self.incarnation;
-
-	if (f->gone || rec->version == (own << VERSION_STATE_BITS |
-					(uint64_t)f->self.state))
+	if (f->gone || rec->version == own_version(f))
 		return;
 	f->self.incarnation = (uint32_t)record_incarnation(rec) + 1;
 	count(f->counters, COUNT_FLEET_REFUTED);
