fleet: send a dead member's record back to those who hold it live

Records of the dead are left out of digests, so that forgetting them at different times costs nothing; but then an instance that missed the death offered its record of the living one, was refused, and heard nothing back: it held the member alive for good. A refusal after a comparison now sends the newer record back.

--- a/fleet/spread.c
+++ b/fleet/spread.c
@@ -189,14 +189,18 @@
 	take_record(f, set, &head, body->buf.data, true);
 }
 
-/* Tells the sender of an old record of itself what is known of it. */
+/*
+ * Tells the sender of a record that is older than the one held, if it is its
+ * own or came out of a comparison: a dead member's is hidden from those.
+ */
 static void answer_old(struct fleet *f, const struct sender *from,
-		       enum fleet_set set, const struct record *head)
+		       enum fleet_set set, const struct record *head,
+		       bool pushed)
 {
 	const struct record *rec = find_record(f->sets[set], head->key);
 
-	if (set == SET_MEMBERS && head->key == from->id && rec &&
-	    rec->version > head->version)
+	if (rec && rec->version > head->version &&
+	    (!pushed || head->key == from->id))
 		send_record(f, set, head->key, &from->at);
 }
 
@@ -219,7 +223,7 @@
 		return;
 	}
 	if (!take_record(f, set, &head, body, spread || set == SET_DOMAINS)) {
-		answer_old(f, from, set, &head);
+		answer_old(f, from, set, &head, pushed);
 		return;
 	}
 	count(f->counters, COUNT_FLEET_RECORDS);
