--- a/fleet/health-probers.c
+++ b/fleet/health-probers.c
@@ -10,6 +10,7 @@
 	GArray *live;	     /* ids of all live members */
 	char own[CONFIG_NAME_MAX];
 	uint64_t fingerprint; /* of what prober_role() depends on */
+	uint64_t members;     /* hash of all members' ids and states */
 };
 
 static void free_ids(gpointer ids)
@@ -80,7 +81,8 @@
 	return own ^ hash_ids(ps->live) ^ g_hash_table_size(ps->domains);
 }
 
-bool update_probers(struct probers *ps)
+/* Fills PS from the view; true if it matters to prober_role(). */
+static bool read_members(struct probers *ps)
 {
 	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
 	uint64_t before = ps->fingerprint;
@@ -102,6 +104,29 @@
 	return ps->fingerprint != before;
 }
 
+static uint64_t hash_members(const struct view *v)
+{
+	const struct member *ms;
+	uint64_t h;
+	size_t nr;
+
+	ms = view_members(v, &nr);
+	h = nr;
+	for (size_t i = 0; i < nr; i++)
+		h = XXH64(&ms[i].id, sizeof(ms[i].id), h + is_live(&ms[i]));
+	return h;
+}
+
+bool update_probers(struct probers *ps)
+{
+	uint64_t members = hash_members(ps->view);
+
+	if (members == ps->members)
+		return false;
+	ps->members = members;
+	return read_members(ps);
+}
+
 /* How many of IDS outrank SELF for KEY, counted up to HEALTH_PROBERS. */
 static unsigned int count_above(const GArray *ids, uint64_t self, uint64_t key)
 {
--- a/fleet/health.c
+++ b/fleet/health.c
@@ -7,7 +7,7 @@
 
 #define MEMBERS_MS 1000 /* between two looks at the members */
 #define JITTER 0.2	/* share of the interval, to either side */
-#define PURGE_MS 60000	/* between two removals of unpublished ones */
+#define PURGE_MS 600000 /* between two removals of unpublished ones */
 #define SOON_MS 300	/* spread of first probes */
 #define PANIC_DIVISOR 2 /* more than 1 / this of a service down */
 
@@ -16,16 +16,17 @@
 	const struct chart *chart;
 	struct counters *counters;
 	struct snapshot *snapshot;
+	struct snapshot *assigned_of; /* whose probes are assigned; or NULL */
 	struct probers *probers;
 	GRand *rand;
 	GHashTable *judges; /* upstream id -> struct judge */
 	GHashTable *reach;  /* domain -> uint64_t ms of the last success */
 	GPtrArray *probed;  /* of struct judge, not passive */
 	GPtrArray *watched; /* of struct judge, not simply warm */
+	GPtrArray *dropped; /* of struct judge, while assigning */
 	uint64_t interval;  /* ms between two probes of one upstream */
 	uint64_t members_at;
 	uint64_t purged_at;
-	bool assigned;
 };
 
 struct health *create_health(const struct view *view, const struct chart *chart,
@@ -44,6 +45,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	h->probed = g_ptr_array_new();
 	h->watched = g_ptr_array_new();
+	h->dropped = g_ptr_array_new();
 	h->interval = HEALTH_PROBE_MS;
 	return h;
 }
@@ -53,10 +55,12 @@
 	if (!h)
 		return;
 	unref_snapshot(h->snapshot);
+	unref_snapshot(h->assigned_of);
 	destroy_probers(h->probers);
 	g_rand_free(h->rand);
 	g_ptr_array_free(h->probed, TRUE);
 	g_ptr_array_free(h->watched, TRUE);
+	g_ptr_array_free(h->dropped, TRUE);
 	g_hash_table_destroy(h->judges);
 	g_hash_table_destroy(h->reach);
 	g_free(h);
@@ -196,6 +200,8 @@
 	if (role == HEALTH_PASSIVE)
 		return;
 	j = need_judge(h, sv, up, now_ms);
+	if (j->kept)
+		return;
 	if (j->role == HEALTH_PASSIVE)
 		begin_probing(h, j, up, now_ms);
 	j->role = role;
@@ -247,40 +253,90 @@
 	}
 }
 
-static void assign_services(struct health *h, uint64_t now_ms)
+static void assign_service(struct health *h, const struct service *sv,
+			   uint64_t now_ms)
+{
+	for (size_t u = 0; u < sv->upstream_nr; u++)
+		if (is_probed_kind(sv, &sv->upstreams[u]))
+			set_role(h, sv, &sv->upstreams[u], now_ms);
+}
+
+static bool same_service(const struct service *a, const struct service *b)
+{
+	return a == b || (a->id == b->id && a->digest == b->digest);
+}
+
+/* Of the services of the snapshot, those that BEFORE (or NULL) lacks. */
+static void assign_services(struct health *h, const struct snapshot *before,
+			    uint64_t now_ms)
 {
+	size_t old_nr = before ? snapshot_service_nr(before) : 0;
+	size_t o = 0;
+
 	for (size_t s = 0; s < snapshot_service_nr(h->snapshot); s++) {
 		const struct service *sv = snapshot_service(h->snapshot, s);
 
-		for (size_t u = 0; u < sv->upstream_nr; u++)
-			if (is_probed_kind(sv, &sv->upstreams[u]))
-				set_role(h, sv, &sv->upstreams[u], now_ms);
+		while (o < old_nr && snapshot_service(before, o)->id < sv->id)
+			o++;
+		if (o == old_nr ||
+		    !same_service(snapshot_service(before, o), sv))
+			assign_service(h, sv, now_ms);
 	}
 }
 
-/* Finds again which upstreams this instance probes. */
-static void assign_probes(struct health *h, uint64_t now_ms)
+/* True if this instance still has the role towards J's upstream. */
+static bool keeps_role(const struct health *h, const struct judge *j)
+{
+	const struct service *sv = service_of(h, j->service);
+	const struct upstream *up = sv ? find_upstream(sv, j->upstream) : NULL;
+
+	return up && is_probed_kind(sv, up) &&
+	       prober_role(h->probers, up) == j->role;
+}
+
+static void drop_lost_probes(struct health *h)
 {
-	GPtrArray *before;
+	GPtrArray *before = h->probed;
+
+	h->probed = g_ptr_array_new();
+	for (guint i = 0; i < before->len; i++) {
+		struct judge *j = g_ptr_array_index(before, i);
 
+		j->kept = keeps_role(h, j);
+		if (j->kept)
+			g_ptr_array_add(h->probed, j);
+	}
+	for (guint i = 0; i < before->len; i++) {
+		struct judge *j = g_ptr_array_index(before, i);
+
+		if (!j->kept)
+			g_ptr_array_add(h->dropped, j);
+	}
+	g_ptr_array_free(before, TRUE);
+}
+
+/*
+ * Finds again which upstreams this instance probes; only among the services
+ * that changed if the MEMBERS are the same.
+ */
+static void assign_probes(struct health *h, bool members, uint64_t now_ms)
+{
 	if (now_ms >= h->purged_at + PURGE_MS) {
 		purge_judges(h);
 		h->purged_at = now_ms;
 	}
-	before = h->probed;
-	h->probed = g_ptr_array_new();
-	for (guint i = 0; i < before->len; i++)
-		((struct judge *)g_ptr_array_index(before, i))->kept = false;
-	assign_services(h, now_ms);
-	for (guint i = 0; i < before->len; i++) {
-		struct judge *j = g_ptr_array_index(before, i);
+	drop_lost_probes(h);
+	assign_services(h, members ? NULL : h->assigned_of, now_ms);
+	for (guint i = 0; i < h->dropped->len; i++) {
+		struct judge *j = g_ptr_array_index(h->dropped, i);
 
 		if (!j->kept)
 			end_probing(j, now_ms);
 	}
-	g_ptr_array_free(before, TRUE);
+	g_ptr_array_set_size(h->dropped, 0);
 	h->interval = find_interval(h);
-	h->assigned = true;
+	unref_snapshot(h->assigned_of);
+	h->assigned_of = ref_snapshot(h->snapshot);
 }
 
 void set_health_snapshot(struct health *h, const struct snapshot *sn,
@@ -288,17 +344,20 @@
 {
 	unref_snapshot(h->snapshot);
 	h->snapshot = ref_snapshot(sn);
-	h->assigned = false;
 	h->members_at = now_ms;
 }
 
 static void look_at_members(struct health *h, uint64_t now_ms)
 {
-	if (h->assigned && now_ms < h->members_at + MEMBERS_MS)
-		return;
-	h->members_at = now_ms;
-	if (update_probers(h->probers) || !h->assigned)
-		assign_probes(h, now_ms);
+	bool fresh = h->assigned_of != h->snapshot;
+	bool members = false;
+
+	if (fresh || now_ms >= h->members_at + MEMBERS_MS) {
+		members = update_probers(h->probers);
+		h->members_at = now_ms;
+	}
+	if (fresh || members)
+		assign_probes(h, members, now_ms);
 }
 
 static void note_reach(struct health *h, const char *domain, uint64_t now_ms)
--- a/t/prop-health.cc
+++ b/t/prop-health.cc
@@ -137,8 +137,8 @@
 		[] {
 			bed x;
 			size_t u = *rc::gen::inRange<size_t>(0, 12);
-			uint64_t gap =
-				*rc::gen::element<uint64_t>(200, 1000, 4000);
+			uint64_t gap = *rc::gen::element<uint64_t>(
+				200, 1000, 4000, 12000, 25000);
 
 			run_bed(x.b, 30000);
 			x.b->target[u].report = REPORT_WARM;
