--- a/net/daemon.c
+++ b/net/daemon.c
@@ -7,6 +7,7 @@
 #include "net/admin.h"
 #include "net/entry.h"
 #include "net/files.h"
+#include "net/fleet-port.h"
 #include "net/flow-port.h"
 #include "net/log.h"
 #include "net/probe.h"
@@ -21,10 +22,10 @@
 	const struct settings *settings;
 	struct counters counters;
 	struct view *view;
+	struct fleet_port *fleet;
 	struct chart *upstream_chart;
 	struct health *health;
 	struct prober *prober;
-	struct snapshot *snapshot;
 	struct flows *flows;
 	struct requests *requests;
 	struct entry *entry;
@@ -41,19 +42,10 @@
 	bool stopping;
 };
 
-static void apply_snapshot(struct daemon *d, struct snapshot *sn)
+static void apply_snapshot(struct daemon *d, const struct snapshot *sn)
 {
 	uint64_t now = uv_now(&d->loop);
 
-	if (d->snapshot && snapshot_epoch(sn) <= snapshot_epoch(d->snapshot)) {
-		if (snapshot_epoch(sn) < snapshot_epoch(d->snapshot))
-			count(&d->counters, COUNT_CONFIG_STALE);
-		unref_snapshot(sn);
-		return;
-	}
-	unref_snapshot(d->snapshot);
-	d->snapshot = sn;
-	count(&d->counters, COUNT_CONFIG_APPLIED);
 	set_flow_snapshot(d->flows, sn, now);
 	set_request_snapshot(d->requests, sn, now);
 	set_entry_snapshot(d->entry, sn);
@@ -64,6 +56,44 @@
 		   snapshot_service_nr(sn), snapshot_upstream_nr(sn));
 }
 
+static void log_member(const struct daemon *d, uint64_t id)
+{
+	const struct member *m = find_member(d->view, id);
+
+	if (m)
+		log_change("instance %s of domain %s is %s", m->name, m->domain,
+			   member_state_name(m->state));
+}
+
+static void on_fleet_action(const struct fleet_action *a, void *data)
+{
+	struct daemon *d = data;
+
+	switch (a->kind) {
+	case FLEET_APPLY:
+		apply_snapshot(d, a->snapshot);
+		break;
+	case FLEET_DOMAIN_CHANGED:
+		log_change("domain %s is %s", a->domain,
+			   is_domain_out(d->view, a->domain) ? "out" : "back");
+		break;
+	case FLEET_MEMBER_CHANGED:
+		log_member(d, a->id);
+		break;
+	default:
+		break;
+	}
+}
+
+/* Tells the fleet of a snapshot read from the store or the directory. */
+static void offer_read_snapshot(struct daemon *d, struct snapshot *sn)
+{
+	struct fleet_event ev = { .kind = FLEET_SNAPSHOT, .snapshot = sn };
+
+	step_fleet_port(d->fleet, &ev);
+	unref_snapshot(sn);
+}
+
 static void on_config(const struct store_answer *a, void *data)
 {
 	struct daemon *d = data;
@@ -77,7 +107,7 @@
 		return;
 	sn = decode_snapshot(a->entries[0].value, a->entries[0].len, &st);
 	if (sn)
-		apply_snapshot(d, sn);
+		offer_read_snapshot(d, sn);
 	else
 		count(&d->counters, COUNT_CONFIG_CORRUPT);
 }
@@ -101,7 +131,7 @@
 	destroy_problems(ps);
 	if (!sn)
 		return false;
-	apply_snapshot(d, sn);
+	offer_read_snapshot(d, sn);
 	return true;
 }
 
@@ -109,7 +139,8 @@
 static const char *upstream_name(const struct daemon *d,
 				 const struct health_action *a)
 {
-	const struct service *sv = find_service(d->snapshot, a->service);
+	const struct snapshot *sn = fleet_snapshot(port_fleet(d->fleet));
+	const struct service *sv = sn ? find_service(sn, a->service) : NULL;
 	const struct upstream *up = NULL;
 
 	if (sv)
@@ -119,10 +150,12 @@
 
 static void on_health_change(const struct health_action *a, void *data)
 {
+	struct fleet_event ev = { .kind = FLEET_UPSTREAM,
+				  .upstream = { a->upstream, a->state } };
 	struct daemon *d = data;
 
 	if (a->kind == HEALTH_PUBLISH)
-		set_upstream_state(d->view, a->upstream, a->state);
+		step_fleet_port(d->fleet, &ev);
 	else
 		log_change("upstream %s is %s", upstream_name(d, a),
 			   upstream_state_name(a->state));
@@ -132,7 +165,7 @@
 {
 	const struct daemon *d = data;
 
-	return d->snapshot;
+	return fleet_snapshot(port_fleet(d->fleet));
 }
 
 static uint64_t get_store_age(void *data)
@@ -162,6 +195,8 @@
 	destroy_entry(d->entry);
 	destroy_prober(d->prober);
 	destroy_store(d->store);
+	destroy_fleet_port(d->fleet);
+	d->fleet = NULL;
 }
 
 static void on_stop_timer(uv_timer_t *timer)
@@ -179,6 +214,7 @@
 
 static void on_signal(uv_signal_t *sig, int signum)
 {
+	struct fleet_event leave = { .kind = FLEET_LEAVE };
 	struct daemon *d = sig->data;
 
 	if (d->stopping)
@@ -187,6 +223,7 @@
 	d->stop_deadline = uv_now(&d->loop) + d->settings->stop_ms;
 	log_change("stopping on signal %d: %zu requests to finish", signum,
 		   open_request_nr(d->requests));
+	step_fleet_port(d->fleet, &leave);
 	stop_entry(d->entry);
 	uv_timer_start(&d->stop_timer, on_stop_timer, STOP_CHECK_MS,
 		       STOP_CHECK_MS);
@@ -206,9 +243,8 @@
 	uv_signal_start(&d->sigint, on_signal, SIGINT);
 }
 
-static void join_view(struct daemon *d)
+static struct member describe_self(const struct settings *s)
 {
-	const struct settings *s = d->settings;
 	struct member self = { .id = service_id(s->name),
 			       .address = s->address,
 			       .peer_port = s->peer_port,
@@ -218,8 +254,16 @@
 
 	memcpy(self.name, s->name, sizeof(self.name));
 	memcpy(self.domain, s->domain, sizeof(self.domain));
-	d->view = create_view(self.id);
-	put_member(d->view, &self);
+	return self;
+}
+
+static bool join_fleet(struct daemon *d, struct status *st)
+{
+	struct member self = describe_self(d->settings);
+
+	d->fleet = create_fleet_port(&d->loop, d->settings, &self, d->view,
+				     &d->counters, on_fleet_action, d, st);
+	return d->fleet;
 }
 
 static bool open_ports(struct daemon *d)
@@ -230,7 +274,7 @@
 	flow_at.port = d->settings->flow_port;
 	d->flow_port = create_flow_port(&d->loop, &flow_at, d->flows,
 					&d->counters, &st);
-	if (d->flow_port)
+	if (d->flow_port && join_fleet(d, &st))
 		d->admin = create_admin(&d->loop, &d->admin_source, &st);
 	if (d->flow_port && d->admin)
 		return true;
@@ -256,6 +300,30 @@
 	return true;
 }
 
+/* True if no seed names another instance. */
+static bool is_alone(const struct settings *s)
+{
+	struct endpoint self = s->address;
+
+	self.port = s->peer_port;
+	for (size_t i = 0; i < s->seeds.nr; i++)
+		if (!same_endpoint(&s->seeds.at[i], &self))
+			return false;
+	return true;
+}
+
+static void start_requests(struct daemon *d)
+{
+	struct request_options options = { .alone = is_alone(d->settings) };
+
+	uv_random(NULL, NULL, &options.incarnation, sizeof(options.incarnation),
+		  0, NULL);
+	options.seed = (uint32_t)options.incarnation;
+	d->requests = create_requests(d->view, &d->counters, &options,
+				      uv_now(&d->loop));
+	d->entry = create_entry(&d->loop, d->settings, d->requests);
+}
+
 static bool start_daemon(struct daemon *d)
 {
 	struct admin_source src = {
@@ -265,8 +333,7 @@
 
 	d->admin_source = src;
 	d->flows = create_flows(d->view, &d->counters);
-	d->requests = create_requests(d->view, &d->counters);
-	d->entry = create_entry(&d->loop, d->settings, d->requests);
+	start_requests(d);
 	init_handles(d);
 	if (!start_health(d) || !open_ports(d))
 		return false;
@@ -284,7 +351,7 @@
 	int code = 0;
 
 	uv_loop_init(&d.loop);
-	join_view(&d);
+	d.view = create_view(service_id(settings->name));
 	if (start_daemon(&d)) {
 		log_change("instance %s of domain %s runs", settings->name,
 			   settings->domain);
@@ -296,7 +363,6 @@
 	uv_loop_close(&d.loop);
 	destroy_requests(d.requests);
 	destroy_flows(d.flows);
-	unref_snapshot(d.snapshot);
 	destroy_health(d.health);
 	destroy_chart(d.upstream_chart);
 	destroy_view(d.view);
