--- a/request/queue.c
+++ b/request/queue.c
@@ -1,5 +1,7 @@
 #include "request/queue.h"
 
+#include <math.h>
+
 #define SMOOTHING 16	       /* weight of the past in a moving average */
 #define REFUSAL_WINDOW_MS 1000 /* over which refusals are counted */
 
@@ -15,6 +17,7 @@
 	double gap_ms; /* moving average between two departures; 0: none */
 	uint64_t
 		last_left; /* of the last departure, or when it began to fill */
+	double run_dev_ms; /* moving average of its distance from run_ms */
 	double run_ms;	   /* moving average of an upstream's work */
 	uint64_t window;   /* start of the refusal window */
 	uint32_t refused;  /* in the window */
@@ -108,11 +111,12 @@
 void note_run_time(struct queue *q, uint64_t run_ms)
 {
 	average(&q->run_ms, (double)run_ms);
+	average(&q->run_dev_ms, fabs((double)run_ms - q->run_ms));
 }
 
-uint64_t usual_run_ms(const struct queue *q)
+uint64_t long_run_ms(const struct queue *q)
 {
-	return (uint64_t)q->run_ms;
+	return (uint64_t)(q->run_ms + 2 * q->run_dev_ms);
 }
 
 /* The average gap, or the present one if that is already far longer. */
@@ -136,9 +140,9 @@
 	if (queue_length(q) >= QUEUE_MAX)
 		return false;
 	if (!queue_length(q))
-		return now_ms + usual_run_ms(q) < deadline_ms;
+		return now_ms + long_run_ms(q) < deadline_ms;
 	return wait <= QUEUE_WAIT_MAX_MS &&
-	       now_ms + wait + usual_run_ms(q) < deadline_ms;
+	       now_ms + wait + long_run_ms(q) < deadline_ms;
 }
 
 static void roll_window(struct queue *q, uint64_t now_ms)
--- a/request/queue.h
+++ b/request/queue.h
@@ -39,7 +39,9 @@
 
 /* Notes that a request of the service took RUN_MS at an upstream. */
 void note_run_time(struct queue *q, uint64_t run_ms);
-uint64_t usual_run_ms(const struct queue *q);
+
+/* A run time that few requests exceed. */
+uint64_t long_run_ms(const struct queue *q);
 
 /* Time until a request that is queued now would leave the queue. */
 uint64_t expected_wait_ms(const struct queue *q, uint64_t now_ms);
--- a/request/requests.c
+++ b/request/requests.c
@@ -20,6 +20,7 @@
 	uint64_t service;
 	enum request_state state;
 	uint64_t upstream; /* offered to */
+	bool loan;	   /* in a slot that was borrowed */
 	uint64_t deadline; /* ms */
 	uint64_t offered;  /* ms, of the present offer */
 	unsigned int offers;
@@ -298,7 +299,7 @@
 static bool is_hopeless(const struct queue *q, const struct request *rq,
 			uint64_t now_ms)
 {
-	return now_ms + usual_run_ms(q) >= rq->deadline;
+	return now_ms + long_run_ms(q) + HOP_MS >= rq->deadline;
 }
 
 /* Offers what the queue of L holds, as long as there are slots for it. */
@@ -318,7 +319,7 @@
 			refuse_unsent(rs, rq, now_ms, out);
 			continue;
 		}
-		up = take_slot(rs->slots, sv, now_ms);
+		up = take_slot(rs->slots, sv, now_ms, &rq->loan);
 		if (!up)
 			break;
 		leave_queue(l->queue, h, true, now_ms);
@@ -342,7 +343,7 @@
 		return;
 	}
 	if (!queue_length(l->queue))
-		up = take_slot(rs->slots, sv, now_ms);
+		up = take_slot(rs->slots, sv, now_ms, &rq->loan);
 	if (up)
 		offer(rs, rq, up, now_ms, out);
 	else
@@ -516,9 +517,10 @@
 static void end_offer(struct requests *rs, struct request *rq,
 		      enum slot_end end, uint64_t now_ms)
 {
+	struct taken_slot t = { rq->service, rq->upstream, rq->loan };
 	uint64_t until = MIN(rq->deadline, now_ms + CANCEL_SEEN_MS);
 
-	give_slot_back(rs->slots, rq->upstream, end, until, now_ms);
+	give_slot_back(rs->slots, &t, end, until, now_ms);
 	g_hash_table_remove(rs->timed, rq);
 	if (end == SLOT_DONE)
 		note_run_time(get_load(rs, rq->service)->queue,
--- a/request/slots.c
+++ b/request/slots.c
@@ -1,16 +1,24 @@
 #include "request/slots.h"
 
-#define PAUSE_MIN_MS 10	      /* after one shed */
-#define PAUSE_DOUBLINGS_MAX 6 /* of the pause, by sheds in a row */
-#define REPORT_LIFE_MS 1000   /* a load report older than this says nothing */
-#define PROBES 3	      /* upstreams compared by SLOT_PROBE */
+#define PAUSE_MIN_MS 5		  /* after one shed */
+#define PAUSE_DOUBLINGS_MAX 6	  /* of the pause, by sheds in a row */
+#define OWN_DOUBLINGS_MAX 3	  /* the same for slots of the own share */
+#define BORROWING_DOUBLINGS_MAX 4 /* the same for all borrowing */
+#define REPORT_LIFE_MS 1000 /* a load report older than this says nothing */
+#define PROBES 3	    /* upstreams compared by SLOT_PROBE */
+
+/* A time during which something gets nothing, longer with each shed in a row. */
+struct pause {
+	uint64_t until; /* ms */
+	uint32_t sheds; /* in a row */
+};
 
 struct slot_record {
 	uint64_t id;
 	uint32_t in_flight; /* offered and not ended */
 	GArray *lingering;  /* uint64_t ms until which a cancelled one counts */
-	uint64_t pause_until;
-	uint32_t sheds; /* in a row */
+	struct pause own;
+	struct pause loans;
 	uint32_t reported;
 	uint32_t reported_slots;
 	uint64_t reported_at;
@@ -24,7 +32,8 @@
 	GRand *rng;
 	enum slot_policy policy;
 	struct shares *shares;
-	GHashTable *records; /* upstream id -> struct slot_record */
+	GHashTable *records;   /* upstream id -> struct slot_record */
+	GHashTable *borrowing; /* service id -> struct pause */
 	slot_limit_fn limit;
 	void *limit_data;
 	uint64_t taken; /* requests sent so far, to tell the order */
@@ -69,6 +78,8 @@
 	ss->shares = create_shares(view);
 	ss->records = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					    free_record);
+	ss->borrowing = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					      g_free, g_free);
 	ss->limit = view_limit;
 	ss->limit_data = ss;
 	return ss;
@@ -80,6 +91,7 @@
 		return;
 	destroy_shares(ss->shares);
 	g_hash_table_destroy(ss->records);
+	g_hash_table_destroy(ss->borrowing);
 	g_free(ss);
 }
 
@@ -170,7 +182,7 @@
 		return false;
 	c->record = get_record(ss, up->id);
 	end_lingering(c->record, now_ms);
-	return c->record->pause_until <= now_ms;
+	return c->record->own.until <= now_ms;
 }
 
 /* True if A should get the next request rather than B. */
@@ -285,12 +297,29 @@
 	return best->up != NULL;
 }
 
+/* The pause of all borrowing for SERVICE. */
+static struct pause *borrowing_pause(struct slots *ss, uint64_t service)
+{
+	struct pause *p = g_hash_table_lookup(ss->borrowing, &service);
+
+	if (p)
+		return p;
+	p = g_new0(struct pause, 1);
+	g_hash_table_insert(ss->borrowing, g_memdup2(&service, sizeof(service)),
+			    p);
+	return p;
+}
+
 static bool find_candidate(struct slots *ss, const struct service *sv,
-			   uint64_t now_ms, struct candidate *c)
+			   uint64_t now_ms, struct candidate *c, bool *loan)
 {
+	*loan = false;
 	switch (ss->policy) {
 	case SLOT_SHARES:
-		return find_own(ss, sv, now_ms, c) ||
+		if (find_own(ss, sv, now_ms, c))
+			return true;
+		*loan = true;
+		return borrowing_pause(ss, sv->id)->until <= now_ms &&
 		       find_loan(ss, sv, now_ms, c);
 	case SLOT_OWN_ONLY:
 		return find_own(ss, sv, now_ms, c);
@@ -304,11 +333,11 @@
 }
 
 const struct upstream *take_slot(struct slots *ss, const struct service *sv,
-				 uint64_t now_ms)
+				 uint64_t now_ms, bool *loan)
 {
 	struct candidate c;
 
-	if (!find_candidate(ss, sv, now_ms, &c))
+	if (!find_candidate(ss, sv, now_ms, &c, loan))
 		return NULL;
 	c.record->in_flight++;
 	c.record->sent_since++;
@@ -316,27 +345,52 @@
 	return c.up;
 }
 
-static void pause_upstream(struct slot_record *r, uint64_t now_ms)
+static void lengthen_pause(struct pause *p, uint32_t doublings_max,
+			   uint64_t now_ms)
 {
-	r->pause_until = now_ms + ((uint64_t)PAUSE_MIN_MS << r->sheds);
-	if (r->sheds < PAUSE_DOUBLINGS_MAX)
-		r->sheds++;
+	p->until = now_ms + ((uint64_t)PAUSE_MIN_MS << p->sheds);
+	if (p->sheds < doublings_max)
+		p->sheds++;
 }
 
-void give_slot_back(struct slots *ss, uint64_t upstream, enum slot_end end,
-		    uint64_t runs_until_ms, uint64_t now_ms)
+static void take_shed(struct slots *ss, struct slot_record *r,
+		      const struct taken_slot *t, uint64_t now_ms)
 {
-	struct slot_record *r = get_record(ss, upstream);
+	if (!t->loan) {
+		lengthen_pause(&r->own, OWN_DOUBLINGS_MAX, now_ms);
+		return;
+	}
+	lengthen_pause(&r->loans, PAUSE_DOUBLINGS_MAX, now_ms);
+	lengthen_pause(borrowing_pause(ss, t->service), BORROWING_DOUBLINGS_MAX,
+		       now_ms);
+}
+
+static void take_success(struct slots *ss, struct slot_record *r,
+			 const struct taken_slot *t)
+{
+	r->own.sheds = 0;
+	if (!t->loan)
+		return;
+	r->loans.sheds = 0;
+	borrowing_pause(ss, t->service)->sheds = 0;
+}
+
+void give_slot_back(struct slots *ss, const struct taken_slot *t,
+		    enum slot_end end, uint64_t runs_until_ms, uint64_t now_ms)
+{
+	struct slot_record *r = get_record(ss, t->upstream);
 
 	if (r->in_flight)
 		r->in_flight--;
 	switch (end) {
 	case SLOT_DONE:
-		r->sheds = 0;
+		take_success(ss, r, t);
 		break;
 	case SLOT_SHED:
+		take_shed(ss, r, t, now_ms);
+		break;
 	case SLOT_FAILED:
-		pause_upstream(r, now_ms);
+		lengthen_pause(&r->own, PAUSE_DOUBLINGS_MAX, now_ms);
 		break;
 	case SLOT_CANCELLED:
 		if (runs_until_ms > now_ms)
--- a/request/slots.h
+++ b/request/slots.h
@@ -52,10 +52,10 @@
 
 /*
  * The upstream of SV that gets the next request and whose slot is then taken,
- * or NULL if none may have it now.
+ * or NULL if none may have it now. LOAN tells whether it was borrowed.
  */
 const struct upstream *take_slot(struct slots *ss, const struct service *sv,
-				 uint64_t now_ms);
+				 uint64_t now_ms, bool *loan);
 
 enum slot_end {
 	SLOT_DONE,     /* the upstream ended the request */
@@ -65,11 +65,17 @@
 };
 
 /*
- * Gives a slot of UPSTREAM back. A cancelled one stays in use until
+ * Gives a slot of an UPSTREAM of SERVICE back; LOAN as told when it was taken.
+ * A cancelled one stays in use until
  * RUNS_UNTIL_MS, by when the upstream must have noticed.
  */
-void give_slot_back(struct slots *ss, uint64_t upstream, enum slot_end end,
-		    uint64_t runs_until_ms, uint64_t now_ms);
+struct taken_slot {
+	uint64_t service;
+	uint64_t upstream;
+	bool loan;
+};
+void give_slot_back(struct slots *ss, const struct taken_slot *t,
+		    enum slot_end end, uint64_t runs_until_ms, uint64_t now_ms);
 
 /* Requests in flight from this instance, those cancelled included. */
 uint32_t slots_in_use(const struct slots *ss, uint64_t upstream);
--- a/t/prop-requests.cc
+++ b/t/prop-requests.cc
@@ -37,9 +37,9 @@
 			rc::gen::set(&step::b, rc::gen::inRange(0u, 1000u))));
 }
 
-static struct world_options options()
+static struct request_world_options options()
 {
-	struct world_options o = {};
+	struct request_world_options o = {};
 
 	o.seed = *rc::gen::inRange(1u, 1000000u);
 	o.instances = 9;
@@ -57,7 +57,7 @@
 }
 
 /* Adds NR sends at random; they come from a seed, so as not to be shrunk. */
-static void add_sends(struct world *w, uint32_t seed, unsigned int nr)
+static void add_sends(struct request_world *w, uint32_t seed, unsigned int nr)
 {
 	GRand *rng = g_rand_new_with_seed(seed);
 
@@ -79,12 +79,13 @@
 				(uint32_t)g_rand_int_range(rng, 1, 1000);
 		uint64_t at = (uint64_t)g_rand_int_range(rng, 0, RUN_MS) * MS;
 
-		add_send(w, at, &ws);
+		add_world_send(w, at, &ws);
 		if (!keyed || g_rand_boolean(rng))
 			continue;
 		ws.instance = (unsigned int)g_rand_int_range(rng, 0, 9);
-		add_send(w, at + (uint64_t)g_rand_int_range(rng, 0, 30 * MS),
-			 &ws);
+		add_world_send(w,
+			       at + (uint64_t)g_rand_int_range(rng, 0, 30 * MS),
+			       &ws);
 	}
 	g_rand_free(rng);
 }
@@ -95,25 +96,26 @@
 	FAULT_SHED_ALL, FAULT_BREAK, FAULT_SILENT_COLD
 };
 
-static void add_faults(struct world *w, const std::vector<step> &ss)
+static void add_faults(struct request_world *w, const std::vector<step> &ss)
 {
 	for (const step &s : ss)
-		add_fault(w, s.at_ms * MS,
-			  faults[s.what % (sizeof(faults) / sizeof(faults[0]))],
-			  s.a % 9, s.b);
+		add_world_fault(
+			w, s.at_ms * MS,
+			faults[s.what % (sizeof(faults) / sizeof(faults[0]))],
+			s.a % 9, s.b);
 }
 
-static struct world_report run(struct world_options o,
-			       const std::vector<step> &troubles)
+static struct request_world_report run(struct request_world_options o,
+				       const std::vector<step> &troubles)
 {
-	struct world *w = create_world(&o);
-	struct world_report r;
+	struct request_world *w = create_request_world(&o);
+	struct request_world_report r;
 
 	add_sends(w, o.seed, 300);
 	add_faults(w, troubles);
-	run_world(w, (RUN_MS + SETTLE_MS) * MS);
-	report_world(w, &r);
-	destroy_world(w);
+	run_request_world(w, (RUN_MS + SETTLE_MS) * MS);
+	report_request_world(w, &r);
+	destroy_request_world(w);
 	if (getenv("BV_SHOW"))
 		std::cerr << "sends " << r.sends << " answered " << r.answered
 			  << " replayed " << r.replayed << " not-run "
@@ -123,7 +125,7 @@
 	return r;
 }
 
-static void check(const struct world_report &r)
+static void check(const struct request_world_report &r)
 {
 	RC_ASSERT(r.doubled == 0u);
 	RC_ASSERT(r.false_not_run == 0u);
@@ -135,18 +137,18 @@
 int main()
 {
 	bool ok = rc::check("no doubled run and no false outcome", []() {
-		struct world_options o = options();
+		struct request_world_options o = options();
 
 		check(run(o, *steps(12)));
 	});
 	ok &= rc::check("without faults every first try is answered", []() {
-		struct world_options o = options();
+		struct request_world_options o = options();
 
 		o.loss_percent = 0;
 		o.late_percent = 0;
 		o.lost_answers = 0;
-		struct world *w = create_world(&o);
-		struct world_report r;
+		struct request_world *w = create_request_world(&o);
+		struct request_world_report r;
 
 		for (unsigned int i = 0; i < 60; i++) {
 			struct world_send ws = {};
@@ -155,39 +157,39 @@
 			ws.instance = *rc::gen::inRange(0u, 9u);
 			ws.has_key = true;
 			ws.tells_age = true;
-			add_send(w, (2000 + i * 50) * MS, &ws);
+			add_world_send(w, (2000 + i * 50) * MS, &ws);
 		}
-		run_world(w, 10000 * MS);
-		report_world(w, &r);
-		destroy_world(w);
+		run_request_world(w, 10000 * MS);
+		report_request_world(w, &r);
+		destroy_request_world(w);
 		RC_ASSERT(r.answered == 60u);
 		check(r);
 	});
 	ok &= rc::check("a cold upstream never gets more than it bears", []() {
-		struct world_options o = options();
+		struct request_world_options o = options();
 		const std::vector<step> moves = *steps(4);
 
 		o.lost_answers = 0;
 		o.upstreams = 1;
 		o.upstreams_2 = 1;
-		struct world *w = create_world(&o);
-		struct world_report r;
+		struct request_world *w = create_request_world(&o);
+		struct request_world_report r;
 
-		add_fault(w, 0, FAULT_COLD, 0, 0);
+		add_world_fault(w, 0, FAULT_COLD, 0, 0);
 		for (const step &s : moves)
-			add_fault(w, s.at_ms * MS,
-				  s.what % 3 ? FAULT_KILL : FAULT_RESTART,
-				  s.a % 9, 0);
+			add_world_fault(w, s.at_ms * MS,
+					s.what % 3 ? FAULT_KILL : FAULT_RESTART,
+					s.a % 9, 0);
 		for (unsigned int i = 0; i < 400; i++) {
 			struct world_send ws = {};
 
 			ws.operation = i;
 			ws.instance = i * 7 % 9;
-			add_send(w, i * (RUN_MS / 400) * MS, &ws);
+			add_world_send(w, i * (RUN_MS / 400) * MS, &ws);
 		}
-		run_world(w, (RUN_MS + SETTLE_MS) * MS);
-		report_world(w, &r);
-		destroy_world(w);
+		run_request_world(w, (RUN_MS + SETTLE_MS) * MS);
+		report_request_world(w, &r);
+		destroy_request_world(w);
 		RC_ASSERT(r.cold_excess == 0u);
 		check(r);
 	});
--- a/t/request-world.c
+++ b/t/request-world.c
@@ -96,8 +96,8 @@
 	bool sent;
 };
 
-struct world {
-	struct world_options o;
+struct request_world {
+	struct request_world_options o;
 	GRand *rng;
 	struct event_queue *queue;
 	uint64_t now;
@@ -113,16 +113,16 @@
 	GArray *operations;
 	GArray *waits; /* double ms */
 	struct counters dead_counters;
-	struct world_report r;
+	struct request_world_report r;
 };
 
-static uint64_t ms(const struct world *w)
+static uint64_t ms(const struct request_world *w)
 {
 	return w->now / MS + 1;
 }
 
-static struct item *add_item(struct world *w, uint64_t at, enum item_kind kind,
-			     unsigned int a)
+static struct item *add_item(struct request_world *w, uint64_t at,
+			     enum item_kind kind, unsigned int a)
 {
 	struct item *it = g_new0(struct item, 1);
 
@@ -138,22 +138,22 @@
 	g_free(it);
 }
 
-static unsigned int domain_of(const struct world *w, unsigned int i)
+static unsigned int domain_of(const struct request_world *w, unsigned int i)
 {
 	return i % w->o.domains;
 }
 
-static bool chance(struct world *w, unsigned int percent)
+static bool chance(struct request_world *w, unsigned int percent)
 {
 	return percent && g_rand_int_range(w->rng, 0, 100) < (int)percent;
 }
 
-static uint64_t net_delay(struct world *w)
+static uint64_t net_delay(struct request_world *w)
 {
 	return NET_US / 2 + (uint64_t)g_rand_int_range(w->rng, 0, NET_US);
 }
 
-static struct operation *operation_of(struct world *w, uint32_t id)
+static struct operation *operation_of(struct request_world *w, uint32_t id)
 {
 	if (id >= w->operations->len)
 		g_array_set_size(w->operations, id + 1);
@@ -168,7 +168,7 @@
 	return ep;
 }
 
-static void add_upstreams(struct world *w, unsigned int service,
+static void add_upstreams(struct request_world *w, unsigned int service,
 			  unsigned int nr)
 {
 	struct service *sv = create_service(service ? "intake" : "desk");
@@ -199,7 +199,7 @@
 	w->services[service] = sv;
 }
 
-static struct stand_in *stand_in_of(struct world *w, uint64_t id,
+static struct stand_in *stand_in_of(struct request_world *w, uint64_t id,
 				    unsigned int *index)
 {
 	for (unsigned int i = 0; i < w->upstream_nr; i++)
@@ -210,7 +210,7 @@
 	return NULL;
 }
 
-static void start_instance(struct world *w, unsigned int i)
+static void start_instance(struct request_world *w, unsigned int i)
 {
 	struct instance *in = &w->in[i];
 	struct request_options ro = { .seed = w->o.seed + i,
@@ -231,7 +231,7 @@
 	set_request_snapshot(in->requests, w->snapshot, ms(w));
 }
 
-static void cancel_call(struct world *w, struct sent *s)
+static void cancel_call(struct request_world *w, struct sent *s)
 {
 	struct item *it;
 
@@ -242,7 +242,7 @@
 	s->call = NULL;
 }
 
-static void stop_instance(struct world *w, unsigned int i)
+static void stop_instance(struct request_world *w, unsigned int i)
 {
 	struct instance *in = &w->in[i];
 	GHashTableIter it;
@@ -262,7 +262,7 @@
 }
 
 /* Instance I learns soon that member M is in STATE. */
-static void tell_view(struct world *w, unsigned int i, unsigned int m,
+static void tell_view(struct request_world *w, unsigned int i, unsigned int m,
 		      enum member_state state)
 {
 	uint64_t delay = w->o.instant_views
@@ -278,13 +278,14 @@
 	it->c = state;
 }
 
-static void tell_views(struct world *w, unsigned int m, enum member_state state)
+static void tell_views(struct request_world *w, unsigned int m,
+		       enum member_state state)
 {
 	for (unsigned int i = 0; i < w->o.instances; i++)
 		tell_view(w, i, m, state);
 }
 
-static void tell_state(struct world *w, unsigned int u,
+static void tell_state(struct request_world *w, unsigned int u,
 		       enum upstream_state state)
 {
 	for (unsigned int i = 0; i < w->o.instances; i++) {
@@ -297,9 +298,10 @@
 	}
 }
 
-struct world *create_world(const struct world_options *o)
+struct request_world *
+create_request_world(const struct request_world_options *o)
 {
-	struct world *w = g_new0(struct world, 1);
+	struct request_world *w = g_new0(struct request_world, 1);
 
 	w->o = *o;
 	w->cut_off = -1;
@@ -332,13 +334,13 @@
 	return w;
 }
 
-static void count_dead(struct world *w, const struct instance *in)
+static void count_dead(struct request_world *w, const struct instance *in)
 {
 	for (int c = 0; c < COUNTER_NR; c++)
 		w->dead_counters.value[c] += in->counters.value[c];
 }
 
-void destroy_world(struct world *w)
+void destroy_request_world(struct request_world *w)
 {
 	struct item *it;
 
@@ -360,7 +362,8 @@
 	g_free(w);
 }
 
-void add_send(struct world *w, uint64_t at, const struct world_send *s)
+void add_world_send(struct request_world *w, uint64_t at,
+		    const struct world_send *s)
 {
 	struct sent *sent = g_new0(struct sent, 1);
 
@@ -374,8 +377,8 @@
 			->sent = sent;
 }
 
-void add_fault(struct world *w, uint64_t at, enum world_fault f, unsigned int a,
-	       unsigned int b)
+void add_world_fault(struct request_world *w, uint64_t at, enum world_fault f,
+		     unsigned int a, unsigned int b)
 {
 	struct item *it = add_item(w, at, ITEM_FAULT, a);
 
@@ -383,7 +386,7 @@
 	it->b = b;
 }
 
-static void start_call(struct world *w, struct sent *s,
+static void start_call(struct request_world *w, struct sent *s,
 		       const struct request_action *a)
 {
 	struct call *c = g_new0(struct call, 1);
@@ -398,7 +401,8 @@
 	add_item(w, w->now + net_delay(w), ITEM_OFFER, u)->call = c;
 }
 
-static void tell_outcome(struct world *w, struct sent *s, enum outcome o)
+static void tell_outcome(struct request_world *w, struct sent *s,
+			 enum outcome o)
 {
 	if (s->outcomes++)
 		w->r.two_outcomes++;
@@ -424,7 +428,8 @@
 	}
 }
 
-static void tell_answer(struct world *w, struct sent *s, uint32_t operation)
+static void tell_answer(struct request_world *w, struct sent *s,
+			uint32_t operation)
 {
 	double wait = (double)(s->ran_at - s->at) / MS;
 
@@ -441,7 +446,7 @@
 		g_array_append_val(w->waits, wait);
 }
 
-static void send_message(struct world *w, unsigned int from,
+static void send_message(struct request_world *w, unsigned int from,
 			 const struct request_action *a)
 {
 	int copies = chance(w, w->o.loss_percent) ? 0 : 1;
@@ -462,7 +467,7 @@
 }
 
 /* Carries out A for instance I; SENT is the send that just arrives. */
-static void carry_out(struct world *w, unsigned int i,
+static void carry_out(struct request_world *w, unsigned int i,
 		      const struct request_action *a)
 {
 	struct instance *in = &w->in[i];
@@ -503,7 +508,7 @@
 	}
 }
 
-static handle_t step(struct world *w, unsigned int i,
+static handle_t step(struct request_world *w, unsigned int i,
 		     const struct request_event *ev, struct sent *arriving)
 {
 	struct instance *in = &w->in[i];
@@ -520,7 +525,7 @@
 	return h;
 }
 
-static void take_send(struct world *w, struct sent *s)
+static void take_send(struct request_world *w, struct sent *s)
 {
 	struct instance *in = &w->in[s->s.instance];
 	struct operation *op = operation_of(w, s->s.operation);
@@ -554,7 +559,7 @@
 	step(w, s->s.instance, &ev, NULL);
 }
 
-static bool is_current(const struct world *w, const struct sent *s)
+static bool is_current(const struct request_world *w, const struct sent *s)
 {
 	const struct instance *in = &w->in[s->s.instance];
 
@@ -562,7 +567,7 @@
 	       s->incarnation == in->incarnation;
 }
 
-static void take_leaves(struct world *w, struct sent *s)
+static void take_leaves(struct request_world *w, struct sent *s)
 {
 	struct request_event ev = { .kind = REQUEST_CALLER_LEFT,
 				    .request = s->handle };
@@ -573,7 +578,8 @@
 	step(w, s->s.instance, &ev, NULL);
 }
 
-static void answer(struct world *w, struct call *c, enum request_event_kind how)
+static void answer(struct request_world *w, struct call *c,
+		   enum request_event_kind how)
 {
 	struct item *it;
 
@@ -587,7 +593,8 @@
 	it->call = c;
 }
 
-static void start_run(struct world *w, struct stand_in *u, struct call *c)
+static void start_run(struct request_world *w, struct stand_in *u,
+		      struct call *c)
 {
 	struct sent *s = c->sent;
 	struct operation *op = operation_of(w, s->s.operation);
@@ -605,7 +612,7 @@
 	add_item(w, w->now + (uint64_t)us, ITEM_RUN_END, c->upstream)->call = c;
 }
 
-static void take_offer(struct world *w, struct call *c)
+static void take_offer(struct request_world *w, struct call *c)
 {
 	struct stand_in *u = &w->ups[c->upstream];
 	unsigned int load = u->running + 1;
@@ -623,7 +630,7 @@
 	}
 }
 
-static void end_run(struct world *w, struct call *c)
+static void end_run(struct request_world *w, struct call *c)
 {
 	struct stand_in *u = &w->ups[c->upstream];
 
@@ -634,7 +641,7 @@
 	g_hash_table_remove(u->calls, c);
 }
 
-static void take_run_end(struct world *w, struct call *c)
+static void take_run_end(struct request_world *w, struct call *c)
 {
 	if (!c->running)
 		return;
@@ -642,13 +649,13 @@
 	answer(w, c, REQUEST_ANSWERED);
 }
 
-static void take_cancel(struct world *w, struct call *c)
+static void take_cancel(struct request_world *w, struct call *c)
 {
 	c->cancelled = true;
 	end_run(w, c);
 }
 
-static void take_answer(struct world *w, struct call *c)
+static void take_answer(struct request_world *w, struct call *c)
 {
 	struct sent *s = c->sent;
 	struct request_event ev = { .kind = c->result, .repeatable = true };
@@ -662,7 +669,8 @@
 	step(w, s->s.instance, &ev, NULL);
 }
 
-static bool is_cut(const struct world *w, unsigned int a, unsigned int b)
+static bool is_cut(const struct request_world *w, unsigned int a,
+		   unsigned int b)
 {
 	int x = (int)domain_of(w, a);
 	int y = (int)domain_of(w, b);
@@ -670,7 +678,7 @@
 	return x != y && (x == w->cut_off || y == w->cut_off);
 }
 
-static void take_peer(struct world *w, const struct item *it)
+static void take_peer(struct request_world *w, const struct item *it)
 {
 	struct request_event ev = { .kind = REQUEST_PEER,
 				    .data = it->data,
@@ -680,7 +688,7 @@
 		step(w, it->a, &ev, NULL);
 }
 
-static void take_tick(struct world *w, unsigned int i)
+static void take_tick(struct request_world *w, unsigned int i)
 {
 	struct instance *in = &w->in[i];
 	struct request_event ev = { .kind = REQUEST_TICK };
@@ -693,7 +701,7 @@
 		stop_instance(w, i);
 }
 
-static void take_view(struct world *w, const struct item *it)
+static void take_view(struct request_world *w, const struct item *it)
 {
 	struct instance *in = &w->in[it->a];
 	struct member m = w->members[it->b];
@@ -707,14 +715,14 @@
 		put_member(in->view, &m);
 }
 
-static void take_state(struct world *w, const struct item *it)
+static void take_state(struct request_world *w, const struct item *it)
 {
 	if (w->in[it->a].alive)
 		set_upstream_state(w->in[it->a].view, w->ups[it->b].up->id,
 				   (enum upstream_state)it->c);
 }
 
-static void take_load(struct world *w)
+static void take_load(struct request_world *w)
 {
 	for (unsigned int u = 0; u < w->upstream_nr; u++) {
 		const struct stand_in *s = &w->ups[u];
@@ -731,7 +739,7 @@
 	add_item(w, w->now + LOAD_US, ITEM_LOAD, 0);
 }
 
-static void cut(struct world *w, int domain)
+static void cut(struct request_world *w, int domain)
 {
 	w->cut_off = domain;
 	for (unsigned int i = 0; i < w->o.instances; i++)
@@ -740,7 +748,7 @@
 				tell_view(w, i, m, MEMBER_DEAD);
 }
 
-static void heal(struct world *w)
+static void heal(struct request_world *w)
 {
 	w->cut_off = -1;
 	for (unsigned int m = 0; m < w->o.instances; m++)
@@ -748,7 +756,7 @@
 			tell_views(w, m, MEMBER_ALIVE);
 }
 
-static void restart(struct world *w, unsigned int i)
+static void restart(struct request_world *w, unsigned int i)
 {
 	count_dead(w, &w->in[i]);
 	memset(&w->in[i].counters, 0, sizeof(w->in[i].counters));
@@ -759,7 +767,7 @@
 			tell_view(w, i, m, MEMBER_ALIVE);
 }
 
-static void break_calls(struct world *w, unsigned int u)
+static void break_calls(struct request_world *w, unsigned int u)
 {
 	GList *calls = g_hash_table_get_keys(w->ups[u].calls);
 
@@ -772,7 +780,7 @@
 	g_list_free(calls);
 }
 
-static void set_domain(struct world *w, unsigned int domain, bool out)
+static void set_domain(struct request_world *w, unsigned int domain, bool out)
 {
 	char name[CONFIG_NAME_MAX];
 
@@ -782,7 +790,7 @@
 			set_domain_out(w->in[i].view, name, out);
 }
 
-static void take_instance_fault(struct world *w, const struct item *it)
+static void take_instance_fault(struct request_world *w, const struct item *it)
 {
 	struct instance *in = &w->in[it->a % w->o.instances];
 	unsigned int i = it->a % w->o.instances;
@@ -800,7 +808,7 @@
 	}
 }
 
-static void take_upstream_fault(struct world *w, const struct item *it)
+static void take_upstream_fault(struct request_world *w, const struct item *it)
 {
 	unsigned int u = it->a % w->upstream_nr;
 	struct stand_in *s = &w->ups[u];
@@ -838,7 +846,7 @@
 	}
 }
 
-static void take_fault(struct world *w, const struct item *it)
+static void take_fault(struct request_world *w, const struct item *it)
 {
 	switch (it->fault) {
 	case FAULT_KILL:
@@ -862,7 +870,7 @@
 	}
 }
 
-static void take_item(struct world *w, struct item *it)
+static void take_item(struct request_world *w, struct item *it)
 {
 	switch (it->kind) {
 	case ITEM_SEND:
@@ -908,7 +916,7 @@
 	}
 }
 
-void run_world(struct world *w, uint64_t until)
+void run_request_world(struct request_world *w, uint64_t until)
 {
 	struct item *it;
 
@@ -937,7 +945,7 @@
 			     (guint)(p * (double)(sorted->len - 1)));
 }
 
-static void check_sends(struct world *w)
+static void check_sends(struct request_world *w)
 {
 	for (guint i = 0; i < w->sends->len; i++) {
 		const struct sent *s = g_ptr_array_index(w->sends, i);
@@ -949,7 +957,7 @@
 	}
 }
 
-static void check_upstreams(struct world *w)
+static void check_upstreams(struct request_world *w)
 {
 	double runs = 0;
 	unsigned int most = 0;
@@ -965,7 +973,8 @@
 	w->r.imbalance = runs > 0 ? most * w->upstream_nr / runs : 0;
 }
 
-void report_world(struct world *w, struct world_report *r)
+void report_request_world(struct request_world *w,
+			  struct request_world_report *r)
 {
 	for (unsigned int i = 0; i < w->o.instances; i++)
 		count_dead(w, &w->in[i]);
--- a/t/request-world.h
+++ b/t/request-world.h
@@ -16,7 +16,7 @@
 #define WORLD_UPSTREAMS_MAX 32
 #define MS 1000ull
 
-struct world_options {
+struct request_world_options {
 	uint32_t seed;
 	unsigned int instances;
 	unsigned int domains;
@@ -32,10 +32,11 @@
 	bool instant_views; /* views follow without delay, as for benchmarks */
 };
 
-struct world;
+struct request_world;
 
-struct world *create_world(const struct world_options *o);
-void destroy_world(struct world *w);
+struct request_world *
+create_request_world(const struct request_world_options *o);
+void destroy_request_world(struct request_world *w);
 
 /* One send of a caller. Sends of one OPERATION share its key. */
 struct world_send {
@@ -48,7 +49,8 @@
 	bool other_body;	  /* the same key on another request */
 	uint32_t leaves_after_ms; /* 0: the caller stays */
 };
-void add_send(struct world *w, uint64_t at, const struct world_send *s);
+void add_world_send(struct request_world *w, uint64_t at,
+		    const struct world_send *s);
 
 enum world_fault {
 	FAULT_KILL,	 /* instance A */
@@ -65,12 +67,12 @@
 	FAULT_SHED_ALL, /* all upstreams break off and shed for 2 * B ms */
 	FAULT_BREAK	/* upstream A: connections break now */
 };
-void add_fault(struct world *w, uint64_t at, enum world_fault f, unsigned int a,
-	       unsigned int b);
+void add_world_fault(struct request_world *w, uint64_t at, enum world_fault f,
+		     unsigned int a, unsigned int b);
 
-void run_world(struct world *w, uint64_t until);
+void run_request_world(struct request_world *w, uint64_t until);
 
-struct world_report {
+struct request_world_report {
 	/* what must never be seen; each is a number of cases */
 	uint32_t doubled;	/* non-idempotent runs beyond the first */
 	uint32_t false_not_run; /* "not run" told of a send that ran */
@@ -96,6 +98,7 @@
 	double wait_p50_ms; /* from arrival until it ran, of those answered */
 	double wait_p99_ms;
 };
-void report_world(struct world *w, struct world_report *r);
+void report_request_world(struct request_world *w,
+			  struct request_world_report *r);
 
 #endif
