--- a/fleet/internal.h
+++ b/fleet/internal.h
@@ -18,6 +18,8 @@
 #define FLEET_LOCAL_RINGS 3 /* watched members of the own failure domain */
 #define FLEET_CROSS_RINGS 2 /* links into other failure domains */
 #define FLEET_LINK_MAX (FLEET_LOCAL_RINGS + FLEET_CROSS_RINGS)
+#define FLEET_ROUTINE_LOCAL 2 /* of those, rings that carry every record; */
+#define FLEET_ROUTINE_CROSS 1 /* the others domain records and deltas only */
 #define FLEET_REPLY_MAX (64 * 1024) /* bytes; a reply stops growing there */
 
 enum fleet_message_type {
@@ -60,6 +62,7 @@
 	uint64_t id;
 	struct endpoint at;
 	bool watched; /* of the own domain: its death is judged here */
+	bool routine; /* changes of members and upstreams are pushed to it */
 	enum link_state state;
 	uint32_t sequence; /* of the last ping */
 	uint64_t due;	   /* ms of the next step */
@@ -99,6 +102,7 @@
 	struct compare_state compare[FLEET_SET_NR];
 	GArray *changes; /* of struct change: to push on after this step */
 	uint64_t changes_from; /* member that is not told again; 0: none */
+	bool changes_urgent;   /* a domain record is among them */
 
 	/* membership */
 	struct beats *beats;
--- a/fleet/links.c
+++ b/fleet/links.c
@@ -75,22 +75,33 @@
 	return find_in(f->links, f->link_nr, id);
 }
 
+static bool is_routine(unsigned int ring)
+{
+	return ring < FLEET_ROUTINE_LOCAL ||
+	       (ring >= FLEET_LOCAL_RINGS &&
+		ring < FLEET_LOCAL_RINGS + FLEET_ROUTINE_CROSS);
+}
+
 /* Appends a link to M, with its history if it was linked before. */
 static void append_link(struct fleet *f, struct link *new, size_t *nr,
-			const struct member *m, bool watched)
+			const struct member *m, unsigned int ring)
 {
 	const struct link *old = find_link(f, m->id);
+	struct link *same = find_in(new, *nr, m->id);
 	struct link l = { .id = m->id };
 
-	if (find_in(new, *nr, m->id))
+	if (same) {
+		same->routine |= is_routine(ring);
 		return;
+	}
 	if (old)
 		l = *old;
 	else
 		l.due = f->now +
 			(uint64_t)g_rand_int_range(f->rand, 0, PROBE_MS_FIRST);
 	l.at = member_endpoint(m);
-	l.watched = watched;
+	l.watched = ring < FLEET_LOCAL_RINGS;
+	l.routine = is_routine(ring);
 	new[(*nr)++] = l;
 }
 
@@ -104,7 +115,7 @@
 		const struct member *m = find_successor(f, r, cross);
 
 		if (m)
-			append_link(f, new, &nr, m, !cross);
+			append_link(f, new, &nr, m, r);
 	}
 	memcpy(f->links, new, nr * sizeof(*new));
 	f->link_nr = nr;
--- a/fleet/spread.c
+++ b/fleet/spread.c
@@ -1,6 +1,7 @@
 /*
  * How records reach everyone. A record that is new here is pushed at once to
- * every link but the one it came from: some rounds reach the whole fleet.
+ * the links but the one it came from: some rounds reach the whole fleet. Rare
+ * and urgent domain records go to all links, others to three of the five.
  * What a lost message or a cut held back is found by comparing digests: pings
  * carry one digest for each set; where they differ one side sends the digests
  * of its buckets (COMPARE), the other lists the versions in those that differ
@@ -105,14 +106,20 @@
 	end_message(f, &w, to);
 }
 
+static bool is_pushed_to(const struct fleet *f, const struct link *l)
+{
+	return l->id != f->changes_from && (l->routine || f->changes_urgent);
+}
+
 void push_changes(struct fleet *f)
 {
 	if (f->changes->len)
 		for (size_t i = 0; i < f->link_nr; i++)
-			if (f->links[i].id != f->changes_from)
+			if (is_pushed_to(f, &f->links[i]))
 				push_to(f, &f->links[i].at);
 	g_array_set_size(f->changes, 0);
 	f->changes_from = 0;
+	f->changes_urgent = false;
 }
 
 static void note_change(struct fleet *f, enum fleet_set set, uint64_t key)
@@ -120,6 +127,7 @@
 	struct change c = { set, key };
 
 	g_array_append_val(f->changes, c);
+	f->changes_urgent |= set == SET_DOMAINS;
 }
 
 static void take_domain(struct fleet *f, const struct record *rec)
--- /dev/null
+++ b/t/bench-fleet.c
@@ -0,0 +1,703 @@
+/*
+ * What the fleet costs one instance. One fleet is stepped; the messages of its
+ * peers are made up as fleets of 81, 729 and 5,300 would send them. Then the
+ * number of rounds in which a change reaches everyone, over the links that
+ * instances really choose and over others that were weighed.
+ */
+
+#include <malloc.h>
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "fleet/internal.h"
+#include "t/fleet-world.h"
+
+#define DOMAIN_NR 7
+#define RUN_S 300 /* simulated seconds of each row */
+#define DAY_S 86400.0
+#define TARGET_NR 5300 /* instances, services, upstreams, changes */
+#define TARGET_SERVICES 18000
+#define TARGET_CHANGES 16000.0 /* a day */
+#define TARGET_RESTARTS 7678.0 /* a day; failures too */
+#define RESTART_RECORDS 4      /* leaving, dead, alive, alive again */
+#define UPSTREAM_CHANGES 4.0   /* of each upstream, a day */
+#define WIRE_OVERHEAD 82 /* bytes: IP, TCP, ZMTP, and the acknowledgement */
+#define SEED 20261203
+#define ROUTINE_NR (FLEET_ROUTINE_LOCAL + FLEET_ROUTINE_CROSS)
+
+struct load {
+	size_t nr;	   /* instances */
+	bool all_links;	   /* routine records come and go on every link */
+	size_t service_nr; /* each of two upstreams */
+	double changes;	   /* of configuration, a day */
+	double restarts;   /* a day */
+	double upstreams;  /* changes of upstream states, a day */
+};
+
+struct cost {
+	uint64_t out;
+	uint64_t out_bytes;
+	uint64_t in;
+	uint64_t in_bytes;
+	double cpu_s;
+};
+
+struct bench {
+	struct load load;
+	struct fleet *fleet;
+	struct view *view;
+	struct counters counters;
+	struct fleet_actions out;
+	struct member *members;
+	struct snapshot *snapshot;
+	uint64_t now;
+	uint64_t epoch;
+	uint64_t version;
+	struct cost cost;
+	GRand *rand;
+	GArray *pings; /* of struct sender: to be answered */
+	uint32_t sequences[4096];
+};
+
+static struct member make_member(size_t i)
+{
+	struct member m = { .id = world_member_id(i),
+			    .peer_port = 7401,
+			    .incarnation = 1,
+			    .start = (uint32_t)i };
+
+	g_snprintf(m.name, sizeof(m.name), "in-%zu", i);
+	g_strlcpy(m.domain, world_domain(i % DOMAIN_NR), sizeof(m.domain));
+	m.address.family = 4;
+	m.address.ip[0] = 10;
+	m.address.ip[2] = (uint8_t)(i >> 8);
+	m.address.ip[3] = (uint8_t)i;
+	return m;
+}
+
+static double cpu_seconds(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &ts);
+	return (double)ts.tv_sec + (double)ts.tv_nsec / 1e9;
+}
+
+/* Steps the fleet and counts what it sends; PINGS are remembered. */
+static void step(struct bench *b, const struct fleet_event *ev)
+{
+	double start = cpu_seconds();
+
+	step_fleet(b->fleet, ev, b->now, &b->out);
+	b->cost.cpu_s += cpu_seconds() - start;
+}
+
+static void begin_from(struct wire_writer *w, const struct member *m,
+		       enum fleet_message_type type, size_t field_nr)
+{
+	struct endpoint at = member_endpoint(m);
+
+	init_wire_writer(w);
+	put_array(w, 3 + field_nr);
+	put_uint(w, type);
+	put_uint(w, m->id);
+	put_endpoint(w, &at);
+}
+
+static void deliver(struct bench *b, struct wire_writer *w)
+{
+	struct fleet_event ev = { .kind = FLEET_MESSAGE,
+				  .message = { w->buf.data, w->buf.size } };
+
+	b->cost.in++;
+	b->cost.in_bytes += w->buf.size;
+	step(b, &ev);
+	release_wire_writer(w);
+}
+
+static const struct member *member_at(const struct bench *b,
+				      const struct endpoint *ep)
+{
+	return &b->members[(size_t)ep->ip[2] << 8 | ep->ip[3]];
+}
+
+static void answer_ping(struct bench *b, const struct fleet_action *a)
+{
+	const struct member *m = member_at(b, &a->to);
+	struct wire_message msg;
+	struct wire_writer w;
+	struct wire_reader r;
+	struct endpoint at;
+	uint64_t sequence;
+
+	if (!open_wire(&msg, &r, a->data, a->len) ||
+	    take_uint(&r, UINT64_MAX) != FLEET_PING) {
+		release_wire(&msg);
+		return;
+	}
+	take_uint(&r, UINT64_MAX);
+	take_endpoint(&r, &at);
+	sequence = take_uint(&r, UINT32_MAX);
+	release_wire(&msg);
+	begin_from(&w, m, FLEET_ACK, 2 + HEADS_FIELD_NR);
+	put_uint(&w, sequence);
+	put_uint(&w, m->id);
+	put_heads(&w, b->fleet);
+	deliver(b, &w);
+}
+
+static void settle_actions(struct bench *b)
+{
+	struct fleet_actions as = b->out;
+
+	memset(&b->out, 0, sizeof(b->out));
+	for (size_t i = 0; i < as.nr; i++) {
+		if (as.at[i].kind != FLEET_SEND)
+			continue;
+		b->cost.out++;
+		b->cost.out_bytes += as.at[i].len;
+		answer_ping(b, &as.at[i]);
+	}
+	release_fleet_actions(&as);
+	if (b->out.nr)
+		settle_actions(b);
+}
+
+/* The members that ping the one under test: any few will do. */
+static const struct member *watcher(const struct bench *b, size_t i)
+{
+	return &b->members[1 + (i * 37 + 5) % (b->load.nr - 1)];
+}
+
+static void ping_from(struct bench *b, size_t i)
+{
+	struct wire_writer w;
+
+	begin_from(&w, watcher(b, i), FLEET_PING, 1 + HEADS_FIELD_NR);
+	put_uint(&w, b->now);
+	put_heads(&w, b->fleet);
+	deliver(b, &w);
+}
+
+/* The domains' numbers grow, as members of each make them. */
+static void raise_beats(struct bench *b)
+{
+	for (size_t i = 1; i < beat_nr(b->fleet->beats); i++)
+		take_beat(b->fleet->beats, beat_hash(b->fleet->beats, i),
+			  beat_value(b->fleet->beats, i) + 1, b->now);
+}
+
+static void push_record(struct bench *b, size_t from, enum fleet_set set,
+			uint64_t key, uint64_t version, const void *body,
+			size_t len)
+{
+	struct wire_writer w;
+
+	begin_from(&w, watcher(b, from), FLEET_RECORDS, 2);
+	put_bool(&w, true);
+	put_array(&w, 1);
+	put_array(&w, 4);
+	put_uint(&w, set);
+	put_uint(&w, key);
+	put_uint(&w, version);
+	put_bin(&w, body, len);
+	deliver(b, &w);
+}
+
+/* As the links into the instance bring it. */
+static void push_from_all(struct bench *b, enum fleet_set set, uint64_t key,
+			  uint64_t version, const struct wire_writer *body)
+{
+	for (size_t i = 0;
+	     i < (b->load.all_links ? FLEET_LINK_MAX : ROUTINE_NR); i++)
+		push_record(b, i, set, key, version, body->buf.data,
+			    body->buf.size);
+}
+
+static void put_member_body(struct wire_writer *w, const struct member *m)
+{
+	init_wire_writer(w);
+	put_array(w, 6);
+	put_str(w, m->name);
+	put_str(w, m->domain);
+	put_endpoint(w, &m->address);
+	put_uint(w, m->peer_port);
+	put_uint(w, m->flow_port);
+	put_uint(w, m->admin_port);
+}
+
+static void change_member(struct bench *b)
+{
+	size_t i = (size_t)g_rand_int_range(b->rand, 1, (gint32)b->load.nr);
+	struct member *m = &b->members[i];
+	struct wire_writer body;
+
+	put_member_body(&body, m);
+	m->incarnation++;
+	push_from_all(b, SET_MEMBERS, m->id,
+		      (uint64_t)m->incarnation << 34 | (uint64_t)m->start << 2,
+		      &body);
+	release_wire_writer(&body);
+}
+
+static void put_verdict(struct wire_writer *w, enum upstream_state state,
+			uint64_t judge)
+{
+	init_wire_writer(w);
+	put_array(w, 2);
+	put_uint(w, state);
+	put_uint(w, judge);
+}
+
+static const struct upstream *some_upstream(const struct bench *b)
+{
+	size_t s = (size_t)g_rand_int_range(b->rand, 0,
+					    (gint32)b->load.service_nr);
+	const struct service *sv = snapshot_service(b->snapshot, s);
+
+	return &sv->upstreams[g_rand_int_range(b->rand, 0, 2)];
+}
+
+static void change_upstream(struct bench *b)
+{
+	struct wire_writer body;
+
+	put_verdict(&body,
+		    (enum upstream_state)g_rand_int_range(
+			    b->rand, UPSTREAM_COLD, UPSTREAM_DOWN),
+		    watcher(b, 3)->id);
+	push_from_all(b, SET_UPSTREAMS, some_upstream(b)->id,
+		      ++b->version << 24, &body);
+	release_wire_writer(&body);
+}
+
+/* The next epoch: one service has another deadline. */
+static struct snapshot *next_snapshot(struct bench *b)
+{
+	size_t nr = snapshot_service_nr(b->snapshot);
+	struct service **list = g_new0(struct service *, nr);
+	size_t at = (size_t)g_rand_int_range(b->rand, 0, (gint32)nr);
+	struct wire_writer w;
+	struct wire_message msg;
+	struct wire_reader r;
+	struct snapshot *sn;
+
+	for (size_t i = 0; i < nr; i++)
+		list[i] = (struct service *)snapshot_service(b->snapshot, i);
+	init_wire_writer(&w);
+	put_array(&w, 1);
+	encode_service(&w, list[at]);
+	open_wire(&msg, &r, w.buf.data, w.buf.size);
+	list[at] = decode_service(&r);
+	release_wire(&msg);
+	release_wire_writer(&w);
+	list[at]->deadline_ms = (uint32_t)(1000 + ++b->epoch);
+	seal_service(list[at]);
+	sn = create_snapshot(b->epoch, "publish", list, nr);
+	unref_service(list[at]);
+	g_free(list);
+	return sn;
+}
+
+static void change_config(struct bench *b)
+{
+	struct snapshot *next = next_snapshot(b);
+	struct delta *d = create_delta(b->snapshot, next);
+
+	for (size_t i = 0; i < FLEET_LINK_MAX; i++) {
+		struct wire_writer w;
+
+		begin_from(&w, watcher(b, i), FLEET_DELTAS, 1);
+		put_array(&w, 1);
+		encode_delta(&w, d);
+		deliver(b, &w);
+	}
+	destroy_delta(d);
+	unref_snapshot(b->snapshot);
+	b->snapshot = next;
+}
+
+/* True with the probability that RATE a day gives to one step of STEP_MS. */
+static bool happens(struct bench *b, double rate, uint64_t step_ms)
+{
+	double p = rate / DAY_S * (double)step_ms / 1000;
+
+	return g_rand_double(b->rand) < p;
+}
+
+static void run_step(struct bench *b, uint64_t step_ms)
+{
+	struct fleet_event tick = { .kind = FLEET_TICK };
+
+	b->now += step_ms;
+	raise_beats(b);
+	for (size_t i = 0; b->load.all_links && i < b->fleet->link_nr; i++)
+		b->fleet->links[i].routine = true;
+	step(b, &tick);
+	if (b->now / step_ms % 2 == 0)
+		ping_from(b, b->now / step_ms / 2 % FLEET_LINK_MAX);
+	if (happens(b, b->load.restarts * RESTART_RECORDS, step_ms))
+		change_member(b);
+	if (happens(b, b->load.changes, step_ms))
+		change_config(b);
+	if (happens(b, b->load.upstreams, step_ms))
+		change_upstream(b);
+	settle_actions(b);
+}
+
+/* The state that an instance of this size holds, from one long message. */
+static void fill(struct bench *b)
+{
+	struct wire_writer body;
+	struct fleet_event ev = { .kind = FLEET_SNAPSHOT };
+
+	b->snapshot = make_snapshot(++b->epoch, b->load.service_nr);
+	ev.snapshot = b->snapshot;
+	step(b, &ev);
+	for (size_t i = 1; i < b->load.nr; i++) {
+		put_member_body(&body, &b->members[i]);
+		push_record(b, 0, SET_MEMBERS, b->members[i].id,
+			    (uint64_t)1 << 34 | (uint64_t)b->members[i].start
+							<< 2,
+			    body.buf.data, body.buf.size);
+		release_wire_writer(&body);
+		release_fleet_actions(&b->out);
+	}
+	put_verdict(&body, UPSTREAM_WARM, b->members[1].id);
+	for (size_t s = 0; s < b->load.service_nr; s++)
+		for (size_t u = 0; u < 2; u++) {
+			push_record(b, 0, SET_UPSTREAMS,
+				    snapshot_service(b->snapshot, s)
+					    ->upstreams[u]
+					    .id,
+				    ++b->version << 24, body.buf.data,
+				    body.buf.size);
+			release_fleet_actions(&b->out);
+		}
+	release_wire_writer(&body);
+}
+
+static struct bench *create_bench(const struct load *load)
+{
+	struct bench *b = g_new0(struct bench, 1);
+
+	b->load = *load;
+	b->now = WORLD_START_MS;
+	b->rand = g_rand_new_with_seed(SEED);
+	b->members = g_new0(struct member, load->nr);
+	for (size_t i = 0; i < load->nr; i++)
+		b->members[i] = make_member(i);
+	b->view = create_view(b->members[0].id);
+	b->fleet = create_fleet(&b->members[0], b->view, NULL, 0, SEED,
+				&b->counters);
+	return b;
+}
+
+static void destroy_bench(struct bench *b)
+{
+	destroy_fleet(b->fleet);
+	destroy_view(b->view);
+	unref_snapshot(b->snapshot);
+	release_fleet_actions(&b->out);
+	g_free(b->members);
+	g_rand_free(b->rand);
+	g_free(b);
+}
+
+static void print_cost(const struct bench *b, double megabytes)
+{
+	const struct cost *c = &b->cost;
+	double out = (double)c->out_bytes / RUN_S;
+	double in = (double)c->in_bytes / RUN_S;
+	double wire = WIRE_OVERHEAD / (double)RUN_S;
+
+	printf("%6zu %5s %8zu %8.0f %8.0f | %6.1f %6.1f %7.0f %7.0f %7.0f "
+	       "%7.0f "
+	       "| %7.1f %6.3f %6.1f\n",
+	       b->load.nr, b->load.all_links ? "5" : "3", b->load.service_nr,
+	       b->load.changes, b->load.upstreams, (double)c->out / RUN_S,
+	       (double)c->in / RUN_S, out, in, out + (double)c->out * wire,
+	       in + (double)c->in * wire, c->cpu_s / (double)c->in * 1e6,
+	       c->cpu_s / RUN_S * 100, megabytes);
+}
+
+static void run_load(const struct load *load)
+{
+	size_t before = mallinfo2().uordblks;
+	struct bench *b = create_bench(load);
+	double megabytes;
+
+	fill(b);
+	megabytes = (double)(mallinfo2().uordblks - before) / 1e6;
+	memset(&b->cost, 0, sizeof(b->cost));
+	for (uint64_t ms = 0; ms < RUN_S * 1000; ms += FLEET_TICK_MS)
+		run_step(b, FLEET_TICK_MS);
+	print_cost(b, megabytes);
+	destroy_bench(b);
+}
+
+static void print_loads(void)
+{
+	double upstreams = TARGET_SERVICES * 2 * UPSTREAM_CHANGES;
+	const struct load loads[] = {
+		{ 81, false, 275, 245, 117, upstreams * 81 / TARGET_NR },
+		{ 729, false, 2476, 2200, 1056, upstreams * 729 / TARGET_NR },
+		{ TARGET_NR, false, TARGET_SERVICES, TARGET_CHANGES,
+		  TARGET_RESTARTS, upstreams },
+		{ TARGET_NR, true, TARGET_SERVICES, TARGET_CHANGES,
+		  TARGET_RESTARTS, upstreams },
+		{ TARGET_NR, false, TARGET_SERVICES, 0, 0, 0 },
+		{ TARGET_NR, false, TARGET_SERVICES, TARGET_CHANGES, 0, 0 },
+		{ TARGET_NR, false, TARGET_SERVICES, 0, TARGET_RESTARTS, 0 },
+		{ TARGET_NR, false, TARGET_SERVICES, 0, 0, upstreams },
+		{ 81, false, TARGET_SERVICES, 0, 0, 0 },
+		{ TARGET_NR, false, 275, 0, 0, 0 },
+	};
+
+	printf("one instance, %d s, two upstreams a service; a day: changes "
+	       "of configuration, of upstream states\n",
+	       RUN_S);
+	printf("%6s %5s %8s %8s %8s | %6s %6s %7s %7s %7s %7s | %7s %6s %6s\n",
+	       "nr", "links", "services", "config", "upstr", "out/s", "in/s",
+	       "outB/s", "inB/s", "wire-o", "wire-i", "us/msg", "cpu-%", "MB");
+	for (size_t i = 0; i < sizeof(loads) / sizeof(*loads); i++)
+		run_load(&loads[i]);
+}
+
+/* What a newcomer of target size fetches from a peer, and how long. */
+static void print_join(void)
+{
+	struct world_options o = { .seed = SEED,
+				   .nr = 8,
+				   .domain_nr = 2,
+				   .delay_min_ms = 1,
+				   .delay_max_ms = 3,
+				   .seed_nr = 3 };
+	struct world *w = create_world(&o);
+	uint64_t before;
+	uint64_t ms = 0;
+	double cpu;
+
+	for (size_t i = 0; i < 7; i++)
+		start_instance(w, i);
+	run_world(w, 5000);
+	set_service_nr(w, TARGET_SERVICES);
+	offer_epoch(w, 0, 1);
+	run_world(w, 20000);
+	before = world_byte_nr(w);
+	cpu = cpu_seconds();
+	start_instance(w, 7);
+	while (!world_epoch(w, 7) && ms < 60000) {
+		run_world(w, 100);
+		ms += 100;
+	}
+	printf("join: %d services of two upstreams: %.1f MB in %.1f s, %.0f "
+	       "ms of processor time at all peers and the newcomer\n",
+	       TARGET_SERVICES, (double)(world_byte_nr(w) - before) / 1e6,
+	       (double)ms / 1000, (cpu_seconds() - cpu) * 1000);
+	destroy_world(w);
+}
+
+/* Who is linked to whom: NR times DEGREE indices. */
+struct graph {
+	size_t nr;
+	size_t degree;
+	uint16_t *to;
+};
+
+enum way {
+	WAY_RINGS,
+	WAY_ROUTINE,
+	WAY_SUCCESSORS,
+	WAY_FINGERS,
+	WAY_RANDOM,
+	WAY_NR
+};
+
+static void copy_links(struct graph *g, size_t i, const struct fleet *f,
+		       bool routine)
+{
+	uint16_t *to = &g->to[i * g->degree];
+	size_t n = 0;
+
+	for (size_t l = 0; l < g->degree; l++)
+		to[l] = (uint16_t)i;
+	for (size_t l = 0; l < f->link_nr; l++) {
+		const struct endpoint *at = &f->links[l].at;
+
+		if (!routine || f->links[l].routine)
+			to[n++] = (uint16_t)(at->ip[2] << 8 | at->ip[3]);
+	}
+}
+
+static void link_by_rings(struct graph *g, bool routine)
+{
+	const struct load load = { .nr = g->nr };
+	struct bench *b = create_bench(&load);
+
+	for (size_t i = 0; i < g->nr; i++) {
+		b->members[i].state = MEMBER_ALIVE;
+		put_member(b->view, &b->members[i]);
+	}
+	for (size_t i = 0; i < g->nr; i++) {
+		b->fleet->self = b->members[i];
+		b->fleet->link_nr = 0;
+		choose_links(b->fleet);
+		copy_links(g, i, b->fleet, routine);
+	}
+	destroy_bench(b);
+}
+
+static void link_by_rule(struct graph *g, enum way way, GRand *rand)
+{
+	for (size_t i = 0; i < g->nr; i++)
+		for (size_t l = 0; l < g->degree; l++) {
+			size_t step = l + 1;
+
+			if (way == WAY_FINGERS)
+				step = g->nr >> (l + 1);
+			if (way == WAY_RANDOM)
+				step = (size_t)g_rand_int_range(rand, 1,
+								(gint32)g->nr);
+			g->to[i * g->degree + l] =
+				(uint16_t)((i + step) % g->nr);
+		}
+}
+
+/* Rounds until all that live and are reached have it; SHARE of those. */
+static unsigned int flood(const struct graph *g, const bool *dead,
+			  double *share)
+{
+	unsigned int *at = g_new0(unsigned int, g->nr);
+	unsigned int round = 1;
+	size_t live = 0;
+	size_t have = 1;
+	bool more = true;
+
+	at[0] = 1;
+	for (size_t i = 0; i < g->nr; i++)
+		live += !dead[i];
+	while (more) {
+		more = false;
+		for (size_t i = 0; i < g->nr; i++)
+			for (size_t l = 0; at[i] == round && l < g->degree;
+			     l++) {
+				size_t to = g->to[i * g->degree + l];
+
+				if (at[to] || dead[to])
+					continue;
+				at[to] = round + 1;
+				have++;
+				more = true;
+			}
+		round += more;
+	}
+	g_free(at);
+	*share = (double)have / (double)live;
+	return round - 1;
+}
+
+static void print_way(size_t nr, enum way way, size_t degree, const char *name)
+{
+	struct graph g = { nr, degree, g_new0(uint16_t, nr * degree) };
+	GRand *rand = g_rand_new_with_seed(SEED);
+	bool *dead = g_new0(bool, nr);
+	unsigned int rounds;
+	unsigned int rounds_dead;
+	double share;
+	double share_dead;
+
+	if (way == WAY_RINGS || way == WAY_ROUTINE)
+		link_by_rings(&g, way == WAY_ROUTINE);
+	else
+		link_by_rule(&g, way, rand);
+	rounds = flood(&g, dead, &share);
+	for (size_t i = 1; i < nr; i++)
+		dead[i] = g_rand_int_range(rand, 0, 10) == 0;
+	rounds_dead = flood(&g, dead, &share_dead);
+	printf("%6zu  %-26s %6zu %7u %8.2f%% %7u %8.2f%%\n", nr, name, degree,
+	       rounds, share * 100, rounds_dead, share_dead * 100);
+	g_free(dead);
+	g_free(g.to);
+	g_rand_free(rand);
+}
+
+static void print_ways(void)
+{
+	static const size_t sizes[] = { 27, 81, 243, 729, TARGET_NR };
+
+	printf("\npushes over fixed links only: rounds, and share reached, "
+	       "with "
+	       "all live and with a tenth dead but still linked\n");
+	printf("%6s  %-26s %6s %7s %9s %7s %9s\n", "nr", "links", "degree",
+	       "rounds", "reached", "rounds", "reached");
+	for (size_t i = 0; i < sizeof(sizes) / sizeof(*sizes); i++) {
+		size_t nr = sizes[i];
+
+		print_way(nr, WAY_RINGS, FLEET_LINK_MAX, "3 local + 2 cross");
+		print_way(nr, WAY_ROUTINE, ROUTINE_NR, "2 local + 1 cross");
+		print_way(nr, WAY_SUCCESSORS, FLEET_LINK_MAX,
+			  "5 successors on one ring");
+		print_way(nr, WAY_RANDOM, FLEET_LINK_MAX, "5 drawn at random");
+		print_way(nr, WAY_FINGERS, (size_t)log2((double)nr),
+			  "fingers at nr/2, nr/4, ...");
+	}
+}
+
+static int compare_ms(const void *a, const void *b)
+{
+	return (*(const int *)a > *(const int *)b) -
+	       (*(const int *)a < *(const int *)b);
+}
+
+/* Delay of 1 ms a message: the milliseconds are the rounds. */
+static void print_rounds(size_t nr)
+{
+	struct world_options o = { .seed = SEED,
+				   .nr = nr,
+				   .domain_nr = DOMAIN_NR,
+				   .delay_min_ms = 1,
+				   .delay_max_ms = 1,
+				   .seed_nr = 7 };
+	struct world *w = create_world(&o);
+	int *at = g_new0(int, nr);
+	size_t have = 0;
+
+	for (size_t i = 0; i < nr; i++)
+		start_instance(w, i);
+	run_world(w, 10000);
+	offer_epoch(w, 0, 1);
+	run_world(w, 10000);
+	offer_epoch(w, nr / 2, 2);
+	for (int ms = 0; have < nr && ms < 10000; ms++) {
+		have = 0;
+		for (size_t i = 0; i < nr; i++) {
+			have += world_epoch(w, i) == 2;
+			if (world_epoch(w, i) == 2 && !at[i])
+				at[i] = ms + 1;
+		}
+		run_world(w, 1);
+	}
+	qsort(at, nr, sizeof(*at), compare_ms);
+	printf("%6zu %7d %7d %8.2f%%\n", nr, at[nr / 2] - 1, at[nr - 1] - 1,
+	       (double)have / (double)nr * 100);
+	g_free(at);
+	destroy_world(w);
+}
+
+int main(void)
+{
+	static const size_t sizes[] = { 27, 81, 243, 729 };
+
+	print_loads();
+	print_join();
+	print_ways();
+	printf("\nwhole fleets, a delta pushed, 1 ms a message: rounds\n");
+	printf("%6s %7s %7s %9s\n", "nr", "median", "worst", "reached");
+	for (size_t i = 0; i < sizeof(sizes) / sizeof(*sizes); i++)
+		print_rounds(sizes[i]);
+	return 0;
+}
