--- a/builtin/check.c
+++ b/builtin/check.c
@@ -6,24 +6,38 @@
 
 #include "net/files.h"
 
-int cmd_check(int argc, char **argv)
+static int check(const char *const *paths, size_t nr, bool json)
 {
-	struct problems *ps;
-	struct snapshot *sn;
+	struct problems *ps = create_problems();
+	struct snapshot *sn = load_services(paths, nr, 0, "check", ps);
+	struct status st;
 
-	argc = parse_command(argc, argv, NULL, "FILE|DIR...",
-			     "Checks service files as one whole.");
-	if (argc < 2)
-		return EXIT_USAGE;
-	ps = create_problems();
-	sn = load_services((const char *const *)argv + 1, (size_t)argc - 1, 0,
-			   "check", ps);
 	if (sn)
-		printf("%zu services, %zu upstreams: ok\n",
-		       snapshot_service_nr(sn), snapshot_upstream_nr(sn));
+		set_status(&st, STATUS_OK, "%zu services, %zu upstreams: ok",
+			   snapshot_service_nr(sn), snapshot_upstream_nr(sn));
 	else
-		print_problems(ps);
+		set_status(&st, STATUS_INVALID, "the files are not right");
+	print_result(json, &st, ps, 0, "");
 	destroy_problems(ps);
 	unref_snapshot(sn);
-	return sn ? 0 : EXIT_REFUSED;
+	return find_status_row(st.kind)->exit_code;
+}
+
+int cmd_check(int argc, char **argv)
+{
+	char *format = NULL;
+	GOptionEntry entries[] = { OPTION_FORMAT(&format),
+				   G_OPTION_ENTRY_NULL };
+	int code = EXIT_USAGE;
+	bool json;
+
+	argc = parse_command(argc, argv, entries, "FILE|DIR...",
+			     "Checks service files as one whole.");
+	if (argc == 1)
+		usage_error("check", "no file or directory given");
+	else if (argc && parse_format(format, &json))
+		code = check((const char *const *)argv + 1, (size_t)argc - 1,
+			     json);
+	g_free(format);
+	return code;
 }
--- a/builtin/domain.c
+++ b/builtin/domain.c
@@ -2,14 +2,249 @@
 
 #include "builtin/builtin.h"
 
+#include <inttypes.h>
 #include <stdio.h>
+#include <string.h>
+
+#include "builtin/instances.h"
+#include "builtin/session.h"
+#include "config/domain-change.h"
+
+struct domain_options {
+	char *store;
+	char *format;
+	char *why;
+	char *who;
+	char *instances;
+	char *timeout;
+	gboolean force;
+	gboolean wait;
+	bool json;
+	uint32_t timeout_ms;
+};
+
+/* What instances are waited for. */
+struct awaited {
+	const char *name;
+	uint64_t epoch;
+};
+
+static void step(void *change, const struct store_answer *a,
+		 struct change_action *out)
+{
+	step_domain_change(change, a, out);
+}
+
+/* The epoch of domain NAME's record that STATUS shows, or 0. */
+static uint64_t epoch_in(const json_t *status, const char *name)
+{
+	const json_t *rec;
+	size_t i;
+
+	json_array_foreach(json_object_get(status, "domains"), i, rec)
+	{
+		const char *at =
+			json_string_value(json_object_get(rec, "name"));
+
+		if (at && !strcmp(at, name))
+			return (uint64_t)json_integer_value(
+				json_object_get(rec, "epoch"));
+	}
+	return 0;
+}
+
+static bool has_record(const json_t *status, const void *data)
+{
+	const struct awaited *w = data;
+
+	return epoch_in(status, w->name) >= w->epoch;
+}
+
+static uint64_t read_floor(const char *list, const char *name)
+{
+	char **at = split_instances(list);
+	GArray *answers =
+		ask_instances((const char *const *)at, g_strv_length(at));
+	uint64_t floor = 0;
+
+	for (guint i = 0; answers && i < answers->len; i++) {
+		const struct instance_answer *ia =
+			&g_array_index(answers, struct instance_answer, i);
+
+		floor = MAX(floor, epoch_in(ia->status, name));
+	}
+	free_instances(answers);
+	g_strfreev(at);
+	return floor;
+}
+
+static int finish(const struct domain_options *o, struct domain_change *dc,
+		  const char *name, const char *id)
+{
+	const struct status *st = domain_change_status(dc);
+	struct awaited w = { name, domain_change_epoch(dc) };
+
+	print_result(o->json, st, NULL, w.epoch, id);
+	if (st->kind == STATUS_OK && o->wait &&
+	    !wait_for_instances(o->instances, o->timeout_ms, has_record, &w))
+		return EXIT_REFUSED;
+	return find_status_row(st->kind)->exit_code;
+}
+
+static int change_domain(const struct domain_options *o, struct session *s,
+			 const char *name, bool out)
+{
+	char *id = g_uuid_string_random();
+	struct domain_intent in = { .out = out, .force = o->force, .id = id };
+	struct domain_change *dc;
+	int code;
+
+	g_strlcpy(in.name, name, sizeof(in.name));
+	in.who = who_or_user(o->who);
+	in.why = o->why;
+	in.when_ms = (uint64_t)(g_get_real_time() / 1000);
+	in.floor = o->instances ? read_floor(o->instances, name) : 0;
+	dc = create_domain_change(&in, g_random_int());
+	run_change(s, step, dc);
+	code = finish(o, dc, in.name, id);
+	destroy_domain_change(dc);
+	g_free(id);
+	return code;
+}
+
+static json_t *domain_json(const char *name, const struct domain_record *rec)
+{
+	return json_pack("{s:s, s:b, s:I}", "name", name, "out",
+			 rec && rec->out, "epoch",
+			 (json_int_t)(rec ? rec->epoch : 0));
+}
+
+/* Domains of the configuration first, then those only records name. */
+static json_t *heads_json(const struct heads *h)
+{
+	json_t *list = json_array();
+
+	for (size_t i = 0; h->pointer && i < h->pointer->domain_nr; i++) {
+		const char *name = h->pointer->domains[i];
+
+		json_array_append_new(
+			list,
+			domain_json(name, find_domain(&h->domains, name)));
+	}
+	for (size_t i = 0; i < h->domains.nr; i++) {
+		const struct domain_record *rec = &h->domains.at[i];
+
+		if (!h->pointer || !pointer_has_domain(h->pointer, rec->name))
+			json_array_append_new(list,
+					      domain_json(rec->name, rec));
+	}
+	return list;
+}
+
+static void print_domains(const json_t *list, bool json)
+{
+	const json_t *j;
+	size_t i;
+	char *text;
+
+	if (json) {
+		text = json_dumps(list, JSON_INDENT(1));
+		puts(text);
+		free(text);
+		return;
+	}
+	json_array_foreach(list, i, j)
+		printf("%-40s %-4s epoch %" JSON_INTEGER_FORMAT "\n",
+		       json_string_value(json_object_get(j, "name")),
+		       json_is_true(json_object_get(j, "out")) ? "out" : "in",
+		       json_integer_value(json_object_get(j, "epoch")));
+}
+
+static int list_domains(const struct domain_options *o, struct session *s)
+{
+	struct store_range r = heads_range();
+	const struct store_answer *a = wait_range(s, &r);
+	struct status st = a->status;
+	struct heads h = { .pointer = NULL };
+	json_t *list;
+
+	if (st.kind == STATUS_OK)
+		st.kind = read_heads(&h, a, &st);
+	if (st.kind == STATUS_OK) {
+		list = heads_json(&h);
+		print_domains(list, o->json);
+		json_decref(list);
+	} else {
+		print_result(o->json, &st, NULL, 0, "");
+	}
+	release_heads(&h);
+	return find_status_row(st.kind)->exit_code;
+}
+
+static int check_options(struct domain_options *o, int argc, char **argv)
+{
+	bool list = argc >= 2 && !strcmp(argv[1], "list");
+
+	if (argc < 2 || (!list && strcmp(argv[1], "out") != 0 &&
+			 strcmp(argv[1], "back") != 0))
+		return usage_error("domain", "say out, back or list");
+	if (argc != (list ? 2 : 3))
+		return usage_error("domain", list ? "list takes no name"
+						  : "name one failure domain");
+	if (!list && !valid_name(argv[2]))
+		return usage_error("domain",
+				   "a domain's name is 1 to 39 of a-z, 0-9 "
+				   "and '-', starting with a letter");
+	if (!list && (!o->why || !*o->why))
+		return usage_error("domain",
+				   "--why=TEXT is missing: the reason goes "
+				   "into the audit trail");
+	if (o->wait && !o->instances)
+		return usage_error("domain", "--wait needs --instances");
+	if (!parse_format(o->format, &o->json) ||
+	    !parse_timeout(o->timeout, &o->timeout_ms))
+		return EXIT_USAGE;
+	return 0;
+}
+
+static void free_options(struct domain_options *o)
+{
+	g_free(o->store);
+	g_free(o->format);
+	g_free(o->why);
+	g_free(o->who);
+	g_free(o->instances);
+	g_free(o->timeout);
+}
 
 int cmd_domain(int argc, char **argv)
 {
-	argc = parse_command(argc, argv, NULL, "out|back|list [NAME]",
+	struct domain_options o = { .store = NULL };
+	GOptionEntry entries[] = {
+		OPTION_STORE(&o.store),
+		OPTION_WHY(&o.why),
+		OPTION_WHO(&o.who),
+		{ "force", 0, 0, G_OPTION_ARG_NONE, &o.force,
+		  "Also the last domain that is not out, or an unknown one",
+		  NULL },
+		OPTION_INSTANCES(&o.instances),
+		OPTION_WAIT(&o.wait),
+		OPTION_TIMEOUT(&o.timeout),
+		OPTION_FORMAT(&o.format),
+		G_OPTION_ENTRY_NULL
+	};
+	struct session *s = NULL;
+	int code = EXIT_USAGE;
+
+	argc = parse_command(argc, argv, entries, "out|back|list [NAME]",
 			     "Takes failure domains out and back.");
-	if (argc < 2)
-		return EXIT_USAGE;
-	fprintf(stderr, "not available yet\n");
-	return EXIT_REFUSED;
+	if (argc && !check_options(&o, argc, argv))
+		s = create_session(o.store);
+	if (s && argc == 2)
+		code = list_domains(&o, s);
+	else if (s)
+		code = change_domain(&o, s, argv[2], !strcmp(argv[1], "out"));
+	destroy_session(s);
+	free_options(&o);
+	return code;
 }
--- a/builtin/publish.c
+++ b/builtin/publish.c
@@ -4,119 +4,200 @@
 
 #include <stdio.h>
 
+#include "builtin/instances.h"
 #include "builtin/session.h"
+#include "config/publish.h"
 #include "net/files.h"
-#include "store/keys.h"
 
-/* The epoch in force and the revision of its record; false if unreadable. */
-static bool read_current(struct session *s, uint64_t *epoch, uint64_t *revision)
+struct publish_options {
+	char *store;
+	char *format;
+	char *why;
+	char *who;
+	char *instances;
+	char *timeout;
+	char **removed;
+	gint64 base_epoch;
+	gboolean only;
+	gboolean allow_removal;
+	gboolean wait;
+	bool json;
+	uint32_t timeout_ms;
+};
+
+static void step(void *change, const struct store_answer *a,
+		 struct change_action *out)
 {
-	const struct store_answer *a = wait_range(s, KEY_CONFIG, false);
-	struct snapshot *sn;
-	struct status st;
+	step_publish(change, a, out);
+}
 
-	*epoch = 0;
-	*revision = 0;
-	if (a->status.kind != STATUS_OK) {
-		fprintf(stderr, "%s\n", a->status.message);
-		return false;
-	}
-	if (!a->entry_nr)
-		return true;
-	sn = decode_snapshot(a->entries[0].value, a->entries[0].len, &st);
-	if (!sn) {
-		fprintf(stderr, "%s\n", st.message);
-		return false;
+/* The highest epoch that the instances named in LIST have. */
+static bool read_floor(const char *list, uint64_t *floor)
+{
+	char **at = split_instances(list);
+	GArray *answers =
+		ask_instances((const char *const *)at, g_strv_length(at));
+
+	*floor = 0;
+	for (guint i = 0; answers && i < answers->len; i++) {
+		const struct instance_answer *ia =
+			&g_array_index(answers, struct instance_answer, i);
+		const json_t *epoch = json_object_get(ia->status, "epoch");
+
+		if (!ia->status)
+			fprintf(stderr, "%s: no answer\n", ia->at);
+		*floor = MAX(*floor, (uint64_t)json_integer_value(epoch));
 	}
-	*epoch = snapshot_epoch(sn);
-	*revision = a->entries[0].mod_revision;
-	unref_snapshot(sn);
-	return true;
+	free_instances(answers);
+	g_strfreev(at);
+	return answers;
 }
 
-/* Whether the record in the store is the one called PUBLISH_ID. */
-static bool is_published(struct session *s, const char *publish_id)
+static bool has_epoch(const json_t *status, const void *data)
 {
-	const struct store_answer *a = wait_range(s, KEY_CONFIG, false);
-	struct snapshot *sn = NULL;
-	bool ours;
-
-	if (a->status.kind == STATUS_OK && a->entry_nr)
-		sn = decode_snapshot(a->entries[0].value, a->entries[0].len,
-				     NULL);
-	ours = sn && !g_strcmp0(snapshot_publish_id(sn), publish_id);
-	unref_snapshot(sn);
-	return ours;
+	const uint64_t *epoch = data;
+	const json_t *have = json_object_get(status, "epoch");
+
+	return (uint64_t)json_integer_value(have) >= *epoch;
 }
 
-static int commit(struct session *s, const struct snapshot *sn,
-		  uint64_t revision)
+static int finish(const struct publish_options *o, const struct publish *p,
+		  const char *id)
 {
-	struct store_compare cmp = { KEY_CONFIG, revision };
-	struct store_op op = { .kind = STORE_PUT, .key = KEY_CONFIG };
-	struct store_txn txn = { &cmp, 1, &op, 1 };
-	const struct store_answer *a;
-	struct wire_writer w;
-	bool done;
-
-	init_wire_writer(&w);
-	encode_snapshot(&w, sn);
-	op.value = w.buf.data;
-	op.len = w.buf.size;
-	a = wait_commit(s, &txn);
-	done = a->status.kind == STATUS_OK
-		       ? a->succeeded
-		       : is_published(s, snapshot_publish_id(sn));
-	release_wire_writer(&w);
-	if (done)
-		printf("epoch %llu published\n",
-		       (unsigned long long)snapshot_epoch(sn));
-	else
-		fprintf(stderr, "not published: the configuration was "
-				"changed by someone else; look and try "
-				"again\n");
-	return done ? 0 : EXIT_REFUSED;
+	const struct status *st = publish_status(p);
+	uint64_t epoch = publish_epoch(p);
+
+	print_result(o->json, st, publish_problems(p), epoch, id);
+	if (st->kind == STATUS_OK && publish_made(p) && !o->json)
+		printf("changed: %s\n", publish_subject(p));
+	if (st->kind == STATUS_OK && o->wait &&
+	    !wait_for_instances(o->instances, o->timeout_ms, has_epoch, &epoch))
+		return EXIT_REFUSED;
+	return find_status_row(st->kind)->exit_code;
 }
 
-static int publish(struct session *s, const char *const *paths, size_t nr)
+static int run_publish(const struct publish_options *o, struct session *s,
+		       const struct publish_change *change)
 {
 	char *id = g_uuid_string_random();
+	struct publish_intent in = { .change = *change, .id = id };
+	struct publish *p;
+	int code = EXIT_REFUSED;
+
+	in.who = who_or_user(o->who);
+	in.why = o->why ? o->why : "";
+	in.when_ms = (uint64_t)(g_get_real_time() / 1000);
+	in.base_epoch = (uint64_t)o->base_epoch;
+	in.allow_removal = o->allow_removal;
+	if (!o->instances || read_floor(o->instances, &in.floor)) {
+		p = create_publish(&in, g_random_int());
+		run_change(s, step, p);
+		code = finish(o, p, id);
+		destroy_publish(p);
+	}
+	g_free(id);
+	return code;
+}
+
+static struct service **list_services(const struct snapshot *sn)
+{
+	size_t nr = snapshot_service_nr(sn);
+	struct service **list = g_new0(struct service *, nr + 1);
+
+	for (size_t i = 0; i < nr; i++)
+		list[i] = (struct service *)snapshot_service(sn, i);
+	return list;
+}
+
+static int publish(const struct publish_options *o, struct session *s,
+		   const char *const *paths, size_t nr)
+{
 	struct problems *ps = create_problems();
-	struct snapshot *sn = NULL;
-	uint64_t epoch;
-	uint64_t revision;
+	struct snapshot *sn = load_services(paths, nr, 0, "", ps);
+	struct publish_change change = { .only = o->only };
+	struct service **services;
+	struct status st;
 	int code = EXIT_REFUSED;
 
-	if (read_current(s, &epoch, &revision)) {
-		sn = load_services(paths, nr, epoch + 1, id, ps);
-		if (sn)
-			code = commit(s, sn, revision);
-		else
-			print_problems(ps);
+	if (sn) {
+		services = list_services(sn);
+		change.services = services;
+		change.service_nr = snapshot_service_nr(sn);
+		change.removed = (const char *const *)o->removed;
+		change.removed_nr = o->removed ? g_strv_length(o->removed) : 0;
+		code = run_publish(o, s, &change);
+		g_free(services);
+	} else {
+		set_status(&st, STATUS_INVALID, "nothing published");
+		print_result(o->json, &st, ps, 0, "");
 	}
 	unref_snapshot(sn);
 	destroy_problems(ps);
-	g_free(id);
 	return code;
 }
 
+static int check_options(struct publish_options *o, int argc)
+{
+	if (argc < 2 && !(o->only && o->removed))
+		return usage_error("publish", "no file or directory given");
+	if (o->removed && !o->only)
+		return usage_error("publish", "--remove goes with --only");
+	if (o->wait && !o->instances)
+		return usage_error("publish", "--wait needs --instances");
+	if (o->base_epoch < 0)
+		return usage_error("publish", "--base-epoch is 1 or more");
+	if (!parse_format(o->format, &o->json) ||
+	    !parse_timeout(o->timeout, &o->timeout_ms))
+		return EXIT_USAGE;
+	return 0;
+}
+
+static void free_options(struct publish_options *o)
+{
+	g_free(o->store);
+	g_free(o->format);
+	g_free(o->why);
+	g_free(o->who);
+	g_free(o->instances);
+	g_free(o->timeout);
+	g_strfreev(o->removed);
+}
+
 int cmd_publish(int argc, char **argv)
 {
-	char *store = NULL;
-	GOptionEntry entries[] = { { "store", 0, 0, G_OPTION_ARG_STRING, &store,
-				     "Endpoints of the platform's store",
-				     "ADDRESS:PORT[,...]" },
-				   G_OPTION_ENTRY_NULL };
-	struct session *s;
+	struct publish_options o = { .store = NULL };
+	GOptionEntry entries[] = {
+		OPTION_STORE(&o.store),
+		{ "only", 0, 0, G_OPTION_ARG_NONE, &o.only,
+		  "Leave services that the files do not state as they are",
+		  NULL },
+		{ "remove", 0, 0, G_OPTION_ARG_STRING_ARRAY, &o.removed,
+		  "With --only: remove this service (may be repeated)",
+		  "SERVICE" },
+		{ "allow-removal", 0, 0, G_OPTION_ARG_NONE, &o.allow_removal,
+		  "Publish also if most upstreams of a service would go",
+		  NULL },
+		{ "base-epoch", 0, 0, G_OPTION_ARG_INT64, &o.base_epoch,
+		  "Refuse unless this epoch is in force", "EPOCH" },
+		OPTION_WHY(&o.why),
+		OPTION_WHO(&o.who),
+		OPTION_INSTANCES(&o.instances),
+		OPTION_WAIT(&o.wait),
+		OPTION_TIMEOUT(&o.timeout),
+		OPTION_FORMAT(&o.format),
+		G_OPTION_ENTRY_NULL
+	};
+	struct session *s = NULL;
 	int code = EXIT_USAGE;
 
 	argc = parse_command(argc, argv, entries, "FILE|DIR...",
 			     "Checks service files and puts them in force.");
-	s = argc < 2 ? NULL : create_session(store);
+	if (argc && !check_options(&o, argc))
+		s = create_session(o.store);
 	if (s)
-		code = publish(s, (const char *const *)argv + 1,
+		code = publish(&o, s, (const char *const *)argv + 1,
 			       (size_t)argc - 1);
 	destroy_session(s);
-	g_free(store);
+	free_options(&o);
 	return code;
 }
--- a/builtin/session.c
+++ b/builtin/session.c
@@ -8,42 +8,49 @@
 
 struct session {
 	uv_loop_t loop;
+	uv_timer_t timer;
 	struct counters counters;
 	struct store *store;
 	struct store_answer answer; /* a copy of the last one */
 	bool done;
 };
 
-static bool parse_list(const char *text, struct endpoint_list *l)
+bool parse_endpoints(const char *option, const char *text,
+		     struct endpoint_list *l)
 {
 	char **parts = g_strsplit(text, ",", -1);
-	struct status st;
-	bool ok = true;
-
-	for (char **p = parts; *p && ok; p++) {
-		if (l->nr == SETTINGS_LIST_MAX ||
-		    parse_endpoint(*p, &l->at[l->nr++], &st) != STATUS_OK) {
-			fprintf(stderr, "--store: %s\n", st.message);
-			ok = false;
-		}
+	struct status st = { .kind = STATUS_OK };
+
+	l->nr = 0;
+	for (char **p = parts; *p && st.kind == STATUS_OK; p++) {
+		if (l->nr == SETTINGS_LIST_MAX)
+			set_status(&st, STATUS_INVALID, "at most %d addresses",
+				   SETTINGS_LIST_MAX);
+		else
+			st.kind = parse_endpoint(*p, &l->at[l->nr++], &st);
 	}
 	g_strfreev(parts);
-	return ok && l->nr;
+	if (st.kind != STATUS_OK)
+		fprintf(stderr, "%s: %s\n", option, st.message);
+	return st.kind == STATUS_OK;
 }
 
 struct session *create_session(const char *endpoints)
 {
-	struct endpoint_list l = { .nr = 0 };
+	struct endpoint_list l;
 	struct session *s;
 
 	if (!endpoints) {
-		fprintf(stderr, "--store=ADDRESS:PORT is missing\n");
+		fprintf(stderr, "--store=ADDRESS:PORT[,...] is missing: where "
+				"the platform's store listens\n");
 		return NULL;
 	}
-	if (!parse_list(endpoints, &l))
+	if (!parse_endpoints("--store", endpoints, &l))
 		return NULL;
 	s = g_new0(struct session, 1);
 	uv_loop_init(&s->loop);
+	uv_timer_init(&s->loop, &s->timer);
+	s->timer.data = s;
 	s->store = create_etcd_store(&s->loop, &l, &s->counters);
 	return s;
 }
@@ -53,6 +60,7 @@
 	if (!s)
 		return;
 	destroy_store(s->store);
+	uv_close((uv_handle_t *)&s->timer, NULL);
 	uv_run(&s->loop, UV_RUN_DEFAULT);
 	uv_loop_close(&s->loop);
 	release_store_answer(&s->answer);
@@ -87,18 +95,56 @@
 	s->done = false;
 }
 
-const struct store_answer *wait_range(struct session *s, const char *key,
-				      bool prefix)
+const struct store_answer *wait_range(struct session *s,
+				      const struct store_range *r)
 {
 	forget_answer(s);
-	range_store(s->store, key, prefix, keep_answer, s);
+	range_store(s->store, r, keep_answer, s);
 	return wait_answer(s);
 }
 
-const struct store_answer *wait_commit(struct session *s,
-				       const struct store_txn *txn)
+static const struct store_answer *wait_commit(struct session *s,
+					      const struct store_txn *txn)
 {
 	forget_answer(s);
 	commit_store(s->store, txn, keep_answer, s);
 	return wait_answer(s);
 }
+
+static void on_timer(uv_timer_t *timer)
+{
+	struct session *s = timer->data;
+
+	s->done = true;
+}
+
+static void wait_ms(struct session *s, uint32_t ms)
+{
+	forget_answer(s);
+	uv_timer_start(&s->timer, on_timer, ms, 0);
+	wait_answer(s);
+}
+
+void run_change(struct session *s, change_fn step, void *change)
+{
+	const struct store_answer *a = NULL;
+	struct change_action act;
+
+	for (;;) {
+		step(change, a, &act);
+		a = NULL;
+		switch (act.kind) {
+		case CHANGE_RANGE:
+			a = wait_range(s, &act.range);
+			break;
+		case CHANGE_COMMIT:
+			a = wait_commit(s, &act.txn);
+			break;
+		case CHANGE_WAIT:
+			wait_ms(s, act.wait_ms);
+			break;
+		case CHANGE_DONE:
+			return;
+		}
+	}
+}
--- a/builtin/session.h
+++ b/builtin/session.h
@@ -12,9 +12,17 @@
 void destroy_session(struct session *s);
 
 /* The answer lives until the next call. */
-const struct store_answer *wait_range(struct session *s, const char *key,
-				      bool prefix);
-const struct store_answer *wait_commit(struct session *s,
-				       const struct store_txn *txn);
+const struct store_answer *wait_range(struct session *s,
+				      const struct store_range *r);
+
+typedef void (*change_fn)(void *change, const struct store_answer *a,
+			  struct change_action *out);
+
+/* Runs a change to its end. */
+void run_change(struct session *s, change_fn step, void *change);
+
+/* Parses "ADDRESS:PORT[,...]" given as OPTION; false with a message. */
+bool parse_endpoints(const char *option, const char *text,
+		     struct endpoint_list *l);
 
 #endif
--- a/builtin/status.c
+++ b/builtin/status.c
@@ -4,26 +4,20 @@
 
 #include <jansson.h>
 #include <stdio.h>
-#include <string.h>
-#include <uv.h>
+#include <stdlib.h>
 
-#include "net/http-client.h"
+#include "builtin/instances.h"
 
-#define STATUS_TIMEOUT_MS 2000
-#define STATUS_ANSWER_MAX (64 * 1024 * 1024) /* bytes */
+static const char *text_of(const json_t *j, const char *key)
+{
+	const char *text = json_string_value(json_object_get(j, key));
 
-struct question {
-	const char *at;
-	char *text; /* the answer; NULL if there was none */
-};
+	return text ? text : "?";
+}
 
-static void on_answer(const struct http_call_result *r, void *data)
+static long long number_of(const json_t *j, const char *key)
 {
-	struct question *q = data;
-
-	if (r->kind == STATUS_OK && r->answer->code == 200)
-		q->text = g_strndup((const char *)r->answer->body->data,
-				    r->answer->body->len);
+	return json_integer_value(json_object_get(j, key));
 }
 
 static void print_upstreams(const json_t *service)
@@ -32,87 +26,128 @@
 	size_t i;
 
 	json_array_foreach(json_object_get(service, "upstreams"), i, up)
-		printf("    %-20s %-10s %s\n",
-		       json_string_value(json_object_get(up, "name")),
-		       json_string_value(json_object_get(up, "domain")),
-		       json_string_value(json_object_get(up, "state")));
+		printf("    %-20s %-10s %s\n", text_of(up, "name"),
+		       text_of(up, "domain"), text_of(up, "state"));
 }
 
-static void print_status(const char *at, const char *text)
+static void print_services(const json_t *j)
 {
-	json_t *j = json_loads(text, 0, NULL);
 	const json_t *item;
-	const char *name;
 	size_t i;
 
-	printf("%s: instance %s, domain %s, epoch %lld\n", at,
-	       json_string_value(json_object_get(j, "name")),
-	       json_string_value(json_object_get(j, "domain")),
-	       json_integer_value(json_object_get(j, "epoch")));
 	json_array_foreach(json_object_get(j, "services"), i, item)
 	{
-		printf("  service %s\n",
-		       json_string_value(json_object_get(item, "name")));
+		printf("  service %s\n", text_of(item, "name"));
 		print_upstreams(item);
 	}
-	json_object_foreach(json_object_get(j, "counters"), name,
-			    item) if (json_integer_value(item))
-		printf("  %-24s %lld\n", name, json_integer_value(item));
-	json_decref(j);
 }
 
-static bool ask(const char *at, char **text)
+static void print_store(const json_t *j)
+{
+	const json_t *age = json_object_get(j, "store-age-ms");
+
+	if (json_is_integer(age))
+		printf("  store answered %lld ms ago%s\n",
+		       (long long)json_integer_value(age),
+		       json_is_true(json_object_get(j, "reader"))
+			       ? "; reads it for its domain"
+			       : "");
+	else
+		printf("  store has not answered yet\n");
+}
+
+static void print_domains(const json_t *j)
+{
+	const json_t *item;
+	size_t i;
+
+	json_array_foreach(json_object_get(j, "domains"), i, item) printf(
+		"  domain %-20s %-4s epoch %lld\n", text_of(item, "name"),
+		json_is_true(json_object_get(item, "out")) ? "out" : "in",
+		number_of(item, "epoch"));
+}
+
+static void print_members(const json_t *j)
+{
+	const json_t *item;
+	size_t i;
+
+	json_array_foreach(json_object_get(j, "members"), i, item)
+		printf("  member %-20s %-10s %s\n", text_of(item, "name"),
+		       text_of(item, "domain"), text_of(item, "state"));
+}
+
+static void print_counters(const json_t *j)
+{
+	json_t *counters = json_object_get(j, "counters");
+	const json_t *value;
+	const char *name;
+
+	json_object_foreach(counters, name, value)
+	{
+		if (json_integer_value(value))
+			printf("  %-24s %lld\n", name,
+			       (long long)json_integer_value(value));
+	}
+}
+
+static void print_status(const char *at, const json_t *j)
+{
+	printf("%s: instance %s, domain %s, epoch %lld\n", at,
+	       text_of(j, "name"), text_of(j, "domain"), number_of(j, "epoch"));
+	print_store(j);
+	printf("  %lld open requests\n", number_of(j, "open-requests"));
+	print_domains(j);
+	print_members(j);
+	print_services(j);
+	print_counters(j);
+}
+
+static void print_json(const json_t *j)
+{
+	char *text = json_dumps(j, JSON_INDENT(1));
+
+	puts(text);
+	free(text);
+}
+
+static int ask(const char *const *at, size_t nr, bool json)
 {
-	struct http_message *m = create_http_message();
-	struct question q = { at, NULL };
-	struct endpoint ep;
-	struct status st;
-	uv_loop_t loop;
-
-	if (parse_endpoint(at, &ep, &st) != STATUS_OK) {
-		fprintf(stderr, "%s\n", st.message);
-		destroy_http_message(m);
-		return false;
+	GArray *answers = ask_instances(at, nr);
+	int code = answers ? 0 : EXIT_USAGE;
+
+	for (guint i = 0; answers && i < answers->len; i++) {
+		const struct instance_answer *ia =
+			&g_array_index(answers, struct instance_answer, i);
+
+		if (!ia->status) {
+			fprintf(stderr, "%s: no answer\n", ia->at);
+			code = EXIT_REFUSED;
+		} else if (json) {
+			print_json(ia->status);
+		} else {
+			print_status(ia->at, ia->status);
+		}
 	}
-	m->method = HTTP_GET;
-	m->target = g_strdup("/status");
-	uv_loop_init(&loop);
-	start_http_call(&loop, &ep, m, STATUS_TIMEOUT_MS, STATUS_ANSWER_MAX,
-			on_answer, &q);
-	uv_run(&loop, UV_RUN_DEFAULT);
-	uv_loop_close(&loop);
-	destroy_http_message(m);
-	*text = q.text;
-	if (!q.text)
-		fprintf(stderr, "%s: no answer\n", at);
-	return q.text;
+	free_instances(answers);
+	return code;
 }
 
 int cmd_status(int argc, char **argv)
 {
 	char *format = NULL;
-	GOptionEntry entries[] = { { "format", 0, 0, G_OPTION_ARG_STRING,
-				     &format, "'text' or 'json'", "FORMAT" },
+	GOptionEntry entries[] = { OPTION_FORMAT(&format),
 				   G_OPTION_ENTRY_NULL };
-	int code = 0;
+	int code = EXIT_USAGE;
+	bool json;
 
 	argc = parse_command(argc, argv, entries, "ADDRESS:PORT...",
 			     "Asks instances at their admin ports.");
-	if (argc < 2)
-		return EXIT_USAGE;
-	for (int i = 1; i < argc; i++) {
-		char *text;
-
-		if (!ask(argv[i], &text)) {
-			code = EXIT_REFUSED;
-			continue;
-		}
-		if (!g_strcmp0(format, "json"))
-			puts(text);
-		else
-			print_status(argv[i], text);
-		g_free(text);
-	}
+	if (argc == 1)
+		usage_error("status", "no instance's ADDRESS:PORT given");
+	else if (argc && parse_format(format, &json))
+		code = ask((const char *const *)argv + 1, (size_t)argc - 1,
+			   json);
 	g_free(format);
 	return code;
 }
--- /dev/null
+++ b/config/heads.c
@@ -0,0 +1,117 @@
+#include "config/heads.h"
+
+#include <string.h>
+
+#include "config/keys.h"
+
+struct store_range heads_range(void)
+{
+	struct store_range r = { .key = KEY_HEAD_PREFIX, .end = KEY_HEAD_END };
+
+	return r;
+}
+
+void release_heads(struct heads *h)
+{
+	destroy_pointer(h->pointer);
+	memset(h, 0, sizeof(*h));
+}
+
+static bool decode_seen(const struct store_entry *e, uint64_t *seen)
+{
+	struct wire_message msg;
+	struct wire_reader r;
+	bool ok;
+
+	open_wire(&msg, &r, e->value, e->len);
+	*seen = take_uint(&r, UINT64_MAX);
+	ok = !r.bad && !r.left;
+	release_wire(&msg);
+	return ok;
+}
+
+void add_seen(struct txn *t, uint64_t epoch)
+{
+	struct wire_writer w;
+
+	init_wire_writer(&w);
+	put_array(&w, 1);
+	put_uint(&w, epoch);
+	add_put(t, KEY_SEEN, w.buf.data, w.buf.size);
+	release_wire_writer(&w);
+}
+
+static bool decode_domain(const struct store_entry *e,
+			  struct domain_record *rec)
+{
+	struct wire_message msg;
+	struct wire_reader r;
+	bool ok;
+
+	open_wire(&msg, &r, e->value, e->len);
+	ok = decode_domain_record(&r, rec) && !r.bad && !r.left;
+	release_wire(&msg);
+	return ok && !strcmp(rec->name, e->key + strlen(KEY_DOMAIN_PREFIX));
+}
+
+void add_domain(struct txn *t, const struct domain_record *rec)
+{
+	char key[AUDIT_KEY_MAX];
+	struct wire_writer w;
+
+	init_wire_writer(&w);
+	put_array(&w, 1);
+	encode_domain_record(&w, rec);
+	add_put(t, domain_key(rec->name, key), w.buf.data, w.buf.size);
+	release_wire_writer(&w);
+}
+
+const char *domain_key(const char *name, char buf[AUDIT_KEY_MAX])
+{
+	g_snprintf(buf, AUDIT_KEY_MAX, KEY_DOMAIN_PREFIX "%s", name);
+	return buf;
+}
+
+int domain_index(const struct heads *h, const char *name)
+{
+	for (size_t i = 0; i < h->domains.nr; i++)
+		if (!strcmp(h->domains.at[i].name, name))
+			return (int)i;
+	return -1;
+}
+
+static bool read_head(struct heads *h, const struct store_entry *e,
+		      struct status *st)
+{
+	struct domain_record rec;
+
+	if (!strcmp(e->key, KEY_CONFIG)) {
+		h->pointer = decode_pointer(e->value, e->len, st);
+		h->pointer_revision = e->mod_revision;
+		return h->pointer;
+	}
+	if (!strcmp(e->key, KEY_SEEN)) {
+		h->seen_revision = e->mod_revision;
+		return decode_seen(e, &h->seen);
+	}
+	if (!g_str_has_prefix(e->key, KEY_DOMAIN_PREFIX))
+		return true;
+	if (!decode_domain(e, &rec) || !merge_domain_record(&h->domains, &rec))
+		return false;
+	h->domain_revision[h->domains.nr - 1] = e->mod_revision;
+	return true;
+}
+
+enum status_kind read_heads(struct heads *h, const struct store_answer *a,
+			    struct status *st)
+{
+	memset(h, 0, sizeof(*h));
+	h->revision = a->revision;
+	for (size_t i = 0; i < a->entry_nr; i++)
+		if (!read_head(h, &a->entries[i], st))
+			return set_status(st, STATUS_CORRUPT,
+					  "the store's value at %s is not a "
+					  "record of this system",
+					  a->entries[i].key);
+	return STATUS_OK;
+}
--- /dev/null
+++ b/config/keys.h
@@ -0,0 +1,19 @@
+#ifndef CONFIG_KEYS_H
+#define CONFIG_KEYS_H
+
+/*
+ * Keys of the platform's store that belong to this system. What readers
+ * follow stands under one prefix, apart from the bulk, so that one range or
+ * watch covers it.
+ */
+
+#define KEY_HEAD_PREFIX "/baobabvalve/head/"
+#define KEY_HEAD_END "/baobabvalve/head0" /* '0' follows '/' */
+#define KEY_CONFIG KEY_HEAD_PREFIX "config"
+#define KEY_SEEN KEY_HEAD_PREFIX "seen"
+#define KEY_DOMAIN_PREFIX KEY_HEAD_PREFIX "domain/"
+#define KEY_PART_PREFIX "/baobabvalve/part/"
+#define KEY_AUDIT_PREFIX "/baobabvalve/audit/"
+#define KEY_AUDIT_END "/baobabvalve/audit0"
+
+#endif
--- /dev/null
+++ b/config/merge.c
@@ -0,0 +1,160 @@
+#include "config/merge.h"
+
+#include <glib.h>
+#include <string.h>
+
+static bool is_mentioned(const struct publish_change *change, uint64_t id,
+			 const GHashTable *stated)
+{
+	if (!change->only)
+		return true;
+	if (g_hash_table_contains((GHashTable *)stated, &id))
+		return true;
+	for (size_t i = 0; i < change->removed_nr; i++)
+		if (service_id(change->removed[i]) == id)
+			return true;
+	return false;
+}
+
+static GHashTable *stated_ids(const struct publish_change *change)
+{
+	GHashTable *ids = g_hash_table_new(g_int64_hash, g_int64_equal);
+
+	for (size_t i = 0; i < change->service_nr; i++)
+		g_hash_table_add(ids, &change->services[i]->id);
+	return ids;
+}
+
+struct snapshot *merge_publish(const struct snapshot *base,
+			       const struct publish_change *change,
+			       uint64_t epoch, const char *publish_id)
+{
+	GPtrArray *list = g_ptr_array_new();
+	GHashTable *stated = stated_ids(change);
+	struct snapshot *sn;
+
+	for (size_t i = 0; base && i < snapshot_service_nr(base); i++) {
+		const struct service *sv = snapshot_service(base, i);
+
+		if (!is_mentioned(change, sv->id, stated))
+			g_ptr_array_add(list, (gpointer)sv);
+	}
+	for (size_t i = 0; i < change->service_nr; i++)
+		g_ptr_array_add(list, change->services[i]);
+	sn = create_snapshot(epoch, publish_id,
+			     (struct service *const *)list->pdata, list->len);
+	g_ptr_array_free(list, TRUE);
+	g_hash_table_destroy(stated);
+	return sn;
+}
+
+/* Upstreams of OLD that SV (NULL: none) does not have. */
+static size_t lost_upstreams(const struct service *old,
+			     const struct service *sv)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < old->upstream_nr; i++)
+		n += !sv || !find_upstream(sv, old->upstreams[i].id);
+	return n;
+}
+
+void check_removal(const struct snapshot *base, const struct snapshot *next,
+		   struct problems *ps)
+{
+	size_t all = 0;
+
+	for (size_t i = 0; base && i < snapshot_service_nr(base); i++) {
+		const struct service *old = snapshot_service(base, i);
+		const struct service *sv = find_service(next, old->id);
+		size_t lost = lost_upstreams(old, sv);
+
+		all += lost;
+		if (!sv)
+			add_problem(ps, old->name, 0,
+				    "the service would be removed");
+		else if (lost * 2 > old->upstream_nr)
+			add_problem(ps, old->name, 0,
+				    "%zu of %zu upstreams would be removed",
+				    lost, old->upstream_nr);
+	}
+	if (base && all * 2 > snapshot_upstream_nr(base))
+		add_problem(ps, "all services", 0,
+			    "%zu of %zu upstreams would be removed", all,
+			    snapshot_upstream_nr(base));
+}
+
+static void append_name(char *buf, size_t size, const char *sign,
+			const char *name)
+{
+	size_t len = strlen(buf);
+
+	if (len + strlen(name) + 8 < size)
+		g_snprintf(buf + len, size - len, "%s%s%s", len ? " " : "",
+			   sign, name);
+	else if (!g_str_has_suffix(buf, "..."))
+		g_strlcat(buf, " ...", size);
+}
+
+size_t list_changes(const struct snapshot *base, const struct snapshot *next,
+		    char *buf, size_t size)
+{
+	size_t n = 0;
+
+	buf[0] = '\0';
+	for (size_t i = 0; i < snapshot_service_nr(next); i++) {
+		const struct service *sv = snapshot_service(next, i);
+		const struct service *old =
+			base ? find_service(base, sv->id) : NULL;
+
+		if (old && old->digest == sv->digest)
+			continue;
+		append_name(buf, size, old ? "" : "+", sv->name);
+		n++;
+	}
+	for (size_t i = 0; base && i < snapshot_service_nr(base); i++) {
+		const struct service *old = snapshot_service(base, i);
+
+		if (find_service(next, old->id))
+			continue;
+		append_name(buf, size, "-", old->name);
+		n++;
+	}
+	return n;
+}
+
+static uint64_t digest_in(const struct snapshot *sn, uint64_t id)
+{
+	const struct service *sv = sn ? find_service(sn, id) : NULL;
+
+	return sv ? sv->digest : 0;
+}
+
+/* A service of A that differs in B and is mentioned; NULL if none. */
+static const char *find_difference(const struct publish_change *change,
+				   const GHashTable *stated,
+				   const struct snapshot *a,
+				   const struct snapshot *b)
+{
+	for (size_t i = 0; a && i < snapshot_service_nr(a); i++) {
+		const struct service *sv = snapshot_service(a, i);
+
+		if (digest_in(b, sv->id) != sv->digest &&
+		    is_mentioned(change, sv->id, stated))
+			return sv->name;
+	}
+	return NULL;
+}
+
+const char *find_overlap(const struct publish_change *change,
+			 const struct snapshot *first,
+			 const struct snapshot *now)
+{
+	GHashTable *stated = stated_ids(change);
+	const char *name = find_difference(change, stated, now, first);
+
+	if (!name)
+		name = find_difference(change, stated, first, now);
+	g_hash_table_destroy(stated);
+	return name;
+}
--- /dev/null
+++ b/config/parts.c
@@ -0,0 +1,181 @@
+#include "config/parts.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#define PART_FIELD_NR 2
+#define PART_FORMAT 1
+
+struct assembly {
+	GHashTable *held; /* bucket + 1 -> struct held_part */
+};
+
+struct held_part {
+	uint64_t digest;
+	GPtrArray *services;
+};
+
+uint32_t service_bucket(uint64_t id, uint32_t bucket_nr)
+{
+	return (uint32_t)(id % bucket_nr);
+}
+
+static void encode_part(struct part *part, const GPtrArray *services)
+{
+	struct wire_writer *w = &part->bytes;
+
+	init_wire_writer(w);
+	put_array(w, PART_FIELD_NR);
+	put_uint(w, PART_FORMAT);
+	put_array(w, services->len);
+	for (guint i = 0; i < services->len; i++)
+		encode_service(w, g_ptr_array_index(services, i));
+	part->ref.digest = XXH64(w->buf.data, w->buf.size, 0);
+}
+
+GArray *split_snapshot(const struct snapshot *sn, uint32_t bucket_nr)
+{
+	GPtrArray **buckets = g_new0(GPtrArray *, bucket_nr);
+	GArray *parts = g_array_new(FALSE, TRUE, sizeof(struct part));
+
+	for (size_t i = 0; i < snapshot_service_nr(sn); i++) {
+		const struct service *sv = snapshot_service(sn, i);
+		uint32_t b = service_bucket(sv->id, bucket_nr);
+
+		if (!buckets[b])
+			buckets[b] = g_ptr_array_new();
+		g_ptr_array_add(buckets[b], (gpointer)sv);
+	}
+	for (uint32_t b = 0; b < bucket_nr; b++) {
+		struct part part = { .ref = { .bucket = b } };
+
+		if (!buckets[b])
+			continue;
+		encode_part(&part, buckets[b]);
+		g_array_append_val(parts, part);
+		g_ptr_array_free(buckets[b], TRUE);
+	}
+	g_free(buckets);
+	return parts;
+}
+
+void free_parts(GArray *parts)
+{
+	if (!parts)
+		return;
+	for (guint i = 0; i < parts->len; i++)
+		release_wire_writer(
+			&g_array_index(parts, struct part, i).bytes);
+	g_array_free(parts, TRUE);
+}
+
+static void free_held(gpointer item)
+{
+	struct held_part *h = item;
+
+	g_ptr_array_free(h->services, TRUE);
+	g_free(h);
+}
+
+struct assembly *create_assembly(void)
+{
+	struct assembly *as = g_new0(struct assembly, 1);
+
+	as->held = g_hash_table_new_full(NULL, NULL, NULL, free_held);
+	return as;
+}
+
+void destroy_assembly(struct assembly *as)
+{
+	if (!as)
+		return;
+	g_hash_table_destroy(as->held);
+	g_free(as);
+}
+
+static const struct held_part *find_held(const struct assembly *as,
+					 const struct part_ref *part)
+{
+	const struct held_part *h = g_hash_table_lookup(
+		as->held, GUINT_TO_POINTER(part->bucket + 1));
+
+	return h && h->digest == part->digest ? h : NULL;
+}
+
+GArray *missing_parts(const struct assembly *as, const struct pointer *p)
+{
+	GArray *missing = g_array_new(FALSE, FALSE, sizeof(struct part_ref));
+
+	for (guint i = 0; i < p->parts->len; i++) {
+		const struct part_ref *part =
+			&g_array_index(p->parts, struct part_ref, i);
+
+		if (!find_held(as, part))
+			g_array_append_val(missing, *part);
+	}
+	return missing;
+}
+
+static bool read_part(struct wire_reader *r, GPtrArray *services)
+{
+	struct wire_reader list;
+
+	if (take_uint(r, UINT64_MAX) != PART_FORMAT)
+		return false;
+	take_array(r, &list);
+	while (list.left && !list.bad) {
+		struct service *sv = decode_service(&list);
+
+		if (sv)
+			g_ptr_array_add(services, sv);
+	}
+	return !list.bad && !r->bad && !r->left;
+}
+
+bool add_part(struct assembly *as, const struct part_ref *part,
+	      const void *data, size_t len)
+{
+	GPtrArray *services =
+		g_ptr_array_new_with_free_func((GDestroyNotify)unref_service);
+	struct wire_message msg;
+	struct wire_reader r;
+	struct held_part *h;
+	bool ok = XXH64(data, len, 0) == part->digest;
+
+	if (ok) {
+		ok = open_wire(&msg, &r, data, len) && read_part(&r, services);
+		release_wire(&msg);
+	}
+	if (!ok) {
+		g_ptr_array_free(services, TRUE);
+		return false;
+	}
+	h = g_new0(struct held_part, 1);
+	h->digest = part->digest;
+	h->services = services;
+	g_hash_table_replace(as->held, GUINT_TO_POINTER(part->bucket + 1), h);
+	return true;
+}
+
+struct snapshot *assemble(const struct assembly *as, const struct pointer *p)
+{
+	GPtrArray *list = g_ptr_array_new();
+	struct snapshot *sn = NULL;
+	bool whole = true;
+
+	for (guint i = 0; whole && i < p->parts->len; i++) {
+		const struct held_part *h = find_held(
+			as, &g_array_index(p->parts, struct part_ref, i));
+
+		whole = h != NULL;
+		for (guint k = 0; h && k < h->services->len; k++)
+			g_ptr_array_add(list,
+					g_ptr_array_index(h->services, k));
+	}
+	if (whole)
+		sn = create_snapshot(p->epoch, p->publish_id,
+				     (struct service *const *)list->pdata,
+				     list->len);
+	g_ptr_array_free(list, TRUE);
+	return sn;
+}
--- /dev/null
+++ b/config/publish.c
@@ -0,0 +1,606 @@
+#include "config/publish.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/backoff.h"
+#include "config/commit.h"
+#include "config/keys.h"
+#include "config/parts.h"
+
+#define TRIES_MAX 10 /* reads that failed and commits that lost a race */
+#define WAIT_MS 50   /* before the second try */
+#define WAIT_MAX_MS 2000
+#define GETS_MAX 64		   /* parts read by one call */
+#define PUTS_MAX 40		   /* parts written by one call */
+#define PUT_BYTES_MAX (700 * 1000) /* of the parts written by one call */
+#define DELETES_MAX 40		   /* retired parts deleted by one call */
+
+enum publish_step {
+	PUBLISH_START,
+	PUBLISH_READING,   /* the heads */
+	PUBLISH_FETCHING,  /* parts of the configuration in force */
+	PUBLISH_UPLOADING, /* new parts, ahead of the pointer */
+	PUBLISH_SWEEPING,  /* deletes retired parts, ahead of the pointer */
+	PUBLISH_COMMITTING
+};
+
+struct publish {
+	struct publish_intent intent;
+	char id[PUBLISH_ID_MAX];
+	char who[AUDIT_WHO_MAX];
+	char why[AUDIT_TEXT_MAX];
+	enum publish_step step;
+	unsigned int tries;
+	struct heads heads;
+	struct assembly *assembly;
+	GArray *asked; /* of struct part_ref: the fetch under way */
+	bool read_once;
+	struct snapshot *first; /* in force at the first read */
+	struct snapshot *base;	/* in force at the last read */
+	struct snapshot *next;	/* as it shall be */
+	GArray *parts;		/* of struct part: NEXT */
+	GArray *fresh;		/* of guint: those of PARTS to be written */
+	guint uploaded;		/* how many of FRESH are */
+	struct pointer *pointer;
+	char subject[AUDIT_TEXT_MAX];
+	struct txn *txn;
+	struct commit commit;
+	struct problems *problems;
+	struct status status;
+	bool made;
+	GRand *rand;
+};
+
+struct publish *create_publish(const struct publish_intent *intent,
+			       uint32_t seed)
+{
+	struct publish *p = g_new0(struct publish, 1);
+
+	p->intent = *intent;
+	g_strlcpy(p->id, intent->id, sizeof(p->id));
+	g_strlcpy(p->who, intent->who, sizeof(p->who));
+	g_strlcpy(p->why, intent->why, sizeof(p->why));
+	p->assembly = create_assembly();
+	p->txn = create_txn();
+	p->problems = create_problems();
+	p->rand = g_rand_new_with_seed(seed);
+	return p;
+}
+
+/* Forgets what was built on the last read. */
+static void drop_plan(struct publish *p)
+{
+	unref_snapshot(p->next);
+	p->next = NULL;
+	free_parts(p->parts);
+	p->parts = NULL;
+	if (p->fresh)
+		g_array_free(p->fresh, TRUE);
+	p->fresh = NULL;
+	p->uploaded = 0;
+	destroy_pointer(p->pointer);
+	p->pointer = NULL;
+}
+
+void destroy_publish(struct publish *p)
+{
+	if (!p)
+		return;
+	drop_plan(p);
+	release_heads(&p->heads);
+	destroy_assembly(p->assembly);
+	if (p->asked)
+		g_array_free(p->asked, TRUE);
+	unref_snapshot(p->first);
+	unref_snapshot(p->base);
+	destroy_txn(p->txn);
+	destroy_problems(p->problems);
+	g_rand_free(p->rand);
+	g_free(p);
+}
+
+const struct status *publish_status(const struct publish *p)
+{
+	return &p->status;
+}
+
+const struct problems *publish_problems(const struct publish *p)
+{
+	return p->problems;
+}
+
+uint64_t publish_epoch(const struct publish *p)
+{
+	if (p->made)
+		return snapshot_epoch(p->next);
+	return p->base ? snapshot_epoch(p->base) : 0;
+}
+
+const char *publish_subject(const struct publish *p)
+{
+	return p->subject;
+}
+
+bool publish_made(const struct publish *p)
+{
+	return p->made;
+}
+
+const struct snapshot *publish_base(const struct publish *p)
+{
+	return p->base;
+}
+
+static void read_heads_again(struct publish *p, struct change_action *out)
+{
+	drop_plan(p);
+	p->step = PUBLISH_READING;
+	out->kind = CHANGE_RANGE;
+	out->range = heads_range();
+}
+
+/* Starts over after a wait; gives up with the present status at last. */
+static void start_over(struct publish *p, struct change_action *out)
+{
+	if (++p->tries > TRIES_MAX)
+		return;
+	drop_plan(p);
+	p->step = PUBLISH_START;
+	out->kind = CHANGE_WAIT;
+	out->wait_ms = backoff_ms(p->tries, WAIT_MS, WAIT_MAX_MS, p->rand);
+}
+
+static void add_fresh_puts(struct publish *p)
+{
+	char key[PART_KEY_MAX];
+
+	while (p->uploaded < p->fresh->len && txn_op_nr(p->txn) < PUTS_MAX) {
+		const struct part *part = &g_array_index(
+			p->parts, struct part,
+			g_array_index(p->fresh, guint, p->uploaded));
+
+		if (txn_op_nr(p->txn) &&
+		    txn_size(p->txn) + part->bytes.buf.size > PUT_BYTES_MAX)
+			break;
+		add_put(p->txn, part_key(&part->ref, key), part->bytes.buf.data,
+			part->bytes.buf.size);
+		p->uploaded++;
+	}
+}
+
+static void put_pointer(struct txn *t, const struct pointer *ptr)
+{
+	struct wire_writer w;
+
+	init_wire_writer(&w);
+	encode_pointer(&w, ptr);
+	add_put(t, KEY_CONFIG, w.buf.data, w.buf.size);
+	release_wire_writer(&w);
+}
+
+/* Deletes retired parts that no reader can need at EPOCH, a few at a time. */
+static void delete_retired(struct txn *t, struct pointer *ptr, uint64_t epoch)
+{
+	char key[PART_KEY_MAX];
+	guint n = 0;
+
+	while (n < ptr->retired->len && n < DELETES_MAX) {
+		const struct retired_part *old =
+			&g_array_index(ptr->retired, struct retired_part, n);
+
+		if (old->epoch + PART_KEEP_EPOCHS > epoch)
+			break;
+		add_delete(t, part_key(&old->part, key), NULL);
+		n++;
+	}
+	if (n)
+		g_array_remove_range(ptr->retired, 0, n);
+}
+
+static void fill_audit(const struct publish *p, struct audit_entry *e)
+{
+	memset(e, 0, sizeof(*e));
+	g_strlcpy(e->id, p->id, sizeof(e->id));
+	g_strlcpy(e->who, p->who, sizeof(e->who));
+	g_strlcpy(e->why, p->why, sizeof(e->why));
+	g_strlcpy(e->subject, p->subject, sizeof(e->subject));
+	e->when_ms = p->intent.when_ms;
+	e->what = AUDIT_PUBLISH;
+	e->old_epoch = p->base ? snapshot_epoch(p->base) : 0;
+	e->new_epoch = p->pointer->epoch;
+}
+
+static void commit_pointer(struct publish *p, struct change_action *out)
+{
+	char key[AUDIT_KEY_MAX];
+	struct audit_entry e;
+	struct store_txn txn;
+
+	clear_txn(p->txn);
+	add_compare(p->txn, KEY_CONFIG, p->heads.pointer_revision);
+	add_compare(p->txn, KEY_SEEN, p->heads.seen_revision);
+	add_fresh_puts(p);
+	delete_retired(p->txn, p->pointer, p->pointer->epoch);
+	put_pointer(p->txn, p->pointer);
+	fill_audit(p, &e);
+	add_audit(p->txn, NULL, &e);
+	txn = view_txn(p->txn);
+	p->step = PUBLISH_COMMITTING;
+	start_commit(&p->commit, &txn, audit_key(NULL, e.new_epoch, key), p->id,
+		     p->rand, out);
+}
+
+static bool upload_is_due(const struct publish *p)
+{
+	size_t bytes = 0;
+
+	for (guint i = p->uploaded; i < p->fresh->len; i++)
+		bytes += g_array_index(p->parts, struct part,
+				       g_array_index(p->fresh, guint, i))
+				 .bytes.buf.size;
+	return p->fresh->len - p->uploaded > PUTS_MAX || bytes > PUT_BYTES_MAX;
+}
+
+/* Writes new parts until the rest fits into the pointer's transaction. */
+static void upload_or_commit(struct publish *p, struct change_action *out)
+{
+	if (!upload_is_due(p)) {
+		commit_pointer(p, out);
+		return;
+	}
+	clear_txn(p->txn);
+	add_fresh_puts(p);
+	p->step = PUBLISH_UPLOADING;
+	out->kind = CHANGE_COMMIT;
+	out->txn = view_txn(p->txn);
+}
+
+/* Whether more retired parts are due than one pointer's swap deletes. */
+static bool sweep_is_due(const struct publish *p)
+{
+	const struct pointer *old = p->heads.pointer;
+	const struct retired_part *at;
+
+	if (!old || old->retired->len <= DELETES_MAX)
+		return false;
+	at = &g_array_index(old->retired, struct retired_part, DELETES_MAX);
+	return at->epoch + PART_KEEP_EPOCHS <= old->epoch;
+}
+
+/* Swaps the pointer for itself with fewer retired parts. */
+static void sweep(struct publish *p, struct change_action *out)
+{
+	clear_txn(p->txn);
+	add_compare(p->txn, KEY_CONFIG, p->heads.pointer_revision);
+	delete_retired(p->txn, p->heads.pointer, p->heads.pointer->epoch);
+	put_pointer(p->txn, p->heads.pointer);
+	p->step = PUBLISH_SWEEPING;
+	out->kind = CHANGE_COMMIT;
+	out->txn = view_txn(p->txn);
+}
+
+static bool same_part(const struct part_ref *a, const struct part_ref *b)
+{
+	return a && b && a->bucket == b->bucket && a->digest == b->digest;
+}
+
+/* Carries over what OLD retired and retires what only OLD names. */
+static void retire_parts(struct pointer *ptr, const struct pointer *old)
+{
+	for (guint i = 0; i < old->retired->len; i++) {
+		struct retired_part gone =
+			g_array_index(old->retired, struct retired_part, i);
+
+		if (!same_part(find_part(ptr, gone.part.bucket), &gone.part))
+			g_array_append_val(ptr->retired, gone);
+	}
+	for (guint i = 0; i < old->parts->len; i++) {
+		struct retired_part gone = { g_array_index(old->parts,
+							   struct part_ref, i),
+					     ptr->epoch };
+
+		if (!same_part(find_part(ptr, gone.part.bucket), &gone.part))
+			g_array_append_val(ptr->retired, gone);
+	}
+}
+
+static bool add_domains_of(struct pointer *ptr, const struct service *sv)
+{
+	for (size_t i = 0; i < sv->upstream_nr; i++)
+		if (!add_pointer_domain(ptr, sv->upstreams[i].domain))
+			return false;
+	return true;
+}
+
+static bool fill_domains(struct publish *p)
+{
+	for (size_t i = 0; i < snapshot_service_nr(p->next); i++) {
+		const struct service *sv = snapshot_service(p->next, i);
+
+		if (add_domains_of(p->pointer, sv))
+			continue;
+		add_problem(p->problems, sv->name, 0,
+			    "more than %d failure domains in all", DOMAINS_MAX);
+		return false;
+	}
+	return true;
+}
+
+static void list_parts(struct publish *p)
+{
+	const struct pointer *old = p->heads.pointer;
+
+	p->fresh = g_array_new(FALSE, FALSE, sizeof(guint));
+	for (guint i = 0; i < p->parts->len; i++) {
+		const struct part *part =
+			&g_array_index(p->parts, struct part, i);
+
+		if (part->bytes.buf.size > STORE_VALUE_MAX)
+			add_problem(p->problems, "all services", 0,
+				    "bucket %u has %zu bytes; the store holds "
+				    "values up to %d",
+				    part->ref.bucket, part->bytes.buf.size,
+				    STORE_VALUE_MAX);
+		g_array_append_val(p->pointer->parts, part->ref);
+		if (!old ||
+		    !same_part(find_part(old, part->ref.bucket), &part->ref))
+			g_array_append_val(p->fresh, i);
+	}
+}
+
+static uint32_t choose_bucket_nr(const struct publish *p)
+{
+	if (p->heads.pointer)
+		return p->heads.pointer->bucket_nr;
+	return p->intent.bucket_nr ? p->intent.bucket_nr : BUCKET_NR_DEFAULT;
+}
+
+/* Builds the pointer and the parts of NEXT; false if they break a limit. */
+static bool plan(struct publish *p)
+{
+	struct pointer *ptr = create_pointer(choose_bucket_nr(p));
+
+	p->pointer = ptr;
+	ptr->epoch = snapshot_epoch(p->next);
+	ptr->when_ms = p->intent.when_ms;
+	ptr->service_nr = snapshot_service_nr(p->next);
+	ptr->upstream_nr = snapshot_upstream_nr(p->next);
+	g_strlcpy(ptr->publish_id, p->id, sizeof(ptr->publish_id));
+	g_strlcpy(ptr->who, p->who, sizeof(ptr->who));
+	p->parts = split_snapshot(p->next, ptr->bucket_nr);
+	list_parts(p);
+	if (p->heads.pointer)
+		retire_parts(ptr, p->heads.pointer);
+	return fill_domains(p) && !problem_count(p->problems);
+}
+
+static void check_next(struct publish *p)
+{
+	size_t before;
+
+	check_snapshot(p->next, p->problems);
+	before = problem_count(p->problems);
+	if (p->intent.allow_removal)
+		return;
+	check_removal(p->base, p->next, p->problems);
+	if (problem_count(p->problems) != before)
+		add_problem(p->problems, "publish", 0,
+			    "--allow-removal publishes this all the same");
+}
+
+static void refuse_invalid(struct publish *p)
+{
+	set_status(&p->status, STATUS_INVALID,
+		   "nothing published: %zu problem(s)",
+		   problem_count(p->problems));
+}
+
+/* Whether this publish was overtaken by another; fills the status if so. */
+static bool is_overtaken(struct publish *p)
+{
+	const struct pointer *ptr = p->heads.pointer;
+	uint64_t epoch = ptr ? ptr->epoch : 0;
+	const char *name;
+
+	if (p->intent.base_epoch && epoch != p->intent.base_epoch) {
+		set_status(&p->status, STATUS_CONFLICT,
+			   "not published: epoch %" PRIu64 " by %s is in "
+			   "force, not %" PRIu64,
+			   epoch, ptr ? ptr->who : "nobody",
+			   p->intent.base_epoch);
+		return true;
+	}
+	if (!p->read_once)
+		return false;
+	name = find_overlap(&p->intent.change, p->first, p->base);
+	if (!name)
+		return false;
+	set_status(&p->status, STATUS_CONFLICT,
+		   "not published: meanwhile %s changed service '%s' (epoch "
+		   "%" PRIu64 ", id %s); look and try again",
+		   ptr ? ptr->who : "someone", name, epoch,
+		   ptr ? ptr->publish_id : "none");
+	return true;
+}
+
+/* The store came back older than instances are: its content is stale. */
+static bool is_behind(struct publish *p, uint64_t floor)
+{
+	uint64_t epoch = p->base ? snapshot_epoch(p->base) : 0;
+
+	if (floor <= epoch || !p->intent.change.only)
+		return false;
+	set_status(&p->status, STATUS_CONFLICT,
+		   "not published: the store holds epoch %" PRIu64 " but "
+		   "instances have %" PRIu64 "; publish all services, without "
+		   "--only, so that nothing reverts",
+		   epoch, floor);
+	return true;
+}
+
+/* The configuration in force is in p->base. */
+static void build(struct publish *p, struct change_action *out)
+{
+	uint64_t floor = MAX(p->heads.seen, p->intent.floor);
+	uint64_t epoch = p->base ? snapshot_epoch(p->base) : 0;
+
+	if (is_overtaken(p) || is_behind(p, floor))
+		return;
+	if (!p->read_once)
+		p->first = p->base ? ref_snapshot(p->base) : NULL;
+	p->read_once = true;
+	p->next = merge_publish(p->base, &p->intent.change,
+				MAX(epoch, floor) + 1, p->id);
+	if (!list_changes(p->base, p->next, p->subject, sizeof(p->subject)) &&
+	    epoch >= floor && p->base) {
+		set_status(&p->status, STATUS_OK,
+			   "nothing to change: epoch %" PRIu64 " by %s holds "
+			   "it already",
+			   epoch, p->heads.pointer->who);
+		return;
+	}
+	check_next(p);
+	if (problem_count(p->problems) || !plan(p))
+		refuse_invalid(p);
+	else if (sweep_is_due(p))
+		sweep(p, out);
+	else
+		upload_or_commit(p, out);
+}
+
+/* Reads the parts in force that are not here yet, then builds. */
+static void fetch_or_build(struct publish *p, struct change_action *out)
+{
+	char key[PART_KEY_MAX];
+
+	unref_snapshot(p->base);
+	p->base = NULL;
+	if (!p->heads.pointer) {
+		build(p, out);
+		return;
+	}
+	if (p->asked)
+		g_array_free(p->asked, TRUE);
+	p->asked = missing_parts(p->assembly, p->heads.pointer);
+	if (!p->asked->len) {
+		p->base = assemble(p->assembly, p->heads.pointer);
+		build(p, out);
+		return;
+	}
+	clear_txn(p->txn);
+	for (guint i = 0; i < p->asked->len && i < GETS_MAX; i++)
+		add_get(p->txn,
+			part_key(&g_array_index(p->asked, struct part_ref, i),
+				 key));
+	p->step = PUBLISH_FETCHING;
+	out->kind = CHANGE_COMMIT;
+	out->txn = view_txn(p->txn);
+}
+
+static void on_heads(struct publish *p, const struct store_answer *a,
+		     struct change_action *out)
+{
+	release_heads(&p->heads);
+	if (read_heads(&p->heads, a, &p->status) == STATUS_OK)
+		fetch_or_build(p, out);
+}
+
+static void on_parts(struct publish *p, const struct store_answer *a,
+		     struct change_action *out)
+{
+	char key[PART_KEY_MAX];
+
+	for (guint i = 0; i < p->asked->len && i < GETS_MAX; i++) {
+		const struct part_ref *part =
+			&g_array_index(p->asked, struct part_ref, i);
+		const struct store_entry *e =
+			find_entry(a, part_key(part, key));
+
+		if (e && add_part(p->assembly, part, e->value, e->len))
+			continue;
+		set_status(&p->status, STATUS_CORRUPT,
+			   "the store does not hold what %s names", key);
+		start_over(p, out);
+		return;
+	}
+	fetch_or_build(p, out);
+}
+
+static void on_lost_race(struct publish *p, struct change_action *out)
+{
+	set_status(&p->status, STATUS_CONFLICT,
+		   "not published: others kept publishing; try again");
+	start_over(p, out);
+}
+
+static void on_commit(struct publish *p, const struct store_answer *a,
+		      struct change_action *out)
+{
+	step_commit(&p->commit, a, out);
+	switch (p->commit.outcome) {
+	case COMMIT_OPEN:
+		break;
+	case COMMIT_ACCEPTED:
+		p->made = true;
+		set_status(&p->status, STATUS_OK, "epoch %" PRIu64 " published",
+			   p->pointer->epoch);
+		break;
+	case COMMIT_CONFLICT:
+		on_lost_race(p, out);
+		break;
+	case COMMIT_UNAVAILABLE:
+		set_status(&p->status, STATUS_UNAVAILABLE,
+			   "not published: the store cannot be reached");
+		break;
+	case COMMIT_UNKNOWN:
+		set_status(&p->status, STATUS_UNKNOWN,
+			   "may or may not be published: the store's answer "
+			   "was lost; look for id %s in 'baobabvalve audit'",
+			   p->id);
+		break;
+	}
+}
+
+static void on_answer(struct publish *p, const struct store_answer *a,
+		      struct change_action *out)
+{
+	if (a->status.kind != STATUS_OK) {
+		p->status = a->status;
+		start_over(p, out);
+		return;
+	}
+	switch (p->step) {
+	case PUBLISH_READING:
+		on_heads(p, a, out);
+		break;
+	case PUBLISH_FETCHING:
+		on_parts(p, a, out);
+		break;
+	case PUBLISH_UPLOADING:
+		upload_or_commit(p, out);
+		break;
+	case PUBLISH_SWEEPING:
+		if (a->succeeded)
+			read_heads_again(p, out);
+		else
+			on_lost_race(p, out);
+		break;
+	case PUBLISH_START:
+	case PUBLISH_COMMITTING:
+		break;
+	}
+}
+
+void step_publish(struct publish *p, const struct store_answer *a,
+		  struct change_action *out)
+{
+	memset(out, 0, sizeof(*out));
+	out->kind = CHANGE_DONE;
+	if (p->step == PUBLISH_START)
+		read_heads_again(p, out);
+	else if (p->step == PUBLISH_COMMITTING)
+		on_commit(p, a, out);
+	else
+		on_answer(p, a, out);
+}
--- /dev/null
+++ b/config/store-call.h
@@ -0,0 +1,90 @@
+#ifndef CONFIG_STORE_CALL_H
+#define CONFIG_STORE_CALL_H
+
+/*
+ * Calls to the platform's key-value service and their answers, as plain data.
+ * Deciding code states calls and reads answers; store/ carries them out.
+ */
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/status.h"
+
+#define STORE_VALUE_MAX (1000 * 1000) /* bytes of one value */
+#define STORE_TXN_MAX 100	      /* operations in one transaction */
+
+struct store_entry {
+	char *key;
+	void *value;
+	size_t len;
+	uint64_t mod_revision; /* store revision of its last change */
+	bool deleted;	       /* in watch answers only */
+};
+
+/*
+ * An answer; valid during the callback. KIND is STATUS_OK if the store
+ * answered, STATUS_UNAVAILABLE if the call had no effect, STATUS_UNKNOWN if
+ * it may have had one.
+ */
+struct store_answer {
+	struct status status;
+	bool succeeded;	   /* transactions: all comparisons held */
+	uint64_t revision; /* of the store when it answered */
+	uint64_t lease;	   /* granted lease */
+	struct store_entry *entries;
+	size_t entry_nr;
+};
+
+/* Keys from KEY up to but without END; KEY alone if END is NULL. */
+struct store_range {
+	const char *key;
+	const char *end;
+	uint32_t limit; /* entries at most; 0 for no limit */
+};
+
+enum store_op_kind { STORE_PUT, STORE_DELETE, STORE_GET };
+
+struct store_op {
+	enum store_op_kind kind;
+	const char *key;
+	const char *end;   /* of a delete or get: end of a range, or NULL */
+	const void *value; /* of a put */
+	size_t len;
+	uint64_t lease; /* of a put; 0 for none */
+};
+
+struct store_compare {
+	const char *key;
+	uint64_t mod_revision; /* 0: the key must not exist */
+};
+
+struct store_txn {
+	const struct store_compare *compares;
+	size_t compare_nr;
+	const struct store_op *ops;
+	size_t op_nr;
+};
+
+/* What a change to the store wants done next. */
+enum change_kind {
+	CHANGE_RANGE,  /* read RANGE and hand the answer in */
+	CHANGE_COMMIT, /* commit TXN and hand the answer in */
+	CHANGE_WAIT,   /* call again after WAIT_MS without an answer */
+	CHANGE_DONE    /* nothing more */
+};
+
+/* Pointers live until the change's next step. */
+struct change_action {
+	enum change_kind kind;
+	struct store_range range;
+	struct store_txn txn;
+	uint32_t wait_ms;
+};
+
+/* The entry of A with KEY, or NULL. */
+const struct store_entry *find_entry(const struct store_answer *a,
+				     const char *key);
+
+#endif
--- /dev/null
+++ b/fleet/reader.c
@@ -0,0 +1,38 @@
+#include "fleet/reader.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#define READER_SEED 0x726561646572 /* apart from other rendezvous */
+
+static uint64_t weight_of(const struct member *m)
+{
+	return XXH64(&m->id, sizeof(m->id), READER_SEED);
+}
+
+static bool outranks(const struct member *m, const struct member *self)
+{
+	uint64_t a = weight_of(m);
+	uint64_t b = weight_of(self);
+
+	return a > b || (a == b && m->id > self->id);
+}
+
+bool is_reader(const struct view *v)
+{
+	const struct member *self = find_member(v, view_self(v));
+	const struct member *ms;
+	unsigned int above = 0;
+	size_t nr;
+
+	if (!self)
+		return true;
+	ms = view_members(v, &nr);
+	for (size_t i = 0; i < nr && above < READERS_PER_DOMAIN; i++)
+		if (ms[i].id != self->id &&
+		    (ms[i].state == MEMBER_ALIVE ||
+		     ms[i].state == MEMBER_SUSPECT) &&
+		    !strcmp(ms[i].domain, self->domain))
+			above += outranks(&ms[i], self);
+	return above < READERS_PER_DOMAIN;
+}
--- a/net/admin.c
+++ b/net/admin.c
@@ -38,6 +38,19 @@
 	return list;
 }
 
+static json_t *domains_json(const struct admin_source *src)
+{
+	const struct domain_set *ds = src->domains(src->data);
+	json_t *list = json_array();
+
+	for (size_t i = 0; i < ds->nr; i++)
+		json_array_append_new(
+			list, json_pack("{s:s, s:b, s:I}", "name",
+					ds->at[i].name, "out", ds->at[i].out,
+					"epoch", (json_int_t)ds->at[i].epoch));
+	return list;
+}
+
 static json_t *members_json(const struct admin_source *src)
 {
 	json_t *list = json_array();
@@ -63,21 +76,36 @@
 	return j;
 }
 
+static json_t *age_json(uint64_t age)
+{
+	return age == UINT64_MAX ? json_null() : json_integer((json_int_t)age);
+}
+
 static char *status_text(const struct admin_source *src)
 {
 	const struct snapshot *sn = src->snapshot(src->data);
-	uint64_t age = src->store_age_ms(src->data);
-	json_t *j = json_pack(
-		"{s:s, s:s, s:I, s:o, s:I, s:o, s:o, s:o}", "name",
-		src->settings->name, "domain", src->settings->domain, "epoch",
-		(json_int_t)(sn ? snapshot_epoch(sn) : 0), "store-age-ms",
-		age == UINT64_MAX ? json_null() : json_integer((json_int_t)age),
-		"open-requests", (json_int_t)src->open_requests(src->data),
-		"members", members_json(src), "services",
-		services_json(src, sn), "counters",
-		counters_json(src->counters));
-	char *text = json_dumps(j, JSON_INDENT(1));
+	uint64_t epoch = sn ? snapshot_epoch(sn) : 0;
+	json_t *j = json_object();
+	char *text;
 
+	json_object_set_new(j, "name", json_string(src->settings->name));
+	json_object_set_new(j, "domain", json_string(src->settings->domain));
+	json_object_set_new(j, "epoch", json_integer((json_int_t)epoch));
+	json_object_set_new(j, "publish-id",
+			    sn ? json_string(snapshot_publish_id(sn))
+			       : json_null());
+	json_object_set_new(j, "reader",
+			    json_boolean(src->is_reader(src->data)));
+	json_object_set_new(j, "store-age-ms",
+			    age_json(src->store_age_ms(src->data)));
+	json_object_set_new(
+		j, "open-requests",
+		json_integer((json_int_t)src->open_requests(src->data)));
+	json_object_set_new(j, "domains", domains_json(src));
+	json_object_set_new(j, "members", members_json(src));
+	json_object_set_new(j, "services", services_json(src, sn));
+	json_object_set_new(j, "counters", counters_json(src->counters));
+	text = json_dumps(j, JSON_INDENT(1));
 	json_decref(j);
 	return text;
 }
--- a/net/admin.h
+++ b/net/admin.h
@@ -6,6 +6,7 @@
 #include <uv.h>
 
 #include "base/counters.h"
+#include "config/domains.h"
 #include "config/settings.h"
 #include "config/snapshot.h"
 #include "fleet/view.h"
@@ -16,7 +17,9 @@
 	const struct counters *counters;
 	const struct view *view;
 	const struct snapshot *(*snapshot)(void *data); /* NULL before one */
+	const struct domain_set *(*domains)(void *data);
 	uint64_t (*store_age_ms)(void *data); /* UINT64_MAX: never reached */
+	bool (*is_reader)(void *data);	      /* follows the store */
 	size_t (*open_requests)(void *data);
 	void *data;
 };
--- a/net/daemon.c
+++ b/net/daemon.c
@@ -6,14 +6,11 @@
 
 #include "net/admin.h"
 #include "net/entry.h"
-#include "net/files.h"
 #include "net/flow-port.h"
 #include "net/log.h"
-#include "store/keys.h"
-#include "store/store.h"
+#include "net/source.h"
 
-#define STORE_READ_MS 500 /* between two reads of the store */
-#define STOP_CHECK_MS 20  /* between two looks whether all is done */
+#define STOP_CHECK_MS 20 /* between two looks whether all is done */
 
 struct daemon {
 	uv_loop_t loop;
@@ -27,28 +24,28 @@
 	struct flow_port *flow_port;
 	struct http_server *admin;
 	struct admin_source admin_source;
-	struct store *store;
-	uint64_t store_contact; /* loop time of the last answer, 0 if none */
-	uv_timer_t read_timer;
+	struct source *source; /* NULL until it has started */
+	struct domain_set domains;
 	uv_timer_t stop_timer;
+	uv_signal_t sighup;
 	uv_signal_t sigterm;
 	uv_signal_t sigint;
 	uint64_t stop_deadline; /* loop time */
 	bool stopping;
 };
 
-static void apply_snapshot(struct daemon *d, struct snapshot *sn)
+static void apply_snapshot(const struct snapshot *sn, void *data)
 {
+	struct daemon *d = data;
 	uint64_t now = uv_now(&d->loop);
 
 	if (d->snapshot && snapshot_epoch(sn) <= snapshot_epoch(d->snapshot)) {
 		if (snapshot_epoch(sn) < snapshot_epoch(d->snapshot))
 			count(&d->counters, COUNT_CONFIG_STALE);
-		unref_snapshot(sn);
 		return;
 	}
 	unref_snapshot(d->snapshot);
-	d->snapshot = sn;
+	d->snapshot = ref_snapshot(sn);
 	count(&d->counters, COUNT_CONFIG_APPLIED);
 	set_flow_snapshot(d->flows, sn, now);
 	set_request_snapshot(d->requests, sn, now);
@@ -59,61 +56,45 @@
 		   snapshot_service_nr(sn), snapshot_upstream_nr(sn));
 }
 
-static void on_config(const struct store_answer *a, void *data)
+static void apply_domain(const struct domain_record *rec, void *data)
 {
 	struct daemon *d = data;
-	struct snapshot *sn;
-	struct status st;
 
-	if (a->status.kind != STATUS_OK)
-		return;
-	d->store_contact = uv_now(&d->loop);
-	if (!a->entry_nr)
+	if (!merge_domain_record(&d->domains, rec)) {
+		count(&d->counters, COUNT_CONFIG_STALE);
 		return;
-	sn = decode_snapshot(a->entries[0].value, a->entries[0].len, &st);
-	if (sn)
-		apply_snapshot(d, sn);
-	else
-		count(&d->counters, COUNT_CONFIG_CORRUPT);
+	}
+	set_domain_out(d->view, rec->name, rec->out);
+	log_change("domain %s is %s: epoch %llu", rec->name,
+		   rec->out ? "out" : "in", (unsigned long long)rec->epoch);
 }
 
-static void on_read_timer(uv_timer_t *timer)
+static const struct snapshot *get_snapshot(void *data)
 {
-	struct daemon *d = timer->data;
+	const struct daemon *d = data;
 
-	range_store(d->store, KEY_CONFIG, false, on_config, d);
+	return d->snapshot;
 }
 
-/* Puts the local directory's service files in force, if they are right. */
-static bool load_local(struct daemon *d)
+static const struct domain_set *get_domains(void *data)
 {
-	struct problems *ps = create_problems();
-	const char *path = d->settings->directory;
-	struct snapshot *sn = load_services(&path, 1, 1, "local", ps);
-
-	for (size_t i = 0; problem_at(ps, i); i++)
-		log_problem("%s", problem_at(ps, i));
-	destroy_problems(ps);
-	if (!sn)
-		return false;
-	apply_snapshot(d, sn);
-	return true;
+	const struct daemon *d = data;
+
+	return &d->domains;
 }
 
-static const struct snapshot *get_snapshot(void *data)
+static uint64_t get_store_age(void *data)
 {
 	const struct daemon *d = data;
 
-	return d->snapshot;
+	return d->source ? source_contact_age_ms(d->source) : UINT64_MAX;
 }
 
-static uint64_t get_store_age(void *data)
+static bool get_is_reader(void *data)
 {
 	const struct daemon *d = data;
 
-	if (!d->store_contact)
-		return UINT64_MAX;
-	return uv_now(&d->loop) - d->store_contact;
+	return d->source && source_is_reader(d->source);
 }
 
 static size_t get_open_requests(void *data)
@@ -125,14 +106,14 @@
 
 static void close_daemon(struct daemon *d)
 {
-	uv_close((uv_handle_t *)&d->read_timer, NULL);
 	uv_close((uv_handle_t *)&d->stop_timer, NULL);
+	uv_close((uv_handle_t *)&d->sighup, NULL);
 	uv_close((uv_handle_t *)&d->sigterm, NULL);
 	uv_close((uv_handle_t *)&d->sigint, NULL);
 	destroy_http_server(d->admin);
 	destroy_flow_port(d->flow_port);
 	destroy_entry(d->entry);
-	destroy_store(d->store);
+	destroy_source(d->source);
 }
 
 static void on_stop_timer(uv_timer_t *timer)
@@ -163,16 +144,26 @@
 		       STOP_CHECK_MS);
 }
 
+static void on_reload(uv_signal_t *sig, int signum)
+{
+	struct daemon *d = sig->data;
+
+	(void)signum;
+	if (d->source)
+		reload_source(d->source);
+}
+
 static void init_handles(struct daemon *d)
 {
-	uv_timer_init(&d->loop, &d->read_timer);
 	uv_timer_init(&d->loop, &d->stop_timer);
+	uv_signal_init(&d->loop, &d->sighup);
 	uv_signal_init(&d->loop, &d->sigterm);
 	uv_signal_init(&d->loop, &d->sigint);
-	d->read_timer.data = d;
 	d->stop_timer.data = d;
+	d->sighup.data = d;
 	d->sigterm.data = d;
 	d->sigint.data = d;
+	uv_signal_start(&d->sighup, on_reload, SIGHUP);
 	uv_signal_start(&d->sigterm, on_signal, SIGTERM);
 	uv_signal_start(&d->sigint, on_signal, SIGINT);
 }
@@ -211,9 +202,11 @@
 
 static bool start_daemon(struct daemon *d)
 {
+	struct source_sink sink = { apply_snapshot, apply_domain, d };
 	struct admin_source src = {
-		d->settings,   &d->counters,	  d->view, get_snapshot,
-		get_store_age, get_open_requests, d
+		d->settings,   &d->counters,	  d->view,
+		get_snapshot,  get_domains,	  get_store_age,
+		get_is_reader, get_open_requests, d
 	};
 
 	d->admin_source = src;
@@ -223,12 +216,9 @@
 	init_handles(d);
 	if (!open_ports(d))
 		return false;
-	if (!d->settings->store.nr)
-		return load_local(d);
-	d->store =
-		create_etcd_store(&d->loop, &d->settings->store, &d->counters);
-	uv_timer_start(&d->read_timer, on_read_timer, 0, STORE_READ_MS);
-	return true;
+	d->source = create_source(&d->loop, d->settings, d->view, &d->counters,
+				  &sink);
+	return d->source;
 }
 
 int run_daemon(const struct settings *settings)
--- a/net/http-server.c
+++ b/net/http-server.c
@@ -95,16 +95,16 @@
 	g_free(w);
 }
 
-static void send_answer(struct http_exchange *ex, struct http_message *answer)
+/* Writes BYTES, which it takes over. */
+static void send_bytes(struct http_exchange *ex, GByteArray *bytes,
+		       bool close_after)
 {
 	struct http_write *w = g_new0(struct http_write, 1);
 	uv_buf_t buf;
 
-	w->bytes = g_byte_array_new();
-	w->close_after = !answer->keep_alive;
+	w->bytes = bytes;
+	w->close_after = close_after;
 	w->req.data = w;
-	write_http_answer(answer, w->bytes);
-	destroy_http_message(answer);
 	buf = uv_buf_init((char *)w->bytes->data, w->bytes->len);
 	if (uv_write(&w->req, (uv_stream_t *)&ex->tcp, &buf, 1, on_written) <
 	    0) {
@@ -114,6 +114,29 @@
 	}
 }
 
+static void send_answer(struct http_exchange *ex, struct http_message *answer)
+{
+	GByteArray *bytes = g_byte_array_new();
+	bool close_after = !answer->keep_alive;
+
+	write_http_answer(answer, bytes);
+	destroy_http_message(answer);
+	send_bytes(ex, bytes, close_after);
+}
+
+void drop_http(struct http_exchange *ex)
+{
+	close_exchange(ex);
+}
+
+void write_http_raw(struct http_exchange *ex, const void *data, size_t len)
+{
+	GByteArray *bytes = g_byte_array_new();
+
+	g_byte_array_append(bytes, data, (guint)len);
+	send_bytes(ex, bytes, false);
+}
+
 /* Answers a request that could not be read, and closes. */
 static void send_error(struct http_exchange *ex)
 {
--- a/net/http-server.h
+++ b/net/http-server.h
@@ -43,6 +43,12 @@
 /* Sends ANSWER (taken over) and ends EX. */
 void answer_http(struct http_exchange *ex, struct http_message *answer);
 
+/* Closes the connection of EX without an answer. */
+void drop_http(struct http_exchange *ex);
+
+/* Sends LEN bytes as they are, as part of an answer that never ends. */
+void write_http_raw(struct http_exchange *ex, const void *data, size_t len);
+
 /* Per-exchange pointer of the handler's. */
 void set_exchange_data(struct http_exchange *ex, void *data);
 void *exchange_data(const struct http_exchange *ex);
--- a/stand-in/store.c
+++ b/stand-in/store.c
@@ -1,6 +1,19 @@
 /*
  * store-stand-in: the platform's key-value service for tests and the demo.
- * Speaks the part of the etcd v3 JSON gateway that the system uses.
+ * Speaks the part of the etcd v3 JSON gateway that the system uses. Faults
+ * are set by POST /stand-in/fault with a JSON object:
+ *
+ *	slow-ms N	answers come N milliseconds late
+ *	down BOOL	calls are dropped without an effect
+ *	drop-after N	the next N writes take effect and get no answer
+ *	die-after BOOL	the next write takes effect, is saved to the file
+ *			given on the command line, and ends the process
+ *	silent-watch BOOL	watches deliver nothing
+ *	lapse-lease ID	ends a lease; 0 ends all
+ *	save BOOL	keeps a copy of all keys
+ *	restore BOOL	goes back to the copy
+ *
+ * GET /stand-in/calls tells how many calls came, a watch being one.
  */
 
 #include <stdio.h>
@@ -11,45 +24,329 @@
 #include "stand-in/kv.h"
 
 #define BODY_MAX (8 * 1024 * 1024) /* bytes */
+#define EXPIRE_MS 100		   /* between two looks at the leases */
 
-static json_t *serve(struct kv *kv, const char *target, const json_t *body)
+struct faults {
+	uint64_t slow_ms;
+	bool down;
+	uint64_t drop_after;
+	bool die_after;
+	bool silent_watch;
+};
+
+struct server {
+	uv_loop_t *loop;
+	uv_timer_t timer;
+	struct kv *kv;
+	struct faults faults;
+	json_t *saved;
+	const char *file; /* NULL: none */
+	GHashTable *watches;
+	uint64_t calls;
+};
+
+struct watch {
+	struct server *s;
+	struct http_exchange *ex;
+	json_t *create;
+	uint64_t revision; /* first not delivered */
+};
+
+/* An answer that waits for its time. */
+struct late_answer {
+	uv_timer_t timer;
+	struct http_exchange *ex; /* NULL: the caller left */
+	struct http_message *answer;
+};
+
+/* What an exchange's data points at. */
+struct pending {
+	struct watch *watch;
+	struct late_answer *late;
+};
+
+static struct http_message *json_answer(const json_t *j)
+{
+	struct http_message *m = create_http_message();
+	char *text = j ? json_dumps(j, JSON_COMPACT) : NULL;
+
+	m->code = text ? 200 : 400;
+	set_http_body(m, text ? text : "{}");
+	free(text);
+	return m;
+}
+
+static void free_late(uv_handle_t *handle)
+{
+	g_free(handle->data);
+}
+
+static void on_late(uv_timer_t *timer)
+{
+	struct late_answer *late = timer->data;
+
+	if (late->ex) {
+		g_free(exchange_data(late->ex));
+		set_exchange_data(late->ex, NULL);
+		answer_http(late->ex, late->answer);
+	} else {
+		destroy_http_message(late->answer);
+	}
+	uv_close((uv_handle_t *)timer, free_late);
+}
+
+static void answer(struct server *s, struct http_exchange *ex, const json_t *j)
+{
+	struct http_message *m = json_answer(j);
+	struct pending *p;
+
+	if (!s->faults.slow_ms) {
+		answer_http(ex, m);
+		return;
+	}
+	p = g_new0(struct pending, 1);
+	p->late = g_new0(struct late_answer, 1);
+	p->late->ex = ex;
+	p->late->answer = m;
+	set_exchange_data(ex, p);
+	uv_timer_init(s->loop, &p->late->timer);
+	p->late->timer.data = p->late;
+	uv_timer_start(&p->late->timer, on_late, s->faults.slow_ms, 0);
+}
+
+static void send_line(struct http_exchange *ex, const json_t *j)
+{
+	char *text = json_dumps(j, JSON_COMPACT);
+	char *chunk =
+		g_strdup_printf("%zx\r\n%s\n\r\n", strlen(text) + 1, text);
+
+	write_http_raw(ex, chunk, strlen(chunk));
+	g_free(chunk);
+	free(text);
+}
+
+static void deliver(struct watch *w)
+{
+	json_t *events = kv_events(w->s->kv, w->create, &w->revision);
+
+	if (events && !w->s->faults.silent_watch)
+		send_line(w->ex, events);
+	json_decref(events);
+}
+
+static void deliver_all(struct server *s)
+{
+	GHashTableIter it;
+	gpointer w;
+
+	g_hash_table_iter_init(&it, s->watches);
+	while (g_hash_table_iter_next(&it, &w, NULL))
+		deliver(w);
+}
+
+static void start_watch(struct server *s, struct http_exchange *ex,
+			const json_t *body)
+{
+	static const char head[] = "HTTP/1.1 200 OK\r\n"
+				   "Content-Type: application/json\r\n"
+				   "Transfer-Encoding: chunked\r\n\r\n";
+	struct watch *w = g_new0(struct watch, 1);
+	struct pending *p = g_new0(struct pending, 1);
+	const char *from;
+	json_t *created;
+
+	w->s = s;
+	w->ex = ex;
+	w->create = json_incref(json_object_get(body, "create_request"));
+	from = json_string_value(json_object_get(w->create, "start_revision"));
+	w->revision = from ? strtoull(from, NULL, 10) : kv_revision(s->kv) + 1;
+	p->watch = w;
+	set_exchange_data(ex, p);
+	g_hash_table_add(s->watches, w);
+	write_http_raw(ex, head, strlen(head));
+	created =
+		json_pack("{s:{s:{s:I}, s:b}}", "result", "header", "revision",
+			  (json_int_t)kv_revision(s->kv), "created", 1);
+	send_line(ex, created);
+	json_decref(created);
+	deliver(w);
+}
+
+static void on_gone(struct http_exchange *ex, void *data)
+{
+	struct pending *p = exchange_data(ex);
+	struct server *s = data;
+
+	if (!p)
+		return;
+	if (p->late)
+		p->late->ex = NULL;
+	if (p->watch) {
+		g_hash_table_remove(s->watches, p->watch);
+		json_decref(p->watch->create);
+		g_free(p->watch);
+	}
+	g_free(p);
+}
+
+static void load_saved(struct server *s)
+{
+	if (s->saved)
+		kv_load(s->kv, s->saved);
+}
+
+static void set_fault(struct server *s, const char *name, const json_t *value)
+{
+	uint64_t n = (uint64_t)json_integer_value(value);
+	bool on = json_is_true(value);
+
+	if (!strcmp(name, "slow-ms"))
+		s->faults.slow_ms = n;
+	else if (!strcmp(name, "down"))
+		s->faults.down = on;
+	else if (!strcmp(name, "drop-after"))
+		s->faults.drop_after = n;
+	else if (!strcmp(name, "die-after"))
+		s->faults.die_after = on;
+	else if (!strcmp(name, "silent-watch"))
+		s->faults.silent_watch = on;
+	else if (!strcmp(name, "lapse-lease"))
+		kv_lapse(s->kv, n);
+	else if (!strcmp(name, "restore"))
+		load_saved(s);
+	else if (!strcmp(name, "save")) {
+		json_decref(s->saved);
+		s->saved = kv_dump(s->kv);
+	}
+}
+
+static void set_faults(struct server *s, struct http_exchange *ex, json_t *body)
 {
+	json_t *done = json_object();
+	const char *name;
+	const json_t *value;
+
+	json_object_foreach(body, name, value) set_fault(s, name, value);
+	answer_http(ex, json_answer(done));
+	json_decref(done);
+}
+
+static void tell_calls(const struct server *s, struct http_exchange *ex)
+{
+	json_t *j = json_pack("{s:I}", "calls", (json_int_t)s->calls);
+
+	answer_http(ex, json_answer(j));
+	json_decref(j);
+}
+
+static json_t *serve(struct server *s, const char *target, const json_t *body)
+{
+	uint64_t now = uv_now(s->loop);
+
 	if (!strcmp(target, "/v3/kv/range"))
-		return kv_range(kv, body);
+		return kv_range(s->kv, body);
 	if (!strcmp(target, "/v3/kv/txn"))
-		return kv_txn(kv, body);
+		return kv_txn(s->kv, body);
+	if (!strcmp(target, "/v3/lease/grant"))
+		return kv_grant(s->kv, body, now);
+	if (!strcmp(target, "/v3/lease/keepalive"))
+		return kv_keep(s->kv, body, now);
 	return NULL;
 }
 
+static void die(const struct server *s)
+{
+	json_t *dump = kv_dump(s->kv);
+
+	if (s->file)
+		json_dump_file(dump, s->file, JSON_COMPACT);
+	json_decref(dump);
+	_Exit(0);
+}
+
+static void call(struct server *s, struct http_exchange *ex, const char *target,
+		 const json_t *body)
+{
+	uint64_t before = kv_revision(s->kv);
+	json_t *j = serve(s, target, body);
+	bool written = kv_revision(s->kv) != before;
+
+	if (written && s->faults.die_after)
+		die(s);
+	if (written)
+		deliver_all(s);
+	if (written && s->faults.drop_after) {
+		s->faults.drop_after--;
+		drop_http(ex);
+	} else {
+		answer(s, ex, j);
+	}
+	json_decref(j);
+}
+
 static void on_request(struct http_exchange *ex, const struct http_message *m,
 		       void *data)
 {
+	struct server *s = data;
 	json_t *body =
 		json_loadb((const char *)m->body->data, m->body->len, 0, NULL);
-	json_t *j = body ? serve(data, m->target, body) : NULL;
-	struct http_message *answer = create_http_message();
-	char *text = j ? json_dumps(j, JSON_COMPACT) : NULL;
 
-	answer->code = text ? 200 : 400;
-	set_http_body(answer, text ? text : "{}");
-	free(text);
-	json_decref(j);
+	if (!strcmp(m->target, "/stand-in/fault")) {
+		set_faults(s, ex, body);
+	} else if (!strcmp(m->target, "/stand-in/calls")) {
+		tell_calls(s, ex);
+	} else if (s->faults.down) {
+		drop_http(ex);
+	} else {
+		s->calls++;
+		if (!strcmp(m->target, "/v3/watch"))
+			start_watch(s, ex, body);
+		else
+			call(s, ex, m->target, body);
+	}
 	json_decref(body);
-	answer_http(ex, answer);
+}
+
+static void on_expire(uv_timer_t *timer)
+{
+	struct server *s = timer->data;
+	uint64_t before = kv_revision(s->kv);
+
+	kv_expire(s->kv, uv_now(s->loop));
+	if (kv_revision(s->kv) != before)
+		deliver_all(s);
+}
+
+static void load_file(const struct server *s)
+{
+	json_t *dump = json_load_file(s->file, 0, NULL);
+
+	if (dump)
+		kv_load(s->kv, dump);
+	json_decref(dump);
 }
 
 int main(int argc, char **argv)
 {
-	struct kv *kv = create_kv();
-	struct http_handler handler = { on_request, NULL, kv };
+	static struct server s;
+	struct http_handler handler = { on_request, on_gone, &s };
 	struct endpoint at;
 	struct status st;
 
-	if (argc != 2 || parse_endpoint(argv[1], &at, &st) != STATUS_OK ||
-	    !create_http_server(uv_default_loop(), &at, BODY_MAX, &handler,
-				&st)) {
-		fprintf(stderr, "usage: store-stand-in ADDRESS:PORT\n");
+	s.loop = uv_default_loop();
+	s.kv = create_kv();
+	s.watches = g_hash_table_new(NULL, NULL);
+	if ((argc != 2 && argc != 3) ||
+	    parse_endpoint(argv[1], &at, &st) != STATUS_OK ||
+	    !create_http_server(s.loop, &at, BODY_MAX, &handler, &st)) {
+		fprintf(stderr, "usage: store-stand-in ADDRESS:PORT [FILE]\n");
 		return 1;
 	}
-	return uv_run(uv_default_loop(), UV_RUN_DEFAULT);
+	s.file = argc == 3 ? argv[2] : NULL;
+	if (s.file)
+		load_file(&s);
+	uv_timer_init(s.loop, &s.timer);
+	s.timer.data = &s;
+	uv_timer_start(&s.timer, on_expire, EXPIRE_MS, EXPIRE_MS);
+	return uv_run(s.loop, UV_RUN_DEFAULT);
 }
--- a/store/etcd-json.c
+++ b/store/etcd-json.c
@@ -23,15 +23,6 @@
 	return json_sprintf("%llu", (unsigned long long)v);
 }
 
-char *prefix_end(const char *prefix)
-{
-	char *end = g_strdup(prefix);
-	size_t len = strlen(end);
-
-	end[len - 1]++;
-	return end;
-}
-
 static char *dump_and_free(json_t *j)
 {
 	char *text = json_dumps(j, JSON_COMPACT);
@@ -40,19 +31,43 @@
 	return text;
 }
 
-char *write_range_json(const char *key, bool prefix)
+/* {"key": ..., "range_end": ...} */
+static json_t *keys_json(const char *key, const char *end)
 {
 	json_t *j = json_pack("{s:o}", "key", base64_text(key));
-	char *end;
 
-	if (prefix) {
-		end = prefix_end(key);
+	if (end)
 		json_object_set_new(j, "range_end", base64_text(end));
-		g_free(end);
-	}
+	return j;
+}
+
+char *write_range_json(const struct store_range *r)
+{
+	json_t *j = keys_json(r->key, r->end);
+
+	if (r->limit)
+		json_object_set_new(j, "limit", uint_json(r->limit));
 	return dump_and_free(j);
 }
 
+char *write_watch_json(const struct store_range *r, uint64_t revision)
+{
+	json_t *j = keys_json(r->key, r->end);
+
+	json_object_set_new(j, "start_revision", uint_json(revision));
+	return dump_and_free(json_pack("{s:o}", "create_request", j));
+}
+
+char *write_grant_json(uint32_t ttl_s)
+{
+	return dump_and_free(json_pack("{s:o}", "TTL", uint_json(ttl_s)));
+}
+
+char *write_lease_json(uint64_t lease)
+{
+	return dump_and_free(json_pack("{s:o}", "ID", uint_json(lease)));
+}
+
 static json_t *compare_json(const struct store_compare *c)
 {
 	return json_pack("{s:o, s:s, s:s, s:o}", "key", base64_text(c->key),
@@ -65,8 +80,11 @@
 	json_t *put;
 
 	if (op->kind == STORE_DELETE)
-		return json_pack("{s:{s:o}}", "request_delete_range", "key",
-				 base64_text(op->key));
+		return json_pack("{s:o}", "request_delete_range",
+				 keys_json(op->key, op->end));
+	if (op->kind == STORE_GET)
+		return json_pack("{s:o}", "request_range",
+				 keys_json(op->key, op->end));
 	put = json_pack("{s:o, s:o}", "key", base64_text(op->key), "value",
 			base64_json(op->value, op->len));
 	if (op->lease)
@@ -115,37 +133,117 @@
 	return true;
 }
 
-static bool read_entries(const json_t *kvs, struct store_answer *a)
+/* Appends the entries in KVS to A. */
+static bool add_entries(const json_t *kvs, struct store_answer *a)
 {
 	size_t n = json_array_size(kvs);
 
-	a->entries = g_new0(struct store_entry, n + 1);
+	a->entries =
+		g_renew(struct store_entry, a->entries, a->entry_nr + n + 1);
 	for (size_t i = 0; i < n; i++) {
-		if (!read_entry(json_array_get(kvs, i), &a->entries[i]))
+		if (!read_entry(json_array_get(kvs, i),
+				&a->entries[a->entry_nr]))
 			return false;
 		a->entry_nr++;
 	}
 	return true;
 }
 
+/* Appends what the gets of a transaction found. */
+static bool add_responses(const json_t *responses, struct store_answer *a)
+{
+	bool ok = true;
+
+	for (size_t i = 0; ok && i < json_array_size(responses); i++) {
+		const json_t *range = json_object_get(
+			json_array_get(responses, i), "response_range");
+
+		if (range)
+			ok = add_entries(json_object_get(range, "kvs"), a);
+	}
+	return ok;
+}
+
+static bool read_header(const json_t *root, struct store_answer *a)
+{
+	const json_t *header = json_object_get(root, "header");
+
+	a->revision = json_uint(json_object_get(header, "revision"));
+	return json_is_object(header);
+}
+
+static enum status_kind finish(bool ok, struct store_answer *a)
+{
+	if (ok)
+		return STATUS_OK;
+	return set_status(&a->status, STATUS_CORRUPT,
+			  "the store's answer cannot be read");
+}
+
 enum status_kind read_kv_json(const char *text, size_t len,
 			      struct store_answer *a)
 {
 	json_t *root = json_loadb(text, len, 0, NULL);
-	json_t *header = json_object_get(root, "header");
-	bool ok = json_is_object(header);
+	bool ok;
 
 	memset(a, 0, sizeof(*a));
-	if (ok) {
-		a->revision = json_uint(json_object_get(header, "revision"));
-		a->succeeded = json_is_true(json_object_get(root, "succeeded"));
-		ok = read_entries(json_object_get(root, "kvs"), a);
-	}
+	ok = read_header(root, a) &&
+	     add_entries(json_object_get(root, "kvs"), a) &&
+	     add_responses(json_object_get(root, "responses"), a);
+	a->succeeded = json_is_true(json_object_get(root, "succeeded"));
+	json_decref(root);
+	return finish(ok, a);
+}
+
+static bool add_event(const json_t *event, struct store_answer *a)
+{
+	const char *type = json_string_value(json_object_get(event, "type"));
+	struct store_entry *e;
+
+	a->entries = g_renew(struct store_entry, a->entries, a->entry_nr + 1);
+	e = &a->entries[a->entry_nr];
+	if (!read_entry(json_object_get(event, "kv"), e))
+		return false;
+	e->deleted = type && !strcmp(type, "DELETE");
+	a->entry_nr++;
+	return true;
+}
+
+enum status_kind read_watch_json(const char *text, size_t len,
+				 struct store_answer *a)
+{
+	json_t *root = json_loadb(text, len, 0, NULL);
+	const json_t *result = json_object_get(root, "result");
+	const json_t *events = json_object_get(result, "events");
+	bool ok;
+
+	memset(a, 0, sizeof(*a));
+	ok = read_header(result, a);
+	for (size_t i = 0; ok && i < json_array_size(events); i++)
+		ok = add_event(json_array_get(events, i), a);
+	if (ok && json_is_true(json_object_get(result, "canceled")))
+		set_status(&a->status, STATUS_UNAVAILABLE,
+			   "the store ended the watch");
+	json_decref(root);
+	return finish(ok, a);
+}
+
+enum status_kind read_lease_json(const char *text, size_t len,
+				 struct store_answer *a)
+{
+	json_t *root = json_loadb(text, len, 0, NULL);
+	const json_t *result = json_object_get(root, "result");
+	const json_t *lease = result ? result : root;
+	bool ok;
+
+	memset(a, 0, sizeof(*a));
+	ok = read_header(lease, a);
+	a->lease = json_uint(json_object_get(lease, "ID"));
+	if (ok && !json_uint(json_object_get(lease, "TTL")))
+		set_status(&a->status, STATUS_NOT_FOUND,
+			   "the lease has lapsed");
 	json_decref(root);
-	if (!ok)
-		return set_status(&a->status, STATUS_CORRUPT,
-				  "the store's answer is not a kv answer");
-	return STATUS_OK;
+	return finish(ok, a);
 }
 
 void release_store_answer(struct store_answer *a)
--- a/store/etcd-json.h
+++ b/store/etcd-json.h
@@ -10,18 +10,22 @@
 #include "store/store.h"
 
 /* Each returns a body to be freed with free(). */
-char *write_range_json(const char *key, bool prefix);
+char *write_range_json(const struct store_range *r);
 char *write_txn_json(const struct store_txn *txn);
+char *write_watch_json(const struct store_range *r, uint64_t revision);
+char *write_grant_json(uint32_t ttl_s);
+char *write_lease_json(uint64_t lease);
 
 /*
- * Reads an answer to a range or transaction into A. Returns STATUS_CORRUPT if
- * it is not one. Free what it allocated with release_store_answer().
+ * Each reads an answer into A and returns STATUS_CORRUPT if it is not one.
+ * Free what they allocate with release_store_answer().
  */
 enum status_kind read_kv_json(const char *text, size_t len,
 			      struct store_answer *a);
+enum status_kind read_watch_json(const char *text, size_t len,
+				 struct store_answer *a);
+enum status_kind read_lease_json(const char *text, size_t len,
+				 struct store_answer *a);
 void release_store_answer(struct store_answer *a);
 
-/* The end of the range of keys that start with PREFIX; g_free() it. */
-char *prefix_end(const char *prefix);
-
 #endif
--- a/store/etcd.c
+++ b/store/etcd.c
@@ -20,19 +20,32 @@
 	uv_loop_t *loop;
 	uv_timer_t timer;
 	CURLM *multi;
+	struct curl_slist *headers;
 	struct endpoint_list endpoints;
 	size_t current; /* endpoint in use; moves on after a failure */
 	struct counters *counters;
-	GHashTable *calls; /* struct store_call as a set */
+	GHashTable *calls;  /* struct store_call as a set */
+	GPtrArray *watches; /* those of CALLS that are watches */
+	bool delivering;    /* watches are freed later */
 };
 
+enum call_kind { CALL_KV, CALL_LEASE, CALL_WATCH };
+
+/* A call under way; a watch delivers answers until it ends. */
 struct store_call {
 	struct store *s;
+	enum call_kind kind;
 	CURL *easy;
 	char *body;
-	GByteArray *answer;
+	GByteArray *answer; /* of a watch: what was not delivered yet */
 	store_fn fn;
 	void *data;
+	bool cancelled;
+};
+
+/* A watch is a call; the type tells the two apart for callers. */
+struct store_watch {
+	struct store_call call;
 };
 
 struct poll_handle {
@@ -50,6 +63,23 @@
 	g_free(c);
 }
 
+static void drop_call(struct store_call *c)
+{
+	g_hash_table_remove(c->s->calls, c);
+	g_ptr_array_remove(c->s->watches, c);
+	free_call(c);
+}
+
+static void read_answer(const struct store_call *c, struct store_answer *a)
+{
+	const char *text = (const char *)c->answer->data;
+
+	if (c->kind == CALL_LEASE)
+		read_lease_json(text, c->answer->len, a);
+	else
+		read_kv_json(text, c->answer->len, a);
+}
+
 static void decode_answer(struct store_call *c, CURLcode code,
 			  struct store_answer *a)
 {
@@ -59,13 +89,16 @@
 	curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &http);
 	curl_easy_getinfo(c->easy, CURLINFO_REQUEST_SIZE, &sent);
 	memset(a, 0, sizeof(*a));
-	if (code == CURLE_OK && http == 200) {
-		read_kv_json((const char *)c->answer->data, c->answer->len, a);
+	if (code == CURLE_OK && http == 200 && c->kind != CALL_WATCH) {
+		read_answer(c, a);
 		return;
 	}
 	count(c->s->counters, COUNT_STORE_FAILURES);
 	c->s->current = (c->s->current + 1) % c->s->endpoints.nr;
-	if (code == CURLE_OK)
+	if (c->kind == CALL_WATCH)
+		set_status(&a->status, STATUS_UNAVAILABLE,
+			   "the watch has ended");
+	else if (code == CURLE_OK)
 		set_status(&a->status, STATUS_UNKNOWN,
 			   "the store answered HTTP %ld", http);
 	else
@@ -82,24 +115,69 @@
 	void *data = c->data;
 
 	decode_answer(c, code, &a);
-	g_hash_table_remove(c->s->calls, c);
-	free_call(c);
+	drop_call(c);
 	fn(&a, data);
 	release_store_answer(&a);
 }
 
+/* Delivers the first whole line that a watch holds; false if there is none. */
+static bool deliver_line(struct store_call *c)
+{
+	const guint8 *end;
+	struct store_answer a;
+	size_t len;
+
+	if (!c->answer->len || c->cancelled)
+		return false;
+	end = memchr(c->answer->data, '\n', c->answer->len);
+	if (!end)
+		return false;
+	len = (size_t)(end - c->answer->data);
+	if (len) {
+		read_watch_json((const char *)c->answer->data, len, &a);
+		if (a.status.kind != STATUS_OK)
+			c->cancelled = true;
+		c->fn(&a, c->data);
+		release_store_answer(&a);
+	}
+	g_byte_array_remove_range(c->answer, 0, (guint)len + 1);
+	return true;
+}
+
+static void deliver_watches(struct store *s)
+{
+	s->delivering = true;
+	for (guint i = 0; i < s->watches->len; i++) {
+		struct store_call *c = g_ptr_array_index(s->watches, i);
+
+		while (deliver_line(c))
+			;
+	}
+	s->delivering = false;
+	for (guint i = s->watches->len; i > 0; i--) {
+		struct store_call *c = g_ptr_array_index(s->watches, i - 1);
+
+		if (c->cancelled)
+			drop_call(c);
+	}
+}
+
 static void finish_calls(struct store *s)
 {
 	CURLMsg *msg;
 	int left;
 
+	deliver_watches(s);
 	while ((msg = curl_multi_info_read(s->multi, &left))) {
 		struct store_call *c = NULL;
 
 		if (msg->msg != CURLMSG_DONE)
 			continue;
 		curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &c);
-		finish_call(c, msg->data.result);
+		if (c->cancelled)
+			drop_call(c);
+		else
+			finish_call(c, msg->data.result);
 	}
 }
 
@@ -188,8 +266,12 @@
 	s->endpoints = *endpoints;
 	s->counters = counters;
 	s->calls = g_hash_table_new(NULL, NULL);
+	s->watches = g_ptr_array_new();
 	uv_timer_init(loop, &s->timer);
 	s->timer.data = s;
+	s->headers = curl_slist_append(NULL, "Content-Type: application/json");
+	/* without this, libcurl waits a second before a large body */
+	s->headers = curl_slist_append(s->headers, "Expect:");
 	s->multi = curl_multi_init();
 	curl_multi_setopt(s->multi, CURLMOPT_SOCKETFUNCTION, watch_socket);
 	curl_multi_setopt(s->multi, CURLMOPT_SOCKETDATA, s);
@@ -214,7 +296,9 @@
 	while (g_hash_table_iter_next(&it, &c, NULL))
 		free_call(c);
 	g_hash_table_destroy(s->calls);
+	g_ptr_array_free(s->watches, TRUE);
 	curl_multi_cleanup(s->multi);
+	curl_slist_free_all(s->headers);
 	uv_timer_stop(&s->timer);
 	uv_close((uv_handle_t *)&s->timer, free_store);
 }
@@ -227,46 +311,95 @@
 	return size * n;
 }
 
-/* Posts BODY (taken over) to PATH at the current endpoint. */
-static void start_call(struct store *s, const char *path, char *body,
-		       store_fn fn, void *data)
+static struct store_call *create_call(struct store *s, enum call_kind kind,
+				      char *body, store_fn fn, void *data)
 {
-	struct store_call *c = g_new0(struct store_call, 1);
-	char at[ENDPOINT_TEXT_MAX];
-	char url[URL_MAX];
+	struct store_watch *w = g_new0(struct store_watch, 1);
+	struct store_call *c = &w->call;
 
-	format_endpoint(&s->endpoints.at[s->current], at);
-	g_snprintf(url, sizeof(url), "http://%s%s", at, path);
 	c->s = s;
+	c->kind = kind;
 	c->body = body;
 	c->answer = g_byte_array_new();
 	c->fn = fn;
 	c->data = data;
 	c->easy = curl_easy_init();
+	return c;
+}
+
+static void set_options(struct store_call *c, const char *url)
+{
 	curl_easy_setopt(c->easy, CURLOPT_URL, url);
-	curl_easy_setopt(c->easy, CURLOPT_POSTFIELDS, body);
-	curl_easy_setopt(c->easy, CURLOPT_POSTFIELDSIZE, (long)strlen(body));
+	curl_easy_setopt(c->easy, CURLOPT_HTTPHEADER, c->s->headers);
+	curl_easy_setopt(c->easy, CURLOPT_POSTFIELDS, c->body);
+	curl_easy_setopt(c->easy, CURLOPT_POSTFIELDSIZE, (long)strlen(c->body));
 	curl_easy_setopt(c->easy, CURLOPT_WRITEFUNCTION, take_bytes);
 	curl_easy_setopt(c->easy, CURLOPT_WRITEDATA, c);
 	curl_easy_setopt(c->easy, CURLOPT_PRIVATE, c);
 	curl_easy_setopt(c->easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(c->easy, CURLOPT_NOPROXY, "*");
-	curl_easy_setopt(c->easy, CURLOPT_TIMEOUT_MS, CALL_TIMEOUT_MS);
 	curl_easy_setopt(c->easy, CURLOPT_CONNECTTIMEOUT_MS,
 			 CONNECT_TIMEOUT_MS);
+	if (c->kind != CALL_WATCH)
+		curl_easy_setopt(c->easy, CURLOPT_TIMEOUT_MS, CALL_TIMEOUT_MS);
+}
+
+/* Posts BODY (taken over) to PATH at the current endpoint. */
+static struct store_call *start_call(struct store *s, enum call_kind kind,
+				     const char *path, char *body, store_fn fn,
+				     void *data)
+{
+	struct store_call *c = create_call(s, kind, body, fn, data);
+	char at[ENDPOINT_TEXT_MAX];
+	char url[URL_MAX];
+
+	format_endpoint(&s->endpoints.at[s->current], at);
+	g_snprintf(url, sizeof(url), "http://%s%s", at, path);
+	set_options(c, url);
 	count(s->counters, COUNT_STORE_CALLS);
 	g_hash_table_add(s->calls, c);
+	if (kind == CALL_WATCH)
+		g_ptr_array_add(s->watches, c);
 	curl_multi_add_handle(s->multi, c->easy);
+	return c;
 }
 
-void range_store(struct store *s, const char *key, bool prefix, store_fn fn,
+void range_store(struct store *s, const struct store_range *r, store_fn fn,
 		 void *data)
 {
-	start_call(s, "/v3/kv/range", write_range_json(key, prefix), fn, data);
+	start_call(s, CALL_KV, "/v3/kv/range", write_range_json(r), fn, data);
 }
 
 void commit_store(struct store *s, const struct store_txn *txn, store_fn fn,
 		  void *data)
 {
-	start_call(s, "/v3/kv/txn", write_txn_json(txn), fn, data);
+	start_call(s, CALL_KV, "/v3/kv/txn", write_txn_json(txn), fn, data);
+}
+
+void grant_lease(struct store *s, uint32_t ttl_s, store_fn fn, void *data)
+{
+	start_call(s, CALL_LEASE, "/v3/lease/grant", write_grant_json(ttl_s),
+		   fn, data);
+}
+
+void keep_lease(struct store *s, uint64_t lease, store_fn fn, void *data)
+{
+	start_call(s, CALL_LEASE, "/v3/lease/keepalive",
+		   write_lease_json(lease), fn, data);
+}
+
+struct store_watch *watch_store(struct store *s, const struct store_range *r,
+				uint64_t revision, store_fn fn, void *data)
+{
+	return (struct store_watch *)start_call(s, CALL_WATCH, "/v3/watch",
+						write_watch_json(r, revision),
+						fn, data);
+}
+
+void cancel_store_watch(struct store_watch *w)
+{
+	if (w->call.s->delivering)
+		w->call.cancelled = true;
+	else
+		drop_call(&w->call);
 }
--- a/store/store.h
+++ b/store/store.h
@@ -8,64 +8,18 @@
  * of struct store.
  */
 
-#include <stdbool.h>
-#include <stddef.h>
 #include <stdint.h>
 #include <uv.h>
 
 #include "base/counters.h"
 #include "base/status.h"
 #include "config/settings.h"
-
-#define STORE_VALUE_MAX (1024 * 1024) /* bytes of one value */
-#define STORE_TXN_MAX 100	      /* operations in one transaction */
+#include "config/store-call.h"
 
 struct store;
 
-struct store_entry {
-	char *key;
-	void *value;
-	size_t len;
-	uint64_t mod_revision; /* store revision of its last change */
-	bool deleted;	       /* in watch answers only */
-};
-
-/*
- * An answer; valid during the callback. KIND is STATUS_OK if the store
- * answered, STATUS_UNAVAILABLE if the call had no effect, STATUS_UNKNOWN if
- * it may have had one.
- */
-struct store_answer {
-	struct status status;
-	bool succeeded;	   /* transactions: all comparisons held */
-	uint64_t revision; /* of the store when it answered */
-	uint64_t lease;	   /* granted lease */
-	struct store_entry *entries;
-	size_t entry_nr;
-};
-
 typedef void (*store_fn)(const struct store_answer *a, void *data);
 
-struct store_op {
-	enum { STORE_PUT, STORE_DELETE } kind;
-	const char *key;
-	const void *value; /* of a put */
-	size_t len;
-	uint64_t lease; /* of a put; 0 for none */
-};
-
-struct store_compare {
-	const char *key;
-	uint64_t mod_revision; /* 0: the key must not exist */
-};
-
-struct store_txn {
-	const struct store_compare *compares;
-	size_t compare_nr;
-	const struct store_op *ops;
-	size_t op_nr;
-};
-
 /* A client of the etcd v3 JSON gateway at ENDPOINTS, on LOOP. */
 struct store *create_etcd_store(uv_loop_t *loop,
 				const struct endpoint_list *endpoints,
@@ -74,11 +28,29 @@
 /* Drops all calls without calling back; memory goes when the loop has run. */
 void destroy_store(struct store *s);
 
-/* Reads KEY, or every key that starts with it if PREFIX. */
-void range_store(struct store *s, const char *key, bool prefix, store_fn fn,
+void range_store(struct store *s, const struct store_range *r, store_fn fn,
 		 void *data);
 
 void commit_store(struct store *s, const struct store_txn *txn, store_fn fn,
 		  void *data);
 
+/* A lease of TTL_S seconds; the answer holds its number. */
+void grant_lease(struct store *s, uint32_t ttl_s, store_fn fn, void *data);
+
+/* Renews LEASE. STATUS_NOT_FOUND if it has lapsed. */
+void keep_lease(struct store *s, uint64_t lease, store_fn fn, void *data);
+
+struct store_watch;
+
+/*
+ * Watches R from REVISION on. FN gets each change, and at last an answer that
+ * is not STATUS_OK when the watch has ended by itself. A watch that stays
+ * quiet may be broken: whoever relies on it reads again now and then.
+ */
+struct store_watch *watch_store(struct store *s, const struct store_range *r,
+				uint64_t revision, store_fn fn, void *data);
+
+/* Ends the watch; FN is not called again. */
+void cancel_store_watch(struct store_watch *w);
+
 #endif
