--- a/base/wire.c
+++ b/base/wire.c
@@ -114,7 +114,7 @@
 	const msgpack_object *o = take(r, MSGPACK_OBJECT_STR);
 
 	buf[0] = '\0';
-	if (!o)
+	if (!o || !o->via.str.size)
 		return;
 	if (o->via.str.size >= size ||
 	    memchr(o->via.str.ptr, '\0', o->via.str.size)) {
--- a/t/fake-store.c
+++ b/t/fake-store.c
@@ -185,6 +185,8 @@
 		lose(fault, a);
 		return;
 	}
+	if (fault == FAKE_TWICE)
+		json_decref(apply(f, txn));
 	decode(apply(f, txn), a);
 	json_decref(txn);
 	if (fault != FAKE_AFTER)
@@ -202,7 +204,7 @@
 	f->calls++;
 	if (commits && reached)
 		commit(f, &act->txn, fault, a);
-	else if (fault == FAKE_NONE)
+	else if (fault == FAKE_NONE || fault == FAKE_TWICE)
 		decode(read_range(f, &act->range), a);
 	else
 		lose(fault, a);
--- a/t/fake-store.h
+++ b/t/fake-store.h
@@ -14,6 +14,7 @@
 	FAKE_BEFORE, /* lost before it took effect */
 	FAKE_AFTER,  /* took effect, the answer was lost */
 	FAKE_LATE,   /* the answer was lost; takes effect at flush_fake() */
+	FAKE_TWICE,  /* a library sent the call twice; the second's answer */
 	FAKE_FAULT_NR
 };
 
--- a/t/prop-publish.cc
+++ b/t/prop-publish.cc
@@ -89,6 +89,7 @@
 	bool done = false;
 	unsigned begin_step = 0;
 	unsigned end_step = 0;
+	int64_t read_epoch = -1; /* of the first whole read */
 
 	actor(const op_plan &p, unsigned i)
 		: plan(p), id("op-" + std::to_string(i))
@@ -170,6 +171,19 @@
 			       : domain_change_epoch(domain);
 	}
 
+	void note_read(const struct store_answer *a)
+	{
+		struct heads h = {};
+		struct status st;
+
+		if (a->status.kind != STATUS_OK)
+			return;
+		RC_ASSERT(read_heads(&h, a, &st) == STATUS_OK);
+		if (!h.pointer)
+			read_epoch = 0;
+		release_heads(&h);
+	}
+
 	void step(struct fake_store *f, enum fake_fault fault, unsigned now)
 	{
 		struct store_answer a = {};
@@ -180,11 +194,16 @@
 		begun = true;
 		if (call)
 			call_fake(f, &act, fault, &a);
+		if (call && act.kind == CHANGE_RANGE && read_epoch < 0)
+			note_read(&a);
 		if (publish)
 			step_publish(publish, call ? &a : nullptr, &act);
 		else
 			step_domain_change(domain, call ? &a : nullptr, &act);
 		release_store_answer(&a);
+		if (publish && publish_base(publish) && read_epoch < 0)
+			read_epoch =
+				(int64_t)snapshot_epoch(publish_base(publish));
 		if (act.kind != CHANGE_DONE)
 			return;
 		done = true;
@@ -313,7 +332,6 @@
 {
 	for (const auto &record : t) {
 		uint64_t epoch = 0;
-		const actor *last = nullptr;
 
 		for (const auto &e : record.second) {
 			const actor *a = find_actor(as, e.id);
@@ -331,16 +349,25 @@
 				    b->status() != STATUS_UNKNOWN)
 					RC_ASSERT(a->begin_step <= b->end_step);
 			}
-			last = a;
 		}
-		(void)last;
 	}
 }
 
+using model_map = std::map<std::string, unsigned>;
+
+/* Slots of the service NAME; 0 if there is none. */
+unsigned slots_in(const model_map &m, const char *name)
+{
+	auto at = m.find(name);
+
+	return at == m.end() ? 0 : at->second;
+}
+
 /* The trail, played on a model, gives what the store holds. */
 void check_content(struct fake_store *f, const actors &as, trail &t)
 {
-	std::map<std::string, unsigned> model;
+	model_map model;
+	std::vector<model_map> models = { model };
 	struct store_answer a;
 	struct heads h;
 	struct status st;
@@ -348,10 +375,16 @@
 	for (const auto &e : t[""]) {
 		const actor *op = find_actor(as, e.id);
 
+		/* nobody else changed what it states after it read it */
+		for (const auto *sv : op->services)
+			RC_ASSERT(slots_in(models[(size_t)op->read_epoch],
+					   sv->name) ==
+				  slots_in(model, sv->name));
 		if (op->plan.kind != OP_ONLY)
 			model.clear();
 		for (const auto *sv : op->services)
 			model[sv->name] = op->plan.slots;
+		models.push_back(model);
 	}
 	read_keys(f, KEY_HEAD_PREFIX, KEY_HEAD_END, &a);
 	RC_ASSERT(read_heads(&h, &a, &st) == STATUS_OK);
@@ -472,7 +505,8 @@
 				       { 1, FAKE_DOWN },
 				       { 1, FAKE_BEFORE },
 				       { 2, FAKE_AFTER },
-				       { 2, FAKE_LATE } })),
+				       { 2, FAKE_LATE },
+				       { 1, FAKE_TWICE } })),
 		rc::gen::set(&step_plan::flush,
 			     rc::gen::weightedElement<bool>(
 				     { { 3, false }, { 1, true } })));
