--- a/config/domain-change.h
+++ b/config/domain-change.h
@@ -9,7 +9,7 @@
  */
 
 #include "config/store-call.h"
-#include "config/heads.h"
+#include "config/store-heads.h"
 
 struct domain_intent {
 	char name[CONFIG_NAME_MAX];
--- a/config/follow.c
+++ b/config/follow.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #include "base/backoff.h"
-#include "config/heads.h"
+#include "config/store-heads.h"
 #include "config/keys.h"
 #include "config/parts.h"
 
--- a/config/publish.h
+++ b/config/publish.h
@@ -9,7 +9,7 @@
  * service is lost, and told.
  */
 
-#include "config/heads.h"
+#include "config/store-heads.h"
 #include "config/merge.h"
 #include "config/store-call.h"
 
--- a/config/heads.c
+++ b/config/store-heads.c
@@ -1,4 +1,4 @@
-#include "config/heads.h"
+#include "config/store-heads.h"
 
 #include <string.h>
 
--- a/config/heads.h
+++ b/config/store-heads.h
@@ -1,5 +1,5 @@
-#ifndef CONFIG_HEADS_H
-#define CONFIG_HEADS_H
+#ifndef CONFIG_STORE_HEADS_H
+#define CONFIG_STORE_HEADS_H
 
 /*
  * Everything under KEY_HEAD_PREFIX, read by one call: the pointer to the
--- a/t/prop-follow.cc
+++ b/t/prop-follow.cc
@@ -14,7 +14,7 @@
 
 extern "C" {
 #include "config/follow.h"
-#include "config/heads.h"
+#include "config/store-heads.h"
 #include "config/keys.h"
 #include "config/domain-change.h"
 #include "config/publish.h"
