--- a/net/daemon.c
+++ b/net/daemon.c
@@ -6,17 +6,14 @@
 
 #include "net/admin.h"
 #include "net/entry.h"
-#include "net/files.h"
 #include "net/fleet-port.h"
 #include "net/flow-port.h"
 #include "net/log.h"
 #include "net/probe.h"
-#include "store/keys.h"
-#include "store/store.h"
+#include "net/source.h"
 
-#define STORE_READ_MS 500 /* between two reads of the store */
-#define STOP_CHECK_MS 20  /* between two looks whether all is done */
-#define LEAVE_MS 300	  /* for the last messages to peers */
+#define STOP_CHECK_MS 20 /* between two looks whether all is done */
+#define LEAVE_MS 300	 /* for the last messages to peers */
 
 struct daemon {
 	uv_loop_t loop;
@@ -33,10 +30,9 @@
 	struct flow_port *flow_port;
 	struct http_server *admin;
 	struct admin_source admin_source;
-	struct store *store;
-	uint64_t store_contact; /* loop time of the last answer, 0 if none */
-	uv_timer_t read_timer;
+	struct source *source; /* NULL until it has started */
 	uv_timer_t stop_timer;
+	uv_signal_t sighup;
 	uv_signal_t sigterm;
 	uv_signal_t sigint;
 	uint64_t stop_deadline; /* loop time */
@@ -67,6 +63,17 @@
 			   member_state_name(m->state));
 }
 
+static void apply_domain(struct daemon *d, const char *name)
+{
+	const struct domain_record *rec =
+		find_domain(fleet_domains(port_fleet(d->fleet)), name);
+
+	log_change("domain %s is %s", name,
+		   is_domain_out(d->view, name) ? "out" : "back");
+	if (rec && d->source)
+		note_source_domain(d->source, rec);
+}
+
 static void on_fleet_action(const struct fleet_action *a, void *data)
 {
 	struct daemon *d = data;
@@ -74,10 +81,11 @@
 	switch (a->kind) {
 	case FLEET_APPLY:
 		apply_snapshot(d, a->snapshot);
+		if (d->source)
+			note_source_snapshot(d->source, a->snapshot);
 		break;
 	case FLEET_DOMAIN_CHANGED:
-		log_change("domain %s is %s", a->domain,
-			   is_domain_out(d->view, a->domain) ? "out" : "back");
+		apply_domain(d, a->domain);
 		break;
 	case FLEET_MEMBER_CHANGED:
 		log_member(d, a->id);
@@ -87,54 +95,20 @@
 	}
 }
 
-/* Tells the fleet of a snapshot read from the store or the directory. */
-static void offer_read_snapshot(struct daemon *d, struct snapshot *sn)
+static void on_read_snapshot(const struct snapshot *sn, void *data)
 {
 	struct fleet_event ev = { .kind = FLEET_SNAPSHOT, .snapshot = sn };
+	struct daemon *d = data;
 
 	step_fleet_port(d->fleet, &ev);
-	unref_snapshot(sn);
 }
 
-static void on_config(const struct store_answer *a, void *data)
+static void on_read_domain(const struct domain_record *rec, void *data)
 {
+	struct fleet_event ev = { .kind = FLEET_DOMAIN, .domain = rec };
 	struct daemon *d = data;
-	struct snapshot *sn;
-	struct status st;
-
-	if (a->status.kind != STATUS_OK)
-		return;
-	d->store_contact = uv_now(&d->loop);
-	if (!a->entry_nr)
-		return;
-	sn = decode_snapshot(a->entries[0].value, a->entries[0].len, &st);
-	if (sn)
-		offer_read_snapshot(d, sn);
-	else
-		count(&d->counters, COUNT_CONFIG_CORRUPT);
-}
 
-static void on_read_timer(uv_timer_t *timer)
-{
-	struct daemon *d = timer->data;
-
-	range_store(d->store, KEY_CONFIG, false, on_config, d);
-}
-
-/* Puts the local directory's service files in force, if they are right. */
-static bool load_local(struct daemon *d)
-{
-	struct problems *ps = create_problems();
-	const char *path = d->settings->directory;
-	struct snapshot *sn = load_services(&path, 1, 1, "local", ps);
-
-	for (size_t i = 0; problem_at(ps, i); i++)
-		log_problem("%s", problem_at(ps, i));
-	destroy_problems(ps);
-	if (!sn)
-		return false;
-	offer_read_snapshot(d, sn);
-	return true;
+	step_fleet_port(d->fleet, &ev);
 }
 
 /* Name of the upstream that A is about, for the log. */
@@ -170,13 +144,25 @@
 	return fleet_snapshot(port_fleet(d->fleet));
 }
 
+static const struct domain_set *get_domains(void *data)
+{
+	const struct daemon *d = data;
+
+	return fleet_domains(port_fleet(d->fleet));
+}
+
 static uint64_t get_store_age(void *data)
 {
 	const struct daemon *d = data;
 
-	if (!d->store_contact)
-		return UINT64_MAX;
-	return uv_now(&d->loop) - d->store_contact;
+	return d->source ? source_contact_age_ms(d->source) : UINT64_MAX;
+}
+
+static bool get_is_reader(void *data)
+{
+	const struct daemon *d = data;
+
+	return d->source && source_is_reader(d->source);
 }
 
 static size_t get_open_requests(void *data)
@@ -188,15 +174,15 @@
 
 static void close_daemon(struct daemon *d)
 {
-	uv_close((uv_handle_t *)&d->read_timer, NULL);
 	uv_close((uv_handle_t *)&d->stop_timer, NULL);
+	uv_close((uv_handle_t *)&d->sighup, NULL);
 	uv_close((uv_handle_t *)&d->sigterm, NULL);
 	uv_close((uv_handle_t *)&d->sigint, NULL);
 	destroy_http_server(d->admin);
 	destroy_flow_port(d->flow_port);
 	destroy_entry(d->entry);
 	destroy_prober(d->prober);
-	destroy_store(d->store);
+	destroy_source(d->source);
 	destroy_fleet_port(d->fleet);
 	d->fleet = NULL;
 }
@@ -245,16 +231,26 @@
 		       STOP_CHECK_MS);
 }
 
+static void on_reload(uv_signal_t *sig, int signum)
+{
+	struct daemon *d = sig->data;
+
+	(void)signum;
+	if (d->source)
+		reload_source(d->source);
+}
+
 static void init_handles(struct daemon *d)
 {
-	uv_timer_init(&d->loop, &d->read_timer);
 	uv_timer_init(&d->loop, &d->stop_timer);
+	uv_signal_init(&d->loop, &d->sighup);
 	uv_signal_init(&d->loop, &d->sigterm);
 	uv_signal_init(&d->loop, &d->sigint);
-	d->read_timer.data = d;
 	d->stop_timer.data = d;
+	d->sighup.data = d;
 	d->sigterm.data = d;
 	d->sigint.data = d;
+	uv_signal_start(&d->sighup, on_reload, SIGHUP);
 	uv_signal_start(&d->sigterm, on_signal, SIGTERM);
 	uv_signal_start(&d->sigint, on_signal, SIGINT);
 }
@@ -342,9 +338,11 @@
 
 static bool start_daemon(struct daemon *d)
 {
+	struct source_sink sink = { on_read_snapshot, on_read_domain, d };
 	struct admin_source src = {
-		d->settings,   &d->counters,	  d->view, get_snapshot,
-		get_store_age, get_open_requests, d
+		d->settings,   &d->counters,	  d->view,
+		get_snapshot,  get_domains,	  get_store_age,
+		get_is_reader, get_open_requests, d
 	};
 
 	d->admin_source = src;
@@ -353,12 +351,9 @@
 	if (!start_health(d) || !open_ports(d))
 		return false;
 	start_requests(d);
-	if (!d->settings->store.nr)
-		return load_local(d);
-	d->store =
-		create_etcd_store(&d->loop, &d->settings->store, &d->counters);
-	uv_timer_start(&d->read_timer, on_read_timer, 0, STORE_READ_MS);
-	return true;
+	d->source = create_source(&d->loop, d->settings, d->view, &d->counters,
+				  &sink);
+	return d->source;
 }
 
 int run_daemon(const struct settings *settings)
