net: stream bodies both ways, reuse connections, name every outcome

Whole bodies stood in memory, callers were not told what a resend may do, a slow sender held a connection for ever, and every request cost a connection to its upstream.

- http-server hands requests out in parts, reads no more than one buffer from a caller that pipelines, cuts slow heads and bodies with 408, lingers after a refusal so that the caller can read it, and has no body for HEAD, 204 and 304.
- http-pool reuses connections for idempotent requests only and judges them by their own progress; a loss on one says nothing about its upstream.
- entry-request keeps 64 KB of a body for a retry and 64 KB of an answer before it streams, and stops reading either side while the other is full.
- keys go through the peers' channel.

--- a/net/admin.c
+++ b/net/admin.c
@@ -132,7 +132,8 @@
 struct http_server *
 create_admin(uv_loop_t *loop, const struct admin_source *src, struct status *st)
 {
-	struct http_handler handler = { on_request, NULL, (void *)src };
+	struct http_handler handler = { .on_request = on_request,
+					.data = (void *)src };
 	struct endpoint at = src->settings->address;
 
 	at.port = src->settings->admin_port;
--- a/net/daemon.c
+++ b/net/daemon.c
@@ -334,6 +334,7 @@
 	d->requests = create_requests(d->view, &d->counters, &options,
 				      uv_now(&d->loop));
 	d->entry = create_entry(&d->loop, d->settings, d->requests);
+	set_entry_peers(d->entry, port_peers(d->fleet));
 }
 
 static bool start_daemon(struct daemon *d)
--- a/net/entry.c
+++ b/net/entry.c
@@ -3,23 +3,20 @@
 #include <glib.h>
 #include <string.h>
 
-#include "net/http-client.h"
+#include "net/entry-request.h"
 #include "net/http-server.h"
 #include "net/log.h"
 
-#define ANSWER_BODY_MAX (64 * 1024 * 1024) /* bytes */
-#define HEADER_DEADLINE "Baobabvalve-Deadline"
-#define HEADER_OUTCOME "Baobabvalve-Outcome"
-#define DEADLINE_MS_MAX (10 * 60 * 1000)
+#define ANSWER_BODY_MAX SIZE_MAX /* answers stream, whatever their size */
 
 struct entry {
-	uv_loop_t *loop;
+	struct entry_core core;
 	const struct settings *settings;
-	struct requests *requests;
+	struct peers *peers;
 	GHashTable *listeners; /* service id -> struct listener */
-	GHashTable *open;      /* handle -> struct open_request */
+	uv_timer_t ticks;
+	uint64_t tick_ms; /* present interval of TICKS */
 	bool stopping;
-	uv_timer_t *tick;
 };
 
 struct listener {
@@ -29,193 +26,120 @@
 	struct http_server *server;
 };
 
-struct open_request {
-	struct entry *en;
-	handle_t handle;
-	struct http_exchange *ex;
-	const struct http_message *message;
-	struct http_call *call;		   /* while offered */
-	const struct http_message *answer; /* while relayed */
-};
-
-static void step(struct entry *en, const struct request_event *ev,
-		 struct open_request *arriving);
-
-static struct http_message *outcome_answer(const struct request_action *a)
+static struct entry *entry_of(struct entry_core *core)
 {
-	const struct outcome_row *row = find_outcome_row(a->outcome);
-	struct http_message *m = create_http_message();
-	char seconds[16];
-
-	m->code = row->code;
-	add_http_header(m, HEADER_OUTCOME, row->name);
-	add_http_header(m, "Content-Type", "text/plain");
-	if (a->retry_after_ms) {
-		g_snprintf(seconds, sizeof(seconds), "%u",
-			   (a->retry_after_ms + 999) / 1000);
-		add_http_header(m, "Retry-After", seconds);
-	}
-	set_http_body(m, row->text);
-	g_byte_array_append(m->body, (const guint8 *)"\n", 1);
-	return m;
+	return (struct entry *)core;
 }
 
-static struct http_message *copy_answer(const struct http_message *from)
+static void carry_out(struct entry *en, const struct request_action *a)
 {
-	struct http_message *m = create_http_message();
-
-	m->code = from->code;
-	for (guint i = 0; i < from->headers->len; i++) {
-		const struct http_header *h =
-			&g_array_index(from->headers, struct http_header, i);
+	struct entry_request *o;
 
-		add_http_header(m, h->name, h->value);
+	if (a->kind == REQUEST_SEND_PEER) {
+		if (en->peers)
+			send_peer(en->peers, &a->address, PEER_REQUESTS,
+				  a->data, a->len);
+		return;
 	}
-	g_byte_array_append(m->body, from->body->data, from->body->len);
-	return m;
+	o = g_hash_table_lookup(en->core.open, GUINT_TO_POINTER(a->request));
+	if (o)
+		carry_out_action(o, a);
 }
 
-static bool is_shed(const struct http_message *answer)
+static void on_tick(uv_timer_t *timer);
+
+/* Ticks as often as the deciding code wants. */
+static void set_ticks(struct entry *en)
 {
-	const char *outcome = find_http_header(answer, HEADER_OUTCOME);
+	uint64_t want = next_request_tick(en->core.requests);
 
-	return answer->code == 503 && outcome &&
-	       !strcmp(outcome, find_outcome_row(OUTCOME_NOT_RUN)->name);
+	if (want == en->tick_ms)
+		return;
+	en->tick_ms = want;
+	uv_timer_start(&en->ticks, on_tick, want, want);
 }
 
-static void on_call_done(const struct http_call_result *r, void *data)
+static void step(struct entry_core *core, const struct request_event *ev,
+		 struct entry_request *arriving)
 {
-	struct open_request *o = data;
-	struct request_event ev = { .request = o->handle, .repeatable = true };
-
-	o->call = NULL;
-	o->answer = r->answer;
-	if (r->kind == STATUS_OK)
-		ev.kind = is_shed(r->answer) ? REQUEST_SHED : REQUEST_ANSWERED;
-	else
-		ev.kind = r->kind == STATUS_UNAVAILABLE ? REQUEST_NOT_SENT
-							: REQUEST_LOST;
-	step(o->en, &ev, NULL);
+	struct entry *en = entry_of(core);
+	struct request_actions as = { 0 };
+	handle_t h = step_requests(core->requests, ev, uv_now(core->loop), &as);
+
+	if (arriving && h)
+		set_request_handle(arriving, h);
+	else if (arriving)
+		refuse_unopened(arriving);
+	for (size_t i = 0; i < as.nr; i++)
+		carry_out(en, &as.at[i]);
+	release_request_actions(&as);
+	set_ticks(en);
 }
 
-static void start_offer(struct open_request *o, const struct request_action *a)
+static void on_tick(uv_timer_t *timer)
 {
-	o->answer = NULL;
-	o->call = start_http_call(o->en->loop, &a->address, o->message,
-				  a->timeout_ms, ANSWER_BODY_MAX, on_call_done,
-				  o);
+	struct entry *en = timer->data;
+	struct request_event ev = { .kind = REQUEST_TICK };
+
+	step(&en->core, &ev, NULL);
 }
 
-static void end_request(struct open_request *o, struct http_message *answer)
+static void on_peer(const void *data, size_t len, void *user)
 {
-	struct http_exchange *ex = o->ex;
-
-	if (o->call)
-		cancel_http_call(o->call);
-	if (ex)
-		set_exchange_data(ex, NULL);
-	g_hash_table_remove(o->en->open, GUINT_TO_POINTER(o->handle));
-	if (ex && answer)
-		answer_http(ex, answer);
+	struct entry *en = user;
+	struct request_event ev = { .kind = REQUEST_PEER,
+				    .data = data,
+				    .len = len };
+
+	step(&en->core, &ev, NULL);
 }
 
-static void carry_out(struct open_request *o, const struct request_action *a)
+void set_entry_peers(struct entry *en, struct peers *ps)
 {
-	switch (a->kind) {
-	case REQUEST_OFFER:
-		start_offer(o, a);
-		break;
-	case REQUEST_RELAY:
-		end_request(o, copy_answer(o->answer));
-		break;
-	case REQUEST_REFUSE:
-		end_request(o, outcome_answer(a));
-		break;
-	case REQUEST_CANCEL:
-	case REQUEST_CUT:
-		end_request(o, NULL);
-		break;
-	case REQUEST_REPLAY:
-	case REQUEST_READ_ON:
-	case REQUEST_SEND_PEER:
-		break;
-	}
+	en->peers = ps;
+	set_peer_handler(ps, PEER_REQUESTS, on_peer, en);
 }
 
-/* Hands EV over and carries out what comes back. */
-static void step(struct entry *en, const struct request_event *ev,
-		 struct open_request *arriving)
+static void on_head(struct http_exchange *ex, const struct http_message *m,
+		    void *data)
 {
-	struct request_actions as = { 0 };
-	handle_t h = step_requests(en->requests, ev, uv_now(en->loop), &as);
-
-	if (arriving) {
-		arriving->handle = h;
-		g_hash_table_insert(en->open, GUINT_TO_POINTER(h), arriving);
-	}
-	for (size_t i = 0; i < as.nr; i++) {
-		struct open_request *o = g_hash_table_lookup(
-			en->open, GUINT_TO_POINTER(as.at[i].request));
+	struct listener *l = data;
 
-		if (o)
-			carry_out(o, &as.at[i]);
-	}
-	release_request_actions(&as);
+	open_entry_request(&l->en->core, l->service, ex, m);
 }
 
-static bool is_idempotent(const struct http_message *m)
+static void on_body(struct http_exchange *ex, const char *part, size_t len,
+		    void *data)
 {
-	switch (m->method) {
-	case HTTP_GET:
-	case HTTP_HEAD:
-	case HTTP_PUT:
-	case HTTP_DELETE:
-	case HTTP_OPTIONS:
-		return true;
-	default:
-		return false;
-	}
+	(void)data;
+	if (exchange_data(ex))
+		take_request_body(exchange_data(ex), part, len);
 }
 
-static uint32_t read_deadline(const struct http_message *m)
+static void on_end(struct http_exchange *ex, void *data)
 {
-	const char *text = find_http_header(m, HEADER_DEADLINE);
-	guint64 ms;
-
-	if (!text || !g_ascii_string_to_unsigned(text, 10, 1, DEADLINE_MS_MAX,
-						 &ms, NULL))
-		return 0;
-	return (uint32_t)ms;
+	(void)data;
+	if (exchange_data(ex))
+		take_request_end(exchange_data(ex));
 }
 
-static void on_request(struct http_exchange *ex, const struct http_message *m,
-		       void *data)
+static void on_gone(struct http_exchange *ex, void *data)
 {
-	struct listener *l = data;
-	struct open_request *o = g_new0(struct open_request, 1);
-	struct request_event ev = { .kind = REQUEST_ARRIVED,
-				    .service = l->service,
-				    .idempotent = is_idempotent(m),
-				    .deadline_ms = read_deadline(m) };
-
-	o->en = l->en;
-	o->ex = ex;
-	o->message = m;
-	set_exchange_data(ex, o);
-	step(l->en, &ev, o);
+	(void)data;
+	if (exchange_data(ex))
+		take_caller_gone(exchange_data(ex));
 }
 
-static void on_gone(struct http_exchange *ex, void *data)
+static void on_drained(struct http_exchange *ex, void *data)
 {
-	struct open_request *o = exchange_data(ex);
-	struct request_event ev = { .kind = REQUEST_CALLER_LEFT };
-
 	(void)data;
-	if (!o)
-		return;
-	o->ex = NULL;
-	ev.request = o->handle;
-	step(o->en, &ev, NULL);
+	if (exchange_data(ex))
+		take_answer_drained(exchange_data(ex));
+}
+
+static void on_error(unsigned int code, struct http_message *answer)
+{
+	fill_outcome_answer(answer, outcome_of_parse_error(code), 0);
 }
 
 static void free_listener(gpointer item)
@@ -227,30 +151,22 @@
 	g_free(l);
 }
 
-static void on_tick(uv_timer_t *timer)
-{
-	struct request_event ev = { .kind = REQUEST_TICK };
-	struct entry *en = timer->data;
-
-	step(en, &ev, NULL);
-	uv_timer_start(timer, on_tick, next_request_tick(en->requests), 0);
-}
-
 struct entry *create_entry(uv_loop_t *loop, const struct settings *settings,
 			   struct requests *requests)
 {
 	struct entry *en = g_new0(struct entry, 1);
 
-	en->loop = loop;
+	en->core.loop = loop;
+	en->core.requests = requests;
+	en->core.step = step;
+	en->core.pool = create_http_pool(loop, ANSWER_BODY_MAX);
+	en->core.open = g_hash_table_new(NULL, NULL);
 	en->settings = settings;
-	en->requests = requests;
+	uv_timer_init(loop, &en->ticks);
+	en->ticks.data = en;
 	en->listeners = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					      free_listener);
-	en->open = g_hash_table_new_full(NULL, NULL, NULL, g_free);
-	en->tick = g_new0(uv_timer_t, 1);
-	uv_timer_init(loop, en->tick);
-	en->tick->data = en;
-	uv_timer_start(en->tick, on_tick, 0, 0);
+	set_ticks(en);
 	return en;
 }
 
@@ -269,15 +185,21 @@
 static void start_listener(struct entry *en, const struct service *sv)
 {
 	struct listener *l = g_new0(struct listener, 1);
-	struct http_handler handler = { on_request, on_gone, l };
+	struct http_handler handler = { .on_gone = on_gone,
+					.data = l,
+					.on_head = on_head,
+					.on_body = on_body,
+					.on_end = on_end,
+					.on_drained = on_drained,
+					.on_error = on_error };
 	char at[ENDPOINT_TEXT_MAX];
 	struct status st;
 
 	l->en = en;
 	l->service = sv->id;
 	l->at = listen_endpoint(en, sv);
-	l->server = create_http_server(en->loop, &l->at, sv->max_body, &handler,
-				       &st);
+	l->server = create_http_server(en->core.loop, &l->at, sv->max_body,
+				       &handler, &st);
 	if (!l->server) {
 		log_problem("service %s: %s", sv->name, st.message);
 		g_free(l);
@@ -320,23 +242,46 @@
 	GHashTableIter it;
 	gpointer l;
 
+	struct request_event ev = { .kind = REQUEST_LEAVE };
+
 	en->stopping = true;
+	step(&en->core, &ev, NULL);
 	g_hash_table_iter_init(&it, en->listeners);
 	while (g_hash_table_iter_next(&it, NULL, &l))
 		stop_http_server(((struct listener *)l)->server);
 }
 
+/* Requests whose head has arrived and that are not answered. */
+static size_t running_requests(const struct entry *en)
+{
+	GHashTableIter it;
+	gpointer l;
+	size_t n = 0;
+
+	g_hash_table_iter_init(&it, en->listeners);
+	while (g_hash_table_iter_next(&it, NULL, &l))
+		n += http_server_running(((struct listener *)l)->server);
+	return n;
+}
+
 bool entry_is_idle(const struct entry *en)
 {
-	return g_hash_table_size(en->open) == 0;
+	return open_request_nr(en->core.requests) == 0 &&
+	       g_hash_table_size(en->core.open) == 0 &&
+	       running_requests(en) == 0;
+}
+
+static void on_ticks_closed(uv_handle_t *handle)
+{
+	g_free(handle->data);
 }
 
 void destroy_entry(struct entry *en)
 {
 	if (!en)
 		return;
-	uv_close((uv_handle_t *)en->tick, (uv_close_cb)g_free);
 	g_hash_table_destroy(en->listeners);
-	g_hash_table_destroy(en->open);
-	g_free(en);
+	g_hash_table_destroy(en->core.open);
+	destroy_http_pool(en->core.pool);
+	uv_close((uv_handle_t *)&en->ticks, on_ticks_closed);
 }
--- a/net/http-message.c
+++ b/net/http-message.c
@@ -12,6 +12,10 @@
 	size_t max_body;
 	unsigned int error; /* HTTP code, 0 if none */
 	void (*on_message)(struct http_message *m, void *user);
+	const struct http_parts *parts; /* NULL: whole messages */
+	uint64_t body;			/* bytes of the body so far */
+	bool no_body;
+	bool inside;
 	void *user;
 };
 
@@ -63,6 +67,16 @@
 	g_array_append_val(m->headers, h);
 }
 
+void remove_http_header(struct http_message *m, const char *name)
+{
+	for (guint i = m->headers->len; i-- > 0;)
+		if (!g_ascii_strcasecmp(
+			    g_array_index(m->headers, struct http_header, i)
+				    .name,
+			    name))
+			g_array_remove_index(m->headers, i);
+}
+
 void set_http_body(struct http_message *m, const char *text)
 {
 	g_byte_array_set_size(m->body, 0);
@@ -84,6 +98,8 @@
 					   "Host",
 					   "Upgrade",
 					   "TE",
+					   "Expect",
+					   "Proxy-Connection",
 					   "Trailer" };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(hop); i++)
@@ -92,29 +108,44 @@
 	return false;
 }
 
-static void write_rest(const struct http_message *m, GByteArray *out)
+static bool is_length(const char *name)
 {
-	char *line;
+	return !g_ascii_strcasecmp(name, "Content-Length");
+}
 
+static void write_headers(const struct http_message *m, bool keep_length,
+			  GByteArray *out)
+{
 	for (guint i = 0; i < m->headers->len; i++) {
 		const struct http_header *h =
 			&g_array_index(m->headers, struct http_header, i);
 
-		if (is_hop_header(h->name))
+		if (is_hop_header(h->name) &&
+		    !(keep_length && is_length(h->name)))
 			continue;
 		append_text(out, h->name);
 		append_text(out, ": ");
 		append_text(out, h->value);
 		append_text(out, "\r\n");
 	}
-	line = g_strdup_printf("Content-Length: %u\r\n\r\n", m->body->len);
+}
+
+static void write_length(uint64_t length, GByteArray *out)
+{
+	char *line;
+
+	if (length == HTTP_LENGTH_UNKNOWN) {
+		append_text(out, "Transfer-Encoding: chunked\r\n\r\n");
+		return;
+	}
+	line = g_strdup_printf("Content-Length: %llu\r\n\r\n",
+			       (unsigned long long)length);
 	append_text(out, line);
 	g_free(line);
-	g_byte_array_append(out, m->body->data, m->body->len);
 }
 
-void write_http_request(const struct http_message *m, const char *host,
-			GByteArray *out)
+void write_request_head(const struct http_message *m, const char *host,
+			uint64_t length, GByteArray *out)
 {
 	char *line = g_strdup_printf(
 		"%s %s HTTP/1.1\r\nHost: %s\r\n",
@@ -122,10 +153,12 @@
 
 	append_text(out, line);
 	g_free(line);
-	write_rest(m, out);
+	write_headers(m, false, out);
+	write_length(length, out);
 }
 
-void write_http_answer(const struct http_message *m, GByteArray *out)
+void write_answer_head(const struct http_message *m, uint64_t length,
+		       bool no_body, GByteArray *out)
 {
 	char *line =
 		g_strdup_printf("HTTP/1.1 %u %s\r\n%s", m->code,
@@ -134,7 +167,39 @@
 
 	append_text(out, line);
 	g_free(line);
-	write_rest(m, out);
+	write_headers(m, no_body, out);
+	if (no_body)
+		append_text(out, "\r\n");
+	else
+		write_length(length, out);
+}
+
+void write_http_chunk(const void *data, size_t len, GByteArray *out)
+{
+	char *line = g_strdup_printf("%zx\r\n", len);
+
+	append_text(out, line);
+	g_free(line);
+	g_byte_array_append(out, data, (guint)len);
+	append_text(out, "\r\n");
+}
+
+void write_last_chunk(GByteArray *out)
+{
+	append_text(out, "0\r\n\r\n");
+}
+
+void write_http_request(const struct http_message *m, const char *host,
+			GByteArray *out)
+{
+	write_request_head(m, host, m->body->len, out);
+	g_byte_array_append(out, m->body->data, m->body->len);
+}
+
+void write_http_answer(const struct http_message *m, GByteArray *out)
+{
+	write_answer_head(m, m->body->len, false, out);
+	g_byte_array_append(out, m->body->data, m->body->len);
 }
 
 static int fail(struct http_reader *r, unsigned int code)
@@ -168,6 +233,8 @@
 	destroy_http_message(r->m);
 	r->m = create_http_message();
 	r->head = 0;
+	r->body = 0;
+	r->inside = true;
 	g_string_truncate(r->target, 0);
 	g_string_truncate(r->field, 0);
 	g_string_truncate(r->value, 0);
@@ -209,17 +276,29 @@
 	r->m->code = p->status_code;
 	r->m->target = g_strdup(r->target->str);
 	r->m->keep_alive = http_should_keep_alive(p);
-	if (p->content_length != UINT64_MAX && p->content_length > r->max_body)
+	r->m->length = p->content_length;
+	if (p->content_length == UINT64_MAX && !(p->flags & F_CHUNKED) &&
+	    p->type == HTTP_REQUEST)
+		r->m->length = 0;
+	if (!r->no_body && p->content_length != UINT64_MAX &&
+	    p->content_length > r->max_body)
 		return fail(r, 413);
-	return 0;
+	if (r->parts)
+		r->parts->on_head(r->m, r->user);
+	return r->no_body;
 }
 
 static int on_body(http_parser *p, const char *at, size_t len)
 {
 	struct http_reader *r = p->data;
 
-	if (r->m->body->len + len > r->max_body)
+	r->body += len;
+	if (r->body > r->max_body)
 		return fail(r, 413);
+	if (r->parts) {
+		r->parts->on_body(at, len, r->user);
+		return 0;
+	}
 	g_byte_array_append(r->m->body, (const guint8 *)at, (guint)len);
 	return 0;
 }
@@ -229,6 +308,12 @@
 	struct http_reader *r = p->data;
 	struct http_message *m = r->m;
 
+	r->inside = false;
+	if (r->parts) {
+		http_parser_pause(p, 1);
+		r->parts->on_end(r->user);
+		return 0;
+	}
 	r->m = NULL;
 	r->on_message(m, r->user);
 	return 0;
@@ -288,6 +373,35 @@
 	return 0;
 }
 
+unsigned int feed_http_parts(struct http_reader *r, const char *data,
+			     size_t len, size_t *used,
+			     const struct http_parts *parts, void *user)
+{
+	r->parts = parts;
+	r->user = user;
+	if (HTTP_PARSER_ERRNO(&r->parser) == HPE_PAUSED)
+		http_parser_pause(&r->parser, 0);
+	*used = http_parser_execute(&r->parser, &parser_settings, data, len);
+	if (r->error)
+		return r->error;
+	if (HTTP_PARSER_ERRNO(&r->parser) == HPE_PAUSED)
+		return 0;
+	if (r->parser.upgrade || *used != len ||
+	    HTTP_PARSER_ERRNO(&r->parser) != HPE_OK)
+		return 400;
+	return 0;
+}
+
+void expect_body(struct http_reader *r, bool body)
+{
+	r->no_body = !body;
+}
+
+bool is_inside_message(const struct http_reader *r)
+{
+	return r->inside;
+}
+
 unsigned int end_http(struct http_reader *r,
 		      void (*on_message)(struct http_message *m, void *user),
 		      void *user)
--- a/net/http-server.h
+++ b/net/http-server.h
@@ -2,8 +2,11 @@
 #define NET_HTTP_SERVER_H
 
 /*
- * An HTTP/1.1 server on the loop. A handler gets one whole request at a time
- * from each connection and answers it whenever it can.
+ * An HTTP/1.1 server on the loop. A handler gets one request at a time from
+ * each connection and answers it whenever it can: whole through on_request, or
+ * in parts through on_head, on_body and on_end. No more is read from a
+ * connection while its request is unanswered and whole, so a caller that
+ * pipelines holds no memory here but one buffer.
  */
 
 #include <uv.h>
@@ -12,6 +15,12 @@
 #include "base/status.h"
 #include "net/http-message.h"
 
+#define HTTP_HEAD_MS 10000   /* longest from a head's first byte to its last */
+#define HTTP_BODY_MS 10000   /* in each such time ... */
+#define HTTP_BODY_BYTES 1024 /* ... a body must bring so much */
+#define HTTP_IDLE_MS 60000   /* a connection without a request is closed */
+#define HTTP_LINGER_MS 2000  /* unread input is drained so long after a close */
+
 struct http_server;
 
 /* One request that waits for its answer. */
@@ -24,6 +33,16 @@
 	/* The caller left before the answer; EX is gone after the call. */
 	void (*on_gone)(struct http_exchange *ex, void *data);
 	void *data;
+	/* In place of on_request; M as above, its body stays empty. */
+	void (*on_head)(struct http_exchange *ex, const struct http_message *m,
+			void *data);
+	void (*on_body)(struct http_exchange *ex, const char *part, size_t len,
+			void *data);
+	void (*on_end)(struct http_exchange *ex, void *data);
+	/* What was written has left. */
+	void (*on_drained)(struct http_exchange *ex, void *data);
+	/* Fills the answer to a request refused with HTTP CODE; may be NULL. */
+	void (*on_error)(unsigned int code, struct http_message *answer);
 };
 
 /* Listens at EP. NULL with ST filled if that fails. */
@@ -49,6 +68,22 @@
 /* Sends LEN bytes as they are, as part of an answer that never ends. */
 void write_http_raw(struct http_exchange *ex, const void *data, size_t len);
 
+/* Sends the head of ANSWER, whose body of LENGTH bytes follows in parts. */
+void begin_http_answer(struct http_exchange *ex, struct http_message *answer,
+		       uint64_t length);
+void add_http_answer(struct http_exchange *ex, const void *part, size_t len);
+void end_http_answer(struct http_exchange *ex);
+
+/* Bytes of the answer that wait to be sent. */
+size_t http_answer_backlog(const struct http_exchange *ex);
+
+/* Closes the connection: the answer that was begun cannot be ended. */
+void cut_http_answer(struct http_exchange *ex);
+
+/* Stops and resumes reading the request's body. */
+void pause_http_request(struct http_exchange *ex);
+void resume_http_request(struct http_exchange *ex);
+
 /* Per-exchange pointer of the handler's. */
 void set_exchange_data(struct http_exchange *ex, void *data);
 void *exchange_data(const struct http_exchange *ex);
--- /dev/null
+++ b/net/kept-answer.c
@@ -0,0 +1,40 @@
+#include "net/kept-answer.h"
+
+#include <string.h>
+
+#define CONTENT_TYPE_MAX 200 /* bytes, with the NUL */
+
+void encode_kept_answer(struct wire_writer *w, const struct http_message *m)
+{
+	const char *type = find_http_header(m, "Content-Type");
+
+	put_array(w, 3);
+	put_uint(w, m->code);
+	put_str(w, type && strlen(type) < CONTENT_TYPE_MAX ? type : "");
+	put_bin(w, m->body->data, m->body->len);
+}
+
+struct http_message *decode_kept_answer(const void *data, size_t len)
+{
+	struct http_message *m = create_http_message();
+	char type[CONTENT_TYPE_MAX];
+	struct wire_message msg;
+	struct wire_reader r;
+	const void *body;
+	size_t body_len;
+
+	open_wire(&msg, &r, data, len);
+	m->code = (unsigned int)take_uint(&r, 999);
+	take_str(&r, type, sizeof(type));
+	body_len = take_bin(&r, &body);
+	if (r.bad || r.left) {
+		destroy_http_message(m);
+		m = NULL;
+	} else {
+		if (*type)
+			add_http_header(m, "Content-Type", type);
+		g_byte_array_append(m->body, body, (guint)body_len);
+	}
+	release_wire(&msg);
+	return m;
+}
--- a/request/requests.c
+++ b/request/requests.c
@@ -582,7 +582,8 @@
 {
 	struct service_load *l = get_load(rs, rq->service);
 
-	observe(rs, rq, REQUEST_LOST, now_ms);
+	if (!ev->reused)
+		observe(rs, rq, REQUEST_LOST, now_ms);
 	end_offer(rs, rq, SLOT_CANCELLED, now_ms);
 	rq->may_have_run = true;
 	count(rs->counters, COUNT_REQUEST_LOST);
--- a/request/requests.h
+++ b/request/requests.h
@@ -63,6 +63,7 @@
 	uint64_t body_digest;
 	/* of events that end an offer: the body can be sent again */
 	bool repeatable;
+	bool reused; /* of REQUEST_LOST: on a connection used before */
 	/* of REQUEST_ANSWERED and REQUEST_PEER: the answer as the adapter
 	 * encodes it to be kept, or the message */
 	const void *data;
--- a/stand-in/store.c
+++ b/stand-in/store.c
@@ -329,7 +329,9 @@
 int main(int argc, char **argv)
 {
 	static struct server s;
-	struct http_handler handler = { on_request, on_gone, &s };
+	struct http_handler handler = { .on_request = on_request,
+					.on_gone = on_gone,
+					.data = &s };
 	struct endpoint at;
 	struct status st;
 
