--- a/config/follow.c
+++ b/config/follow.c
@@ -166,7 +166,8 @@
 {
 	const struct pointer *p = h->pointer;
 
-	if (p && p->epoch == f->epoch && strcmp(p->publish_id, f->publish_id))
+	if (p && p->epoch == f->epoch &&
+	    strcmp(p->publish_id, f->publish_id) != 0)
 		return f->epoch + 1;
 	return f->epoch;
 }
