--- a/base/ini.c
+++ b/base/ini.c
@@ -13,12 +13,62 @@
 	int line;
 	bool indented; /* the current line starts with white space */
 	bool stop;
-	GHashTable *seen; /* "section\nkey" -> line */
+	GHashTable *seen;     /* "section\nkey" -> line */
+	GHashTable *sections; /* name -> line */
 	void (*each)(const struct ini_entry *e, void *data);
 	void *data;
 	struct problems *ps;
 };
 
+/* Reports a second section of the same name, which libinih would merge. */
+static void note_section(struct reader *r, const char *line, size_t len)
+{
+	char *name = g_strndup(line + 1, len - 1);
+	int first = GPOINTER_TO_INT(g_hash_table_lookup(r->sections, name));
+
+	if (first) {
+		add_problem(r->ps, r->file, r->line,
+			    "section [%s] repeated; first in line %d", name,
+			    first);
+		g_free(name);
+		return;
+	}
+	g_hash_table_insert(r->sections, name, GINT_TO_POINTER(r->line));
+}
+
+static const char *skip_bom(const char *line, size_t *len)
+{
+	if (*len < 3 || memcmp(line, "\xef\xbb\xbf", 3) != 0)
+		return line;
+	*len -= 3;
+	return line + 3;
+}
+
+/* Reports a line that is no section, key, comment or continuation. */
+static bool check_shape(struct reader *r, const char *line, size_t len)
+{
+	const char *end;
+
+	if (r->line == 1)
+		line = skip_bom(line, &len);
+	while (len && g_ascii_isspace(line[len - 1]))
+		len--;
+	if (!len || g_ascii_isspace(*line) || *line == ';' || *line == '#')
+		return true;
+	if (*line == '[') {
+		end = memchr(line, ']', len);
+		if (end)
+			note_section(r, line, (size_t)(end - line));
+		if (end)
+			return true;
+	} else if (memchr(line, '=', len) || memchr(line, ':', len)) {
+		return true;
+	}
+	add_problem(r->ps, r->file, r->line,
+		    "expected [section] or key = value");
+	return false;
+}
+
 /* Reports what libinih would misread; true if the line may be passed on. */
 static bool check_line(struct reader *r, const char *line, size_t len)
 {
@@ -35,7 +85,7 @@
 		r->stop = true;
 		return false;
 	}
-	return true;
+	return check_shape(r, line, len);
 }
 
 /* fgets for libinih: hands out one line of the text at a time. */
@@ -79,7 +129,11 @@
 		return 1;
 	}
 	g_hash_table_insert(r->seen, id, GINT_TO_POINTER(r->line));
-	r->each(&e, r->data);
+	if (*section)
+		r->each(&e, r->data);
+	else
+		add_problem(r->ps, r->file, r->line,
+			    "%s: key before the first [section]", name);
 	return 1;
 }
 
@@ -88,11 +142,16 @@
 	      struct problems *ps)
 {
 	struct reader r = { .file = file, .text = text, .len = len };
+	size_t before = problem_count(ps);
 	int bad;
 
 	r.each = each;
 	r.data = data;
 	r.ps = ps;
+	if (!len) {
+		add_problem(ps, file, 0, "file is empty");
+		return;
+	}
 	if (len > INI_FILE_MAX) {
 		add_problem(ps, file, 0,
 			    "file has %zu bytes; at most %d "
@@ -101,8 +160,11 @@
 		return;
 	}
 	r.seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	r.sections =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	bad = ini_parse_stream(next_line, &r, take_entry, &r);
-	if (bad > 0 && !r.stop)
-		add_problem(ps, file, bad, "expected [section] or key = value");
+	if (bad && problem_count(ps) == before)
+		add_problem(ps, file, 0, "expected [section] or key = value");
 	g_hash_table_destroy(r.seen);
+	g_hash_table_destroy(r.sections);
 }
--- a/t/check-config.c
+++ b/t/check-config.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/ini.h"
 #include "config/service-file.h"
 #include "config/settings.h"
 #include "config/snapshot.h"
@@ -92,6 +93,79 @@
 }
 END_TEST
 
+/* A file, and what the message must contain; NULL: it is right. */
+static const char *const odd_files[][2] = {
+	{ "", "file is empty" },
+	{ "\n\n; nothing\n", "name is missing" },
+	{ "name = desk\n" GOOD,
+	  "f.ini:1: name: key before the first [section]" },
+	{ GOOD "[service]\nidle = 5s\n",
+	  "[service] repeated; first in line 1" },
+	{ GOOD "[upstream a]\nconnections = 5\n", "[upstream a] repeated" },
+	{ GOOD "connections = 5 ; five\n", NULL },
+	{ GOOD "connections = 5;five\n", "not a number" },
+	{ "\xef\xbb\xbf" GOOD, NULL },
+	{ "[service\nname = desk\n", "f.ini:1: expected [section]" },
+	{ GOOD "connections = 5\n  6\n", "a value ends with its line" },
+	{ "one\ntwo\nthree\n", "f.ini:1: expected" },
+	{ GOOD "connections =\n", "not a number" },
+	{ GOOD "domain = north south\n", "duplicate key" },
+	{ "\xff\xfe[\0s", "not a text file" },
+	{ "\x7f"
+	  "ELF\x02\x01\x01",
+	  "expected [section]" },
+};
+
+START_TEST(odd_text_gets_a_clear_answer)
+{
+	struct service *sv = parse(odd_files[_i][0]);
+	const char *want = odd_files[_i][1];
+
+	if (want)
+		ck_assert_msg(problem_at(ps, 0) &&
+				      strstr(problem_at(ps, 0), want),
+			      "%s", problem_at(ps, 0));
+	else
+		ck_assert_msg(sv != NULL, "%s", problem_at(ps, 0));
+	ck_assert((sv == NULL) == (want != NULL));
+	unref_service(sv);
+}
+END_TEST
+
+START_TEST(every_malformed_line_is_named)
+{
+	ck_assert_ptr_null(parse("[service]\none\ntwo\n[open\nthree\n"));
+	ck_assert_uint_eq(problem_count(ps), 4);
+}
+END_TEST
+
+START_TEST(lines_may_end_as_on_windows)
+{
+	GString *text = g_string_new(GOOD);
+	struct service *sv;
+
+	g_string_replace(text, "\n", "\r\n", 0);
+	sv = parse(text->str);
+	ck_assert_msg(sv != NULL, "%s", problem_at(ps, 0));
+	ck_assert_str_eq(sv->name, "desk");
+	unref_service(sv);
+	g_string_free(text, TRUE);
+}
+END_TEST
+
+START_TEST(a_megabyte_gets_one_answer)
+{
+	char *big = g_malloc(INI_FILE_MAX + 2);
+
+	memset(big, '\n', INI_FILE_MAX + 1);
+	big[INI_FILE_MAX + 1] = '\0';
+	ck_assert_ptr_null(parse(big));
+	ck_assert_uint_eq(problem_count(ps), 1);
+	ck_assert(strstr(problem_at(ps, 0), "at most 1048576"));
+	g_free(big);
+}
+END_TEST
+
 START_TEST(two_services_on_one_address_are_refused)
 {
 	struct service *svs[2] = { parse(GOOD), parse(GOOD) };
@@ -153,6 +227,11 @@
 			    sizeof(bad_lines) / sizeof(bad_lines[0]));
 	tcase_add_test(tc, all_errors_come_in_one_pass);
 	tcase_add_test(tc, odd_files_get_an_answer);
+	tcase_add_loop_test(tc, odd_text_gets_a_clear_answer, 0,
+			    sizeof(odd_files) / sizeof(odd_files[0]));
+	tcase_add_test(tc, every_malformed_line_is_named);
+	tcase_add_test(tc, lines_may_end_as_on_windows);
+	tcase_add_test(tc, a_megabyte_gets_one_answer);
 	tcase_add_test(tc, two_services_on_one_address_are_refused);
 	tcase_add_test(tc, snapshot_survives_the_wire);
 	tcase_add_test(tc, settings_are_checked);
