http: ignore reads of nothing, which ended the message

libuv calls back with zero bytes when a read found nothing, which happens after a read that filled the buffer exactly (65,536 bytes). http_parser takes zero bytes for the end of the connection, so that the server answered 400 and closed in the middle of a large body. Seen as a publish of 18,000 services that took 10 s over several attempts; t/check-http-server sends a body in pieces of 65,536 bytes and failed every time before. The HTTP client had the same fault.

--- a/net/http-client.c
+++ b/net/http-client.c
@@ -68,6 +68,8 @@
 	struct http_call *c = stream->data;
 	unsigned int error;
 
+	if (!n) /* nothing to read now; to the parser it would mean the end */
+		return;
 	if (n < 0)
 		error = n == UV_EOF ? end_http(c->reader, take_answer, c) : 1;
 	else
--- a/net/http-server.c
+++ b/net/http-server.c
@@ -173,6 +173,8 @@
 {
 	struct http_exchange *ex = stream->data;
 
+	if (!n) /* nothing to read now; to the parser it would mean the end */
+		return;
 	if (n < 0) {
 		close_exchange(ex);
 		return;
