health: feed requests' outcomes in, rule their slots, restate, port for probes

Offers that end are observed (set_offer_observer now also names the service), and requests ask fleet/limits what an upstream bears, so an upstream that sheds, fails or slows is cold for this instance within a few answers.

An upstream that cannot be probed, such as one of flows without the new key "health = ADDRESS:PORT", becomes warming and warm by time, told by its first prober; before, it stayed unknown, hence cold, for ever.

The fleet forgets what a dead instance said of an upstream after 10 s. The first prober of the upstream's own domain therefore states the present state again every 4 s; the fleet sends nothing when it knows it from an instance that lives. News keep their own pause of 3 s: with one clock for both, tests of sheds and of warming failed, since each repetition delayed the next news.

--- a/config/service-file.c
+++ b/config/service-file.c
@@ -162,6 +162,8 @@
 		return;
 	if (!strcmp(e->key, "address"))
 		kind = parse_endpoint(e->value, &u->up.address, &st);
+	else if (!strcmp(e->key, "health"))
+		kind = parse_endpoint(e->value, &u->up.health, &st);
 	else if (!strcmp(e->key, "domain"))
 		take_domain(d, e, &u->up);
 	else if (!strcmp(e->key, "state"))
@@ -181,8 +183,8 @@
 				    &u->up.cold_connections, &st);
 	} else
 		report(d, e,
-		       "unknown key; known are address, domain, state, slots, "
-		       "connections, cold-slots, cold-connections");
+		       "unknown key; known are address, health, domain, state, "
+		       "slots, connections, cold-slots, cold-connections");
 	report_if(d, e, kind, &st);
 }
 
--- a/config/service.c
+++ b/config/service.c
@@ -9,7 +9,7 @@
 #define IDLE_MS_DEFAULT (3600 * 1000)
 
 #define SERVICE_FIELD_NR 8
-#define UPSTREAM_FIELD_NR 10
+#define UPSTREAM_FIELD_NR 11
 
 static uint64_t hash_name(const char *name, uint64_t seed)
 {
@@ -117,6 +117,7 @@
 	put_str(w, up->name);
 	put_str(w, up->domain);
 	put_endpoint(w, &up->address);
+	put_endpoint(w, &up->health);
 	put_uint(w, up->slots);
 	put_uint(w, up->cold_slots);
 	put_uint(w, up->connections);
@@ -150,6 +151,7 @@
 	take_str(&f, up->name, sizeof(up->name));
 	take_str(&f, up->domain, sizeof(up->domain));
 	take_endpoint(&f, &up->address);
+	take_endpoint(&f, &up->health);
 	up->slots = (uint32_t)take_uint(&f, UINT32_MAX);
 	up->cold_slots = (uint32_t)take_uint(&f, UINT32_MAX);
 	up->connections = (uint32_t)take_uint(&f, UINT32_MAX);
--- a/config/service.h
+++ b/config/service.h
@@ -33,6 +33,7 @@
 	char name[CONFIG_NAME_MAX];
 	char domain[CONFIG_NAME_MAX];
 	struct endpoint address;
+	struct endpoint health;	   /* of its health endpoints, or unset */
 	uint32_t slots;		   /* requests it runs at once when warm */
 	uint32_t cold_slots;	   /* the same in cold start */
 	uint32_t connections;	   /* flows it holds when warm */
--- a/fleet/health-judge.c
+++ b/fleet/health-judge.c
@@ -291,11 +291,17 @@
 	return false;
 }
 
+/* True if J has to do without probes. */
+static bool needs_no_probe(const struct judge *j)
+{
+	return j->role == HEALTH_PASSIVE || j->unprobed;
+}
+
 static bool has_evidence(const struct judge *j, uint64_t now_ms)
 {
 	unsigned int good = j->use_good;
 
-	if (!j->distrusted && j->role == HEALTH_PASSIVE)
+	if (!j->distrusted && needs_no_probe(j))
 		return true;
 	if (!j->distrusted)
 		good += j->probe_good;
@@ -303,14 +309,14 @@
 		return true;
 	return now_ms - j->since >= HEALTH_QUIET_MS &&
 	       (!j->last_bad || now_ms - j->last_bad >= HEALTH_QUIET_MS) &&
-	       (j->role == HEALTH_PASSIVE || j->probe_good >= HEALTH_RISE);
+	       (needs_no_probe(j) || j->probe_good >= HEALTH_RISE);
 }
 
 static bool is_back(const struct judge *j, uint64_t now_ms)
 {
 	if (now_ms < j->down_until)
 		return false;
-	return j->role == HEALTH_PASSIVE || j->probe_good >= HEALTH_RISE;
+	return needs_no_probe(j) || j->probe_good >= HEALTH_RISE;
 }
 
 void judge_tick(struct judge *j, const struct chart *ch, uint64_t now_ms)
@@ -318,6 +324,10 @@
 	uint64_t stay = now_ms - j->since;
 
 	switch (j->state) {
+	case UPSTREAM_UNKNOWN:
+		if (j->unprobed && stay >= HEALTH_COLD_MS)
+			move_judge(j, ch, UPSTREAM_COLD_DONE, now_ms);
+		break;
 	case UPSTREAM_COLD:
 		if (!holds_claim(j, now_ms) && stay >= HEALTH_COLD_MS &&
 		    has_evidence(j, now_ms))
--- a/fleet/health-judge.h
+++ b/fleet/health-judge.h
@@ -83,10 +83,12 @@
 	bool discounted; /* requests contradicted its report of cold */
 	bool reported_draining;
 	/* probing, kept by fleet/health.c: */
-	uint64_t next_probe; /* ms */
-	uint64_t published_at;
+	uint64_t next_probe;   /* ms */
+	uint64_t published_at; /* ms of the last news to the fleet */
+	uint64_t stated_at;    /* the same, or of a repetition */
 	uint32_t probe_nr;
 	enum upstream_state seen; /* what the fleet said last */
+	bool unprobed;		  /* gives nothing to probe */
 	bool in_flight;
 	bool watched; /* looked at on each tick */
 	bool kept;    /* still probed after a change of members */
--- a/fleet/health-probers.c
+++ b/fleet/health-probers.c
@@ -142,6 +142,11 @@
 	return above;
 }
 
+bool is_own_domain(const struct probers *ps, const char *domain)
+{
+	return !strcmp(domain, ps->own);
+}
+
 enum health_role prober_role(const struct probers *ps,
 			     const struct upstream *up)
 {
@@ -149,7 +154,7 @@
 
 	if (!ids)
 		ids = ps->live;
-	else if (strcmp(up->domain, ps->own) != 0)
+	else if (!is_own_domain(ps, up->domain))
 		return HEALTH_PASSIVE;
 	switch (count_above(ids, view_self(ps->view), up->id)) {
 	case 0:
--- a/fleet/health-probers.h
+++ b/fleet/health-probers.h
@@ -28,4 +28,7 @@
 enum health_role prober_role(const struct probers *ps,
 			     const struct upstream *up);
 
+/* True if DOMAIN is that of this instance. */
+bool is_own_domain(const struct probers *ps, const char *domain);
+
 #endif
--- a/fleet/health.c
+++ b/fleet/health.c
@@ -21,9 +21,10 @@
 	GRand *rand;
 	GHashTable *judges; /* upstream id -> struct judge */
 	GHashTable *reach;  /* domain -> uint64_t ms of the last success */
-	GPtrArray *probed;  /* of struct judge, not passive */
+	GPtrArray *judged;  /* of struct judge, not passive */
 	GPtrArray *watched; /* of struct judge, not simply warm */
 	GPtrArray *dropped; /* of struct judge, while assigning */
+	size_t probed_nr;   /* of them, those that can be probed */
 	uint64_t interval;  /* ms between two probes of one upstream */
 	uint64_t members_at;
 	uint64_t purged_at;
@@ -43,7 +44,7 @@
 					  g_free);
 	h->reach =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	h->probed = g_ptr_array_new();
+	h->judged = g_ptr_array_new();
 	h->watched = g_ptr_array_new();
 	h->dropped = g_ptr_array_new();
 	h->interval = HEALTH_PROBE_MS;
@@ -58,7 +59,7 @@
 	unref_snapshot(h->assigned_of);
 	destroy_probers(h->probers);
 	g_rand_free(h->rand);
-	g_ptr_array_free(h->probed, TRUE);
+	g_ptr_array_free(h->judged, TRUE);
 	g_ptr_array_free(h->watched, TRUE);
 	g_ptr_array_free(h->dropped, TRUE);
 	g_hash_table_destroy(h->judges);
@@ -93,7 +94,7 @@
 
 size_t probed_nr(const struct health *h)
 {
-	return h->probed->len;
+	return h->probed_nr;
 }
 
 uint64_t probe_interval_ms(const struct health *h)
@@ -103,8 +104,7 @@
 
 bool is_probed_kind(const struct service *sv, const struct upstream *up)
 {
-	(void)up;
-	return sv->kind == SERVICE_REQUESTS;
+	return sv->kind == SERVICE_REQUESTS || up->health.family;
 }
 
 static const struct service *service_of(const struct health *h, uint64_t id)
@@ -205,24 +205,29 @@
 	if (j->role == HEALTH_PASSIVE)
 		begin_probing(h, j, up, now_ms);
 	j->role = role;
+	j->unprobed = !is_probed_kind(sv, up);
 	j->kept = true;
 	watch(h, j);
-	g_ptr_array_add(h->probed, j);
+	g_ptr_array_add(h->judged, j);
 }
 
-/* The interval at which this instance sends what it may send at most. */
-static uint64_t find_interval(const struct health *h)
+/* Sets the interval at which this instance sends what it may at most. */
+static void set_interval(struct health *h)
 {
 	uint64_t units = 0; /* probes in HEALTH_STANDBY_EACH intervals */
 	uint64_t ms;
 
-	for (guint i = 0; i < h->probed->len; i++) {
-		const struct judge *j = g_ptr_array_index(h->probed, i);
+	h->probed_nr = 0;
+	for (guint i = 0; i < h->judged->len; i++) {
+		const struct judge *j = g_ptr_array_index(h->judged, i);
 
+		if (j->unprobed)
+			continue;
+		h->probed_nr++;
 		units += j->role == HEALTH_PRIMARY ? HEALTH_STANDBY_EACH : 1;
 	}
 	ms = units * 1000 / (HEALTH_STANDBY_EACH * HEALTH_PROBES_PER_S);
-	return ms > HEALTH_PROBE_MS ? ms : HEALTH_PROBE_MS;
+	h->interval = ms > HEALTH_PROBE_MS ? ms : HEALTH_PROBE_MS;
 }
 
 static gboolean is_unpublished(gpointer key, gpointer value, gpointer data)
@@ -240,7 +245,7 @@
 	gpointer value;
 
 	g_ptr_array_set_size(h->watched, 0);
-	g_ptr_array_set_size(h->probed, 0);
+	g_ptr_array_set_size(h->judged, 0);
 	g_hash_table_foreach_remove(h->judges, is_unpublished, h);
 	g_hash_table_iter_init(&it, h->judges);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
@@ -249,7 +254,7 @@
 		j->watched = false;
 		watch(h, j);
 		if (j->role != HEALTH_PASSIVE)
-			g_ptr_array_add(h->probed, j);
+			g_ptr_array_add(h->judged, j);
 	}
 }
 
@@ -257,8 +262,7 @@
 			   uint64_t now_ms)
 {
 	for (size_t u = 0; u < sv->upstream_nr; u++)
-		if (is_probed_kind(sv, &sv->upstreams[u]))
-			set_role(h, sv, &sv->upstreams[u], now_ms);
+		set_role(h, sv, &sv->upstreams[u], now_ms);
 }
 
 static bool same_service(const struct service *a, const struct service *b)
@@ -290,21 +294,21 @@
 	const struct service *sv = service_of(h, j->service);
 	const struct upstream *up = sv ? find_upstream(sv, j->upstream) : NULL;
 
-	return up && is_probed_kind(sv, up) &&
+	return up && is_probed_kind(sv, up) != j->unprobed &&
 	       prober_role(h->probers, up) == j->role;
 }
 
 static void drop_lost_probes(struct health *h)
 {
-	GPtrArray *before = h->probed;
+	GPtrArray *before = h->judged;
 
-	h->probed = g_ptr_array_new();
+	h->judged = g_ptr_array_new();
 	for (guint i = 0; i < before->len; i++) {
 		struct judge *j = g_ptr_array_index(before, i);
 
 		j->kept = keeps_role(h, j);
 		if (j->kept)
-			g_ptr_array_add(h->probed, j);
+			g_ptr_array_add(h->judged, j);
 	}
 	for (guint i = 0; i < before->len; i++) {
 		struct judge *j = g_ptr_array_index(before, i);
@@ -334,7 +338,7 @@
 			end_probing(j, now_ms);
 	}
 	g_ptr_array_set_size(h->dropped, 0);
-	h->interval = find_interval(h);
+	set_interval(h);
 	unref_snapshot(h->assigned_of);
 	h->assigned_of = ref_snapshot(h->snapshot);
 }
@@ -409,11 +413,11 @@
 {
 	enum upstream_state seen = upstream_state(h->view, up);
 
-	if (seen == UPSTREAM_OUT || j->state == UPSTREAM_OUT)
+	if (seen == UPSTREAM_OUT)
 		return false;
 	if (up->draining && j->state != UPSTREAM_DOWN && seen != UPSTREAM_DOWN)
 		return false;
-	return j->state != UPSTREAM_UNKNOWN && seen != j->state;
+	return seen != j->state;
 }
 
 /*
@@ -434,20 +438,48 @@
 		adopt_state(j, seen, now_ms);
 }
 
+/* True if J has a state that fleets share. */
+static bool is_publishable(const struct judge *j)
+{
+	return j->state != UPSTREAM_UNKNOWN && j->state != UPSTREAM_OUT;
+}
+
+static bool is_pausing(uint64_t last, uint64_t pause_ms, uint64_t now_ms)
+{
+	return last && now_ms < last + pause_ms;
+}
+
+/* Stands for what the fleet says already, in place of one who died. */
+static void restate(const struct health *h, struct judge *j,
+		    const struct upstream *up, uint64_t now_ms,
+		    struct health_actions *out)
+{
+	if (!is_own_domain(h->probers, up->domain) ||
+	    is_pausing(j->stated_at, HEALTH_RESTATE_MS, now_ms))
+		return;
+	j->stated_at = now_ms;
+	add_action(out, HEALTH_PUBLISH, j);
+}
+
 static void publish(struct health *h, struct judge *j, uint64_t now_ms,
 		    struct health_actions *out)
 {
 	const struct service *sv = service_of(h, j->service);
 	const struct upstream *up = sv ? find_upstream(sv, j->upstream) : NULL;
 
-	if (!up || j->role != HEALTH_PRIMARY || !differs_from_view(h, up, j))
+	if (!up || j->role != HEALTH_PRIMARY || !is_publishable(j) ||
+	    is_pausing(j->published_at, HEALTH_PUBLISH_MS, now_ms) ||
+	    !is_view_settled(h->view))
 		return;
-	if (j->published_at && now_ms < j->published_at + HEALTH_PUBLISH_MS)
+	if (judged_upstream_state(h->view, up->id) == j->state) {
+		restate(h, j, up, now_ms, out);
 		return;
-	if (!may_publish(h, sv, up, j))
+	}
+	if (!differs_from_view(h, up, j) || !may_publish(h, sv, up, j))
 		return;
-	j->published_at = now_ms;
 	count(h->counters, COUNT_HEALTH_PUBLISHED);
+	j->published_at = now_ms;
+	j->stated_at = now_ms;
 	add_action(out, HEALTH_PUBLISH, j);
 }
 
@@ -489,7 +521,7 @@
 	j->next_probe = now_ms + jitter(h, wait);
 	j->in_flight = true;
 	a = add_action(out, HEALTH_PROBE, j);
-	a->address = up->address;
+	a->address = up->health.family ? up->health : up->address;
 	a->timeout_ms = HEALTH_TIMEOUT_MS;
 	a->ask_load = ++j->probe_nr % HEALTH_LOAD_EACH == 0;
 	count(h->counters, COUNT_HEALTH_PROBES);
@@ -499,11 +531,12 @@
 static void probe_due(struct health *h, uint64_t now_ms,
 		      struct health_actions *out)
 {
-	for (guint i = 0; i < h->probed->len; i++) {
-		struct judge *j = g_ptr_array_index(h->probed, i);
+	for (guint i = 0; i < h->judged->len; i++) {
+		struct judge *j = g_ptr_array_index(h->judged, i);
 		const struct upstream *up = upstream_of(h, j);
 
-		if (!up || j->in_flight || now_ms < j->next_probe)
+		if (!up || j->unprobed || j->in_flight ||
+		    now_ms < j->next_probe)
 			continue;
 		if (!is_domain_out(h->view, up->domain))
 			send_probe(h, j, up, now_ms, out);
--- a/fleet/health.h
+++ b/fleet/health.h
@@ -30,14 +30,20 @@
 #define HEALTH_LOAD_EACH 4     /* each so many-th probe asks for the load */
 #define HEALTH_TIMEOUT_MS 700  /* of one probe */
 #define HEALTH_PUBLISH_MS 3000 /* shortest time between two of one upstream */
+#define HEALTH_RESTATE_MS 4000 /* between two of the same; see HEALTH_PUBLISH */
 #define HEALTH_OWN_SUCCESS_MS 5000 /* how long an own success counts */
 
 struct health;
 
 enum health_action_kind {
-	HEALTH_PROBE,	/* ask UPSTREAM at ADDRESS within TIMEOUT_MS */
-	HEALTH_PUBLISH, /* tell the fleet that UPSTREAM is in STATE */
-	HEALTH_CHANGED	/* this instance itself judges STATE now */
+	HEALTH_PROBE, /* ask UPSTREAM at ADDRESS within TIMEOUT_MS */
+	/*
+	 * Tell the fleet that UPSTREAM is in STATE. Said again now and then
+	 * with nothing new, as the fleet forgets what a dead instance said;
+	 * fleet/fleet.h sends nothing when it knows already.
+	 */
+	HEALTH_PUBLISH,
+	HEALTH_CHANGED /* this instance itself judges STATE now */
 };
 
 struct health_action {
@@ -86,7 +92,10 @@
 size_t probed_nr(const struct health *h);
 uint64_t probe_interval_ms(const struct health *h);
 
-/* True if this instance has an active probe for UP. */
+/*
+ * True if UP of SV can be probed: it serves requests, or its file names a
+ * health endpoint. Any other is taken for warm after its cold time.
+ */
 bool is_probed_kind(const struct service *sv, const struct upstream *up);
 
 #endif
--- a/flow/upkeep.c
+++ b/flow/upkeep.c
@@ -44,7 +44,8 @@
 		return;
 	m->data = out->body[out->nr];
 	m->len = w->buf.size;
-	memcpy(out->body[out->nr], w->buf.data, w->buf.size);
+	if (m->len)
+		memcpy(out->body[out->nr], w->buf.data, m->len);
 	if (!send_to_member(fs, id, m, out))
 		return;
 	a = &out->at[out->nr - 1];
--- a/net/daemon.c
+++ b/net/daemon.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <uv.h>
 
+#include "fleet/limits.h"
 #include "net/admin.h"
 #include "net/entry.h"
 #include "net/files.h"
@@ -26,6 +27,7 @@
 	struct fleet_port *fleet;
 	struct chart *upstream_chart;
 	struct health *health;
+	struct limits *limits;
 	struct prober *prober;
 	struct flows *flows;
 	struct requests *requests;
@@ -156,6 +158,8 @@
 				  .upstream = { a->upstream, a->state } };
 	struct daemon *d = data;
 
+	if (!d->fleet)
+		return;
 	if (a->kind == HEALTH_PUBLISH)
 		step_fleet_port(d->fleet, &ev);
 	else
@@ -163,6 +167,43 @@
 			   upstream_state_name(a->state));
 }
 
+/* What an offer that ended says about its upstream. */
+static void on_offer_end(uint64_t service, uint64_t upstream,
+			 enum request_event_kind how, uint64_t took_ms,
+			 uint64_t now_ms, void *data)
+{
+	struct health_event ev = { .service = service,
+				   .upstream = upstream,
+				   .latency_ms = (uint32_t)took_ms };
+	struct daemon *d = data;
+
+	(void)now_ms;
+	switch (how) {
+	case REQUEST_ANSWERED:
+		ev.kind = HEALTH_ANSWERED;
+		break;
+	case REQUEST_SHED:
+		ev.kind = HEALTH_SHED;
+		break;
+	case REQUEST_NOT_SENT:
+		ev.kind = HEALTH_REFUSED;
+		break;
+	case REQUEST_LOST:
+		ev.kind = HEALTH_LOST;
+		break;
+	default:
+		return;
+	}
+	observe_upstream(d->prober, &ev);
+}
+
+static uint32_t find_slot_limit(const struct service *sv,
+				const struct upstream *up, uint64_t now_ms,
+				void *data)
+{
+	return upstream_slots(data, sv, up, now_ms);
+}
+
 static const struct snapshot *get_snapshot(void *data)
 {
 	const struct daemon *d = data;
@@ -312,6 +353,7 @@
 		return false;
 	d->health =
 		create_health(d->view, d->upstream_chart, seed, &d->counters);
+	d->limits = create_limits(d->view, d->health);
 	d->prober = create_prober(&d->loop, d->health, on_health_change, d);
 	return true;
 }
@@ -353,6 +395,8 @@
 	if (!start_health(d) || !open_ports(d))
 		return false;
 	start_requests(d);
+	set_request_limit(d->requests, find_slot_limit, d->limits);
+	set_offer_observer(d->requests, on_offer_end, d);
 	if (!d->settings->store.nr)
 		return load_local(d);
 	d->store =
@@ -379,6 +423,7 @@
 	uv_loop_close(&d.loop);
 	destroy_requests(d.requests);
 	destroy_flows(d.flows);
+	destroy_limits(d.limits);
 	destroy_health(d.health);
 	destroy_chart(d.upstream_chart);
 	destroy_view(d.view);
--- a/request/requests.c
+++ b/request/requests.c
@@ -508,8 +508,8 @@
 		    enum request_event_kind how, uint64_t now_ms)
 {
 	if (rs->observe)
-		rs->observe(rq->upstream, how, now_ms - rq->offered, now_ms,
-			    rs->observe_data);
+		rs->observe(rq->service, rq->upstream, how,
+			    now_ms - rq->offered, now_ms, rs->observe_data);
 }
 
 /* Gives the slot of RQ's present offer back. */
--- a/request/requests.h
+++ b/request/requests.h
@@ -129,12 +129,13 @@
 void set_request_limit(struct requests *rs, slot_limit_fn fn, void *data);
 
 /*
- * Calls FN with each offer that ended: the upstream, how, and the time that it
+ * Calls FN with each offer that ended: the upstream, how, and the time it
  * took. Offers given up for reasons of the caller or of a connection are left
  * out, since they say nothing about the upstream.
  */
-typedef void (*offer_end_fn)(uint64_t upstream, enum request_event_kind how,
-			     uint64_t took_ms, uint64_t now_ms, void *data);
+typedef void (*offer_end_fn)(uint64_t service, uint64_t upstream,
+			     enum request_event_kind how, uint64_t took_ms,
+			     uint64_t now_ms, void *data);
 void set_offer_observer(struct requests *rs, offer_end_fn fn, void *data);
 
 /*
--- a/t/bench-capacity.c
+++ b/t/bench-capacity.c
@@ -129,8 +129,10 @@
 		domain_name(m.domain, i);
 		m.id = service_id(m.name);
 		m.address = make_endpoint((uint32_t)i, 0);
-		if (!v)
+		if (!v) {
 			v = create_view(m.id);
+			set_view_settled(v, true);
+		}
 		put_member(v, &m);
 	}
 	return v;
--- a/t/check-health.c
+++ b/t/check-health.c
@@ -222,6 +222,37 @@
 }
 END_TEST
 
+START_TEST(an_upstream_that_nobody_can_probe_warms_by_time)
+{
+	struct judge j;
+
+	init_judge(&j, 1, 2, UPSTREAM_UNKNOWN, 1000);
+	j.role = HEALTH_PRIMARY;
+	j.unprobed = true;
+	for (uint64_t t = 1000; t < 1000 + HEALTH_COLD_MS; t += 200) {
+		judge_tick(&j, bed->chart, t);
+		ck_assert_int_eq(j.state, UPSTREAM_UNKNOWN);
+	}
+	judge_tick(&j, bed->chart, 1000 + HEALTH_COLD_MS);
+	ck_assert_int_eq(j.state, UPSTREAM_WARMING);
+	judge_tick(&j, bed->chart, 1000 + HEALTH_COLD_MS + HEALTH_RAMP_MS);
+	ck_assert_int_eq(j.state, UPSTREAM_WARM);
+}
+END_TEST
+
+START_TEST(a_new_first_prober_states_again_what_the_dead_one_said)
+{
+	size_t u = bed_primary(bed, 0);
+	size_t before;
+
+	run_bed(bed, 30000);
+	before = bed->target[u].restated;
+	run_bed(bed, 3 * HEALTH_RESTATE_MS);
+	ck_assert_uint_ge(bed->target[u].restated, before + 2);
+	ck_assert_int_eq(published(u), UPSTREAM_WARM);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("health");
@@ -244,6 +275,9 @@
 	tcase_add_test(tc, a_cut_instance_does_not_publish_down);
 	tcase_add_test(tc, a_domain_without_instances_is_probed_by_others);
 	tcase_add_test(tc, an_unprobed_upstream_is_warm_after_its_cold_time);
+	tcase_add_test(tc, an_upstream_that_nobody_can_probe_warms_by_time);
+	tcase_add_test(tc,
+		       a_new_first_prober_states_again_what_the_dead_one_said);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_ENV);
 	failed = srunner_ntests_failed(sr);
--- a/t/health-bed.c
+++ b/t/health-bed.c
@@ -58,6 +58,7 @@
 	struct problems *ps = create_problems();
 
 	b->view = create_view(service_id("in-0-0"));
+	set_view_settled(b->view, true);
 	add_members(b, domains, instances);
 	b->chart = create_upstream_chart(ps);
 	destroy_problems(ps);
@@ -124,6 +125,10 @@
 {
 	struct bed_target *t = &b->target[find_target(b, a->upstream)];
 
+	if (judged_upstream_state(b->view, a->upstream) == a->state) {
+		t->restated++;
+		return;
+	}
 	if (t->published++ && b->now - t->published_at < t->shortest_gap)
 		t->shortest_gap = b->now - t->published_at;
 	t->published_at = b->now;
--- a/t/health-bed.h
+++ b/t/health-bed.h
@@ -17,7 +17,8 @@
 	uint64_t start_id;
 	enum health_report report;
 	size_t probes;	  /* received */
-	size_t published; /* times that its state was published */
+	size_t restated;  /* times that its state was told again */
+	size_t published; /* times that a new state was told */
 	uint64_t published_at;
 	uint64_t shortest_gap; /* ms between two publications */
 };
--- a/t/prop-health.cc
+++ b/t/prop-health.cc
@@ -33,6 +33,17 @@
 	HAPPENING_NR
 };
 
+static void showValue(const happening &h, std::ostream &os)
+{
+	static const char *const names[HAPPENING_NR] = {
+		"dies",	     "revives",	       "restarts",   "says cold",
+		"says warm", "says draining",  "sheds",	     "loses",
+		"answers",   "answers slowly", "domain out", "domain back"
+	};
+
+	os << h.target << " " << names[h.kind] << ", " << h.wait_ms << " ms";
+}
+
 static rc::Gen<happening> any_happening()
 {
 	return rc::gen::map(
@@ -171,25 +182,28 @@
 
 static bool cut_says_nothing()
 {
-	return rc::check("an instance that is cut off publishes no down", [] {
-		bed x;
-		std::vector<bool> was;
-
-		for (const happening &h : any_history())
-			happen(x.b, h);
-		for (size_t u = 0; u < x.b->upstream_nr; u++) {
-			x.b->target[u].dead = true;
-			was.push_back(upstream_state(x.b->view,
-						     bed_upstream(x.b, u)) ==
-				      UPSTREAM_DOWN);
-		}
-		run_bed(x.b, 60000);
-		for (size_t u = 0; u < x.b->upstream_nr; u++)
-			RC_ASSERT(was[u] ||
-				  upstream_state(x.b->view,
-						 bed_upstream(x.b, u)) !=
-					  UPSTREAM_DOWN);
-	});
+	return rc::check(
+		"an instance that is cut off publishes no down that it judged "
+		"in the cut",
+		[] {
+			bed x;
+			std::vector<bool> was;
+
+			for (const happening &h : any_history())
+				happen(x.b, h);
+			for (size_t u = 0; u < x.b->upstream_nr; u++) {
+				x.b->target[u].dead = true;
+				was.push_back(bed_used(x.b, u) ==
+					      UPSTREAM_DOWN);
+			}
+			run_bed(x.b, 60000);
+			for (size_t u = 0; u < x.b->upstream_nr; u++)
+				RC_ASSERT(
+					was[u] ||
+					upstream_state(x.b->view,
+						       bed_upstream(x.b, u)) !=
+						UPSTREAM_DOWN);
+		});
 }
 
 /* What is known of one upstream's limit while a history runs. */
