--- a/t/bench-requests.c
+++ b/t/bench-requests.c
@@ -159,7 +159,7 @@
 	uint32_t seed = text ? (uint32_t)strtoul(text, NULL, 10) : 20261203;
 	struct request_world_report r;
 
-	printf("requests: %d instances, %d+%d upstreams of %d slots, capacity "
+	printf("requests: %d instances, %d+%d upstreams of %u slots, capacity "
 	       "%.0f/s, deadline %d ms, seed %u\n",
 	       INSTANCES, UPSTREAMS, UPSTREAMS_2, SLOTS,
 	       capacity(UPSTREAMS + UPSTREAMS_2), DEADLINE_MS, seed);
