docs, cli: describe service files, commands, counters, configuration

docs/COMMANDS.md and docs/COUNTERS.md are what the commands print; t/whole-cli.sh fails if they differ, and checks exit codes, JSON and messages. Examples of the Kochi and Kingston sets are checked there. Instances that are no readers no longer back off towards the store: 5,286 of them at 10 s each would be 700 calls a second through an outage, against 44 at their usual rate. Commands try each endpoint of the store once to read.

--- a/builtin/session.c
+++ b/builtin/session.c
@@ -11,6 +11,7 @@
 	uv_timer_t timer;
 	struct counters counters;
 	struct store *store;
+	size_t endpoint_nr;
 	struct store_answer answer; /* a copy of the last one */
 	bool done;
 };
@@ -51,6 +52,7 @@
 	uv_loop_init(&s->loop);
 	uv_timer_init(&s->loop, &s->timer);
 	s->timer.data = s;
+	s->endpoint_nr = l.nr;
 	s->store = create_etcd_store(&s->loop, &l, &s->counters);
 	return s;
 }
@@ -98,9 +100,13 @@
 const struct store_answer *wait_range(struct session *s,
 				      const struct store_range *r)
 {
-	forget_answer(s);
-	range_store(s->store, r, keep_answer, s);
-	return wait_answer(s);
+	for (size_t i = 0; i < s->endpoint_nr; i++) {
+		forget_answer(s);
+		range_store(s->store, r, keep_answer, s);
+		if (wait_answer(s)->status.kind == STATUS_OK)
+			break;
+	}
+	return &s->answer;
 }
 
 static const struct store_answer *wait_commit(struct session *s,
--- a/builtin/status.c
+++ b/builtin/status.c
@@ -6,6 +6,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "base/counters.h"
 #include "builtin/instances.h"
 
 static const char *text_of(const json_t *j, const char *key)
@@ -111,6 +112,15 @@
 	free(text);
 }
 
+/* All counters as a table in Markdown, as in docs/COUNTERS.md. */
+static void print_counter_list(void)
+{
+	printf("| Counter | One unit is |\n|---|---|\n");
+	for (int i = 0; i < COUNTER_NR; i++)
+		printf("| `%s` | %s |\n", counter_name((enum counter)i),
+		       counter_doc((enum counter)i));
+}
+
 static int ask(const char *const *at, size_t nr, bool json)
 {
 	GArray *answers = ask_instances(at, nr);
@@ -136,14 +146,22 @@
 int cmd_status(int argc, char **argv)
 {
 	char *format = NULL;
-	GOptionEntry entries[] = { OPTION_FORMAT(&format),
-				   G_OPTION_ENTRY_NULL };
+	gboolean list = FALSE;
+	GOptionEntry entries[] = {
+		OPTION_FORMAT(&format),
+		{ "list-counters", 0, 0, G_OPTION_ARG_NONE, &list,
+		  "List every counter and its meaning; asks nobody", NULL },
+		G_OPTION_ENTRY_NULL
+	};
 	int code = EXIT_USAGE;
 	bool json;
 
 	argc = parse_command(argc, argv, entries, "ADDRESS:PORT...",
 			     "Asks instances at their admin ports.");
-	if (argc == 1)
+	if (argc && list) {
+		print_counter_list();
+		code = 0;
+	} else if (argc == 1)
 		usage_error("status", "no instance's ADDRESS:PORT given");
 	else if (argc && parse_format(format, &json))
 		code = ask((const char *const *)argv + 1, (size_t)argc - 1,
--- a/config/follow.c
+++ b/config/follow.c
@@ -96,11 +96,15 @@
 		now + jitter(f, f->reader ? FOLLOW_READ_MS : FOLLOW_RARE_MS);
 }
 
+/* A reader tries again soon; the others have the news from their peers. */
 static void fail(struct follow *f, uint64_t now)
 {
 	f->failures++;
-	f->next_read = now + backoff_ms(f->failures, FOLLOW_BACKOFF_MS,
-					FOLLOW_BACKOFF_MAX_MS, f->rand);
+	if (f->reader)
+		f->next_read = now + backoff_ms(f->failures, FOLLOW_BACKOFF_MS,
+						FOLLOW_BACKOFF_MAX_MS, f->rand);
+	else
+		plan_read(f, now);
 }
 
 static void read_store(struct follow *f, struct follow_actions *out)
@@ -166,7 +170,8 @@
 {
 	const struct pointer *p = h->pointer;
 
-	if (p && p->epoch == f->epoch && strcmp(p->publish_id, f->publish_id))
+	if (p && p->epoch == f->epoch &&
+	    strcmp(p->publish_id, f->publish_id) != 0)
 		return f->epoch + 1;
 	return f->epoch;
 }
--- /dev/null
+++ b/t/whole-cli.sh
@@ -0,0 +1,106 @@
+#!/bin/sh
+# The commands as people and pipelines use them: --help and the docs tell the
+# same, exit codes, JSON, and messages that name file, section and key.
+
+bin=$1
+. "$(dirname "$0")/lib.sh"
+bv=$bin/baobabvalve
+
+fail () {
+	echo "FAILED: $*"
+	cat "$work/out" 2>/dev/null
+	exit 1
+}
+
+# expect CODE COMMAND...: runs it; output in $work/out.
+expect () {
+	want=$1
+	shift
+	"$@" >"$work/out" 2>&1
+	code=$?
+	test $code -eq "$want" || fail "$*: exit $code, not $want"
+}
+
+t/print-commands "$bin" | diff docs/COMMANDS.md - >"$work/out" ||
+	fail "renew by: t/print-commands $bin >docs/COMMANDS.md"
+LC_ALL=C "$bv" status --list-counters >"$work/counters"
+sed -n '/^|/p' docs/COUNTERS.md | diff - "$work/counters" >"$work/out" ||
+	fail "renew the table by: baobabvalve status --list-counters"
+
+for c in audit check domain publish status version
+do
+	expect 0 "$bv" $c --help
+	expect 129 "$bv" $c --no-such-option
+	grep -q "see 'baobabvalve $c --help'" "$work/out" ||
+		fail "$c does not point at its help"
+done
+expect 129 "$bv"
+expect 129 "$bv" no-such-command
+expect 129 "$bv" check
+expect 129 "$bv" check --format=xml examples/demo
+expect 129 "$bv" publish examples/demo
+expect 129 "$bv" publish --store=localhost:1 examples/demo
+expect 129 "$bv" publish --store=127.0.0.1:1 --remove=x examples/demo
+expect 129 "$bv" publish --store=127.0.0.1:1 --wait examples/demo
+expect 129 "$bv" domain --store=127.0.0.1:1 out
+expect 129 "$bv" domain --store=127.0.0.1:1 out north
+expect 129 "$bv" domain --store=127.0.0.1:1 out North --why=x
+expect 129 "$bv" audit --store=127.0.0.1:1 --since=soon
+expect 129 "$bv" audit --store=127.0.0.1:1 --what=drinks
+expect 129 "$bv" status nowhere
+
+for dir in demo kochi kingston
+do
+	expect 0 "$bv" check "examples/$dir"
+	expect 0 "$bv" check --format=json "examples/$dir"
+	grep -q '"status": "ok"' "$work/out" || fail "check $dir as JSON"
+done
+cat >"$work/bad.ini" <<-EOT
+[service]
+name = desk
+kind = requests
+address = desk.example:80
+deadline = 5
+colour = red
+EOT
+expect 1 "$bv" check "$work/bad.ini"
+grep -q 'bad.ini:4: \[service\] address:' "$work/out" || fail address
+grep -q "bad.ini:5: \[service\] deadline: '5' is not a number with a unit" \
+	"$work/out" || fail deadline
+grep -q 'bad.ini:6: \[service\] colour: unknown key; known are' \
+	"$work/out" || fail colour
+expect 1 "$bv" check --format=json "$work/bad.ini"
+grep -q '"status": "invalid"' "$work/out" || fail "check as JSON"
+expect 1 "$bv" check "$work/none.ini"
+expect 1 "$bv" status 127.0.0.1:1
+grep -q '127.0.0.1:1: no answer' "$work/out" || fail "status of nobody"
+expect 1 "$bv" publish --store=127.0.0.1:1 "$work/bad.ini"
+grep -q 'nothing published' "$work/out" || fail "publish of a bad file"
+
+store=$net.0.1:22879
+start store "$bin/store-stand-in" $store
+wait_until 5 curl -sS "http://$store/stand-in/calls" || fail "store"
+expect 0 "$bv" publish --store=$store --format=json --who=ann --why=first \
+	examples/kochi
+grep -q '"epoch": 1' "$work/out" || fail "publish as JSON"
+expect 0 "$bv" publish --store=$store examples/kochi
+grep -q 'nothing to change: epoch 1 by ann' "$work/out" || fail "same again"
+expect 1 "$bv" publish --store=$store --base-epoch=7 examples/kochi
+expect 1 "$bv" publish --store=$store examples/kingston
+grep -q 'permit-desk: the service would be removed' "$work/out" ||
+	fail "removal"
+expect 0 "$bv" publish --store=$store --only examples/kingston
+expect 0 "$bv" publish --store=$store --only --remove=seat-board \
+	--allow-removal --who=bob
+expect 0 "$bv" domain list --store=$store --format=json
+test "$(grep -c '"name"' "$work/out")" -eq 7 || fail "seven domains"
+expect 0 "$bv" domain out aluva --store=$store --why=flood --who=bob
+expect 1 "$bv" domain out atlantis --store=$store --why=flood
+grep -q 'known are: ' "$work/out" || fail "unknown domain"
+expect 0 "$bv" domain list --store=127.0.0.1:1,$store
+expect 0 "$bv" domain out edappally --store=127.0.0.1:1,$store --why=dead
+expect 0 "$bv" audit --store=$store --format=json
+test "$(grep -c '"id"' "$work/out")" -eq 5 || fail "five changes"
+expect 0 "$bv" audit --store=$store --who=bob --what=domain --since=1h
+test "$(grep -c 'domain-out aluva' "$work/out")" -eq 1 || fail "filters"
+echo ok
