--- a/fleet/health-judge.c
+++ b/fleet/health-judge.c
@@ -188,14 +188,35 @@
 		move_judge(j, ch, UPSTREAM_FAILED, now_ms);
 }
 
+/* A failed probe agrees with failed requests, so probes tell the truth. */
+static void take_probe_failure(struct judge *j, const struct chart *ch,
+			       uint64_t now_ms)
+{
+	j->distrusted = false;
+	take_failure(j, ch, &j->probe_failures, now_ms);
+}
+
 static void take_use_failure(struct judge *j, const struct chart *ch,
 			     uint64_t now_ms)
 {
-	j->distrusted = true;
 	take_failure(j, ch, &j->use_failures, now_ms);
 	take_bad_answer(j, ch, now_ms);
 }
 
+/* Without a connection there was nothing for probes to be wrong about. */
+static void take_refusal(struct judge *j, const struct chart *ch,
+			 uint64_t now_ms)
+{
+	j->distrusted |= j->role != HEALTH_PASSIVE;
+	take_use_failure(j, ch, now_ms);
+}
+
+static void take_loss(struct judge *j, const struct chart *ch, uint64_t now_ms)
+{
+	j->distrusted = true;
+	take_use_failure(j, ch, now_ms);
+}
+
 static void take_report(struct judge *j, const struct chart *ch,
 			enum health_report report, uint64_t now_ms)
 {
@@ -237,6 +258,7 @@
 		j->start_id = ev->start_id;
 	j->age_ms = ev->age_ms;
 	if (restarted) {
+		j->distrusted = false;
 		j->discounted = false;
 		j->reported_since = 0;
 		if (j->state == UPSTREAM_COLD)
@@ -256,7 +278,7 @@
 		take_probe(j, ch, ev, now_ms);
 		break;
 	case HEALTH_PROBE_FAILED:
-		take_failure(j, ch, &j->probe_failures, now_ms);
+		take_probe_failure(j, ch, now_ms);
 		break;
 	case HEALTH_LOAD:
 		take_success(j, now_ms);
@@ -269,8 +291,10 @@
 		take_shed(j, ch, now_ms);
 		break;
 	case HEALTH_LOST:
+		take_loss(j, ch, now_ms);
+		break;
 	case HEALTH_REFUSED:
-		take_use_failure(j, ch, now_ms);
+		take_refusal(j, ch, now_ms);
 		break;
 	case HEALTH_TICK:
 		break;
