request: hold a cancelled slot until the upstream must have noticed

The slot now stays in use for 50 ms after the deadline. The test's views also let news of a death overtake that of the return for ever; later news wins now, as in the fleet, which orders it.

--- a/request/requests.c
+++ b/request/requests.c
@@ -518,7 +518,8 @@
 		      enum slot_end end, uint64_t now_ms)
 {
 	struct taken_slot t = { rq->service, rq->upstream, rq->loan };
-	uint64_t until = MIN(rq->deadline, now_ms + CANCEL_SEEN_MS);
+	uint64_t until =
+		MIN(rq->deadline + CANCEL_SLACK_MS, now_ms + CANCEL_SEEN_MS);
 
 	give_slot_back(rs->slots, &t, end, until, now_ms);
 	g_hash_table_remove(rs->timed, rq);
--- a/request/requests.h
+++ b/request/requests.h
@@ -26,6 +26,7 @@
 #define OFFERS_MAX 16	       /* of one request */
 #define HOP_MS 10 /* of the deadline, kept for the way back to the caller */
 #define CANCEL_SEEN_MS 1000 /* by when an upstream notices a cancellation */
+#define CANCEL_SLACK_MS 50  /* the same, after the deadline that it knows */
 #define REQUEST_TICK_BUSY_MS 10
 #define REQUEST_TICK_IDLE_MS 200
 
--- a/request/slots.c
+++ b/request/slots.c
@@ -3,7 +3,7 @@
 #define PAUSE_MIN_MS 5		  /* after one shed */
 #define PAUSE_DOUBLINGS_MAX 6	  /* of the pause, by sheds in a row */
 #define OWN_DOUBLINGS_MAX 3	  /* the same for slots of the own share */
-#define BORROWING_DOUBLINGS_MAX 4 /* the same for all borrowing */
+#define BORROWING_DOUBLINGS_MAX 3 /* the same for all borrowing */
 #define REPORT_LIFE_MS 1000 /* a load report older than this says nothing */
 #define PROBES 3	    /* upstreams compared by SLOT_PROBE */
 
--- a/t/request-world.c
+++ b/t/request-world.c
@@ -72,7 +72,8 @@
 	struct view *view;
 	struct counters counters;
 	struct requests *requests;
-	GHashTable *sent; /* handle -> struct sent */
+	GHashTable *sent;		  /* handle -> struct sent */
+	size_t seen[WORLD_INSTANCES_MAX]; /* latest news of each member */
 };
 
 struct stand_in {
@@ -101,6 +102,7 @@
 	GRand *rng;
 	struct event_queue *queue;
 	uint64_t now;
+	size_t news; /* of members, numbered */
 	struct service *services[2];
 	struct snapshot *snapshot;
 	struct instance in[WORLD_INSTANCES_MAX];
@@ -274,6 +276,7 @@
 	if (i == m)
 		return;
 	it = add_item(w, w->now + delay, ITEM_VIEW, i);
+	it->len = ++w->news;
 	it->b = m;
 	it->c = state;
 }
@@ -706,8 +709,9 @@
 	struct instance *in = &w->in[it->a];
 	struct member m = w->members[it->b];
 
-	if (!in->alive)
-		return;
+	if (!in->alive || it->len < in->seen[it->b])
+		return; /* later news of this member was there first */
+	in->seen[it->b] = it->len;
 	m.state = (enum member_state)it->c;
 	if (m.state == MEMBER_STATE_NR)
 		remove_member(in->view, m.id);
