--- a/flow/flows.c
+++ b/flow/flows.c
@@ -24,6 +24,7 @@
 	fs->progress = create_progress(PROGRESS_SLOTS);
 	fs->shares = create_shares(view);
 	fs->keepers = create_keepers(view);
+	fs->cuts = create_cut_watch();
 	fs->rand = g_rand_new_with_seed((guint32)fs->self);
 	init_wire_writer(&fs->writer);
 	fs->sync_to = g_array_new(FALSE, FALSE, sizeof(uint64_t));
@@ -41,6 +42,7 @@
 	destroy_progress(fs->progress);
 	destroy_shares(fs->shares);
 	destroy_keepers(fs->keepers);
+	destroy_cut_watch(fs->cuts);
 	g_rand_free(fs->rand);
 	release_wire_writer(&fs->writer);
 	g_array_free(fs->sync_to, TRUE);
@@ -67,6 +69,7 @@
 		.shares = fs->shares,
 		.marks = fs->marks,
 		.now_ms = now_ms,
+		.changed_ms = now_ms,
 		.wall_s = (fs->wall_at_0 + now_ms) / 1000,
 		.tell_nr = others > TELL_ALL_MAX ? TELL_NR : (uint8_t)others,
 	};
@@ -121,6 +124,8 @@
 		g_hash_table_remove(fs->routes, &old->id);
 		return;
 	}
+	if (snapshot_epoch(sn) <= fs->newest_epoch)
+		in.changed_ms = fs->newer_since;
 	set_route_service(find_route(fs, old, now_ms), sv, &in);
 }
 
@@ -297,6 +302,18 @@
 	       !memcmp(mb->address.ip, from->ip, sizeof(from->ip));
 }
 
+/* Notes the epoch that another instance has in force. */
+static void note_epoch(struct flows *fs, uint64_t epoch, uint64_t now_ms)
+{
+	uint64_t own = fs->snapshot ? snapshot_epoch(fs->snapshot) : 0;
+
+	if (epoch <= fs->newest_epoch)
+		return;
+	if (fs->newest_epoch <= own)
+		fs->newer_since = now_ms;
+	fs->newest_epoch = epoch;
+}
+
 void take_flow_message(struct flows *fs, const struct endpoint *from,
 		       const uint8_t *data, size_t len, uint64_t now_ms,
 		       struct flow_actions *out)
@@ -313,7 +330,7 @@
 		count(fs->counters, COUNT_FLOW_STRANGER);
 		return;
 	}
-	fs->newest_epoch = MAX(fs->newest_epoch, m.epoch);
+	note_epoch(fs, m.epoch, now_ms);
 	switch (m.kind) {
 	case FLOW_ASK:
 	case FLOW_KEEP:
--- a/flow/flows.h
+++ b/flow/flows.h
@@ -25,6 +25,12 @@
 /* Bytes a second for marks and copies, on average over a few seconds. */
 #define FLOW_CONTROL_BUDGET 1024
 
+/*
+ * The same for answers of keepers to instances that asked. Without an answer
+ * the next packet of the flow takes the same hop again.
+ */
+#define FLOW_LEARN_BUDGET 1024
+
 struct flows;
 
 enum flow_action_kind {
--- a/flow/route.c
+++ b/flow/route.c
@@ -23,7 +23,7 @@
 	uint64_t ramp_start;	/* ms */
 	uint32_t births;	/* flows placed here since it turned cold */
 	uint32_t allowance;	/* births that this instance may place */
-	uint32_t share;		/* the same if nobody placed any before */
+	uint32_t share;		/* the same if nobody had placed any */
 	uint8_t ramp;		/* 0 to RAMP_STEPS: part of its slots in use */
 	bool wants;		/* its state allows new flows */
 	bool takes;		/* gets new flows from here */
@@ -50,6 +50,7 @@
 	uint64_t marks_print; /* of the marks taken in */
 	struct slot_cell *table;
 	uint64_t updated; /* ms */
+	bool all_cold;	  /* of those that take new flows */
 };
 
 static bool allows_new_flows(enum upstream_state s)
@@ -96,20 +97,21 @@
 }
 
 /* Moves RU to what its state wants, when it is time. */
-static bool follow_state(struct route_upstream *ru, uint64_t now)
+static bool follow_state(struct route_upstream *ru,
+			 const struct route_inputs *in)
 {
 	bool wants = allows_new_flows(ru->state);
 
 	if (wants != ru->wants) {
 		ru->wants = wants;
-		ru->wants_changed = now;
+		ru->wants_changed = in->changed_ms;
 	}
 	if (wants == ru->takes)
 		return false;
-	if (!is_lost(ru->state) && now - ru->wants_changed < SETTLE_MS)
+	if (!is_lost(ru->state) && in->now_ms - ru->wants_changed < SETTLE_MS)
 		return false;
 	ru->takes = wants;
-	ru->ramp_start = now;
+	ru->ramp_start = in->now_ms;
 	return true;
 }
 
@@ -177,7 +179,7 @@
 
 	ru->state = upstream_state(in->view, ru->up);
 	follow_cold(ru, in);
-	changed = follow_state(ru, in->now_ms);
+	changed = follow_state(ru, in);
 	changed |= follow_ramp(ru, in->now_ms);
 	changed |= follow_age(ru, rt->service->idle_ms, in->wall_s);
 	if (is_unsettled(ru))
@@ -231,8 +233,13 @@
 	bool changed = false;
 
 	rt->updated = in->now_ms;
-	for (size_t i = 0; i < rt->nr; i++)
-		changed |= update_upstream(rt, &rt->ups[i], in);
+	rt->all_cold = true;
+	for (size_t i = 0; i < rt->nr; i++) {
+		struct route_upstream *ru = &rt->ups[i];
+
+		changed |= update_upstream(rt, ru, in);
+		rt->all_cold &= !ru->takes || ru->cold;
+	}
 	changed |= update_marks(rt, in);
 	if (changed)
 		forget_choices(rt);
@@ -252,7 +259,7 @@
 	ru->up = up;
 	ru->state = upstream_state(in->view, up);
 	ru->wants = allows_new_flows(ru->state);
-	ru->wants_changed = in->now_ms;
+	ru->wants_changed = in->changed_ms;
 	ru->takes = ru->wants;
 	ru->ramp_start = in->now_ms - MIN(in->now_ms, RAMP_MS);
 	ru->ramp = ru->takes ? RAMP_STEPS : 0;
@@ -433,40 +440,37 @@
 	return c;
 }
 
-static bool has_room(const struct route_upstream *ru)
+/*
+ * Whether RU may get one more flow. An instance that found RU cold cannot
+ * know what others placed there before, and uses its share only if every
+ * upstream is cold.
+ */
+static bool has_room(const struct route *rt, const struct route_upstream *ru)
 {
-	return !ru->cold || ru->births < ru->allowance;
+	if (!ru->cold)
+		return true;
+	return ru->births < (rt->all_cold ? ru->share : ru->allowance);
 }
 
-static struct route_upstream *place(struct route_upstream *ru)
+static const struct upstream *place(struct route_upstream *ru)
 {
 	if (ru->cold)
 		ru->births++;
-	return ru;
+	return ru->up;
 }
 
-/* The next best upstream on SLOT that has room. */
-static struct route_upstream *place_elsewhere(struct route *rt, uint32_t slot)
+/* The best upstream on SLOT that has room. */
+static const struct upstream *place_elsewhere(struct route *rt, uint32_t slot)
 {
-	struct best roomy = { 0, NO_INDEX };
-	struct best shared = roomy;
+	struct best best = { 0, NO_INDEX };
 
 	for (size_t i = 0; i < rt->nr; i++) {
 		const struct route_upstream *ru = &rt->ups[i];
-		uint64_t weight = weigh(ru->up->id, slot);
 
-		if (!ru->takes)
-			continue;
-		if (has_room(ru))
-			offer(&roomy, weight, i);
-		else if (ru->births < ru->share)
-			offer(&shared, weight, i);
+		if (ru->takes && has_room(rt, ru))
+			offer(&best, weigh(ru->up->id, slot), i);
 	}
-	if (roomy.index != NO_INDEX)
-		return place(&rt->ups[roomy.index]);
-	if (shared.index != NO_INDEX)
-		return place(&rt->ups[shared.index]);
-	return NULL;
+	return best.index != NO_INDEX ? place(&rt->ups[best.index]) : NULL;
 }
 
 const struct upstream *place_flow(struct route *rt, uint32_t slot)
@@ -477,10 +481,9 @@
 	if (cell.target == NO_INDEX)
 		return NULL;
 	ru = &rt->ups[cell.target];
-	if (has_room(ru))
-		return place(ru)->up;
-	ru = place_elsewhere(rt, slot);
-	return ru ? ru->up : NULL;
+	if (has_room(rt, ru))
+		return place(ru);
+	return place_elsewhere(rt, slot);
 }
 
 const struct upstream *route_upstream(const struct route *rt, uint64_t id,
--- a/flow/route.h
+++ b/flow/route.h
@@ -40,8 +40,9 @@
 	const struct shares *shares;
 	struct marks *marks;
 	uint64_t now_ms;
-	uint64_t wall_s; /* seconds since 1970 */
-	uint8_t tell_nr; /* peers to be told of a new mark */
+	uint64_t changed_ms; /* since when others may know what is new */
+	uint64_t wall_s;     /* seconds since 1970 */
+	uint8_t tell_nr;     /* peers to be told of a new mark */
 };
 
 struct slot_choice {
--- a/flow/state.h
+++ b/flow/state.h
@@ -5,6 +5,7 @@
 
 #include <glib.h>
 
+#include "flow/cut.h"
 #include "flow/flows.h"
 #include "flow/keepers.h"
 #include "flow/marks.h"
@@ -28,17 +29,20 @@
 	struct progress *progress;
 	struct shares *shares;
 	struct keepers *keepers;
+	struct cut_watch *cuts;
 	GRand *rand;
 	struct wire_writer writer;
 	uint64_t self;		/* member id */
 	uint64_t wall_at_0;	/* wall clock, ms, when now_ms was 0 */
 	uint64_t fresh_until;	/* ms; too young to place flows before */
 	uint64_t newest_epoch;	/* heard of from any instance */
+	uint64_t newer_since;	/* ms when an epoch above the own was heard */
 	bool synced;		/* has the marks of some other instance */
 	size_t sweep;		/* next place of the table to look at */
 	uint64_t ticked;	/* ms */
 	uint64_t expired_marks; /* ms */
 	int64_t control_tokens; /* bytes that may be sent now */
+	int64_t learn_tokens;	/* the same for answers to asking instances */
 	GArray *sync_to;	/* ids of members that are to get all marks */
 	size_t sync_skip;	/* marks that the first of them has got */
 };
--- a/flow/steer.c
+++ b/flow/steer.c
@@ -86,10 +86,11 @@
 				  .hash = j->p.hash };
 	struct flow_action *a;
 
-	if (j->origin == j->fs->self ||
+	if (j->origin == j->fs->self || j->fs->learn_tokens <= 0 ||
 	    !send_to_member(j->fs, j->origin, &m, j->out))
 		return;
 	a = &j->out->at[j->out->nr - 1];
+	j->fs->learn_tokens -= (int64_t)a->header_len;
 	count_n(j->fs->counters, COUNT_FLOW_LEARN_BYTES, a->header_len);
 }
 
@@ -154,6 +155,11 @@
 	if (!up && j->origin != j->fs->self &&
 	    pass_on(j, j->origin, FLOW_DELIVER, 0, upstream))
 		return;
+	if (up && state == UPSTREAM_DOWN &&
+	    is_cut_off(j->fs->cuts, up->domain, j->now_ms)) {
+		count(j->fs->counters, COUNT_FLOW_CUT_OFF);
+		return;
+	}
 	forget_flow(j);
 	give_up(j, COUNT_FLOW_GIVEN_UP);
 }
--- a/flow/table.c
+++ b/flow/table.c
@@ -38,7 +38,7 @@
 	size_t i = hash & t->mask;
 
 	while (t->at[i].hash &&
-	       (t->at[i].hash != hash || t->at[i].service != (uint32_t)service))
+	       (t->at[i].hash != hash || t->at[i].service != service))
 		i = (i + 1) & t->mask;
 	return i;
 }
--- a/flow/upkeep.c
+++ b/flow/upkeep.c
@@ -11,6 +11,7 @@
 #define SWEEP_MS 10000	      /* one look through the whole table */
 #define EXPIRE_MARKS_MS 10000 /* between two removals of old marks */
 #define CONTROL_BURST (8 * FLOW_CONTROL_BUDGET) /* bytes */
+#define LEARN_BURST (8 * FLOW_LEARN_BUDGET)	/* bytes */
 #define MARK_FIELDS 3				/* of one mark on the wire */
 #define COPY_FIELDS 4				/* of one entry on the wire */
 #define MARKS_PER_MESSAGE 40
@@ -304,6 +305,8 @@
 {
 	fs->control_tokens += (int64_t)(FLOW_CONTROL_BUDGET * dt_ms / 1000);
 	fs->control_tokens = MIN(fs->control_tokens, CONTROL_BURST);
+	fs->learn_tokens += (int64_t)(FLOW_LEARN_BUDGET * dt_ms / 1000);
+	fs->learn_tokens = MIN(fs->learn_tokens, LEARN_BURST);
 }
 
 /* Members that came get all marks, since a cut may have hidden them. */
@@ -325,6 +328,7 @@
 	fs->ticked = now_ms;
 	refill_tokens(fs, dt);
 	update_shares(fs->shares, now_ms);
+	update_cut_watch(fs->cuts, fs->view, now_ms);
 	if (update_keepers(fs->keepers, now_ms))
 		greet_members(fs, now_ms);
 	ask_sync(fs, out);
