stand-in: let callers resend and the fabric pass over dead instances

The caller resends unanswered segments as TCP does and reports resets, so that a packet lost with an instance is told apart from a flow that moved. The fabric probes instances every 100 ms and delivers their packets to callers. t/whole-flows.sh kills an instance while an upstream drains. With instances that know only themselves it fails: 11 of 60 flows opened after the drain moved.

--- a/stand-in/caller.c
+++ b/stand-in/caller.c
@@ -1,8 +1,9 @@
 /*
  * caller-stand-in: opens flows through the fabric. Each flow sends PACKETS
- * TCP segments, one every GAP-MS, and every answer must come from the
+ * TCP segments, the next one GAP-MS after the one before, but sends a segment
+ * again until it is answered, as TCP does. Every answer must come from the
  * upstream that answered first. Prints a line of counts; exits 1 if a flow
- * moved or a packet got no answer.
+ * moved, was reset or did not get every answer.
  */
 
 #include <glib.h>
@@ -15,8 +16,10 @@
 #include "flow/gue.h"
 #include "flow/packet.h"
 
-#define HEADERS (GUE_HEADER + 20 + 20) /* bytes: GUE, IPv4, TCP */
-#define SETTLE_MS 500		       /* wait for the last answers */
+#define HEADERS (GUE_HEADER + 20 + 20 + PAYLOAD) /* GUE, IPv4, TCP */
+#define TRIES_MAX 50				 /* times one segment is sent */
+#define RESEND_ROUNDS 4 /* between two times, in gaps */
+#define PAYLOAD 2	/* bytes, so that progress shows */
 
 struct caller;
 
@@ -24,10 +27,14 @@
 	struct caller *c;
 	uv_udp_t udp;
 	struct endpoint self;
-	char upstream[64]; /* that answered first */
-	unsigned int sent;
-	unsigned int answered;
+	char upstream[64];     /* that answered first */
+	unsigned int segment;  /* that is being sent */
+	unsigned int answered; /* segments */
+	unsigned int waited;   /* rounds since it was last sent */
+	unsigned int resent;
+	unsigned int tries; /* times that this segment was sent */
 	bool moved;
+	bool reset;
 	char buffer[2048];
 };
 
@@ -38,7 +45,6 @@
 	struct flow *flows;
 	unsigned int flow_nr;
 	unsigned int packet_nr;
-	unsigned int round;
 };
 
 static void put_u16(uint8_t *p, uint16_t v)
@@ -47,8 +53,14 @@
 	p[1] = (uint8_t)v;
 }
 
-/* Writes a GUE datagram around one TCP segment without payload. */
-static void write_segment(uint8_t *p, const struct flow *f, uint8_t flags)
+static void put_u32(uint8_t *p, uint32_t v)
+{
+	put_u16(p, (uint16_t)(v >> 16));
+	put_u16(p + 2, (uint16_t)v);
+}
+
+/* Writes a GUE datagram around the segment that F is sending. */
+static void write_segment(uint8_t *p, const struct flow *f)
 {
 	const struct endpoint *to = &f->c->service;
 
@@ -56,7 +68,7 @@
 	p[GUE_HEADER] = 0x45;
 	write_gue(p, p[GUE_HEADER]);
 	p += GUE_HEADER;
-	put_u16(p + 2, 40);
+	put_u16(p + 2, HEADERS - GUE_HEADER);
 	p[8] = 64;
 	p[9] = FLOW_TCP;
 	memcpy(p + 12, f->self.ip, 4);
@@ -65,8 +77,9 @@
 	p += 20;
 	put_u16(p, f->self.port);
 	put_u16(p + 2, to->port);
+	put_u32(p + 4, 1000 + f->segment * PAYLOAD);
 	p[12] = 5 << 4;
-	p[13] = flags;
+	p[13] = f->segment ? TCP_ACK : TCP_SYN;
 }
 
 static void send_segment(struct flow *f)
@@ -75,10 +88,21 @@
 	struct sockaddr_storage ss;
 	uv_buf_t buf = uv_buf_init((char *)datagram, sizeof(datagram));
 
-	write_segment(datagram, f, f->sent ? TCP_ACK : TCP_SYN);
+	write_segment(datagram, f);
 	endpoint_to_sockaddr(&f->c->fabric, &ss);
-	if (uv_udp_try_send(&f->udp, &buf, 1, (struct sockaddr *)&ss) > 0)
-		f->sent++;
+	uv_udp_try_send(&f->udp, &buf, 1, (struct sockaddr *)&ss);
+	f->resent += f->tries > 0;
+	f->tries++;
+	f->waited = 0;
+}
+
+/* True if the datagram wraps a packet for this caller: a reset. */
+static bool is_reset(const char *data, size_t n)
+{
+	const uint8_t *inner = read_gue((const uint8_t *)data, n, &n);
+	struct packet p;
+
+	return inner && read_packet(inner, n, &p) && p.flags & TCP_RST;
 }
 
 static void on_answer(uv_udp_t *udp, ssize_t n, const uv_buf_t *buf,
@@ -90,11 +114,17 @@
 	(void)flags;
 	if (n <= 0 || !from || (size_t)n >= sizeof(name))
 		return;
+	if (is_reset(buf->base, (size_t)n)) {
+		f->reset = true;
+		return;
+	}
 	memcpy(name, buf->base, (size_t)n);
-	if (!f->answered++)
+	if (!f->answered)
 		memcpy(f->upstream, name, sizeof(name));
 	else if (strcmp(f->upstream, name) != 0)
 		f->moved = true;
+	if (f->answered == f->segment)
+		f->answered++;
 }
 
 static void give_buffer(uv_handle_t *handle, size_t size, uv_buf_t *buf)
@@ -123,37 +153,50 @@
 	return !uv_udp_recv_start(&f->udp, give_buffer, on_answer);
 }
 
-static void on_settled(uv_timer_t *timer)
+/* Sends what F is to send this round; false if it has finished. */
+static bool advance_flow(struct flow *f)
 {
-	uv_stop(timer->loop);
+	if (f->answered > f->segment) {
+		f->segment++;
+		f->tries = 0;
+	}
+	if (f->reset || f->moved || f->segment == f->c->packet_nr ||
+	    f->tries == TRIES_MAX)
+		return false;
+	if (!f->tries || ++f->waited >= RESEND_ROUNDS)
+		send_segment(f);
+	return true;
 }
 
 static void on_round(uv_timer_t *timer)
 {
 	struct caller *c = timer->data;
+	bool busy = false;
 
-	if (c->round++ >= c->packet_nr) {
-		uv_timer_start(timer, on_settled, SETTLE_MS, 0);
-		return;
-	}
 	for (unsigned int i = 0; i < c->flow_nr; i++)
-		send_segment(&c->flows[i]);
+		busy |= advance_flow(&c->flows[i]);
+	if (!busy)
+		uv_stop(timer->loop);
 }
 
 static int report(const struct caller *c)
 {
-	unsigned int sent = 0;
 	unsigned int answered = 0;
+	unsigned int resent = 0;
 	unsigned int moved = 0;
+	unsigned int reset = 0;
 
 	for (unsigned int i = 0; i < c->flow_nr; i++) {
-		sent += c->flows[i].sent;
 		answered += c->flows[i].answered;
+		resent += c->flows[i].resent;
 		moved += c->flows[i].moved;
+		reset += c->flows[i].reset;
 	}
-	printf("%u flows: %u packets sent, %u answered, %u flows moved\n",
-	       c->flow_nr, sent, answered, moved);
-	return moved || answered < sent;
+	printf("%u flows: %u of %u segments answered, %u sent again, "
+	       "%u flows moved, %u reset\n",
+	       c->flow_nr, answered, c->flow_nr * c->packet_nr, resent, moved,
+	       reset);
+	return moved || reset || answered < c->flow_nr * c->packet_nr;
 }
 
 int main(int argc, char **argv)
--- a/stand-in/fabric.c
+++ b/stand-in/fabric.c
@@ -1,22 +1,46 @@
 /*
  * fabric-stand-in: hands each TCP connection and each GUE packet that arrives
  * at ADDRESS:PORT to a random one of the instances named on the command line,
- * and passes over those that refuse a connection.
+ * and passes over those that refuse a connection. A packet that comes from an
+ * instance goes to the caller it is addressed to.
+ *
+ * Every PROBE_MS it connects to each instance's port for status and hands no
+ * packets to those that refuse.
  */
 
 #include <glib.h>
 #include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <uv.h>
 
 #include "base/endpoint.h"
+#include "flow/gue.h"
+#include "flow/packet.h"
 
 #define BUFFER_MAX 65536 /* bytes */
 #define LISTEN_BACKLOG 511
+#define PROBE_MS 100
+#define PROBE_PORT 7400
+#define INSTANCES_MAX 32
+
+struct fabric;
+
+/* What probing knows of one instance. */
+struct probe {
+	struct fabric *f;
+	struct endpoint at;
+	uv_tcp_t tcp;
+	uv_connect_t connect;
+	bool busy; /* a connection is being tried */
+	bool refused;
+};
 
 struct fabric {
 	uv_loop_t *loop;
+	uv_timer_t probe_timer;
+	struct probe probes[INSTANCES_MAX];
 	uv_tcp_t tcp;
 	uv_udp_t udp;
 	const char *tcp_port;
@@ -53,6 +77,79 @@
 	uv_close((uv_handle_t *)&e->tcp, free_end);
 }
 
+static void on_probe_closed(uv_handle_t *handle)
+{
+	struct probe *pr = handle->data;
+
+	pr->busy = false;
+}
+
+static void on_probed(uv_connect_t *req, int status)
+{
+	struct probe *pr = req->data;
+
+	pr->refused = status < 0;
+	uv_close((uv_handle_t *)&pr->tcp, on_probe_closed);
+}
+
+static void on_probe_timer(uv_timer_t *timer)
+{
+	struct fabric *f = timer->data;
+
+	for (int i = 0; i < f->instance_nr; i++) {
+		struct probe *pr = &f->probes[i];
+		struct sockaddr_storage ss;
+
+		if (pr->busy)
+			continue;
+		pr->busy = true;
+		uv_tcp_init(f->loop, &pr->tcp);
+		pr->tcp.data = pr;
+		pr->connect.data = pr;
+		endpoint_to_sockaddr(&pr->at, &ss);
+		if (uv_tcp_connect(&pr->connect, &pr->tcp,
+				   (struct sockaddr *)&ss, on_probed) < 0)
+			uv_close((uv_handle_t *)&pr->tcp, on_probe_closed);
+	}
+}
+
+static bool open_probes(struct fabric *f)
+{
+	if (f->instance_nr > INSTANCES_MAX)
+		return false;
+	for (int i = 0; i < f->instance_nr; i++) {
+		if (parse_address(f->instances[i], &f->probes[i].at, NULL))
+			return false;
+		f->probes[i].at.port = PROBE_PORT;
+	}
+	uv_timer_init(f->loop, &f->probe_timer);
+	f->probe_timer.data = f;
+	uv_timer_start(&f->probe_timer, on_probe_timer, 0, PROBE_MS);
+	return true;
+}
+
+/* A random instance that takes packets; the first pick if none does. */
+static struct endpoint *pick_for_packet(struct fabric *f)
+{
+	int first = g_rand_int_range(f->rand, 0, f->instance_nr);
+
+	for (int n = 0; n < f->instance_nr; n++) {
+		struct probe *pr = &f->probes[(first + n) % f->instance_nr];
+
+		if (!pr->refused)
+			return &pr->at;
+	}
+	return &f->probes[first].at;
+}
+
+static bool is_instance(const struct fabric *f, const struct endpoint *from)
+{
+	for (int i = 0; i < f->instance_nr; i++)
+		if (!memcmp(f->probes[i].at.ip, from->ip, sizeof(from->ip)))
+			return true;
+	return false;
+}
+
 static bool instance_endpoint(struct fabric *f, const char *port,
 			      struct endpoint *ep)
 {
@@ -163,19 +260,38 @@
 		connect_instance(e, 0);
 }
 
+/* Where the packet inside a GUE datagram is addressed to. */
+static bool read_target(const uint8_t *data, size_t len, struct endpoint *to)
+{
+	const uint8_t *inner = read_gue(data, len, &len);
+	struct packet p;
+
+	if (!inner || !read_packet(inner, len, &p))
+		return false;
+	*to = p.service;
+	return true;
+}
+
 static void on_datagram(uv_udp_t *udp, ssize_t n, const uv_buf_t *buf,
 			const struct sockaddr *from, unsigned int flags)
 {
 	struct fabric *f = udp->data;
 	struct sockaddr_storage ss;
 	struct endpoint ep;
-	uv_buf_t out;
+	uv_buf_t out = uv_buf_init(buf->base, n > 0 ? (unsigned int)n : 0);
 
 	(void)flags;
-	if (n <= 0 || !from || !instance_endpoint(f, f->udp_port, &ep))
+	if (n <= 0 || !from)
 		return;
+	endpoint_from_sockaddr(&ep, from);
+	if (is_instance(f, &ep)) {
+		if (!read_target((uint8_t *)buf->base, (size_t)n, &ep))
+			return;
+	} else {
+		ep = *pick_for_packet(f);
+		ep.port = (uint16_t)strtoul(f->udp_port, NULL, 10);
+	}
 	endpoint_to_sockaddr(&ep, &ss);
-	out = uv_buf_init(buf->base, (unsigned int)n);
 	uv_udp_try_send(udp, &out, 1, (struct sockaddr *)&ss);
 }
 
@@ -227,6 +343,10 @@
 	f.instances = argv + 4;
 	f.instance_nr = argc - 4;
 	f.rand = g_rand_new_with_seed(1);
+	if (!open_probes(&f)) {
+		fprintf(stderr, "bad list of instances\n");
+		return 1;
+	}
 	err = open_fabric(&f, &at);
 	if (err) {
 		fprintf(stderr, "%s: %s\n", argv[1], uv_strerror(err));
