--- a/flow/flows.c
+++ b/flow/flows.c
@@ -246,13 +246,8 @@
 	e = store_flow(fs, j->p.hash, j->route, upstream, ENTRY_KEPT,
 		       j->now_ms);
 	e->closing |= (j->p.flags & (TCP_FIN | TCP_RST)) != 0;
-	for (uint8_t i = 0; !m->step && i < pair.nr; i++) {
-		if (pair.id[i] == fs->self || pair.id[i] == m->origin)
-			continue;
-		if (pass_on(j, pair.id[i], FLOW_KEEP, 1, upstream))
-			return;
-	}
-	deliver(j, upstream);
+	if (m->step || !pass_to_keeper(j, &pair, 1, upstream, e))
+		deliver(j, upstream);
 }
 
 static void take_ask(struct job *j, const struct flow_message *m)
--- a/flow/route.c
+++ b/flow/route.c
@@ -59,9 +59,13 @@
 	       s != UPSTREAM_OUT;
 }
 
-static bool is_cold(enum upstream_state s)
+/* An upstream that nobody has judged is cold for a while after it joined. */
+static bool is_cold(enum upstream_state s, const struct upstream *up,
+		    uint64_t wall_s)
 {
-	return s == UPSTREAM_COLD || s == UPSTREAM_UNKNOWN;
+	if (s == UPSTREAM_UNKNOWN)
+		return up->joined_s && wall_s < up->joined_s + COLD_START_S;
+	return s == UPSTREAM_COLD;
 }
 
 static bool is_lost(enum upstream_state s)
@@ -132,7 +136,7 @@
 static void follow_cold(struct route_upstream *ru,
 			const struct route_inputs *in)
 {
-	bool cold = is_cold(ru->state);
+	bool cold = is_cold(ru->state, ru->up, in->wall_s);
 
 	if (!cold && ru->cold && !is_lost(ru->state))
 		ru->ramp_start = in->now_ms;
@@ -263,7 +267,7 @@
 	ru->takes = ru->wants;
 	ru->ramp_start = in->now_ms - MIN(in->now_ms, RAMP_MS);
 	ru->ramp = ru->takes ? RAMP_STEPS : 0;
-	ru->cold = is_cold(ru->state);
+	ru->cold = is_cold(ru->state, up, in->wall_s);
 }
 
 struct route *create_route(const struct service *sv,
--- a/flow/route.h
+++ b/flow/route.h
@@ -32,7 +32,8 @@
  * domain is out, gets nothing at once.
  */
 #define SETTLE_MS 1000
-#define RAMP_MS 30000 /* an upstream that comes back is refilled over this */
+#define COLD_START_S 60 /* cold start of an upstream without news */
+#define RAMP_MS 30000	/* an upstream that comes back is refilled over this */
 
 /* What routes are computed from. */
 struct route_inputs {
--- a/flow/state.h
+++ b/flow/state.h
@@ -76,6 +76,13 @@
 /* Remembers that the flow lives at UPSTREAM, tells keepers, and delivers. */
 void keep_flow(struct job *j, uint64_t upstream);
 
+/*
+ * Sends the job's packet to the next keeper of PAIR that is to remember E;
+ * false if there is none. STEP 1 passes over the packet's origin.
+ */
+bool pass_to_keeper(struct job *j, const struct keeper_pair *pair, uint8_t step,
+		    uint64_t upstream, struct flow_entry *e);
+
 /* Hands the packet to UPSTREAM, or answers for it if that is lost. */
 void deliver(struct job *j, uint64_t upstream);
 
--- a/flow/steer.c
+++ b/flow/steer.c
@@ -186,6 +186,30 @@
 	return e;
 }
 
+/* Whether member ID has missed probes, so that a packet may be lost there. */
+static bool is_suspect(const struct flows *fs, uint64_t id)
+{
+	const struct member *mb = find_member(fs->view, id);
+
+	return mb && mb->state == MEMBER_SUSPECT;
+}
+
+bool pass_to_keeper(struct job *j, const struct keeper_pair *pair, uint8_t step,
+		    uint64_t upstream, struct flow_entry *e)
+{
+	for (uint8_t i = 0; i < pair->nr; i++) {
+		uint64_t id = pair->id[i];
+
+		if (id == j->fs->self || (step && id == j->origin))
+			continue;
+		if (is_suspect(j->fs, id))
+			e->keepers = 0; /* it may lack the copy: renew soon */
+		else if (pass_on(j, id, FLOW_KEEP, step, upstream))
+			return true;
+	}
+	return false;
+}
+
 void keep_flow(struct job *j, uint64_t upstream)
 {
 	struct flows *fs = j->fs;
@@ -197,11 +221,8 @@
 	e = store_flow(fs, j->p.hash, j->route, upstream,
 		       own ? ENTRY_KEPT : ENTRY_CACHED, j->now_ms);
 	e->closing |= is_ending(&j->p);
-	for (uint8_t i = 0; i < pair.nr; i++)
-		if (pair.id[i] != fs->self &&
-		    pass_on(j, pair.id[i], FLOW_KEEP, own, upstream))
-			return;
-	deliver(j, upstream);
+	if (!pass_to_keeper(j, &pair, own, upstream, e))
+		deliver(j, upstream);
 }
 
 /* Whether E is too old to be believed. */
@@ -245,16 +266,14 @@
 }
 
 /* Asks the holders from place STEP on; false if none is left to ask. */
-static bool ask_holders(struct job *j, uint8_t step)
+static bool ask_from(struct job *j, const struct member *const *holders,
+		     size_t nr, uint8_t step, bool suspects)
 {
-	const struct member *holders[KEEPER_WALK_MAX];
-	size_t nr = rank_holders(j->fs->keepers, route_service(j->route)->id,
-				 j->slot, j->now_ms, holders);
-
 	for (size_t i = step; i < nr; i++) {
 		uint64_t id = holders[i]->id;
 
-		if (id == j->fs->self || id == j->origin)
+		if (id == j->fs->self || id == j->origin ||
+		    is_suspect(j->fs, id) != suspects)
 			continue;
 		if (pass_on(j, id, FLOW_ASK, (uint8_t)i, 0))
 			return true;
@@ -262,6 +281,17 @@
 	return false;
 }
 
+/* The same, asking a suspect only if nobody better was asked. */
+static bool ask_holders(struct job *j, uint8_t step)
+{
+	const struct member *holders[KEEPER_WALK_MAX];
+	size_t nr = rank_holders(j->fs->keepers, route_service(j->route)->id,
+				 j->slot, j->now_ms, holders);
+
+	return ask_from(j, holders, nr, step, false) ||
+	       (!step && ask_from(j, holders, nr, step, true));
+}
+
 /* Nobody knows the flow: it lives at the base of its slot. */
 static void assume_base(struct job *j, const struct slot_choice *c)
 {
@@ -300,6 +330,7 @@
 
 	for (uint8_t i = 0; i < pair.nr; i++)
 		if (pair.id[i] != j->fs->self &&
+		    !is_suspect(j->fs, pair.id[i]) &&
 		    pass_on(j, pair.id[i], FLOW_DECIDE, 0, 0))
 			return true;
 	return false;
--- a/net/daemon.c
+++ b/net/daemon.c
@@ -7,6 +7,7 @@
 #include "net/admin.h"
 #include "net/entry.h"
 #include "net/files.h"
+#include "net/fleet-port.h"
 #include "net/flow-port.h"
 #include "net/log.h"
 #include "net/probe.h"
@@ -15,16 +16,17 @@
 
 #define STORE_READ_MS 500 /* between two reads of the store */
 #define STOP_CHECK_MS 20  /* between two looks whether all is done */
+#define LEAVE_MS 300	  /* for the last messages to peers */
 
 struct daemon {
 	uv_loop_t loop;
 	const struct settings *settings;
 	struct counters counters;
 	struct view *view;
+	struct fleet_port *fleet;
 	struct chart *upstream_chart;
 	struct health *health;
 	struct prober *prober;
-	struct snapshot *snapshot;
 	struct flows *flows;
 	struct requests *requests;
 	struct entry *entry;
@@ -38,22 +40,14 @@
 	uv_signal_t sigterm;
 	uv_signal_t sigint;
 	uint64_t stop_deadline; /* loop time */
+	uint64_t left;		/* loop time when peers were told; 0: not */
 	bool stopping;
 };
 
-static void apply_snapshot(struct daemon *d, struct snapshot *sn)
+static void apply_snapshot(struct daemon *d, const struct snapshot *sn)
 {
 	uint64_t now = uv_now(&d->loop);
 
-	if (d->snapshot && snapshot_epoch(sn) <= snapshot_epoch(d->snapshot)) {
-		if (snapshot_epoch(sn) < snapshot_epoch(d->snapshot))
-			count(&d->counters, COUNT_CONFIG_STALE);
-		unref_snapshot(sn);
-		return;
-	}
-	unref_snapshot(d->snapshot);
-	d->snapshot = sn;
-	count(&d->counters, COUNT_CONFIG_APPLIED);
 	set_flow_snapshot(d->flows, sn, now);
 	set_request_snapshot(d->requests, sn, now);
 	set_entry_snapshot(d->entry, sn);
@@ -64,6 +58,44 @@
 		   snapshot_service_nr(sn), snapshot_upstream_nr(sn));
 }
 
+static void log_member(const struct daemon *d, uint64_t id)
+{
+	const struct member *m = find_member(d->view, id);
+
+	if (m)
+		log_change("instance %s of domain %s is %s", m->name, m->domain,
+			   member_state_name(m->state));
+}
+
+static void on_fleet_action(const struct fleet_action *a, void *data)
+{
+	struct daemon *d = data;
+
+	switch (a->kind) {
+	case FLEET_APPLY:
+		apply_snapshot(d, a->snapshot);
+		break;
+	case FLEET_DOMAIN_CHANGED:
+		log_change("domain %s is %s", a->domain,
+			   is_domain_out(d->view, a->domain) ? "out" : "back");
+		break;
+	case FLEET_MEMBER_CHANGED:
+		log_member(d, a->id);
+		break;
+	default:
+		break;
+	}
+}
+
+/* Tells the fleet of a snapshot read from the store or the directory. */
+static void offer_read_snapshot(struct daemon *d, struct snapshot *sn)
+{
+	struct fleet_event ev = { .kind = FLEET_SNAPSHOT, .snapshot = sn };
+
+	step_fleet_port(d->fleet, &ev);
+	unref_snapshot(sn);
+}
+
 static void on_config(const struct store_answer *a, void *data)
 {
 	struct daemon *d = data;
@@ -77,7 +109,7 @@
 		return;
 	sn = decode_snapshot(a->entries[0].value, a->entries[0].len, &st);
 	if (sn)
-		apply_snapshot(d, sn);
+		offer_read_snapshot(d, sn);
 	else
 		count(&d->counters, COUNT_CONFIG_CORRUPT);
 }
@@ -101,7 +133,7 @@
 	destroy_problems(ps);
 	if (!sn)
 		return false;
-	apply_snapshot(d, sn);
+	offer_read_snapshot(d, sn);
 	return true;
 }
 
@@ -109,7 +141,8 @@
 static const char *upstream_name(const struct daemon *d,
 				 const struct health_action *a)
 {
-	const struct service *sv = find_service(d->snapshot, a->service);
+	const struct snapshot *sn = fleet_snapshot(port_fleet(d->fleet));
+	const struct service *sv = sn ? find_service(sn, a->service) : NULL;
 	const struct upstream *up = NULL;
 
 	if (sv)
@@ -119,10 +152,12 @@
 
 static void on_health_change(const struct health_action *a, void *data)
 {
+	struct fleet_event ev = { .kind = FLEET_UPSTREAM,
+				  .upstream = { a->upstream, a->state } };
 	struct daemon *d = data;
 
 	if (a->kind == HEALTH_PUBLISH)
-		set_upstream_state(d->view, a->upstream, a->state);
+		step_fleet_port(d->fleet, &ev);
 	else
 		log_change("upstream %s is %s", upstream_name(d, a),
 			   upstream_state_name(a->state));
@@ -132,7 +167,7 @@
 {
 	const struct daemon *d = data;
 
-	return d->snapshot;
+	return fleet_snapshot(port_fleet(d->fleet));
 }
 
 static uint64_t get_store_age(void *data)
@@ -162,19 +197,37 @@
 	destroy_entry(d->entry);
 	destroy_prober(d->prober);
 	destroy_store(d->store);
+	destroy_fleet_port(d->fleet);
+	d->fleet = NULL;
+}
+
+/*
+ * Tells peers that this instance leaves. Not before the last accepted request
+ * has its answer: until then the instance needs its shares of the upstreams.
+ */
+static void leave_fleet(struct daemon *d, uint64_t now)
+{
+	struct fleet_event leave = { .kind = FLEET_LEAVE };
+
+	step_fleet_port(d->fleet, &leave);
+	d->left = now;
 }
 
 static void on_stop_timer(uv_timer_t *timer)
 {
 	struct daemon *d = timer->data;
-	bool late = uv_now(&d->loop) >= d->stop_deadline;
+	uint64_t now = uv_now(&d->loop);
+	bool late = now >= d->stop_deadline;
 
 	if (!entry_is_idle(d->entry) && !late)
 		return;
 	if (late)
 		log_problem("stop took too long; %zu requests cut",
 			    open_request_nr(d->requests));
-	close_daemon(d);
+	if (!d->left)
+		leave_fleet(d, now);
+	if (late || now >= d->left + LEAVE_MS)
+		close_daemon(d);
 }
 
 static void on_signal(uv_signal_t *sig, int signum)
@@ -206,9 +259,8 @@
 	uv_signal_start(&d->sigint, on_signal, SIGINT);
 }
 
-static void join_view(struct daemon *d)
+static struct member describe_self(const struct settings *s)
 {
-	const struct settings *s = d->settings;
 	struct member self = { .id = service_id(s->name),
 			       .address = s->address,
 			       .peer_port = s->peer_port,
@@ -218,8 +270,16 @@
 
 	memcpy(self.name, s->name, sizeof(self.name));
 	memcpy(self.domain, s->domain, sizeof(self.domain));
-	d->view = create_view(self.id);
-	put_member(d->view, &self);
+	return self;
+}
+
+static bool join_fleet(struct daemon *d, struct status *st)
+{
+	struct member self = describe_self(d->settings);
+
+	d->fleet = create_fleet_port(&d->loop, d->settings, &self, d->view,
+				     &d->counters, on_fleet_action, d, st);
+	return d->fleet;
 }
 
 static bool open_ports(struct daemon *d)
@@ -230,7 +290,7 @@
 	flow_at.port = d->settings->flow_port;
 	d->flow_port = create_flow_port(&d->loop, &flow_at, d->flows,
 					&d->counters, &st);
-	if (d->flow_port)
+	if (d->flow_port && join_fleet(d, &st))
 		d->admin = create_admin(&d->loop, &d->admin_source, &st);
 	if (d->flow_port && d->admin)
 		return true;
@@ -256,6 +316,30 @@
 	return true;
 }
 
+/* True if no seed names another instance. */
+static bool is_alone(const struct settings *s)
+{
+	struct endpoint self = s->address;
+
+	self.port = s->peer_port;
+	for (size_t i = 0; i < s->seeds.nr; i++)
+		if (!same_endpoint(&s->seeds.at[i], &self))
+			return false;
+	return true;
+}
+
+static void start_requests(struct daemon *d)
+{
+	struct request_options options = { .alone = is_alone(d->settings) };
+
+	uv_random(NULL, NULL, &options.incarnation, sizeof(options.incarnation),
+		  0, NULL);
+	options.seed = (uint32_t)options.incarnation;
+	d->requests = create_requests(d->view, &d->counters, &options,
+				      uv_now(&d->loop));
+	d->entry = create_entry(&d->loop, d->settings, d->requests);
+}
+
 static bool start_daemon(struct daemon *d)
 {
 	struct admin_source src = {
@@ -265,11 +349,10 @@
 
 	d->admin_source = src;
 	d->flows = create_flows(d->view, &d->counters);
-	d->requests = create_requests(d->view, &d->counters);
-	d->entry = create_entry(&d->loop, d->settings, d->requests);
 	init_handles(d);
 	if (!start_health(d) || !open_ports(d))
 		return false;
+	start_requests(d);
 	if (!d->settings->store.nr)
 		return load_local(d);
 	d->store =
@@ -284,7 +367,7 @@
 	int code = 0;
 
 	uv_loop_init(&d.loop);
-	join_view(&d);
+	d.view = create_view(service_id(settings->name));
 	if (start_daemon(&d)) {
 		log_change("instance %s of domain %s runs", settings->name,
 			   settings->domain);
@@ -296,7 +379,6 @@
 	uv_loop_close(&d.loop);
 	destroy_requests(d.requests);
 	destroy_flows(d.flows);
-	unref_snapshot(d.snapshot);
 	destroy_health(d.health);
 	destroy_chart(d.upstream_chart);
 	destroy_view(d.view);
--- a/net/entry.c
+++ b/net/entry.c
@@ -19,6 +19,7 @@
 	GHashTable *listeners; /* service id -> struct listener */
 	GHashTable *open;      /* handle -> struct open_request */
 	bool stopping;
+	uv_timer_t *tick;
 };
 
 struct listener {
@@ -42,11 +43,11 @@
 
 static struct http_message *outcome_answer(const struct request_action *a)
 {
-	const struct status_row *row = find_status_row(a->outcome);
+	const struct outcome_row *row = find_outcome_row(a->outcome);
 	struct http_message *m = create_http_message();
 	char seconds[16];
 
-	m->code = (unsigned int)row->http_code;
+	m->code = row->code;
 	add_http_header(m, HEADER_OUTCOME, row->name);
 	add_http_header(m, "Content-Type", "text/plain");
 	if (a->retry_after_ms) {
@@ -54,7 +55,7 @@
 			   (a->retry_after_ms + 999) / 1000);
 		add_http_header(m, "Retry-After", seconds);
 	}
-	set_http_body(m, row->name);
+	set_http_body(m, row->text);
 	g_byte_array_append(m->body, (const guint8 *)"\n", 1);
 	return m;
 }
@@ -79,13 +80,13 @@
 	const char *outcome = find_http_header(answer, HEADER_OUTCOME);
 
 	return answer->code == 503 && outcome &&
-	       !strcmp(outcome, find_status_row(STATUS_NOT_RUN)->name);
+	       !strcmp(outcome, find_outcome_row(OUTCOME_NOT_RUN)->name);
 }
 
 static void on_call_done(const struct http_call_result *r, void *data)
 {
 	struct open_request *o = data;
-	struct request_event ev = { .request = o->handle };
+	struct request_event ev = { .request = o->handle, .repeatable = true };
 
 	o->call = NULL;
 	o->answer = r->answer;
@@ -131,8 +132,13 @@
 		end_request(o, outcome_answer(a));
 		break;
 	case REQUEST_CANCEL:
+	case REQUEST_CUT:
 		end_request(o, NULL);
 		break;
+	case REQUEST_REPLAY:
+	case REQUEST_READ_ON:
+	case REQUEST_SEND_PEER:
+		break;
 	}
 }
 
@@ -221,6 +227,15 @@
 	g_free(l);
 }
 
+static void on_tick(uv_timer_t *timer)
+{
+	struct request_event ev = { .kind = REQUEST_TICK };
+	struct entry *en = timer->data;
+
+	step(en, &ev, NULL);
+	uv_timer_start(timer, on_tick, next_request_tick(en->requests), 0);
+}
+
 struct entry *create_entry(uv_loop_t *loop, const struct settings *settings,
 			   struct requests *requests)
 {
@@ -232,6 +247,10 @@
 	en->listeners = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					      free_listener);
 	en->open = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	en->tick = g_new0(uv_timer_t, 1);
+	uv_timer_init(loop, en->tick);
+	en->tick->data = en;
+	uv_timer_start(en->tick, on_tick, 0, 0);
 	return en;
 }
 
@@ -316,6 +335,7 @@
 {
 	if (!en)
 		return;
+	uv_close((uv_handle_t *)en->tick, (uv_close_cb)g_free);
 	g_hash_table_destroy(en->listeners);
 	g_hash_table_destroy(en->open);
 	g_free(en);
--- a/t/bench-flows.c
+++ b/t/bench-flows.c
@@ -72,12 +72,12 @@
 
 static uint64_t hops_of(const struct bed *b)
 {
-	return b->hops + bed_counter(b, COUNT_FLOW_HOPS);
+	return b->hops + flow_bed_counter(b, COUNT_FLOW_HOPS);
 }
 
 static uint64_t control_of(const struct bed *b)
 {
-	return b->control_bytes + bed_counter(b, COUNT_FLOW_CONTROL_BYTES);
+	return b->control_bytes + flow_bed_counter(b, COUNT_FLOW_CONTROL_BYTES);
 }
 
 static void change_first(struct run *r)
@@ -91,25 +91,25 @@
 		break;
 	case STALE:
 		b->at[4].stale = true;
-		drain_upstream(b, 0, 3, true);
+		drain_bed_upstream(b, 0, 3, true);
 		break;
 	case COLD_JOIN:
 		b->opt.cold_connections = COLD_BEARS;
-		join_upstream(b, 0, true);
+		join_bed_upstream(b, 0, true);
 		break;
 	case DRAIN_AND_DEATH:
-		drain_upstream(b, 0, 3, true);
-		kill_instance(b, 2);
+		drain_bed_upstream(b, 0, 3, true);
+		kill_bed_instance(b, 2);
 		break;
 	case DRAIN:
 	case KEEPER_DEATH:
 	case KEEPERS_DEATH:
 	case OVERLAP:
 	case PARTITION:
-		drain_upstream(b, 0, 3, true);
+		drain_bed_upstream(b, 0, 3, true);
 		break;
 	case DOMAIN_OUT_BACK:
-		take_domain(b, 1, true);
+		take_bed_domain(b, 1, true);
 		break;
 	}
 }
@@ -127,24 +127,24 @@
 	case SCENARIO_NR:
 		break;
 	case STALE:
-		catch_up(b, 4);
+		catch_up_flow_bed(b, 4);
 		break;
 	case KEEPERS_DEATH:
-		kill_instance(b, 2);
-		kill_instance(b, 3);
+		kill_bed_instance(b, 2);
+		kill_bed_instance(b, 3);
 		break;
 	case KEEPER_DEATH:
-		kill_instance(b, 2);
+		kill_bed_instance(b, 2);
 		break;
 	case OVERLAP:
-		join_upstream(b, 0, false);
-		drain_upstream(b, 0, 7, true);
+		join_bed_upstream(b, 0, false);
+		drain_bed_upstream(b, 0, 7, true);
 		break;
 	case PARTITION:
-		cut_bed(b, 2);
+		cut_flow_bed(b, 2);
 		break;
 	case DOMAIN_OUT_BACK:
-		take_domain(b, 1, false);
+		take_bed_domain(b, 1, false);
 		break;
 	}
 }
@@ -155,13 +155,13 @@
 	struct bed *b = r->bed;
 
 	if (r->scenario == PARTITION && b->now == SECOND_MS + 4000)
-		heal_bed(b);
+		heal_flow_bed(b);
 	if (r->scenario != ROLLING || r->replaced == INSTANCE_NR)
 		return;
 	if (!r->replaced)
-		drain_upstream(b, 0, 3, true);
-	kill_instance(b, r->replaced);
-	join_instance(b, r->replaced++);
+		drain_bed_upstream(b, 0, 3, true);
+	kill_bed_instance(b, r->replaced);
+	join_bed_instance(b, r->replaced++);
 }
 
 static void mark_start(struct run *r)
@@ -169,7 +169,7 @@
 	r->hops = hops_of(r->bed);
 	r->packets = r->bed->packets;
 	r->control = control_of(r->bed);
-	r->learned = bed_counter(r->bed, COUNT_FLOW_LEARN_BYTES);
+	r->learned = flow_bed_counter(r->bed, COUNT_FLOW_LEARN_BYTES);
 }
 
 /* Opens N flows and sends M packets of random flows. */
@@ -193,8 +193,8 @@
 	int sent =
 		r->flow_nr / ((END_MS - EVENT_MS) / STEP_MS) * PACKETS_PER_FLOW;
 
-	run_bed(b, WARM_UP_MS);
-	for (; b->now < END_MS; run_bed(b, b->now + STEP_MS)) {
+	run_flow_bed(b, WARM_UP_MS);
+	for (; b->now < END_MS; run_flow_bed(b, b->now + STEP_MS)) {
 		if (b->now < WARM_UP_MS + OPEN_MS) {
 			send_some(b, opened, 0);
 			continue;
@@ -236,7 +236,7 @@
 static void print_row(struct run *r, enum bed_way way)
 {
 	struct bed *b = r->bed;
-	struct bed_outcome o = judge_bed(b);
+	struct bed_outcome o = judge_flow_bed(b);
 	double seconds = (END_MS - EVENT_MS) / 1000.0;
 	double packets = (double)(b->packets - r->packets);
 
@@ -245,10 +245,11 @@
 	       o.given_up, o.wrong,
 	       (double)(hops_of(b) - r->hops) * 1000 / packets,
 	       (double)(control_of(b) - r->control) / seconds / INSTANCE_NR,
-	       (double)(bed_counter(b, COUNT_FLOW_LEARN_BYTES) - r->learned) /
+	       (double)(flow_bed_counter(b, COUNT_FLOW_LEARN_BYTES) -
+			r->learned) /
 		       seconds / INSTANCE_NR,
 	       (double)memory_of(b) / INSTANCE_NR / 1024 * 1000 / b->flows->len,
-	       bed_balance(b, 0));
+	       flow_bed_balance(b, 0));
 	if (r->scenario == COLD_JOIN)
 		printf(" %4u/%u", cold_peak(b), COLD_BEARS);
 	if (b->late_new || b->late_out)
@@ -267,14 +268,14 @@
 				   .service_nr = 1,
 				   .way = way,
 				   .idle_ms = 3600 * 1000,
-				   .cold_connections = 1000000,
+				   .cold_connections = BED_UNLIMITED,
 				   .news_ms = NEWS_MS };
 	struct run r = { .scenario = s, .flow_nr = flow_nr };
 
-	r.bed = create_bed(&opt);
+	r.bed = create_flow_bed(&opt);
 	run_scenario(&r);
 	print_row(&r, way);
-	destroy_bed(r.bed);
+	destroy_flow_bed(r.bed);
 }
 
 static void print_head(int flow_nr)
@@ -349,23 +350,23 @@
 				   .way = WAY_REMEMBER_NEW,
 				   .idle_ms = 3600 * 1000,
 				   .cold_connections = 100000000 };
-	struct bed *b = create_bed(&opt);
+	struct bed *b = create_flow_bed(&opt);
 	double settled;
 	double unsettled;
 	size_t before;
 
-	run_bed(b, WARM_UP_MS);
+	run_flow_bed(b, WARM_UP_MS);
 	settled = time_packets(b, flow_nr, TCP_ACK) - base;
 	before = flow_memory(b->at[0].flows);
 	for (int i = 0; i < UPSTREAM_NR; i++)
-		set_bed_state(b, 0, i, UPSTREAM_COLD);
-	run_bed(b, WARM_UP_MS + 3000);
+		set_flow_bed_state(b, 0, i, UPSTREAM_COLD);
+	run_flow_bed(b, WARM_UP_MS + 3000);
 	time_packets(b, flow_nr, TCP_SYN);
 	unsettled = time_packets(b, flow_nr, TCP_ACK) - base;
 	printf("%9u %12.0f %14.0f %16.1f\n", flow_nr, settled, unsettled,
 	       (double)(flow_memory(b->at[0].flows) - before) / 1024 * 1000 /
 		       flow_nr);
-	destroy_bed(b);
+	destroy_flow_bed(b);
 }
 
 int main(void)
--- a/t/event-queue.c
+++ b/t/event-queue.c
@@ -2,85 +2,99 @@
 
 #include <glib.h>
 
+struct entry {
+	uint64_t at;
+	uint64_t order;
+	void *item;
+};
+
+/* A binary heap. */
 struct event_queue {
-	GArray *heap; /* of struct event; the first is the least */
-	uint64_t next_seq;
+	GArray *heap; /* of struct entry */
+	uint64_t order;
 };
 
 struct event_queue *create_event_queue(void)
 {
 	struct event_queue *q = g_new0(struct event_queue, 1);
 
-	q->heap = g_array_new(FALSE, FALSE, sizeof(struct event));
+	q->heap = g_array_new(FALSE, FALSE, sizeof(struct entry));
 	return q;
 }
 
 void destroy_event_queue(struct event_queue *q)
 {
-	if (!q)
-		return;
-	for (guint i = 0; i < q->heap->len; i++)
-		g_free(g_array_index(q->heap, struct event, i).data);
 	g_array_free(q->heap, TRUE);
 	g_free(q);
 }
 
-static bool is_before(const struct event *a, const struct event *b)
+static struct entry *entry_at(const struct event_queue *q, guint i)
 {
-	return a->at < b->at || (a->at == b->at && a->seq < b->seq);
+	return &g_array_index(q->heap, struct entry, i);
 }
 
-static struct event *event_at(struct event_queue *q, guint i)
+static bool is_before(const struct event_queue *q, guint a, guint b)
 {
-	return &g_array_index(q->heap, struct event, i);
+	const struct entry *ea = entry_at(q, a);
+	const struct entry *eb = entry_at(q, b);
+
+	return ea->at < eb->at || (ea->at == eb->at && ea->order < eb->order);
 }
 
-static void swap_events(struct event_queue *q, guint a, guint b)
+static void swap(struct event_queue *q, guint a, guint b)
 {
-	struct event t = *event_at(q, a);
+	struct entry e = *entry_at(q, a);
 
-	*event_at(q, a) = *event_at(q, b);
-	*event_at(q, b) = t;
+	*entry_at(q, a) = *entry_at(q, b);
+	*entry_at(q, b) = e;
 }
 
-void push_event(struct event_queue *q, const struct event *ev)
+void push_event(struct event_queue *q, uint64_t at_ms, void *item)
 {
+	struct entry e = { at_ms, q->order++, item };
 	guint i = q->heap->len;
-	struct event copy = *ev;
 
-	copy.seq = q->next_seq++;
-	g_array_append_val(q->heap, copy);
-	while (i && is_before(event_at(q, i), event_at(q, (i - 1) / 2))) {
-		swap_events(q, i, (i - 1) / 2);
+	g_array_append_val(q->heap, e);
+	while (i && is_before(q, i, (i - 1) / 2)) {
+		swap(q, i, (i - 1) / 2);
 		i = (i - 1) / 2;
 	}
 }
 
-static void sift_down(struct event_queue *q)
+uint64_t next_event_ms(const struct event_queue *q)
+{
+	return q->heap->len ? entry_at(q, 0)->at : UINT64_MAX;
+}
+
+/* Index of the child of I that comes first, or I if it is before both. */
+static guint first_of(const struct event_queue *q, guint i)
 {
+	guint first = i;
+
+	for (guint c = 2 * i + 1; c <= 2 * i + 2 && c < q->heap->len; c++)
+		if (is_before(q, c, first))
+			first = c;
+	return first;
+}
+
+void *pop_event(struct event_queue *q)
+{
+	void *item;
 	guint i = 0;
 
-	for (;;) {
-		guint least = i;
-
-		for (guint child = 2 * i + 1;
-		     child < q->heap->len && child <= 2 * i + 2; child++)
-			if (is_before(event_at(q, child), event_at(q, least)))
-				least = child;
-		if (least == i)
-			return;
-		swap_events(q, i, least);
-		i = least;
+	if (!q->heap->len)
+		return NULL;
+	item = entry_at(q, 0)->item;
+	*entry_at(q, 0) = *entry_at(q, q->heap->len - 1);
+	g_array_set_size(q->heap, q->heap->len - 1);
+	for (guint c = first_of(q, i); c != i; c = first_of(q, i)) {
+		swap(q, i, c);
+		i = c;
 	}
+	return item;
 }
 
-bool pop_event(struct event_queue *q, uint64_t until, struct event *ev)
+size_t event_nr(const struct event_queue *q)
 {
-	if (!q->heap->len || event_at(q, 0)->at > until)
-		return false;
-	*ev = *event_at(q, 0);
-	swap_events(q, 0, q->heap->len - 1);
-	g_array_set_size(q->heap, q->heap->len - 1);
-	sift_down(q);
-	return true;
+	return q->heap->len;
 }
--- a/t/flow-bed.c
+++ b/t/flow-bed.c
@@ -7,6 +7,15 @@
 #include "t/flow-packets.h"
 #include "t/flow-ways.h"
 
+struct bed_item {
+	uint64_t at; /* ms */
+	enum bed_event kind;
+	int who;
+	uint64_t arg;
+	size_t len;
+	uint8_t data[];
+};
+
 #define WALL_0_MS 1000000000ULL /* time of day when the bed starts */
 #define FLOW_PORT 6080
 struct bed_flow *bed_flow(struct bed *b, uint32_t i)
@@ -39,18 +48,41 @@
 	return ep;
 }
 
-void tell_bed(struct bed *b, int who, enum bed_event kind, uint64_t arg,
-	      uint64_t floor_ms)
+/* Queues an event with room for LEN bytes, DELAY_MS from now. */
+static struct bed_item *schedule_data(struct bed *b, uint64_t delay_ms,
+				      enum bed_event kind, int who,
+				      uint64_t arg, size_t len)
 {
-	for (int i = 0; i < BED_INSTANCE_MAX; i++) {
-		struct event ev = { .kind = kind, .who = i, .arg = arg };
+	struct bed_item *it = g_malloc0(sizeof(*it) + len);
+
+	it->at = b->now + delay_ms;
+	it->kind = kind;
+	it->who = who;
+	it->arg = arg;
+	it->len = len;
+	push_event(b->queue, it->at, it);
+	return it;
+}
+
+static void schedule(struct bed *b, uint64_t delay_ms, enum bed_event kind,
+		     int who, uint64_t arg)
+{
+	schedule_data(b, delay_ms, kind, who, arg, 0);
+}
+
+static uint64_t random_delay(struct bed *b)
+{
+	return (uint64_t)g_rand_int_range(b->rand, 0,
+					  (gint32)b->opt.news_ms + 1);
+}
 
+void tell_flow_bed(struct bed *b, int who, enum bed_event kind, uint64_t arg,
+		   uint64_t floor_ms)
+{
+	for (int i = 0; i < BED_INSTANCE_MAX; i++) {
 		if ((who != ALL_INSTANCES && who != i) || !b->at[i].alive)
 			continue;
-		ev.at = b->now + floor_ms +
-			g_rand_int_range(b->rand, 0,
-					 (gint32)b->opt.news_ms + 1);
-		push_event(b->queue, &ev);
+		schedule(b, floor_ms + random_delay(b), kind, i, arg);
 	}
 }
 
@@ -73,7 +105,7 @@
 	return sv;
 }
 
-void publish_bed(struct bed *b)
+void publish_flow_bed(struct bed *b)
 {
 	struct service *list[BED_SERVICE_MAX];
 	struct snapshot *sn;
@@ -87,7 +119,7 @@
 	sn = carry_snapshot(b->snapshot, sn, (WALL_0_MS + b->now) / 1000);
 	unref_snapshot(b->snapshot);
 	b->snapshot = sn;
-	tell_bed(b, ALL_INSTANCES, EV_SNAPSHOT, 0, 0);
+	tell_flow_bed(b, ALL_INSTANCES, EV_SNAPSHOT, 0, 0);
 }
 
 void add_bed_upstream(struct bed *b, uint32_t s, enum upstream_state state)
@@ -100,13 +132,14 @@
 	g_snprintf(up->config.name, CONFIG_NAME_MAX, "up-%d", i);
 	name_domain(up->config.domain, domain_of(b, i));
 	up->config.address = make_endpoint(1, (uint8_t)s, (uint8_t)i, 9000);
-	up->config.connections = 1000000;
+	up->config.connections = BED_UNLIMITED;
 	up->config.cold_connections = b->opt.cold_connections;
 	g_snprintf(service, sizeof(service), "board-%u", s);
 	up->config.id = upstream_id(service, up->config.name);
 	up->listed = true;
 	up->state = state;
-	up->cold = state == UPSTREAM_COLD;
+	up->cold = state == UPSTREAM_COLD &&
+		   b->opt.cold_connections < BED_UNLIMITED;
 }
 
 /* What instance VIEWER believes of instance I when news reaches it. */
@@ -165,8 +198,9 @@
 void start_bed_instance(struct bed *b, int i)
 {
 	struct bed_instance *in = &b->at[i];
-	struct event tick = { .at = b->now, .kind = EV_TICK, .who = i };
 
+	for (int c = 0; c < COUNTER_NR; c++)
+		b->past.value[c] += in->counters.value[c];
 	stop_instance(in);
 	memset(in, 0, sizeof(*in));
 	g_snprintf(in->member.name, CONFIG_NAME_MAX, "in-%d", i);
@@ -182,24 +216,24 @@
 		set_flow_wall_clock(in->flows, WALL_0_MS, 0);
 	} else
 		in->model = create_model(in->view);
-	push_event(b->queue, &tick);
+	schedule(b, 0, EV_TICK, i, 0);
 }
 
-void tell_bed_all(struct bed *b, int who, uint64_t floor_ms)
+void tell_flow_bed_all(struct bed *b, int who, uint64_t floor_ms)
 {
 	for (int i = 0; i < BED_INSTANCE_MAX; i++)
 		if (b->at[i].view)
-			tell_bed(b, who, EV_MEMBER, (uint64_t)i, floor_ms);
+			tell_flow_bed(b, who, EV_MEMBER, (uint64_t)i, floor_ms);
 	for (int s = 0; s < b->opt.service_nr; s++)
 		for (int i = 0; i < b->upstream_nr[s]; i++)
-			tell_bed(b, who, EV_UPSTREAM,
-				 upstream_arg((uint32_t)s, i), floor_ms);
+			tell_flow_bed(b, who, EV_UPSTREAM,
+				      upstream_arg((uint32_t)s, i), floor_ms);
 	for (int d = 0; d < b->opt.domain_nr; d++)
-		tell_bed(b, who, EV_DOMAIN, (uint64_t)d, floor_ms);
-	tell_bed(b, who, EV_SNAPSHOT, 0, floor_ms);
+		tell_flow_bed(b, who, EV_DOMAIN, (uint64_t)d, floor_ms);
+	tell_flow_bed(b, who, EV_SNAPSHOT, 0, floor_ms);
 }
 
-struct bed *create_bed(const struct bed_options *opt)
+struct bed *create_flow_bed(const struct bed_options *opt)
 {
 	struct bed *b = g_new0(struct bed, 1);
 
@@ -211,19 +245,21 @@
 		for (int i = 0; i < opt->upstream_nr; i++)
 			add_bed_upstream(b, s,
 					 opt->way == WAY_REMEMBER_ALL
-						 ? UPSTREAM_UNKNOWN
+						 ? UPSTREAM_COLD
 						 : UPSTREAM_WARM);
 	for (int i = 0; i < opt->instance_nr; i++)
 		start_bed_instance(b, i);
-	publish_bed(b);
-	tell_bed_all(b, ALL_INSTANCES, 0);
+	publish_flow_bed(b);
+	tell_flow_bed_all(b, ALL_INSTANCES, 0);
 	return b;
 }
 
-void destroy_bed(struct bed *b)
+void destroy_flow_bed(struct bed *b)
 {
 	for (int i = 0; i < BED_INSTANCE_MAX; i++)
 		stop_instance(&b->at[i]);
+	while (event_nr(b->queue))
+		g_free(pop_event(b->queue));
 	unref_snapshot(b->snapshot);
 	destroy_event_queue(b->queue);
 	g_array_free(b->flows, TRUE);
@@ -306,19 +342,15 @@
 static void send_message(struct bed *b, int from, const struct flow_action *a)
 {
 	int to = a->to.ip[3] - 1;
-	struct event ev = { .at = b->now + BED_HOP_MS,
-			    .kind = EV_MESSAGE,
-			    .who = to,
-			    .arg = (uint64_t)from,
-			    .len = a->header_len + a->len };
+	struct bed_item *it;
 
 	if (b->cut_domain && side_of(b, from) != side_of(b, to))
 		return;
-	ev.data = g_malloc(ev.len);
-	memcpy(ev.data, a->header, a->header_len);
+	it = schedule_data(b, BED_HOP_MS, EV_MESSAGE, to, (uint64_t)from,
+			   a->header_len + a->len);
+	memcpy(it->data, a->header, a->header_len);
 	if (a->len)
-		memcpy((uint8_t *)ev.data + a->header_len, a->data, a->len);
-	push_event(b->queue, &ev);
+		memcpy(it->data + a->header_len, a->data, a->len);
 }
 
 /* Number of the flow whose caller sent the packet at DATA. */
@@ -350,24 +382,20 @@
 
 static void tick(struct bed *b, int i)
 {
-	struct event next = { .at = b->now + FLOW_TICK_MS,
-			      .kind = EV_TICK,
-			      .who = i };
-
 	if (b->at[i].flows) {
 		tick_flows(b->at[i].flows, b->now, &b->actions);
 		carry_out(b, i);
 	}
-	push_event(b->queue, &next);
+	schedule(b, FLOW_TICK_MS, EV_TICK, i, 0);
 }
 
-static void take_event(struct bed *b, const struct event *ev)
+static void take_event(struct bed *b, const struct bed_item *ev)
 {
 	struct bed_instance *in = &b->at[ev->who];
 
 	if (!in->alive)
 		return;
-	switch ((enum bed_event)ev->kind) {
+	switch (ev->kind) {
 	case EV_TICK:
 		tick(b, ev->who);
 		break;
@@ -391,14 +419,14 @@
 	}
 }
 
-void run_bed(struct bed *b, uint64_t until)
+void run_flow_bed(struct bed *b, uint64_t until)
 {
-	struct event ev;
+	while (next_event_ms(b->queue) <= until) {
+		struct bed_item *ev = pop_event(b->queue);
 
-	while (pop_event(b->queue, until, &ev)) {
-		b->now = ev.at;
-		take_event(b, &ev);
-		g_free(ev.data);
+		b->now = ev->at;
+		take_event(b, ev);
+		g_free(ev);
 	}
 	b->now = until;
 }
--- a/t/flow-bed.h
+++ b/t/flow-bed.h
@@ -88,7 +88,8 @@
 	struct bed_upstream ups[BED_SERVICE_MAX][BED_UPSTREAM_MAX];
 	int upstream_nr[BED_SERVICE_MAX];
 	bool domain_out[BED_DOMAIN_MAX];
-	GArray *flows; /* of struct bed_flow */
+	GArray *flows;	      /* of struct bed_flow */
+	struct counters past; /* of instances that were replaced */
 	uint64_t packets;
 	uint64_t hops;
 	uint64_t late_new;	/* flows opened past a drain's bound */
@@ -98,14 +99,16 @@
 	struct flow_actions actions;
 };
 
+#define BED_UNLIMITED 1000000 /* connections */
+
 /* Bounds of the brief's "a few seconds". */
 #define BED_BOUND_MS 3000
 
-struct bed *create_bed(const struct bed_options *opt);
-void destroy_bed(struct bed *b);
+struct bed *create_flow_bed(const struct bed_options *opt);
+void destroy_flow_bed(struct bed *b);
 
 /* Lets time pass until UNTIL. */
-void run_bed(struct bed *b, uint64_t until);
+void run_flow_bed(struct bed *b, uint64_t until);
 
 /* Opens a flow through a random live instance; returns its number. */
 uint32_t open_bed_flow(struct bed *b, uint32_t service);
@@ -132,35 +135,35 @@
 }
 
 /* Tells instance WHO, or all, between FLOOR_MS and FLOOR_MS + news_ms. */
-void tell_bed(struct bed *b, int who, enum bed_event kind, uint64_t arg,
-	      uint64_t floor_ms);
+void tell_flow_bed(struct bed *b, int who, enum bed_event kind, uint64_t arg,
+		   uint64_t floor_ms);
 
 /* The same about everything there is to know. */
-void tell_bed_all(struct bed *b, int who, uint64_t floor_ms);
+void tell_flow_bed_all(struct bed *b, int who, uint64_t floor_ms);
 
 /* Publishes the upstreams as they are listed. */
-void publish_bed(struct bed *b);
+void publish_flow_bed(struct bed *b);
 void start_bed_instance(struct bed *b, int i);
 void add_bed_upstream(struct bed *b, uint32_t service,
 		      enum upstream_state state);
 
 /* Changes, which instances hear of within news_ms. */
-void drain_upstream(struct bed *b, uint32_t service, int i, bool draining);
-void join_upstream(struct bed *b, uint32_t service, bool cold);
-void remove_upstream(struct bed *b, uint32_t service, int i);
-void kill_upstream(struct bed *b, uint32_t service, int i);
-void set_bed_state(struct bed *b, uint32_t service, int i,
-		   enum upstream_state s);
-void take_domain(struct bed *b, int domain, bool out);
-void kill_instance(struct bed *b, int i);
-void join_instance(struct bed *b, int i);
+void drain_bed_upstream(struct bed *b, uint32_t service, int i, bool draining);
+void join_bed_upstream(struct bed *b, uint32_t service, bool cold);
+void remove_bed_upstream(struct bed *b, uint32_t service, int i);
+void kill_bed_upstream(struct bed *b, uint32_t service, int i);
+void set_flow_bed_state(struct bed *b, uint32_t service, int i,
+			enum upstream_state s);
+void take_bed_domain(struct bed *b, int domain, bool out);
+void kill_bed_instance(struct bed *b, int i);
+void join_bed_instance(struct bed *b, int i);
 
 /* Cuts domains below DOMAIN off from the others. */
-void cut_bed(struct bed *b, int domain);
-void heal_bed(struct bed *b);
+void cut_flow_bed(struct bed *b, int domain);
+void heal_flow_bed(struct bed *b);
 
 /* Publishes again to an instance that was stale. */
-void catch_up(struct bed *b, int i);
+void catch_up_flow_bed(struct bed *b, int i);
 
 /* What went wrong over all flows. */
 struct bed_outcome {
@@ -169,14 +172,14 @@
 	uint32_t wrong;
 	uint32_t opened;
 };
-struct bed_outcome judge_bed(struct bed *b);
+struct bed_outcome judge_flow_bed(struct bed *b);
 
-uint64_t bed_counter(const struct bed *b, enum counter c);
+uint64_t flow_bed_counter(const struct bed *b, enum counter c);
 
 /*
  * The most open flows on one upstream against the mean, over the upstreams
  * that take new flows freely.
  */
-double bed_balance(struct bed *b, uint32_t service);
+double flow_bed_balance(struct bed *b, uint32_t service);
 
 #endif
--- a/t/flow-changes.c
+++ b/t/flow-changes.c
@@ -17,43 +17,43 @@
 	}
 }
 
-void drain_upstream(struct bed *b, uint32_t service, int i, bool draining)
+void drain_bed_upstream(struct bed *b, uint32_t service, int i, bool draining)
 {
 	struct bed_upstream *up = &b->ups[service][i];
 
 	up->config.draining = draining;
 	up->drain_since = b->now;
-	publish_bed(b);
+	publish_flow_bed(b);
 }
 
-void join_upstream(struct bed *b, uint32_t service, bool cold)
+void join_bed_upstream(struct bed *b, uint32_t service, bool cold)
 {
 	enum upstream_state s = cold ? UPSTREAM_COLD : UPSTREAM_WARM;
 
 	if (b->upstream_nr[service] == BED_UPSTREAM_MAX)
 		return;
 	add_bed_upstream(b, service, s);
-	publish_bed(b);
-	tell_bed(b, ALL_INSTANCES, EV_UPSTREAM,
-		 upstream_arg(service, b->upstream_nr[service] - 1), 0);
+	publish_flow_bed(b);
+	tell_flow_bed(b, ALL_INSTANCES, EV_UPSTREAM,
+		      upstream_arg(service, b->upstream_nr[service] - 1), 0);
 }
 
-void remove_upstream(struct bed *b, uint32_t service, int i)
+void remove_bed_upstream(struct bed *b, uint32_t service, int i)
 {
 	b->ups[service][i].listed = false;
-	publish_bed(b);
+	publish_flow_bed(b);
 }
 
-void kill_upstream(struct bed *b, uint32_t service, int i)
+void kill_bed_upstream(struct bed *b, uint32_t service, int i)
 {
 	b->ups[service][i].dead = true;
 	give_up_flows(b, b->ups[service][i].config.id);
-	tell_bed(b, ALL_INSTANCES, EV_UPSTREAM, upstream_arg(service, i),
-		 DETECT_MS);
+	tell_flow_bed(b, ALL_INSTANCES, EV_UPSTREAM, upstream_arg(service, i),
+		      DETECT_MS);
 }
 
-void set_bed_state(struct bed *b, uint32_t service, int i,
-		   enum upstream_state s)
+void set_flow_bed_state(struct bed *b, uint32_t service, int i,
+			enum upstream_state s)
 {
 	struct bed_upstream *up = &b->ups[service][i];
 
@@ -61,10 +61,11 @@
 	if (s == UPSTREAM_COLD && !up->cold)
 		up->open_nr = 0;
 	up->cold = s == UPSTREAM_COLD;
-	tell_bed(b, ALL_INSTANCES, EV_UPSTREAM, upstream_arg(service, i), 0);
+	tell_flow_bed(b, ALL_INSTANCES, EV_UPSTREAM, upstream_arg(service, i),
+		      0);
 }
 
-void take_domain(struct bed *b, int domain, bool out)
+void take_bed_domain(struct bed *b, int domain, bool out)
 {
 	b->domain_out[domain] = out;
 	for (uint32_t s = 0; s < (uint32_t)b->opt.service_nr; s++) {
@@ -76,41 +77,41 @@
 				give_up_flows(b, b->ups[s][i].config.id);
 		}
 	}
-	tell_bed(b, ALL_INSTANCES, EV_DOMAIN, (uint64_t)domain, 0);
+	tell_flow_bed(b, ALL_INSTANCES, EV_DOMAIN, (uint64_t)domain, 0);
 }
 
-void kill_instance(struct bed *b, int i)
+void kill_bed_instance(struct bed *b, int i)
 {
 	b->at[i].alive = false;
-	tell_bed(b, ALL_INSTANCES, EV_MEMBER, (uint64_t)i, DETECT_MS);
+	tell_flow_bed(b, ALL_INSTANCES, EV_MEMBER, (uint64_t)i, DETECT_MS);
 }
 
-void join_instance(struct bed *b, int i)
+void join_bed_instance(struct bed *b, int i)
 {
 	start_bed_instance(b, i);
-	tell_bed_all(b, i, 0);
-	tell_bed(b, ALL_INSTANCES, EV_MEMBER, (uint64_t)i, 0);
+	tell_flow_bed_all(b, i, 0);
+	tell_flow_bed(b, ALL_INSTANCES, EV_MEMBER, (uint64_t)i, 0);
 }
 
-void catch_up(struct bed *b, int i)
+void catch_up_flow_bed(struct bed *b, int i)
 {
 	b->at[i].stale = false;
-	tell_bed(b, i, EV_SNAPSHOT, 0, 0);
+	tell_flow_bed(b, i, EV_SNAPSHOT, 0, 0);
 }
 
-void cut_bed(struct bed *b, int domain)
+void cut_flow_bed(struct bed *b, int domain)
 {
 	b->cut_domain = domain;
-	tell_bed_all(b, ALL_INSTANCES, DETECT_MS);
+	tell_flow_bed_all(b, ALL_INSTANCES, DETECT_MS);
 }
 
-void heal_bed(struct bed *b)
+void heal_flow_bed(struct bed *b)
 {
 	b->cut_domain = 0;
-	tell_bed_all(b, ALL_INSTANCES, 0);
+	tell_flow_bed_all(b, ALL_INSTANCES, 0);
 }
 
-struct bed_outcome judge_bed(struct bed *b)
+struct bed_outcome judge_flow_bed(struct bed *b)
 {
 	struct bed_outcome o = { 0 };
 
@@ -125,16 +126,16 @@
 	return o;
 }
 
-uint64_t bed_counter(const struct bed *b, enum counter c)
+uint64_t flow_bed_counter(const struct bed *b, enum counter c)
 {
-	uint64_t sum = 0;
+	uint64_t sum = b->past.value[c];
 
 	for (int i = 0; i < BED_INSTANCE_MAX; i++)
 		sum += b->at[i].counters.value[c];
 	return sum;
 }
 
-double bed_balance(struct bed *b, uint32_t service)
+double flow_bed_balance(struct bed *b, uint32_t service)
 {
 	uint32_t open[BED_UPSTREAM_MAX] = { 0 };
 	uint32_t max = 0;
