--- a/flow/flows.c
+++ b/flow/flows.c
@@ -231,7 +231,9 @@
 	if (opening && (job_now_s(j) - e->seen_s > REPEAT_S ||
 			!takes_new_flows(j->route, e->upstream)))
 		return m->upstream;
-	teach_origin(j, e->upstream, true);
+	teach_member(j, j->origin, e->upstream, true);
+	if (m->sender != j->origin)
+		teach_member(j, m->sender, e->upstream, true);
 	return e->upstream;
 }
 
@@ -335,6 +337,7 @@
 		j.len = m.len;
 		j.hops = (uint8_t)(m.hops + 1);
 		j.origin = m.kind == FLOW_DECIDE ? fs->self : m.origin;
+		j.sender = m.sender;
 		j.decided = m.kind == FLOW_DECIDE;
 		take_packet(&j, &m);
 		break;
--- a/flow/route.c
+++ b/flow/route.c
@@ -30,6 +30,7 @@
 	bool established;	/* may be a base */
 	bool joining;		/* flows on its slots are all remembered */
 	bool cold;
+	bool watched; /* since before it was cold */
 	bool marked;
 };
 
@@ -138,6 +139,8 @@
 {
 	bool cold = is_cold(ru->state, ru->up, in->wall_s);
 
+	if (ru->state == UPSTREAM_DRAINING) /* hides whether it is cold */
+		cold = ru->cold;
 	if (!cold && ru->cold && !is_lost(ru->state))
 		ru->ramp_start = in->now_ms;
 	if (cold) {
@@ -146,11 +149,12 @@
 				       ru->up->cold_connections, in->now_ms);
 		if (!ru->cold) {
 			ru->births = 0;
-			ru->allowance = ru->share;
+			ru->allowance = ru->watched ? ru->share : 0;
 		}
 		ru->allowance = MIN(ru->allowance, ru->share);
 	}
 	ru->cold = cold;
+	ru->watched |= !cold && ru->state != UPSTREAM_UNKNOWN;
 }
 
 static bool follow_age(struct route_upstream *ru, uint32_t idle_ms,
@@ -309,6 +313,7 @@
 	ru->takes = false;
 	ru->ramp = 0;
 	ru->cold = false; /* so that it is seen to turn cold */
+	ru->watched = true;
 }
 
 void set_route_service(struct route *rt, const struct service *sv,
--- a/flow/state.h
+++ b/flow/state.h
@@ -34,7 +34,7 @@
 	struct wire_writer writer;
 	uint64_t self;		/* member id */
 	uint64_t wall_at_0;	/* wall clock, ms, when now_ms was 0 */
-	uint64_t fresh_until;	/* ms; too young to place flows before */
+	uint64_t fresh_until;	/* ms; too young to judge alone before */
 	uint64_t newest_epoch;	/* heard of from any instance */
 	uint64_t newer_since;	/* ms when an epoch above the own was heard */
 	bool synced;		/* has the marks of some other instance */
@@ -58,6 +58,7 @@
 	uint32_t slot;
 	uint64_t now_ms;
 	uint64_t origin; /* member that got the packet from the fabric */
+	uint64_t sender; /* member that passed it on; 0 for none */
 	uint8_t hops;
 	bool decided; /* another instance left the decision to this one */
 };
@@ -99,7 +100,11 @@
 bool pass_on(struct job *j, uint64_t id, enum flow_message_kind kind,
 	     uint8_t step, uint64_t upstream);
 
-/* Tells the origin of the packet where its flow lives. */
+/* Tells member ID where the flow lives; false if that is not possible. */
+bool teach_member(struct job *j, uint64_t id, uint64_t upstream,
+		  bool remembered);
+
+/* The same to the packet's origin, if the budget allows. */
 void teach_origin(struct job *j, uint64_t upstream, bool remembered);
 
 /* True if FS may lack news about where flows live. */
--- a/flow/steer.c
+++ b/flow/steer.c
@@ -77,7 +77,8 @@
 	return true;
 }
 
-void teach_origin(struct job *j, uint64_t upstream, bool remembered)
+bool teach_member(struct job *j, uint64_t id, uint64_t upstream,
+		  bool remembered)
 {
 	struct flow_message m = { .kind = FLOW_LEARN,
 				  .flag = remembered,
@@ -86,12 +87,18 @@
 				  .hash = j->p.hash };
 	struct flow_action *a;
 
-	if (j->origin == j->fs->self || j->fs->learn_tokens <= 0 ||
-	    !send_to_member(j->fs, j->origin, &m, j->out))
-		return;
+	if (id == j->fs->self || !send_to_member(j->fs, id, &m, j->out))
+		return false;
 	a = &j->out->at[j->out->nr - 1];
 	j->fs->learn_tokens -= (int64_t)a->header_len;
 	count_n(j->fs->counters, COUNT_FLOW_LEARN_BYTES, a->header_len);
+	return true;
+}
+
+void teach_origin(struct job *j, uint64_t upstream, bool remembered)
+{
+	if (j->fs->learn_tokens > 0)
+		teach_member(j, j->origin, upstream, remembered);
 }
 
 /* Answers a caller whose flow is lost; an opening packet is only dropped. */
@@ -143,27 +150,6 @@
 		remove_flow(j->fs->table, e);
 }
 
-void deliver(struct job *j, uint64_t upstream)
-{
-	enum upstream_state state;
-	const struct upstream *up = route_upstream(j->route, upstream, &state);
-
-	if (up && !is_lost(state)) {
-		to_upstream(j, up);
-		return;
-	}
-	if (!up && j->origin != j->fs->self &&
-	    pass_on(j, j->origin, FLOW_DELIVER, 0, upstream))
-		return;
-	if (up && state == UPSTREAM_DOWN &&
-	    is_cut_off(j->fs->cuts, up->domain, j->now_ms)) {
-		count(j->fs->counters, COUNT_FLOW_CUT_OFF);
-		return;
-	}
-	forget_flow(j);
-	give_up(j, COUNT_FLOW_GIVEN_UP);
-}
-
 struct flow_entry *store_flow(struct flows *fs, uint64_t hash,
 			      const struct route *rt, uint64_t upstream,
 			      enum flow_entry_kind kind, uint64_t now_ms)
@@ -221,6 +207,8 @@
 	e = store_flow(fs, j->p.hash, j->route, upstream,
 		       own ? ENTRY_KEPT : ENTRY_CACHED, j->now_ms);
 	e->closing |= is_ending(&j->p);
+	if (is_opening(&j->p)) /* may be lost on its way: renew to confirm */
+		e->keepers = 0;
 	if (!pass_to_keeper(j, &pair, own, upstream, e))
 		deliver(j, upstream);
 }
@@ -255,11 +243,12 @@
 static void continue_flow(struct job *j, struct flow_entry *e)
 {
 	bool ending = is_ending(&j->p);
+	bool again = is_opening(&j->p); /* the keepers may have missed it */
 	uint64_t upstream = e->upstream;
 
 	e->seen_s = job_now_s(j);
 	e->closing |= ending;
-	if (e->kind != ENTRY_BASE && (ending || is_renewal_due(j, e)))
+	if (e->kind != ENTRY_BASE && (ending || again || is_renewal_due(j, e)))
 		keep_flow(j, upstream);
 	else
 		deliver(j, upstream);
@@ -272,7 +261,7 @@
 	for (size_t i = step; i < nr; i++) {
 		uint64_t id = holders[i]->id;
 
-		if (id == j->fs->self || id == j->origin ||
+		if (id == j->fs->self || id == j->origin || id == j->sender ||
 		    is_suspect(j->fs, id) != suspects)
 			continue;
 		if (pass_on(j, id, FLOW_ASK, (uint8_t)i, 0))
@@ -288,10 +277,37 @@
 	size_t nr = rank_holders(j->fs->keepers, route_service(j->route)->id,
 				 j->slot, j->now_ms, holders);
 
+	if (j->hops + 1 >= FLOW_HOPS_MAX)
+		return false;
+	if (step && (step > nr || holders[step - 1]->id != j->fs->self))
+		step = 0; /* the asking instance has another view */
 	return ask_from(j, holders, nr, step, false) ||
 	       (!step && ask_from(j, holders, nr, step, true));
 }
 
+void deliver(struct job *j, uint64_t upstream)
+{
+	enum upstream_state state;
+	const struct upstream *up = route_upstream(j->route, upstream, &state);
+
+	if (up && !is_lost(state)) {
+		to_upstream(j, up);
+		return;
+	}
+	if (!up && j->origin != j->fs->self &&
+	    pass_on(j, j->origin, FLOW_DELIVER, 0, upstream))
+		return;
+	if (!up && is_doubtful(j->fs, j->now_ms) && ask_holders(j, 0))
+		return;
+	if (up && state == UPSTREAM_DOWN &&
+	    is_cut_off(j->fs->cuts, up->domain, j->now_ms)) {
+		count(j->fs->counters, COUNT_FLOW_CUT_OFF);
+		return;
+	}
+	forget_flow(j);
+	give_up(j, COUNT_FLOW_GIVEN_UP);
+}
+
 /* Nobody knows the flow: it lives at the base of its slot. */
 static void assume_base(struct job *j, const struct slot_choice *c)
 {
@@ -381,6 +397,10 @@
 {
 	struct flow_entry *e;
 
+	if (j->now_ms < j->fs->fresh_until && !other_live_nr(j->fs->keepers)) {
+		count(j->fs->counters, COUNT_FLOW_TOO_YOUNG);
+		return;
+	}
 	if (!j->hops && note_progress(j->fs->progress, &j->p, j->now_ms)) {
 		forget_flow(j);
 		give_up(j, COUNT_FLOW_SILENT);
--- a/flow/upkeep.c
+++ b/flow/upkeep.c
@@ -8,7 +8,8 @@
 
 #include "flow/state.h"
 
-#define SWEEP_MS 10000	      /* one look through the whole table */
+#define SWEEP_MS 10000 /* one look through the whole table */
+#define CONFIRM_S 10   /* left to packets to confirm an entry to its keepers */
 #define EXPIRE_MARKS_MS 10000 /* between two removals of old marks */
 #define CONTROL_BURST (8 * FLOW_CONTROL_BUDGET) /* bytes */
 #define LEARN_BURST (8 * FLOW_LEARN_BUDGET)	/* bytes */
@@ -254,6 +255,8 @@
 		set_mark(fs->marks, e->service, slot_owner(rt, slot),
 			 now_ms + MARK_MS, now_ms, in.tell_nr);
 	pair = find_keepers(fs->keepers, e->service, slot);
+	if (!e->keepers && now_ms / 1000 - e->renewed_s < CONFIRM_S)
+		return true;
 	if (e->keepers != pair.print && fs->control_tokens > 0)
 		hand_over(fs, e, &pair, batches, now_ms);
 	return true;
@@ -325,13 +328,18 @@
 {
 	uint64_t dt = MIN(now_ms - fs->ticked, SWEEP_MS);
 
+	size_t others = other_live_nr(fs->keepers);
+
 	out->nr = 0;
 	fs->ticked = now_ms;
 	refill_tokens(fs, dt);
 	update_shares(fs->shares, now_ms);
 	update_cut_watch(fs->cuts, fs->view, now_ms);
-	if (update_keepers(fs->keepers, now_ms))
+	if (update_keepers(fs->keepers, now_ms)) {
+		if (!others && other_live_nr(fs->keepers))
+			fs->fresh_until = now_ms + SETTLE_MS;
 		greet_members(fs, now_ms);
+	}
 	ask_sync(fs, out);
 	tell_marks(fs, now_ms, out);
 	answer_sync(fs, now_ms, out);
--- a/t/flow-bed.c
+++ b/t/flow-bed.c
@@ -18,7 +18,7 @@
 
 #define WALL_0_MS 1000000000ULL /* time of day when the bed starts */
 #define FLOW_PORT 6080
-struct bed_flow *bed_flow(struct bed *b, uint32_t i)
+struct bed_flow *flow_at(struct bed *b, uint32_t i)
 {
 	return &g_array_index(b->flows, struct bed_flow, i);
 }
@@ -292,9 +292,10 @@
 {
 	f->opened = true;
 	f->upstream = up->config.id;
-	up->open_nr++;
-	if (up->cold)
+	if (up->cold && b->now >= up->cold_from) {
+		up->open_nr++;
 		up->cold_peak = MAX(up->cold_peak, up->open_nr);
+	}
 	if (up->config.draining && b->now - up->drain_since > BED_BOUND_MS)
 		b->late_new++;
 }
@@ -303,7 +304,7 @@
 static void reach_upstream(struct bed *b, int from, uint32_t i, uint8_t flags,
 			   uint64_t id)
 {
-	struct bed_flow *f = bed_flow(b, i);
+	struct bed_flow *f = flow_at(b, i);
 	uint32_t s;
 	int index;
 	struct bed_upstream *up = upstream_by_id(b, id, &s, &index);
@@ -329,7 +330,7 @@
 {
 	uint32_t i = (uint32_t)packet[17] << 16 | (uint32_t)packet[18] << 8 |
 		     packet[19];
-	struct bed_flow *f = bed_flow(b, i);
+	struct bed_flow *f = flow_at(b, i);
 
 	if (!f->opened)
 		return;
@@ -459,7 +460,7 @@
 
 static struct test_packet packet_of(struct bed *b, uint32_t i, uint8_t flags)
 {
-	const struct bed_flow *f = bed_flow(b, i);
+	const struct bed_flow *f = flow_at(b, i);
 	struct test_packet tp = { .flags = flags,
 				  .seq = f->seq,
 				  .protocol = FLOW_TCP,
@@ -478,7 +479,7 @@
 
 void send_bed_packet(struct bed *b, uint32_t i, uint8_t flags)
 {
-	struct bed_flow *f = bed_flow(b, i);
+	struct bed_flow *f = flow_at(b, i);
 	int at = pick_instance(b, f);
 	uint8_t data[TEST_PACKET_MAX];
 	struct test_packet tp;
--- a/t/flow-bed.h
+++ b/t/flow-bed.h
@@ -49,7 +49,8 @@
 	bool out;
 	uint64_t out_since; /* ms */
 	bool cold;	    /* its cold_connections bind */
-	uint32_t open_nr;   /* flows opened since it was last cold */
+	uint64_t cold_from; /* ms; when every instance knows */
+	uint32_t open_nr;   /* flows opened since then */
 	uint32_t cold_peak; /* the most it ever had while cold */
 };
 
@@ -116,7 +117,7 @@
 /* Sends a packet of flow I through a random live instance. */
 void send_bed_packet(struct bed *b, uint32_t i, uint8_t flags);
 
-struct bed_flow *bed_flow(struct bed *b, uint32_t i);
+struct bed_flow *flow_at(struct bed *b, uint32_t i);
 
 /* What instances may be told; ARG of each is given in brackets. */
 enum bed_event {
--- a/t/flow-changes.c
+++ b/t/flow-changes.c
@@ -4,13 +4,14 @@
 
 #include "t/flow-bed.h"
 
+#define NOTICE_MS 200  /* until an instance acts on news */
 #define DETECT_MS 1000 /* until a dead instance or upstream is noticed */
 
 /* Flows at an upstream that is lost end with it. */
 static void give_up_flows(struct bed *b, uint64_t upstream)
 {
 	for (guint i = 0; i < b->flows->len; i++) {
-		struct bed_flow *f = bed_flow(b, i);
+		struct bed_flow *f = flow_at(b, i);
 
 		if (f->opened && f->upstream == upstream)
 			f->given_up = true;
@@ -58,8 +59,10 @@
 	struct bed_upstream *up = &b->ups[service][i];
 
 	up->state = s;
-	if (s == UPSTREAM_COLD && !up->cold)
+	if (s == UPSTREAM_COLD && !up->cold) {
 		up->open_nr = 0;
+		up->cold_from = b->now + b->opt.news_ms + NOTICE_MS;
+	}
 	up->cold = s == UPSTREAM_COLD;
 	tell_flow_bed(b, ALL_INSTANCES, EV_UPSTREAM, upstream_arg(service, i),
 		      0);
@@ -116,7 +119,7 @@
 	struct bed_outcome o = { 0 };
 
 	for (guint i = 0; i < b->flows->len; i++) {
-		const struct bed_flow *f = bed_flow(b, i);
+		const struct bed_flow *f = flow_at(b, i);
 
 		o.opened += f->opened;
 		o.wrong += f->wrong;
@@ -144,8 +147,8 @@
 
 	for (guint n = 0; n < b->flows->len; n++)
 		for (int i = 0; i < b->upstream_nr[service]; i++)
-			open[i] += !bed_flow(b, n)->broken &&
-				   bed_flow(b, n)->upstream ==
+			open[i] += !flow_at(b, n)->broken &&
+				   flow_at(b, n)->upstream ==
 					   b->ups[service][i].config.id;
 	for (int i = 0; i < b->upstream_nr[service]; i++) {
 		const struct bed_upstream *up = &b->ups[service][i];
--- a/t/prop-flow.cc
+++ b/t/prop-flow.cc
@@ -1,33 +1,259 @@
-/* Properties of the packet reader. */
+/* Properties of what reads flow packets and messages. */
+
+#include <glib.h>
 
 #include <rapidcheck.h>
 #include <vector>
 
 extern "C" {
 #include "flow/gue.h"
+#include "flow/message.h"
 #include "flow/packet.h"
+#include "flow/reset.h"
+#include "t/flow-packets.h"
+}
+
+using bytes = std::vector<uint8_t>;
+
+static struct test_packet arbitrary_packet()
+{
+	struct test_packet tp = {};
+	bool six = *rc::gen::arbitrary<bool>();
+
+	tp.from.family = tp.to.family = six ? 6 : 4;
+	for (int i = 0; i < (six ? 16 : 4); i++) {
+		tp.from.ip[i] = *rc::gen::inRange<uint8_t>(1, 224);
+		tp.to.ip[i] = *rc::gen::inRange<uint8_t>(1, 224);
+	}
+	tp.from.port = *rc::gen::inRange<uint16_t>(1, 65535);
+	tp.to.port = *rc::gen::inRange<uint16_t>(1, 65535);
+	tp.protocol = *rc::gen::element(FLOW_TCP, FLOW_UDP);
+	tp.flags = *rc::gen::element<uint8_t>(TCP_SYN, TCP_ACK,
+					      TCP_ACK | TCP_FIN, TCP_RST);
+	tp.seq = *rc::gen::arbitrary<uint32_t>();
+	tp.ack = *rc::gen::arbitrary<uint32_t>();
+	tp.payload = *rc::gen::inRange<uint16_t>(0, 1400);
+	tp.hop_limit = *rc::gen::inRange<uint8_t>(2, 255);
+	return tp;
+}
+
+static bytes write_packet(const struct test_packet &tp)
+{
+	uint8_t data[TEST_PACKET_MAX];
+	size_t len = write_test_packet(&tp, data);
+
+	return bytes(data, data + len);
+}
+
+/* Brings the IPv4 checksum up to date, so that only the mutation counts. */
+static void mend_checksum(bytes &b)
+{
+	size_t header = (size_t)(b[0] & 0xf) * 4;
+	uint16_t sum;
+
+	if (b.size() < 20 || b[0] >> 4 != 4 || header > b.size())
+		return;
+	b[10] = b[11] = 0;
+	sum = internet_checksum(b.data(), header, 0);
+	b[10] = (uint8_t)(sum >> 8);
+	b[11] = (uint8_t)sum;
+}
+
+static bool reads(const bytes &b, struct packet *p)
+{
+	/* a copy of the exact size, so that the sanitizer sees every overrun */
+	bytes copy(b);
+
+	copy.shrink_to_fit();
+	return read_packet(copy.data(), copy.size(), p);
+}
+
+static bool check_packets()
+{
+	bool ok = rc::check("arbitrary bytes are read within bounds", [] {
+		bytes b = *rc::gen::arbitrary<bytes>();
+		struct packet p;
+
+		if (reads(b, &p))
+			RC_ASSERT(p.hash != 0);
+		else
+			RC_ASSERT(p.fault != PACKET_WHOLE);
+	});
+	ok &= rc::check("a whole packet is read as it was written", [] {
+		struct test_packet tp = arbitrary_packet();
+		struct packet p;
+
+		RC_PRE(!same_endpoint(&tp.from, &tp.to));
+		RC_ASSERT(reads(write_packet(tp), &p));
+		RC_ASSERT(same_endpoint(&p.caller, &tp.from));
+		RC_ASSERT(same_endpoint(&p.service, &tp.to));
+		RC_ASSERT(p.payload == tp.payload);
+	});
+	ok &= rc::check("a packet that was cut short is refused", [] {
+		bytes b = write_packet(arbitrary_packet());
+		struct packet p;
+
+		b.resize(*rc::gen::inRange<size_t>(0, b.size()));
+		mend_checksum(b);
+		RC_ASSERT(!reads(b, &p));
+		RC_ASSERT(p.fault == PACKET_TRUNCATED);
+	});
+	ok &= rc::check("trailing bytes are refused", [] {
+		bytes b = write_packet(arbitrary_packet());
+		struct packet p;
+
+		b.resize(b.size() + *rc::gen::inRange<size_t>(1, 64));
+		RC_ASSERT(!reads(b, &p));
+		RC_ASSERT(p.fault == PACKET_MALFORMED);
+	});
+	ok &= rc::check("fragments and used-up hop limits are told apart", [] {
+		struct test_packet tp = arbitrary_packet();
+		bytes b;
+		struct packet p;
+
+		tp.hop_limit = *rc::gen::inRange<uint8_t>(0, 2);
+		RC_ASSERT(!reads(write_packet(tp), &p));
+		RC_ASSERT(p.fault == PACKET_EXPIRED);
+		b = write_packet(arbitrary_packet());
+		if (b[0] >> 4 == 6)
+			b[6] = 44;
+		else
+			b[6] = *rc::gen::element<uint8_t>(0x20, 0x01, 0x1f);
+		mend_checksum(b);
+		RC_ASSERT(!reads(b, &p));
+		RC_ASSERT(p.fault == PACKET_FRAGMENT);
+	});
+	ok &= rc::check("a mutated packet is refused or still whole", [] {
+		bytes b = write_packet(arbitrary_packet());
+		int n = *rc::gen::inRange(1, 4);
+		struct packet p;
+
+		while (n-- > 0)
+			b[*rc::gen::inRange<size_t>(0, MIN(b.size(), 60))] =
+				*rc::gen::arbitrary<uint8_t>();
+		if (*rc::gen::arbitrary<bool>())
+			mend_checksum(b);
+		if (!reads(b, &p))
+			return;
+		RC_ASSERT(p.payload <= b.size());
+		RC_ASSERT(p.caller.port && p.service.port);
+		RC_ASSERT(p.protocol == FLOW_TCP || p.protocol == FLOW_UDP);
+	});
+	return ok;
+}
+
+static bool check_answers()
+{
+	bool ok = rc::check("a reset is whole and addressed to the caller", [] {
+		struct test_packet tp = arbitrary_packet();
+		struct packet p;
+		struct packet back;
+		uint8_t out[RESET_MAX];
+		size_t len;
+
+		RC_PRE(!same_endpoint(&tp.from, &tp.to));
+		RC_ASSERT(reads(write_packet(tp), &p));
+		len = write_reset(&p, out);
+		RC_ASSERT(!len == (tp.protocol == FLOW_UDP ||
+				   (tp.flags & TCP_RST) != 0));
+		if (!len)
+			return;
+		RC_ASSERT(read_packet(out, len, &back));
+		RC_ASSERT(same_endpoint(&back.service, &tp.from));
+		RC_ASSERT(same_endpoint(&back.caller, &tp.to));
+		RC_ASSERT((back.flags & TCP_RST) != 0);
+		if (tp.flags & TCP_ACK)
+			RC_ASSERT(back.seq == tp.ack);
+	});
+	ok &= rc::check("lowering the hop limit keeps a packet whole", [] {
+		struct test_packet tp = arbitrary_packet();
+		bytes b;
+		struct packet p;
+
+		tp.hop_limit = *rc::gen::inRange<uint8_t>(3, 255);
+		RC_PRE(!same_endpoint(&tp.from, &tp.to));
+		b = write_packet(tp);
+		lower_hop_limit(b.data());
+		RC_ASSERT(reads(b, &p));
+		RC_ASSERT(b[b[0] >> 4 == 6 ? 7 : 8] == tp.hop_limit - 1);
+	});
+	return ok;
+}
+
+static bytes write_message(const struct flow_message &m)
+{
+	uint8_t header[FLOW_HEADER_MAX];
+	struct wire_writer w;
+	size_t len;
+
+	init_wire_writer(&w);
+	len = write_flow_message(&w, &m, header);
+	release_wire_writer(&w);
+	RC_ASSERT(len <= sizeof(header));
+	bytes b(header, header + len);
+	if (m.len)
+		b.insert(b.end(), m.data, m.data + m.len);
+	return b;
+}
+
+static bool check_messages()
+{
+	bool ok = rc::check("a message is read as it was written", [] {
+		bytes body = *rc::gen::arbitrary<bytes>();
+		struct flow_message m = {};
+		struct flow_message r;
+		bytes b;
+
+		m.kind = (enum flow_message_kind) *
+			 rc::gen::inRange(0, (int)FLOW_MESSAGE_KIND_NR);
+		m.hops = *rc::gen::arbitrary<uint8_t>();
+		m.sender = *rc::gen::arbitrary<uint64_t>();
+		m.service = *rc::gen::arbitrary<uint64_t>();
+		m.upstream = *rc::gen::arbitrary<uint64_t>();
+		m.hash = *rc::gen::arbitrary<uint64_t>();
+		m.data = body.data();
+		m.len = body.size();
+		b = write_message(m);
+		RC_ASSERT(is_flow_message(b.data(), b.size()));
+		RC_ASSERT(read_flow_message(b.data(), b.size(), &r));
+		RC_ASSERT(r.kind == m.kind && r.hops == m.hops);
+		RC_ASSERT(r.sender == m.sender && r.service == m.service);
+		RC_ASSERT(r.upstream == m.upstream && r.hash == m.hash);
+		RC_ASSERT(bytes(r.data, r.data + r.len) == body);
+	});
+	ok &= rc::check("mutated messages are read within bounds", [] {
+		bytes body = *rc::gen::arbitrary<bytes>();
+		struct flow_message m = {};
+		struct flow_message r;
+		bytes b;
+
+		m.data = body.data();
+		m.len = body.size();
+		b = write_message(m);
+		b[*rc::gen::inRange<size_t>(0, b.size())] =
+			*rc::gen::arbitrary<uint8_t>();
+		b.resize(*rc::gen::inRange<size_t>(1, b.size() + 1));
+		b.shrink_to_fit();
+		if (read_flow_message(b.data(), b.size(), &r))
+			RC_ASSERT(r.data >= b.data() &&
+				  r.data + r.len <= b.data() + b.size());
+	});
+	ok &= rc::check("an inner packet lies within its datagram", [] {
+		bytes b = *rc::gen::arbitrary<bytes>();
+		size_t len = 0;
+		const uint8_t *in = read_gue(b.data(), b.size(), &len);
+
+		if (in)
+			RC_ASSERT(in + len == b.data() + b.size());
+	});
+	return ok;
 }
 
 int main()
 {
-	bool ok =
-		rc::check("arbitrary bytes are read within their bounds",
-			  [](const std::vector<uint8_t> &bytes) {
-				  std::vector<uint8_t> copy(bytes);
-				  struct packet p;
-
-				  if (read_packet(copy.data(), copy.size(), &p))
-					  RC_ASSERT(p.hash != 0);
-			  });
-	ok &= rc::check("an inner packet lies within its datagram",
-			[](const std::vector<uint8_t> &bytes) {
-				size_t len = 0;
-				const uint8_t *in = read_gue(
-					bytes.data(), bytes.size(), &len);
-
-				if (in)
-					RC_ASSERT(in + len ==
-						  bytes.data() + bytes.size());
-			});
+	bool ok = check_packets();
+
+	ok &= check_answers();
+	ok &= check_messages();
 	return ok ? 0 : 1;
 }
