--- a/fleet/health-judge.c
+++ b/fleet/health-judge.c
@@ -188,14 +188,35 @@
 		move_judge(j, ch, UPSTREAM_FAILED, now_ms);
 }
 
+/* A failed probe agrees with failed requests, so probes tell the truth. */
+static void take_probe_failure(struct judge *j, const struct chart *ch,
+			       uint64_t now_ms)
+{
+	j->distrusted = false;
+	take_failure(j, ch, &j->probe_failures, now_ms);
+}
+
 static void take_use_failure(struct judge *j, const struct chart *ch,
 			     uint64_t now_ms)
 {
-	j->distrusted = true;
 	take_failure(j, ch, &j->use_failures, now_ms);
 	take_bad_answer(j, ch, now_ms);
 }
 
+/* Without a connection there was nothing for probes to be wrong about. */
+static void take_refusal(struct judge *j, const struct chart *ch,
+			 uint64_t now_ms)
+{
+	j->distrusted |= j->role != HEALTH_PASSIVE;
+	take_use_failure(j, ch, now_ms);
+}
+
+static void take_loss(struct judge *j, const struct chart *ch, uint64_t now_ms)
+{
+	j->distrusted = true;
+	take_use_failure(j, ch, now_ms);
+}
+
 static void take_report(struct judge *j, const struct chart *ch,
 			enum health_report report, uint64_t now_ms)
 {
@@ -237,6 +258,7 @@
 		j->start_id = ev->start_id;
 	j->age_ms = ev->age_ms;
 	if (restarted) {
+		j->distrusted = false;
 		j->discounted = false;
 		j->reported_since = 0;
 		if (j->state == UPSTREAM_COLD)
@@ -256,7 +278,7 @@
 		take_probe(j, ch, ev, now_ms);
 		break;
 	case HEALTH_PROBE_FAILED:
-		take_failure(j, ch, &j->probe_failures, now_ms);
+		take_probe_failure(j, ch, now_ms);
 		break;
 	case HEALTH_LOAD:
 		take_success(j, now_ms);
@@ -269,8 +291,10 @@
 		take_shed(j, ch, now_ms);
 		break;
 	case HEALTH_LOST:
+		take_loss(j, ch, now_ms);
+		break;
 	case HEALTH_REFUSED:
-		take_use_failure(j, ch, now_ms);
+		take_refusal(j, ch, now_ms);
 		break;
 	case HEALTH_TICK:
 		break;
@@ -291,11 +315,17 @@
 	return false;
 }
 
+/* True if J has to do without probes. */
+static bool needs_no_probe(const struct judge *j)
+{
+	return j->role == HEALTH_PASSIVE || j->unprobed;
+}
+
 static bool has_evidence(const struct judge *j, uint64_t now_ms)
 {
 	unsigned int good = j->use_good;
 
-	if (!j->distrusted && j->role == HEALTH_PASSIVE)
+	if (!j->distrusted && needs_no_probe(j))
 		return true;
 	if (!j->distrusted)
 		good += j->probe_good;
@@ -303,14 +333,14 @@
 		return true;
 	return now_ms - j->since >= HEALTH_QUIET_MS &&
 	       (!j->last_bad || now_ms - j->last_bad >= HEALTH_QUIET_MS) &&
-	       (j->role == HEALTH_PASSIVE || j->probe_good >= HEALTH_RISE);
+	       (needs_no_probe(j) || j->probe_good >= HEALTH_RISE);
 }
 
 static bool is_back(const struct judge *j, uint64_t now_ms)
 {
 	if (now_ms < j->down_until)
 		return false;
-	return j->role == HEALTH_PASSIVE || j->probe_good >= HEALTH_RISE;
+	return needs_no_probe(j) || j->probe_good >= HEALTH_RISE;
 }
 
 void judge_tick(struct judge *j, const struct chart *ch, uint64_t now_ms)
@@ -318,6 +348,10 @@
 	uint64_t stay = now_ms - j->since;
 
 	switch (j->state) {
+	case UPSTREAM_UNKNOWN:
+		if (j->unprobed && stay >= HEALTH_COLD_MS)
+			move_judge(j, ch, UPSTREAM_COLD_DONE, now_ms);
+		break;
 	case UPSTREAM_COLD:
 		if (!holds_claim(j, now_ms) && stay >= HEALTH_COLD_MS &&
 		    has_evidence(j, now_ms))
--- a/request/requests.h
+++ b/request/requests.h
@@ -63,6 +63,7 @@
 	uint64_t body_digest;
 	/* of events that end an offer: the body can be sent again */
 	bool repeatable;
+	bool reused; /* of REQUEST_LOST: on a connection used before */
 	/* of REQUEST_ANSWERED and REQUEST_PEER: the answer as the adapter
 	 * encodes it to be kept, or the message */
 	const void *data;
@@ -129,12 +130,13 @@
 void set_request_limit(struct requests *rs, slot_limit_fn fn, void *data);
 
 /*
- * Calls FN with each offer that ended: the upstream, how, and the time that it
+ * Calls FN with each offer that ended: the upstream, how, and the time it
  * took. Offers given up for reasons of the caller or of a connection are left
  * out, since they say nothing about the upstream.
  */
-typedef void (*offer_end_fn)(uint64_t upstream, enum request_event_kind how,
-			     uint64_t took_ms, uint64_t now_ms, void *data);
+typedef void (*offer_end_fn)(uint64_t service, uint64_t upstream,
+			     enum request_event_kind how, uint64_t took_ms,
+			     uint64_t now_ms, void *data);
 void set_offer_observer(struct requests *rs, offer_end_fn fn, void *data);
 
 /*
