--- a/config/publish.c
+++ b/config/publish.c
@@ -7,15 +7,12 @@
 #include "config/carry.h"
 #include "config/commit.h"
 #include "config/keys.h"
-#include "config/parts.h"
+#include "config/publish-plan.h"
 
 #define TRIES_MAX 10 /* reads that failed and commits that lost a race */
 #define WAIT_MS 50   /* before the second try */
 #define WAIT_MAX_MS 2000
-#define GETS_MAX 64		   /* parts read by one call */
-#define PUTS_MAX 40		   /* parts written by one call */
-#define PUT_BYTES_MAX (700 * 1000) /* of the parts written by one call */
-#define DELETES_MAX 40		   /* retired parts deleted by one call */
+#define GETS_MAX 64 /* parts read by one call */
 
 enum publish_step {
 	PUBLISH_START,
@@ -40,10 +37,7 @@
 	struct snapshot *first; /* in force at the first read */
 	struct snapshot *base;	/* in force at the last read */
 	struct snapshot *next;	/* as it shall be */
-	GArray *parts;		/* of struct part: NEXT */
-	GArray *fresh;		/* of guint: those of PARTS to be written */
-	guint uploaded;		/* how many of FRESH are */
-	struct pointer *pointer;
+	struct publish_plan plan;
 	char subject[AUDIT_TEXT_MAX];
 	struct txn *txn;
 	struct commit commit;
@@ -74,14 +68,7 @@
 {
 	unref_snapshot(p->next);
 	p->next = NULL;
-	free_parts(p->parts);
-	p->parts = NULL;
-	if (p->fresh)
-		g_array_free(p->fresh, TRUE);
-	p->fresh = NULL;
-	p->uploaded = 0;
-	destroy_pointer(p->pointer);
-	p->pointer = NULL;
+	release_plan(&p->plan);
 }
 
 void destroy_publish(struct publish *p)
@@ -152,53 +139,6 @@
 	out->wait_ms = backoff_ms(p->tries, WAIT_MS, WAIT_MAX_MS, p->rand);
 }
 
-static void add_fresh_puts(struct publish *p)
-{
-	char key[PART_KEY_MAX];
-
-	while (p->uploaded < p->fresh->len && txn_op_nr(p->txn) < PUTS_MAX) {
-		const struct part *part = &g_array_index(
-			p->parts, struct part,
-			g_array_index(p->fresh, guint, p->uploaded));
-
-		if (txn_op_nr(p->txn) &&
-		    txn_size(p->txn) + part->bytes.buf.size > PUT_BYTES_MAX)
-			break;
-		add_put(p->txn, part_key(&part->ref, key), part->bytes.buf.data,
-			part->bytes.buf.size);
-		p->uploaded++;
-	}
-}
-
-static void put_pointer(struct txn *t, const struct pointer *ptr)
-{
-	struct wire_writer w;
-
-	init_wire_writer(&w);
-	encode_pointer(&w, ptr);
-	add_put(t, KEY_CONFIG, w.buf.data, w.buf.size);
-	release_wire_writer(&w);
-}
-
-/* Deletes retired parts that no reader can need at EPOCH, a few at a time. */
-static void delete_retired(struct txn *t, struct pointer *ptr, uint64_t epoch)
-{
-	char key[PART_KEY_MAX];
-	guint n = 0;
-
-	while (n < ptr->retired->len && n < DELETES_MAX) {
-		const struct retired_part *old =
-			&g_array_index(ptr->retired, struct retired_part, n);
-
-		if (old->epoch + PART_KEEP_EPOCHS > epoch)
-			break;
-		add_delete(t, part_key(&old->part, key), NULL);
-		n++;
-	}
-	if (n)
-		g_array_remove_range(ptr->retired, 0, n);
-}
-
 static void fill_audit(const struct publish *p, struct audit_entry *e)
 {
 	memset(e, 0, sizeof(*e));
@@ -209,7 +149,7 @@
 	e->when_ms = p->intent.when_ms;
 	e->what = AUDIT_PUBLISH;
 	e->old_epoch = p->base ? snapshot_epoch(p->base) : 0;
-	e->new_epoch = p->pointer->epoch;
+	e->new_epoch = p->plan.pointer->epoch;
 }
 
 static void commit_pointer(struct publish *p, struct change_action *out)
@@ -221,9 +161,8 @@
 	clear_txn(p->txn);
 	add_compare(p->txn, KEY_CONFIG, p->heads.pointer_revision);
 	add_compare(p->txn, KEY_SEEN, p->heads.seen_revision);
-	add_fresh_puts(p);
-	delete_retired(p->txn, p->pointer, p->pointer->epoch);
-	put_pointer(p->txn, p->pointer);
+	add_uploads(&p->plan, p->txn);
+	add_swap(p->txn, p->plan.pointer);
 	fill_audit(p, &e);
 	add_audit(p->txn, NULL, &e);
 	txn = view_txn(p->txn);
@@ -232,148 +171,39 @@
 		     p->rand, out);
 }
 
-static bool upload_is_due(const struct publish *p)
-{
-	size_t bytes = 0;
-
-	for (guint i = p->uploaded; i < p->fresh->len; i++)
-		bytes += g_array_index(p->parts, struct part,
-				       g_array_index(p->fresh, guint, i))
-				 .bytes.buf.size;
-	return p->fresh->len - p->uploaded > PUTS_MAX || bytes > PUT_BYTES_MAX;
-}
-
 /* Writes new parts until the rest fits into the pointer's transaction. */
 static void upload_or_commit(struct publish *p, struct change_action *out)
 {
-	if (!upload_is_due(p)) {
+	if (!upload_is_due(&p->plan)) {
 		commit_pointer(p, out);
 		return;
 	}
 	clear_txn(p->txn);
-	add_fresh_puts(p);
+	add_uploads(&p->plan, p->txn);
 	p->step = PUBLISH_UPLOADING;
 	out->kind = CHANGE_COMMIT;
 	out->txn = view_txn(p->txn);
 }
 
-/* Whether more retired parts are due than one pointer's swap deletes. */
-static bool sweep_is_due(const struct publish *p)
-{
-	const struct pointer *old = p->heads.pointer;
-	const struct retired_part *at;
-
-	if (!old || old->retired->len <= DELETES_MAX)
-		return false;
-	at = &g_array_index(old->retired, struct retired_part, DELETES_MAX);
-	return at->epoch + PART_KEEP_EPOCHS <= old->epoch;
-}
-
 /* Swaps the pointer for itself with fewer retired parts. */
 static void sweep(struct publish *p, struct change_action *out)
 {
 	clear_txn(p->txn);
 	add_compare(p->txn, KEY_CONFIG, p->heads.pointer_revision);
-	delete_retired(p->txn, p->heads.pointer, p->heads.pointer->epoch);
-	put_pointer(p->txn, p->heads.pointer);
+	add_swap(p->txn, p->heads.pointer);
 	p->step = PUBLISH_SWEEPING;
 	out->kind = CHANGE_COMMIT;
 	out->txn = view_txn(p->txn);
 }
 
-static bool same_part(const struct part_ref *a, const struct part_ref *b)
-{
-	return a && b && a->bucket == b->bucket && a->digest == b->digest;
-}
-
-/* Carries over what OLD retired and retires what only OLD names. */
-static void retire_parts(struct pointer *ptr, const struct pointer *old)
-{
-	for (guint i = 0; i < old->retired->len; i++) {
-		struct retired_part gone =
-			g_array_index(old->retired, struct retired_part, i);
-
-		if (!same_part(find_part(ptr, gone.part.bucket), &gone.part))
-			g_array_append_val(ptr->retired, gone);
-	}
-	for (guint i = 0; i < old->parts->len; i++) {
-		struct retired_part gone = { g_array_index(old->parts,
-							   struct part_ref, i),
-					     ptr->epoch };
-
-		if (!same_part(find_part(ptr, gone.part.bucket), &gone.part))
-			g_array_append_val(ptr->retired, gone);
-	}
-}
-
-static bool add_domains_of(struct pointer *ptr, const struct service *sv)
+static void plan(struct publish *p)
 {
-	for (size_t i = 0; i < sv->upstream_nr; i++)
-		if (!add_pointer_domain(ptr, sv->upstreams[i].domain))
-			return false;
-	return true;
-}
+	uint32_t bucket_nr = p->intent.bucket_nr;
 
-static bool fill_domains(struct publish *p)
-{
-	for (size_t i = 0; i < snapshot_service_nr(p->next); i++) {
-		const struct service *sv = snapshot_service(p->next, i);
-
-		if (add_domains_of(p->pointer, sv))
-			continue;
-		add_problem(p->problems, sv->name, 0,
-			    "more than %d failure domains in all", DOMAINS_MAX);
-		return false;
-	}
-	return true;
-}
-
-static void list_parts(struct publish *p)
-{
-	const struct pointer *old = p->heads.pointer;
-
-	p->fresh = g_array_new(FALSE, FALSE, sizeof(guint));
-	for (guint i = 0; i < p->parts->len; i++) {
-		const struct part *part =
-			&g_array_index(p->parts, struct part, i);
-
-		if (part->bytes.buf.size > STORE_VALUE_MAX)
-			add_problem(p->problems, "all services", 0,
-				    "bucket %u has %zu bytes; the store holds "
-				    "values up to %d",
-				    part->ref.bucket, part->bytes.buf.size,
-				    STORE_VALUE_MAX);
-		g_array_append_val(p->pointer->parts, part->ref);
-		if (!old ||
-		    !same_part(find_part(old, part->ref.bucket), &part->ref))
-			g_array_append_val(p->fresh, i);
-	}
-}
-
-static uint32_t choose_bucket_nr(const struct publish *p)
-{
-	if (p->heads.pointer)
-		return p->heads.pointer->bucket_nr;
-	return p->intent.bucket_nr ? p->intent.bucket_nr : BUCKET_NR_DEFAULT;
-}
-
-/* Builds the pointer and the parts of NEXT; false if they break a limit. */
-static bool plan(struct publish *p)
-{
-	struct pointer *ptr = create_pointer(choose_bucket_nr(p));
-
-	p->pointer = ptr;
-	ptr->epoch = snapshot_epoch(p->next);
-	ptr->when_ms = p->intent.when_ms;
-	ptr->service_nr = snapshot_service_nr(p->next);
-	ptr->upstream_nr = snapshot_upstream_nr(p->next);
-	g_strlcpy(ptr->publish_id, p->id, sizeof(ptr->publish_id));
-	g_strlcpy(ptr->who, p->who, sizeof(ptr->who));
-	p->parts = split_snapshot(p->next, ptr->bucket_nr);
-	list_parts(p);
-	if (p->heads.pointer)
-		retire_parts(ptr, p->heads.pointer);
-	return fill_domains(p) && !problem_count(p->problems);
+	make_plan(&p->plan, p->heads.pointer, p->next,
+		  bucket_nr ? bucket_nr : BUCKET_NR_DEFAULT, p->problems);
+	p->plan.pointer->when_ms = p->intent.when_ms;
+	g_strlcpy(p->plan.pointer->who, p->who, sizeof(p->plan.pointer->who));
 }
 
 static void check_next(struct publish *p)
@@ -468,9 +298,11 @@
 			   epoch, p->heads.pointer->who);
 		return;
 	}
-	if (problem_count(p->problems) || !plan(p))
+	if (!problem_count(p->problems))
+		plan(p);
+	if (problem_count(p->problems))
 		refuse_invalid(p);
-	else if (sweep_is_due(p))
+	else if (p->heads.pointer && sweep_is_due(p->heads.pointer))
 		sweep(p, out);
 	else
 		upload_or_commit(p, out);
@@ -551,7 +383,7 @@
 	case COMMIT_ACCEPTED:
 		p->made = true;
 		set_status(&p->status, STATUS_OK, "epoch %" PRIu64 " published",
-			   p->pointer->epoch);
+			   p->plan.pointer->epoch);
 		break;
 	case COMMIT_CONFLICT:
 		on_lost_race(p, out);
