store: give a slow store more time

With answers 3.5 s late every call ended at its limit of 3 s and an instance never got a new configuration. The limit now doubles after a call that took too long, to 12 s at most, and halves after answers that take less than a quarter of it. Halving it after any answer was tried first: a read that succeeded made the next one fail, and a publish took effect nowhere in 20 s.

--- a/builtin/session.c
+++ b/builtin/session.c
@@ -6,6 +6,8 @@
 
 #include "store/etcd-json.h"
 
+#define READ_AGAIN 2 /* tries of a read beyond one for each endpoint */
+
 struct session {
 	uv_loop_t loop;
 	uv_timer_t timer;
@@ -100,7 +102,7 @@
 const struct store_answer *wait_range(struct session *s,
 				      const struct store_range *r)
 {
-	for (size_t i = 0; i < s->endpoint_nr; i++) {
+	for (size_t i = 0; i < s->endpoint_nr + READ_AGAIN; i++) {
 		forget_answer(s);
 		range_store(s->store, r, keep_answer, s);
 		if (wait_answer(s)->status.kind == STATUS_OK)
--- a/builtin/session.h
+++ b/builtin/session.h
@@ -11,7 +11,7 @@
 struct session *create_session(const char *endpoints);
 void destroy_session(struct session *s);
 
-/* Tries each endpoint once. The answer lives until the next call. */
+/* Tries each endpoint, and twice more. The answer lives until the next call. */
 const struct store_answer *wait_range(struct session *s,
 				      const struct store_range *r);
 
--- a/store/etcd.c
+++ b/store/etcd.c
@@ -12,7 +12,8 @@
 
 #include "store/etcd-json.h"
 
-#define CALL_TIMEOUT_MS 3000L
+#define CALL_TIMEOUT_MS 3000L	   /* of the first call */
+#define CALL_TIMEOUT_MAX_MS 12000L /* after calls that took too long */
 #define CONNECT_TIMEOUT_MS 1000L
 #define URL_MAX 128 /* bytes */
 
@@ -22,7 +23,8 @@
 	CURLM *multi;
 	struct curl_slist *headers;
 	struct endpoint_list endpoints;
-	size_t current; /* endpoint in use; moves on after a failure */
+	size_t current;	 /* endpoint in use; moves on after a failure */
+	long timeout_ms; /* of a call */
 	struct counters *counters;
 	GHashTable *calls;  /* struct store_call as a set */
 	GPtrArray *watches; /* those of CALLS that are watches */
@@ -80,6 +82,19 @@
 		read_kv_json(text, c->answer->len, a);
 }
 
+/* A slow store gets more time, up to a limit; quick answers end that. */
+static void adapt_timeout(struct store_call *c, CURLcode code)
+{
+	struct store *s = c->s;
+	curl_off_t us = 0;
+
+	curl_easy_getinfo(c->easy, CURLINFO_TOTAL_TIME_T, &us);
+	if (code == CURLE_OPERATION_TIMEDOUT)
+		s->timeout_ms = MIN(2 * s->timeout_ms, CALL_TIMEOUT_MAX_MS);
+	else if (code == CURLE_OK && us / 1000 < s->timeout_ms / 4)
+		s->timeout_ms = MAX(s->timeout_ms / 2, CALL_TIMEOUT_MS);
+}
+
 static void decode_answer(struct store_call *c, CURLcode code,
 			  struct store_answer *a)
 {
@@ -89,6 +104,8 @@
 	curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &http);
 	curl_easy_getinfo(c->easy, CURLINFO_REQUEST_SIZE, &sent);
 	memset(a, 0, sizeof(*a));
+	if (c->kind != CALL_WATCH)
+		adapt_timeout(c, code);
 	if (code == CURLE_OK && http == 200 && c->kind != CALL_WATCH) {
 		read_answer(c, a);
 		return;
@@ -264,6 +281,7 @@
 
 	s->loop = loop;
 	s->endpoints = *endpoints;
+	s->timeout_ms = CALL_TIMEOUT_MS;
 	s->counters = counters;
 	s->calls = g_hash_table_new(NULL, NULL);
 	s->watches = g_ptr_array_new();
@@ -341,7 +359,7 @@
 	curl_easy_setopt(c->easy, CURLOPT_CONNECTTIMEOUT_MS,
 			 CONNECT_TIMEOUT_MS);
 	if (c->kind != CALL_WATCH)
-		curl_easy_setopt(c->easy, CURLOPT_TIMEOUT_MS, CALL_TIMEOUT_MS);
+		curl_easy_setopt(c->easy, CURLOPT_TIMEOUT_MS, c->s->timeout_ms);
 }
 
 /* Posts BODY (taken over) to PATH at the current endpoint. */
