--- a/t/check-http-server.c
+++ b/t/check-http-server.c
@@ -93,7 +93,7 @@
 
 START_TEST(a_body_in_pieces_arrives_whole)
 {
-	struct http_handler handler = { on_request, NULL, NULL };
+	struct http_handler handler = { .on_request = on_request };
 	struct sockaddr_storage ss;
 	struct endpoint at;
 	struct status st;
