--- a/t/lib.sh
+++ b/t/lib.sh
@@ -35,7 +35,7 @@
 	rm -rf "$work"
 }
 trap cleanup EXIT
-trap 'exit 1' INT TERM
+trap 'exit 1' HUP INT PIPE TERM
 
 # wait_until SECONDS COMMAND...: tries until it succeeds.
 wait_until () {
