flow: judge no unknown flow in the first second

An instance that had just replaced a dead one was asked as a keeper before it knew the other keeper, and took the flow to live at its base. It drops such packets for its first second; callers send them again.

--- a/flow/steer.c
+++ b/flow/steer.c
@@ -311,6 +311,10 @@
 /* Nobody knows the flow: it lives at the base of its slot. */
 static void assume_base(struct job *j, const struct slot_choice *c)
 {
+	if (j->now_ms < j->fs->fresh_until) {
+		count(j->fs->counters, COUNT_FLOW_TOO_YOUNG);
+		return;
+	}
 	if (!c->base) {
 		give_up(j, COUNT_FLOW_GIVEN_UP);
 		return;
