--- a/flow/table.c
+++ b/flow/table.c
@@ -4,12 +4,14 @@
 
 #define CAPACITY_MIN 1024 /* entries, a power of two */
 #define EVICT_SCAN 64	  /* places looked at to make room */
+#define EVICT_REST 4096	  /* short looks after a whole one was in vain */
 
 struct flow_table {
 	size_t limit; /* entries */
 	size_t count;
 	size_t mask; /* capacity - 1 */
 	size_t hand; /* where the next search for room starts */
+	size_t rest; /* short looks left until a whole one is worth it */
 	struct flow_entry *at;
 };
 
@@ -96,19 +98,42 @@
 	return a->seen_s < b->seen_s;
 }
 
-static bool make_room(struct flow_table *t)
+static bool is_live_copy(const struct flow_entry *e)
+{
+	return e->kind == ENTRY_KEPT && !e->closing;
+}
+
+/*
+ * The best entry to drop of the next EVICT_SCAN places, or beyond them as long
+ * as only live copies were found, unless a whole look was in vain lately.
+ */
+static struct flow_entry *find_victim(struct flow_table *t)
 {
 	struct flow_entry *victim = NULL;
-	bool lost;
+	size_t n;
 
-	for (size_t n = 0; n < EVICT_SCAN || !victim; n++) {
+	for (n = 0; n <= t->mask || !victim; n++) {
 		struct flow_entry *e = &t->at[t->hand];
 
+		if (n >= EVICT_SCAN && victim &&
+		    (t->rest || !is_live_copy(victim)))
+			break;
 		t->hand = (t->hand + 1) & t->mask;
 		if (e->hash && (!victim || goes_before(e, victim)))
 			victim = e;
 	}
-	lost = victim->kind == ENTRY_KEPT && !victim->closing;
+	if (t->rest)
+		t->rest--;
+	else if (n > t->mask && is_live_copy(victim))
+		t->rest = EVICT_REST;
+	return victim;
+}
+
+static bool make_room(struct flow_table *t)
+{
+	struct flow_entry *victim = find_victim(t);
+	bool lost = is_live_copy(victim);
+
 	remove_flow(t, victim);
 	return lost;
 }
