--- a/fleet/spread.c
+++ b/fleet/spread.c
@@ -1,6 +1,7 @@
 /*
  * How records reach everyone. A record that is new here is pushed at once to
- * every link but the one it came from: some rounds reach the whole fleet.
+ * the links but the one it came from: some rounds reach the whole fleet. Rare
+ * and urgent domain records go to all links, others to three of the five.
  * What a lost message or a cut held back is found by comparing digests: pings
  * carry one digest for each set; where they differ one side sends the digests
  * of its buckets (COMPARE), the other lists the versions in those that differ
@@ -18,9 +19,7 @@
 #define DOMAIN_BUCKET_BITS 0
 #define UPSTREAM_BUCKET_BITS 8 /* 160 of 41,000 upstreams in each */
 #define COMPARE_MS 200	       /* least time between two comparisons */
-#define COMPARE_MAX_MS 8000    /* the same after many that brought nothing */
-#define COMPARE_DOMAIN_MAX_MS 400
-#define SPREAD_MAX 64 /* records of one reply that are pushed on */
+#define SPREAD_MAX 64	       /* records of one reply that are pushed on */
 #define RECORD_FIELD_NR 4
 #define LIST_ITEM 16 /* bytes: key and version */
 
@@ -105,14 +104,20 @@
 	end_message(f, &w, to);
 }
 
+static bool is_pushed_to(const struct fleet *f, const struct link *l)
+{
+	return l->id != f->changes_from && (l->routine || f->changes_urgent);
+}
+
 void push_changes(struct fleet *f)
 {
 	if (f->changes->len)
 		for (size_t i = 0; i < f->link_nr; i++)
-			if (f->links[i].id != f->changes_from)
+			if (is_pushed_to(f, &f->links[i]))
 				push_to(f, &f->links[i].at);
 	g_array_set_size(f->changes, 0);
 	f->changes_from = 0;
+	f->changes_urgent = false;
 }
 
 static void note_change(struct fleet *f, enum fleet_set set, uint64_t key)
@@ -120,6 +125,7 @@
 	struct change c = { set, key };
 
 	g_array_append_val(f->changes, c);
+	f->changes_urgent |= set == SET_DOMAINS;
 }
 
 static void take_domain(struct fleet *f, const struct record *rec)
@@ -248,12 +254,16 @@
 
 static uint64_t next_backoff(const struct compare_state *c, enum fleet_set set)
 {
-	uint64_t max =
-		set == SET_DOMAINS ? COMPARE_DOMAIN_MAX_MS : COMPARE_MAX_MS;
+	/* ms between comparisons after many that brought nothing */
+	static const uint64_t max[FLEET_SET_NR] = {
+		[SET_MEMBERS] = 2000,	/* of 320 bytes */
+		[SET_DOMAINS] = 400,	/* of 60 bytes; changes are rare */
+		[SET_UPSTREAMS] = 8000, /* of 1,090 bytes */
+	};
 
 	if (c->taken)
 		return COMPARE_MS;
-	return c->backoff * 2 < max ? c->backoff * 2 : max;
+	return MIN(c->backoff * 2, max[set]);
 }
 
 void compare_set(struct fleet *f, enum fleet_set set, const struct endpoint *to)
