--- a/t/whole-fleet.sh
+++ b/t/whole-fleet.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # Instances and each other through real processes: one that starts while the
-# store is down learns the configuration from its peers; a killed one is found
+# store is down, or cannot reach it, learns from its peers; a killed one is found
 # dead; a stopping one is known to leave at once; a paused one steps back.
 
 bin=$1
@@ -56,11 +56,29 @@
 	done
 done
 
+echo "== a domain goes out; in-6 reaches peers only"
+reached=$store
+store=$net.0.1:22999
+start_instance 6 south
+store=$reached
+wait_until 10 in_force $net.61.6 1 || fail "in-6 has no epoch"
+"$bin/baobabvalve" domain out north --why=test --store=$store >/dev/null ||
+	fail "domain out"
+for n in 1 3 6
+do
+	wait_until 10 grep -q 'domain north is out' "$work/in-$n.log" ||
+		fail "in-$n does not know that north is out"
+done
+
+echo "== in-5 starts while the store is down"
 stop_process store KILL
 start_instance 5 south
 wait_until 10 in_force $net.61.5 1 || fail "no epoch from peers"
 all_see in-5 alive 1 2 3 4
+wait_until 10 grep -q 'domain north is out' "$work/in-5.log" ||
+	fail "in-5 does not know that north is out"
 
+echo "== kill, stop, pause, restart"
 stop_process in-4 KILL
 all_see in-4 dead 1 2 3 5
 
