--- a/fleet/spread.c
+++ b/fleet/spread.c
@@ -256,9 +256,9 @@
 {
 	/* ms between comparisons after many that brought nothing */
 	static const uint64_t max[FLEET_SET_NR] = {
-		[SET_MEMBERS] = 2000,	/* of 320 bytes */
-		[SET_DOMAINS] = 400,	/* of 60 bytes; changes are rare */
-		[SET_UPSTREAMS] = 8000, /* of 1,090 bytes */
+		[SET_MEMBERS] = 2000,	/* of 279 bytes */
+		[SET_DOMAINS] = 400,	/* of 26 bytes; changes are rare */
+		[SET_UPSTREAMS] = 8000, /* of 1,047 bytes */
 	};
 
 	if (c->taken)
--- /dev/null
+++ b/t/bench-spread.c
@@ -0,0 +1,332 @@
+/*
+ * How changes and deaths become known: what a newcomer fetches, the rounds in
+ * which a push reaches everyone over the links that instances choose and over
+ * others that were weighed, and the time from a kill to a dead member.
+ */
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "fleet/internal.h"
+#include "t/fleet-world.h"
+
+#define DOMAIN_NR 7
+#define TARGET_NR 5300
+#define TARGET_SERVICES 18000
+#define SEED 20261203
+#define ROUTINE_NR (FLEET_ROUTINE_LOCAL + FLEET_ROUTINE_CROSS)
+#define KILL_NR 20
+
+static struct member make_member(size_t i)
+{
+	struct member m = { .id = world_member_id(i),
+			    .peer_port = 7401,
+			    .incarnation = 1,
+			    .start = (uint32_t)i };
+
+	g_snprintf(m.name, sizeof(m.name), "in-%zu", i);
+	g_strlcpy(m.domain, world_domain(i % DOMAIN_NR), sizeof(m.domain));
+	m.address.family = 4;
+	m.address.ip[0] = 10;
+	m.address.ip[2] = (uint8_t)(i >> 8);
+	m.address.ip[3] = (uint8_t)i;
+	return m;
+}
+
+static double cpu_seconds(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &ts);
+	return (double)ts.tv_sec + (double)ts.tv_nsec / 1e9;
+}
+
+/* What a newcomer of target size fetches from a peer, and how long. */
+static void print_join(void)
+{
+	struct world_options o = { .seed = SEED,
+				   .nr = 8,
+				   .domain_nr = 2,
+				   .delay_min_ms = 1,
+				   .delay_max_ms = 3,
+				   .seed_nr = 3 };
+	struct world *w = create_world(&o);
+	uint64_t before;
+	uint64_t ms = 0;
+	double cpu;
+
+	for (size_t i = 0; i < 7; i++)
+		start_instance(w, i);
+	run_world(w, 5000);
+	set_service_nr(w, TARGET_SERVICES);
+	offer_epoch(w, 0, 1);
+	run_world(w, 20000);
+	before = world_byte_nr(w);
+	cpu = cpu_seconds();
+	start_instance(w, 7);
+	while (!world_epoch(w, 7) && ms < 60000) {
+		run_world(w, 100);
+		ms += 100;
+	}
+	printf("join: %d services of two upstreams: %.1f MB in %.1f s, %.0f "
+	       "ms of processor time at all peers and the newcomer\n",
+	       TARGET_SERVICES, (double)(world_byte_nr(w) - before) / 1e6,
+	       (double)ms / 1000, (cpu_seconds() - cpu) * 1000);
+	destroy_world(w);
+}
+
+/* Who is linked to whom: NR times DEGREE indices. */
+struct graph {
+	size_t nr;
+	size_t degree;
+	uint16_t *to;
+};
+
+enum way {
+	WAY_RINGS,
+	WAY_ROUTINE,
+	WAY_SUCCESSORS,
+	WAY_FINGERS,
+	WAY_RANDOM,
+	WAY_NR
+};
+
+static void copy_links(struct graph *g, size_t i, const struct fleet *f,
+		       bool routine)
+{
+	uint16_t *to = &g->to[i * g->degree];
+	size_t n = 0;
+
+	for (size_t l = 0; l < g->degree; l++)
+		to[l] = (uint16_t)i;
+	for (size_t l = 0; l < f->link_nr; l++) {
+		const struct endpoint *at = &f->links[l].at;
+
+		if (!routine || f->links[l].routine)
+			to[n++] = (uint16_t)(at->ip[2] << 8 | at->ip[3]);
+	}
+}
+
+static void link_by_rings(struct graph *g, bool routine)
+{
+	struct member *members = g_new0(struct member, g->nr);
+	struct counters counters = { 0 };
+	struct view *view = create_view(world_member_id(0));
+	struct fleet *f;
+
+	for (size_t i = 0; i < g->nr; i++) {
+		members[i] = make_member(i);
+		put_member(view, &members[i]);
+	}
+	f = create_fleet(&members[0], view, NULL, 0, SEED, &counters);
+	for (size_t i = 0; i < g->nr; i++) {
+		f->self = members[i];
+		f->link_nr = 0;
+		choose_links(f);
+		copy_links(g, i, f, routine);
+	}
+	destroy_fleet(f);
+	destroy_view(view);
+	g_free(members);
+}
+
+static void link_by_rule(struct graph *g, enum way way, GRand *rand)
+{
+	for (size_t i = 0; i < g->nr; i++)
+		for (size_t l = 0; l < g->degree; l++) {
+			size_t step = l + 1;
+
+			if (way == WAY_FINGERS)
+				step = g->nr >> (l + 1);
+			if (way == WAY_RANDOM)
+				step = (size_t)g_rand_int_range(rand, 1,
+								(gint32)g->nr);
+			g->to[i * g->degree + l] =
+				(uint16_t)((i + step) % g->nr);
+		}
+}
+
+/* Rounds until all that live and are reached have it; SHARE of those. */
+static unsigned int flood(const struct graph *g, const bool *dead,
+			  double *share)
+{
+	unsigned int *at = g_new0(unsigned int, g->nr);
+	unsigned int round = 1;
+	size_t live = 0;
+	size_t have = 1;
+	bool more = true;
+
+	at[0] = 1;
+	for (size_t i = 0; i < g->nr; i++)
+		live += !dead[i];
+	while (more) {
+		more = false;
+		for (size_t i = 0; i < g->nr; i++)
+			for (size_t l = 0; at[i] == round && l < g->degree;
+			     l++) {
+				size_t to = g->to[i * g->degree + l];
+
+				if (at[to] || dead[to])
+					continue;
+				at[to] = round + 1;
+				have++;
+				more = true;
+			}
+		round += more;
+	}
+	g_free(at);
+	*share = (double)have / (double)live;
+	return round - 1;
+}
+
+static void print_way(size_t nr, enum way way, size_t degree, const char *name)
+{
+	struct graph g = { nr, degree, g_new0(uint16_t, nr * degree) };
+	GRand *rand = g_rand_new_with_seed(SEED);
+	bool *dead = g_new0(bool, nr);
+	unsigned int rounds;
+	unsigned int rounds_dead;
+	double share;
+	double share_dead;
+
+	if (way == WAY_RINGS || way == WAY_ROUTINE)
+		link_by_rings(&g, way == WAY_ROUTINE);
+	else
+		link_by_rule(&g, way, rand);
+	rounds = flood(&g, dead, &share);
+	for (size_t i = 1; i < nr; i++)
+		dead[i] = g_rand_int_range(rand, 0, 10) == 0;
+	rounds_dead = flood(&g, dead, &share_dead);
+	printf("%6zu  %-26s %6zu %7u %8.2f%% %7u %8.2f%%\n", nr, name, degree,
+	       rounds, share * 100, rounds_dead, share_dead * 100);
+	g_free(dead);
+	g_free(g.to);
+	g_rand_free(rand);
+}
+
+static void print_ways(void)
+{
+	static const size_t sizes[] = { 27, 81, 243, 729, TARGET_NR };
+
+	printf("\npushes over fixed links only: rounds, and share reached, "
+	       "with "
+	       "all live and with a tenth dead but still linked\n");
+	printf("%6s  %-26s %6s %7s %9s %7s %9s\n", "nr", "links", "degree",
+	       "rounds", "reached", "rounds", "reached");
+	for (size_t i = 0; i < sizeof(sizes) / sizeof(*sizes); i++) {
+		size_t nr = sizes[i];
+
+		print_way(nr, WAY_RINGS, FLEET_LINK_MAX, "3 local + 2 cross");
+		print_way(nr, WAY_ROUTINE, ROUTINE_NR, "2 local + 1 cross");
+		print_way(nr, WAY_SUCCESSORS, FLEET_LINK_MAX,
+			  "5 successors on one ring");
+		print_way(nr, WAY_RANDOM, FLEET_LINK_MAX, "5 drawn at random");
+		print_way(nr, WAY_FINGERS, (size_t)log2((double)nr),
+			  "fingers at nr/2, nr/4, ...");
+	}
+}
+
+static int compare_ms(const void *a, const void *b)
+{
+	return (*(const int *)a > *(const int *)b) -
+	       (*(const int *)a < *(const int *)b);
+}
+
+/* Delay of 1 ms a message: the milliseconds are the rounds. */
+static void print_rounds(size_t nr)
+{
+	struct world_options o = { .seed = SEED,
+				   .nr = nr,
+				   .domain_nr = DOMAIN_NR,
+				   .delay_min_ms = 1,
+				   .delay_max_ms = 1,
+				   .seed_nr = 7 };
+	struct world *w = create_world(&o);
+	int *at = g_new0(int, nr);
+	size_t have = 0;
+
+	for (size_t i = 0; i < nr; i++)
+		start_instance(w, i);
+	run_world(w, 10000);
+	offer_epoch(w, 0, 1);
+	run_world(w, 10000);
+	offer_epoch(w, nr / 2, 2);
+	for (int ms = 0; have < nr && ms < 10000; ms++) {
+		have = 0;
+		for (size_t i = 0; i < nr; i++) {
+			have += world_epoch(w, i) == 2;
+			if (world_epoch(w, i) == 2 && !at[i])
+				at[i] = ms + 1;
+		}
+		run_world(w, 1);
+	}
+	qsort(at, nr, sizeof(*at), compare_ms);
+	printf("%6zu %7d %7d %8.2f%%\n", nr, at[nr / 2] - 1, at[nr - 1] - 1,
+	       (double)have / (double)nr * 100);
+	g_free(at);
+	destroy_world(w);
+}
+
+/* Kills KILL_NR of NR in turn; from the kill to a dead member, in ms. */
+static void print_deaths(size_t nr)
+{
+	struct world_options o = { .seed = SEED,
+				   .nr = nr,
+				   .domain_nr = 3,
+				   .delay_min_ms = 1,
+				   .delay_max_ms = 3,
+				   .seed_nr = 3 };
+	struct world *w = create_world(&o);
+	int first[KILL_NR];
+	int all[KILL_NR];
+
+	for (size_t i = 0; i < nr; i++)
+		start_instance(w, i);
+	run_world(w, 10000);
+	for (size_t k = 0; k < KILL_NR; k++) {
+		size_t who = (k * 7 + 4) % o.nr;
+		size_t dead = 0;
+
+		first[k] = -1;
+		kill_instance(w, who);
+		for (all[k] = 0; dead < nr - 1; all[k] += 10) {
+			run_world(w, 10);
+			dead = 0;
+			for (size_t i = 0; i < nr; i++)
+				dead += i != who &&
+					seen_state(w, i, who) == MEMBER_DEAD;
+			if (dead && first[k] < 0)
+				first[k] = all[k] + 10;
+		}
+		start_instance(w, who);
+		run_world(w, 10370);
+	}
+	qsort(first, KILL_NR, sizeof(*first), compare_ms);
+	qsort(all, KILL_NR, sizeof(*all), compare_ms);
+	printf("%6zu %7d %7d %7d %7d\n", nr, first[KILL_NR / 2],
+	       first[KILL_NR - 1], all[KILL_NR / 2], all[KILL_NR - 1]);
+	destroy_world(w);
+}
+
+int main(void)
+{
+	static const size_t sizes[] = { 27, 81, 243, 729 };
+
+	print_join();
+	print_ways();
+	printf("\nwhole fleets, a delta pushed, 1 ms a message: rounds\n");
+	printf("%6s %7s %7s %9s\n", "nr", "median", "worst", "reached");
+	for (size_t i = 0; i < sizeof(sizes) / sizeof(*sizes); i++)
+		print_rounds(sizes[i]);
+	printf("\n%d kills, three domains: ms until one, and all, hold it "
+	       "dead\n",
+	       KILL_NR);
+	printf("%6s %7s %7s %7s %7s\n", "nr", "median", "worst", "median",
+	       "worst");
+	for (size_t i = 0; i < 3; i++)
+		print_deaths(sizes[i]);
+	return 0;
+}
