--- a/config/publish-plan.c
+++ b/config/publish-plan.c
@@ -104,6 +104,56 @@
 	memset(pl, 0, sizeof(*pl));
 }
 
+static void put_pointer(struct txn *t, const struct pointer *p)
+{
+	struct wire_writer w;
+
+	init_wire_writer(&w);
+	encode_pointer(&w, p);
+	add_put(t, KEY_CONFIG, w.buf.data, w.buf.size);
+	release_wire_writer(&w);
+}
+
+static const struct part_ref *fresh_part(const struct publish_plan *pl, guint i)
+{
+	return &g_array_index(pl->parts, struct part,
+			      g_array_index(pl->fresh, guint, i))
+			.ref;
+}
+
+static bool is_retired(const struct pointer *p, const struct part_ref *part)
+{
+	for (guint i = 0; i < p->retired->len; i++)
+		if (same_part(&g_array_index(p->retired, struct retired_part, i)
+				       .part,
+			      part))
+			return true;
+	return false;
+}
+
+bool is_announced(const struct publish_plan *pl, const struct pointer *old)
+{
+	for (guint i = 0; i < pl->fresh->len; i++)
+		if (!is_retired(old, fresh_part(pl, i)))
+			return false;
+	return true;
+}
+
+void add_announcement(const struct publish_plan *pl, const struct pointer *old,
+		      struct txn *t)
+{
+	struct pointer *p = copy_pointer(old);
+
+	for (guint i = 0; i < pl->fresh->len; i++) {
+		struct retired_part part = { *fresh_part(pl, i), p->epoch };
+
+		if (!is_retired(old, &part.part))
+			g_array_append_val(p->retired, part);
+	}
+	put_pointer(t, p);
+	destroy_pointer(p);
+}
+
 bool upload_is_due(const struct publish_plan *pl)
 {
 	size_t bytes = 0;
@@ -145,16 +195,6 @@
 	return at->epoch + PART_KEEP_EPOCHS <= old->epoch;
 }
 
-static void put_pointer(struct txn *t, const struct pointer *p)
-{
-	struct wire_writer w;
-
-	init_wire_writer(&w);
-	encode_pointer(&w, p);
-	add_put(t, KEY_CONFIG, w.buf.data, w.buf.size);
-	release_wire_writer(&w);
-}
-
 /* Deletes retired parts that no reader can need at P's epoch, a few at a time. */
 static void delete_retired(struct txn *t, struct pointer *p)
 {
--- a/config/publish-plan.h
+++ b/config/publish-plan.h
@@ -29,6 +29,17 @@
 /* Whether there is more to write than fits beside the pointer. */
 bool upload_is_due(const struct publish_plan *pl);
 
+/*
+ * Whether the pointer OLD lists all fresh parts as retired. Parts that are put
+ * ahead of the pointer are announced so first: if their publisher ends before
+ * its swap, a later one collects them.
+ */
+bool is_announced(const struct publish_plan *pl, const struct pointer *old);
+
+/* Adds a put of OLD to T, with the fresh parts listed as retired. */
+void add_announcement(const struct publish_plan *pl, const struct pointer *old,
+		      struct txn *t);
+
 /* Adds puts of fresh parts to T, as many as one transaction takes. */
 void add_uploads(struct publish_plan *pl, struct txn *t);
 
--- a/config/publish.c
+++ b/config/publish.c
@@ -19,7 +19,7 @@
 	PUBLISH_READING,   /* the heads */
 	PUBLISH_FETCHING,  /* parts of the configuration in force */
 	PUBLISH_UPLOADING, /* new parts, ahead of the pointer */
-	PUBLISH_SWEEPING,  /* deletes retired parts, ahead of the pointer */
+	PUBLISH_PREPARING, /* the pointer for parts that come or go */
 	PUBLISH_COMMITTING
 };
 
@@ -185,15 +185,36 @@
 	out->txn = view_txn(p->txn);
 }
 
+static void start_preparing(struct publish *p, struct change_action *out)
+{
+	p->step = PUBLISH_PREPARING;
+	out->kind = CHANGE_COMMIT;
+	out->txn = view_txn(p->txn);
+}
+
 /* Swaps the pointer for itself with fewer retired parts. */
 static void sweep(struct publish *p, struct change_action *out)
 {
 	clear_txn(p->txn);
 	add_compare(p->txn, KEY_CONFIG, p->heads.pointer_revision);
 	add_swap(p->txn, p->heads.pointer);
-	p->step = PUBLISH_SWEEPING;
-	out->kind = CHANGE_COMMIT;
-	out->txn = view_txn(p->txn);
+	start_preparing(p, out);
+}
+
+/* Swaps the pointer for itself with the parts to come listed as retired. */
+static void announce(struct publish *p, struct change_action *out)
+{
+	clear_txn(p->txn);
+	add_compare(p->txn, KEY_CONFIG, p->heads.pointer_revision);
+	add_announcement(&p->plan, p->heads.pointer, p->txn);
+	start_preparing(p, out);
+}
+
+static bool announcement_is_due(const struct publish *p)
+{
+	const struct pointer *old = p->heads.pointer;
+
+	return old && upload_is_due(&p->plan) && !is_announced(&p->plan, old);
 }
 
 static void plan(struct publish *p)
@@ -304,6 +325,8 @@
 		refuse_invalid(p);
 	else if (p->heads.pointer && sweep_is_due(p->heads.pointer))
 		sweep(p, out);
+	else if (announcement_is_due(p))
+		announce(p, out);
 	else
 		upload_or_commit(p, out);
 }
@@ -419,7 +442,7 @@
 	case PUBLISH_UPLOADING:
 		upload_or_commit(p, out);
 		break;
-	case PUBLISH_SWEEPING:
+	case PUBLISH_PREPARING:
 		if (a->succeeded)
 			read_heads_again(p, out);
 		else
--- a/t/check-publish.c
+++ b/t/check-publish.c
@@ -224,6 +224,44 @@
 }
 END_TEST
 
+START_TEST(parts_of_a_publisher_that_ended_are_collected)
+{
+	struct service *svs[200];
+	struct publish_intent in = make_intent(svs, 200, false, "bulk");
+	struct change_action act;
+	struct publish *p;
+	char name[32];
+
+	ck_assert_int_eq(publish_one("a", 1, "1"), STATUS_OK);
+	for (unsigned int i = 0; i < 200; i++) {
+		g_snprintf(name, sizeof(name), "service-%u", i);
+		svs[i] = make_service(name, 1, 1);
+	}
+	in.allow_removal = true;
+	p = create_publish(&in, 1);
+	step_publish(p, NULL, &act);
+	for (int calls = 0; calls < 7; calls++) {
+		struct store_answer a;
+
+		ck_assert_int_ne(act.kind, CHANGE_DONE);
+		call_fake(store, &act, FAKE_NONE, &a);
+		step_publish(p, &a, &act);
+		release_store_answer(&a);
+	}
+	ck_assert_uint_ge(count_keys(KEY_PART_PREFIX, "/baobabvalve/part0"),
+			  80);
+	destroy_publish(p);
+	for (unsigned int i = 0; i < 200; i++)
+		unref_service(svs[i]);
+	for (unsigned int i = 0; i < 2 * PART_KEEP_EPOCHS; i++) {
+		g_snprintf(name, sizeof(name), "n%u", i);
+		ck_assert_int_eq(publish_one("a", i + 2, name), STATUS_OK);
+	}
+	ck_assert_uint_le(count_keys(KEY_PART_PREFIX, "/baobabvalve/part0"),
+			  PART_KEEP_EPOCHS + 1);
+}
+END_TEST
+
 START_TEST(a_lost_answer_publishes_once)
 {
 	static const enum fake_fault faults[] = { FAKE_AFTER, FAKE_BEFORE,
@@ -501,6 +539,7 @@
 	tcase_add_test(tc, one_change_writes_one_part);
 	tcase_add_test(tc, a_part_in_use_again_is_not_collected);
 	tcase_add_test(tc, many_retired_parts_are_swept);
+	tcase_add_test(tc, parts_of_a_publisher_that_ended_are_collected);
 	tcase_add_loop_test(tc, a_lost_answer_publishes_once, 0, 5);
 	tcase_add_loop_test(
 		tc, a_store_that_stays_silent_leaves_the_outcome_unknown, 0, 2);
