--- a/flow/state.h
+++ b/flow/state.h
@@ -5,6 +5,7 @@
 
 #include <glib.h>
 
+#include "flow/cut.h"
 #include "flow/flows.h"
 #include "flow/keepers.h"
 #include "flow/marks.h"
@@ -28,17 +29,20 @@
 	struct progress *progress;
 	struct shares *shares;
 	struct keepers *keepers;
+	struct cut_watch *cuts;
 	GRand *rand;
 	struct wire_writer writer;
 	uint64_t self;		/* member id */
 	uint64_t wall_at_0;	/* wall clock, ms, when now_ms was 0 */
-	uint64_t fresh_until;	/* ms; too young to place flows before */
+	uint64_t fresh_until;	/* ms; too young to judge alone before */
 	uint64_t newest_epoch;	/* heard of from any instance */
+	uint64_t newer_since;	/* ms when an epoch above the own was heard */
 	bool synced;		/* has the marks of some other instance */
 	size_t sweep;		/* next place of the table to look at */
 	uint64_t ticked;	/* ms */
 	uint64_t expired_marks; /* ms */
 	int64_t control_tokens; /* bytes that may be sent now */
+	int64_t learn_tokens;	/* the same for answers to asking instances */
 	GArray *sync_to;	/* ids of members that are to get all marks */
 	size_t sync_skip;	/* marks that the first of them has got */
 };
@@ -54,6 +58,7 @@
 	uint32_t slot;
 	uint64_t now_ms;
 	uint64_t origin; /* member that got the packet from the fabric */
+	uint64_t sender; /* member that passed it on; 0 for none */
 	uint8_t hops;
 	bool decided; /* another instance left the decision to this one */
 };
@@ -72,6 +77,13 @@
 /* Remembers that the flow lives at UPSTREAM, tells keepers, and delivers. */
 void keep_flow(struct job *j, uint64_t upstream);
 
+/*
+ * Sends the job's packet to the next keeper of PAIR that is to remember E;
+ * false if there is none. STEP 1 passes over the packet's origin.
+ */
+bool pass_to_keeper(struct job *j, const struct keeper_pair *pair, uint8_t step,
+		    uint64_t upstream, struct flow_entry *e);
+
 /* Hands the packet to UPSTREAM, or answers for it if that is lost. */
 void deliver(struct job *j, uint64_t upstream);
 
@@ -88,7 +100,11 @@
 bool pass_on(struct job *j, uint64_t id, enum flow_message_kind kind,
 	     uint8_t step, uint64_t upstream);
 
-/* Tells the origin of the packet where its flow lives. */
+/* Tells member ID where the flow lives; false if that is not possible. */
+bool teach_member(struct job *j, uint64_t id, uint64_t upstream,
+		  bool remembered);
+
+/* The same to the packet's origin, if the budget allows. */
 void teach_origin(struct job *j, uint64_t upstream, bool remembered);
 
 /* True if FS may lack news about where flows live. */
