--- a/t/bench-config.c
+++ b/t/bench-config.c
@@ -6,6 +6,7 @@
  */
 
 #include <glib.h>
+#include <malloc.h>
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -261,6 +262,50 @@
 	return ok ? 0 : 1;
 }
 
+/* What a reader holds, and what one change of one service costs it. */
+static void bench_reader(const struct snapshot *sn)
+{
+	size_t before = mallinfo2().uordblks;
+	GArray *parts = split_snapshot(sn, BUCKET_NR_DEFAULT);
+	struct assembly *as = create_assembly();
+	struct pointer *p = create_pointer(BUCKET_NR_DEFAULT);
+	struct snapshot *held;
+	struct wire_writer w;
+	double start;
+
+	for (guint i = 0; i < parts->len; i++) {
+		const struct part *part = &g_array_index(parts, struct part, i);
+
+		add_part(as, &part->ref, part->bytes.buf.data,
+			 part->bytes.buf.size);
+		g_array_append_val(p->parts, part->ref);
+	}
+	init_wire_writer(&w);
+	encode_pointer(&w, p);
+	held = assemble(as, p);
+	start = now_ms();
+	for (guint i = 0; i < CHANGE_NR; i++) {
+		const struct part *part = &g_array_index(parts, struct part, i);
+		struct pointer *news =
+			decode_pointer(w.buf.data, w.buf.size, NULL);
+
+		add_part(as, &part->ref, part->bytes.buf.data,
+			 part->bytes.buf.size);
+		unref_snapshot(held);
+		held = assemble(as, news);
+		destroy_pointer(news);
+	}
+	printf("reader: %.1f ms for one change",
+	       (now_ms() - start) / CHANGE_NR);
+	free_parts(parts);
+	release_wire_writer(&w);
+	destroy_pointer(p);
+	printf(", holds %.1f MB\n",
+	       (double)(mallinfo2().uordblks - before) / 1e6);
+	unref_snapshot(held);
+	destroy_assembly(as);
+}
+
 /* bench-config [DIR]: with DIR, writes the service files there instead. */
 int main(int argc, char **argv)
 {
@@ -274,6 +319,7 @@
 	printf("configuration: %zu services, %zu upstreams\n",
 	       snapshot_service_nr(sn), snapshot_upstream_nr(sn));
 	bench_codec(sn);
+	bench_reader(sn);
 	printf("%7s %9s %9s %9s %6s %10s %9s %6s %10s\n", "", "largest", "", "",
 	       "", "", "one", "", "");
 	printf("%7s %9s %9s %9s %6s %10s %9s %6s %10s\n", "buckets", "part, B",
