--- a/t/whole-publish.sh
+++ b/t/whole-publish.sh
@@ -112,4 +112,14 @@
 "$bv" publish --store=$store --wait --instances=$admins "$work/services" \
 	>"$work/out" 2>&1 || fail "older: $(cat "$work/out")"
 grep -q 'epoch 7 published' "$work/out" || fail "older: $(cat "$work/out")"
+
+echo "== an instance that cannot reach the store learns from its peers"
+good=$store
+store=$net.0.1:1
+write_settings in-3 south "$net.71.3"
+store=$good
+start in-3 "$bin/baobabvalved" --config="$work/in-3.ini"
+wait_until 10 in_force $net.71.3 7 || fail "in-3 did not learn epoch 7"
+"$bv" status $net.71.3:7400 | grep -q 'domain south *in ' ||
+	fail "in-3 did not learn of the domains"
 echo ok
