health: take sheds of a warm upstream as a reason to ask, not as proof

Sheds bring the first prober's next probe forward now, so an upstream that says that it is cold, or has a new start id, is cold 0.7 s later. One that reports at least half of its slots as free four times in a row, with three sheds before each report, is cold whatever it says. Failures, slow answers and sheds while warming count as before.

sheds_turn_a_warm_upstream_cold demanded the wrong thing; three tests as strict replace it: sheds of one that says cold, sheds against a report of free slots, and a busy upstream that sheds 20 a second for 300 s stays warm. The last one fails on the code before. The property on sheds and losses is two now. Probes amid sheds stay within twice the budget.

--- a/fleet/health-judge.h
+++ b/fleet/health-judge.h
@@ -5,16 +5,22 @@
  * What one instance thinks of one upstream, from probes and from its own
  * requests. Behaviour outweighs reports: an upstream that says it is well
  * while requests fail goes down, one whose report says cold for long while
- * requests succeed warms, and one that sheds or slows is cold whatever it
- * says.
+ * requests succeed warms, and one that slows or fails is cold whatever it says.
+ *
+ * Sheds alone mean little while an upstream is warm: instances that borrow
+ * each other's slots are shed all the time when it is busy. They make the
+ * first prober ask at once, and they make cold what goes on to report that
+ * half of its slots are free.
  */
 
 #include "fleet/health-chart.h"
 
-#define HEALTH_FALL 3	      /* failures in a row that mean down */
-#define HEALTH_RISE 2	      /* good probes in a row that end down */
-#define HEALTH_SHEDS_WARM 3   /* sheds among the last answers: cold again */
-#define HEALTH_SHEDS_RAMP 2   /* the same while warming */
+#define HEALTH_FALL 3	       /* failures in a row that mean down */
+#define HEALTH_RISE 2	       /* good probes in a row that end down */
+#define HEALTH_LOSSES 3	       /* failures in the window: cold again */
+#define HEALTH_SHEDS_WARM 3    /* sheds in the window: ask at once */
+#define HEALTH_EMPTY_REPORTS 4 /* in a row, with as many sheds before each */
+#define HEALTH_SHEDS_RAMP 2    /* the same while warming: cold again */
 #define HEALTH_SLOW 4	      /* slow ones among the last answers: cold again */
 #define HEALTH_WINDOW 8	      /* answers that sheds and slow are counted in */
 #define HEALTH_GOOD 3	      /* good answers needed for each warming step */
@@ -54,6 +60,8 @@
 	uint64_t start_id; /* hash of what names its process; 0: unknown */
 	uint64_t age_ms;   /* since its process started; 0: unknown */
 	enum health_report report;
+	uint32_t running; /* of HEALTH_LOAD; SLOTS is 0 if not reported */
+	uint32_t slots;
 };
 
 struct judge {
@@ -73,22 +81,27 @@
 	uint32_t deviate;	/* mean distance from the mean, 1/16 ms */
 	uint8_t answers;	/* latencies taken, up to HEALTH_WINDOW */
 	uint8_t sheds;		/* one bit for each of the last answers */
+	uint8_t losses;		/* the same */
 	uint8_t slow;		/* the same */
 	uint8_t probe_failures; /* in a row */
 	uint8_t use_failures;	/* requests, in a row */
 	uint8_t probe_good;	/* in a row */
 	uint8_t use_good;	/* requests, since SINCE */
 	uint8_t relapses;
-	bool distrusted; /* requests contradicted its probes */
-	bool discounted; /* requests contradicted its report of cold */
+	uint8_t sheds_since;   /* the last load report */
+	uint8_t empty_reports; /* in a row, against sheds */
+	bool distrusted;       /* requests contradicted its probes */
+	bool discounted;       /* requests contradicted its report of cold */
 	bool reported_draining;
 	/* probing, kept by fleet/health.c: */
 	uint64_t next_probe;   /* ms */
+	uint64_t probed_at;    /* ms */
 	uint64_t published_at; /* ms of the last news to the fleet */
 	uint64_t stated_at;    /* the same, or of a repetition */
 	uint32_t probe_nr;
 	enum upstream_state seen; /* what the fleet said last */
 	bool unprobed;		  /* gives nothing to probe */
+	bool asked;		  /* the last probe was brought forward */
 	bool in_flight;
 	bool watched; /* looked at on each tick */
 	bool kept;    /* still probed after a change of members */
@@ -109,6 +122,9 @@
 void judge_event(struct judge *j, const struct chart *ch,
 		 const struct health_event *ev, uint64_t now_ms);
 
+/* True if sheds call for a probe at once. */
+bool wants_probe(const struct judge *j);
+
 /* Takes the steps that time alone brings. */
 void judge_tick(struct judge *j, const struct chart *ch, uint64_t now_ms);
 
--- a/fleet/health.c
+++ b/fleet/health.c
@@ -518,7 +518,9 @@
 
 	if (j->role == HEALTH_STANDBY)
 		wait *= HEALTH_STANDBY_EACH;
+	j->asked = now_ms < j->next_probe;
 	j->next_probe = now_ms + jitter(h, wait);
+	j->probed_at = now_ms;
 	j->in_flight = true;
 	a = add_action(out, HEALTH_PROBE, j);
 	a->address = up->health.family ? up->health : up->address;
@@ -527,6 +529,15 @@
 	count(h->counters, COUNT_HEALTH_PROBES);
 }
 
+/* Sheds bring one probe forward between two that come by time. */
+static bool is_due(const struct judge *j, uint64_t now_ms)
+{
+	if (now_ms >= j->next_probe)
+		return true;
+	return j->role == HEALTH_PRIMARY && !j->asked && wants_probe(j) &&
+	       now_ms >= j->probed_at + HEALTH_ASK_AGAIN_MS;
+}
+
 /* A domain that is out gets no packet, hence no probe either. */
 static void probe_due(struct health *h, uint64_t now_ms,
 		      struct health_actions *out)
@@ -535,8 +546,7 @@
 		struct judge *j = g_ptr_array_index(h->judged, i);
 		const struct upstream *up = upstream_of(h, j);
 
-		if (!up || j->unprobed || j->in_flight ||
-		    now_ms < j->next_probe)
+		if (!up || j->unprobed || j->in_flight || !is_due(j, now_ms))
 			continue;
 		if (!is_domain_out(h->view, up->domain))
 			send_probe(h, j, up, now_ms, out);
--- a/fleet/health.h
+++ b/fleet/health.h
@@ -24,12 +24,13 @@
 #include "fleet/health-judge.h"
 
 #define HEALTH_TICK_MS 200
-#define HEALTH_PROBE_MS 1000   /* shortest time between two probes of one */
-#define HEALTH_PROBES_PER_S 3  /* most that one instance sends */
-#define HEALTH_STANDBY_EACH 4  /* a standby sends one probe of so many */
-#define HEALTH_LOAD_EACH 4     /* each so many-th probe asks for the load */
-#define HEALTH_TIMEOUT_MS 700  /* of one probe */
-#define HEALTH_PUBLISH_MS 3000 /* shortest time between two of one upstream */
+#define HEALTH_PROBE_MS 1000	/* shortest time between two probes of one */
+#define HEALTH_PROBES_PER_S 3	/* of one instance; twice that amid sheds */
+#define HEALTH_ASK_AGAIN_MS 500 /* shortest wait for one that sheds call for */
+#define HEALTH_STANDBY_EACH 4	/* a standby sends one probe of so many */
+#define HEALTH_LOAD_EACH 4	/* each so many-th probe asks for the load */
+#define HEALTH_TIMEOUT_MS 700	/* of one probe */
+#define HEALTH_PUBLISH_MS 3000	/* shortest time between two of one upstream */
 #define HEALTH_RESTATE_MS 4000 /* between two of the same; see HEALTH_PUBLISH */
 #define HEALTH_OWN_SUCCESS_MS 5000 /* how long an own success counts */
 
--- a/net/probe.c
+++ b/net/probe.c
@@ -60,10 +60,17 @@
 {
 	json_t *j = json_loadb(text, len, 0, NULL);
 	json_t *cold = json_object_get(j, "cold");
+	json_int_t running = json_integer_value(json_object_get(j, "running"));
+	json_int_t slots = json_integer_value(json_object_get(j, "slots"));
 	bool ok = json_is_object(j);
 
 	if (json_is_boolean(cold))
 		ev->report = json_is_true(cold) ? REPORT_COLD : REPORT_WARM;
+	if (running >= 0 && running <= UINT32_MAX && slots > 0 &&
+	    slots <= UINT32_MAX) {
+		ev->running = (uint32_t)running;
+		ev->slots = (uint32_t)slots;
+	}
 	json_decref(j);
 	return ok;
 }
--- a/t/check-health.c
+++ b/t/check-health.c
@@ -54,17 +54,56 @@
 }
 END_TEST
 
-START_TEST(sheds_turn_a_warm_upstream_cold)
+/* SHEDS of upstream U in each of the next SECONDS. */
+static void shed_for(size_t u, int seconds, int sheds)
+{
+	for (int s = 0; s < seconds; s++) {
+		for (int i = 0; i < sheds; i++)
+			bed_observe(bed, u, HEALTH_SHED, 0);
+		bed_observe(bed, u, HEALTH_ANSWERED, 10);
+		run_bed(bed, 1000);
+	}
+}
+
+START_TEST(sheds_of_one_that_says_cold_are_heard_at_once)
 {
 	size_t u = bed_primary(bed, 0);
 
 	run_bed(bed, 30000);
+	bed->target[u].report = REPORT_COLD;
 	for (int i = 0; i < HEALTH_SHEDS_WARM; i++)
 		bed_observe(bed, u, HEALTH_SHED, 0);
+	run_bed(bed, HEALTH_ASK_AGAIN_MS + HEALTH_TICK_MS);
 	ck_assert_int_eq(published(u), UPSTREAM_COLD);
 }
 END_TEST
 
+START_TEST(sheds_outweigh_a_report_of_free_slots)
+{
+	size_t u = bed_primary(bed, 0);
+	int seconds = 2 * HEALTH_EMPTY_REPORTS * HEALTH_LOAD_EACH;
+
+	run_bed(bed, 30000);
+	bed->target[u].report = REPORT_WARM;
+	bed->target[u].running = 0;
+	shed_for(u, seconds, HEALTH_SHEDS_WARM);
+	ck_assert_int_ne(published(u), UPSTREAM_WARM);
+}
+END_TEST
+
+START_TEST(a_busy_upstream_that_sheds_borrowers_stays_warm)
+{
+	size_t u = bed_primary(bed, 0);
+
+	run_bed(bed, 30000);
+	bed->target[u].report = REPORT_WARM;
+	bed->target[u].running = 12;
+	shed_for(u, 300, 20);
+	ck_assert_int_eq(published(u), UPSTREAM_WARM);
+	ck_assert_int_eq(bed_used(bed, u), UPSTREAM_WARM);
+}
+END_TEST
+
 START_TEST(a_latency_jump_turns_a_warm_upstream_cold)
 {
 	size_t u = bed_primary(bed, 0);
@@ -263,7 +302,9 @@
 	tcase_add_checked_fixture(tc, setup, teardown);
 	tcase_add_test(tc, a_new_upstream_warms_in_steps);
 	tcase_add_test(tc, a_new_start_id_is_cold_at_the_next_probe);
-	tcase_add_test(tc, sheds_turn_a_warm_upstream_cold);
+	tcase_add_test(tc, sheds_of_one_that_says_cold_are_heard_at_once);
+	tcase_add_test(tc, sheds_outweigh_a_report_of_free_slots);
+	tcase_add_test(tc, a_busy_upstream_that_sheds_borrowers_stays_warm);
 	tcase_add_test(tc, a_latency_jump_turns_a_warm_upstream_cold);
 	tcase_add_test(tc, good_health_does_not_outweigh_failing_requests);
 	tcase_add_test(tc,
--- a/t/health-bed.c
+++ b/t/health-bed.c
@@ -7,6 +7,7 @@
 
 #define BED_START_MS 100000
 #define BED_SEED 20261203
+#define BED_SLOTS 12
 
 static void name_thing(char *name, const char *kind, size_t d, size_t i)
 {
@@ -34,7 +35,7 @@
 static struct service *make_service(size_t domains, size_t upstreams)
 {
 	struct service *sv = create_service("permit-desk");
-	struct upstream up = { .slots = 12,
+	struct upstream up = { .slots = BED_SLOTS,
 			       .cold_slots = 1,
 			       .connections = 2000,
 			       .cold_connections = 100 };
@@ -118,6 +119,8 @@
 		ev.kind = a->ask_load ? HEALTH_LOAD : HEALTH_PROBE_OK;
 	if (ev.kind == HEALTH_PROBE_OK)
 		ev.start_id = t->start_id;
+	ev.running = t->running;
+	ev.slots = BED_SLOTS;
 	put_event(b, &ev);
 }
 
--- a/t/health-bed.h
+++ b/t/health-bed.h
@@ -16,6 +16,7 @@
 	bool dead;
 	uint64_t start_id;
 	enum health_report report;
+	uint32_t running; /* of its 12 slots, as it reports */
 	size_t probes;	  /* received */
 	size_t restated;  /* times that its state was told again */
 	size_t published; /* times that a new state was told */
--- a/t/prop-health.cc
+++ b/t/prop-health.cc
@@ -121,25 +121,41 @@
 static bool turns_cold_at_once()
 {
 	return rc::check(
-		"sheds or losses make a used upstream cold within 8 answers",
-		[] {
+		"losses make a used upstream cold within 8 answers", [] {
 			bed x;
 			size_t u = *rc::gen::inRange<size_t>(0, 12);
-			bool shed = *rc::gen::arbitrary<bool>();
 			int n = 0;
 
 			for (const happening &h : any_history())
 				happen(x.b, h);
 			while (bed_used(x.b, u) == UPSTREAM_WARM && n < 100) {
-				bed_observe(x.b, u,
-					    shed ? HEALTH_SHED : HEALTH_LOST,
-					    0);
+				bed_observe(x.b, u, HEALTH_LOST, 0);
 				n++;
 			}
 			RC_ASSERT(n <= HEALTH_WINDOW);
 		});
 }
 
+static bool sheds_are_asked_about()
+{
+	return rc::check(
+		"one that sheds and says cold is cold after the next probe",
+		[] {
+			bed x;
+			size_t u = bed_primary(x.b, 0);
+
+			for (const happening &h : any_history())
+				if (h.target != u)
+					happen(x.b, h);
+			run_bed(x.b, *rc::gen::inRange(0, 60) * 1000u);
+			x.b->target[u].report = REPORT_COLD;
+			for (int i = 0; i < HEALTH_SHEDS_WARM; i++)
+				bed_observe(x.b, u, HEALTH_SHED, 0);
+			run_bed(x.b, HEALTH_ASK_AGAIN_MS + HEALTH_TICK_MS);
+			RC_ASSERT(bed_used(x.b, u) != UPSTREAM_WARM);
+		});
+}
+
 static bool lies_do_not_warm()
 {
 	return rc::check(
@@ -274,7 +290,7 @@
 static bool probes_are_bounded()
 {
 	return rc::check(
-		"an instance sends at most 3 probes a second, whatever it sees",
+		"an instance sends at most 3 probes a second, 6 amid sheds",
 		[] {
 			size_t instances = *rc::gen::inRange<size_t>(1, 30);
 			size_t upstreams =
@@ -282,18 +298,26 @@
 			health_bed *b = random_bed(instances, upstreams);
 			size_t sent = 0;
 			bool idle = *rc::gen::arbitrary<bool>();
+			bool shed = *rc::gen::arbitrary<bool>();
+			size_t most = 60 * HEALTH_PROBES_PER_S;
 
 			for (size_t u = 0; u < upstreams; u++)
 				b->target[u].dead = idle;
 			run_bed(b, 2000);
 			for (size_t u = 0; u < upstreams; u++)
 				b->target[u].probes = 0;
-			run_bed(b, 60000);
+			for (int t = 0; t < 60; t++) {
+				for (size_t u = 0; shed && u < upstreams; u++)
+					for (int i = 0; i < 4; i++)
+						bed_observe(b, u, HEALTH_SHED,
+							    0);
+				run_bed(b, 1000);
+			}
 			for (size_t u = 0; u < upstreams; u++)
 				sent += b->target[u].probes;
 			destroy_health_bed(b);
 			/* a fifth of jitter to either side */
-			RC_ASSERT(sent <= 60 * HEALTH_PROBES_PER_S * 5 / 4 + 2);
+			RC_ASSERT(sent <= most * (shed ? 2 : 1) * 5 / 4 + 2);
 		});
 }
 
@@ -344,6 +368,7 @@
 {
 	bool ok = turns_cold_at_once();
 
+	ok &= sheds_are_asked_about();
 	ok &= lies_do_not_warm();
 	ok &= does_not_flap();
 	ok &= cut_says_nothing();
