--- a/flow/route.c
+++ b/flow/route.c
@@ -23,13 +23,14 @@
 	uint64_t ramp_start;	/* ms */
 	uint32_t births;	/* flows placed here since it turned cold */
 	uint32_t allowance;	/* births that this instance may place */
-	uint32_t share;		/* the same if nobody placed any before */
+	uint32_t share;		/* the same if nobody had placed any */
 	uint8_t ramp;		/* 0 to RAMP_STEPS: part of its slots in use */
 	bool wants;		/* its state allows new flows */
 	bool takes;		/* gets new flows from here */
 	bool established;	/* may be a base */
 	bool joining;		/* flows on its slots are all remembered */
 	bool cold;
+	bool watched; /* since before it was cold */
 	bool marked;
 };
 
@@ -50,6 +51,7 @@
 	uint64_t marks_print; /* of the marks taken in */
 	struct slot_cell *table;
 	uint64_t updated; /* ms */
+	bool all_cold;	  /* of those that take new flows */
 };
 
 static bool allows_new_flows(enum upstream_state s)
@@ -58,9 +60,13 @@
 	       s != UPSTREAM_OUT;
 }
 
-static bool is_cold(enum upstream_state s)
+/* An upstream that nobody has judged is cold for a while after it joined. */
+static bool is_cold(enum upstream_state s, const struct upstream *up,
+		    uint64_t wall_s)
 {
-	return s == UPSTREAM_COLD || s == UPSTREAM_UNKNOWN;
+	if (s == UPSTREAM_UNKNOWN)
+		return up->joined_s && wall_s < up->joined_s + COLD_START_S;
+	return s == UPSTREAM_COLD;
 }
 
 static bool is_lost(enum upstream_state s)
@@ -96,20 +102,21 @@
 }
 
 /* Moves RU to what its state wants, when it is time. */
-static bool follow_state(struct route_upstream *ru, uint64_t now)
+static bool follow_state(struct route_upstream *ru,
+			 const struct route_inputs *in)
 {
 	bool wants = allows_new_flows(ru->state);
 
 	if (wants != ru->wants) {
 		ru->wants = wants;
-		ru->wants_changed = now;
+		ru->wants_changed = in->changed_ms;
 	}
 	if (wants == ru->takes)
 		return false;
-	if (!is_lost(ru->state) && now - ru->wants_changed < SETTLE_MS)
+	if (!is_lost(ru->state) && in->now_ms - ru->wants_changed < SETTLE_MS)
 		return false;
 	ru->takes = wants;
-	ru->ramp_start = now;
+	ru->ramp_start = in->now_ms;
 	return true;
 }
 
@@ -130,8 +137,10 @@
 static void follow_cold(struct route_upstream *ru,
 			const struct route_inputs *in)
 {
-	bool cold = is_cold(ru->state);
+	bool cold = is_cold(ru->state, ru->up, in->wall_s);
 
+	if (ru->state == UPSTREAM_DRAINING) /* hides whether it is cold */
+		cold = ru->cold;
 	if (!cold && ru->cold && !is_lost(ru->state))
 		ru->ramp_start = in->now_ms;
 	if (cold) {
@@ -140,11 +149,12 @@
 				       ru->up->cold_connections, in->now_ms);
 		if (!ru->cold) {
 			ru->births = 0;
-			ru->allowance = ru->share;
+			ru->allowance = ru->watched ? ru->share : 0;
 		}
 		ru->allowance = MIN(ru->allowance, ru->share);
 	}
 	ru->cold = cold;
+	ru->watched |= !cold && ru->state != UPSTREAM_UNKNOWN;
 }
 
 static bool follow_age(struct route_upstream *ru, uint32_t idle_ms,
@@ -177,7 +187,7 @@
 
 	ru->state = upstream_state(in->view, ru->up);
 	follow_cold(ru, in);
-	changed = follow_state(ru, in->now_ms);
+	changed = follow_state(ru, in);
 	changed |= follow_ramp(ru, in->now_ms);
 	changed |= follow_age(ru, rt->service->idle_ms, in->wall_s);
 	if (is_unsettled(ru))
@@ -231,8 +241,13 @@
 	bool changed = false;
 
 	rt->updated = in->now_ms;
-	for (size_t i = 0; i < rt->nr; i++)
-		changed |= update_upstream(rt, &rt->ups[i], in);
+	rt->all_cold = true;
+	for (size_t i = 0; i < rt->nr; i++) {
+		struct route_upstream *ru = &rt->ups[i];
+
+		changed |= update_upstream(rt, ru, in);
+		rt->all_cold &= !ru->takes || ru->cold;
+	}
 	changed |= update_marks(rt, in);
 	if (changed)
 		forget_choices(rt);
@@ -252,11 +267,11 @@
 	ru->up = up;
 	ru->state = upstream_state(in->view, up);
 	ru->wants = allows_new_flows(ru->state);
-	ru->wants_changed = in->now_ms;
+	ru->wants_changed = in->changed_ms;
 	ru->takes = ru->wants;
 	ru->ramp_start = in->now_ms - MIN(in->now_ms, RAMP_MS);
 	ru->ramp = ru->takes ? RAMP_STEPS : 0;
-	ru->cold = is_cold(ru->state);
+	ru->cold = is_cold(ru->state, up, in->wall_s);
 }
 
 struct route *create_route(const struct service *sv,
@@ -298,6 +313,7 @@
 	ru->takes = false;
 	ru->ramp = 0;
 	ru->cold = false; /* so that it is seen to turn cold */
+	ru->watched = true;
 }
 
 void set_route_service(struct route *rt, const struct service *sv,
@@ -433,40 +449,37 @@
 	return c;
 }
 
-static bool has_room(const struct route_upstream *ru)
+/*
+ * Whether RU may get one more flow. An instance that found RU cold cannot
+ * know what others placed there before, and uses its share only if every
+ * upstream is cold.
+ */
+static bool has_room(const struct route *rt, const struct route_upstream *ru)
 {
-	return !ru->cold || ru->births < ru->allowance;
+	if (!ru->cold)
+		return true;
+	return ru->births < (rt->all_cold ? ru->share : ru->allowance);
 }
 
-static struct route_upstream *place(struct route_upstream *ru)
+static const struct upstream *place(struct route_upstream *ru)
 {
 	if (ru->cold)
 		ru->births++;
-	return ru;
+	return ru->up;
 }
 
-/* The next best upstream on SLOT that has room. */
-static struct route_upstream *place_elsewhere(struct route *rt, uint32_t slot)
+/* The best upstream on SLOT that has room. */
+static const struct upstream *place_elsewhere(struct route *rt, uint32_t slot)
 {
-	struct best roomy = { 0, NO_INDEX };
-	struct best shared = roomy;
+	struct best best = { 0, NO_INDEX };
 
 	for (size_t i = 0; i < rt->nr; i++) {
 		const struct route_upstream *ru = &rt->ups[i];
-		uint64_t weight = weigh(ru->up->id, slot);
 
-		if (!ru->takes)
-			continue;
-		if (has_room(ru))
-			offer(&roomy, weight, i);
-		else if (ru->births < ru->share)
-			offer(&shared, weight, i);
+		if (ru->takes && has_room(rt, ru))
+			offer(&best, weigh(ru->up->id, slot), i);
 	}
-	if (roomy.index != NO_INDEX)
-		return place(&rt->ups[roomy.index]);
-	if (shared.index != NO_INDEX)
-		return place(&rt->ups[shared.index]);
-	return NULL;
+	return best.index != NO_INDEX ? place(&rt->ups[best.index]) : NULL;
 }
 
 const struct upstream *place_flow(struct route *rt, uint32_t slot)
@@ -477,10 +490,9 @@
 	if (cell.target == NO_INDEX)
 		return NULL;
 	ru = &rt->ups[cell.target];
-	if (has_room(ru))
-		return place(ru)->up;
-	ru = place_elsewhere(rt, slot);
-	return ru ? ru->up : NULL;
+	if (has_room(rt, ru))
+		return place(ru);
+	return place_elsewhere(rt, slot);
 }
 
 const struct upstream *route_upstream(const struct route *rt, uint64_t id,
--- a/flow/route.h
+++ b/flow/route.h
@@ -32,7 +32,8 @@
  * domain is out, gets nothing at once.
  */
 #define SETTLE_MS 1000
-#define RAMP_MS 30000 /* an upstream that comes back is refilled over this */
+#define COLD_START_S 60 /* cold start of an upstream without news */
+#define RAMP_MS 30000	/* an upstream that comes back is refilled over this */
 
 /* What routes are computed from. */
 struct route_inputs {
@@ -40,8 +41,9 @@
 	const struct shares *shares;
 	struct marks *marks;
 	uint64_t now_ms;
-	uint64_t wall_s; /* seconds since 1970 */
-	uint8_t tell_nr; /* peers to be told of a new mark */
+	uint64_t changed_ms; /* since when others may know what is new */
+	uint64_t wall_s;     /* seconds since 1970 */
+	uint8_t tell_nr;     /* peers to be told of a new mark */
 };
 
 struct slot_choice {
