--- a/t/whole-requests.sh
+++ b/t/whole-requests.sh
@@ -70,6 +70,16 @@
 raw "too long a body" 413 'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9999999999\r\n\r\n'
 raw "slow head" 408 'GET / HTTP/1.1\r\nHost:'
 
+answers=$(printf '%s' 'GET /a HTTP/1.1|Host: a||GET /b HTTP/1.1|Host: a|'\
+'Connection: close||' | sed 's/|/\r\n/g' |
+	timeout 15 "$bin/raw" $net.61.2:8080 | grep -c '^GET /[ab] from')
+test "$answers" = 2 || fail "pipelined: $answers of 2 answers"
+
+code=$(echo body | curl -sS --max-time 5 -H 'Expect: 100-continue' \
+	--expect100-timeout 4 -o /dev/null -w '%{http_code}' \
+	--data-binary @- http://$net.61.2:8080/expect)
+test "$code" = 200 || fail "Expect: $code"
+
 head -c 1000000 /dev/zero >"$work/big"
 code=$(curl -sS --max-time 10 -o /dev/null -w '%{http_code}' \
 	--data-binary @"$work/big" http://$net.61.2:8080/upload)
