--- a/Makefile
+++ b/Makefile
@@ -109,6 +109,13 @@
 format:
 	@clang-format -i $(SOURCES) $(HEADERS) $(wildcard t/*.cc)
 
+# Renews the pages that are made of what the programs print.
+docs: all
+	t/print-commands $(B) >docs/COMMANDS.md
+	{ sed '/^|/,$$d' docs/COUNTERS.md && \
+		LC_ALL=C $(B)/baobabvalve status --list-counters; } >build/t.md
+	mv build/t.md docs/COUNTERS.md
+
 lint: lint-format lint-tidy lint-cppcheck
 lint-format:
 	@clang-format --dry-run -Werror $(SOURCES) $(HEADERS) \
@@ -135,6 +142,6 @@
 
 -include $(shell find build/$(VARIANT) -name '*.d' 2>/dev/null)
 
-.PHONY: all tests test bench capacity demo format lint lint-format \
+.PHONY: all docs tests test bench capacity demo format lint lint-format \
 	lint-tidy lint-cppcheck install clean
 .SECONDARY:
