--- a/t/bench-spread.c
+++ b/t/bench-spread.c
@@ -279,15 +279,17 @@
 				   .delay_min_ms = 1,
 				   .delay_max_ms = 3,
 				   .seed_nr = 3 };
-	struct world *w = create_world(&o);
+	struct world *w = nr ? create_world(&o) : NULL;
 	int first[KILL_NR];
 	int all[KILL_NR];
 
+	if (!w)
+		return;
 	for (size_t i = 0; i < nr; i++)
 		start_instance(w, i);
 	run_world(w, 10000);
 	for (size_t k = 0; k < KILL_NR; k++) {
-		size_t who = (k * 7 + 4) % o.nr;
+		size_t who = (k * 7 + 4) % nr;
 		size_t dead = 0;
 
 		first[k] = -1;
