t: read the epoch from the line of the instance only

Since status shows failure domains with their epochs, in_force compared several numbers at once and failed after a domain had changed, although the instance had the epoch (t/whole-publish.sh, the new last part).

--- a/t/lib.sh
+++ b/t/lib.sh
@@ -79,7 +79,7 @@
 # in_force ADDRESS EPOCH: the instance has this epoch or a later one.
 in_force () {
 	epoch=$("$bin/baobabvalve" status "$1:7400" |
-		sed -n 's/.*epoch \([0-9]*\).*/\1/p')
+		sed -n 's/.*: instance .*epoch \([0-9]*\).*/\1/p')
 	test -n "$epoch" && test "$epoch" -ge "$2"
 }
 
