request: split requests.c by what its parts do

813 lines in one file: life and events stay in requests.c; how requests end, how they are offered and what their claims decide have files of their own behind request/internal.h. No change of behaviour; prop-requests and check-requests pass.

--- /dev/null
+++ b/request/ending.c
@@ -0,0 +1,105 @@
+/* How requests end without an answer, and what all steps need. */
+
+#include "request/internal.h"
+
+#include <glib.h>
+
+#define UNKNOWN_RETRY_MS 2000 /* when to ask again about an outcome */
+
+struct request_action *add_request_action(struct request_actions *as,
+					  enum request_action_kind kind,
+					  handle_t h)
+{
+	struct request_action *a;
+
+	if (as->nr == as->alloc) {
+		as->alloc = as->alloc ? 2 * as->alloc : 8;
+		as->at = g_renew(struct request_action, as->at, as->alloc);
+	}
+	a = &as->at[as->nr++];
+	memset(a, 0, sizeof(*a));
+	a->kind = kind;
+	a->request = h;
+	return a;
+}
+
+const struct service *service_of_request(const struct requests *rs,
+					 const struct request *rq)
+{
+	return rs->snapshot ? find_service(rs->snapshot, rq->service) : NULL;
+}
+
+struct service_load *service_load_of(struct requests *rs, uint64_t service)
+{
+	struct service_load *l = g_hash_table_lookup(rs->loads, &service);
+
+	if (l)
+		return l;
+	l = g_new0(struct service_load, 1);
+	l->id = service;
+	l->queue = create_queue(rs->rng);
+	init_retry_budget(&l->budget);
+	g_hash_table_insert(rs->loads, &l->id, l);
+	return l;
+}
+
+void free_request(struct requests *rs, struct request *rq)
+{
+	remove_handle(rs->open, rq->handle);
+	g_hash_table_remove(rs->timed, rq);
+	g_hash_table_remove(rs->all, rq);
+	g_free(rq->kept);
+	g_free(rq);
+}
+
+static enum counter outcome_counter(enum outcome o)
+{
+	switch (o) {
+	case OUTCOME_NOT_RUN:
+		return COUNT_REQUEST_NOT_RUN;
+	case OUTCOME_IN_PROGRESS:
+		return COUNT_REQUEST_IN_PROGRESS;
+	case OUTCOME_DONE:
+		return COUNT_REQUEST_DONE;
+	case OUTCOME_KEY_REUSED:
+		return COUNT_REQUEST_KEY_REUSED;
+	default:
+		return COUNT_REQUEST_UNKNOWN;
+	}
+}
+
+void refuse_request(struct requests *rs, struct request *rq,
+		    enum outcome outcome, uint64_t now_ms,
+		    struct request_actions *out)
+{
+	struct service_load *l = service_load_of(rs, rq->service);
+	struct request_action *a =
+		add_request_action(out, REQUEST_REFUSE, rq->handle);
+
+	a->outcome = outcome;
+	a->ends = true;
+	if (outcome == OUTCOME_NOT_RUN)
+		a->retry_after_ms = retry_after_ms(l->queue, now_ms);
+	else if (outcome == OUTCOME_UNKNOWN || outcome == OUTCOME_IN_PROGRESS)
+		a->retry_after_ms =
+			UNKNOWN_RETRY_MS / 2 +
+			g_rand_int_range(rs->rng, 0, UNKNOWN_RETRY_MS);
+	count(rs->counters, outcome_counter(outcome));
+	free_request(rs, rq);
+}
+
+void refuse_unsent(struct requests *rs, struct request *rq, uint64_t now_ms,
+		   struct request_actions *out)
+{
+	give_claim_up(rs, rq, now_ms, out);
+	refuse_request(rs, rq,
+		       rq->may_have_run ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN,
+		       now_ms, out);
+}
+
+void refuse_unknown(struct requests *rs, struct request *rq, uint64_t now_ms,
+		    struct request_actions *out)
+{
+	settle_claim(rs, rq, KEY_UNKNOWN, NULL, now_ms, out);
+	refuse_request(rs, rq, OUTCOME_UNKNOWN, now_ms, out);
+}
