flow: hand remembered flows over before an instance leaves

Cause: a graceful stop told the peers and ended 300 ms later. The copies that only it and another instance in the same state had were gone, so replacing all instances one after the other during a drain broke flows, although everything was planned. New property 'every instance says that it leaves and is replaced' failed on the first history.

An instance that leaves now sends what its successors may lack, within 256 KB/s, and ends when nothing is left and 2.5 s have passed. Others go on asking a keeper that leaves for 1.5 s, until its copies have arrived.

A second cause, UDP only: an instance that did not know a flow placed it anew and believed itself before a keeper had answered; when the keeper was just restarting, the message was lost (traced: placed at 38,871 ms, used at 41,319). Unknown UDP packets now ask the holders as those of TCP do, and the last one asked places the flow. Ruled out: losing records in the ring of recent changes (18 of 32 used), copies not arriving (every instance had the right entry).

--- a/flow/flows.h
+++ b/flow/flows.h
@@ -31,6 +31,10 @@
  */
 #define FLOW_LEARN_BUDGET 1024
 
+/* Bytes a second of copies that an instance sends while it leaves. */
+#define FLOW_LEAVE_BUDGET (256 * 1024)
+#define FLOW_LEAVE_MS 2500 /* news reaches all, and keepers are asked on */
+
 struct flows;
 
 enum flow_action_kind {
@@ -88,4 +92,16 @@
 size_t remembered_flow_nr(const struct flows *fs);
 size_t flow_memory(const struct flows *fs);
 
+/*
+ * This instance is about to end, and its view says so: from now on it hands
+ * what it remembers to the keepers that follow it, within FLOW_LEAVE_BUDGET.
+ */
+void leave_flows(struct flows *fs, uint64_t now_ms);
+
+/*
+ * True once the others have had FLOW_LEAVE_MS to learn that this instance
+ * leaves, and nothing is left that it keeps.
+ */
+bool flows_handed_over(const struct flows *fs, uint64_t now_ms);
+
 #endif
--- a/flow/keepers.c
+++ b/flow/keepers.c
@@ -194,6 +194,43 @@
 	return nr;
 }
 
+/* True if ID stopped being live within the last WITHIN_MS. */
+static bool went_lately(const struct keepers *ks, uint64_t id,
+			uint64_t within_ms, uint64_t now_ms)
+{
+	for (int i = 0; i < RECENT_NR; i++) {
+		const struct member_change *c = &ks->recent[i];
+
+		if (c->at && !c->came && c->id == id &&
+		    now_ms - c->at <= within_ms)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Appends members that say that they leave, still run, and were keepers
+ * before: until their copies have arrived they know more than the others.
+ */
+static size_t add_leaving(const struct keepers *ks, uint64_t key,
+			  uint64_t now_ms, const struct member **out, size_t nr)
+{
+	const struct member *last = out[MIN(nr, KEEPER_NR) - 1];
+	uint64_t floor = XXH64(&last->id, sizeof(last->id), key);
+	const struct member *ms;
+	size_t member_nr;
+
+	ms = view_members(ks->view, &member_nr);
+	for (size_t i = 0; i < member_nr && nr < KEEPER_WALK_MAX; i++) {
+		if (ms[i].state != MEMBER_LEAVING ||
+		    XXH64(&ms[i].id, sizeof(ms[i].id), key) < floor)
+			continue;
+		if (went_lately(ks, ms[i].id, KEEPER_LEAVING_MS, now_ms))
+			out[nr++] = &ms[i];
+	}
+	return nr;
+}
+
 size_t rank_holders(const struct keepers *ks, uint64_t service, uint32_t slot,
 		    uint64_t now_ms, const struct member **out)
 {
@@ -202,12 +239,13 @@
 	size_t wanted = KEEPER_NR;
 
 	if (nr < KEEPER_NR)
-		return nr;
+		return nr ? add_leaving(ks, key, now_ms, out, nr) : 0;
 	wanted += count_recent(ks, key, out[KEEPER_NR - 1], true, now_ms);
 	if (count_recent(ks, key, out[KEEPER_NR - 1], false, now_ms) >=
 	    KEEPER_NR)
 		wanted = KEEPER_WALK_MAX;
-	if (wanted == KEEPER_NR)
-		return nr;
-	return rank_members(ks->view, key, out, MIN(wanted, KEEPER_WALK_MAX));
+	if (wanted > KEEPER_NR)
+		nr = rank_members(ks->view, key, out,
+				  MIN(wanted, KEEPER_WALK_MAX));
+	return add_leaving(ks, key, now_ms, out, nr);
 }
--- a/flow/keepers.h
+++ b/flow/keepers.h
@@ -12,6 +12,7 @@
 #define KEEPER_NR 2	  /* copies of each remembered flow */
 #define KEEPER_WALK_MAX 8 /* instances asked after both copies were lost */
 #define KEEPER_RECENT_MS 120000 /* after a change copies may be elsewhere */
+#define KEEPER_LEAVING_MS 1500	/* a keeper that leaves is asked so long */
 
 struct keeper_pair {
 	uint64_t id[KEEPER_NR];
--- a/flow/state.h
+++ b/flow/state.h
@@ -38,6 +38,8 @@
 	uint64_t newest_epoch;	/* heard of from any instance */
 	uint64_t newer_since;	/* ms when an epoch above the own was heard */
 	bool synced;		/* has the marks of some other instance */
+	bool leaving;		/* hands over what it remembers */
+	uint64_t left;		/* ms when that began */
 	size_t sweep;		/* next place of the table to look at */
 	uint64_t ticked;	/* ms */
 	uint64_t expired_marks; /* ms */
--- a/flow/steer.c
+++ b/flow/steer.c
@@ -186,7 +186,9 @@
 	for (uint8_t i = 0; i < pair->nr; i++) {
 		uint64_t id = pair->id[i];
 
-		if (id == j->fs->self || (step && id == j->origin))
+		bool has_it = step && id == j->origin && !j->decided;
+
+		if (id == j->fs->self || has_it)
 			continue;
 		if (is_suspect(j->fs, id))
 			e->keepers = 0; /* it may lack the copy: renew soon */
@@ -308,13 +310,23 @@
 	give_up(j, COUNT_FLOW_GIVEN_UP);
 }
 
-/* Nobody knows the flow: it lives at the base of its slot. */
+static void open_flow(struct job *j);
+
+/*
+ * Nobody knows the flow: it lives at the base of its slot. One of UDP is new,
+ * since all of them are remembered.
+ */
 static void assume_base(struct job *j, const struct slot_choice *c)
 {
 	if (j->now_ms < j->fs->fresh_until) {
 		count(j->fs->counters, COUNT_FLOW_TOO_YOUNG);
 		return;
 	}
+	if (j->p.protocol == FLOW_UDP) {
+		j->decided = true;
+		open_flow(j);
+		return;
+	}
 	if (!c->base) {
 		give_up(j, COUNT_FLOW_GIVEN_UP);
 		return;
@@ -336,7 +348,7 @@
 {
 	struct slot_choice c = choose_slot(j->route, j->slot);
 	bool ask = step || c.unsettled || c.remember_all ||
-		   is_doubtful(j->fs, j->now_ms);
+		   j->p.protocol == FLOW_UDP || is_doubtful(j->fs, j->now_ms);
 
 	if (!ask || !ask_holders(j, step))
 		assume_base(j, &c);
@@ -373,6 +385,8 @@
 		return;
 	}
 	count(j->fs->counters, COUNT_FLOW_PLACED);
+	if (j->origin != j->fs->self)
+		teach_origin(j, up->id, true);
 	keep_flow(j, up->id);
 }
 
@@ -413,7 +427,7 @@
 	e = find_entry(j);
 	if (e)
 		continue_flow(j, e);
-	else if (is_opening(&j->p) || j->p.protocol == FLOW_UDP)
+	else if (is_opening(&j->p))
 		open_flow(j);
 	else
 		steer_unknown(j, 0);
--- a/flow/upkeep.c
+++ b/flow/upkeep.c
@@ -8,8 +8,9 @@
 
 #include "flow/state.h"
 
-#define SWEEP_MS 10000 /* one look through the whole table */
-#define CONFIRM_S 10   /* left to packets to confirm an entry to its keepers */
+#define SWEEP_MS 10000	   /* one look through the whole table */
+#define LEAVE_SWEEP_MS 500 /* the same while this instance leaves */
+#define CONFIRM_S 10 /* left to packets to confirm an entry to its keepers */
 #define EXPIRE_MARKS_MS 10000 /* between two removals of old marks */
 #define CONTROL_BURST (8 * FLOW_CONTROL_BUDGET) /* bytes */
 #define LEARN_BURST (8 * FLOW_LEARN_BUDGET)	/* bytes */
@@ -255,7 +256,8 @@
 		set_mark(fs->marks, e->service, slot_owner(rt, slot),
 			 now_ms + MARK_MS, now_ms, in.tell_nr);
 	pair = find_keepers(fs->keepers, e->service, slot);
-	if (!e->keepers && now_ms / 1000 - e->renewed_s < CONFIRM_S)
+	if (!fs->leaving && !e->keepers &&
+	    now_ms / 1000 - e->renewed_s < CONFIRM_S)
 		return true;
 	if (e->keepers != pair.print && fs->control_tokens > 0)
 		hand_over(fs, e, &pair, batches, now_ms);
@@ -288,7 +290,8 @@
 {
 	GArray *batches = g_array_new(FALSE, TRUE, sizeof(struct batch));
 	size_t capacity = flow_table_capacity(fs->table);
-	size_t nr = (size_t)(capacity * dt_ms / SWEEP_MS) + 1;
+	uint64_t period_ms = fs->leaving ? LEAVE_SWEEP_MS : SWEEP_MS;
+	size_t nr = (size_t)(capacity * dt_ms / period_ms) + 1;
 
 	nr = MIN(nr, capacity);
 	while (nr--) {
@@ -307,8 +310,11 @@
 
 static void refill_tokens(struct flows *fs, uint64_t dt_ms)
 {
-	fs->control_tokens += (int64_t)(FLOW_CONTROL_BUDGET * dt_ms / 1000);
-	fs->control_tokens = MIN(fs->control_tokens, CONTROL_BURST);
+	int64_t budget = fs->leaving ? FLOW_LEAVE_BUDGET : FLOW_CONTROL_BUDGET;
+
+	fs->control_tokens += budget * (int64_t)dt_ms / 1000;
+	fs->control_tokens =
+		MIN(fs->control_tokens, MAX(CONTROL_BURST, budget));
 	fs->learn_tokens += (int64_t)(FLOW_LEARN_BUDGET * dt_ms / 1000);
 	fs->learn_tokens = MIN(fs->learn_tokens, LEARN_BURST);
 }
@@ -350,6 +356,38 @@
 	expire_marks(fs->marks, now_ms);
 }
 
+void leave_flows(struct flows *fs, uint64_t now_ms)
+{
+	fs->leaving = true;
+	fs->left = now_ms;
+}
+
+/* True if the present keepers of E may not know of it. */
+static bool is_untold(const struct flows *fs, const struct flow_entry *e)
+{
+	uint32_t slot = flow_slot(e->hash);
+
+	return e->kind == ENTRY_KEPT &&
+	       find_keepers(fs->keepers, e->service, slot).print != e->keepers;
+}
+
+bool flows_handed_over(const struct flows *fs, uint64_t now_ms)
+{
+	size_t capacity = flow_table_capacity(fs->table);
+
+	if (!other_live_nr(fs->keepers))
+		return true;
+	if (!fs->leaving || now_ms < fs->left + FLOW_LEAVE_MS)
+		return false;
+	for (size_t i = 0; i < capacity; i++) {
+		const struct flow_entry *e = flow_table_at(fs->table, i);
+
+		if (e && is_untold(fs, e))
+			return false;
+	}
+	return true;
+}
+
 void take_learn(struct flows *fs, const struct flow_message *m, uint64_t now_ms)
 {
 	struct route *rt = find_route_by_id(fs, m->service, now_ms);
--- a/net/daemon.c
+++ b/net/daemon.c
@@ -14,7 +14,6 @@
 #include "net/source.h"
 
 #define STOP_CHECK_MS 20 /* between two looks whether all is done */
-#define LEAVE_MS 300	 /* for the last messages to peers */
 
 struct daemon {
 	uv_loop_t loop;
@@ -237,6 +236,7 @@
 	struct fleet_event leave = { .kind = FLEET_LEAVE };
 
 	step_fleet_port(d->fleet, &leave);
+	leave_flows(d->flows, now);
 	d->left = now;
 }
 
@@ -253,7 +253,7 @@
 			    open_request_nr(d->requests));
 	if (!d->left)
 		leave_fleet(d, now);
-	if (late || now >= d->left + LEAVE_MS)
+	if (late || flows_handed_over(d->flows, now))
 		close_daemon(d);
 }
 
--- a/t/bench-flows.c
+++ b/t/bench-flows.c
@@ -37,6 +37,7 @@
 	PARTITION,
 	DOMAIN_OUT_BACK,
 	ROLLING,
+	ROLLING_TOLD,
 	SCENARIO_NR
 };
 
@@ -51,7 +52,8 @@
 	"drain + join overlap",
 	"drain, cut, heal",
 	"domain out and back",
-	"all instances replaced"
+	"all instances replaced",
+	"all replaced, leaving"
 };
 
 static const char *const way_names[WAY_NR] = { "A nothing", "B local table",
@@ -68,6 +70,7 @@
 	uint64_t control; /* the same */
 	uint64_t learned; /* the same */
 	int replaced;	  /* instances, so far */
+	bool told;	  /* the next to be replaced has said so */
 };
 
 static uint64_t hops_of(const struct bed *b)
@@ -87,6 +90,7 @@
 	switch (r->scenario) {
 	case STEADY:
 	case ROLLING:
+	case ROLLING_TOLD:
 	case SCENARIO_NR:
 		break;
 	case STALE:
@@ -124,6 +128,7 @@
 	case COLD_JOIN:
 	case DRAIN_AND_DEATH:
 	case ROLLING:
+	case ROLLING_TOLD:
 	case SCENARIO_NR:
 		break;
 	case STALE:
@@ -149,6 +154,25 @@
 	}
 }
 
+/* Replaces the next instance once it has handed over what it keeps. */
+static void replace_told(struct run *r)
+{
+	struct bed *b = r->bed;
+
+	if (r->replaced == INSTANCE_NR)
+		return;
+	if (!r->told) {
+		if (!r->replaced)
+			drain_bed_upstream(b, 0, 3, true);
+		leave_bed_instance(b, r->replaced);
+		r->told = true;
+	} else if (may_bed_instance_end(b, r->replaced)) {
+		kill_bed_instance(b, r->replaced);
+		join_bed_instance(b, r->replaced++);
+		r->told = false;
+	}
+}
+
 /* What is done every second. */
 static void change_on(struct run *r)
 {
@@ -156,6 +180,8 @@
 
 	if (r->scenario == PARTITION && b->now == SECOND_MS + 4000)
 		heal_flow_bed(b);
+	if (r->scenario == ROLLING_TOLD)
+		replace_told(r);
 	if (r->scenario != ROLLING || r->replaced == INSTANCE_NR)
 		return;
 	if (!r->replaced)
--- a/t/flow-bed.c
+++ b/t/flow-bed.c
@@ -148,7 +148,10 @@
 	struct member m = b->at[i].member;
 	bool cut = b->cut_domain && side_of(b, i) != side_of(b, viewer);
 
-	m.state = b->at[i].alive && !cut ? MEMBER_ALIVE : MEMBER_DEAD;
+	if (!b->at[i].alive || cut)
+		m.state = MEMBER_DEAD;
+	else
+		m.state = b->at[i].leaving ? MEMBER_LEAVING : MEMBER_ALIVE;
 	put_member(b->at[viewer].view, &m);
 }
 
--- a/t/flow-bed.h
+++ b/t/flow-bed.h
@@ -60,6 +60,7 @@
 	struct counters counters;
 	struct member member;
 	bool alive;
+	bool leaving;	     /* has told the others that it will end */
 	bool stale;	     /* gets no news of configuration */
 	struct model *model; /* of a losing way */
 };
@@ -159,6 +160,12 @@
 void kill_bed_instance(struct bed *b, int i);
 void join_bed_instance(struct bed *b, int i);
 
+/* Instance I says that it leaves; it lives on until it is killed. */
+void leave_bed_instance(struct bed *b, int i);
+
+/* Whether instance I may end without loss. */
+bool may_bed_instance_end(struct bed *b, int i);
+
 /* Cuts domains below DOMAIN off from the others. */
 void cut_flow_bed(struct bed *b, int domain);
 void heal_flow_bed(struct bed *b);
--- a/t/flow-changes.c
+++ b/t/flow-changes.c
@@ -89,6 +89,23 @@
 	tell_flow_bed(b, ALL_INSTANCES, EV_MEMBER, (uint64_t)i, DETECT_MS);
 }
 
+void leave_bed_instance(struct bed *b, int i)
+{
+	struct member self = b->at[i].member;
+
+	self.state = MEMBER_LEAVING;
+	put_member(b->at[i].view, &self);
+	b->at[i].leaving = true;
+	tell_flow_bed(b, ALL_INSTANCES, EV_MEMBER, (uint64_t)i, 0);
+	if (b->at[i].flows)
+		leave_flows(b->at[i].flows, b->now);
+}
+
+bool may_bed_instance_end(struct bed *b, int i)
+{
+	return !b->at[i].flows || flows_handed_over(b->at[i].flows, b->now);
+}
+
 void join_bed_instance(struct bed *b, int i)
 {
 	start_bed_instance(b, i);
--- a/t/prop-flow-steering.cc
+++ b/t/prop-flow-steering.cc
@@ -182,6 +182,23 @@
 	send_flows(b, 4000);
 }
 
+/* Replaces one instance after the other, each once it may end. */
+static void replace_all(struct bed *b)
+{
+	for (int i = 0; i < b->opt.instance_nr; i++) {
+		leave_bed_instance(b, i);
+		for (int n = 0; n < 60 && !may_bed_instance_end(b, i); n++) {
+			send_flows(b, 500);
+			open_flows(b, FLOWS / 12);
+		}
+		RC_ASSERT(may_bed_instance_end(b, i));
+		kill_bed_instance(b, i);
+		join_bed_instance(b, i);
+		send_flows(b, 1000);
+	}
+	send_flows(b, 4000);
+}
+
 static const std::vector<int> planned = { DRAIN, UNDRAIN, JOIN, REMOVE };
 static const std::vector<int> everything = {
 	DRAIN, UNDRAIN,	 JOIN,	     REMOVE, STALE, CATCH_UP, LEAVE,
@@ -218,6 +235,20 @@
 			destroy_flow_bed(b);
 			RC_ASSERT(o.broken == 0U);
 		});
+	ok &= rc::check(
+		"the same while every instance says that it leaves and is "
+		"replaced",
+		[] {
+			struct bed *b = make_bed(1, *rc::gen::arbitrary<bool>(),
+						 BED_UNLIMITED);
+			struct bed_outcome o;
+
+			play(b, make_history(planned), 600);
+			replace_all(b);
+			o = judge_flow_bed(b);
+			destroy_flow_bed(b);
+			RC_ASSERT(o.broken == 0U);
+		});
 	ok &= rc::check("flows of UDP keep their upstream likewise", [] {
 		struct bed *b = make_bed(1, true, BED_UNLIMITED);
 		struct bed_outcome o;
