--- a/t/whole-cli.sh
+++ b/t/whole-cli.sh
@@ -27,6 +27,18 @@
 sed -n '/^|/p' docs/COUNTERS.md | diff - "$work/counters" >"$work/out" ||
 	fail "renew the table by: baobabvalve status --list-counters"
 
+# Every key that service files may have is on their page.
+printf '[service]\nno-such-key = 1\n[upstream a]\nno-such-key = 1\n' \
+	>"$work/keys.ini"
+"$bv" check "$work/keys.ini" 2>&1 | sed -n 's/.*known are //p' |
+	tr -d ',' | tr ' ' '\n' | sort -u >"$work/keys"
+test "$(wc -l <"$work/keys")" -gt 10 || fail "no list of known keys"
+while read -r key
+do
+	grep -q "^| \`$key\`" docs/SERVICE-FILES.md ||
+		fail "docs/SERVICE-FILES.md lacks the key $key"
+done <"$work/keys"
+
 for c in audit check domain publish status version
 do
 	expect 0 "$bv" $c --help
