--- a/builtin/builtin.h
+++ b/builtin/builtin.h
@@ -91,4 +91,22 @@
 			"Longest wait; 10s if not given", "DURATION"           \
 	}
 
+/* Options that every command has which changes something. */
+struct change_options {
+	char *store;
+	char *format;
+	char *why;
+	char *who;
+	char *instances;
+	char *timeout;
+	gboolean wait;
+	/* from the texts above: */
+	bool json;
+	uint32_t timeout_ms;
+};
+
+/* Checks them for command NAME: 0, or EXIT_USAGE after telling. */
+int check_change_options(struct change_options *o, const char *name);
+void free_change_options(struct change_options *o);
+
 #endif
--- a/builtin/command.c
+++ b/builtin/command.c
@@ -5,6 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "builtin/instances.h"
+
 int parse_command(int argc, char **argv, const GOptionEntry *entries,
 		  const char *arguments, const char *summary)
 {
@@ -91,3 +93,23 @@
 {
 	return who ? who : g_get_user_name();
 }
+
+int check_change_options(struct change_options *o, const char *name)
+{
+	if (o->wait && !o->instances)
+		return usage_error(name, "--wait needs --instances");
+	if (!parse_format(o->format, &o->json) ||
+	    !parse_timeout(o->timeout, &o->timeout_ms))
+		return EXIT_USAGE;
+	return 0;
+}
+
+void free_change_options(struct change_options *o)
+{
+	g_free(o->store);
+	g_free(o->format);
+	g_free(o->why);
+	g_free(o->who);
+	g_free(o->instances);
+	g_free(o->timeout);
+}
--- a/builtin/domain.c
+++ b/builtin/domain.c
@@ -11,16 +11,8 @@
 #include "config/domain-change.h"
 
 struct domain_options {
-	char *store;
-	char *format;
-	char *why;
-	char *who;
-	char *instances;
-	char *timeout;
+	struct change_options common;
 	gboolean force;
-	gboolean wait;
-	bool json;
-	uint32_t timeout_ms;
 };
 
 /* What instances are waited for. */
@@ -84,9 +76,10 @@
 	const struct status *st = domain_change_status(dc);
 	struct awaited w = { name, domain_change_epoch(dc) };
 
-	print_result(o->json, st, NULL, w.epoch, id);
-	if (st->kind == STATUS_OK && o->wait &&
-	    !wait_for_instances(o->instances, o->timeout_ms, has_record, &w))
+	print_result(o->common.json, st, NULL, w.epoch, id);
+	if (st->kind == STATUS_OK && o->common.wait &&
+	    !wait_for_instances(o->common.instances, o->common.timeout_ms,
+				has_record, &w))
 		return EXIT_REFUSED;
 	return find_status_row(st->kind)->exit_code;
 }
@@ -100,10 +93,11 @@
 	int code;
 
 	g_strlcpy(in.name, name, sizeof(in.name));
-	in.who = who_or_user(o->who);
-	in.why = o->why;
+	in.who = who_or_user(o->common.who);
+	in.why = o->common.why;
 	in.when_ms = (uint64_t)(g_get_real_time() / 1000);
-	in.floor = o->instances ? read_floor(o->instances, name) : 0;
+	in.floor =
+		o->common.instances ? read_floor(o->common.instances, name) : 0;
 	dc = create_domain_change(&in, g_random_int());
 	run_change(s, step, dc);
 	code = finish(o, dc, in.name, id);
@@ -172,10 +166,10 @@
 		st.kind = read_heads(&h, a, &st);
 	if (st.kind == STATUS_OK) {
 		list = heads_json(&h);
-		print_domains(list, o->json);
+		print_domains(list, o->common.json);
 		json_decref(list);
 	} else {
-		print_result(o->json, &st, NULL, 0, "");
+		print_result(o->common.json, &st, NULL, 0, "");
 	}
 	release_heads(&h);
 	return find_status_row(st.kind)->exit_code;
@@ -195,42 +189,27 @@
 		return usage_error("domain",
 				   "a domain's name is 1 to 39 of a-z, 0-9 "
 				   "and '-', starting with a letter");
-	if (!list && (!o->why || !*o->why))
+	if (!list && (!o->common.why || !*o->common.why))
 		return usage_error("domain",
 				   "--why=TEXT is missing: the reason goes "
 				   "into the audit trail");
-	if (o->wait && !o->instances)
-		return usage_error("domain", "--wait needs --instances");
-	if (!parse_format(o->format, &o->json) ||
-	    !parse_timeout(o->timeout, &o->timeout_ms))
-		return EXIT_USAGE;
-	return 0;
-}
-
-static void free_options(struct domain_options *o)
-{
-	g_free(o->store);
-	g_free(o->format);
-	g_free(o->why);
-	g_free(o->who);
-	g_free(o->instances);
-	g_free(o->timeout);
+	return check_change_options(&o->common, "domain");
 }
 
 int cmd_domain(int argc, char **argv)
 {
-	struct domain_options o = { .store = NULL };
+	struct domain_options o = { .common = { .store = NULL } };
 	GOptionEntry entries[] = {
-		OPTION_STORE(&o.store),
-		OPTION_WHY(&o.why),
-		OPTION_WHO(&o.who),
+		OPTION_STORE(&o.common.store),
+		OPTION_WHY(&o.common.why),
+		OPTION_WHO(&o.common.who),
 		{ "force", 0, 0, G_OPTION_ARG_NONE, &o.force,
 		  "Also the last domain that is not out, or an unknown one",
 		  NULL },
-		OPTION_INSTANCES(&o.instances),
-		OPTION_WAIT(&o.wait),
-		OPTION_TIMEOUT(&o.timeout),
-		OPTION_FORMAT(&o.format),
+		OPTION_INSTANCES(&o.common.instances),
+		OPTION_WAIT(&o.common.wait),
+		OPTION_TIMEOUT(&o.common.timeout),
+		OPTION_FORMAT(&o.common.format),
 		G_OPTION_ENTRY_NULL
 	};
 	struct session *s = NULL;
@@ -239,12 +218,12 @@
 	argc = parse_command(argc, argv, entries, "out|back|list [NAME]",
 			     "Takes failure domains out and back.");
 	if (argc && !check_options(&o, argc, argv))
-		s = create_session(o.store);
+		s = create_session(o.common.store);
 	if (s && argc == 2)
 		code = list_domains(&o, s);
 	else if (s)
 		code = change_domain(&o, s, argv[2], !strcmp(argv[1], "out"));
 	destroy_session(s);
-	free_options(&o);
+	free_change_options(&o.common);
 	return code;
 }
--- a/builtin/publish.c
+++ b/builtin/publish.c
@@ -11,19 +11,11 @@
 #include "net/files.h"
 
 struct publish_options {
-	char *store;
-	char *format;
-	char *why;
-	char *who;
-	char *instances;
-	char *timeout;
+	struct change_options common;
 	char **removed;
 	gint64 base_epoch;
 	gboolean only;
 	gboolean allow_removal;
-	gboolean wait;
-	bool json;
-	uint32_t timeout_ms;
 };
 
 static void step(void *change, const struct store_answer *a,
@@ -79,11 +71,12 @@
 	const struct status *st = publish_status(p);
 	struct awaited w = { publish_epoch(p), publish_made(p) ? id : NULL };
 
-	print_result(o->json, st, publish_problems(p), w.epoch, id);
-	if (st->kind == STATUS_OK && publish_made(p) && !o->json)
+	print_result(o->common.json, st, publish_problems(p), w.epoch, id);
+	if (st->kind == STATUS_OK && publish_made(p) && !o->common.json)
 		printf("changed: %s\n", publish_subject(p));
-	if (st->kind == STATUS_OK && o->wait &&
-	    !wait_for_instances(o->instances, o->timeout_ms, has_epoch, &w))
+	if (st->kind == STATUS_OK && o->common.wait &&
+	    !wait_for_instances(o->common.instances, o->common.timeout_ms,
+				has_epoch, &w))
 		return EXIT_REFUSED;
 	return find_status_row(st->kind)->exit_code;
 }
@@ -96,12 +89,13 @@
 	struct publish *p;
 	int code = EXIT_REFUSED;
 
-	in.who = who_or_user(o->who);
-	in.why = o->why ? o->why : "";
+	in.who = who_or_user(o->common.who);
+	in.why = o->common.why ? o->common.why : "";
 	in.when_ms = (uint64_t)(g_get_real_time() / 1000);
 	in.base_epoch = (uint64_t)o->base_epoch;
 	in.allow_removal = o->allow_removal;
-	if (!o->instances || read_floor(o->instances, &in.floor)) {
+	if (!o->common.instances ||
+	    read_floor(o->common.instances, &in.floor)) {
 		p = create_publish(&in, g_random_int());
 		run_change(s, step, p);
 		code = finish(o, p, id);
@@ -141,7 +135,7 @@
 		g_free(services);
 	} else {
 		set_status(&st, STATUS_INVALID, "nothing published");
-		print_result(o->json, &st, ps, 0, "");
+		print_result(o->common.json, &st, ps, 0, "");
 	}
 	unref_snapshot(sn);
 	destroy_problems(ps);
@@ -154,32 +148,22 @@
 		return usage_error("publish", "no file or directory given");
 	if (o->removed && !o->only)
 		return usage_error("publish", "--remove goes with --only");
-	if (o->wait && !o->instances)
-		return usage_error("publish", "--wait needs --instances");
 	if (o->base_epoch < 0)
 		return usage_error("publish", "--base-epoch is 1 or more");
-	if (!parse_format(o->format, &o->json) ||
-	    !parse_timeout(o->timeout, &o->timeout_ms))
-		return EXIT_USAGE;
-	return 0;
+	return check_change_options(&o->common, "publish");
 }
 
 static void free_options(struct publish_options *o)
 {
-	g_free(o->store);
-	g_free(o->format);
-	g_free(o->why);
-	g_free(o->who);
-	g_free(o->instances);
-	g_free(o->timeout);
+	free_change_options(&o->common);
 	g_strfreev(o->removed);
 }
 
 int cmd_publish(int argc, char **argv)
 {
-	struct publish_options o = { .store = NULL };
+	struct publish_options o = { .common = { .store = NULL } };
 	GOptionEntry entries[] = {
-		OPTION_STORE(&o.store),
+		OPTION_STORE(&o.common.store),
 		{ "only", 0, 0, G_OPTION_ARG_NONE, &o.only,
 		  "Leave services that the files do not state as they are",
 		  NULL },
@@ -191,12 +175,12 @@
 		  NULL },
 		{ "base-epoch", 0, 0, G_OPTION_ARG_INT64, &o.base_epoch,
 		  "Refuse unless this epoch is in force", "EPOCH" },
-		OPTION_WHY(&o.why),
-		OPTION_WHO(&o.who),
-		OPTION_INSTANCES(&o.instances),
-		OPTION_WAIT(&o.wait),
-		OPTION_TIMEOUT(&o.timeout),
-		OPTION_FORMAT(&o.format),
+		OPTION_WHY(&o.common.why),
+		OPTION_WHO(&o.common.who),
+		OPTION_INSTANCES(&o.common.instances),
+		OPTION_WAIT(&o.common.wait),
+		OPTION_TIMEOUT(&o.common.timeout),
+		OPTION_FORMAT(&o.common.format),
 		G_OPTION_ENTRY_NULL
 	};
 	struct session *s = NULL;
@@ -205,7 +189,7 @@
 	argc = parse_command(argc, argv, entries, "FILE|DIR...",
 			     "Checks service files and puts them in force.");
 	if (argc && !check_options(&o, argc))
-		s = create_session(o.store);
+		s = create_session(o.common.store);
 	if (s)
 		code = publish(&o, s, (const char *const *)argv + 1,
 			       (size_t)argc - 1);
--- a/fleet/share.c
+++ b/fleet/share.c
@@ -55,20 +55,6 @@
 	return division_at(sh, sh->history->len - 1);
 }
 
-static GArray *live_members(const struct view *v)
-{
-	GArray *live = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-	const struct member *ms;
-	size_t nr;
-
-	ms = view_members(v, &nr);
-	for (size_t i = 0; i < nr; i++)
-		if (ms[i].state == MEMBER_ALIVE ||
-		    ms[i].state == MEMBER_SUSPECT)
-			g_array_append_val(live, ms[i].id);
-	return live;
-}
-
 static bool same_members(const GArray *a, const GArray *b)
 {
 	return a->len == b->len &&
@@ -78,7 +64,7 @@
 
 void update_shares(struct shares *sh, uint64_t now_ms)
 {
-	struct division next = { MAX(now_ms, 1), live_members(sh->view) };
+	struct division next = { MAX(now_ms, 1), list_live_members(sh->view) };
 
 	if (same_members(next.live, last_division(sh)->live)) {
 		g_array_free(next.live, TRUE);
--- a/fleet/view.c
+++ b/fleet/view.c
@@ -104,6 +104,20 @@
 	return m->state == MEMBER_ALIVE || m->state == MEMBER_SUSPECT;
 }
 
+GArray *list_live_members(const struct view *v)
+{
+	GArray *live = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+
+	for (guint i = 0; i < v->members->len; i++) {
+		const struct member *m =
+			&g_array_index(v->members, struct member, i);
+
+		if (is_live(m))
+			g_array_append_val(live, m->id);
+	}
+	return live;
+}
+
 size_t live_member_nr(const struct view *v)
 {
 	size_t n = 0;
--- a/fleet/view.h
+++ b/fleet/view.h
@@ -8,6 +8,7 @@
  * instances differ for a while after each change.
  */
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -65,6 +66,9 @@
 /* Number of members that are alive or suspect. */
 size_t live_member_nr(const struct view *v);
 
+/* Their ids, sorted; the caller unrefs the array of uint64_t. */
+GArray *list_live_members(const struct view *v);
+
 /*
  * False from start, and again from the moment this instance notices that it
  * was paused, until it has compared what it knows with a peer (or found none
--- a/flow/keepers.c
+++ b/flow/keepers.c
@@ -47,20 +47,6 @@
 	g_free(ks);
 }
 
-static GArray *list_live(const struct view *v)
-{
-	GArray *live = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-	const struct member *ms;
-	size_t nr;
-
-	ms = view_members(v, &nr);
-	for (size_t i = 0; i < nr; i++)
-		if (ms[i].state == MEMBER_ALIVE ||
-		    ms[i].state == MEMBER_SUSPECT)
-			g_array_append_val(live, ms[i].id);
-	return live;
-}
-
 static void note_change(struct keepers *ks, uint64_t id, bool came,
 			uint64_t now_ms)
 {
@@ -97,7 +83,7 @@
 
 bool update_keepers(struct keepers *ks, uint64_t now_ms)
 {
-	GArray *live = list_live(ks->view);
+	GArray *live = list_live_members(ks->view);
 
 	if (!note_changes(ks, ks->live, live, now_ms)) {
 		g_array_free(live, TRUE);
--- a/t/bench-fleet.c
+++ b/t/bench-fleet.c
@@ -6,9 +6,9 @@
 #include <malloc.h>
 #include <stdio.h>
 #include <string.h>
-#include <time.h>
 
 #include "fleet/internal.h"
+#include "t/benchmark.h"
 #include "t/fleet-world.h"
 
 #define DOMAIN_NR 7
@@ -58,30 +58,6 @@
 	uint32_t sequences[4096];
 };
 
-static struct member make_member(size_t i)
-{
-	struct member m = { .id = world_member_id(i),
-			    .peer_port = 7401,
-			    .incarnation = 1,
-			    .start = (uint32_t)i };
-
-	g_snprintf(m.name, sizeof(m.name), "in-%zu", i);
-	g_strlcpy(m.domain, world_domain(i % DOMAIN_NR), sizeof(m.domain));
-	m.address.family = 4;
-	m.address.ip[0] = 10;
-	m.address.ip[2] = (uint8_t)(i >> 8);
-	m.address.ip[3] = (uint8_t)i;
-	return m;
-}
-
-static double cpu_seconds(void)
-{
-	struct timespec ts;
-
-	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &ts);
-	return (double)ts.tv_sec + (double)ts.tv_nsec / 1e9;
-}
-
 /* Steps the fleet and counts what it sends; PINGS are remembered. */
 static void step(struct bench *b, const struct fleet_event *ev)
 {
@@ -385,7 +361,7 @@
 	b->rand = g_rand_new_with_seed(SEED);
 	b->members = g_new0(struct member, load->nr);
 	for (size_t i = 0; i < load->nr; i++)
-		b->members[i] = make_member(i);
+		b->members[i] = make_bench_member(i);
 	b->view = create_view(b->members[0].id);
 	b->fleet = create_fleet(&b->members[0], b->view, NULL, 0, SEED,
 				&b->counters);
--- a/t/bench-spread.c
+++ b/t/bench-spread.c
@@ -8,9 +8,9 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 #include "fleet/internal.h"
+#include "t/benchmark.h"
 #include "t/fleet-world.h"
 
 #define DOMAIN_NR 7
@@ -20,30 +20,6 @@
 #define ROUTINE_NR (FLEET_ROUTINE_LOCAL + FLEET_ROUTINE_CROSS)
 #define KILL_NR 20
 
-static struct member make_member(size_t i)
-{
-	struct member m = { .id = world_member_id(i),
-			    .peer_port = 7401,
-			    .incarnation = 1,
-			    .start = (uint32_t)i };
-
-	g_snprintf(m.name, sizeof(m.name), "in-%zu", i);
-	g_strlcpy(m.domain, world_domain(i % DOMAIN_NR), sizeof(m.domain));
-	m.address.family = 4;
-	m.address.ip[0] = 10;
-	m.address.ip[2] = (uint8_t)(i >> 8);
-	m.address.ip[3] = (uint8_t)i;
-	return m;
-}
-
-static double cpu_seconds(void)
-{
-	struct timespec ts;
-
-	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &ts);
-	return (double)ts.tv_sec + (double)ts.tv_nsec / 1e9;
-}
-
 /* What a newcomer of target size fetches from a peer, and how long. */
 static void print_join(void)
 {
@@ -118,7 +94,7 @@
 	struct fleet *f;
 
 	for (size_t i = 0; i < g->nr; i++) {
-		members[i] = make_member(i);
+		members[i] = make_bench_member(i);
 		put_member(view, &members[i]);
 	}
 	f = create_fleet(&members[0], view, NULL, 0, SEED, &counters);
