--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,8 @@
 B = build/$(VARIANT)
 
 PKGS = libuv libzmq glib-2.0 log4c inih libcurl jansson msgpack libxxhash
-ifneq ($(shell pkg-config --exists $(PKGS) && echo yes),yes)
+# Installs what is missing, once per call of make.
+ifeq ($(MAKELEVEL),0)
 $(shell .ci/install >&2)
 endif
 
