fleet, flow, request, config: state once who is live; drop what nobody calls

The rule 'alive or suspect' stood in view, health-probers, reader and links; is_live_member() in fleet/view.h serves all. delta_change_nr, domain_set_digest, mark_count with its counter, upstream_in_flight and slots_in_use had no caller.

--- a/config/delta.c
+++ b/config/delta.c
@@ -69,11 +69,6 @@
 	return d->to;
 }
 
-size_t delta_change_nr(const struct delta *d)
-{
-	return d->changed->len + d->removed->len;
-}
-
 /* True if D replaces or removes the service with ID. */
 static bool touches(const struct delta *d, uint64_t id)
 {
--- a/config/delta.h
+++ b/config/delta.h
@@ -19,9 +19,6 @@
 uint64_t delta_from(const struct delta *d); /* epoch it applies to */
 uint64_t delta_to(const struct delta *d);   /* epoch it leads to */
 
-/* Number of services that change, come or go. */
-size_t delta_change_nr(const struct delta *d);
-
 /*
  * The snapshot that D makes of BASE. NULL if BASE has another epoch than
  * delta_from() or the outcome is not what the sender had.
--- a/config/domains.c
+++ b/config/domains.c
@@ -1,7 +1,6 @@
 #include "config/domains.h"
 
 #include <string.h>
-#include <xxhash.h>
 
 #define DOMAIN_FIELD_NR 3
 
@@ -34,19 +33,6 @@
 	return true;
 }
 
-uint64_t domain_set_digest(const struct domain_set *ds)
-{
-	uint64_t sum = 0;
-
-	for (size_t i = 0; i < ds->nr; i++) {
-		const struct domain_record *rec = &ds->at[i];
-
-		sum += XXH64(rec->name, strlen(rec->name),
-			     rec->epoch * 2 + rec->out);
-	}
-	return sum;
-}
-
 void encode_domain_record(struct wire_writer *w,
 			  const struct domain_record *rec)
 {
--- a/config/domains.h
+++ b/config/domains.h
@@ -34,9 +34,6 @@
 const struct domain_record *find_domain(const struct domain_set *ds,
 					const char *name);
 
-/* Hash of all records, equal in sets that hold the same. */
-uint64_t domain_set_digest(const struct domain_set *ds);
-
 void encode_domain_record(struct wire_writer *w,
 			  const struct domain_record *rec);
 bool decode_domain_record(struct wire_reader *r, struct domain_record *rec);
--- a/fleet/health-probers.c
+++ b/fleet/health-probers.c
@@ -43,11 +43,6 @@
 	g_free(ps);
 }
 
-static bool is_live(const struct member *m)
-{
-	return m->state == MEMBER_ALIVE || m->state == MEMBER_SUSPECT;
-}
-
 static void add_live(struct probers *ps, const struct member *m)
 {
 	GArray *ids = g_hash_table_lookup(ps->domains, m->domain);
@@ -96,7 +91,7 @@
 		g_hash_table_add(seen, (gpointer)ms[i].domain);
 		if (ms[i].id == view_self(ps->view))
 			memcpy(ps->own, ms[i].domain, sizeof(ps->own));
-		if (is_live(&ms[i]))
+		if (is_live_member(&ms[i]))
 			add_live(ps, &ms[i]);
 	}
 	ps->fingerprint = make_fingerprint(ps, g_hash_table_size(seen));
@@ -113,7 +108,8 @@
 	ms = view_members(v, &nr);
 	h = nr;
 	for (size_t i = 0; i < nr; i++)
-		h = XXH64(&ms[i].id, sizeof(ms[i].id), h + is_live(&ms[i]));
+		h = XXH64(&ms[i].id, sizeof(ms[i].id),
+			  h + is_live_member(&ms[i]));
 	return h;
 }
 
--- a/fleet/links.c
+++ b/fleet/links.c
@@ -33,7 +33,7 @@
 
 	if (m->id == f->self.id || own == cross)
 		return false;
-	if (m->state != MEMBER_ALIVE && m->state != MEMBER_SUSPECT)
+	if (!is_live_member(m))
 		return false;
 	return !cross || (m->state == MEMBER_ALIVE && !is_avoided(f, m->id));
 }
--- a/fleet/reader.c
+++ b/fleet/reader.c
@@ -29,9 +29,7 @@
 		return true;
 	ms = view_members(v, &nr);
 	for (size_t i = 0; i < nr && above < READERS_PER_DOMAIN; i++)
-		if (ms[i].id != self->id &&
-		    (ms[i].state == MEMBER_ALIVE ||
-		     ms[i].state == MEMBER_SUSPECT) &&
+		if (ms[i].id != self->id && is_live_member(&ms[i]) &&
 		    !strcmp(ms[i].domain, self->domain))
 			above += outranks(&ms[i], self);
 	return above < READERS_PER_DOMAIN;
--- a/fleet/view.c
+++ b/fleet/view.c
@@ -99,7 +99,7 @@
 	v->settled = settled;
 }
 
-static bool is_live(const struct member *m)
+bool is_live_member(const struct member *m)
 {
 	return m->state == MEMBER_ALIVE || m->state == MEMBER_SUSPECT;
 }
@@ -112,7 +112,7 @@
 		const struct member *m =
 			&g_array_index(v->members, struct member, i);
 
-		if (is_live(m))
+		if (is_live_member(m))
 			g_array_append_val(live, m->id);
 	}
 	return live;
@@ -123,7 +123,8 @@
 	size_t n = 0;
 
 	for (guint i = 0; i < v->members->len; i++)
-		n += is_live(&g_array_index(v->members, struct member, i));
+		n += is_live_member(
+			&g_array_index(v->members, struct member, i));
 	return n;
 }
 
@@ -204,7 +205,7 @@
 			&g_array_index(v->members, struct member, i);
 		uint64_t weight = XXH64(&m->id, sizeof(m->id), key);
 
-		if (!is_live(m) || is_taken(out, nr, m, any_domain))
+		if (!is_live_member(m) || is_taken(out, nr, m, any_domain))
 			continue;
 		if (!best || weight > best_weight) {
 			best = m;
--- a/fleet/view.h
+++ b/fleet/view.h
@@ -63,7 +63,10 @@
 const struct member *view_members(const struct view *v, size_t *nr);
 const struct member *find_member(const struct view *v, uint64_t id);
 
-/* Number of members that are alive or suspect. */
+/* True if M is alive or suspect: a suspect still counts as live. */
+bool is_live_member(const struct member *m);
+
+/* Number of members that are live. */
 size_t live_member_nr(const struct view *v);
 
 /* Their ids, sorted; the caller unrefs the array of uint64_t. */
--- a/flow/marks.c
+++ b/flow/marks.c
@@ -4,7 +4,6 @@
 
 struct marks {
 	GHashTable *services; /* uint64_t id -> GArray of struct mark */
-	size_t count;
 };
 
 static void free_list(gpointer list)
@@ -63,7 +62,6 @@
 	if (!m) {
 		g_array_append_val(list, fresh);
 		m = &g_array_index(list, struct mark, list->len - 1);
-		ms->count++;
 	}
 	marked = m->until > now_ms;
 	if (marked && until < m->until + MARK_RENEW_MS)
@@ -117,14 +115,8 @@
 			if (g_array_index(list, struct mark, i).until > now_ms)
 				continue;
 			g_array_remove_index_fast(list, i);
-			ms->count--;
 		}
 		if (!list->len)
 			g_hash_table_iter_remove(&it);
 	}
 }
-
-size_t mark_count(const struct marks *ms)
-{
-	return ms->count;
-}
--- a/flow/marks.h
+++ b/flow/marks.h
@@ -45,6 +45,4 @@
 /* Forgets what has expired. */
 void expire_marks(struct marks *ms, uint64_t now_ms);
 
-size_t mark_count(const struct marks *ms);
-
 #endif
--- a/request/requests.c
+++ b/request/requests.c
@@ -79,11 +79,6 @@
 	return handle_count(rs->open);
 }
 
-uint32_t upstream_in_flight(const struct requests *rs, uint64_t upstream)
-{
-	return slots_in_use(rs->slots, upstream);
-}
-
 void release_request_actions(struct request_actions *as)
 {
 	for (size_t i = 0; i < as->nr; i++)
--- a/request/requests.h
+++ b/request/requests.h
@@ -153,7 +153,4 @@
 /* Requests that have no final answer yet. */
 size_t open_request_nr(const struct requests *rs);
 
-/* Requests in flight from this instance at UPSTREAM. */
-uint32_t upstream_in_flight(const struct requests *rs, uint64_t upstream);
-
 #endif
--- a/request/slots.c
+++ b/request/slots.c
@@ -137,14 +137,6 @@
 	return r->in_flight + r->lingering->len;
 }
 
-uint32_t slots_in_use(const struct slots *ss, uint64_t upstream)
-{
-	const struct slot_record *r =
-		g_hash_table_lookup(ss->records, &upstream);
-
-	return r ? in_use(r) : 0;
-}
-
 /* An upstream that bears less than when it is warm. */
 static bool is_cold(const struct slots *ss, const struct upstream *up,
 		    uint32_t limit)
--- a/request/slots.h
+++ b/request/slots.h
@@ -77,9 +77,6 @@
 void give_slot_back(struct slots *ss, const struct taken_slot *t,
 		    enum slot_end end, uint64_t runs_until_ms, uint64_t now_ms);
 
-/* Requests in flight from this instance, those cancelled included. */
-uint32_t slots_in_use(const struct slots *ss, uint64_t upstream);
-
 /* UPSTREAM reported that RUNNING of its SLOTS are in use. */
 void note_load(struct slots *ss, uint64_t upstream, uint32_t running,
 	       uint32_t slots, uint64_t now_ms);
