--- a/Makefile
+++ b/Makefile
@@ -16,8 +16,8 @@
 B = build/$(VARIANT)
 
 PKGS = libuv libzmq glib-2.0 log4c inih libcurl jansson msgpack libxxhash
-# Installs what is missing, once per call of make.
-ifeq ($(MAKELEVEL),0)
+# Installs what is missing, once per call of make, unless NO_INSTALL is set.
+ifeq ($(MAKELEVEL)$(NO_INSTALL),0)
 $(shell .ci/install >&2)
 endif
 
@@ -32,7 +32,7 @@
 LDLIBS = $(shell pkg-config --libs $(PKGS)) -lhttp_parser -lm
 
 LIB_DIRS = base config fleet flow request charts
-NET_DIRS = store net
+NET_DIRS = store net platform
 LIB_SRC = $(wildcard $(addsuffix /*.c,$(LIB_DIRS)))
 NET_SRC = $(wildcard $(addsuffix /*.c,$(NET_DIRS)))
 BUILTIN_SRC = $(wildcard builtin/*.c)
@@ -142,7 +142,7 @@
 clean:
 	rm -rf build
 
--include $(shell find build/$(VARIANT) -name '*.d' 2>/dev/null)
+-include $(shell find $(B) -name '*.d' 2>/dev/null)
 
 .PHONY: all docs tests test bench capacity demo format lint lint-format \
 	lint-tidy lint-cppcheck install clean
--- a/baobabvalved.c
+++ b/baobabvalved.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 
 #include "net/daemon.h"
+#include "net/edge.h"
 #include "net/files.h"
 #include "net/log.h"
 
@@ -56,7 +57,9 @@
 		if (read_settings(path, &settings)) {
 			signal(SIGPIPE, SIG_IGN);
 			open_log();
-			code = run_daemon(&settings);
+			code = settings.steering == STEER_BY_COOKIE ?
+				       run_edge(path, &settings) :
+				       run_daemon(&settings);
 			close_log();
 		}
 	}
--- /dev/null
+++ b/config/catalog.c
@@ -0,0 +1,455 @@
+#include "config/catalog.h"
+
+#include <string.h>
+
+#define UPSTREAMS_MAX 65000 /* handles have 16 bits */
+
+struct domain {
+	char *name;
+	bool out;
+};
+
+struct catalog {
+	uint64_t flow_ttl_ms;
+	uint64_t version;
+	uint32_t idle_ms;
+	GArray *routes;		 /* of struct catalog_route, sorted */
+	GPtrArray *upstreams;	 /* of struct catalog_upstream */
+	GHashTable *by_name;	 /* name -> handle + 1 */
+	GHashTable *by_cookie;	 /* cookie -> handle + 1 */
+	GPtrArray *services;	 /* of struct catalog_service */
+	GHashTable *service_nrs; /* name -> handle + 1 */
+	GArray *domains;	 /* of struct domain */
+};
+
+static void free_service(gpointer data)
+{
+	struct catalog_service *sv = data;
+
+	g_array_free(sv->upstreams, TRUE);
+	g_free(sv);
+}
+
+static void free_routes(GArray *routes)
+{
+	if (!routes)
+		return;
+	for (guint i = 0; i < routes->len; i++)
+		g_free(g_array_index(routes, struct catalog_route, i).shares);
+	g_array_free(routes, TRUE);
+}
+
+struct catalog *create_catalog(uint64_t flow_ttl_ms)
+{
+	struct catalog *c = g_new0(struct catalog, 1);
+
+	c->flow_ttl_ms = flow_ttl_ms;
+	c->upstreams = g_ptr_array_new_with_free_func(g_free);
+	c->by_name = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					   NULL);
+	c->by_cookie = g_hash_table_new(NULL, NULL);
+	c->services = g_ptr_array_new_with_free_func(free_service);
+	c->service_nrs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					       NULL);
+	c->domains = g_array_new(FALSE, FALSE, sizeof(struct domain));
+	return c;
+}
+
+void destroy_catalog(struct catalog *c)
+{
+	if (!c)
+		return;
+	free_routes(c->routes);
+	g_ptr_array_free(c->upstreams, TRUE);
+	g_hash_table_destroy(c->by_name);
+	g_hash_table_destroy(c->by_cookie);
+	g_ptr_array_free(c->services, TRUE);
+	g_hash_table_destroy(c->service_nrs);
+	for (guint i = 0; i < c->domains->len; i++)
+		g_free(g_array_index(c->domains, struct domain, i).name);
+	g_array_free(c->domains, TRUE);
+	g_free(c);
+}
+
+uint32_t make_cookie(uint64_t id)
+{
+	uint32_t cookie = (uint32_t)(id ^ (id >> 32));
+
+	return cookie ? cookie : 1;
+}
+
+service_nr_t intern_service(struct catalog *c, const char *name)
+{
+	guint known =
+		GPOINTER_TO_UINT(g_hash_table_lookup(c->service_nrs, name));
+	struct catalog_service *sv;
+
+	if (known)
+		return (service_nr_t)(known - 1);
+	if (c->services->len >= UPSTREAMS_MAX)
+		return CATALOG_NONE;
+	sv = g_new0(struct catalog_service, 1);
+	g_strlcpy(sv->name, name, sizeof(sv->name));
+	sv->upstreams = g_array_new(FALSE, FALSE, sizeof(upstream_nr_t));
+	g_ptr_array_add(c->services, sv);
+	g_hash_table_insert(c->service_nrs, g_strdup(name),
+			    GUINT_TO_POINTER(c->services->len));
+	return (service_nr_t)(c->services->len - 1);
+}
+
+domain_nr_t intern_domain(struct catalog *c, const char *name)
+{
+	struct domain d = { g_strdup(name), false };
+
+	for (guint i = 0; i < c->domains->len; i++) {
+		if (strcmp(g_array_index(c->domains, struct domain, i).name,
+			   name))
+			continue;
+		g_free(d.name);
+		return (domain_nr_t)i;
+	}
+	if (c->domains->len >= UPSTREAMS_MAX) {
+		g_free(d.name);
+		return CATALOG_NONE;
+	}
+	g_array_append_val(c->domains, d);
+	return (domain_nr_t)(c->domains->len - 1);
+}
+
+static int compare_address(uint32_t a_ip, uint16_t a_port, uint32_t b_ip,
+			   uint16_t b_port)
+{
+	if (a_ip != b_ip)
+		return a_ip < b_ip ? -1 : 1;
+	return (int)a_port - (int)b_port;
+}
+
+static int compare_routes(const void *a, const void *b)
+{
+	const struct catalog_route *x = a;
+	const struct catalog_route *y = b;
+
+	return compare_address(x->ip, x->port, y->ip, y->port);
+}
+
+bool set_catalog_routes(struct catalog *c, uint64_t version, GArray *routes,
+			uint32_t idle_ms)
+{
+	if (version <= c->version) {
+		free_routes(routes);
+		return false;
+	}
+	g_array_sort(routes, compare_routes);
+	free_routes(c->routes);
+	c->routes = routes;
+	c->version = version;
+	c->idle_ms = idle_ms;
+	for (guint i = 0; i < c->services->len; i++) {
+		struct catalog_service *sv = g_ptr_array_index(c->services, i);
+
+		sv->listed = false;
+	}
+	return true;
+}
+
+void set_catalog_service(struct catalog *c, service_nr_t nr,
+			 const struct catalog_service *settings)
+{
+	struct catalog_service *sv = g_ptr_array_index(c->services, nr);
+
+	memcpy(sv->health_path, settings->health_path,
+	       sizeof(sv->health_path));
+	sv->cold_ms = settings->cold_ms;
+	sv->cold_per_s = settings->cold_per_s;
+	sv->connections = settings->connections;
+	sv->listed = true;
+}
+
+static struct catalog_upstream *upstream_at(const struct catalog *c,
+					    upstream_nr_t nr)
+{
+	return g_ptr_array_index(c->upstreams, nr);
+}
+
+/* Brings by_cookie and AMBIGUOUS up to date for all that share COOKIE. */
+static void settle_cookie(struct catalog *c, uint32_t cookie)
+{
+	struct catalog_upstream *first = NULL;
+	guint first_nr = 0;
+
+	for (guint i = 0; i < c->upstreams->len; i++) {
+		struct catalog_upstream *up = upstream_at(c, (upstream_nr_t)i);
+
+		if (!up || up->cookie != cookie)
+			continue;
+		if (!first || up->report.id < first->report.id) {
+			if (first)
+				first->ambiguous = true;
+			first = up;
+			first_nr = i;
+		} else {
+			up->ambiguous = true;
+		}
+	}
+	if (!first) {
+		g_hash_table_remove(c->by_cookie, GUINT_TO_POINTER(cookie));
+		return;
+	}
+	first->ambiguous = false;
+	g_hash_table_insert(c->by_cookie, GUINT_TO_POINTER(cookie),
+			    GUINT_TO_POINTER(first_nr + 1));
+}
+
+static void leave_service(struct catalog *c, upstream_nr_t nr)
+{
+	struct catalog_service *sv =
+		g_ptr_array_index(c->services, upstream_at(c, nr)->service);
+
+	for (guint i = 0; i < sv->upstreams->len; i++)
+		if (g_array_index(sv->upstreams, upstream_nr_t, i) == nr) {
+			g_array_remove_index_fast(sv->upstreams, i);
+			return;
+		}
+}
+
+static void join_service(struct catalog *c, upstream_nr_t nr,
+			 service_nr_t service)
+{
+	struct catalog_service *sv = g_ptr_array_index(c->services, service);
+
+	upstream_at(c, nr)->service = service;
+	g_array_append_val(sv->upstreams, nr);
+}
+
+/* A free place in the table; CATALOG_NONE if there is none. */
+static upstream_nr_t free_place(struct catalog *c)
+{
+	for (guint i = 0; i < c->upstreams->len; i++)
+		if (!g_ptr_array_index(c->upstreams, i))
+			return (upstream_nr_t)i;
+	if (c->upstreams->len >= UPSTREAMS_MAX)
+		return CATALOG_NONE;
+	g_ptr_array_add(c->upstreams, NULL);
+	return (upstream_nr_t)(c->upstreams->len - 1);
+}
+
+static upstream_nr_t add_upstream_entry(struct catalog *c,
+					const struct upstream_report *r,
+					service_nr_t service)
+{
+	upstream_nr_t nr = free_place(c);
+	struct catalog_upstream *up;
+
+	if (nr == CATALOG_NONE)
+		return nr;
+	up = g_new0(struct catalog_upstream, 1);
+	up->report = *r;
+	up->cookie = make_cookie(r->id);
+	g_ptr_array_index(c->upstreams, nr) = up;
+	g_hash_table_insert(c->by_name, g_strdup(r->name),
+			    GUINT_TO_POINTER(nr + 1));
+	join_service(c, nr, service);
+	settle_cookie(c, up->cookie);
+	return nr;
+}
+
+static upstream_nr_t find_by_name(const struct catalog *c, const char *name)
+{
+	guint known = GPOINTER_TO_UINT(g_hash_table_lookup(c->by_name, name));
+
+	return known ? (upstream_nr_t)(known - 1) : CATALOG_NONE;
+}
+
+/* True if R comes from another start of the process than what is known. */
+static bool is_new_start(const struct upstream_report *old,
+			 const struct upstream_report *r)
+{
+	return old->start_ms && r->start_ms && old->start_ms != r->start_ms;
+}
+
+upstream_nr_t put_catalog_upstream(struct catalog *c,
+				   const struct upstream_report *r,
+				   uint64_t revision, uint64_t now_ms)
+{
+	service_nr_t service = intern_service(c, r->service);
+	domain_nr_t domain = intern_domain(c, r->domain);
+	upstream_nr_t nr = find_by_name(c, r->name);
+	struct catalog_upstream *up;
+
+	if (service == CATALOG_NONE || domain == CATALOG_NONE)
+		return CATALOG_NONE;
+	if (nr == CATALOG_NONE)
+		nr = add_upstream_entry(c, r, service);
+	if (nr == CATALOG_NONE)
+		return nr;
+	up = upstream_at(c, nr);
+	if (up->service != service) {
+		leave_service(c, nr);
+		join_service(c, nr, service);
+	}
+	if (is_new_start(&up->report, r))
+		up->starts++;
+	up->report = *r;
+	up->domain = domain;
+	up->listed = true;
+	up->gone_ms = 0;
+	up->revision = revision;
+	up->learned_ms = now_ms;
+	up->cold_until_ms = r->cold_ms ? now_ms + r->cold_ms : 0;
+	return nr;
+}
+
+upstream_nr_t remove_catalog_upstream(struct catalog *c, const char *name,
+				      uint64_t now_ms)
+{
+	upstream_nr_t nr = find_by_name(c, name);
+	struct catalog_upstream *up;
+
+	if (nr == CATALOG_NONE)
+		return nr;
+	up = upstream_at(c, nr);
+	if (!up->listed)
+		return CATALOG_NONE;
+	up->listed = false;
+	up->gone_ms = now_ms;
+	return nr;
+}
+
+void set_catalog_domain_out(struct catalog *c, const char *domain, bool out,
+			    uint64_t doubt_ms, uint64_t now_ms)
+{
+	domain_nr_t nr = intern_domain(c, domain);
+	struct domain *d;
+
+	if (nr == CATALOG_NONE)
+		return;
+	d = &g_array_index(c->domains, struct domain, nr);
+	if (d->out && !out) {
+		for (guint i = 0; i < c->upstreams->len; i++) {
+			struct catalog_upstream *up =
+				upstream_at(c, (upstream_nr_t)i);
+
+			if (up && up->domain == nr)
+				up->cold_until_ms = MAX(up->cold_until_ms,
+							now_ms + doubt_ms);
+		}
+	}
+	d->out = out;
+}
+
+static void forget_upstream(struct catalog *c, upstream_nr_t nr)
+{
+	struct catalog_upstream *up = upstream_at(c, nr);
+	uint32_t cookie = up->cookie;
+
+	leave_service(c, nr);
+	g_hash_table_remove(c->by_name, up->report.name);
+	g_free(up);
+	g_ptr_array_index(c->upstreams, nr) = NULL;
+	settle_cookie(c, cookie);
+}
+
+void expire_catalog(struct catalog *c, uint64_t now_ms)
+{
+	for (guint i = 0; i < c->upstreams->len; i++) {
+		const struct catalog_upstream *up =
+			upstream_at(c, (upstream_nr_t)i);
+
+		if (up && up->gone_ms && now_ms - up->gone_ms > c->flow_ttl_ms)
+			forget_upstream(c, (upstream_nr_t)i);
+	}
+}
+
+uint64_t catalog_version(const struct catalog *c)
+{
+	return c->version;
+}
+
+uint32_t catalog_idle_ms(const struct catalog *c)
+{
+	return c->idle_ms;
+}
+
+const struct catalog_route *find_catalog_route(const struct catalog *c,
+					       uint32_t ip, uint16_t port)
+{
+	guint low = 0;
+	guint high = c->routes ? c->routes->len : 0;
+
+	while (low < high) {
+		guint mid = low + (high - low) / 2;
+		const struct catalog_route *r =
+			&g_array_index(c->routes, struct catalog_route, mid);
+		int order = compare_address(r->ip, r->port, ip, port);
+
+		if (!order)
+			return r;
+		if (order < 0)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	return NULL;
+}
+
+size_t catalog_route_nr(const struct catalog *c)
+{
+	return c->routes ? c->routes->len : 0;
+}
+
+upstream_nr_t find_by_cookie(const struct catalog *c, uint32_t cookie)
+{
+	guint known = GPOINTER_TO_UINT(
+		g_hash_table_lookup(c->by_cookie, GUINT_TO_POINTER(cookie)));
+
+	return known ? (upstream_nr_t)(known - 1) : CATALOG_NONE;
+}
+
+const struct catalog_upstream *get_upstream(const struct catalog *c,
+					    upstream_nr_t nr)
+{
+	return nr < c->upstreams->len ? upstream_at(c, nr) : NULL;
+}
+
+size_t catalog_upstream_nr(const struct catalog *c)
+{
+	return c->upstreams->len;
+}
+
+const struct catalog_service *get_service(const struct catalog *c,
+					  service_nr_t nr)
+{
+	return nr < c->services->len ? g_ptr_array_index(c->services, nr) :
+				       NULL;
+}
+
+size_t catalog_service_nr(const struct catalog *c)
+{
+	return c->services->len;
+}
+
+const char *domain_name(const struct catalog *c, domain_nr_t nr)
+{
+	return g_array_index(c->domains, struct domain, nr).name;
+}
+
+bool is_catalog_domain_out(const struct catalog *c, domain_nr_t nr)
+{
+	return g_array_index(c->domains, struct domain, nr).out;
+}
+
+bool accepts_flows(const struct catalog *c, upstream_nr_t nr)
+{
+	const struct catalog_upstream *up = get_upstream(c, nr);
+
+	return up && up->listed && !up->report.draining && !up->ambiguous &&
+	       !is_catalog_domain_out(c, up->domain);
+}
+
+bool is_cold_upstream(const struct catalog *c, upstream_nr_t nr,
+		      uint64_t now_ms)
+{
+	const struct catalog_upstream *up = get_upstream(c, nr);
+
+	return up && now_ms < up->cold_until_ms;
+}
--- a/config/settings.c
+++ b/config/settings.c
@@ -11,6 +11,10 @@
 #define FLOW_PORT_DEFAULT 6080 /* the port that IANA assigned to GUE */
 #define STOP_MS_DEFAULT 30000
 #define STOP_MS_MAX (30 * 60 * 1000)
+#define BOUND_MS_MAX (60 * 60 * 1000)
+#define HEARTBEAT_MS_DEFAULT 1200
+#define FLOW_TTL_MS_DEFAULT 60000
+#define BOUND_STOP_MS_DEFAULT 6000
 
 struct settings_draft {
 	const char *file;
@@ -106,9 +110,58 @@
 			  "stop-timeout");
 }
 
+static enum status_kind take_steering(const char *value, struct settings *s,
+				      struct status *st)
+{
+	if (!strcmp(value, "cookie"))
+		s->steering = STEER_BY_COOKIE;
+	else if (!strcmp(value, "slot"))
+		s->steering = STEER_BY_SLOT;
+	else
+		return set_status(st, STATUS_INVALID,
+				  "is 'slot' or 'cookie', not '%s'", value);
+	return STATUS_OK;
+}
+
+static enum status_kind take_listen_key(struct settings *s, const char *key,
+					const char *value, struct status *st)
+{
+	if (!strcmp(key, "packets"))
+		return parse_endpoint(value, &s->packets, st);
+	if (!strcmp(key, "ready"))
+		return parse_endpoint(value, &s->ready, st);
+	if (!strcmp(key, "metrics"))
+		return *value ? parse_endpoint(value, &s->metrics, st)
+			      : STATUS_OK;
+	return set_status(st, STATUS_NOT_FOUND,
+			  "unknown key; known are packets, ready, metrics");
+}
+
+static enum status_kind take_bound_key(struct steering_bounds *b,
+				       const char *key, const char *value,
+				       struct status *st)
+{
+	if (!strcmp(key, "heartbeat"))
+		return parse_duration(value, BOUND_MS_MAX, &b->heartbeat_ms,
+				      st);
+	if (!strcmp(key, "flow-lifetime"))
+		return parse_duration(value, BOUND_MS_MAX, &b->flow_ttl_ms, st);
+	if (!strcmp(key, "stop"))
+		return parse_duration(value, BOUND_MS_MAX, &b->stop_ms, st);
+	return set_status(st, STATUS_NOT_FOUND,
+			  "unknown key; known are heartbeat, flow-lifetime, "
+			  "stop");
+}
+
 static enum status_kind
 take_setting(struct settings *s, const struct ini_entry *e, struct status *st)
 {
+	if (!strcmp(e->section, "listen"))
+		return take_listen_key(s, e->key, e->value, st);
+	if (!strcmp(e->section, "bounds"))
+		return take_bound_key(&s->bounds, e->key, e->value, st);
+	if (!strcmp(e->section, "flows") && !strcmp(e->key, "steering"))
+		return take_steering(e->value, s, st);
 	if (!strcmp(e->section, "instance"))
 		return take_instance_key(s, e->key, e->value, st);
 	if (!strcmp(e->section, "store") && !strcmp(e->key, "endpoints"))
@@ -118,7 +171,8 @@
 	if (!strcmp(e->section, "peers") && !strcmp(e->key, "seeds"))
 		return take_list(e->value, &s->seeds, st);
 	return set_status(st, STATUS_NOT_FOUND,
-			  "unknown; known are [instance], [store] endpoints, "
+			  "unknown; known are [instance], [listen], [bounds], "
+			  "[flows] steering, [store] endpoints, "
 			  "[source] directory and [peers] seeds");
 }
 
@@ -146,6 +200,11 @@
 		add_problem(d->ps, d->file, 0,
 			    "one of [store] endpoints and [source] directory "
 			    "is needed");
+	if (s->steering == STEER_BY_COOKIE &&
+	    (!s->packets.family || !s->ready.family || !s->store.nr))
+		add_problem(d->ps, d->file, 0,
+			    "[flows] steering = cookie needs [listen] packets "
+			    "and ready, and [store] endpoints");
 	if (s->store.nr && s->directory[0])
 		add_problem(d->ps, d->file, 0,
 			    "[store] endpoints and [source] directory exclude "
@@ -163,6 +222,9 @@
 	s->peer_port = PEER_PORT_DEFAULT;
 	s->flow_port = FLOW_PORT_DEFAULT;
 	s->stop_ms = STOP_MS_DEFAULT;
+	s->bounds.heartbeat_ms = HEARTBEAT_MS_DEFAULT;
+	s->bounds.flow_ttl_ms = FLOW_TTL_MS_DEFAULT;
+	s->bounds.stop_ms = BOUND_STOP_MS_DEFAULT;
 	read_ini(file, text, len, take_settings_entry, &d, ps);
 	if (problem_count(ps) == before)
 		check_settings(&d);
--- a/config/settings.h
+++ b/config/settings.h
@@ -20,6 +20,19 @@
 	size_t nr;
 };
 
+/* How packets of flows reach this instance and leave it. */
+enum steering {
+	STEER_BY_SLOT, /* GUE around IP packets; see flow/flows.h */
+	STEER_BY_COOKIE /* the flow's cookie names its upstream; flow/cookie.h */
+};
+
+/* Bounds that hold for steering by cookie; see docs/OPERATORS.md. */
+struct steering_bounds {
+	uint32_t heartbeat_ms;	/* upstreams renew their entries so often */
+	uint32_t flow_ttl_ms;	/* no flow is older */
+	uint32_t stop_ms;	/* killed so long after SIGTERM */
+};
+
 struct settings {
 	char name[CONFIG_NAME_MAX];
 	char domain[CONFIG_NAME_MAX];
@@ -29,6 +42,11 @@
 	uint16_t flow_port;	 /* UDP encapsulation */
 	uint32_t stop_ms;	 /* longest a graceful stop may take */
 	bool bind_service;	 /* listen at the service's own address */
+	enum steering steering;
+	struct endpoint packets; /* UDP; callers' packets arrive here */
+	struct endpoint ready;	 /* HTTP; whether packets may be sent here */
+	struct endpoint metrics; /* HTTP; counters as text */
+	struct steering_bounds bounds;
 	struct endpoint_list store;
 	struct endpoint_list seeds; /* peer endpoints known at start */
 	char directory[256];	    /* local service files; "" if none */
--- /dev/null
+++ b/flow/placing.h
@@ -0,0 +1,135 @@
+#ifndef FLOW_PLACING_H
+#define FLOW_PLACING_H
+
+/*
+ * Which upstream a new flow goes to, from what the instances have seen of the
+ * flows themselves: requests in flight, flows open, signs of life and of
+ * silence. Answers the load of many short flows beside long ones with pauses
+ * between their requests. No I/O.
+ *
+ * Rules, in this order:
+ *  - only upstreams that the catalog lets take flows, are not known dead and
+ *    were not tried for this flow before;
+ *  - a cold upstream gets at most this instance's share of what it bears;
+ *  - those without an open doubt go before those with one;
+ *  - the least expected load for its slots, the own failure domain ahead by
+ *    PLACING_FAR_COST.
+ */
+
+#include "base/counters.h"
+#include "config/catalog.h"
+#include "fleet/load.h"
+#include "fleet/share.h"
+#include "fleet/view.h"
+
+/*
+ * What the way to another failure domain costs, in requests in flight for
+ * each slot: two more messages between domains, and priced bytes.
+ */
+#define PLACING_FAR_COST 0.7
+
+#define PLACING_PEER_MS 1000 /* a peer's sums are used for so long */
+#define PLACING_TICK_MS 50
+
+/*
+ * A cold upstream's bound holds for any second; arrivals may be closer
+ * together than departures by the jitter of the way.
+ */
+#define PLACING_COLD_WINDOW_MS 1150
+#define PLACING_COLD_MAX 64 /* flows a second to one cold upstream, at most */
+
+/* Waiting between a doubt and the check that settles it. */
+#define PLACING_DOUBT_MS 60
+#define PLACING_CHECK_AGAIN_MS 500 /* after a check without a verdict */
+#define PLACING_DEAD_AGAIN_MS 2000 /* after one that found it dead */
+#define PLACING_UNREACHABLE_NR 2   /* checks in vain before it counts as dead */
+
+/* What a check of an upstream found. */
+enum check_result {
+	CHECK_GOOD,	   /* it answered that it is well */
+	CHECK_BAD,	   /* it answered that it is not */
+	CHECK_SILENT,	   /* it took the question and did not answer */
+	CHECK_REFUSED,	   /* nothing listens there */
+	CHECK_UNREACHABLE, /* no connection in time */
+	CHECK_RESULT_NR
+};
+
+struct placing;
+
+struct placing *create_placing(const struct catalog *cat,
+			       const struct view *view, struct shares *shares,
+			       const char *domain, uint32_t seed);
+void destroy_placing(struct placing *pl);
+
+/* Takes in the catalog's news about upstream NR. */
+void update_placing(struct placing *pl, upstream_nr_t nr, uint64_t now_ms);
+
+/* Why place_flow() chose as it did. */
+enum place_reason {
+	PLACE_LEAST_LOADED,
+	PLACE_COLD,	   /* a cold one, within this instance's share */
+	PLACE_DOUBTED,	   /* all others are worse */
+	PLACE_NONE_LISTED, /* the service has no upstream that takes flows */
+	PLACE_ALL_DEAD,	   /* none of them can be reached */
+	PLACE_ALL_COLD,	   /* all are cold and this instance's share is used */
+	PLACE_OVERLOADED,  /* no one could answer before the deadline */
+	PLACE_REASON_NR
+};
+
+struct placement {
+	upstream_nr_t upstream; /* CATALOG_NONE: refuse the flow */
+	enum place_reason reason;
+	double load; /* expected requests in flight for each of its slots */
+};
+
+/*
+ * Chooses for one flow of SERVICE whose request must be answered within
+ * DEADLINE_MS. TRIED are the TRIED_NR upstreams that did not answer it.
+ */
+struct placement place_new_flow(struct placing *pl, service_nr_t service,
+				uint32_t deadline_ms,
+				const upstream_nr_t *tried, size_t tried_nr,
+				uint64_t now_ms);
+
+/* What the flows that this instance carries show. */
+void note_flow_open(struct placing *pl, upstream_nr_t nr);
+void note_flow_end(struct placing *pl, upstream_nr_t nr);
+void note_request(struct placing *pl, upstream_nr_t nr);
+void note_request_end(struct placing *pl, upstream_nr_t nr);
+
+/* An answer to something came TOOK_MS after it was sent. */
+void note_answer(struct placing *pl, upstream_nr_t nr, uint64_t took_ms,
+		 uint64_t now_ms);
+void note_life(struct placing *pl, upstream_nr_t nr, uint64_t now_ms);
+
+/* What was first sent at SENT_MS has no answer, though one was due. */
+void note_silence(struct placing *pl, upstream_nr_t nr, uint64_t sent_ms,
+		  uint64_t now_ms);
+
+/* True if NR has shown life since SINCE_MS, here or at a peer. */
+bool has_lived_since(const struct placing *pl, upstream_nr_t nr,
+		     uint64_t since_ms);
+
+/* Replaces what instance MEMBER said before. */
+void take_peer_loads(struct placing *pl, uint64_t member,
+		     const struct load_row *rows, size_t nr, uint64_t now_ms);
+
+/* Appends rows (struct load_row) for the peers. */
+void list_own_loads(const struct placing *pl, uint64_t now_ms, GArray *rows);
+
+/*
+ * Forgets peers that are silent. Upstreams that are to be checked now are
+ * appended to CHECKS (of upstream_nr_t).
+ */
+void tick_placing(struct placing *pl, uint64_t now_ms, GArray *checks);
+
+/* The check that tick_placing() asked for has ended. */
+void note_check(struct placing *pl, upstream_nr_t nr, enum check_result result,
+		uint64_t now_ms);
+
+enum upstream_health placing_health(const struct placing *pl,
+				    upstream_nr_t nr);
+const char *place_reason_name(enum place_reason r);
+const char *check_result_name(enum check_result r);
+
+#endif
--- /dev/null
+++ b/net/edge-store.c
@@ -0,0 +1,323 @@
+/* The store's entries as this instance follows them, and its own entry. */
+
+#include <string.h>
+
+#include "base/wire.h"
+#include "net/edge-state.h"
+#include "platform/records.h"
+
+/* Others find a fresh instance by its entry; beacons tell who lives. */
+#define ENTRY_LEASE_S 60
+#define ENTRY_RENEW_MS 20000 /* a third of the lease */
+#define ENTRY_RETRY_MS 2000  /* after a call that failed */
+
+/*
+ * An upstream that turned cold while its domain was out says so with its next
+ * heartbeat; a second one in case the first is lost, and the way here.
+ */
+#define DOUBT_HEARTBEATS 2
+#define DOUBT_SLACK_MS 200
+
+static void take_upstream(struct edge *e, const char *name,
+			  const struct mirror_action *a)
+{
+	struct upstream_report r;
+	struct status st;
+	upstream_nr_t nr;
+	char at[ENDPOINT_TEXT_MAX];
+
+	if (read_upstream_entry(name, a->value, a->len, &r, &st) != STATUS_OK) {
+		log_event(e->log, EVENT_UPSTREAM_INVALID,
+			  "upstream=%.64s revision=%llu why=\"%s\"", name,
+			  (unsigned long long)a->revision, st.message);
+		count(&e->counters, COUNT_CONFIG_CORRUPT);
+		nr = remove_catalog_upstream(e->catalog, name, e->now_ms);
+	} else {
+		nr = put_catalog_upstream(e->catalog, &r, a->revision,
+					  e->now_ms);
+		log_event(e->log, EVENT_UPSTREAM,
+			  "upstream=%s service=%s domain=%s address=%s "
+			  "state=%s cold_ms=%u start_ms=%llu revision=%llu",
+			  name, r.service, r.domain,
+			  format_endpoint(&r.address, at),
+			  r.draining ? "draining" : "ready", r.cold_ms,
+			  (unsigned long long)r.start_ms,
+			  (unsigned long long)a->revision);
+	}
+	if (nr != CATALOG_NONE)
+		update_placing(e->placing, nr, e->now_ms);
+}
+
+static void take_routes(struct edge *e, const struct mirror_action *a)
+{
+	GArray *resets;
+	struct status st;
+	enum status_kind kind =
+		read_operator_routes(e->catalog, a->value, a->len, &st);
+
+	if (kind != STATUS_OK) {
+		log_event(e->log, EVENT_ROUTES_REFUSED,
+			  "revision=%llu in_force=%llu why=\"%s\"",
+			  (unsigned long long)a->revision,
+			  (unsigned long long)catalog_version(e->catalog),
+			  st.message);
+		count(&e->counters, kind == STATUS_CONFLICT ?
+					    COUNT_CONFIG_STALE :
+					    COUNT_CONFIG_CORRUPT);
+		return;
+	}
+	count(&e->counters, COUNT_CONFIG_APPLIED);
+	log_event(e->log, EVENT_ROUTES, "version=%llu revision=%llu routes=%zu",
+		  (unsigned long long)catalog_version(e->catalog),
+		  (unsigned long long)a->revision,
+		  catalog_route_nr(e->catalog));
+	resets = g_array_new(FALSE, FALSE, sizeof(struct cookie_reset));
+	end_routeless_flows(e->steering, e->now_ms, resets);
+	send_edge_resets(e, resets);
+	g_array_free(resets, TRUE);
+}
+
+static void take_domain(struct edge *e, const char *name, bool out,
+			uint64_t revision)
+{
+	uint64_t doubt =
+		(uint64_t)DOUBT_HEARTBEATS * e->settings.bounds.heartbeat_ms +
+		DOUBT_SLACK_MS;
+
+	set_catalog_domain_out(e->catalog, name, out, doubt, e->now_ms);
+	log_event(e->log, EVENT_DOMAIN, "domain=%s out=%d revision=%llu", name,
+		  out, (unsigned long long)revision);
+}
+
+static void take_instance(struct edge *e, const struct mirror_action *a)
+{
+	struct wire_message msg;
+	struct wire_reader r;
+	struct endpoint at;
+
+	if (open_wire(&msg, &r, a->value, a->len)) {
+		take_endpoint(&r, &at);
+		if (!r.bad && at.family == 4)
+			add_beacon_address(e->beacons, &at);
+	}
+	release_wire(&msg);
+}
+
+static void take_change(struct edge *e, const struct mirror_action *a)
+{
+	const char *name;
+
+	switch (platform_key_kind(a->key, &name)) {
+	case RECORD_ROUTES:
+		take_routes(e, a);
+		break;
+	case RECORD_DOMAIN_OUT:
+		take_domain(e, name, true, a->revision);
+		break;
+	case RECORD_UPSTREAM:
+		take_upstream(e, name, a);
+		break;
+	case RECORD_INSTANCE:
+		take_instance(e, a);
+		break;
+	case RECORD_OTHER:
+		break;
+	}
+}
+
+static void take_removal(struct edge *e, const struct mirror_action *a)
+{
+	const char *name;
+	upstream_nr_t nr;
+
+	switch (platform_key_kind(a->key, &name)) {
+	case RECORD_DOMAIN_OUT:
+		take_domain(e, name, false, a->revision);
+		break;
+	case RECORD_UPSTREAM:
+		nr = remove_catalog_upstream(e->catalog, name, e->now_ms);
+		if (nr != CATALOG_NONE)
+			update_placing(e->placing, nr, e->now_ms);
+		log_event(e->log, EVENT_UPSTREAM,
+			  "upstream=%s state=gone revision=%llu", name,
+			  (unsigned long long)a->revision);
+		break;
+	case RECORD_ROUTES:
+	case RECORD_INSTANCE:
+	case RECORD_OTHER:
+		break;
+	}
+}
+
+static void on_read(const struct store_answer *a, void *data)
+{
+	struct mirror_event ev = { .kind = MIRROR_READ, .answer = a };
+	struct edge *e = data;
+
+	if (a->status.kind == STATUS_OK)
+		e->synced = true;
+	step_edge_mirror(e, &ev);
+}
+
+static void on_watched(const struct store_answer *a, void *data)
+{
+	struct mirror_event ev = { .kind = MIRROR_WATCHED, .answer = a };
+	struct edge *e = data;
+
+	if (a->status.kind != STATUS_OK)
+		e->watch = NULL;
+	step_edge_mirror(e, &ev);
+}
+
+static void stop_watch(struct edge *e)
+{
+	if (e->watch)
+		cancel_store_watch(e->watch);
+	e->watch = NULL;
+}
+
+static void carry_out(struct edge *e, const struct mirror_action *a)
+{
+	const struct store_range all = { .key = "" };
+
+	switch (a->kind) {
+	case MIRROR_DO_READ:
+		range_store(e->store, &all, on_read, e);
+		break;
+	case MIRROR_DO_WATCH:
+		e->watch = watch_store(e->store, &all, a->revision, on_watched,
+				       e);
+		break;
+	case MIRROR_DO_STOP_WATCH:
+		stop_watch(e);
+		break;
+	case MIRROR_CHANGED:
+		take_change(e, a);
+		break;
+	case MIRROR_REMOVED:
+		take_removal(e, a);
+		break;
+	case MIRROR_LOST:
+		log_event(e->log, EVENT_STORE_LOST, "revision=%llu age_ms=%llu",
+			  (unsigned long long)mirror_revision(e->mirror),
+			  (unsigned long long)(e->now_ms -
+					       mirror_contact_ms(e->mirror)));
+		break;
+	case MIRROR_REGAINED:
+		log_event(e->log, EVENT_STORE_REGAINED, "revision=%llu",
+			  (unsigned long long)mirror_revision(e->mirror));
+		break;
+	}
+}
+
+void step_edge_mirror(struct edge *e, const struct mirror_event *ev)
+{
+	GArray *actions =
+		g_array_new(FALSE, FALSE, sizeof(struct mirror_action));
+
+	e->now_ms = edge_clock_ms();
+	step_mirror(e->mirror, ev, e->now_ms, actions);
+	for (guint i = 0; i < actions->len; i++)
+		carry_out(e,
+			  &g_array_index(actions, struct mirror_action, i));
+	g_array_free(actions, TRUE);
+}
+
+/* A call about the own entry has ended; A says how. */
+static bool end_registering(struct edge *e, const struct store_answer *a)
+{
+	e->registering = false;
+	if (a->status.kind == STATUS_OK) {
+		e->lease_ms = edge_clock_ms() + ENTRY_RENEW_MS;
+		return true;
+	}
+	if (a->status.kind == STATUS_NOT_FOUND)
+		e->lease = 0;
+	e->lease_ms = edge_clock_ms() + ENTRY_RETRY_MS;
+	log_event(e->log, EVENT_PROBLEM, "what=own-entry why=\"%s\"",
+		  a->status.message);
+	return false;
+}
+
+static void on_entry_written(const struct store_answer *a, void *data)
+{
+	struct edge *e = data;
+
+	if (!end_registering(e, a))
+		e->lease = 0;
+}
+
+static void write_entry(struct edge *e)
+{
+	char key[CATALOG_NAME_MAX];
+	struct endpoint at = e->settings.address;
+	struct store_op op = { .kind = STORE_PUT, .key = key };
+	struct store_txn txn = { .ops = &op, .op_nr = 1 };
+	struct wire_writer w;
+
+	at.port = e->settings.peer_port;
+	init_wire_writer(&w);
+	put_array(&w, 1);
+	put_endpoint(&w, &at);
+	write_instance_key(e->settings.name, key, sizeof(key));
+	op.value = w.buf.data;
+	op.len = w.buf.size;
+	op.lease = e->lease;
+	e->registering = true;
+	commit_store(e->store, &txn, on_entry_written, e);
+	release_wire_writer(&w);
+}
+
+static void on_lease(const struct store_answer *a, void *data)
+{
+	struct edge *e = data;
+
+	if (!end_registering(e, a))
+		return;
+	e->lease = a->lease;
+	write_entry(e);
+}
+
+static void on_kept(const struct store_answer *a, void *data)
+{
+	end_registering(data, a);
+}
+
+static void register_instance(struct edge *e)
+{
+	if (e->registering || e->stopping_ms || !e->synced ||
+	    e->now_ms < e->lease_ms)
+		return;
+	e->registering = true;
+	if (e->lease)
+		keep_lease(e->store, e->lease, on_kept, e);
+	else
+		grant_lease(e->store, ENTRY_LEASE_S, on_lease, e);
+}
+
+void tick_edge_store(struct edge *e)
+{
+	struct mirror_event ev = { .kind = MIRROR_TICK };
+
+	step_edge_mirror(e, &ev);
+	register_instance(e);
+}
+
+void start_edge_store(struct edge *e)
+{
+	uint32_t seed = g_rand_int(e->rand);
+
+	e->mirror = create_mirror(seed);
+	e->store = create_platform_store(&e->loop, &e->settings.store,
+					 &e->counters);
+	tick_edge_store(e);
+}
+
+void stop_edge_store(struct edge *e)
+{
+	stop_watch(e);
+	destroy_store(e->store);
+	e->store = NULL;
+	destroy_mirror(e->mirror);
+	e->mirror = NULL;
+}
--- /dev/null
+++ b/net/edge.c
@@ -0,0 +1,240 @@
+#include "net/edge-state.h"
+
+#include <signal.h>
+#include <string.h>
+#include <time.h>
+
+#include "net/files.h"
+
+#define TICK_MS 50
+
+/* A tick that comes so late means that this process stood still. */
+#define STOOD_STILL_MS 700
+
+/* Routers ask twice a second and take two misses to leave an instance. */
+#define STOP_LEAST_MS 1700
+#define STOP_QUIET_MS 600	/* no packet for so long: routers have left */
+#define STOP_RESERVE_MS 1500	/* before the platform kills the process */
+
+uint64_t edge_clock_ms(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_BOOTTIME, &ts);
+	return (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
+}
+
+static void close_edge(struct edge *e)
+{
+	log_event(e->log, EVENT_STOP, "instance=%s incarnation=%s phase=end",
+		  e->settings.name, e->incarnation);
+	uv_close((uv_handle_t *)&e->tick, NULL);
+	uv_close((uv_handle_t *)&e->sighup, NULL);
+	uv_close((uv_handle_t *)&e->sigterm, NULL);
+	uv_close((uv_handle_t *)&e->sigint, NULL);
+	destroy_http_server(e->ready);
+	destroy_http_server(e->metrics);
+	stop_edge_store(e);
+	destroy_datagrams(e->packets);
+	destroy_datagrams(e->peers);
+	uv_stop(&e->loop);
+}
+
+/* Ends when the routers send nothing more here, or at the latest in time. */
+static void tick_stop(struct edge *e)
+{
+	uint64_t since = e->now_ms - e->stopping_ms;
+	uint64_t latest = e->settings.bounds.stop_ms > 2 * STOP_RESERVE_MS ?
+				  e->settings.bounds.stop_ms - STOP_RESERVE_MS :
+				  e->settings.bounds.stop_ms / 2;
+
+	if (since >= latest ||
+	    (since >= STOP_LEAST_MS &&
+	     e->now_ms - e->packet_ms >= STOP_QUIET_MS))
+		close_edge(e);
+}
+
+static void note_pause(struct edge *e, uint64_t now_ms)
+{
+	struct mirror_event woken = { .kind = MIRROR_WOKEN };
+	uint64_t still = now_ms - e->ticked_ms;
+
+	if (e->ticked_ms && still >= STOOD_STILL_MS) {
+		log_event(e->log, EVENT_WOKEN, "still_ms=%llu",
+			  (unsigned long long)still);
+		restart_beacons(e->beacons, now_ms);
+		step_edge_mirror(e, &woken);
+	}
+	e->ticked_ms = now_ms;
+}
+
+static void log_readiness(struct edge *e)
+{
+	bool ready = is_edge_ready(e);
+
+	if (ready == e->was_ready)
+		return;
+	e->was_ready = ready;
+	log_event(e->log, EVENT_READY, "ready=%d version=%llu", ready,
+		  (unsigned long long)catalog_version(e->catalog));
+}
+
+static void on_tick(uv_timer_t *timer)
+{
+	struct edge *e = timer->data;
+	GArray *checks = g_array_new(FALSE, FALSE, sizeof(upstream_nr_t));
+
+	e->now_ms = edge_clock_ms();
+	note_pause(e, e->now_ms);
+	tick_edge_store(e);
+	update_shares(e->shares, e->now_ms);
+	tick_placing(e->placing, e->now_ms, checks);
+	check_upstreams(e, checks);
+	g_array_free(checks, TRUE);
+	tick_cookie(e->steering, e->now_ms);
+	expire_catalog(e->catalog, e->now_ms);
+	tick_edge_beacons(e);
+	log_readiness(e);
+	flush_event_log(e->log, e->now_ms);
+	if (e->stopping_ms)
+		tick_stop(e);
+}
+
+static void on_stop(uv_signal_t *sig, int signum)
+{
+	struct edge *e = sig->data;
+
+	if (e->stopping_ms)
+		return;
+	e->now_ms = edge_clock_ms();
+	e->stopping_ms = e->now_ms;
+	log_event(e->log, EVENT_STOP,
+		  "instance=%s incarnation=%s phase=begin signal=%d flows=%zu",
+		  e->settings.name, e->incarnation, signum,
+		  cookie_flow_nr(e->steering));
+	tick_edge_beacons(e);
+}
+
+static void reload(struct edge *e)
+{
+	struct problems *ps = create_problems();
+	struct settings new;
+
+	if (load_settings(e->path, &new, ps)) {
+		e->settings.bounds = new.bounds;
+		log_event(e->log, EVENT_RELOAD, "path=%s", e->path);
+	}
+	for (size_t i = 0; problem_at(ps, i); i++)
+		log_event(e->log, EVENT_PROBLEM, "what=settings why=\"%s\"",
+			  problem_at(ps, i));
+	destroy_problems(ps);
+}
+
+static void on_reload(uv_signal_t *sig, int signum)
+{
+	(void)signum;
+	reload(sig->data);
+}
+
+static void start_signal(struct edge *e, uv_signal_t *sig, uv_signal_cb cb,
+			 int signum)
+{
+	uv_signal_init(&e->loop, sig);
+	sig->data = e;
+	uv_signal_start(sig, cb, signum);
+}
+
+static struct member describe_self(const struct edge *e)
+{
+	const struct settings *s = &e->settings;
+	struct member self = { .id = service_id(s->name),
+			       .address = s->address,
+			       .peer_port = s->peer_port,
+			       .start = g_rand_int(e->rand),
+			       .state = MEMBER_ALIVE };
+
+	memcpy(self.name, s->name, sizeof(self.name));
+	memcpy(self.domain, s->domain, sizeof(self.domain));
+	return self;
+}
+
+static void create_deciders(struct edge *e)
+{
+	struct member self = describe_self(e);
+
+	e->now_ms = edge_clock_ms();
+	e->view = create_view(self.id);
+	e->beacons = create_beacons(&self, e->view, e->now_ms);
+	for (size_t i = 0; i < e->settings.seeds.nr; i++) {
+		struct endpoint at = e->settings.seeds.at[i];
+
+		/* seeds name other ports; ours are the same everywhere */
+		at.port = e->settings.peer_port;
+		add_beacon_address(e->beacons, &at);
+	}
+	e->catalog = create_catalog(e->settings.bounds.flow_ttl_ms);
+	e->shares = create_shares(e->view);
+	e->placing = create_placing(e->catalog, e->view, e->shares,
+				    e->settings.domain, g_rand_int(e->rand));
+	e->steering = create_cookie_steering(e->catalog, e->placing,
+					     &e->counters);
+}
+
+static void destroy_deciders(struct edge *e)
+{
+	destroy_cookie_steering(e->steering);
+	destroy_placing(e->placing);
+	destroy_shares(e->shares);
+	destroy_catalog(e->catalog);
+	destroy_beacons(e->beacons);
+	destroy_view(e->view);
+}
+
+static bool start_edge(struct edge *e)
+{
+	struct status st;
+
+	uv_timer_init(&e->loop, &e->tick);
+	e->tick.data = e;
+	start_signal(e, &e->sighup, on_reload, SIGHUP);
+	start_signal(e, &e->sigterm, on_stop, SIGTERM);
+	start_signal(e, &e->sigint, on_stop, SIGINT);
+	if (!open_edge_ports(e, &st) || !open_edge_http(e, &st)) {
+		log_event(e->log, EVENT_PROBLEM, "what=start why=\"%s\"",
+			  st.message);
+		return false;
+	}
+	start_edge_store(e);
+	uv_timer_start(&e->tick, on_tick, TICK_MS, TICK_MS);
+	return true;
+}
+
+int run_edge(const char *path, const struct settings *settings)
+{
+	struct edge *e = g_new0(struct edge, 1);
+	uint32_t seed;
+	int code = 0;
+
+	e->path = path;
+	e->settings = *settings;
+	e->log = create_event_log(STDOUT_FILENO);
+	uv_random(NULL, NULL, &seed, sizeof(seed), 0, NULL);
+	e->rand = g_rand_new_with_seed(seed);
+	g_snprintf(e->incarnation, sizeof(e->incarnation), "%08x", seed);
+	uv_loop_init(&e->loop);
+	create_deciders(e);
+	log_event(e->log, EVENT_START, "instance=%s domain=%s incarnation=%s",
+		  settings->name, settings->domain, e->incarnation);
+	if (!start_edge(e)) {
+		close_edge(e);
+		code = 1;
+	}
+	uv_run(&e->loop, UV_RUN_DEFAULT);
+	/* close callbacks; a check or two may still be under way */
+	uv_run(&e->loop, UV_RUN_NOWAIT);
+	destroy_event_log(e->log);
+	destroy_deciders(e);
+	g_rand_free(e->rand);
+	g_free(e);
+	return code;
+}
--- /dev/null
+++ b/net/edge.h
@@ -0,0 +1,17 @@
+#ifndef NET_EDGE_H
+#define NET_EDGE_H
+
+/*
+ * One instance that steers flows by cookie on the users' platform, as a
+ * process: wires the deciding code to the loop.
+ */
+
+#include "config/settings.h"
+
+/*
+ * Runs until it was stopped. PATH is the settings file, which is read again
+ * on SIGHUP and when it changes. Returns the process's exit code.
+ */
+int run_edge(const char *path, const struct settings *settings);
+
+#endif
--- /dev/null
+++ b/net/event-list.h
@@ -0,0 +1,27 @@
+/*
+ * Every kind of log line: EVENT(identifier, "name", lines a second, "meaning").
+ * Included several times; has no include guard on purpose. Budgets keep a busy
+ * instance under some 20 KB a second; refusals and resets get most of it.
+ */
+EVENT(START, "start", 5, "the process runs")
+EVENT(STOP, "stop", 5, "the process stops, or has stopped")
+EVENT(RELOAD, "reload", 5, "the settings file was read again")
+EVENT(PROBLEM, "problem", 10, "something an operator should look at")
+EVENT(STORE_LOST, "store-lost", 5, "the store does not answer")
+EVENT(STORE_REGAINED, "store-regained", 5, "the store answers again")
+EVENT(ROUTES, "routes", 10, "a configuration was taken into force")
+EVENT(ROUTES_REFUSED, "routes-refused", 10, "a configuration was not taken")
+EVENT(DOMAIN, "domain", 10, "a failure domain was taken out or back")
+EVENT(UPSTREAM, "upstream", 30, "an upstream's entry changed")
+EVENT(UPSTREAM_INVALID, "upstream-invalid", 5, "an entry names no upstream")
+EVENT(HEALTH, "health", 20, "an upstream's health as judged here changed")
+EVENT(CHECK, "check", 20, "a check of an upstream ended")
+EVENT(MEMBER, "member", 20, "another instance came, left or fell silent")
+EVENT(WOKEN, "woken", 5, "the process stood still for a while")
+EVENT(READY, "ready", 5, "whether packets are wanted changed")
+EVENT(FLOW_OPENED, "flow-opened", 15, "a new flow was placed")
+EVENT(FLOW_REOPENED, "flow-reopened", 20, "a copy of a SYN was placed")
+EVENT(FLOW_REFUSED, "flow-refused", 60, "a flow was refused at its SYN")
+EVENT(FLOW_RESET, "flow-reset", 60, "an open flow was reset")
+EVENT(FLOW_UNKNOWN, "flow-unknown", 10, "a packet names no known upstream")
+EVENT(SUPPRESSED, "suppressed", 30, "lines over their budget were left out")
--- /dev/null
+++ b/net/event-log.c
@@ -0,0 +1,185 @@
+#include "net/event-log.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <glib.h>
+#include <log4c.h>
+#include <stdarg.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#define RING_MAX (64 * 1024) /* bytes that wait to be written */
+#define LINE_MAX_BYTES 600
+#define BUDGET_MS 1000 /* the budgets are for so long */
+#define EVENT_CATEGORY "baobabvalve.events"
+
+struct event_log {
+	int fd;
+	log4c_category_t *category;
+	char ring[RING_MAX];
+	size_t start; /* of what waits */
+	size_t len;
+	uint32_t used[EVENT_KIND_NR]; /* lines in this second */
+	uint32_t left_out[EVENT_KIND_NR];
+	uint64_t renewed_ms;
+	uint64_t suppressed;
+	uint64_t lost;
+};
+
+struct event_row {
+	const char *name;
+	uint32_t budget;
+	const char *doc;
+};
+
+static const struct event_row rows[EVENT_KIND_NR] = {
+#define EVENT(id, name, budget, doc) { name, budget, doc },
+#include "net/event-list.h"
+#undef EVENT
+};
+
+static void put_line(struct event_log *el, const char *text, size_t len)
+{
+	if (el->len + len > RING_MAX) {
+		el->lost++;
+		return;
+	}
+	for (size_t i = 0; i < len; i++)
+		el->ring[(el->start + el->len + i) % RING_MAX] = text[i];
+	el->len += len;
+}
+
+static int append_event(log4c_appender_t *a,
+			const log4c_logging_event_t *event)
+{
+	struct event_log *el = log4c_appender_get_udata(a);
+
+	if (el)
+		put_line(el, event->evt_msg, strlen(event->evt_msg));
+	return 0;
+}
+
+static int open_appender(log4c_appender_t *a)
+{
+	(void)a;
+	return 0;
+}
+
+static const log4c_appender_type_t appender_type = {
+	.name = "baobabvalve.ring",
+	.open = open_appender,
+	.append = append_event,
+	.close = open_appender,
+};
+
+struct event_log *create_event_log(int fd)
+{
+	struct event_log *el = g_new0(struct event_log, 1);
+	log4c_appender_t *a;
+	int flags = fcntl(fd, F_GETFL);
+
+	el->fd = fd;
+	if (flags >= 0)
+		fcntl(fd, F_SETFL, flags | O_NONBLOCK);
+	log4c_appender_type_set(&appender_type);
+	a = log4c_appender_get("baobabvalve.events");
+	log4c_appender_set_type(a, &appender_type);
+	log4c_appender_set_udata(a, el);
+	el->category = log4c_category_get(EVENT_CATEGORY);
+	log4c_category_set_appender(el->category, a);
+	log4c_category_set_additivity(el->category, 0);
+	log4c_category_set_priority(el->category, LOG4C_PRIORITY_INFO);
+	return el;
+}
+
+void destroy_event_log(struct event_log *el)
+{
+	if (!el)
+		return;
+	flush_event_log(el, el->renewed_ms);
+	log4c_appender_set_udata(log4c_appender_get("baobabvalve.events"),
+				 NULL);
+	g_free(el);
+}
+
+static uint64_t wall_ms(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_REALTIME, &ts);
+	return (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
+}
+
+void log_event(struct event_log *el, enum event_kind kind, const char *fmt, ...)
+{
+	char line[LINE_MAX_BYTES];
+	size_t n;
+	va_list ap;
+
+	if (el->used[kind] >= rows[kind].budget) {
+		el->left_out[kind]++;
+		el->suppressed++;
+		return;
+	}
+	el->used[kind]++;
+	n = (size_t)g_snprintf(line, sizeof(line), "t=%llu event=%s ",
+			       (unsigned long long)wall_ms(), rows[kind].name);
+	va_start(ap, fmt);
+	g_vsnprintf(line + n, (gulong)(sizeof(line) - n - 1), fmt, ap);
+	va_end(ap);
+	n = strlen(line);
+	line[n] = '\n';
+	line[n + 1] = '\0';
+	log4c_category_log(el->category, LOG4C_PRIORITY_INFO, "%s", line);
+}
+
+static void renew_budgets(struct event_log *el)
+{
+	for (int i = 0; i < EVENT_KIND_NR; i++) {
+		uint32_t n = el->left_out[i];
+
+		el->used[i] = 0;
+		el->left_out[i] = 0;
+		if (n)
+			log_event(el, EVENT_SUPPRESSED, "kind=%s count=%u",
+				  rows[i].name, n);
+	}
+}
+
+void flush_event_log(struct event_log *el, uint64_t now_ms)
+{
+	if (now_ms - el->renewed_ms >= BUDGET_MS) {
+		el->renewed_ms = now_ms;
+		renew_budgets(el);
+	}
+	while (el->len) {
+		size_t n = MIN(el->len, RING_MAX - el->start);
+		ssize_t done = write(el->fd, el->ring + el->start, n);
+
+		if (done <= 0)
+			return;
+		el->start = (el->start + (size_t)done) % RING_MAX;
+		el->len -= (size_t)done;
+	}
+}
+
+uint64_t suppressed_events(const struct event_log *el)
+{
+	return el->suppressed;
+}
+
+uint64_t lost_events(const struct event_log *el)
+{
+	return el->lost;
+}
+
+const char *event_name(enum event_kind kind)
+{
+	return rows[kind].name;
+}
+
+const char *event_doc(enum event_kind kind)
+{
+	return rows[kind].doc;
+}
--- a/store/etcd.c
+++ b/store/etcd.c
@@ -3,7 +3,7 @@
  * libuv loop.
  */
 
-#include "store/store.h"
+#include "store/etcd.h"
 
 #include <curl/curl.h>
 #include <glib.h>
@@ -17,7 +17,7 @@
 #define CONNECT_TIMEOUT_MS 1000L
 #define URL_MAX 128 /* bytes */
 
-struct store {
+struct etcd_store {
 	uv_loop_t *loop;
 	uv_timer_t timer;
 	CURLM *multi;
@@ -35,7 +35,7 @@
 
 /* A call under way; a watch delivers answers until it ends. */
 struct store_call {
-	struct store *s;
+	struct etcd_store *s;
 	enum call_kind kind;
 	CURL *easy;
 	char *body;
@@ -46,13 +46,13 @@
 };
 
 /* A watch is a call; the type tells the two apart for callers. */
-struct store_watch {
+struct etcd_watch {
 	struct store_call call;
 };
 
 struct poll_handle {
 	uv_poll_t poll;
-	struct store *s;
+	struct etcd_store *s;
 	curl_socket_t fd;
 };
 
@@ -85,7 +85,7 @@
 /* A slow store gets more time, up to a limit; quick answers end that. */
 static void adapt_timeout(struct store_call *c, CURLcode code)
 {
-	struct store *s = c->s;
+	struct etcd_store *s = c->s;
 	curl_off_t us = 0;
 
 	curl_easy_getinfo(c->easy, CURLINFO_TOTAL_TIME_T, &us);
@@ -161,7 +161,7 @@
 	return true;
 }
 
-static void deliver_watches(struct store *s)
+static void deliver_watches(struct etcd_store *s)
 {
 	s->delivering = true;
 	for (guint i = 0; i < s->watches->len; i++) {
@@ -179,7 +179,7 @@
 	}
 }
 
-static void finish_calls(struct store *s)
+static void finish_calls(struct etcd_store *s)
 {
 	CURLMsg *msg;
 	int left;
@@ -200,7 +200,7 @@
 
 static void on_timer(uv_timer_t *timer)
 {
-	struct store *s = timer->data;
+	struct etcd_store *s = timer->data;
 	int running;
 
 	curl_multi_socket_action(s->multi, CURL_SOCKET_TIMEOUT, 0, &running);
@@ -209,7 +209,7 @@
 
 static int set_timer(CURLM *multi, long timeout_ms, void *data)
 {
-	struct store *s = data;
+	struct etcd_store *s = data;
 
 	(void)multi;
 	if (timeout_ms < 0)
@@ -222,7 +222,7 @@
 static void on_poll(uv_poll_t *poll, int status, int events)
 {
 	struct poll_handle *ph = poll->data;
-	struct store *s = ph->s;
+	struct etcd_store *s = ph->s;
 	int flags = 0;
 	int running;
 
@@ -244,7 +244,7 @@
 static int watch_socket(CURL *easy, curl_socket_t fd, int what, void *data,
 			void *socket_data)
 {
-	struct store *s = data;
+	struct etcd_store *s = data;
 	struct poll_handle *ph = socket_data;
 	int events = 0;
 
@@ -273,11 +273,11 @@
 	return 0;
 }
 
-struct store *create_etcd_store(uv_loop_t *loop,
+struct etcd_store *create_etcd(uv_loop_t *loop,
 				const struct endpoint_list *endpoints,
 				struct counters *counters)
 {
-	struct store *s = g_new0(struct store, 1);
+	struct etcd_store *s = g_new0(struct etcd_store, 1);
 
 	s->loop = loop;
 	s->endpoints = *endpoints;
@@ -303,7 +303,7 @@
 	g_free(timer->data);
 }
 
-void destroy_store(struct store *s)
+void destroy_etcd_store(struct etcd_store *s)
 {
 	GHashTableIter it;
 	gpointer c;
@@ -329,10 +329,10 @@
 	return size * n;
 }
 
-static struct store_call *create_call(struct store *s, enum call_kind kind,
+static struct store_call *create_call(struct etcd_store *s, enum call_kind kind,
 				      char *body, store_fn fn, void *data)
 {
-	struct store_watch *w = g_new0(struct store_watch, 1);
+	struct etcd_watch *w = g_new0(struct etcd_watch, 1);
 	struct store_call *c = &w->call;
 
 	c->s = s;
@@ -363,7 +363,7 @@
 }
 
 /* Posts BODY (taken over) to PATH at the current endpoint. */
-static struct store_call *start_call(struct store *s, enum call_kind kind,
+static struct store_call *start_call(struct etcd_store *s, enum call_kind kind,
 				     const char *path, char *body, store_fn fn,
 				     void *data)
 {
@@ -382,39 +382,39 @@
 	return c;
 }
 
-void range_store(struct store *s, const struct store_range *r, store_fn fn,
+void range_etcd(struct etcd_store *s, const struct store_range *r, store_fn fn,
 		 void *data)
 {
 	start_call(s, CALL_KV, "/v3/kv/range", write_range_json(r), fn, data);
 }
 
-void commit_store(struct store *s, const struct store_txn *txn, store_fn fn,
+void commit_etcd(struct etcd_store *s, const struct store_txn *txn, store_fn fn,
 		  void *data)
 {
 	start_call(s, CALL_KV, "/v3/kv/txn", write_txn_json(txn), fn, data);
 }
 
-void grant_lease(struct store *s, uint32_t ttl_s, store_fn fn, void *data)
+void grant_etcd(struct etcd_store *s, uint32_t ttl_s, store_fn fn, void *data)
 {
 	start_call(s, CALL_LEASE, "/v3/lease/grant", write_grant_json(ttl_s),
 		   fn, data);
 }
 
-void keep_lease(struct store *s, uint64_t lease, store_fn fn, void *data)
+void keep_etcd(struct etcd_store *s, uint64_t lease, store_fn fn, void *data)
 {
 	start_call(s, CALL_LEASE, "/v3/lease/keepalive",
 		   write_lease_json(lease), fn, data);
 }
 
-struct store_watch *watch_store(struct store *s, const struct store_range *r,
+struct etcd_watch *watch_etcd(struct etcd_store *s, const struct store_range *r,
 				uint64_t revision, store_fn fn, void *data)
 {
-	return (struct store_watch *)start_call(s, CALL_WATCH, "/v3/watch",
+	return (struct etcd_watch *)start_call(s, CALL_WATCH, "/v3/watch",
 						write_watch_json(r, revision),
 						fn, data);
 }
 
-void cancel_store_watch(struct store_watch *w)
+void cancel_etcd_watch(struct etcd_watch *w)
 {
 	if (w->call.s->delivering)
 		w->call.cancelled = true;
--- /dev/null
+++ b/store/store.c
@@ -0,0 +1,158 @@
+#include "store/store.h"
+
+#include <glib.h>
+
+#include "platform/store.h"
+#include "store/etcd.h"
+
+enum store_protocol { STORE_ETCD, STORE_PLATFORM };
+
+struct store {
+	enum store_protocol protocol;
+	union {
+		struct etcd_store *etcd;
+		struct platform_store *platform;
+	};
+};
+
+struct store_watch {
+	enum store_protocol protocol;
+	union {
+		struct etcd_watch *etcd;
+		struct platform_watch *platform;
+	};
+	store_fn fn;
+	void *data;
+};
+
+struct store *create_etcd_store(uv_loop_t *loop,
+				const struct endpoint_list *endpoints,
+				struct counters *counters)
+{
+	struct store *s = g_new0(struct store, 1);
+
+	s->protocol = STORE_ETCD;
+	s->etcd = create_etcd(loop, endpoints, counters);
+	return s;
+}
+
+struct store *create_platform_store(uv_loop_t *loop,
+				    const struct endpoint_list *endpoints,
+				    struct counters *counters)
+{
+	struct store *s = g_new0(struct store, 1);
+
+	s->protocol = STORE_PLATFORM;
+	s->platform = create_platform(loop, endpoints, counters);
+	return s;
+}
+
+void destroy_store(struct store *s)
+{
+	if (!s)
+		return;
+	switch (s->protocol) {
+	case STORE_ETCD:
+		destroy_etcd_store(s->etcd);
+		break;
+	case STORE_PLATFORM:
+		destroy_platform(s->platform);
+		break;
+	}
+	g_free(s);
+}
+
+void range_store(struct store *s, const struct store_range *r, store_fn fn,
+		 void *data)
+{
+	switch (s->protocol) {
+	case STORE_ETCD:
+		range_etcd(s->etcd, r, fn, data);
+		break;
+	case STORE_PLATFORM:
+		range_platform(s->platform, r, fn, data);
+		break;
+	}
+}
+
+void commit_store(struct store *s, const struct store_txn *txn, store_fn fn,
+		  void *data)
+{
+	switch (s->protocol) {
+	case STORE_ETCD:
+		commit_etcd(s->etcd, txn, fn, data);
+		break;
+	case STORE_PLATFORM:
+		commit_platform(s->platform, txn, fn, data);
+		break;
+	}
+}
+
+void grant_lease(struct store *s, uint32_t ttl_s, store_fn fn, void *data)
+{
+	switch (s->protocol) {
+	case STORE_ETCD:
+		grant_etcd(s->etcd, ttl_s, fn, data);
+		break;
+	case STORE_PLATFORM:
+		grant_platform(s->platform, ttl_s, fn, data);
+		break;
+	}
+}
+
+void keep_lease(struct store *s, uint64_t lease, store_fn fn, void *data)
+{
+	switch (s->protocol) {
+	case STORE_ETCD:
+		keep_etcd(s->etcd, lease, fn, data);
+		break;
+	case STORE_PLATFORM:
+		keep_platform(s->platform, lease, fn, data);
+		break;
+	}
+}
+
+/* Passes an answer on; the watch ends with the first one that is not OK. */
+static void on_watched(const struct store_answer *a, void *data)
+{
+	struct store_watch *w = data;
+	store_fn fn = w->fn;
+	void *user = w->data;
+
+	if (a->status.kind != STATUS_OK)
+		g_free(w);
+	fn(a, user);
+}
+
+struct store_watch *watch_store(struct store *s, const struct store_range *r,
+				uint64_t revision, store_fn fn, void *data)
+{
+	struct store_watch *w = g_new0(struct store_watch, 1);
+
+	w->protocol = s->protocol;
+	w->fn = fn;
+	w->data = data;
+	switch (s->protocol) {
+	case STORE_ETCD:
+		w->etcd = watch_etcd(s->etcd, r, revision, on_watched, w);
+		break;
+	case STORE_PLATFORM:
+		w->platform = watch_platform(s->platform, r, revision,
+					     on_watched, w);
+		break;
+	}
+	return w;
+}
+
+void cancel_store_watch(struct store_watch *w)
+{
+	switch (w->protocol) {
+	case STORE_ETCD:
+		cancel_etcd_watch(w->etcd);
+		break;
+	case STORE_PLATFORM:
+		cancel_platform_watch(w->platform);
+		break;
+	}
+	g_free(w);
+}
--- a/store/store.h
+++ b/store/store.h
@@ -25,6 +25,11 @@
 				const struct endpoint_list *endpoints,
 				struct counters *counters);
 
+/* A client of the users' platform at ENDPOINTS; see platform/store.h. */
+struct store *create_platform_store(uv_loop_t *loop,
+				    const struct endpoint_list *endpoints,
+				    struct counters *counters);
+
 /* Drops all calls without calling back; memory goes when the loop has run. */
 void destroy_store(struct store *s);
 
@@ -44,7 +49,8 @@
 
 /*
  * Watches R from REVISION on. FN gets each change, and at last an answer that
- * is not STATUS_OK when the watch has ended by itself. A watch that stays
+ * is not STATUS_OK when the watch has ended by itself: STATUS_NOT_FOUND if the
+ * store no longer has the changes since REVISION. A watch that stays
  * quiet may be broken: whoever relies on it reads again now and then.
  */
 struct store_watch *watch_store(struct store *s, const struct store_range *r,
