flow: keep callers away from upstreams that got them nowhere

Cause: a crashed upstream resets SYNs at once. Upstreams answer callers directly, so an instance sees neither the reset nor the crash: flows to it never become busy, it looks idle, and callers that come again within milliseconds are placed there three times in a row. Checks made it worse: the address had a listener of another service, whose good answer was believed.

Ruled out: resets of our own (none logged in that time).

Change: a caller's new flow avoids upstreams of its flows that are stuck; a handshake that takes four times the usual counts as silence; an answer that names another upstream is proof of death; connections are given up after 200 ms.

--- a/fleet/load.h
+++ b/fleet/load.h
@@ -9,7 +9,7 @@
 	HEALTH_GOOD,
 	HEALTH_DOUBTED, /* something sent to it was not answered in time */
 	HEALTH_CUT_OFF, /* cannot be reached from here */
-	HEALTH_DEAD	/* nothing listens at its address */
+	HEALTH_DEAD	/* its address has no listener, or another one */
 };
 
 /* One instance's view of one upstream, as peers tell each other. */
--- a/flow/cookie.c
+++ b/flow/cookie.c
@@ -3,7 +3,8 @@
 #include <string.h>
 #include <xxhash.h>
 
-#define SWEEP_PARTS 20 /* a tick looks at this share of the flows */
+#define HANDSHAKE_WEIGHT 0.05 /* of the newest in the running mean */
+#define SWEEP_MS 500 /* between two looks at all flows */
 
 enum flow_phase {
 	PHASE_OPENING, /* no answer of the upstream was seen */
@@ -15,6 +16,8 @@
 	struct flow_key key;
 	struct flow *next; /* flows of the same upstream */
 	struct flow *prev;
+	struct flow *caller_next; /* flows of the same caller */
+	struct flow *caller_prev;
 	upstream_nr_t upstream;
 	upstream_nr_t tried[COOKIE_TRIED_MAX]; /* got the SYN */
 	uint8_t tried_nr;
@@ -28,12 +31,22 @@
 	uint64_t seen_ms;
 };
 
+/* A SYN that was passed on; its handshake should end soon. */
+struct opening {
+	struct flow_key key;
+	uint64_t syn_ms;
+};
+
 struct cookie_steering {
 	const struct catalog *cat;
 	struct placing *placing;
 	struct counters *counters;
 	GHashTable *flows;    /* of struct flow */
 	GPtrArray *of_upstream; /* first struct flow, by handle */
+	GHashTable *of_caller;	/* caller's address -> first struct flow */
+	GArray *opening;	/* of struct opening, oldest first */
+	uint64_t swept_ms;
+	double handshake_ms;	/* mean from SYN to the next packet */
 };
 
 static guint hash_flow(gconstpointer data)
@@ -57,6 +70,9 @@
 	cs->counters = counters;
 	cs->flows = g_hash_table_new_full(hash_flow, same_flow, NULL, g_free);
 	cs->of_upstream = g_ptr_array_new();
+	cs->of_caller = g_hash_table_new(NULL, NULL);
+	cs->opening = g_array_new(FALSE, FALSE, sizeof(struct opening));
+	cs->handshake_ms = COOKIE_HANDSHAKE_MS;
 	return cs;
 }
 
@@ -66,6 +82,8 @@
 		return;
 	g_hash_table_destroy(cs->flows);
 	g_ptr_array_free(cs->of_upstream, TRUE);
+	g_hash_table_destroy(cs->of_caller);
+	g_array_free(cs->opening, TRUE);
 	g_free(cs);
 }
 
@@ -115,6 +133,39 @@
 	return g_hash_table_lookup(cs->flows, key);
 }
 
+static struct flow *first_of_caller(const struct cookie_steering *cs,
+				    uint32_t ip)
+{
+	return g_hash_table_lookup(cs->of_caller, GUINT_TO_POINTER(ip));
+}
+
+static void set_first_of_caller(struct cookie_steering *cs, uint32_t ip,
+				struct flow *f)
+{
+	if (f)
+		g_hash_table_insert(cs->of_caller, GUINT_TO_POINTER(ip), f);
+	else
+		g_hash_table_remove(cs->of_caller, GUINT_TO_POINTER(ip));
+}
+
+static void link_caller(struct cookie_steering *cs, struct flow *f)
+{
+	f->caller_next = first_of_caller(cs, f->key.caller_ip);
+	if (f->caller_next)
+		f->caller_next->caller_prev = f;
+	set_first_of_caller(cs, f->key.caller_ip, f);
+}
+
+static void unlink_caller(struct cookie_steering *cs, struct flow *f)
+{
+	if (f->caller_next)
+		f->caller_next->caller_prev = f->caller_prev;
+	if (f->caller_prev)
+		f->caller_prev->caller_next = f->caller_next;
+	else
+		set_first_of_caller(cs, f->key.caller_ip, f->caller_next);
+}
+
 static struct flow *add_flow_entry(struct cookie_steering *cs,
 				   const struct cookie_packet *p,
 				   const struct catalog_route *route,
@@ -131,12 +182,14 @@
 	f->deadline_ms = route ? route->deadline_ms : catalog_idle_ms(cs->cat);
 	f->seen_ms = now_ms;
 	g_hash_table_insert(cs->flows, &f->key, f);
+	link_caller(cs, f);
 	return f;
 }
 
 static void remove_flow_entry(struct cookie_steering *cs, struct flow *f)
 {
 	unlink_flow(cs, f);
+	unlink_caller(cs, f);
 	g_hash_table_remove(cs->flows, &f->key);
 }
 
@@ -200,6 +253,52 @@
 	return d;
 }
 
+/* How long a handshake may take before it tells something. */
+static uint64_t handshake_limit(const struct cookie_steering *cs)
+{
+	double limit = COOKIE_HANDSHAKE_FACTOR * cs->handshake_ms;
+
+	return (uint64_t)MAX(limit, COOKIE_HANDSHAKE_MIN_MS);
+}
+
+static void add_avoided(upstream_nr_t *avoid, size_t *nr, upstream_nr_t up)
+{
+	for (size_t i = 0; i < *nr; i++)
+		if (avoid[i] == up)
+			return;
+	if (*nr < COOKIE_AVOID_MAX)
+		avoid[(*nr)++] = up;
+}
+
+/*
+ * The upstreams that F is to be kept away from: those that got its SYN
+ * before, and those where the same caller's flows lately got nowhere. A dead
+ * one resets callers at once, which is not seen here, and they come again
+ * within milliseconds; with no load it would get them all.
+ */
+static size_t list_avoided(const struct cookie_steering *cs,
+			   const struct flow *f, uint64_t now_ms,
+			   upstream_nr_t avoid[COOKIE_AVOID_MAX])
+{
+	const struct flow *o = first_of_caller(cs, f->key.caller_ip);
+	size_t nr = 0;
+
+	for (uint8_t i = 0; i < f->tried_nr; i++)
+		add_avoided(avoid, &nr, f->tried[i]);
+	for (; o; o = o->caller_next) {
+		bool stuck = o->phase == PHASE_OPENING ||
+			     (o->phase == PHASE_OPEN && o->waiting);
+		uint64_t since = o->waiting ? o->sent_ms : o->syn_ms;
+
+		if (o == f || o->upstream == CATALOG_NONE || !stuck ||
+		    now_ms - since > COOKIE_AGAIN_MS ||
+		    has_lived_since(cs->placing, o->upstream, since))
+			continue;
+		add_avoided(avoid, &nr, o->upstream);
+	}
+	return nr;
+}
+
 /* Places the flow F, which its caller asks to open. */
 static struct cookie_decision place(struct cookie_steering *cs, struct flow *f,
 				    const struct cookie_packet *p,
@@ -207,17 +306,17 @@
 				    uint64_t now_ms)
 {
 	service_nr_t service = pick_service(route, &p->key);
+	struct opening o = { p->key, now_ms };
+	upstream_nr_t avoid[COOKIE_AVOID_MAX];
+	size_t avoid_nr = list_avoided(cs, f, now_ms, avoid);
 	struct cookie_decision d;
 	struct placement at;
 
-	at = place_new_flow(cs->placing, service, route->deadline_ms, f->tried,
-			    f->tried_nr, now_ms);
-	if (at.upstream == CATALOG_NONE && f->tried_nr) {
-		/* the copy of a SYN can only go where the first one went */
-		f->tried_nr = 0;
+	at = place_new_flow(cs->placing, service, route->deadline_ms, avoid,
+			    avoid_nr, now_ms);
+	if (at.upstream == CATALOG_NONE && avoid_nr)
 		at = place_new_flow(cs->placing, service, route->deadline_ms,
 				    NULL, 0, now_ms);
-	}
 	if (at.upstream == CATALOG_NONE) {
 		remove_flow_entry(cs, f);
 		d = reset_for(p, COOKIE_REFUSED);
@@ -232,6 +331,7 @@
 	f->tried[f->tried_nr++ % COOKIE_TRIED_MAX] = at.upstream;
 	f->tried_nr = MIN(f->tried_nr, COOKIE_TRIED_MAX);
 	f->syn_ms = now_ms;
+	g_array_append_val(cs->opening, o);
 	return d;
 }
 
@@ -306,8 +406,15 @@
 	if (f->phase == PHASE_OPENING) {
 		f->phase = PHASE_OPEN;
 		f->ack = p->ack;
-		if (f->syn_ms)
-			note_life(cs->placing, f->upstream, f->syn_ms);
+		if (f->syn_ms) {
+			double took = (double)(now_ms - f->syn_ms);
+
+			note_life(cs->placing, f->upstream, now_ms);
+			cs->handshake_ms +=
+				HANDSHAKE_WEIGHT *
+				(MIN(took, COOKIE_HANDSHAKE_MAX_MS) -
+				 cs->handshake_ms);
+		}
 	}
 	if (is_after(p->ack, f->ack)) {
 		f->ack = p->ack;
@@ -453,6 +560,7 @@
 			continue;
 		add_reset(f, COOKIE_ROUTE_GONE, now_ms, resets);
 		unlink_flow(cs, f);
+		unlink_caller(cs, f);
 		g_hash_table_iter_remove(&it);
 	}
 }
@@ -474,13 +582,38 @@
 	return true;
 }
 
+/* Doubts the upstreams whose part of a handshake is overdue. */
+static void note_slow_handshakes(struct cookie_steering *cs, uint64_t now_ms)
+{
+	uint64_t limit = handshake_limit(cs);
+	guint done = 0;
+
+	for (; done < cs->opening->len; done++) {
+		const struct opening *o =
+			&g_array_index(cs->opening, struct opening, done);
+		struct flow *f;
+
+		if (now_ms - o->syn_ms < limit)
+			break;
+		f = find_flow_entry(cs, &o->key);
+		if (!f || f->phase != PHASE_OPENING || f->syn_ms != o->syn_ms)
+			continue;
+		note_silence(cs->placing, f->upstream, f->syn_ms, now_ms);
+	}
+	if (done)
+		g_array_remove_range(cs->opening, 0, done);
+}
+
 void tick_cookie(struct cookie_steering *cs, uint64_t now_ms)
 {
 	GHashTableIter it;
 	gpointer value;
 
-	if (now_ms / COOKIE_TICK_MS % SWEEP_PARTS)
+	note_slow_handshakes(cs, now_ms);
+
+	if (now_ms - cs->swept_ms < SWEEP_MS)
 		return;
+	cs->swept_ms = now_ms;
 	g_hash_table_iter_init(&it, cs->flows);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct flow *f = value;
@@ -491,6 +624,7 @@
 		if (!has_ended(cs, f, now_ms))
 			continue;
 		unlink_flow(cs, f);
+		unlink_caller(cs, f);
 		g_hash_table_iter_remove(&it);
 	}
 }
--- a/flow/cookie.h
+++ b/flow/cookie.h
@@ -17,12 +17,29 @@
 #include "flow/cookie-packet.h"
 #include "flow/placing.h"
 
-#define COOKIE_TICK_MS 50
+#define COOKIE_TICK_MS 10 /* a dead upstream is to be noticed soon */
 #define COOKIE_TRIED_MAX 3	   /* a SYN and its two copies */
 #define COOKIE_FLOWS_MAX 200000	   /* flows followed at once */
 #define COOKIE_CLOSING_MS 3000	   /* packets may follow the last FIN */
 #define COOKIE_OPENING_MS 1400	   /* callers give up a SYN after that */
 
+/*
+ * A handshake that takes so many times the usual, and no less than the least,
+ * was answered with a reset or not at all; callers send their SYN again only
+ * after 200 ms. The least covers a busy processor on the way.
+ */
+#define COOKIE_HANDSHAKE_FACTOR 4
+#define COOKIE_HANDSHAKE_MIN_MS 25
+#define COOKIE_HANDSHAKE_MS 10	    /* the usual, until some were seen */
+#define COOKIE_HANDSHAKE_MAX_MS 100 /* longer ones count as this */
+
+/*
+ * A caller that comes again within this time of a flow that got nowhere is
+ * kept away from that flow's upstream.
+ */
+#define COOKIE_AGAIN_MS 1000
+#define COOKIE_AVOID_MAX 8 /* upstreams kept away from one flow */
+
 
 enum cookie_verdict {
 	COOKIE_TO_UPSTREAM, /* send the packet, with COOKIE, to UPSTREAM */
@@ -74,7 +91,10 @@
 				    const struct cookie_packet *p, bool relayed,
 				    uint64_t now_ms);
 
-/* Upstream NR is known to be dead: its flows end. RESETS as below. */
+/*
+ * Upstream NR is known to be dead: its flows end. What callers are to be told
+ * is appended to RESETS (of struct cookie_reset).
+ */
 void end_flows_of(struct cookie_steering *cs, upstream_nr_t nr,
 		  uint64_t now_ms, GArray *resets);
 
@@ -82,10 +102,7 @@
 void end_routeless_flows(struct cookie_steering *cs, uint64_t now_ms,
 			 GArray *resets);
 
-/*
- * Forgets flows that have ended. To be called every COOKIE_TICK_MS; a call
- * looks at a part of the flows. RESETS is an array of struct cookie_reset.
- */
+/* Notes overdue handshakes and forgets flows that have ended. */
 void tick_cookie(struct cookie_steering *cs, uint64_t now_ms);
 
 /* Flows followed. */
--- a/flow/placing.c
+++ b/flow/placing.c
@@ -53,6 +53,8 @@
 	GPtrArray *rows;  /* of struct row, by handle */
 	GArray *services; /* of struct service_mean, by handle */
 	GArray *peers;	  /* of struct peer_load */
+	uint64_t means_ms; /* when the means were updated */
+	bool in_doubt;	   /* some upstream is not in good health */
 };
 
 struct placing *create_placing(const struct catalog *cat,
@@ -339,12 +341,17 @@
 	if (has_lived_since(pl, nr, sent_ms))
 		return;
 	r->doubt_nr++;
-	if (r->doubt_ms)
+	if (r->doubt_ms) {
+		if (r->doubt_nr == PLACING_DOUBT_SOON_NR)
+			r->check_ms = MIN(r->check_ms,
+					  now_ms + PLACING_DOUBT_SOON_MS);
 		return;
+	}
 	r->doubt_ms = now_ms;
 	r->check_ms = MAX(r->check_ms, now_ms + PLACING_DOUBT_MS);
 	if (r->health == HEALTH_GOOD)
 		r->health = HEALTH_DOUBTED;
+	pl->in_doubt = true;
 }
 
 static struct peer_load *need_peer(struct placing *pl, uint64_t member)
@@ -462,6 +469,23 @@
 	return r->doubt_ms;
 }
 
+static void list_checks(struct placing *pl, uint64_t now_ms, GArray *checks)
+{
+	pl->in_doubt = false;
+	for (guint i = 0; i < pl->rows->len; i++) {
+		struct row *r = g_ptr_array_index(pl->rows, i);
+		upstream_nr_t nr = (upstream_nr_t)i;
+
+		if (!r || r->health == HEALTH_GOOD)
+			continue;
+		pl->in_doubt = true;
+		if (!wants_check(pl, nr, r, now_ms))
+			continue;
+		r->checking = true;
+		g_array_append_val(checks, nr);
+	}
+}
+
 void tick_placing(struct placing *pl, uint64_t now_ms, GArray *checks)
 {
 	for (guint i = pl->peers->len; i > 0; i--) {
@@ -474,17 +498,13 @@
 		g_array_free(p->rows, TRUE);
 		g_array_remove_index_fast(pl->peers, i - 1);
 	}
-	for (size_t i = 0; i < catalog_service_nr(pl->cat); i++)
-		update_busy_ratio(pl, (service_nr_t)i);
-	for (guint i = 0; i < pl->rows->len; i++) {
-		struct row *r = g_ptr_array_index(pl->rows, i);
-		upstream_nr_t nr = (upstream_nr_t)i;
-
-		if (!r || !wants_check(pl, nr, r, now_ms))
-			continue;
-		r->checking = true;
-		g_array_append_val(checks, nr);
+	if (now_ms - pl->means_ms >= PLACING_MEANS_MS) {
+		pl->means_ms = now_ms;
+		for (size_t i = 0; i < catalog_service_nr(pl->cat); i++)
+			update_busy_ratio(pl, (service_nr_t)i);
 	}
+	if (pl->in_doubt)
+		list_checks(pl, now_ms, checks);
 }
 
 void note_check(struct placing *pl, upstream_nr_t nr, enum check_result result,
@@ -492,6 +512,7 @@
 {
 	struct row *r = need_row(pl, nr);
 
+	pl->in_doubt = true;
 	r->checking = false;
 	r->check_ms = now_ms + PLACING_CHECK_AGAIN_MS;
 	switch (result) {
@@ -506,12 +527,15 @@
 			r->doubt_ms = now_ms;
 		break;
 	case CHECK_REFUSED:
+	case CHECK_REPLACED:
 		r->health = HEALTH_DEAD;
 		r->check_ms = now_ms + PLACING_DEAD_AGAIN_MS;
 		break;
 	case CHECK_UNREACHABLE:
-		if (++r->unreachable < PLACING_UNREACHABLE_NR)
+		if (++r->unreachable < PLACING_UNREACHABLE_NR) {
+			r->check_ms = now_ms;
 			break;
+		}
 		r->health = HEALTH_CUT_OFF;
 		r->check_ms = now_ms + PLACING_DEAD_AGAIN_MS;
 		break;
@@ -540,7 +564,7 @@
 const char *check_result_name(enum check_result r)
 {
 	static const char *const names[CHECK_RESULT_NR] = {
-		"good", "bad", "silent", "refused", "unreachable"
+		"good", "bad", "silent", "refused", "replaced", "unreachable"
 	};
 
 	return names[r];
--- a/flow/placing.h
+++ b/flow/placing.h
@@ -29,7 +29,7 @@
 #define PLACING_FAR_COST 0.7
 
 #define PLACING_PEER_MS 1000 /* a peer's sums are used for so long */
-#define PLACING_TICK_MS 50
+#define PLACING_MEANS_MS 100 /* between two updates of the running means */
 
 /*
  * A cold upstream's bound holds for any second; arrivals may be closer
@@ -38,8 +38,14 @@
 #define PLACING_COLD_WINDOW_MS 1150
 #define PLACING_COLD_MAX 64 /* flows a second to one cold upstream, at most */
 
-/* Waiting between a doubt and the check that settles it. */
-#define PLACING_DOUBT_MS 60
+/*
+ * Waiting between a doubt and the check that settles it: peers' signs of life
+ * come within a beacon's interval and clear most doubts, which begin with a
+ * lost datagram. Several signs of silence shorten it.
+ */
+#define PLACING_DOUBT_MS 200
+#define PLACING_DOUBT_SOON_MS 40
+#define PLACING_DOUBT_SOON_NR 3
 #define PLACING_CHECK_AGAIN_MS 500 /* after a check without a verdict */
 #define PLACING_DEAD_AGAIN_MS 2000 /* after one that found it dead */
 #define PLACING_UNREACHABLE_NR 2   /* checks in vain before it counts as dead */
@@ -50,6 +56,7 @@
 	CHECK_BAD,	   /* it answered that it is not */
 	CHECK_SILENT,	   /* it took the question and did not answer */
 	CHECK_REFUSED,	   /* nothing listens there */
+	CHECK_REPLACED,	   /* another upstream answered at its address */
 	CHECK_UNREACHABLE, /* no connection in time */
 	CHECK_RESULT_NR
 };
--- a/net/edge-check.c
+++ b/net/edge-check.c
@@ -1,15 +1,20 @@
 /* Checks of upstreams that are in doubt: one HTTP request each. */
 
+#include <string.h>
+
 #include "net/edge-state.h"
 #include "net/http-client.h"
+#include "platform/records.h"
 
 /*
  * An upstream whose slots are all busy answers after its queue; beyond that
  * callers have no use for it either.
  */
 #define CHECK_TIMEOUT_MS 600
+/* Many round trips; an upstream's kernel answers at once or not at all. */
+#define CHECK_CONNECT_MS 200
 /* A refused connection comes back within a round trip; longer is no answer. */
-#define CHECK_REFUSED_MS 150
+#define CHECK_REFUSED_MS 120
 #define CHECK_ANSWER_MAX 4096 /* bytes */
 
 struct check {
@@ -19,13 +24,24 @@
 	uint64_t started_ms;
 };
 
+static enum check_result read_answer(const struct catalog_upstream *up,
+				     const struct http_message *m)
+{
+	const char *name = find_http_header(m, PLATFORM_UPSTREAM_HEADER);
+
+	if (name && strcmp(name, up->report.name) != 0)
+		return CHECK_REPLACED;
+	return m->code == 200 ? CHECK_GOOD : CHECK_BAD;
+}
+
 static enum check_result read_result(const struct check *ck,
+				     const struct catalog_upstream *up,
 				     const struct http_call_result *r,
 				     uint64_t now_ms)
 {
 	switch (r->kind) {
 	case STATUS_OK:
-		return r->answer->code == 200 ? CHECK_GOOD : CHECK_BAD;
+		return read_answer(up, r->answer);
 	case STATUS_UNKNOWN:
 		return CHECK_SILENT;
 	default:
@@ -53,11 +69,11 @@
 	struct check *ck = data;
 	struct edge *e = ck->e;
 	const struct catalog_upstream *up = get_upstream(e->catalog, ck->nr);
-	enum check_result result;
+	enum check_result result = CHECK_RESULT_NR;
 
 	e->now_ms = edge_clock_ms();
-	result = read_result(ck, r, e->now_ms);
 	if (up && up->report.id == ck->id) {
+		result = read_result(ck, up, r, e->now_ms);
 		note_check(e->placing, ck->nr, result, e->now_ms);
 		if (result != CHECK_GOOD)
 			count(&e->counters, COUNT_HEALTH_PROBE_FAILURES);
@@ -86,8 +102,10 @@
 	m->method = HTTP_GET;
 	m->target = g_strdup(sv->health_path[0] ? sv->health_path : "/health");
 	count(&e->counters, COUNT_HEALTH_PROBES);
-	start_http_call(&e->loop, &up->report.address, m, CHECK_TIMEOUT_MS,
-			CHECK_ANSWER_MAX, on_checked, ck);
+	limit_http_connect(start_http_call(&e->loop, &up->report.address, m,
+					   CHECK_TIMEOUT_MS, CHECK_ANSWER_MAX,
+					   on_checked, ck),
+			   CHECK_CONNECT_MS);
 	destroy_http_message(m);
 }
 
--- a/net/edge-state.h
+++ b/net/edge-state.h
@@ -37,6 +37,7 @@
 	struct http_server *metrics;
 	GRand *rand;
 	uv_timer_t tick;
+	uv_timer_t quick;
 	uv_signal_t sighup;
 	uv_signal_t sigterm;
 	uv_signal_t sigint;
--- a/net/edge.c
+++ b/net/edge.c
@@ -29,6 +29,7 @@
 	log_event(e->log, EVENT_STOP, "instance=%s incarnation=%s phase=end",
 		  e->settings.name, e->incarnation);
 	uv_close((uv_handle_t *)&e->tick, NULL);
+	uv_close((uv_handle_t *)&e->quick, NULL);
 	uv_close((uv_handle_t *)&e->sighup, NULL);
 	uv_close((uv_handle_t *)&e->sigterm, NULL);
 	uv_close((uv_handle_t *)&e->sigint, NULL);
@@ -79,19 +80,27 @@
 		  (unsigned long long)catalog_version(e->catalog));
 }
 
-static void on_tick(uv_timer_t *timer)
+/* The quick part: what must not wait for the slower tick. */
+static void on_quick_tick(uv_timer_t *timer)
 {
 	struct edge *e = timer->data;
 	GArray *checks = g_array_new(FALSE, FALSE, sizeof(upstream_nr_t));
 
 	e->now_ms = edge_clock_ms();
-	note_pause(e, e->now_ms);
-	tick_edge_store(e);
-	update_shares(e->shares, e->now_ms);
+	tick_cookie(e->steering, e->now_ms);
 	tick_placing(e->placing, e->now_ms, checks);
 	check_upstreams(e, checks);
 	g_array_free(checks, TRUE);
-	tick_cookie(e->steering, e->now_ms);
+}
+
+static void on_tick(uv_timer_t *timer)
+{
+	struct edge *e = timer->data;
+
+	e->now_ms = edge_clock_ms();
+	note_pause(e, e->now_ms);
+	tick_edge_store(e);
+	update_shares(e->shares, e->now_ms);
 	expire_catalog(e->catalog, e->now_ms);
 	tick_edge_beacons(e);
 	log_readiness(e);
@@ -195,7 +204,9 @@
 	struct status st;
 
 	uv_timer_init(&e->loop, &e->tick);
+	uv_timer_init(&e->loop, &e->quick);
 	e->tick.data = e;
+	e->quick.data = e;
 	start_signal(e, &e->sighup, on_reload, SIGHUP);
 	start_signal(e, &e->sigterm, on_stop, SIGTERM);
 	start_signal(e, &e->sigint, on_stop, SIGINT);
@@ -206,6 +217,8 @@
 	}
 	start_edge_store(e);
 	uv_timer_start(&e->tick, on_tick, TICK_MS, TICK_MS);
+	uv_timer_start(&e->quick, on_quick_tick, COOKIE_TICK_MS,
+		       COOKIE_TICK_MS);
 	return true;
 }
 
--- a/net/http-client.c
+++ b/net/http-client.c
@@ -13,6 +13,7 @@
 	struct http_message *answer;
 	GByteArray *out;
 	bool sent; /* a byte may have left */
+	uint64_t timeout_ms;
 	bool closing;
 	int open_handles;
 	void (*fn)(const struct http_call_result *r, void *data);
@@ -93,6 +94,11 @@
 		finish_call(req->data);
 }
 
+static void on_timeout(uv_timer_t *timer)
+{
+	finish_call(timer->data);
+}
+
 static void on_connected(uv_connect_t *req, int status)
 {
 	struct http_call *c = req->data;
@@ -105,6 +111,7 @@
 		return;
 	}
 	c->sent = true;
+	uv_timer_start(&c->timer, on_timeout, c->timeout_ms, 0);
 	buf = uv_buf_init((char *)c->out->data, c->out->len);
 	uv_tcp_nodelay(&c->tcp, 1);
 	c->write.data = c;
@@ -114,11 +121,6 @@
 		finish_call(c);
 }
 
-static void on_timeout(uv_timer_t *timer)
-{
-	finish_call(timer->data);
-}
-
 /* Reports a connection that could not even be tried, from the loop. */
 static void fail_soon(struct http_call *c)
 {
@@ -146,6 +148,7 @@
 	c->timer.data = c;
 	c->connect.data = c;
 	endpoint_to_sockaddr(ep, &ss);
+	c->timeout_ms = timeout_ms;
 	if (uv_tcp_connect(&c->connect, &c->tcp, (struct sockaddr *)&ss,
 			   on_connected) < 0)
 		fail_soon(c);
@@ -153,3 +156,9 @@
 		uv_timer_start(&c->timer, on_timeout, timeout_ms, 0);
 	return c;
 }
+
+void limit_http_connect(struct http_call *c, uint64_t ms)
+{
+	if (!c->sent && !c->closing)
+		uv_timer_start(&c->timer, on_timeout, ms, 0);
+}
--- a/net/http-client.h
+++ b/net/http-client.h
@@ -33,6 +33,9 @@
 	const struct http_message *m, uint64_t timeout_ms, size_t max_answer,
 	void (*fn)(const struct http_call_result *r, void *data), void *data);
 
+/* Gives up if there is no connection within MS from now. */
+void limit_http_connect(struct http_call *c, uint64_t ms);
+
 /* Closes the connection; FN is not called. */
 void cancel_http_call(struct http_call *c);
 
