--- /dev/null
+++ b/t/check-cookie.c
@@ -0,0 +1,419 @@
+/* Tests of steering by cookie: what callers get in each of the failures. */
+
+#include <check.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "t/cookie-bed.h"
+
+#define CALLER 0x64400007 /* 100.64.0.7 */
+
+static struct bed_instance in;
+static GArray *resets;
+
+static void setup(void)
+{
+	init_bed_instance(&in, "front-1", "north");
+	resets = g_array_new(FALSE, FALSE, sizeof(struct cookie_reset));
+}
+
+static void teardown(void)
+{
+	release_bed_instance(&in);
+	g_array_free(resets, TRUE);
+}
+
+static upstream_nr_t put(const char *name, uint64_t now_ms)
+{
+	struct upstream_report r = bed_report(name, "north");
+
+	return bed_put(&in, &r, now_ms);
+}
+
+static struct cookie_decision syn(uint16_t port, uint32_t copy, uint64_t now_ms)
+{
+	struct cookie_packet p = bed_packet(CALLER, port, TCP_SYN, 0);
+
+	p.ack = copy;
+	return steer_cookie(in.steering, &p, false, now_ms);
+}
+
+/* A packet with LEN bytes of data after those of seq 1001. */
+static struct cookie_decision data(uint16_t port, uint32_t cookie,
+				   uint32_t seq, uint16_t len, uint32_t ack,
+				   uint64_t now_ms)
+{
+	struct cookie_packet p = bed_packet(CALLER, port, TCP_ACK, cookie);
+
+	p.seq = seq;
+	p.payload = len;
+	p.ack = ack;
+	return steer_cookie(in.steering, &p, false, now_ms);
+}
+
+/* Opens a flow from PORT and sends its first request; the upstream. */
+static upstream_nr_t open_flow(uint16_t port, uint64_t now_ms)
+{
+	struct cookie_decision d = syn(port, 0, now_ms);
+
+	ck_assert_int_eq(d.verdict, COOKIE_TO_UPSTREAM);
+	data(port, d.cookie, 1001, 0, 500, now_ms + 8);
+	data(port, d.cookie, 1001, 100, 500, now_ms + 9);
+	return d.upstream;
+}
+
+START_TEST(the_cookie_finds_the_upstream_without_memory)
+{
+	struct bed_instance other;
+	struct upstream_report r = bed_report("u-a", "north");
+	struct cookie_packet p;
+	struct cookie_decision d;
+	uint32_t cookie = make_cookie(r.id);
+
+	put("u-a", 0);
+	put("u-b", 0);
+	init_bed_instance(&other, "front-2", "south");
+	bed_put(&other, &r, 0);
+	p = bed_packet(CALLER, 4000, TCP_ACK, cookie);
+	d = steer_cookie(other.steering, &p, false, 1000);
+	ck_assert_int_eq(d.verdict, COOKIE_TO_UPSTREAM);
+	ck_assert_uint_eq(get_upstream(other.catalog, d.upstream)->report.id,
+			  r.id);
+	release_bed_instance(&other);
+}
+END_TEST
+
+START_TEST(an_unknown_cookie_is_asked_about_once)
+{
+	struct cookie_packet p = bed_packet(CALLER, 4000, TCP_ACK, 99);
+
+	put("u-a", 0);
+	ck_assert_int_eq(steer_cookie(in.steering, &p, false, 10).verdict,
+			 COOKIE_TO_PEER);
+	ck_assert_int_eq(steer_cookie(in.steering, &p, true, 10).verdict,
+			 COOKIE_DROP);
+}
+END_TEST
+
+START_TEST(a_copied_syn_goes_to_another_upstream)
+{
+	struct cookie_decision first;
+	struct cookie_decision second;
+
+	put("u-a", 0);
+	put("u-b", 0);
+	first = syn(4000, 0, 1000);
+	second = syn(4000, 1, 1200);
+	ck_assert_int_eq(second.reason, COOKIE_REOPENED);
+	ck_assert_uint_ne(first.upstream, second.upstream);
+}
+END_TEST
+
+START_TEST(a_copied_syn_stays_with_an_upstream_that_answers_others)
+{
+	struct cookie_decision first;
+
+	put("u-a", 0);
+	put("u-b", 0);
+	first = syn(4000, 0, 1000);
+	note_life(in.placing, first.upstream, 1100);
+	ck_assert_uint_eq(syn(4000, 1, 1200).upstream, first.upstream);
+}
+END_TEST
+
+START_TEST(late_answers_to_a_copy_do_not_move_the_flow)
+{
+	struct cookie_decision first;
+	struct cookie_decision second;
+
+	put("u-a", 0);
+	put("u-b", 0);
+	first = syn(4000, 0, 1000);
+	second = syn(4000, 1, 1200);
+	ck_assert_uint_eq(data(4000, first.cookie, 1001, 0, 500, 1210).upstream,
+			  first.upstream);
+	ck_assert_uint_eq(
+		data(4000, second.cookie, 1001, 10, 500, 1220).upstream,
+		first.upstream);
+	ck_assert_uint_eq(
+		data(4000, second.cookie, 1001, 10, 500, 1220).cookie,
+		first.cookie);
+}
+END_TEST
+
+/*
+ * A dead upstream resets SYNs at once. The caller comes again within
+ * milliseconds and must not be sent there until its tries are used up.
+ */
+START_TEST(a_caller_that_comes_again_at_once_gets_another_upstream)
+{
+	struct load_row busy[3];
+	upstream_nr_t dead = put("u-a", 0);
+
+	/* the dead one has no load, as callers' flows to it have all ended */
+	for (int i = 0; i < 3; i++) {
+		char name[8];
+
+		g_snprintf(name, sizeof(name), "u-%c", 'b' + i);
+		busy[i] = (struct load_row){
+			get_upstream(in.catalog, put(name, 0))->cookie, 4, 20,
+			50, HEALTH_GOOD
+		};
+	}
+	take_peer_loads(in.placing, 77, busy, 3, 1000);
+	ck_assert_uint_eq(syn(4000, 0, 1000).upstream, dead);
+	ck_assert_uint_ne(syn(4001, 0, 1008).upstream, dead);
+	ck_assert_uint_ne(syn(4002, 0, 1016).upstream, dead);
+}
+END_TEST
+
+START_TEST(handshakes_that_do_not_end_cast_doubt)
+{
+	upstream_nr_t bad;
+
+	put("u-a", 0);
+	put("u-b", 0);
+	bad = syn(4000, 0, 1000).upstream;
+	tick_cookie(in.steering, 1000 + COOKIE_HANDSHAKE_MIN_MS - 1);
+	ck_assert_int_eq(placing_health(in.placing, bad), HEALTH_GOOD);
+	tick_cookie(in.steering,
+		    1000 + COOKIE_HANDSHAKE_FACTOR * COOKIE_HANDSHAKE_MS);
+	ck_assert_int_eq(placing_health(in.placing, bad), HEALTH_DOUBTED);
+	/* any other caller is kept away from it too */
+	for (uint32_t i = 1; i < 20; i++) {
+		struct cookie_packet p =
+			bed_packet(CALLER + i, 4000, TCP_SYN, 0);
+
+		ck_assert_uint_ne(
+			steer_cookie(in.steering, &p, false, 1100).upstream,
+			bad);
+	}
+}
+END_TEST
+
+START_TEST(a_slow_answer_is_no_silence)
+{
+	upstream_nr_t nr;
+
+	put("u-a", 0);
+	nr = open_flow(4000, 1000);
+	tick_cookie(in.steering, 2900);
+	ck_assert_int_eq(placing_health(in.placing, nr), HEALTH_GOOD);
+}
+END_TEST
+
+START_TEST(bytes_sent_again_are_silence)
+{
+	upstream_nr_t nr;
+	uint32_t cookie;
+
+	nr = put("u-a", 0);
+	cookie = get_upstream(in.catalog, nr)->cookie;
+	open_flow(4000, 1000);
+	data(4000, cookie, 1001, 100, 500, 1209);
+	ck_assert_int_eq(placing_health(in.placing, nr), HEALTH_DOUBTED);
+	data(4000, cookie, 1101, 0, 900, 1300);
+	ck_assert_int_eq(placing_health(in.placing, nr), HEALTH_GOOD);
+}
+END_TEST
+
+START_TEST(flows_of_a_dead_upstream_are_reset_the_silent_ones_too)
+{
+	upstream_nr_t nr;
+
+	put("u-a", 0);
+	nr = open_flow(4000, 1000);
+	open_flow(4001, 1000);
+	note_check(in.placing, nr, CHECK_REFUSED, 1500);
+	end_flows_of(in.steering, nr, 1500, resets);
+	ck_assert_uint_eq(resets->len, 2);
+	for (guint i = 0; i < 2; i++) {
+		const struct cookie_reset *r =
+			&g_array_index(resets, struct cookie_reset, i);
+
+		ck_assert_uint_eq(r->seq, 500);
+		ck_assert_uint_eq(r->waited_ms, 491);
+	}
+	ck_assert_uint_eq(cookie_flow_nr(in.steering), 0);
+}
+END_TEST
+
+START_TEST(no_flow_is_reset_on_suspicion)
+{
+	upstream_nr_t nr;
+	uint32_t cookie;
+
+	nr = put("u-a", 0);
+	cookie = get_upstream(in.catalog, nr)->cookie;
+	open_flow(4000, 1000);
+	for (uint64_t t = 1200; t < 5000; t += 200)
+		ck_assert_int_eq(
+			data(4000, cookie, 1001, 100, 500, t).verdict,
+			COOKIE_TO_UPSTREAM);
+	note_check(in.placing, nr, CHECK_SILENT, 5000);
+	ck_assert_int_eq(data(4000, cookie, 1001, 100, 500, 5100).verdict,
+			 COOKIE_TO_UPSTREAM);
+	note_check(in.placing, nr, CHECK_UNREACHABLE, 5200);
+	ck_assert_int_eq(data(4000, cookie, 1001, 100, 500, 5300).verdict,
+			 COOKIE_TO_UPSTREAM);
+}
+END_TEST
+
+START_TEST(an_upstream_whose_entry_went_keeps_its_flows)
+{
+	upstream_nr_t nr;
+	uint32_t cookie;
+
+	nr = put("u-a", 0);
+	put("u-b", 0);
+	cookie = get_upstream(in.catalog, nr)->cookie;
+	remove_catalog_upstream(in.catalog, "u-a", 1000);
+	expire_catalog(in.catalog, 1000 + BED_TTL_MS);
+	ck_assert_uint_eq(data(4000, cookie, 1001, 10, 5, 2000).upstream, nr);
+	for (uint16_t port = 5000; port < 5050; port++)
+		ck_assert_uint_ne(syn(port, 0, 2000).upstream, nr);
+	expire_catalog(in.catalog, 1001 + BED_TTL_MS);
+	ck_assert_int_eq(data(4100, cookie, 1001, 10, 5, 99000).verdict,
+			 COOKIE_TO_PEER);
+}
+END_TEST
+
+START_TEST(draining_and_taken_out_upstreams_keep_flows_and_get_none)
+{
+	struct upstream_report r = bed_report("u-a", "south");
+	upstream_nr_t out = put("u-b", 0);
+	upstream_nr_t drained;
+	uint32_t cookie;
+
+	r.draining = true;
+	drained = bed_put(&in, &r, 0);
+	cookie = get_upstream(in.catalog, drained)->cookie;
+	ck_assert_int_eq(data(4000, cookie, 1001, 10, 5, 10).verdict,
+			 COOKIE_TO_UPSTREAM);
+	ck_assert_uint_eq(syn(4001, 0, 10).upstream, out);
+	set_catalog_domain_out(in.catalog, "north", true, 0, 20);
+	ck_assert_int_eq(syn(4002, 0, 30).verdict, COOKIE_RESET);
+	cookie = get_upstream(in.catalog, out)->cookie;
+	ck_assert_int_eq(data(4001, cookie, 1001, 10, 5, 30).verdict,
+			 COOKIE_TO_UPSTREAM);
+}
+END_TEST
+
+START_TEST(what_cannot_be_served_is_refused_at_its_syn)
+{
+	struct cookie_packet p;
+	struct cookie_decision d = syn(4000, 0, 10);
+
+	ck_assert_int_eq(d.verdict, COOKIE_RESET);
+	ck_assert_int_eq(d.reason, COOKIE_REFUSED);
+	ck_assert_int_eq(d.placement.reason, PLACE_NONE_LISTED);
+	put("u-a", 10);
+	p = bed_packet(CALLER, 4001, TCP_SYN, 0);
+	p.key.service_port = 1;
+	d = steer_cookie(in.steering, &p, false, 20);
+	ck_assert_int_eq(d.verdict, COOKIE_RESET);
+	ck_assert_int_eq(d.reason, COOKIE_NO_ROUTE);
+}
+END_TEST
+
+START_TEST(flows_of_a_dropped_route_end_and_the_others_stay)
+{
+	const uint16_t ports[] = { 1, BED_ROUTE_PORT };
+	const uint16_t other = 1;
+
+	put("u-a", 0);
+	open_flow(4000, 1000);
+	bed_routes(in.catalog, 2, ports, 2, 20);
+	end_routeless_flows(in.steering, 1100, resets);
+	ck_assert_uint_eq(resets->len, 0);
+	bed_routes(in.catalog, 3, &other, 1, 20);
+	end_routeless_flows(in.steering, 1200, resets);
+	ck_assert_uint_eq(resets->len, 1);
+	ck_assert_int_eq(
+		g_array_index(resets, struct cookie_reset, 0).reason,
+		COOKIE_ROUTE_GONE);
+}
+END_TEST
+
+START_TEST(an_older_configuration_never_comes_back)
+{
+	const uint16_t old = 1;
+
+	put("u-a", 0);
+	bed_routes(in.catalog, 5, &old, 1, 20);
+	bed_routes(in.catalog, 4, &old, 0, 20);
+	ck_assert_uint_eq(catalog_version(in.catalog), 5);
+	ck_assert_uint_eq(catalog_route_nr(in.catalog), 1);
+}
+END_TEST
+
+START_TEST(one_with_no_configuration_asks_others)
+{
+	struct catalog *empty = create_catalog(BED_TTL_MS);
+	struct cookie_steering *cs =
+		create_cookie_steering(empty, in.placing, &in.counters);
+	struct cookie_packet p = bed_packet(CALLER, 4000, TCP_SYN, 0);
+
+	ck_assert_int_eq(steer_cookie(cs, &p, false, 10).verdict,
+			 COOKIE_TO_PEER);
+	destroy_cookie_steering(cs);
+	destroy_catalog(empty);
+}
+END_TEST
+
+START_TEST(ended_flows_are_forgotten)
+{
+	struct cookie_packet fin;
+	upstream_nr_t nr = put("u-a", 0);
+	uint32_t cookie = get_upstream(in.catalog, nr)->cookie;
+
+	open_flow(4000, 1000);
+	fin = bed_packet(CALLER, 4000, TCP_ACK | TCP_FIN, cookie);
+	fin.seq = 1101;
+	fin.ack = 900;
+	steer_cookie(in.steering, &fin, false, 1100);
+	open_flow(4001, 1000);
+	tick_cookie(in.steering, 1100 + COOKIE_CLOSING_MS + 1);
+	ck_assert_uint_eq(cookie_flow_nr(in.steering), 1);
+	tick_cookie(in.steering, 1100 + BED_IDLE_MS);
+	ck_assert_uint_eq(cookie_flow_nr(in.steering), 0);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("cookie");
+	TCase *tc = tcase_create("cookie");
+	SRunner *sr = srunner_create(s);
+	int failed;
+
+	tcase_add_checked_fixture(tc, setup, teardown);
+	tcase_add_test(tc, the_cookie_finds_the_upstream_without_memory);
+	tcase_add_test(tc, an_unknown_cookie_is_asked_about_once);
+	tcase_add_test(tc, a_copied_syn_goes_to_another_upstream);
+	tcase_add_test(
+		tc, a_copied_syn_stays_with_an_upstream_that_answers_others);
+	tcase_add_test(tc, late_answers_to_a_copy_do_not_move_the_flow);
+	tcase_add_test(
+		tc, a_caller_that_comes_again_at_once_gets_another_upstream);
+	tcase_add_test(tc, handshakes_that_do_not_end_cast_doubt);
+	tcase_add_test(tc, a_slow_answer_is_no_silence);
+	tcase_add_test(tc, bytes_sent_again_are_silence);
+	tcase_add_test(
+		tc, flows_of_a_dead_upstream_are_reset_the_silent_ones_too);
+	tcase_add_test(tc, no_flow_is_reset_on_suspicion);
+	tcase_add_test(tc, an_upstream_whose_entry_went_keeps_its_flows);
+	tcase_add_test(
+		tc, draining_and_taken_out_upstreams_keep_flows_and_get_none);
+	tcase_add_test(tc, what_cannot_be_served_is_refused_at_its_syn);
+	tcase_add_test(tc, flows_of_a_dropped_route_end_and_the_others_stay);
+	tcase_add_test(tc, an_older_configuration_never_comes_back);
+	tcase_add_test(tc, one_with_no_configuration_asks_others);
+	tcase_add_test(tc, ended_flows_are_forgotten);
+	suite_add_tcase(s, tc);
+	srunner_run_all(sr, CK_ENV);
+	failed = srunner_ntests_failed(sr);
+	srunner_free(sr);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/t/cookie-bed.c
@@ -0,0 +1,100 @@
+#include "t/cookie-bed.h"
+
+#include <string.h>
+
+struct upstream_report bed_report(const char *name, const char *domain)
+{
+	struct upstream_report r = { .id = upstream_id("board", name),
+				     .slots = 3,
+				     .start_ms = 1 };
+
+	g_strlcpy(r.name, name, sizeof(r.name));
+	g_strlcpy(r.service, "board", sizeof(r.service));
+	g_strlcpy(r.domain, domain, sizeof(r.domain));
+	parse_endpoint("127.0.0.1:9", &r.address, NULL);
+	return r;
+}
+
+void bed_routes(struct catalog *c, uint64_t version, const uint16_t *ports,
+		size_t port_nr, double cold_per_s)
+{
+	GArray *routes =
+		g_array_new(FALSE, FALSE, sizeof(struct catalog_route));
+	struct catalog_service sv = { .cold_ms = 2000,
+				      .cold_per_s = cold_per_s,
+				      .connections = 2000 };
+	service_nr_t nr = intern_service(c, "board");
+
+	for (size_t i = 0; i < port_nr; i++) {
+		struct catalog_route r = { .ip = BED_ROUTE_IP,
+					   .port = ports[i],
+					   .deadline_ms = BED_DEADLINE_MS,
+					   .share_nr = 1 };
+
+		r.shares = g_new0(struct route_share, 1);
+		r.shares[0].service = nr;
+		r.shares[0].weight = 1;
+		g_array_append_val(routes, r);
+	}
+	if (set_catalog_routes(c, version, routes, BED_IDLE_MS))
+		set_catalog_service(c, nr, &sv);
+}
+
+void bed_member(struct bed_instance *in, const char *name, const char *domain,
+		enum member_state state)
+{
+	struct member m = { .id = service_id(name), .state = state };
+
+	g_strlcpy(m.name, name, sizeof(m.name));
+	g_strlcpy(m.domain, domain, sizeof(m.domain));
+	put_member(in->view, &m);
+}
+
+void init_bed_instance(struct bed_instance *in, const char *name,
+		       const char *domain)
+{
+	const uint16_t port = BED_ROUTE_PORT;
+
+	memset(in, 0, sizeof(*in));
+	in->catalog = create_catalog(BED_TTL_MS);
+	in->view = create_view(service_id(name));
+	bed_member(in, name, domain, MEMBER_ALIVE);
+	set_view_settled(in->view, true);
+	in->shares = create_shares(in->view);
+	in->placing = create_placing(in->catalog, in->view, in->shares, domain,
+				     7);
+	in->steering = create_cookie_steering(in->catalog, in->placing,
+					      &in->counters);
+	bed_routes(in->catalog, 1, &port, 1, 20);
+}
+
+void release_bed_instance(struct bed_instance *in)
+{
+	destroy_cookie_steering(in->steering);
+	destroy_placing(in->placing);
+	destroy_shares(in->shares);
+	destroy_view(in->view);
+	destroy_catalog(in->catalog);
+}
+
+upstream_nr_t bed_put(struct bed_instance *in, const struct upstream_report *r,
+		      uint64_t now_ms)
+{
+	upstream_nr_t nr = put_catalog_upstream(in->catalog, r, now_ms, now_ms);
+
+	update_placing(in->placing, nr, now_ms);
+	return nr;
+}
+
+struct cookie_packet bed_packet(uint32_t caller, uint16_t port, uint8_t flags,
+				uint32_t cookie)
+{
+	struct cookie_packet p = { .flags = flags, .cookie = cookie };
+
+	p.key.caller_ip = caller;
+	p.key.caller_port = port;
+	p.key.service_ip = BED_ROUTE_IP;
+	p.key.service_port = BED_ROUTE_PORT;
+	p.seq = 1000;
+	return p;
+}
