fleet, config: readers follow the store and pass news on

Change: one or two readers a failure domain watch; they pass each revision's changes on in one datagram that names the revision before it. Others ask peers for what they missed, and the store if no peer can help or no reader of the domain is heard. Long values are read when named. Beacons to other domains are rarer in fleets over 20.

--- a/config/mirror.c
+++ b/config/mirror.c
@@ -8,6 +8,7 @@
 	STATE_START,	/* nothing was asked yet */
 	STATE_READING,	/* a read of all entries is under way */
 	STATE_WATCHING, /* a watch stands */
+	STATE_TAKING,	/* news come from peers */
 	STATE_WAITING	/* after a failure */
 };
 
@@ -31,9 +32,15 @@
 	uint64_t retry_ms;   /* end of STATE_WAITING */
 	unsigned int failures;
 	bool read_next; /* the watch cannot go on from the revision */
+	bool reader;	/* watches; else takes news */
+	bool helping_self; /* no reader, but behind: watches until it is not */
 	uint64_t hint;	/* newest revision known to a peer */
 	uint64_t hint_ms;
+	uint64_t asked_ms;
 	uint64_t rewatch_ms;
+	char *wanted;	    /* key whose value was left out; NULL: none */
+	uint64_t wanted_ms; /* when it may be read */
+	bool reading_key;
 };
 
 static void free_item(gpointer data)
@@ -53,6 +60,7 @@
 	m->dead = g_ptr_array_new_with_free_func(g_free);
 	m->rand = g_rand_new_with_seed(seed);
 	m->read_next = true;
+	m->reader = true;
 	return m;
 }
 
@@ -63,6 +71,7 @@
 	g_hash_table_destroy(m->items);
 	g_ptr_array_free(m->dead, TRUE);
 	g_rand_free(m->rand);
+	g_free(m->wanted);
 	g_free(m);
 }
 
@@ -86,6 +95,22 @@
 	act(out, MIRROR_DO_WATCH)->revision = m->revision + 1;
 }
 
+/* Whether a peer has seen more of the store. */
+static bool is_behind(const struct mirror *m)
+{
+	return m->hint > m->revision;
+}
+
+/* Goes on from the revision: by watching, or by taking news. */
+static void follow(struct mirror *m, GArray *out)
+{
+	m->helping_self = false;
+	if (m->reader)
+		start_watch(m, out);
+	else
+		m->state = STATE_TAKING;
+}
+
 static void note_contact(struct mirror *m, uint64_t now_ms, GArray *out)
 {
 	m->contact_ms = now_ms;
@@ -155,8 +180,9 @@
 	a->revision = it->revision;
 }
 
+/* Removes KEY as of REVISION, at HOLD_MS if that is not 0. */
 static void remove_item(struct mirror *m, const char *key, uint64_t revision,
-			uint64_t now_ms, GArray *out)
+			uint64_t hold_ms, GArray *out)
 {
 	struct item *it = g_hash_table_lookup(m->items, key);
 	gpointer owned;
@@ -166,7 +192,7 @@
 	it->revision = revision;
 	if (it->gone_ms)
 		return;
-	it->gone_ms = hold_until(m, now_ms);
+	it->gone_ms = hold_ms;
 	if (it->gone_ms)
 		return;
 	tell_removed(m, g_strdup(key), it, out);
@@ -182,7 +208,7 @@
 	gpointer key;
 	gpointer value;
 
-	if (!m->well_since)
+	if (m->reader && !m->well_since)
 		return;
 	g_hash_table_iter_init(&iter, m->items);
 	while (g_hash_table_iter_next(&iter, &key, &value)) {
@@ -199,13 +225,14 @@
 static void remove_unseen(struct mirror *m, uint64_t revision, uint64_t now_ms,
 			  GArray *out)
 {
+	uint64_t hold = hold_until(m, now_ms);
 	GList *keys = g_hash_table_get_keys(m->items);
 
 	for (GList *l = keys; l; l = l->next) {
 		const struct item *it = g_hash_table_lookup(m->items, l->data);
 
 		if (!it->seen)
-			remove_item(m, l->data, revision, now_ms, out);
+			remove_item(m, l->data, revision, hold, out);
 	}
 	g_list_free(keys);
 }
@@ -230,7 +257,50 @@
 		remove_unseen(m, a->revision, now_ms, out);
 	m->revision = MAX(m->revision, a->revision);
 	m->read_next = false;
-	start_watch(m, out);
+	act(out, MIRROR_TELL_NONE);
+	follow(m, out);
+}
+
+static void take_hint(struct mirror *m, uint64_t revision, uint64_t now_ms)
+{
+	if (revision <= m->revision || revision <= m->hint)
+		return;
+	if (m->hint <= m->revision)
+		m->hint_ms = now_ms;
+	m->hint = revision;
+}
+
+/* Passes the changes of each revision in A on, one after the other. */
+static void tell_changes(struct mirror *m, const struct store_answer *a,
+			 uint64_t now_ms, GArray *out)
+{
+	uint64_t hold = hold_until(m, now_ms);
+	uint64_t from = m->revision;
+	size_t start = 0;
+
+	for (size_t i = 1; i <= a->entry_nr; i++) {
+		uint64_t revision = a->entries[start].mod_revision;
+		struct mirror_news *n;
+
+		if (i < a->entry_nr && a->entries[i].mod_revision == revision)
+			continue;
+		if (revision > from) {
+			n = &act(out, MIRROR_TELL)->news;
+			n->from = from;
+			n->to = revision;
+			n->hold_ms = hold ? (uint32_t)(hold - now_ms) : 0;
+			n->entries = &a->entries[start];
+			n->entry_nr = i - start;
+			from = revision;
+		}
+		start = i;
+	}
+	if (a->revision > from) {
+		struct mirror_news *n = &act(out, MIRROR_TELL)->news;
+
+		n->from = from;
+		n->to = a->revision;
+	}
 }
 
 static void take_watched(struct mirror *m, const struct store_answer *a,
@@ -248,15 +318,85 @@
 		return;
 	}
 	note_contact(m, now_ms, out);
+	tell_changes(m, a, now_ms, out);
 	for (size_t i = 0; i < a->entry_nr; i++) {
 		const struct store_entry *e = &a->entries[i];
 
 		if (e->deleted)
-			remove_item(m, e->key, e->mod_revision, now_ms, out);
+			remove_item(m, e->key, e->mod_revision,
+				    hold_until(m, now_ms), out);
 		else
 			change_item(m, e, out);
 	}
 	m->revision = MAX(m->revision, a->revision);
+	if (m->helping_self && !is_behind(m)) {
+		act(out, MIRROR_DO_STOP_WATCH);
+		follow(m, out);
+	}
+}
+
+static void take_key(struct mirror *m, const struct store_answer *a,
+		     uint64_t now_ms, GArray *out)
+{
+	m->reading_key = false;
+	m->wanted_ms = now_ms + MIRROR_KEY_MS;
+	if (a->status.kind != STATUS_OK)
+		return;
+	for (size_t i = 0; i < a->entry_nr; i++)
+		if (m->wanted && !strcmp(a->entries[i].key, m->wanted)) {
+			change_item(m, &a->entries[i], out);
+			g_clear_pointer(&m->wanted, g_free);
+		}
+}
+
+/* Remembers that KEY has a value that was too long to be passed on. */
+static void want_key(struct mirror *m, const char *key)
+{
+	if (m->wanted && !strcmp(m->wanted, key))
+		return;
+	if (m->wanted) {
+		/* two of them: only a whole read brings both */
+		m->read_next = true;
+		return;
+	}
+	m->wanted = g_strdup(key);
+}
+
+static void take_news(struct mirror *m, const struct mirror_news *n,
+		      uint64_t now_ms, GArray *out)
+{
+	uint64_t hold = n->hold_ms ? now_ms + n->hold_ms : 0;
+
+	if (m->state != STATE_TAKING || n->to <= m->revision)
+		return;
+	if (n->from > m->revision) {
+		take_hint(m, n->to, now_ms);
+		return;
+	}
+	for (size_t i = 0; i < n->entry_nr; i++) {
+		const struct store_entry *e = &n->entries[i];
+
+		if (e->deleted)
+			remove_item(m, e->key, n->to, hold, out);
+		else if (e->value)
+			change_item(m, e, out);
+		else
+			want_key(m, e->key);
+	}
+	m->revision = n->to;
+}
+
+static void set_reader(struct mirror *m, bool reader, GArray *out)
+{
+	if (m->reader == reader)
+		return;
+	m->reader = reader;
+	if (m->state == STATE_WATCHING && !reader) {
+		act(out, MIRROR_DO_STOP_WATCH);
+		follow(m, out);
+	} else if (m->state == STATE_TAKING && reader) {
+		follow(m, out);
+	}
 }
 
 static void resume(struct mirror *m, GArray *out)
@@ -264,7 +404,7 @@
 	if (m->read_next)
 		start_read(m, out);
 	else
-		start_watch(m, out);
+		follow(m, out);
 }
 
 static void restart_watch(struct mirror *m, uint64_t now_ms, GArray *out)
@@ -274,19 +414,34 @@
 	start_watch(m, out);
 }
 
-static void take_hint(struct mirror *m, uint64_t revision, uint64_t now_ms)
+/* Asks for news that were missed: peers first, then the store. */
+static void catch_up(struct mirror *m, uint64_t now_ms, GArray *out)
 {
-	if (revision <= m->revision || revision <= m->hint)
+	if (m->read_next) {
+		start_read(m, out);
 		return;
-	if (m->hint <= m->revision)
-		m->hint_ms = now_ms;
-	m->hint = revision;
+	}
+	if (!is_behind(m) || now_ms - m->hint_ms < MIRROR_ASK_MS)
+		return;
+	if (now_ms - m->hint_ms >= MIRROR_HELP_MS) {
+		start_watch(m, out);
+		m->helping_self = true;
+	} else if (now_ms - m->asked_ms >= MIRROR_ASK_MS) {
+		m->asked_ms = now_ms;
+		act(out, MIRROR_DO_ASK)->revision = m->revision;
+	}
 }
 
 static void tick(struct mirror *m, uint64_t now_ms, GArray *out)
 {
 	drop_held(m, now_ms, out);
-	if (m->state == STATE_START)
+	if (m->wanted && !m->reading_key && now_ms >= m->wanted_ms) {
+		m->reading_key = true;
+		act(out, MIRROR_DO_READ_KEY)->key = m->wanted;
+	}
+	if (m->state == STATE_TAKING)
+		catch_up(m, now_ms, out);
+	else if (m->state == STATE_START)
 		start_read(m, out);
 	else if (m->state == STATE_WAITING && now_ms >= m->retry_ms)
 		resume(m, out);
@@ -311,9 +466,21 @@
 	case MIRROR_WATCHED:
 		take_watched(m, ev->answer, now_ms, out);
 		break;
+	case MIRROR_KEY_READ:
+		take_key(m, ev->answer, now_ms, out);
+		break;
 	case MIRROR_HINT:
 		take_hint(m, ev->revision, now_ms);
 		break;
+	case MIRROR_NEWS:
+		take_news(m, ev->news, now_ms, out);
+		break;
+	case MIRROR_NO_NEWS:
+		m->read_next = m->read_next || m->state == STATE_TAKING;
+		break;
+	case MIRROR_ROLE:
+		set_reader(m, ev->reader, out);
+		break;
 	case MIRROR_WOKEN:
 		if (m->state == STATE_WATCHING)
 			restart_watch(m, now_ms, out);
@@ -331,6 +498,12 @@
 	return m->well_since;
 }
 
+bool mirror_is_watching(const struct mirror *m, uint64_t now_ms)
+{
+	return m->state == STATE_WATCHING && m->well_since &&
+	       now_ms - m->contact_ms < MIRROR_CONTACT_MS;
+}
+
 uint64_t mirror_contact_ms(const struct mirror *m)
 {
 	return m->contact_ms;
--- a/config/mirror.h
+++ b/config/mirror.h
@@ -6,6 +6,10 @@
  * to watch, what of an answer is news, and which removals to believe. Events
  * and the present time go in, actions come out; no I/O.
  *
+ * A reader watches the store. The others take from readers, as news, what
+ * those saw, and ask the store only when they start, when a value is too long
+ * to be passed on, or when they are behind and no peer can help.
+ *
  * Entries of upstreams that live may lapse while the store is away. Removals
  * learned within MIRROR_RETURN_MS of its return are therefore held back that
  * long, and forgotten if the entry comes back.
@@ -30,24 +34,53 @@
 #define MIRROR_HINT_MS 300
 #define MIRROR_REWATCH_MS 1000 /* least time between two such doubts */
 
+/* One that takes news is behind so long before it asks peers, and again. */
+#define MIRROR_ASK_MS 120
+#define MIRROR_HELP_MS 700 /* and before it asks the store */
+
+/*
+ * Least time between two reads of one long value: in a series of changes only
+ * the last counts, and the bound for it is seconds.
+ */
+#define MIRROR_KEY_MS 600
+
 enum mirror_event_kind {
 	MIRROR_TICK,	/* every MIRROR_TICK_MS */
 	MIRROR_READ,	/* ANSWER to the last MIRROR_DO_READ */
 	MIRROR_WATCHED, /* ANSWER of the watch; not STATUS_OK: it ended */
+	MIRROR_KEY_READ, /* ANSWER to the last MIRROR_DO_READ_KEY */
 	MIRROR_HINT,	/* a peer has seen REVISION of the store */
+	MIRROR_NEWS,	/* a reader passed NEWS on */
+	MIRROR_NO_NEWS, /* a peer no longer knows what was asked for */
+	MIRROR_ROLE,	/* this instance is a READER or not */
 	MIRROR_WOKEN	/* this process stood still; connections may be old */
 };
 
+/* Changes that lead from revision FROM to TO. */
+struct mirror_news {
+	uint64_t from;
+	uint64_t to;
+	uint32_t hold_ms; /* removals may be lapses: hold them back so long */
+	const struct store_entry *entries; /* a value of NULL was left out */
+	size_t entry_nr;
+};
+
 struct mirror_event {
 	enum mirror_event_kind kind;
 	union {
 		const struct store_answer *answer;
+		const struct mirror_news *news;
 		uint64_t revision;
+		bool reader;
 	};
 };
 
 enum mirror_action_kind {
 	MIRROR_DO_READ,	      /* read all entries */
+	MIRROR_DO_READ_KEY,   /* read KEY */
+	MIRROR_DO_ASK,	      /* ask a peer what followed REVISION */
+	MIRROR_TELL,	      /* pass NEWS on */
+	MIRROR_TELL_NONE,     /* news before this point cannot be passed on */
 	MIRROR_DO_WATCH,      /* watch from REVISION on */
 	MIRROR_DO_STOP_WATCH, /* end the watch */
 	MIRROR_CHANGED,	      /* KEY has VALUE, LEN */
@@ -63,6 +96,7 @@
 	const char *key;
 	const void *value;
 	size_t len;
+	struct mirror_news news;
 };
 
 struct mirror;
@@ -80,6 +114,10 @@
 /* Since when the store has answered without a failure; 0: it does not. */
 uint64_t mirror_well_since(const struct mirror *m);
 
+/* True if this mirror watches the store and the store has answered lately. */
+bool mirror_is_watching(const struct mirror *m, uint64_t now_ms);
+#define MIRROR_CONTACT_MS 1700 /* a watch answers every second */
+
 /* When the store last answered; 0 if never. */
 uint64_t mirror_contact_ms(const struct mirror *m);
 
--- a/config/settings.c
+++ b/config/settings.c
@@ -44,6 +44,21 @@
 	return kind;
 }
 
+/* Reads a number that may have decimals; what is below 1 counts as 1. */
+static enum status_kind take_mbps(const char *value, uint32_t *mbps,
+				  struct status *st)
+{
+	char *end;
+	double n = g_ascii_strtod(value, &end);
+
+	if (end == value || *end || n <= 0 || n > UINT32_MAX)
+		return set_status(st, STATUS_INVALID,
+				  "'%s' is not a number of Mbit/s above 0",
+				  value);
+	*mbps = n < 1 ? 1 : (uint32_t)n;
+	return STATUS_OK;
+}
+
 static enum status_kind take_list(const char *value, struct endpoint_list *l,
 				  struct status *st)
 {
@@ -102,11 +117,13 @@
 		return take_port(value, &s->flow_port, st);
 	if (!strcmp(key, "bind"))
 		return take_bind(value, &s->bind_service, st);
+	if (!strcmp(key, "link-mbps"))
+		return take_mbps(value, &s->link_mbps, st);
 	if (!strcmp(key, "stop-timeout"))
 		return parse_duration(value, STOP_MS_MAX, &s->stop_ms, st);
 	return set_status(st, STATUS_NOT_FOUND,
 			  "unknown key; known are name, domain, address, "
-			  "admin-port, peer-port, flow-port, bind, "
+			  "admin-port, peer-port, flow-port, bind, link-mbps, "
 			  "stop-timeout");
 }
 
--- a/fleet/beacon.c
+++ b/fleet/beacon.c
@@ -2,12 +2,16 @@
 
 #include <string.h>
 
+#include "fleet/reader.h"
+
 #define BEACON_FORMAT 1 /* first element; a change of layout changes it */
 #define ROW_FIELDS 5
 
 struct peer {
 	uint64_t id;
 	uint64_t heard_ms;
+	uint64_t watching_ms; /* when it last said that it follows the store */
+	uint64_t revision;    /* of the store, as it has seen it */
 	bool ready;
 };
 
@@ -23,17 +27,20 @@
 	GArray *addresses; /* of struct address */
 	uint64_t sent_ms;
 	uint64_t settle_ms; /* the view is settled from then on */
+	uint64_t role_ms;   /* readers are known from then on */
+	uint64_t round;	    /* counts beacons sent */
 };
 
 void write_beacon(struct wire_writer *w, const struct beacon *b)
 {
-	put_array(w, 9 + ROW_FIELDS * b->rows->len);
+	put_array(w, 10 + ROW_FIELDS * b->rows->len);
 	put_uint(w, BEACON_FORMAT);
 	put_str(w, b->member.name);
 	put_str(w, b->member.domain);
 	put_endpoint(w, &b->member.address);
 	put_uint(w, b->member.peer_port);
 	put_uint(w, b->member.start);
+	put_uint(w, b->member.strength);
 	put_uint(w, b->flags);
 	put_uint(w, b->config_version);
 	put_uint(w, b->store_revision);
@@ -49,6 +56,14 @@
 	}
 }
 
+bool is_beacon(const uint8_t *data, size_t len)
+{
+	/* the head of an array takes one, three or five bytes */
+	size_t head = data[0] == 0xdc ? 3 : data[0] == 0xdd ? 5 : 1;
+
+	return len > head && data[head] == BEACON_FORMAT;
+}
+
 bool read_beacon(const void *data, size_t len, struct beacon *b)
 {
 	struct wire_message msg;
@@ -63,6 +78,7 @@
 		take_endpoint(&r, &b->member.address);
 		b->member.peer_port = (uint16_t)take_uint(&r, UINT16_MAX);
 		b->member.start = (uint32_t)take_uint(&r, UINT32_MAX);
+		b->member.strength = (uint32_t)take_uint(&r, UINT32_MAX);
 		b->flags = (uint8_t)take_uint(&r, UINT8_MAX);
 		b->config_version = take_uint(&r, UINT64_MAX);
 		b->store_revision = take_uint(&r, UINT64_MAX);
@@ -93,6 +109,7 @@
 	bs->peers = g_array_new(FALSE, FALSE, sizeof(struct peer));
 	bs->addresses = g_array_new(FALSE, FALSE, sizeof(struct address));
 	bs->settle_ms = now_ms + BEACON_SETTLE_MS;
+	bs->role_ms = now_ms + BEACON_ROLE_MS;
 	put_member(view, self);
 	return bs;
 }
@@ -148,6 +165,9 @@
 	}
 	p->heard_ms = now_ms;
 	p->ready = b->flags & BEACON_READY;
+	p->revision = b->store_revision;
+	if (b->flags & BEACON_WATCHING)
+		p->watching_ms = now_ms;
 	m.state = b->flags & BEACON_LEAVING ? MEMBER_LEAVING : MEMBER_ALIVE;
 	put_member(bs->view, &m);
 	at.port = m.peer_port;
@@ -173,12 +193,17 @@
 
 static void note_silent_peers(struct beacons *bs, uint64_t now_ms)
 {
-	uint64_t limit = BEACON_MISSES * beacon_interval(bs);
+	uint64_t near = BEACON_MISSES * beacon_interval(bs);
+	bool large = live_member_nr(bs->view) > BEACON_FAR_FLEET;
 
 	for (guint i = bs->peers->len; i > 0; i--) {
-		struct peer *p = &g_array_index(bs->peers, struct peer, i - 1);
+		const struct peer *p =
+			&g_array_index(bs->peers, struct peer, i - 1);
 		const struct member *known = find_member(bs->view, p->id);
 		uint64_t silent = now_ms - p->heard_ms;
+		bool is_far = known && strcmp(known->domain, bs->self.domain);
+		uint64_t limit = large && is_far ? near * BEACON_FAR_FACTOR :
+						   near;
 
 		if (silent > limit && known && known->state != MEMBER_DEAD) {
 			struct member m = *known;
@@ -211,6 +236,69 @@
 	return NULL;
 }
 
+/* Whether this beacon is not for M, which is in another domain. */
+static bool far_skips(const struct beacons *bs, const struct member *m)
+{
+	return live_member_nr(bs->view) > BEACON_FAR_FLEET &&
+	       strcmp(m->domain, bs->self.domain) != 0 &&
+	       (bs->round + m->id) % BEACON_FAR_FACTOR;
+}
+
+bool wants_reading(const struct beacons *bs, uint64_t now_ms)
+{
+	uint64_t limit = (BEACON_MISSES - 1) * beacon_interval(bs);
+
+	if (now_ms < bs->role_ms)
+		return false;
+	if (is_reader(bs->view))
+		return true;
+	for (guint i = 0; i < bs->peers->len; i++) {
+		const struct peer *p = &g_array_index(bs->peers, struct peer, i);
+		const struct member *m = find_member(bs->view, p->id);
+
+		if (m && !strcmp(m->domain, bs->self.domain) &&
+		    p->watching_ms && now_ms - p->watching_ms < limit)
+			return false;
+	}
+	return true;
+}
+
+void list_domain_addresses(const struct beacons *bs, GArray *to)
+{
+	const struct member *ms;
+	size_t nr;
+
+	ms = view_members(bs->view, &nr);
+	for (size_t i = 0; i < nr; i++) {
+		struct endpoint at = ms[i].address;
+
+		at.port = ms[i].peer_port;
+		if (ms[i].id != bs->self.id && ms[i].state != MEMBER_DEAD &&
+		    !strcmp(ms[i].domain, bs->self.domain))
+			g_array_append_val(to, at);
+	}
+}
+
+bool find_best_informed(const struct beacons *bs, struct endpoint *at)
+{
+	const struct peer *best = NULL;
+
+	for (guint i = 0; i < bs->peers->len; i++) {
+		const struct peer *p = &g_array_index(bs->peers, struct peer, i);
+		const struct member *m = find_member(bs->view, p->id);
+
+		if (!m || m->state == MEMBER_DEAD ||
+		    (best && (p->revision < best->revision ||
+			      (p->revision == best->revision &&
+			       p->watching_ms <= best->watching_ms))))
+			continue;
+		best = p;
+		*at = m->address;
+		at->port = m->peer_port;
+	}
+	return best;
+}
+
 bool tick_beacons(struct beacons *bs, uint64_t now_ms, GArray *to)
 {
 	note_silent_peers(bs, now_ms);
@@ -219,13 +307,18 @@
 	if (bs->sent_ms && now_ms - bs->sent_ms < beacon_interval(bs))
 		return false;
 	bs->sent_ms = now_ms;
+	bs->round++;
 	for (guint i = 0; i < bs->addresses->len; i++) {
 		struct address *a =
 			&g_array_index(bs->addresses, struct address, i);
 
-		if (!heard_at(bs, &a->at) && a->tried_ms &&
+		const struct member *m = heard_at(bs, &a->at);
+
+		if (!m && a->tried_ms &&
 		    now_ms - a->tried_ms < BEACON_SEARCH_MS)
 			continue;
+		if (m && far_skips(bs, m))
+			continue;
 		a->tried_ms = now_ms;
 		g_array_append_val(to, a->at);
 	}
--- a/fleet/beacon.h
+++ b/fleet/beacon.h
@@ -19,12 +19,16 @@
 #define BEACON_MISSES 6	      /* beacons missed in a row: dead */
 #define BEACON_SEARCH_MS 1000 /* between two to an address that is silent */
 #define BEACON_FORGET_MS 30000 /* a member silent for longer is forgotten */
+#define BEACON_ROLE_MS 400	/* after start: peers have been heard */
+#define BEACON_FAR_FACTOR 3	/* other domains hear less often ... */
+#define BEACON_FAR_FLEET 20	/* ... in fleets larger than this */
 #define BEACON_SETTLE_MS 1000  /* after start or a pause: peers have spoken */
 #define BEACON_ROWS_MAX 110    /* upstreams in one datagram */
 
 enum beacon_flag {
 	BEACON_LEAVING = 1,
-	BEACON_READY = 2 /* has a configuration and upstreams */
+	BEACON_READY = 2,   /* has a configuration and upstreams */
+	BEACON_WATCHING = 4 /* follows the store, which answers */
 };
 
 struct beacon {
@@ -38,6 +42,9 @@
 /* Writes B; the caller releases W. */
 void write_beacon(struct wire_writer *w, const struct beacon *b);
 
+/* Whether a message of another instance begins as a beacon does. */
+bool is_beacon(const uint8_t *data, size_t len);
+
 /* Reads a beacon; its rows are appended to B->rows. False if malformed. */
 bool read_beacon(const void *data, size_t len, struct beacon *b);
 
@@ -63,6 +70,18 @@
  */
 bool tick_beacons(struct beacons *bs, uint64_t now_ms, GArray *to);
 
+/*
+ * Whether this instance is to follow the store: it is one of its domain's
+ * readers, or hears of none in its domain whom the store answers.
+ */
+bool wants_reading(const struct beacons *bs, uint64_t now_ms);
+
+/* Addresses of the members of the own domain, appended to TO. */
+void list_domain_addresses(const struct beacons *bs, GArray *to);
+
+/* The live member that has seen most of the store; false if none is known. */
+bool find_best_informed(const struct beacons *bs, struct endpoint *at);
+
 /* Up to NR live and ready members, in random order, for packets relayed. */
 size_t pick_relays(const struct beacons *bs, GRand *rand, struct endpoint *to,
 		   size_t nr);
--- a/fleet/reader.c
+++ b/fleet/reader.c
@@ -15,6 +15,9 @@
 	uint64_t a = weight_of(m);
 	uint64_t b = weight_of(self);
 
+	if (m->strength != self->strength)
+		return m->strength > self->strength;
+
 	return a > b || (a == b && m->id > self->id);
 }
 
@@ -23,14 +26,18 @@
 	const struct member *self = find_member(v, view_self(v));
 	const struct member *ms;
 	unsigned int above = 0;
+	unsigned int members = 1;
 	size_t nr;
 
 	if (!self)
 		return true;
 	ms = view_members(v, &nr);
-	for (size_t i = 0; i < nr && above < READERS_PER_DOMAIN; i++)
-		if (ms[i].id != self->id && is_live_member(&ms[i]) &&
-		    !strcmp(ms[i].domain, self->domain))
-			above += outranks(&ms[i], self);
-	return above < READERS_PER_DOMAIN;
+	for (size_t i = 0; i < nr; i++) {
+		if (ms[i].id == self->id || !is_live_member(&ms[i]) ||
+		    strcmp(ms[i].domain, self->domain) != 0)
+			continue;
+		members++;
+		above += outranks(&ms[i], self);
+	}
+	return above < (members < READERS_DOMAIN_MIN ? 1 : READERS_PER_DOMAIN);
 }
--- a/fleet/reader.h
+++ b/fleet/reader.h
@@ -3,9 +3,10 @@
 
 /*
  * Which instances follow the store: READERS_PER_DOMAIN of each failure
- * domain, by rendezvous over the live view. Views differ for a while, so that
- * a domain may have a reader more or less than that; nothing rests on the
- * number being exact.
+ * domain, one in domains of fewer than READERS_DOMAIN_MIN members, the
+ * strongest first and by rendezvous over the live view among equals. Views
+ * differ for a while, so that a domain may have a reader more or less than
+ * that; nothing rests on the number being exact.
  */
 
 #include <stdbool.h>
@@ -13,6 +14,7 @@
 #include "fleet/view.h"
 
 #define READERS_PER_DOMAIN 2
+#define READERS_DOMAIN_MIN 4 /* below, calls cost more than a quick successor */
 
 /* Whether the view's own instance is a reader of its domain. */
 bool is_reader(const struct view *v);
--- a/flow/placing.h
+++ b/flow/placing.h
@@ -28,7 +28,8 @@
  */
 #define PLACING_FAR_COST 0.7
 
-#define PLACING_PEER_MS 1000 /* a peer's sums are used for so long */
+/* A peer's sums are used so long; in large fleets they come every 2 s. */
+#define PLACING_PEER_MS 2500
 #define PLACING_MEANS_MS 100 /* between two updates of the running means */
 
 /*
--- a/net/edge-packets.c
+++ b/net/edge-packets.c
@@ -225,18 +225,33 @@
 	g_array_free(b.rows, TRUE);
 }
 
+static void on_news(struct edge *e, const uint8_t *data, size_t len,
+		    const struct endpoint *from)
+{
+	struct wire_message msg;
+	struct news n;
+
+	if (read_news(&msg, &n, data, len))
+		take_edge_news(e, &n, from);
+	else
+		count(&e->counters, COUNT_PEER_MALFORMED);
+	release_wire(&msg);
+}
+
 static void on_peer(uint8_t *data, size_t len, const struct endpoint *from,
 		    void *user)
 {
 	struct edge *e = user;
 
-	(void)from;
 	e->now_ms = edge_clock_ms();
+	count_n(&e->counters, COUNT_PEER_RECEIVED_BYTES, len);
 	if (len && data[0] == RELAY_MARK) {
 		take_packet(e, data + 1, len - 1, true);
 		flush_datagrams(e->packets);
-	} else {
+	} else if (len && is_beacon(data, len)) {
 		on_beacon(e, data, len);
+	} else {
+		on_news(e, data, len, from);
 	}
 }
 
@@ -246,7 +261,10 @@
 
 	b->member = *self;
 	b->flags = (e->stopping_ms ? BEACON_LEAVING : 0) |
-		   (is_edge_ready(e) ? BEACON_READY : 0);
+		   (is_edge_ready(e) ? BEACON_READY : 0) |
+		   (mirror_is_watching(e->mirror, e->now_ms) ?
+			    BEACON_WATCHING :
+			    0);
 	b->config_version = catalog_version(e->catalog);
 	b->store_revision = mirror_revision(e->mirror);
 	list_own_loads(e->placing, e->now_ms, b->rows);
@@ -272,6 +290,7 @@
 	}
 	flush_datagrams(e->peers);
 	count_n(&e->counters, COUNT_PEER_SENT, to->len);
+	count_n(&e->counters, COUNT_PEER_SENT_BYTES, to->len * w.buf.size);
 	release_wire_writer(&w);
 	g_array_free(b.rows, TRUE);
 }
--- a/net/edge-state.h
+++ b/net/edge-state.h
@@ -9,6 +9,7 @@
 #include "config/catalog.h"
 #include "config/mirror.h"
 #include "fleet/beacon.h"
+#include "fleet/news.h"
 #include "flow/cookie.h"
 #include "net/datagrams.h"
 #include "net/edge.h"
@@ -29,6 +30,7 @@
 	struct cookie_steering *steering;
 	struct beacons *beacons;
 	struct mirror *mirror;
+	struct news_log *news;
 	struct store *store;
 	struct store_watch *watch;
 	struct datagrams *packets; /* callers' packets in, all packets out */
@@ -64,6 +66,8 @@
 void stop_edge_store(struct edge *e);
 void tick_edge_store(struct edge *e);
 void step_edge_mirror(struct edge *e, const struct mirror_event *ev);
+void take_edge_news(struct edge *e, const struct news *n,
+		    const struct endpoint *from);
 
 /* edge-packets.c: packets and beacons */
 bool open_edge_ports(struct edge *e, struct status *st);
--- a/net/edge-store.c
+++ b/net/edge-store.c
@@ -159,6 +159,13 @@
 	step_edge_mirror(e, &ev);
 }
 
+static void on_key_read(const struct store_answer *a, void *data)
+{
+	struct mirror_event ev = { .kind = MIRROR_KEY_READ, .answer = a };
+
+	step_edge_mirror(data, &ev);
+}
+
 static void on_watched(const struct store_answer *a, void *data)
 {
 	struct mirror_event ev = { .kind = MIRROR_WATCHED, .answer = a };
@@ -176,14 +183,142 @@
 	e->watch = NULL;
 }
 
+static void send_to(struct edge *e, const struct endpoint *to, const void *data,
+		    size_t len)
+{
+	queue_datagram(e->peers, endpoint_ipv4(to), to->port, NULL, 0, data,
+		       len);
+	count(&e->counters, COUNT_PEER_SENT);
+	count_n(&e->counters, COUNT_PEER_SENT_BYTES, len);
+}
+
+/* Passes news on to the others of the own domain. */
+static void tell(struct edge *e, const struct mirror_news *n)
+{
+	GArray *to;
+	const void *data;
+	size_t len;
+
+	data = add_news(e->news, n->from, n->to, n->hold_ms, n->entries,
+			n->entry_nr, &len);
+	if (!data)
+		return;
+	to = g_array_new(FALSE, FALSE, sizeof(struct endpoint));
+	list_domain_addresses(e->beacons, to);
+	for (guint i = 0; i < to->len; i++)
+		send_to(e, &g_array_index(to, struct endpoint, i), data, len);
+	flush_datagrams(e->peers);
+	g_array_free(to, TRUE);
+}
+
+/* Asks the peer that knows most what followed REVISION. */
+static void ask(struct edge *e, uint64_t revision)
+{
+	struct wire_writer w;
+	struct endpoint to;
+
+	if (!find_best_informed(e->beacons, &to))
+		return;
+	init_wire_writer(&w);
+	write_news_mark(&w, NEWS_ASK, revision);
+	send_to(e, &to, w.buf.data, w.buf.size);
+	flush_datagrams(e->peers);
+	release_wire_writer(&w);
+}
+
+struct resend {
+	struct edge *e;
+	const struct endpoint *to;
+};
+
+static void resend_one(const void *data, size_t len, void *user)
+{
+	const struct resend *rs = user;
+
+	send_to(rs->e, rs->to, data, len);
+}
+
+static void answer_ask(struct edge *e, uint64_t since,
+		       const struct endpoint *from)
+{
+	struct resend rs = { e, from };
+	struct wire_writer w;
+
+	if (!resend_news(e->news, since, resend_one, &rs) &&
+	    mirror_is_watching(e->mirror, e->now_ms)) {
+		init_wire_writer(&w);
+		write_news_mark(&w, NEWS_GONE, since);
+		send_to(e, from, w.buf.data, w.buf.size);
+		release_wire_writer(&w);
+	}
+	flush_datagrams(e->peers);
+}
+
+static void take_changes(struct edge *e, const struct news *n)
+{
+	struct store_entry entries[NEWS_ENTRIES_MAX];
+	struct mirror_news changes = { .from = n->from,
+				       .to = n->to,
+				       .hold_ms = n->hold_ms,
+				       .entries = entries,
+				       .entry_nr = n->nr };
+	struct mirror_event ev = { .kind = MIRROR_NEWS, .news = &changes };
+	uint64_t before = mirror_revision(e->mirror);
+
+	for (size_t i = 0; i < n->nr; i++)
+		entries[i] = (struct store_entry){
+			.key = (char *)n->entries[i].key,
+			.value = (void *)n->entries[i].value,
+			.len = n->entries[i].len,
+			.mod_revision = n->to,
+			.deleted = n->entries[i].removed
+		};
+	step_edge_mirror(e, &ev);
+	/* kept for those that ask here */
+	if (mirror_revision(e->mirror) > before)
+		add_news(e->news, n->from, n->to, n->hold_ms, entries, n->nr,
+			 &(size_t){ 0 });
+}
+
+void take_edge_news(struct edge *e, const struct news *n,
+		    const struct endpoint *from)
+{
+	struct mirror_event none = { .kind = MIRROR_NO_NEWS };
+
+	switch (n->format) {
+	case NEWS_CHANGES:
+		take_changes(e, n);
+		break;
+	case NEWS_ASK:
+		answer_ask(e, n->from, from);
+		break;
+	case NEWS_GONE:
+		step_edge_mirror(e, &none);
+		break;
+	}
+}
+
 static void carry_out(struct edge *e, const struct mirror_action *a)
 {
 	const struct store_range all = { .key = "" };
+	const struct store_range one = { .key = a->key };
 
 	switch (a->kind) {
 	case MIRROR_DO_READ:
 		range_store(e->store, &all, on_read, e);
 		break;
+	case MIRROR_DO_READ_KEY:
+		range_store(e->store, &one, on_key_read, e);
+		break;
+	case MIRROR_DO_ASK:
+		ask(e, a->revision);
+		break;
+	case MIRROR_TELL:
+		tell(e, &a->news);
+		break;
+	case MIRROR_TELL_NONE:
+		clear_news(e->news);
+		break;
 	case MIRROR_DO_WATCH:
 		e->watch = watch_store(e->store, &all, a->revision, on_watched,
 				       e);
@@ -297,8 +432,11 @@
 
 void tick_edge_store(struct edge *e)
 {
+	struct mirror_event role = { .kind = MIRROR_ROLE };
 	struct mirror_event ev = { .kind = MIRROR_TICK };
 
+	role.reader = wants_reading(e->beacons, e->now_ms);
+	step_edge_mirror(e, &role);
 	step_edge_mirror(e, &ev);
 	register_instance(e);
 }
@@ -308,6 +446,7 @@
 	uint32_t seed = g_rand_int(e->rand);
 
 	e->mirror = create_mirror(seed);
+	e->news = create_news_log();
 	e->store = create_platform_store(&e->loop, &e->settings.store,
 					 &e->counters);
 	tick_edge_store(e);
@@ -320,4 +459,6 @@
 	e->store = NULL;
 	destroy_mirror(e->mirror);
 	e->mirror = NULL;
+	destroy_news_log(e->news);
+	e->news = NULL;
 }
--- a/net/edge.c
+++ b/net/edge.c
@@ -160,6 +160,7 @@
 			       .address = s->address,
 			       .peer_port = s->peer_port,
 			       .start = g_rand_int(e->rand),
+			       .strength = s->link_mbps,
 			       .state = MEMBER_ALIVE };
 
 	memcpy(self.name, s->name, sizeof(self.name));
