--- a/fleet/beacon.c
+++ b/fleet/beacon.c
@@ -184,11 +184,18 @@
 
 static uint64_t beacon_interval(const struct beacons *bs)
 {
-	size_t members = live_member_nr(bs->view);
+	const struct member *ms;
+	size_t members = 0;
+	size_t nr;
 
-	if (members <= BEACON_SMALL_FLEET)
+	ms = view_members(bs->view, &nr);
+	for (size_t i = 0; i < nr; i++)
+		members += is_live_member(&ms[i]) &&
+			   !strcmp(ms[i].domain, bs->self.domain);
+	if (members <= BEACON_SMALL_DOMAIN)
 		return BEACON_MS;
-	return BEACON_MS + BEACON_PER_MEMBER_MS * (members - BEACON_SMALL_FLEET);
+	return BEACON_MS +
+	       BEACON_PER_MEMBER_MS * (members - BEACON_SMALL_DOMAIN);
 }
 
 static void note_silent_peers(struct beacons *bs, uint64_t now_ms)
--- a/flow/cookie.c
+++ b/flow/cookie.c
@@ -46,6 +46,7 @@
 	GHashTable *of_caller;	/* caller's address -> first struct flow */
 	GArray *opening;	/* of struct opening, oldest first */
 	uint64_t swept_ms;
+	uint64_t ticked_ms;
 	double handshake_ms;	/* mean from SYN to the next packet */
 };
 
@@ -586,8 +587,16 @@
 static void note_slow_handshakes(struct cookie_steering *cs, uint64_t now_ms)
 {
 	uint64_t limit = handshake_limit(cs);
+	uint64_t late = now_ms - cs->ticked_ms;
 	guint done = 0;
 
+	cs->ticked_ms = now_ms;
+	/* this process was slow or stood still: it proves nothing */
+	if (late > COOKIE_LATE_MS) {
+		g_array_set_size(cs->opening, 0);
+		return;
+	}
+
 	for (; done < cs->opening->len; done++) {
 		const struct opening *o =
 			&g_array_index(cs->opening, struct opening, done);
--- a/flow/cookie.h
+++ b/flow/cookie.h
@@ -17,6 +17,7 @@
 #include "flow/cookie-packet.h"
 #include "flow/placing.h"
 
+#define COOKIE_LATE_MS 100 /* a tick so late says that this process was slow */
 #define COOKIE_TICK_MS 10 /* a dead upstream is to be noticed soon */
 #define COOKIE_TRIED_MAX 3	   /* a SYN and its two copies */
 #define COOKIE_FLOWS_MAX 200000	   /* flows followed at once */
--- a/flow/placing.c
+++ b/flow/placing.c
@@ -4,6 +4,7 @@
 
 /* Weight of the newest sample in the running means. */
 #define MEAN_WEIGHT 0.1
+#define PEER_WEIGHT 0.1
 #define ANSWER_MS_START 50.0 /* until answers were seen */
 #define BUSY_RATIO_START 0.5 /* share of open flows with a request */
 
@@ -27,6 +28,7 @@
 	uint32_t open;
 	uint32_t peer_busy;
 	uint32_t peer_open;
+	double peer_mean;   /* of peer_busy; a sum is old within one request */
 	uint32_t peer_dead; /* peers that found nothing listening */
 	uint64_t life_ms;
 	uint64_t doubt_ms; /* since when it is doubted; 0: it is not */
@@ -35,6 +37,7 @@
 	bool checking;
 	uint32_t unreachable; /* checks in vain, one after the other */
 	uint64_t check_ms;    /* no check before */
+	uint64_t started_ms;  /* when the check under way began */
 	uint64_t cold[PLACING_COLD_MAX]; /* times of the last flows */
 	uint32_t cold_at;
 };
@@ -49,12 +52,14 @@
 	const struct view *view;
 	struct shares *shares;
 	char *domain;
+	double far_cost;
 	GRand *rand;
 	GPtrArray *rows;  /* of struct row, by handle */
 	GArray *services; /* of struct service_mean, by handle */
 	GArray *peers;	  /* of struct peer_load */
 	uint64_t means_ms; /* when the means were updated */
 	bool in_doubt;	   /* some upstream is not in good health */
+	uint64_t life_ms;  /* when any upstream last showed life here */
 };
 
 struct placing *create_placing(const struct catalog *cat,
@@ -67,6 +72,7 @@
 	pl->view = view;
 	pl->shares = shares;
 	pl->domain = g_strdup(domain);
+	pl->far_cost = PLACING_FAR_COST;
 	pl->rand = g_rand_new_with_seed(seed);
 	pl->rows = g_ptr_array_new_with_free_func(g_free);
 	pl->services = g_array_new(FALSE, TRUE, sizeof(struct service_mean));
@@ -74,6 +80,11 @@
 	return pl;
 }
 
+void set_far_cost(struct placing *pl, double cost)
+{
+	pl->far_cost = cost;
+}
+
 void destroy_placing(struct placing *pl)
 {
 	if (!pl)
@@ -144,17 +155,12 @@
 	}
 }
 
-static uint32_t row_busy(const struct row *r)
-{
-	return r->busy + r->peer_busy;
-}
-
 static double row_load(const struct row *r, double busy_ratio)
 {
-	uint32_t busy = row_busy(r);
-	uint32_t open = r->open + r->peer_open;
+	double busy = r->busy + r->peer_mean;
+	double idle = (double)r->open + r->peer_open - busy;
 
-	return busy + (open > busy ? busy_ratio * (open - busy) : 0);
+	return busy + (idle > 0 ? busy_ratio * idle : 0);
 }
 
 /* Flows that this instance has sent to the cold upstream of R in a window. */
@@ -199,7 +205,7 @@
 		       const struct catalog_upstream *up)
 {
 	return strcmp(domain_name(pl->cat, up->domain), pl->domain) != 0 ?
-		       PLACING_FAR_COST :
+		       pl->far_cost :
 		       0;
 }
 
@@ -307,6 +313,7 @@
 	struct row *r = need_row(pl, nr);
 
 	r->life_ms = now_ms;
+	pl->life_ms = now_ms;
 	if (r->doubt_ms || r->health != HEALTH_GOOD)
 		clear_doubt(r);
 }
@@ -443,10 +450,11 @@
 	uint32_t open = 0;
 
 	for (guint i = 0; i < sv->upstreams->len; i++) {
-		const struct row *r = need_row(
+		struct row *r = need_row(
 			pl, g_array_index(sv->upstreams, upstream_nr_t, i));
 
-		busy += row_busy(r);
+		r->peer_mean += PEER_WEIGHT * (r->peer_busy - r->peer_mean);
+		busy += r->busy + r->peer_busy;
 		open += r->open + r->peer_open;
 	}
 	if (open)
@@ -482,6 +490,7 @@
 		if (!wants_check(pl, nr, r, now_ms))
 			continue;
 		r->checking = true;
+		r->started_ms = now_ms;
 		g_array_append_val(checks, nr);
 	}
 }
@@ -515,6 +524,9 @@
 	pl->in_doubt = true;
 	r->checking = false;
 	r->check_ms = now_ms + PLACING_CHECK_AGAIN_MS;
+	/* flows that go on outweigh a check that does not come through */
+	if (r->health == HEALTH_GOOD && result != CHECK_BAD)
+		return;
 	switch (result) {
 	case CHECK_GOOD:
 		note_life(pl, nr, now_ms);
@@ -532,6 +544,9 @@
 		r->check_ms = now_ms + PLACING_DEAD_AGAIN_MS;
 		break;
 	case CHECK_UNREACHABLE:
+		/* if nobody answers, the trouble is likely on this side */
+		if (pl->life_ms <= r->started_ms)
+			break;
 		if (++r->unreachable < PLACING_UNREACHABLE_NR) {
 			r->check_ms = now_ms;
 			break;
--- a/flow/placing.h
+++ b/flow/placing.h
@@ -69,6 +69,9 @@
 			       const char *domain, uint32_t seed);
 void destroy_placing(struct placing *pl);
 
+/* Replaces PLACING_FAR_COST, to compare. */
+void set_far_cost(struct placing *pl, double cost);
+
 /* Takes in the catalog's news about upstream NR. */
 void update_placing(struct placing *pl, upstream_nr_t nr, uint64_t now_ms);
 
--- a/net/edge-check.c
+++ b/net/edge-check.c
@@ -11,8 +11,11 @@
  * callers have no use for it either.
  */
 #define CHECK_TIMEOUT_MS 600
-/* Many round trips; an upstream's kernel answers at once or not at all. */
-#define CHECK_CONNECT_MS 200
+/*
+ * An upstream's kernel answers at once or not at all, but packets may wait on
+ * a full link; two checks together outlast half a second of that.
+ */
+#define CHECK_CONNECT_MS 350
 /* A refused connection comes back within a round trip; longer is no answer. */
 #define CHECK_REFUSED_MS 120
 #define CHECK_ANSWER_MAX 4096 /* bytes */
--- a/net/edge-packets.c
+++ b/net/edge-packets.c
@@ -10,6 +10,20 @@
 
 #define FLOW_TEXT_MAX 64
 
+/*
+ * Packets that come before the store was read wait for that: a read takes
+ * some 50 ms, while callers would send them again after 200 ms at first and
+ * then ever later.
+ */
+#define EARLY_MAX 512	  /* packets */
+#define EARLY_AGE_MS 1000 /* older ones were sent again meanwhile */
+
+struct early_packet {
+	uint64_t at_ms;
+	size_t len;
+	uint8_t data[];
+};
+
 static const char *format_flow(const struct flow_key *k,
 			       char text[FLOW_TEXT_MAX])
 {
@@ -76,10 +90,11 @@
 	count(&e->counters, COUNT_FLOW_FORWARDED);
 }
 
-static bool relay(struct edge *e, const uint8_t *data, size_t len)
+/* Hands a packet to at most NR (up to RELAYS) instances that are ready. */
+static bool relay(struct edge *e, const uint8_t *data, size_t len, size_t nr)
 {
 	struct endpoint to[RELAYS];
-	size_t n = pick_relays(e->beacons, e->rand, to, RELAYS);
+	size_t n = pick_relays(e->beacons, e->rand, to, nr);
 	uint8_t mark = RELAY_MARK;
 
 	for (size_t i = 0; i < n; i++)
@@ -140,7 +155,7 @@
 		send_upstream(e, d, data, len);
 		break;
 	case COOKIE_TO_PEER:
-		if (!relay(e, data, len))
+		if (!relay(e, data, len, RELAYS))
 			log_event(e->log, EVENT_FLOW_UNKNOWN,
 				  "flow=%s reason=%s cookie=%08x",
 				  format_flow(&p->key, flow),
@@ -175,6 +190,37 @@
 	carry_out(e, &p, &d, data, len);
 }
 
+/* Lets another instance decide; false if none is known to be ready. */
+static bool forward_early(struct edge *e, const uint8_t *data, size_t len)
+{
+	return relay(e, data, len, 1);
+}
+
+static void keep_early(struct edge *e, const uint8_t *data, size_t len)
+{
+	struct early_packet *ep;
+
+	if (e->early.length >= EARLY_MAX)
+		return;
+	ep = g_malloc(sizeof(*ep) + len);
+	ep->at_ms = e->now_ms;
+	ep->len = len;
+	memcpy(ep->data, data, len);
+	g_queue_push_tail(&e->early, ep);
+}
+
+void release_early_packets(struct edge *e)
+{
+	struct early_packet *ep;
+
+	while ((ep = g_queue_pop_head(&e->early))) {
+		if (e->now_ms - ep->at_ms <= EARLY_AGE_MS)
+			take_packet(e, ep->data, ep->len, false);
+		g_free(ep);
+	}
+	flush_datagrams(e->packets);
+}
+
 static void on_packet(uint8_t *data, size_t len, const struct endpoint *from,
 		      void *user)
 {
@@ -183,7 +229,10 @@
 	(void)from;
 	e->now_ms = edge_clock_ms();
 	e->packet_ms = e->now_ms;
-	take_packet(e, data, len, false);
+	if (e->synced && catalog_version(e->catalog))
+		take_packet(e, data, len, false);
+	else if (!forward_early(e, data, len))
+		keep_early(e, data, len);
 }
 
 static void log_member(struct edge *e, const struct member *before,
--- a/net/edge-state.h
+++ b/net/edge-state.h
@@ -37,6 +37,7 @@
 	struct datagrams *peers;   /* beacons and packets of other instances */
 	struct http_server *ready;
 	struct http_server *metrics;
+	GQueue early; /* of struct early_packet: came before the first read */
 	GRand *rand;
 	uv_timer_t tick;
 	uv_timer_t quick;
@@ -72,6 +73,8 @@
 /* edge-packets.c: packets and beacons */
 bool open_edge_ports(struct edge *e, struct status *st);
 void tick_edge_beacons(struct edge *e);
+/* Steers the packets that came too early, or drops those too old. */
+void release_early_packets(struct edge *e);
 void send_edge_resets(struct edge *e, const GArray *resets);
 
 /* edge-check.c: checks of upstreams in doubt */
--- a/net/edge-store.c
+++ b/net/edge-store.c
@@ -154,9 +154,12 @@
 	struct mirror_event ev = { .kind = MIRROR_READ, .answer = a };
 	struct edge *e = data;
 
-	if (a->status.kind == STATUS_OK)
-		e->synced = true;
 	step_edge_mirror(e, &ev);
+	if (a->status.kind != STATUS_OK)
+		return;
+	e->synced = true;
+	if (catalog_version(e->catalog))
+		release_early_packets(e);
 }
 
 static void on_key_read(const struct store_answer *a, void *data)
--- a/net/edge.c
+++ b/net/edge.c
@@ -38,6 +38,7 @@
 	stop_edge_store(e);
 	destroy_datagrams(e->packets);
 	destroy_datagrams(e->peers);
+	g_queue_clear_full(&e->early, g_free);
 	uv_stop(&e->loop);
 }
 
--- a/net/http-client.c
+++ b/net/http-client.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #define READ_BUFFER 65536 /* bytes */
+#define LAST_CHANCE_MS 5  /* the loop looks at its sockets in between */
 
 struct http_call {
 	uv_tcp_t tcp;
@@ -14,6 +15,7 @@
 	GByteArray *out;
 	bool sent; /* a byte may have left */
 	uint64_t timeout_ms;
+	bool overdue; /* the timer has run out once */
 	bool closing;
 	int open_handles;
 	void (*fn)(const struct http_call_result *r, void *data);
@@ -94,9 +96,20 @@
 		finish_call(req->data);
 }
 
+/*
+ * After this process stood still, the timer runs out before the loop has read
+ * what came meanwhile; so that gets one more chance.
+ */
 static void on_timeout(uv_timer_t *timer)
 {
-	finish_call(timer->data);
+	struct http_call *c = timer->data;
+
+	if (c->overdue) {
+		finish_call(c);
+		return;
+	}
+	c->overdue = true;
+	uv_timer_start(timer, on_timeout, LAST_CHANCE_MS, 0);
 }
 
 static void on_connected(uv_connect_t *req, int status)
@@ -111,6 +124,7 @@
 		return;
 	}
 	c->sent = true;
+	c->overdue = false;
 	uv_timer_start(&c->timer, on_timeout, c->timeout_ms, 0);
 	buf = uv_buf_init((char *)c->out->data, c->out->len);
 	uv_tcp_nodelay(&c->tcp, 1);
--- /dev/null
+++ b/t/bench-placing.c
@@ -0,0 +1,60 @@
+/* The table of ways to place flows, for docs/design/platform.md. */
+
+#include <stdio.h>
+
+#include "t/placing-world.h"
+
+struct load {
+	const char *name;
+	double requests_s;
+	double long_flows;
+	double skew;
+	uint32_t gap_ms;
+};
+
+static void play_row(const struct load *ld, enum placing_way way, double far)
+{
+	struct placing_options opt = { .way = way,
+				       .far_cost = far,
+				       .seed = 20261204,
+				       .domain_nr = 4,
+				       .instances = 2,
+				       .upstreams = 4,
+				       .slots = 3,
+				       .queue = 12,
+				       .requests_s = ld->requests_s,
+				       .long_flows = ld->long_flows,
+				       .skew = ld->skew,
+				       .beacon_ms = 150,
+				       .length_ms = 30000,
+				       .gap_ms = ld->gap_ms };
+	struct placing_result r;
+
+	play_placing(&opt, &r);
+	printf("%-14s %-12s %5.1f %7u %7.4f %6u %6u %7u %6.3f %7u\n", ld->name,
+	       placing_way_name(way), far, r.asked,
+	       (double)r.in_aim / r.asked, r.late, r.shed, r.refused,
+	       (double)r.far / r.asked, r.p99_ms);
+}
+
+int main(void)
+{
+	static const struct load loads[] = {
+		{ "usual", 150, 300, 1.0, 0 },
+		{ "heavy", 400, 450, 1.0, 0 },
+		{ "heavy, skewed", 400, 450, 1.8, 0 },
+		{ "after a gap", 300, 300, 1.0, 2000 },
+	};
+	static const double far[] = { 0, 0.3, 0.7, 1.0, 2.0, 5.0 };
+
+	printf("load           way            far   asked  in aim   late   "
+	       "shed refused    far  p99 ms\n");
+	for (size_t i = 0; i < sizeof(loads) / sizeof(loads[0]); i++) {
+		for (int way = 0; way < PLACING_WAY_NR; way++)
+			play_row(&loads[i], (enum placing_way)way, 0.7);
+		for (size_t k = 0; k < sizeof(far) / sizeof(far[0]); k++)
+			if (far[k] != 0.7)
+				play_row(&loads[i], WAY_FULL_SCAN, far[k]);
+	}
+	return 0;
+}
--- a/t/check-cookie.c
+++ b/t/check-cookie.c
@@ -174,6 +174,7 @@
 
 	put("u-a", 0);
 	put("u-b", 0);
+	tick_cookie(in.steering, 999);
 	bad = syn(4000, 0, 1000).upstream;
 	tick_cookie(in.steering, 1000 + COOKIE_HANDSHAKE_MIN_MS - 1);
 	ck_assert_int_eq(placing_health(in.placing, bad), HEALTH_GOOD);
@@ -192,6 +193,19 @@
 }
 END_TEST
 
+START_TEST(one_that_stood_still_doubts_nobody)
+{
+	upstream_nr_t nr;
+
+	put("u-a", 0);
+	tick_cookie(in.steering, 990);
+	nr = syn(4000, 0, 1000).upstream;
+	tick_cookie(in.steering, 4000);
+	tick_cookie(in.steering, 4010);
+	ck_assert_int_eq(placing_health(in.placing, nr), HEALTH_GOOD);
+}
+END_TEST
+
 START_TEST(a_slow_answer_is_no_silence)
 {
 	upstream_nr_t nr;
@@ -398,6 +412,7 @@
 	tcase_add_test(
 		tc, a_caller_that_comes_again_at_once_gets_another_upstream);
 	tcase_add_test(tc, handshakes_that_do_not_end_cast_doubt);
+	tcase_add_test(tc, one_that_stood_still_doubts_nobody);
 	tcase_add_test(tc, a_slow_answer_is_no_silence);
 	tcase_add_test(tc, bytes_sent_again_are_silence);
 	tcase_add_test(
--- a/t/check-mirror.c
+++ b/t/check-mirror.c
@@ -224,6 +224,147 @@
 }
 END_TEST
 
+static void set_role(bool reader, uint64_t now_ms)
+{
+	struct mirror_event ev = { .kind = MIRROR_ROLE, .reader = reader };
+
+	step_mirror(m, &ev, now_ms, out);
+}
+
+static void news(uint64_t from, uint64_t to, struct store_entry *es, size_t nr,
+		 uint32_t hold_ms, uint64_t now_ms)
+{
+	struct mirror_news n = { from, to, hold_ms, es, nr };
+	struct mirror_event ev = { .kind = MIRROR_NEWS, .news = &n };
+
+	step_mirror(m, &ev, now_ms, out);
+}
+
+/* Has read revision 10 and takes news from there. */
+static void start_taking(uint64_t now_ms)
+{
+	set_role(false, now_ms);
+	start(now_ms);
+	ck_assert_ptr_null(find(MIRROR_DO_WATCH, NULL));
+}
+
+START_TEST(a_reader_passes_on_one_revision_after_the_other)
+{
+	struct store_entry es[] = { entry("a", "2", 12), entry("c", "1", 12),
+				    entry("b", NULL, 14) };
+	const struct mirror_action *a;
+
+	start(1000);
+	answer(MIRROR_WATCHED, STATUS_OK, 15, es, 3, 2000);
+	a = find(MIRROR_TELL, NULL);
+	ck_assert(a && a[1].kind == MIRROR_TELL && a[2].kind == MIRROR_TELL);
+	ck_assert_uint_eq(a[0].news.from, 10);
+	ck_assert_uint_eq(a[0].news.to, 12);
+	ck_assert_uint_eq(a[0].news.entry_nr, 2);
+	ck_assert_uint_eq(a[1].news.from, 12);
+	ck_assert_uint_eq(a[1].news.to, 14);
+	ck_assert_uint_eq(a[2].news.from, 14);
+	ck_assert_uint_eq(a[2].news.to, 15);
+}
+END_TEST
+
+START_TEST(news_in_order_are_taken_and_others_asked_for)
+{
+	struct store_entry a2 = entry("a", "2", 11);
+	struct store_entry gone = entry("b", NULL, 13);
+
+	start_taking(1000);
+	news(10, 11, &a2, 1, 0, 2000);
+	ck_assert(find(MIRROR_CHANGED, "a"));
+	news(12, 13, &gone, 1, 0, 2100);
+	ck_assert_ptr_null(find(MIRROR_REMOVED, NULL));
+	ck_assert_uint_eq(mirror_revision(m), 11);
+	tick(2100 + MIRROR_ASK_MS);
+	ck_assert_uint_eq(find(MIRROR_DO_ASK, NULL)->revision, 11);
+	news(11, 12, NULL, 0, 0, 2300);
+	news(12, 13, &gone, 1, 0, 2300);
+	ck_assert(find(MIRROR_REMOVED, "b"));
+	ck_assert_uint_eq(mirror_revision(m), 13);
+}
+END_TEST
+
+START_TEST(whoever_gets_no_help_turns_to_the_store)
+{
+	struct store_entry a2 = entry("a", "2", 12);
+
+	start_taking(1000);
+	hint(12, 5000);
+	tick(5000 + MIRROR_HELP_MS - 1);
+	ck_assert_ptr_null(find(MIRROR_DO_WATCH, NULL));
+	tick(5000 + MIRROR_HELP_MS);
+	ck_assert_uint_eq(find(MIRROR_DO_WATCH, NULL)->revision, 11);
+	answer(MIRROR_WATCHED, STATUS_OK, 12, &a2, 1, 5800);
+	ck_assert(find(MIRROR_CHANGED, "a"));
+	ck_assert(find(MIRROR_DO_STOP_WATCH, NULL));
+}
+END_TEST
+
+START_TEST(news_that_no_peer_keeps_are_read_whole)
+{
+	struct mirror_event none = { .kind = MIRROR_NO_NEWS };
+
+	start_taking(1000);
+	hint(500, 5000);
+	step_mirror(m, &none, 5100, out);
+	tick(5150);
+	ck_assert(find(MIRROR_DO_READ, NULL));
+}
+END_TEST
+
+START_TEST(a_long_value_is_read_when_it_is_named)
+{
+	struct store_entry named = { .key = (char *)"config",
+				     .mod_revision = 11 };
+	struct store_entry whole = entry("config", "long", 11);
+	struct store_entry next = { .key = (char *)"config",
+				    .mod_revision = 12 };
+
+	start_taking(1000);
+	news(10, 11, &named, 1, 0, 2000);
+	tick(2050);
+	ck_assert_str_eq(find(MIRROR_DO_READ_KEY, NULL)->key, "config");
+	answer(MIRROR_KEY_READ, STATUS_UNAVAILABLE, 0, NULL, 0, 2100);
+	tick(2100 + MIRROR_KEY_MS);
+	ck_assert(find(MIRROR_DO_READ_KEY, NULL));
+	answer(MIRROR_KEY_READ, STATUS_OK, 11, &whole, 1, 3000);
+	ck_assert(find(MIRROR_CHANGED, "config"));
+	/* a quick series of changes costs one read */
+	news(11, 12, &next, 1, 0, 3010);
+	tick(3050);
+	ck_assert_ptr_null(find(MIRROR_DO_READ_KEY, NULL));
+	tick(3000 + MIRROR_KEY_MS);
+	ck_assert(find(MIRROR_DO_READ_KEY, NULL));
+}
+END_TEST
+
+START_TEST(a_reader_that_steps_down_and_up_goes_on_where_it_was)
+{
+	start(1000);
+	set_role(false, 2000);
+	ck_assert(find(MIRROR_DO_STOP_WATCH, NULL));
+	set_role(true, 3000);
+	ck_assert_uint_eq(find(MIRROR_DO_WATCH, NULL)->revision, 11);
+}
+END_TEST
+
+START_TEST(news_of_a_lapse_are_held_as_the_reader_holds_them)
+{
+	struct store_entry gone = entry("b", NULL, 11);
+
+	start_taking(1000);
+	news(10, 11, &gone, 1, 700, 2000);
+	tick(2699);
+	ck_assert_ptr_null(find(MIRROR_REMOVED, NULL));
+	tick(2700);
+	ck_assert(find(MIRROR_REMOVED, "b"));
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("mirror");
@@ -243,6 +384,13 @@
 	tcase_add_test(tc, a_silent_watch_is_replaced_when_peers_know_more);
 	tcase_add_test(tc, failures_are_spaced_by_a_bounded_back_off);
 	tcase_add_test(tc, waking_up_renews_the_watch_at_once);
+	tcase_add_test(tc, a_reader_passes_on_one_revision_after_the_other);
+	tcase_add_test(tc, news_in_order_are_taken_and_others_asked_for);
+	tcase_add_test(tc, whoever_gets_no_help_turns_to_the_store);
+	tcase_add_test(tc, news_that_no_peer_keeps_are_read_whole);
+	tcase_add_test(tc, a_long_value_is_read_when_it_is_named);
+	tcase_add_test(tc, a_reader_that_steps_down_and_up_goes_on_where_it_was);
+	tcase_add_test(tc, news_of_a_lapse_are_held_as_the_reader_holds_them);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_ENV);
 	failed = srunner_ntests_failed(sr);
--- /dev/null
+++ b/t/check-placing.c
@@ -0,0 +1,354 @@
+/* Tests of placing: load, doubt, cold starts, and whole days of load. */
+
+#include <check.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "t/cookie-bed.h"
+#include "t/placing-world.h"
+
+static struct bed_instance in;
+static service_nr_t board;
+static GArray *checks;
+
+static void setup(void)
+{
+	init_bed_instance(&in, "front-1", "north");
+	board = intern_service(in.catalog, "board");
+	update_shares(in.shares, 0);
+	checks = g_array_new(FALSE, FALSE, sizeof(upstream_nr_t));
+}
+
+static void teardown(void)
+{
+	release_bed_instance(&in);
+	g_array_free(checks, TRUE);
+}
+
+static upstream_nr_t put(const char *name, const char *domain, uint64_t now_ms)
+{
+	struct upstream_report r = bed_report(name, domain);
+
+	return bed_put(&in, &r, now_ms);
+}
+
+static upstream_nr_t put_cold(const char *name, uint32_t cold_ms,
+			      uint64_t now_ms)
+{
+	struct upstream_report r = bed_report(name, "north");
+
+	r.cold_ms = cold_ms;
+	return bed_put(&in, &r, now_ms);
+}
+
+static struct placement place(uint64_t now_ms)
+{
+	return place_new_flow(in.placing, board, BED_DEADLINE_MS, NULL, 0,
+			      now_ms);
+}
+
+static bool wants_check(upstream_nr_t nr, uint64_t now_ms)
+{
+	g_array_set_size(checks, 0);
+	tick_placing(in.placing, now_ms, checks);
+	for (guint i = 0; i < checks->len; i++)
+		if (g_array_index(checks, upstream_nr_t, i) == nr)
+			return true;
+	return false;
+}
+
+START_TEST(the_own_domain_goes_first_until_it_is_loaded)
+{
+	upstream_nr_t near = put("u-a", "north", 0);
+	upstream_nr_t far = put("u-b", "south", 0);
+
+	ck_assert_uint_eq(place(10).upstream, near);
+	for (int i = 0; i < 3; i++) {
+		note_flow_open(in.placing, near);
+		note_request(in.placing, near);
+	}
+	ck_assert_uint_eq(place(10).upstream, far);
+}
+END_TEST
+
+START_TEST(peers_load_counts_while_they_are_heard)
+{
+	upstream_nr_t a = put("u-a", "north", 0);
+	upstream_nr_t b = put("u-b", "north", 0);
+	struct load_row row = { get_upstream(in.catalog, a)->cookie, 9, 30, 0,
+				HEALTH_GOOD };
+
+	take_peer_loads(in.placing, 42, &row, 1, 1000);
+	for (uint64_t t = 1000; t < 3000; t += PLACING_MEANS_MS)
+		tick_placing(in.placing, t, checks);
+	for (int i = 0; i < 20; i++)
+		ck_assert_uint_eq(place(3000).upstream, b);
+	for (uint64_t t = 3000; t < 9000; t += PLACING_MEANS_MS)
+		tick_placing(in.placing, t, checks);
+	note_flow_open(in.placing, b);
+	ck_assert_uint_eq(place(9000).upstream, a);
+}
+END_TEST
+
+START_TEST(what_cannot_be_answered_in_time_is_refused)
+{
+	upstream_nr_t a = put("u-a", "north", 0);
+	struct placement at;
+
+	for (int i = 0; i < 100; i++)
+		note_answer(in.placing, a, 100, 1000);
+	for (int i = 0; i < 3 * 35; i++) {
+		note_flow_open(in.placing, a);
+		note_request(in.placing, a);
+	}
+	at = place(1000);
+	ck_assert_uint_eq(at.upstream, CATALOG_NONE);
+	ck_assert_int_eq(at.reason, PLACE_OVERLOADED);
+	for (int i = 0; i < 3 * 10; i++)
+		note_request_end(in.placing, a);
+	ck_assert_uint_eq(place(1000).upstream, a);
+}
+END_TEST
+
+START_TEST(a_cold_upstream_gets_no_more_than_it_bears)
+{
+	unsigned int placed = 0;
+
+	put_cold("u-a", 60000, 0);
+	bed_routes(in.catalog, 2, &(uint16_t){ BED_ROUTE_PORT }, 1, 7);
+	for (uint64_t t = 5000; t < 15000; t += 5)
+		placed += place(t).upstream != CATALOG_NONE;
+	/* ten seconds, at most 7 in each */
+	ck_assert_uint_le(placed, 70);
+	ck_assert_uint_ge(placed, 50);
+	ck_assert_int_eq(place(15000).reason, PLACE_ALL_COLD);
+}
+END_TEST
+
+START_TEST(a_cold_upstream_warms_up_by_its_own_word)
+{
+	put_cold("u-a", 2000, 0);
+	bed_routes(in.catalog, 2, &(uint16_t){ BED_ROUTE_PORT }, 1, 0);
+	ck_assert_uint_eq(place(1999).upstream, CATALOG_NONE);
+	ck_assert_uint_ne(place(2000).upstream, CATALOG_NONE);
+}
+END_TEST
+
+START_TEST(what_comes_back_from_being_out_counts_as_cold)
+{
+	put("u-a", "north", 0);
+	bed_routes(in.catalog, 2, &(uint16_t){ BED_ROUTE_PORT }, 1, 0);
+	set_catalog_domain_out(in.catalog, "north", true, 2600, 1000);
+	ck_assert_int_eq(place(2000).reason, PLACE_NONE_LISTED);
+	set_catalog_domain_out(in.catalog, "north", false, 2600, 5000);
+	ck_assert_int_eq(place(5001).reason, PLACE_ALL_COLD);
+	ck_assert_uint_ne(place(7600).upstream, CATALOG_NONE);
+}
+END_TEST
+
+START_TEST(one_that_woke_up_uses_no_share)
+{
+	put_cold("u-a", 60000, 0);
+	set_view_settled(in.view, false);
+	ck_assert_uint_eq(place(10000).upstream, CATALOG_NONE);
+	set_view_settled(in.view, true);
+	ck_assert_uint_ne(place(10000).upstream, CATALOG_NONE);
+}
+END_TEST
+
+START_TEST(doubt_goes_behind_and_ends_with_life)
+{
+	upstream_nr_t a = put("u-a", "north", 0);
+	upstream_nr_t b = put("u-b", "south", 0);
+
+	note_silence(in.placing, a, 1000, 1200);
+	ck_assert_uint_eq(place(1200).upstream, b);
+	note_life(in.placing, a, 1210);
+	ck_assert_uint_eq(place(1210).upstream, a);
+	/* what was sent before the last sign of life proves nothing */
+	note_silence(in.placing, a, 1100, 1300);
+	ck_assert_int_eq(placing_health(in.placing, a), HEALTH_GOOD);
+}
+END_TEST
+
+START_TEST(life_seen_by_a_peer_ends_a_doubt)
+{
+	upstream_nr_t a = put("u-a", "north", 0);
+	struct load_row row = { get_upstream(in.catalog, a)->cookie, 0, 1, 20,
+				HEALTH_GOOD };
+
+	note_silence(in.placing, a, 1000, 1200);
+	take_peer_loads(in.placing, 42, &row, 1, 1300);
+	ck_assert_int_eq(placing_health(in.placing, a), HEALTH_GOOD);
+}
+END_TEST
+
+START_TEST(a_doubt_that_stays_is_checked)
+{
+	upstream_nr_t a = put("u-a", "north", 0);
+
+	note_silence(in.placing, a, 1000, 1200);
+	ck_assert(!wants_check(a, 1200 + PLACING_DOUBT_MS - 1));
+	ck_assert(wants_check(a, 1200 + PLACING_DOUBT_MS));
+	ck_assert(!wants_check(a, 1210 + PLACING_DOUBT_MS));
+	note_check(in.placing, a, CHECK_REFUSED, 1500);
+	ck_assert_int_eq(placing_health(in.placing, a), HEALTH_DEAD);
+	ck_assert_int_eq(place(1500).reason, PLACE_ALL_DEAD);
+}
+END_TEST
+
+START_TEST(several_silent_flows_are_checked_sooner)
+{
+	upstream_nr_t a = put("u-a", "north", 0);
+
+	for (int i = 0; i < PLACING_DOUBT_SOON_NR; i++)
+		note_silence(in.placing, a, 1000, 1200);
+	ck_assert(wants_check(a, 1200 + PLACING_DOUBT_SOON_MS));
+}
+END_TEST
+
+START_TEST(flows_that_go_on_outweigh_a_refused_check)
+{
+	upstream_nr_t a = put("u-a", "north", 0);
+
+	note_silence(in.placing, a, 1000, 1200);
+	ck_assert(wants_check(a, 1200 + PLACING_DOUBT_MS));
+	note_life(in.placing, a, 1450);
+	note_check(in.placing, a, CHECK_REFUSED, 1460);
+	ck_assert_int_eq(placing_health(in.placing, a), HEALTH_GOOD);
+}
+END_TEST
+
+/* Lets the check of NR that began at START_MS end in vain. */
+static void check_in_vain(upstream_nr_t nr, uint64_t start_ms)
+{
+	ck_assert(wants_check(nr, start_ms));
+	note_check(in.placing, nr, CHECK_UNREACHABLE, start_ms + 350);
+}
+
+START_TEST(an_upstream_out_of_reach_is_cut_off_if_others_answer)
+{
+	upstream_nr_t a = put("u-a", "north", 0);
+	upstream_nr_t b = put("u-b", "north", 0);
+
+	note_silence(in.placing, a, 1000, 1200);
+	for (uint64_t t = 1400; t < 2100; t += 351) {
+		ck_assert_int_eq(placing_health(in.placing, a),
+				 HEALTH_DOUBTED);
+		note_life(in.placing, b, t + 100);
+		check_in_vain(a, t);
+	}
+	ck_assert_int_eq(placing_health(in.placing, a), HEALTH_CUT_OFF);
+}
+END_TEST
+
+START_TEST(an_instance_that_reaches_nobody_doubts_itself)
+{
+	upstream_nr_t a = put("u-a", "north", 0);
+
+	note_silence(in.placing, a, 1000, 1200);
+	for (uint64_t t = 1400; t < 9000; t += 900)
+		check_in_vain(a, t);
+	ck_assert_int_eq(placing_health(in.placing, a), HEALTH_DOUBTED);
+}
+END_TEST
+
+START_TEST(another_start_begins_without_blame)
+{
+	struct upstream_report r = bed_report("u-a", "north");
+	upstream_nr_t a = bed_put(&in, &r, 0);
+
+	note_silence(in.placing, a, 1000, 1200);
+	wants_check(a, 1200 + PLACING_DOUBT_MS);
+	note_check(in.placing, a, CHECK_REFUSED, 1500);
+	r.start_ms = 2;
+	bed_put(&in, &r, 4000);
+	ck_assert_int_eq(placing_health(in.placing, a), HEALTH_GOOD);
+}
+END_TEST
+
+START_TEST(two_ids_with_one_cookie_do_not_both_get_flows)
+{
+	struct upstream_report r = bed_report("u-a", "north");
+	struct upstream_report q = bed_report("u-b", "north");
+	upstream_nr_t a;
+	upstream_nr_t b;
+
+	r.id = 0x100000005;
+	q.id = 0x400000000;
+	ck_assert_uint_eq(make_cookie(r.id), make_cookie(q.id));
+	b = bed_put(&in, &q, 0);
+	a = bed_put(&in, &r, 0);
+	for (int i = 0; i < 50; i++)
+		ck_assert_uint_eq(place(10).upstream, a);
+	ck_assert_uint_eq(find_by_cookie(in.catalog, make_cookie(r.id)), a);
+	ck_assert(!accepts_flows(in.catalog, b));
+}
+END_TEST
+
+/*
+ * The heaviest load of the sites: half of the slots busy on average, a domain
+ * with nearly twice the callers of the others. The bound is the users' aim
+ * for the worth of a day.
+ */
+START_TEST(the_heaviest_load_is_served_in_time)
+{
+	struct placing_options opt = { .way = WAY_FULL_SCAN,
+				       .far_cost = PLACING_FAR_COST,
+				       .seed = 20261204,
+				       .domain_nr = 4,
+				       .instances = 2,
+				       .upstreams = 4,
+				       .slots = 3,
+				       .queue = 12,
+				       .requests_s = 400,
+				       .long_flows = 450,
+				       .skew = 1.8,
+				       .beacon_ms = 150,
+				       .length_ms = 15000 };
+	struct placing_result r;
+	struct placing_result random;
+
+	play_placing(&opt, &r);
+	ck_assert_uint_ge(r.in_aim, r.asked * 95 / 100);
+	ck_assert_uint_le(r.shed + r.refused, r.asked / 200);
+	opt.way = WAY_RANDOM;
+	play_placing(&opt, &random);
+	ck_assert_uint_gt(r.in_aim, random.in_aim);
+	ck_assert_uint_lt(r.far, random.far / 2);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("placing");
+	TCase *tc = tcase_create("placing");
+	SRunner *sr = srunner_create(s);
+	int failed;
+
+	tcase_add_checked_fixture(tc, setup, teardown);
+	tcase_set_timeout(tc, 120);
+	tcase_add_test(tc, the_own_domain_goes_first_until_it_is_loaded);
+	tcase_add_test(tc, peers_load_counts_while_they_are_heard);
+	tcase_add_test(tc, what_cannot_be_answered_in_time_is_refused);
+	tcase_add_test(tc, a_cold_upstream_gets_no_more_than_it_bears);
+	tcase_add_test(tc, a_cold_upstream_warms_up_by_its_own_word);
+	tcase_add_test(tc, what_comes_back_from_being_out_counts_as_cold);
+	tcase_add_test(tc, one_that_woke_up_uses_no_share);
+	tcase_add_test(tc, doubt_goes_behind_and_ends_with_life);
+	tcase_add_test(tc, life_seen_by_a_peer_ends_a_doubt);
+	tcase_add_test(tc, a_doubt_that_stays_is_checked);
+	tcase_add_test(tc, several_silent_flows_are_checked_sooner);
+	tcase_add_test(tc, flows_that_go_on_outweigh_a_refused_check);
+	tcase_add_test(tc, an_upstream_out_of_reach_is_cut_off_if_others_answer);
+	tcase_add_test(tc, an_instance_that_reaches_nobody_doubts_itself);
+	tcase_add_test(tc, another_start_begins_without_blame);
+	tcase_add_test(tc, two_ids_with_one_cookie_do_not_both_get_flows);
+	tcase_add_test(tc, the_heaviest_load_is_served_in_time);
+	suite_add_tcase(s, tc);
+	srunner_run_all(sr, CK_ENV);
+	failed = srunner_ntests_failed(sr);
+	srunner_free(sr);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/t/check-platform.c
@@ -0,0 +1,253 @@
+/* Tests of platform/: packets, entries of upstreams, operators' records. */
+
+#include <check.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "platform/packet.h"
+#include "platform/records.h"
+
+/* SYN from 100.64.0.7:40001 to 198.18.0.1:443. */
+static const uint8_t syn[] = { 0x80, 0x00, 0x00, 0x00, 0x00, 0x00, 0xa1, 0xb2,
+			       0xc3, 0xd5, 0x01, 0xbb, 0x64, 0x40, 0x00, 0x07,
+			       0x9c, 0x41, 0xc6, 0x12, 0x00, 0x01, 0x11, 0x22,
+			       0x33, 0x44, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00 };
+
+START_TEST(a_packet_is_read_field_by_field)
+{
+	struct cookie_packet p;
+
+	ck_assert(read_platform_packet(syn, sizeof(syn), &p));
+	ck_assert(is_cookie_syn(&p));
+	ck_assert_uint_eq(p.key.caller_ip, 0x64400007);
+	ck_assert_uint_eq(p.key.caller_port, 40001);
+	ck_assert_uint_eq(p.key.service_ip, 0xc6120001);
+	ck_assert_uint_eq(p.key.service_port, 443);
+	ck_assert_uint_eq(p.seq, 0x11223344);
+	ck_assert_uint_eq(p.cookie, 0);
+	ck_assert_uint_eq(p.payload, 0);
+}
+END_TEST
+
+START_TEST(a_packet_of_another_length_is_refused)
+{
+	uint8_t data[PLATFORM_HEADER + PLATFORM_DATA_MAX + 1] = { 0 };
+	struct cookie_packet p;
+
+	memcpy(data, syn, sizeof(syn));
+	for (size_t len = 0; len < sizeof(data); len++)
+		ck_assert(read_platform_packet(data, len, &p) ==
+			  (len == PLATFORM_HEADER));
+	data[31] = 5;
+	ck_assert(read_platform_packet(data, PLATFORM_HEADER + 5, &p));
+	ck_assert(!read_platform_packet(data, PLATFORM_HEADER + 4, &p));
+}
+END_TEST
+
+START_TEST(only_the_cookie_changes_on_the_way)
+{
+	uint8_t data[sizeof(syn)];
+
+	memcpy(data, syn, sizeof(syn));
+	write_platform_cookie(data, 0x01020304);
+	ck_assert_mem_eq(data + 2, "\x01\x02\x03\x04", 4);
+	memset(data + 2, 0, 4);
+	ck_assert_mem_eq(data, syn, sizeof(syn));
+}
+END_TEST
+
+START_TEST(a_reset_comes_from_the_route)
+{
+	static const uint8_t expected[] = {
+		0x02, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00,
+		0x00, 0x00, 0x9c, 0x41, 0xc6, 0x12, 0x00, 0x01,
+		0x01, 0xbb, 0x64, 0x40, 0x00, 0x07, 0x00, 0x00,
+		0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00
+	};
+	uint8_t out[PLATFORM_HEADER];
+	struct cookie_packet p;
+
+	read_platform_packet(syn, sizeof(syn), &p);
+	write_platform_reset(&p, 0, out);
+	ck_assert_mem_eq(out, expected, sizeof(expected));
+}
+END_TEST
+
+static enum status_kind read_entry(const char *name, const char *json,
+				   struct upstream_report *r)
+{
+	struct status st;
+
+	return read_upstream_entry(name, json, strlen(json), r, &st);
+}
+
+#define WHOLE_ENTRY                                                            \
+	"{\"service\":\"desk\",\"addr\":\"10.128.0.9:8080\","                  \
+	"\"zone\":\"kochi-a\",\"version\":\"v1\",\"slots\":3,"                 \
+	"\"state\":\"ready\",\"warmupLeftMs\":1500,\"seq\":4,"                 \
+	"\"born\":1775020505058}"
+
+START_TEST(an_entry_of_an_upstream_is_read)
+{
+	struct upstream_report r;
+
+	ck_assert_int_eq(read_entry("i-7f3a91c2", WHOLE_ENTRY, &r), STATUS_OK);
+	ck_assert_uint_eq(r.id, 0x7f3a91c2);
+	ck_assert_str_eq(r.service, "desk");
+	ck_assert_str_eq(r.domain, "kochi-a");
+	ck_assert_uint_eq(r.address.port, 8080);
+	ck_assert_uint_eq(r.slots, 3);
+	ck_assert_uint_eq(r.cold_ms, 1500);
+	ck_assert_uint_eq(r.start_ms, 1775020505058);
+	ck_assert(!r.draining);
+}
+END_TEST
+
+/* Replaces FROM by TO in the whole entry. */
+static char *with(const char *from, const char *to)
+{
+	char **parts = g_strsplit(WHOLE_ENTRY, from, 2);
+	char *text = g_strjoinv(to, parts);
+
+	ck_assert(parts[1]);
+	g_strfreev(parts);
+	return text;
+}
+
+START_TEST(an_entry_of_another_writer_names_no_upstream)
+{
+	static const char *const broken[][2] = {
+		{ "\"service\":\"desk\",", "" },
+		{ "\"service\":\"desk\"", "\"service\":7" },
+		{ "10.128.0.9:8080", "somewhere" },
+		{ "\"slots\":3", "\"slots\":\"3\"" },
+		{ "\"slots\":3", "\"slots\":-1" },
+		{ "\"ready\"", "\"resting\"" },
+		{ "\"ready\"", "null" },
+		{ "1500", "\"soon\"" },
+		{ "1500", "-3" },
+		{ "1775020505058", "1.5" },
+		{ "\"zone\":\"kochi-a\",", "" },
+	};
+	struct upstream_report r;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(broken); i++) {
+		char *text = with(broken[i][0], broken[i][1]);
+
+		ck_assert_int_eq(read_entry("i-1", text, &r), STATUS_CORRUPT);
+		g_free(text);
+	}
+	ck_assert_int_eq(read_entry("i-1", "\xff\xfe", &r), STATUS_CORRUPT);
+	ck_assert_int_eq(read_entry("i-1", "", &r), STATUS_CORRUPT);
+	ck_assert_int_eq(read_entry("i-1", "[]", &r), STATUS_CORRUPT);
+	ck_assert_int_eq(read_entry("i-xyz", WHOLE_ENTRY, &r), STATUS_CORRUPT);
+	ck_assert_int_eq(read_entry("i-", WHOLE_ENTRY, &r), STATUS_CORRUPT);
+}
+END_TEST
+
+#define CONFIG                                                                 \
+	"{\"version\":7,\"routes\":["                                          \
+	"{\"name\":\"r-1\",\"host\":\"198.18.0.1\",\"prefix\":\"/8080/\","     \
+	"\"kind\":\"unsafe\",\"timeoutMs\":4000,\"sloMs\":250,"                \
+	"\"priority\":1,\"service\":\"desk\",\"attempts\":2},"                 \
+	"{\"name\":\"r-2\",\"host\":\"198.18.0.1\",\"prefix\":\"/8443/\","     \
+	"\"kind\":\"safe\",\"timeoutMs\":3000,\"sloMs\":200,"                  \
+	"\"priority\":2,\"split\":[{\"service\":\"desk\",\"weight\":90},"      \
+	"{\"service\":\"hall\",\"weight\":10}],\"attempts\":2}],"              \
+	"\"services\":[{\"name\":\"desk\",\"healthPath\":\"/up\","             \
+	"\"maxConns\":2000,\"warmupS\":2.0,\"warmupPerS\":12.5}],"             \
+	"\"limits\":{\"idleTimeoutMs\":15000}}"
+
+START_TEST(the_operators_configuration_is_read)
+{
+	struct catalog *c = create_catalog(60000);
+	const struct catalog_route *r;
+	const struct catalog_service *sv;
+	struct status st;
+
+	ck_assert_int_eq(read_operator_routes(c, CONFIG, strlen(CONFIG), &st),
+			 STATUS_OK);
+	ck_assert_uint_eq(catalog_version(c), 7);
+	ck_assert_uint_eq(catalog_idle_ms(c), 15000);
+	r = find_catalog_route(c, 0xc6120001, 8080);
+	ck_assert(r && !r->repeatable && r->deadline_ms == 4000);
+	r = find_catalog_route(c, 0xc6120001, 8443);
+	ck_assert(r && r->repeatable && r->share_nr == 2);
+	ck_assert_uint_eq(r->shares[1].weight, 10);
+	ck_assert_ptr_null(find_catalog_route(c, 0xc6120002, 8443));
+	sv = get_service(c, intern_service(c, "desk"));
+	ck_assert_str_eq(sv->health_path, "/up");
+	ck_assert_uint_eq(sv->cold_ms, 2000);
+	ck_assert(sv->cold_per_s == 12.5);
+	ck_assert_int_eq(read_operator_routes(c, CONFIG, strlen(CONFIG), &st),
+			 STATUS_CONFLICT);
+	destroy_catalog(c);
+}
+END_TEST
+
+START_TEST(a_broken_configuration_changes_nothing)
+{
+	static const char *const texts[] = {
+		"", "[]", "{}", "{\"version\":8}",
+		"{\"version\":8,\"routes\":[{}],\"services\":[]}",
+		"{\"version\":8,\"routes\":[{\"host\":\"198.18.0.1\","
+		"\"prefix\":\"/x/\",\"service\":\"desk\"}],\"services\":[]}",
+		"{\"version\":8,\"routes\":[{\"host\":\"198.18.0.1\","
+		"\"prefix\":\"/80/\"}],\"services\":[]}"
+	};
+	struct catalog *c = create_catalog(60000);
+	struct status st;
+
+	read_operator_routes(c, CONFIG, strlen(CONFIG), &st);
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		ck_assert_int_eq(read_operator_routes(c, texts[i],
+						      strlen(texts[i]), &st),
+				 STATUS_CORRUPT);
+		ck_assert_str_ne(st.message, "");
+		ck_assert_uint_eq(catalog_version(c), 7);
+		ck_assert_uint_eq(catalog_route_nr(c), 2);
+	}
+	destroy_catalog(c);
+}
+END_TEST
+
+START_TEST(keys_are_told_apart)
+{
+	const char *name;
+
+	ck_assert_int_eq(platform_key_kind("op/config", &name), RECORD_ROUTES);
+	ck_assert_int_eq(platform_key_kind("op/evacuate/kochi-a", &name),
+			 RECORD_DOMAIN_OUT);
+	ck_assert_str_eq(name, "kochi-a");
+	ck_assert_int_eq(platform_key_kind("servers/i-1", &name),
+			 RECORD_UPSTREAM);
+	ck_assert_str_eq(name, "i-1");
+	ck_assert_int_eq(platform_key_kind("op/configs", &name), RECORD_OTHER);
+	ck_assert_int_eq(platform_key_kind("servers/", &name), RECORD_OTHER);
+	ck_assert_int_eq(platform_key_kind("status/x", &name), RECORD_OTHER);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("platform");
+	TCase *tc = tcase_create("platform");
+	SRunner *sr = srunner_create(s);
+	int failed;
+
+	tcase_add_test(tc, a_packet_is_read_field_by_field);
+	tcase_add_test(tc, a_packet_of_another_length_is_refused);
+	tcase_add_test(tc, only_the_cookie_changes_on_the_way);
+	tcase_add_test(tc, a_reset_comes_from_the_route);
+	tcase_add_test(tc, an_entry_of_an_upstream_is_read);
+	tcase_add_test(tc, an_entry_of_another_writer_names_no_upstream);
+	tcase_add_test(tc, the_operators_configuration_is_read);
+	tcase_add_test(tc, a_broken_configuration_changes_nothing);
+	tcase_add_test(tc, keys_are_told_apart);
+	suite_add_tcase(s, tc);
+	srunner_run_all(sr, CK_ENV);
+	failed = srunner_ntests_failed(sr);
+	srunner_free(sr);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/t/placing-world.c
@@ -0,0 +1,357 @@
+#include "t/placing-world.h"
+
+#include <math.h>
+#include <string.h>
+
+#include "t/cookie-bed.h"
+
+#define DEADLINE_MS 3000
+
+/* One request at an upstream. */
+struct work {
+	uint64_t asked_ms; /* when the caller first asked */
+	uint32_t left_ms;
+	unsigned int instance;
+	bool lasting; /* of a long flow, which goes on */
+};
+
+struct server {
+	GQueue running; /* of struct work */
+	GQueue waiting;
+};
+
+struct long_flow {
+	unsigned int instance;
+	unsigned int server;
+};
+
+struct world {
+	const struct placing_options *opt;
+	struct placing_result *res;
+	GRand *rand;
+	unsigned int instance_nr;
+	unsigned int server_nr;
+	struct bed_instance *instances;
+	upstream_nr_t *handles; /* of servers, the same at all instances */
+	struct server *servers;
+	struct long_flow *flows;
+	GArray *took; /* of uint32_t, ms */
+	uint64_t now_ms;
+};
+
+static unsigned int domain_of_instance(const struct world *w, unsigned int i)
+{
+	return i / w->opt->instances;
+}
+
+static unsigned int domain_of_server(const struct world *w, unsigned int i)
+{
+	return i / w->opt->upstreams;
+}
+
+static void create_instances(struct world *w)
+{
+	char domain[16];
+	char name[16];
+
+	for (unsigned int i = 0; i < w->instance_nr; i++) {
+		g_snprintf(domain, sizeof(domain), "d%u",
+			   domain_of_instance(w, i));
+		g_snprintf(name, sizeof(name), "i%u", i);
+		init_bed_instance(&w->instances[i], name, domain);
+		set_far_cost(w->instances[i].placing, w->opt->far_cost);
+		for (unsigned int s = 0; s < w->server_nr; s++) {
+			struct upstream_report r;
+
+			g_snprintf(domain, sizeof(domain), "d%u",
+				   domain_of_server(w, s));
+			g_snprintf(name, sizeof(name), "u%u", s);
+			r = bed_report(name, domain);
+			r.slots = w->opt->slots;
+			w->handles[s] = bed_put(&w->instances[i], &r, 0);
+		}
+	}
+}
+
+static unsigned int server_of(const struct world *w, upstream_nr_t nr)
+{
+	for (unsigned int s = 0; s < w->server_nr; s++)
+		if (w->handles[s] == nr)
+			return s;
+	return w->server_nr;
+}
+
+/* All upstreams but NR random ones: those not to be considered. */
+static size_t list_others(const struct world *w, unsigned int nr,
+			  upstream_nr_t *out)
+{
+	unsigned int keep[2];
+	size_t n = 0;
+
+	for (unsigned int i = 0; i < nr; i++)
+		keep[i] = (unsigned int)g_rand_int_range(
+			w->rand, 0, (gint32)w->server_nr);
+	for (unsigned int s = 0; s < w->server_nr; s++)
+		if (s != keep[0] && s != keep[nr - 1])
+			out[n++] = w->handles[s];
+	return n;
+}
+
+static unsigned int choose(struct world *w, unsigned int instance)
+{
+	struct bed_instance *in = &w->instances[instance];
+	service_nr_t service = intern_service(in->catalog, "board");
+	upstream_nr_t *others = g_new(upstream_nr_t, w->server_nr);
+	struct placement at;
+	size_t n = 0;
+
+	if (w->opt->way == WAY_RANDOM)
+		n = list_others(w, 1, others);
+	else if (w->opt->way == WAY_TWO_CHOICES)
+		n = list_others(w, 2, others);
+	at = place_new_flow(in->placing, service, DEADLINE_MS, others, n,
+			    w->now_ms);
+	g_free(others);
+	return at.upstream == CATALOG_NONE ? w->server_nr :
+					     server_of(w, at.upstream);
+}
+
+static void count_answer(struct world *w, const struct work *wk)
+{
+	uint32_t took = (uint32_t)(w->now_ms - wk->asked_ms);
+
+	g_array_append_val(w->took, took);
+	if (took <= PLACING_WORLD_AIM_MS)
+		w->res->in_aim++;
+	else
+		w->res->late++;
+}
+
+static void end_work(struct world *w, unsigned int server, struct work *wk)
+{
+	struct placing *pl = w->instances[wk->instance].placing;
+
+	note_request_end(pl, w->handles[server]);
+	if (!wk->lasting)
+		note_flow_end(pl, w->handles[server]);
+	g_free(wk);
+}
+
+static void offer(struct world *w, unsigned int server, unsigned int instance,
+		  uint64_t asked_ms, bool lasting)
+{
+	struct server *sv = &w->servers[server];
+	struct placing *pl = w->instances[instance].placing;
+	struct work *wk = g_new0(struct work, 1);
+	double u = g_rand_double_range(w->rand, 1e-6, 1);
+
+	wk->asked_ms = asked_ms;
+	wk->left_ms = 1 + (uint32_t)(-log(u) * PLACING_WORLD_WORK_MS);
+	wk->instance = instance;
+	wk->lasting = lasting;
+	if (!lasting)
+		note_flow_open(pl, w->handles[server]);
+	note_request(pl, w->handles[server]);
+	if (domain_of_instance(w, instance) != domain_of_server(w, server))
+		w->res->far++;
+	if (sv->running.length < w->opt->slots) {
+		g_queue_push_tail(&sv->running, wk);
+	} else if (sv->waiting.length < w->opt->queue) {
+		g_queue_push_tail(&sv->waiting, wk);
+	} else {
+		w->res->shed++;
+		end_work(w, server, wk);
+	}
+}
+
+static void run_servers(struct world *w)
+{
+	for (unsigned int s = 0; s < w->server_nr; s++) {
+		struct server *sv = &w->servers[s];
+		guint n = sv->running.length;
+
+		for (guint i = 0; i < n; i++) {
+			struct work *wk = g_queue_pop_head(&sv->running);
+
+			if (--wk->left_ms) {
+				g_queue_push_tail(&sv->running, wk);
+				continue;
+			}
+			count_answer(w, wk);
+			end_work(w, s, wk);
+		}
+		while (sv->running.length < w->opt->slots &&
+		       sv->waiting.length)
+			g_queue_push_tail(&sv->running,
+					  g_queue_pop_head(&sv->waiting));
+	}
+}
+
+/* An instance where a caller's packets arrive, by its domain's load. */
+static unsigned int pick_instance(struct world *w)
+{
+	unsigned int domain = (unsigned int)g_rand_int_range(
+		w->rand, 0, (gint32)w->opt->domain_nr);
+	double extra = (w->opt->skew - 1) / (w->opt->domain_nr - 1);
+
+	if (domain && g_rand_double(w->rand) < extra)
+		domain = 0;
+	return domain * w->opt->instances +
+	       (unsigned int)g_rand_int_range(w->rand, 0,
+					      (gint32)w->opt->instances);
+}
+
+static void ask_fresh(struct world *w, uint64_t asked_ms)
+{
+	unsigned int instance = pick_instance(w);
+	unsigned int server = choose(w, instance);
+
+	w->res->asked++;
+	if (server == w->server_nr)
+		w->res->refused++;
+	else
+		offer(w, server, instance, asked_ms, false);
+}
+
+static void open_long_flows(struct world *w)
+{
+	unsigned int n = (unsigned int)w->opt->long_flows;
+
+	w->flows = g_new0(struct long_flow, n ? n : 1);
+	for (unsigned int i = 0; i < n; i++) {
+		struct long_flow *f = &w->flows[i];
+
+		f->instance = pick_instance(w);
+		f->server = choose(w, f->instance);
+		if (f->server < w->server_nr)
+			note_flow_open(w->instances[f->instance].placing,
+				       w->handles[f->server]);
+	}
+}
+
+static void ask_long(struct world *w)
+{
+	unsigned int n = (unsigned int)w->opt->long_flows;
+
+	for (unsigned int i = 0; i < n; i++) {
+		const struct long_flow *f = &w->flows[i];
+
+		if (f->server == w->server_nr ||
+		    g_rand_double(w->rand) >= 0.001)
+			continue;
+		w->res->asked++;
+		offer(w, f->server, f->instance, w->now_ms, true);
+	}
+}
+
+static void send_beacon(struct world *w, unsigned int from)
+{
+	GArray *rows = g_array_new(FALSE, FALSE, sizeof(struct load_row));
+
+	list_own_loads(w->instances[from].placing, w->now_ms, rows);
+	for (unsigned int i = 0; i < w->instance_nr; i++)
+		if (i != from)
+			take_peer_loads(
+				w->instances[i].placing, from + 1,
+				(const struct load_row *)(void *)rows->data,
+				rows->len, w->now_ms);
+	g_array_free(rows, TRUE);
+}
+
+static void tick(struct world *w)
+{
+	GArray *checks = g_array_new(FALSE, FALSE, sizeof(upstream_nr_t));
+
+	for (unsigned int i = 0; i < w->instance_nr; i++) {
+		if (w->opt->way != WAY_OWN_VIEW &&
+		    (w->now_ms + i * 13) % w->opt->beacon_ms == 0)
+			send_beacon(w, i);
+		if (w->now_ms % PLACING_MEANS_MS == 0)
+			tick_placing(w->instances[i].placing, w->now_ms,
+				     checks);
+	}
+	g_array_free(checks, TRUE);
+}
+
+static void play(struct world *w)
+{
+	const struct placing_options *opt = w->opt;
+	uint64_t gap_at = opt->length_ms / 2;
+	double due = 0;
+	uint32_t backlog = 0;
+
+	for (w->now_ms = 1; w->now_ms <= opt->length_ms; w->now_ms++) {
+		bool gap = w->now_ms >= gap_at &&
+			   w->now_ms < gap_at + opt->gap_ms;
+
+		due += opt->requests_s / 1000;
+		for (; due >= 1; due--) {
+			if (gap)
+				backlog++;
+			else
+				ask_fresh(w, w->now_ms);
+		}
+		if (gap)
+			continue;
+		for (; backlog; backlog--)
+			ask_fresh(w, w->now_ms);
+		ask_long(w);
+		run_servers(w);
+		tick(w);
+	}
+}
+
+static int compare_ms(const void *a, const void *b)
+{
+	uint32_t x = *(const uint32_t *)a;
+	uint32_t y = *(const uint32_t *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+static void release_world(struct world *w)
+{
+	for (unsigned int s = 0; s < w->server_nr; s++) {
+		g_queue_clear_full(&w->servers[s].running, g_free);
+		g_queue_clear_full(&w->servers[s].waiting, g_free);
+	}
+	for (unsigned int i = 0; i < w->instance_nr; i++)
+		release_bed_instance(&w->instances[i]);
+	g_free(w->instances);
+	g_free(w->servers);
+	g_free(w->handles);
+	g_free(w->flows);
+	g_array_free(w->took, TRUE);
+	g_rand_free(w->rand);
+}
+
+void play_placing(const struct placing_options *opt, struct placing_result *res)
+{
+	struct world w = { .opt = opt, .res = res };
+
+	memset(res, 0, sizeof(*res));
+	w.instance_nr = opt->domain_nr * opt->instances;
+	w.server_nr = opt->domain_nr * opt->upstreams;
+	w.instances = g_new0(struct bed_instance, w.instance_nr);
+	w.servers = g_new0(struct server, w.server_nr);
+	w.handles = g_new0(upstream_nr_t, w.server_nr);
+	w.took = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	w.rand = g_rand_new_with_seed(opt->seed);
+	create_instances(&w);
+	open_long_flows(&w);
+	play(&w);
+	g_array_sort(w.took, compare_ms);
+	if (w.took->len)
+		res->p99_ms = g_array_index(w.took, uint32_t,
+					    w.took->len * 99 / 100);
+	release_world(&w);
+}
+
+const char *placing_way_name(enum placing_way way)
+{
+	static const char *const names[PLACING_WAY_NR] = {
+		"random", "own view", "two choices", "full scan"
+	};
+
+	return names[way];
+}
