--- a/baobabvalved.c
+++ b/baobabvalved.c
@@ -57,9 +57,9 @@
 		if (read_settings(path, &settings)) {
 			signal(SIGPIPE, SIG_IGN);
 			open_log();
-			code = settings.steering == STEER_BY_COOKIE ?
-				       run_edge(path, &settings) :
-				       run_daemon(&settings);
+			code = settings.steering == STEER_BY_COOKIE
+				       ? run_edge(path, &settings)
+				       : run_daemon(&settings);
 			close_log();
 		}
 	}
--- a/config/catalog.c
+++ b/config/catalog.c
@@ -45,12 +45,12 @@
 
 	c->flow_ttl_ms = flow_ttl_ms;
 	c->upstreams = g_ptr_array_new_with_free_func(g_free);
-	c->by_name = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					   NULL);
+	c->by_name =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	c->by_cookie = g_hash_table_new(NULL, NULL);
 	c->services = g_ptr_array_new_with_free_func(free_service);
-	c->service_nrs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					       NULL);
+	c->service_nrs =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	c->domains = g_array_new(FALSE, FALSE, sizeof(struct domain));
 	return c;
 }
@@ -103,7 +103,7 @@
 
 	for (guint i = 0; i < c->domains->len; i++) {
 		if (strcmp(g_array_index(c->domains, struct domain, i).name,
-			   name))
+			   name) != 0)
 			continue;
 		g_free(d.name);
 		return (domain_nr_t)i;
@@ -157,8 +157,7 @@
 {
 	struct catalog_service *sv = g_ptr_array_index(c->services, nr);
 
-	memcpy(sv->health_path, settings->health_path,
-	       sizeof(sv->health_path));
+	memcpy(sv->health_path, settings->health_path, sizeof(sv->health_path));
 	sv->cold_ms = settings->cold_ms;
 	sv->cold_per_s = settings->cold_per_s;
 	sv->connections = settings->connections;
@@ -419,8 +418,8 @@
 const struct catalog_service *get_service(const struct catalog *c,
 					  service_nr_t nr)
 {
-	return nr < c->services->len ? g_ptr_array_index(c->services, nr) :
-				       NULL;
+	return nr < c->services->len ? g_ptr_array_index(c->services, nr)
+				     : NULL;
 }
 
 size_t catalog_service_nr(const struct catalog *c)
--- a/config/catalog.h
+++ b/config/catalog.h
@@ -56,11 +56,11 @@
 struct catalog_service {
 	char name[CATALOG_NAME_MAX];
 	char health_path[CATALOG_NAME_MAX];
-	uint32_t cold_ms;	 /* an upstream is cold so long after start */
-	double cold_per_s;	 /* new flows a second that a cold one bears */
-	uint32_t connections;	 /* flows that one upstream holds */
-	bool listed;		 /* in the routes in force */
-	GArray *upstreams;	 /* of upstream_nr_t */
+	uint32_t cold_ms;     /* an upstream is cold so long after start */
+	double cold_per_s;    /* new flows a second that a cold one bears */
+	uint32_t connections; /* flows that one upstream holds */
+	bool listed;	      /* in the routes in force */
+	GArray *upstreams;    /* of upstream_nr_t */
 };
 
 /* One of the services that new flows of a route go to. */
--- a/config/mirror.c
+++ b/config/mirror.c
@@ -1,6 +1,7 @@
 #include "config/mirror.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 #include "base/backoff.h"
 
@@ -26,19 +27,23 @@
 	GPtrArray *dead;   /* keys that the actions of this step name */
 	GRand *rand;
 	uint64_t revision;
+	uint64_t digest;      /* of the items that are not gone */
+	uint64_t differs_ms;  /* since when a reader's digest differs */
+	uint64_t repaired_ms; /* when that was last mended */
 	uint64_t contact_ms;
 	uint64_t well_since; /* 0: the store does not answer */
 	uint64_t lost_ms;    /* first failure of the last outage */
 	uint64_t retry_ms;   /* end of STATE_WAITING */
 	unsigned int failures;
-	bool read_next; /* the watch cannot go on from the revision */
-	bool reader;	/* watches; else takes news */
+	bool read_next;	   /* the watch cannot go on from the revision */
+	bool reader;	   /* watches; else takes news */
 	bool helping_self; /* no reader, but behind: watches until it is not */
-	uint64_t hint;	/* newest revision known to a peer */
+	uint64_t hint;	   /* newest revision known to a peer */
 	uint64_t hint_ms;
 	uint64_t asked_ms;
 	uint64_t rewatch_ms;
-	char *wanted;	    /* key whose value was left out; NULL: none */
+	char *wanted; /* key whose value was left out; NULL: none */
+	uint64_t wanted_revision;
 	uint64_t wanted_ms; /* when it may be read */
 	bool reading_key;
 };
@@ -142,6 +147,12 @@
 	return m->lost_ms && now_ms < until ? until : 0;
 }
 
+/* What an entry adds to the digest; the same again takes it out. */
+static uint64_t item_hash(const char *key, uint64_t revision)
+{
+	return XXH3_64bits_withSeed(key, strlen(key), revision);
+}
+
 static void change_item(struct mirror *m, const struct store_entry *e,
 			GArray *out)
 {
@@ -155,7 +166,10 @@
 	if (!it) {
 		it = g_new0(struct item, 1);
 		g_hash_table_insert(m->items, g_strdup(e->key), it);
+	} else if (!it->gone_ms) {
+		m->digest ^= item_hash(e->key, it->revision);
 	}
+	m->digest ^= item_hash(e->key, e->mod_revision);
 	g_free(it->value);
 	it->value = g_memdup2(e->value, e->len);
 	it->len = e->len;
@@ -189,6 +203,8 @@
 
 	if (!it || revision < it->revision)
 		return;
+	if (!it->gone_ms)
+		m->digest ^= item_hash(key, it->revision);
 	it->revision = revision;
 	if (it->gone_ms)
 		return;
@@ -261,7 +277,7 @@
 	follow(m, out);
 }
 
-static void take_hint(struct mirror *m, uint64_t revision, uint64_t now_ms)
+static void note_newer(struct mirror *m, uint64_t revision, uint64_t now_ms)
 {
 	if (revision <= m->revision || revision <= m->hint)
 		return;
@@ -270,6 +286,32 @@
 	m->hint = revision;
 }
 
+/* Compares with a reader that has seen the same of the store. */
+static void compare_digest(struct mirror *m, uint64_t digest, uint64_t now_ms)
+{
+	if (digest == m->digest) {
+		m->differs_ms = 0;
+		return;
+	}
+	if (!m->differs_ms)
+		m->differs_ms = now_ms;
+	if (now_ms - m->differs_ms < MIRROR_DIFFER_MS ||
+	    now_ms - m->repaired_ms < MIRROR_REPAIR_MS)
+		return;
+	m->repaired_ms = now_ms;
+	m->differs_ms = 0;
+	m->read_next = true;
+}
+
+static void take_hint(struct mirror *m, const struct mirror_hint *h,
+		      uint64_t now_ms)
+{
+	note_newer(m, h->revision, now_ms);
+	if (h->watching && m->state == STATE_TAKING &&
+	    h->revision == m->revision)
+		compare_digest(m, h->digest, now_ms);
+}
+
 /* Passes the changes of each revision in A on, one after the other. */
 static void tell_changes(struct mirror *m, const struct store_answer *a,
 			 uint64_t now_ms, GArray *out)
@@ -345,21 +387,25 @@
 	for (size_t i = 0; i < a->entry_nr; i++)
 		if (m->wanted && !strcmp(a->entries[i].key, m->wanted)) {
 			change_item(m, &a->entries[i], out);
-			g_clear_pointer(&m->wanted, g_free);
+			if (a->entries[i].mod_revision >= m->wanted_revision)
+				g_clear_pointer(&m->wanted, g_free);
 		}
 }
 
 /* Remembers that KEY has a value that was too long to be passed on. */
-static void want_key(struct mirror *m, const char *key)
+static void want_key(struct mirror *m, const char *key, uint64_t revision)
 {
-	if (m->wanted && !strcmp(m->wanted, key))
+	if (m->wanted && !strcmp(m->wanted, key)) {
+		m->wanted_revision = revision;
 		return;
+	}
 	if (m->wanted) {
 		/* two of them: only a whole read brings both */
 		m->read_next = true;
 		return;
 	}
 	m->wanted = g_strdup(key);
+	m->wanted_revision = revision;
 }
 
 static void take_news(struct mirror *m, const struct mirror_news *n,
@@ -370,7 +416,7 @@
 	if (m->state != STATE_TAKING || n->to <= m->revision)
 		return;
 	if (n->from > m->revision) {
-		take_hint(m, n->to, now_ms);
+		note_newer(m, n->to, now_ms);
 		return;
 	}
 	for (size_t i = 0; i < n->entry_nr; i++) {
@@ -381,9 +427,10 @@
 		else if (e->value)
 			change_item(m, e, out);
 		else
-			want_key(m, e->key);
+			want_key(m, e->key, n->to);
 	}
 	m->revision = n->to;
+	m->differs_ms = 0;
 }
 
 static void set_reader(struct mirror *m, bool reader, GArray *out)
@@ -470,7 +517,7 @@
 		take_key(m, ev->answer, now_ms, out);
 		break;
 	case MIRROR_HINT:
-		take_hint(m, ev->revision, now_ms);
+		take_hint(m, ev->hint, now_ms);
 		break;
 	case MIRROR_NEWS:
 		take_news(m, ev->news, now_ms, out);
@@ -493,6 +540,11 @@
 	return m->revision;
 }
 
+uint64_t mirror_digest(const struct mirror *m)
+{
+	return m->digest;
+}
+
 uint64_t mirror_well_since(const struct mirror *m)
 {
 	return m->well_since;
--- a/config/mirror.h
+++ b/config/mirror.h
@@ -27,7 +27,7 @@
 /* Lapsed entries are back within two seconds; the rest is for the way here. */
 #define MIRROR_RETURN_MS 2300
 
-#define MIRROR_BACKOFF_MS 150	  /* first wait after a failure */
+#define MIRROR_BACKOFF_MS 150	   /* first wait after a failure */
 #define MIRROR_BACKOFF_MAX_MS 1000 /* calls are priced, news are seconds */
 
 /* A peer may know a newer revision this long before the watch is doubted. */
@@ -45,15 +45,30 @@
 #define MIRROR_KEY_MS 600
 
 enum mirror_event_kind {
-	MIRROR_TICK,	/* every MIRROR_TICK_MS */
-	MIRROR_READ,	/* ANSWER to the last MIRROR_DO_READ */
-	MIRROR_WATCHED, /* ANSWER of the watch; not STATUS_OK: it ended */
+	MIRROR_TICK,	 /* every MIRROR_TICK_MS */
+	MIRROR_READ,	 /* ANSWER to the last MIRROR_DO_READ */
+	MIRROR_WATCHED,	 /* ANSWER of the watch; not STATUS_OK: it ended */
 	MIRROR_KEY_READ, /* ANSWER to the last MIRROR_DO_READ_KEY */
-	MIRROR_HINT,	/* a peer has seen REVISION of the store */
-	MIRROR_NEWS,	/* a reader passed NEWS on */
-	MIRROR_NO_NEWS, /* a peer no longer knows what was asked for */
-	MIRROR_ROLE,	/* this instance is a READER or not */
-	MIRROR_WOKEN	/* this process stood still; connections may be old */
+	MIRROR_HINT,	 /* a peer has seen REVISION of the store */
+	MIRROR_NEWS,	 /* a reader passed NEWS on */
+	MIRROR_NO_NEWS,	 /* a peer no longer knows what was asked for */
+	MIRROR_ROLE,	 /* this instance is a READER or not */
+	MIRROR_WOKEN	 /* this process stood still; connections may be old */
+};
+
+/*
+ * One that takes news compares what it holds with a reader at the same
+ * revision. A difference that lasts so long is mended by a whole read, since
+ * something was missed.
+ */
+#define MIRROR_DIFFER_MS 600
+#define MIRROR_REPAIR_MS 2000 /* least time between two such reads */
+
+/* What a peer has seen of the store. */
+struct mirror_hint {
+	uint64_t revision;
+	uint64_t digest; /* of what it holds at that revision */
+	bool watching;	 /* it reads the store itself */
 };
 
 /* Changes that lead from revision FROM to TO. */
@@ -70,7 +85,7 @@
 	union {
 		const struct store_answer *answer;
 		const struct mirror_news *news;
-		uint64_t revision;
+		const struct mirror_hint *hint;
 		bool reader;
 	};
 };
@@ -111,6 +126,9 @@
 /* The newest revision that is taken in; 0 before the first answer. */
 uint64_t mirror_revision(const struct mirror *m);
 
+/* Hash of the keys and revisions of all entries held. */
+uint64_t mirror_digest(const struct mirror *m);
+
 /* Since when the store has answered without a failure; 0: it does not. */
 uint64_t mirror_well_since(const struct mirror *m);
 
--- a/config/settings.h
+++ b/config/settings.h
@@ -22,15 +22,15 @@
 
 /* How packets of flows reach this instance and leave it. */
 enum steering {
-	STEER_BY_SLOT, /* GUE around IP packets; see flow/flows.h */
+	STEER_BY_SLOT,	/* GUE around IP packets; see flow/flows.h */
 	STEER_BY_COOKIE /* the flow's cookie names its upstream; flow/cookie.h */
 };
 
 /* Bounds that hold for steering by cookie; see docs/OPERATORS.md. */
 struct steering_bounds {
-	uint32_t heartbeat_ms;	/* upstreams renew their entries so often */
-	uint32_t flow_ttl_ms;	/* no flow is older */
-	uint32_t stop_ms;	/* killed so long after SIGTERM */
+	uint32_t heartbeat_ms; /* upstreams renew their entries so often */
+	uint32_t flow_ttl_ms;  /* no flow is older */
+	uint32_t stop_ms;      /* killed so long after SIGTERM */
 };
 
 struct settings {
--- a/fleet/beacon.c
+++ b/fleet/beacon.c
@@ -33,7 +33,7 @@
 
 void write_beacon(struct wire_writer *w, const struct beacon *b)
 {
-	put_array(w, 10 + ROW_FIELDS * b->rows->len);
+	put_array(w, 11 + ROW_FIELDS * b->rows->len);
 	put_uint(w, BEACON_FORMAT);
 	put_str(w, b->member.name);
 	put_str(w, b->member.domain);
@@ -44,6 +44,7 @@
 	put_uint(w, b->flags);
 	put_uint(w, b->config_version);
 	put_uint(w, b->store_revision);
+	put_uint(w, b->store_digest);
 	for (guint i = 0; i < b->rows->len; i++) {
 		const struct load_row *r =
 			&g_array_index(b->rows, struct load_row, i);
@@ -82,6 +83,7 @@
 		b->flags = (uint8_t)take_uint(&r, UINT8_MAX);
 		b->config_version = take_uint(&r, UINT64_MAX);
 		b->store_revision = take_uint(&r, UINT64_MAX);
+		b->store_digest = take_uint(&r, UINT64_MAX);
 	}
 	while (ok && !r.bad && r.left >= ROW_FIELDS) {
 		struct load_row row;
@@ -208,9 +210,10 @@
 			&g_array_index(bs->peers, struct peer, i - 1);
 		const struct member *known = find_member(bs->view, p->id);
 		uint64_t silent = now_ms - p->heard_ms;
-		bool is_far = known && strcmp(known->domain, bs->self.domain);
-		uint64_t limit = large && is_far ? near * BEACON_FAR_FACTOR :
-						   near;
+		bool is_far =
+			known && strcmp(known->domain, bs->self.domain) != 0;
+		uint64_t limit =
+			large && is_far ? near * BEACON_FAR_FACTOR : near;
 
 		if (silent > limit && known && known->state != MEMBER_DEAD) {
 			struct member m = *known;
@@ -260,7 +263,8 @@
 	if (is_reader(bs->view))
 		return true;
 	for (guint i = 0; i < bs->peers->len; i++) {
-		const struct peer *p = &g_array_index(bs->peers, struct peer, i);
+		const struct peer *p =
+			&g_array_index(bs->peers, struct peer, i);
 		const struct member *m = find_member(bs->view, p->id);
 
 		if (m && !strcmp(m->domain, bs->self.domain) &&
@@ -291,7 +295,8 @@
 	const struct peer *best = NULL;
 
 	for (guint i = 0; i < bs->peers->len; i++) {
-		const struct peer *p = &g_array_index(bs->peers, struct peer, i);
+		const struct peer *p =
+			&g_array_index(bs->peers, struct peer, i);
 		const struct member *m = find_member(bs->view, p->id);
 
 		if (!m || m->state == MEMBER_DEAD ||
--- a/fleet/beacon.h
+++ b/fleet/beacon.h
@@ -13,15 +13,15 @@
 #include "fleet/view.h"
 
 #define BEACON_TICK_MS 50
-#define BEACON_MS 150	      /* between two beacons in a small domain */
+#define BEACON_MS 150	       /* between two beacons in a small domain */
 #define BEACON_PER_MEMBER_MS 8 /* on top, for each member beyond ten */
 #define BEACON_SMALL_DOMAIN 10
-#define BEACON_MISSES 6	      /* beacons missed in a row: dead */
-#define BEACON_SEARCH_MS 1000 /* between two to an address that is silent */
+#define BEACON_MISSES 6	       /* beacons missed in a row: dead */
+#define BEACON_SEARCH_MS 1000  /* between two to an address that is silent */
 #define BEACON_FORGET_MS 30000 /* a member silent for longer is forgotten */
-#define BEACON_ROLE_MS 400	/* after start: peers have been heard */
-#define BEACON_FAR_FACTOR 6	/* other domains hear less often ... */
-#define BEACON_FAR_FLEET 20	/* ... in fleets larger than this */
+#define BEACON_ROLE_MS 400     /* after start: peers have been heard */
+#define BEACON_FAR_FACTOR 6    /* other domains hear less often ... */
+#define BEACON_FAR_FLEET 20    /* ... in fleets larger than this */
 #define BEACON_SETTLE_MS 1000  /* after start or a pause: peers have spoken */
 #define BEACON_ROWS_MAX 110    /* upstreams in one datagram */
 
@@ -36,7 +36,8 @@
 	uint8_t flags;
 	uint64_t config_version;
 	uint64_t store_revision;
-	GArray *rows; /* of struct load_row */
+	uint64_t store_digest; /* of what is held at that revision */
+	GArray *rows;	       /* of struct load_row */
 };
 
 /* Writes B; the caller releases W. */
--- a/fleet/load.h
+++ b/fleet/load.h
@@ -15,8 +15,8 @@
 /* One instance's view of one upstream, as peers tell each other. */
 struct load_row {
 	uint32_t cookie;
-	uint16_t busy; /* flows with a request in flight */
-	uint16_t open; /* flows, busy ones included */
+	uint16_t busy;	  /* flows with a request in flight */
+	uint16_t open;	  /* flows, busy ones included */
 	uint16_t life_ms; /* since it last showed life there; at most 65535 */
 	uint8_t health;	  /* enum upstream_health */
 };
--- a/fleet/news.h
+++ b/fleet/news.h
@@ -15,11 +15,11 @@
 #include "base/wire.h"
 #include "config/store-call.h"
 
-#define NEWS_BYTES_MAX 1300  /* of one datagram */
-#define NEWS_VALUE_MAX 900   /* bytes of a value that is passed on */
-#define NEWS_ENTRIES_MAX 64  /* changes of one revision */
-#define NEWS_KEPT_MAX 400    /* datagrams that a reader keeps */
-#define NEWS_RESENT_MAX 40   /* datagrams sent for one question */
+#define NEWS_BYTES_MAX 1300 /* of one datagram */
+#define NEWS_VALUE_MAX 900  /* bytes of a value that is passed on */
+#define NEWS_ENTRIES_MAX 64 /* changes of one revision */
+#define NEWS_KEPT_MAX 400   /* datagrams that a reader keeps */
+#define NEWS_RESENT_MAX 40  /* datagrams sent for one question */
 
 /* First elements of the messages; a beacon's is BEACON_FORMAT. */
 enum news_format {
--- a/fleet/view.h
+++ b/fleet/view.h
@@ -34,7 +34,8 @@
 	enum member_state state;
 	uint32_t incarnation; /* grows when it refutes or restarts */
 	uint32_t start;	      /* random; another after each restart */
-	uint32_t strength; /* Mbit/s of its link; stronger ones do more for all */
+	uint32_t
+		strength; /* Mbit/s of its link; stronger ones do more for all */
 };
 
 enum upstream_state {
--- a/flow/cookie.c
+++ b/flow/cookie.c
@@ -4,7 +4,7 @@
 #include <xxhash.h>
 
 #define HANDSHAKE_WEIGHT 0.05 /* of the newest in the running mean */
-#define SWEEP_MS 500 /* between two looks at all flows */
+#define SWEEP_MS 500	      /* between two looks at all flows */
 
 enum flow_phase {
 	PHASE_OPENING, /* no answer of the upstream was seen */
@@ -22,12 +22,12 @@
 	upstream_nr_t tried[COOKIE_TRIED_MAX]; /* got the SYN */
 	uint8_t tried_nr;
 	enum flow_phase phase;
-	bool waiting;	     /* a request has no answer yet */
-	uint32_t seq_end;    /* behind the last byte that the caller sent */
-	uint32_t ack;	     /* last acknowledgement of the caller */
+	bool waiting;	      /* a request has no answer yet */
+	uint32_t seq_end;     /* behind the last byte that the caller sent */
+	uint32_t ack;	      /* last acknowledgement of the caller */
 	uint32_t deadline_ms; /* longest a request may take */
-	uint64_t syn_ms;     /* when the upstream got the SYN */
-	uint64_t sent_ms;    /* when the request was sent first */
+	uint64_t syn_ms;      /* when the upstream got the SYN */
+	uint64_t sent_ms;     /* when the request was sent first */
 	uint64_t seen_ms;
 };
 
@@ -41,13 +41,13 @@
 	const struct catalog *cat;
 	struct placing *placing;
 	struct counters *counters;
-	GHashTable *flows;    /* of struct flow */
+	GHashTable *flows;	/* of struct flow */
 	GPtrArray *of_upstream; /* first struct flow, by handle */
 	GHashTable *of_caller;	/* caller's address -> first struct flow */
 	GArray *opening;	/* of struct opening, oldest first */
 	uint64_t swept_ms;
 	uint64_t ticked_ms;
-	double handshake_ms;	/* mean from SYN to the next packet */
+	double handshake_ms; /* mean from SYN to the next packet */
 };
 
 static guint hash_flow(gconstpointer data)
@@ -385,8 +385,8 @@
 				      const struct cookie_packet *p,
 				      struct flow *f)
 {
-	upstream_nr_t named = p->cookie ? find_by_cookie(cs->cat, p->cookie) :
-					  CATALOG_NONE;
+	upstream_nr_t named =
+		p->cookie ? find_by_cookie(cs->cat, p->cookie) : CATALOG_NONE;
 
 	if (!f || f->upstream == CATALOG_NONE)
 		return named;
@@ -520,8 +520,8 @@
 				  .seq = f->ack,
 				  .reason = reason,
 				  .upstream = f->upstream,
-				  .waited_ms =
-					  f->waiting ? now_ms - f->sent_ms : 0 };
+				  .waited_ms = f->waiting ? now_ms - f->sent_ms
+							  : 0 };
 
 	if (f->phase != PHASE_CLOSING)
 		g_array_append_val(resets, r);
@@ -530,9 +530,9 @@
 void end_flows_of(struct cookie_steering *cs, upstream_nr_t nr, uint64_t now_ms,
 		  GArray *resets)
 {
-	struct flow *f = nr < cs->of_upstream->len ?
-				 g_ptr_array_index(cs->of_upstream, nr) :
-				 NULL;
+	struct flow *f = nr < cs->of_upstream->len
+				 ? g_ptr_array_index(cs->of_upstream, nr)
+				 : NULL;
 
 	while (f) {
 		struct flow *next = f->next;
@@ -646,7 +646,7 @@
 const char *cookie_reason_name(enum cookie_reason r)
 {
 	static const char *const names[COOKIE_REASON_NR] = {
-		"opened",  "reopened",	    "steered", "no-route",  "route-gone",
+		"opened",  "reopened",	    "steered", "no-route", "route-gone",
 		"refused", "upstream-dead", "unknown", "not-ready"
 	};
 
--- a/flow/cookie.h
+++ b/flow/cookie.h
@@ -18,11 +18,11 @@
 #include "flow/placing.h"
 
 #define COOKIE_LATE_MS 100 /* a tick so late says that this process was slow */
-#define COOKIE_TICK_MS 10 /* a dead upstream is to be noticed soon */
-#define COOKIE_TRIED_MAX 3	   /* a SYN and its two copies */
-#define COOKIE_FLOWS_MAX 200000	   /* flows followed at once */
-#define COOKIE_CLOSING_MS 3000	   /* packets may follow the last FIN */
-#define COOKIE_OPENING_MS 1400	   /* callers give up a SYN after that */
+#define COOKIE_TICK_MS 10  /* a dead upstream is to be noticed soon */
+#define COOKIE_TRIED_MAX 3 /* a SYN and its two copies */
+#define COOKIE_FLOWS_MAX 200000 /* flows followed at once */
+#define COOKIE_CLOSING_MS 3000	/* packets may follow the last FIN */
+#define COOKIE_OPENING_MS 1400	/* callers give up a SYN after that */
 
 /*
  * A handshake that takes so many times the usual, and no less than the least,
@@ -41,7 +41,6 @@
 #define COOKIE_AGAIN_MS 1000
 #define COOKIE_AVOID_MAX 8 /* upstreams kept away from one flow */
 
-
 enum cookie_verdict {
 	COOKIE_TO_UPSTREAM, /* send the packet, with COOKIE, to UPSTREAM */
 	COOKIE_TO_PEER,	    /* another instance may know: ask one */
@@ -50,15 +49,15 @@
 };
 
 enum cookie_reason {
-	COOKIE_OPENED,	     /* placed a new flow */
-	COOKIE_REOPENED,     /* placed a copy of a SYN */
-	COOKIE_STEERED,	     /* by the flow's cookie */
-	COOKIE_NO_ROUTE,     /* callers' address is in no route */
-	COOKIE_ROUTE_GONE,   /* the flow's route was dropped */
-	COOKIE_REFUSED,	     /* no upstream can take the flow */
-	COOKIE_UPSTREAM_DEAD,/* the flow's upstream is dead */
-	COOKIE_UNKNOWN,	     /* names no upstream known here */
-	COOKIE_NOT_READY,    /* no configuration yet */
+	COOKIE_OPENED,	      /* placed a new flow */
+	COOKIE_REOPENED,      /* placed a copy of a SYN */
+	COOKIE_STEERED,	      /* by the flow's cookie */
+	COOKIE_NO_ROUTE,      /* callers' address is in no route */
+	COOKIE_ROUTE_GONE,    /* the flow's route was dropped */
+	COOKIE_REFUSED,	      /* no upstream can take the flow */
+	COOKIE_UPSTREAM_DEAD, /* the flow's upstream is dead */
+	COOKIE_UNKNOWN,	      /* names no upstream known here */
+	COOKIE_NOT_READY,     /* no configuration yet */
 	COOKIE_REASON_NR
 };
 
@@ -96,8 +95,8 @@
  * Upstream NR is known to be dead: its flows end. What callers are to be told
  * is appended to RESETS (of struct cookie_reset).
  */
-void end_flows_of(struct cookie_steering *cs, upstream_nr_t nr,
-		  uint64_t now_ms, GArray *resets);
+void end_flows_of(struct cookie_steering *cs, upstream_nr_t nr, uint64_t now_ms,
+		  GArray *resets);
 
 /* New routes are in force: flows of those that are gone end. */
 void end_routeless_flows(struct cookie_steering *cs, uint64_t now_ms,
--- a/flow/placing.c
+++ b/flow/placing.c
@@ -54,9 +54,9 @@
 	char *domain;
 	double far_cost;
 	GRand *rand;
-	GPtrArray *rows;  /* of struct row, by handle */
-	GArray *services; /* of struct service_mean, by handle */
-	GArray *peers;	  /* of struct peer_load */
+	GPtrArray *rows;   /* of struct row, by handle */
+	GArray *services;  /* of struct service_mean, by handle */
+	GArray *peers;	   /* of struct peer_load */
 	uint64_t means_ms; /* when the means were updated */
 	bool in_doubt;	   /* some upstream is not in good health */
 	uint64_t life_ms;  /* when any upstream last showed life here */
@@ -169,8 +169,7 @@
 	uint32_t n = 0;
 
 	for (size_t i = 0; i < PLACING_COLD_MAX; i++)
-		n += r->cold[i] &&
-		     now_ms - r->cold[i] < PLACING_COLD_WINDOW_MS;
+		n += r->cold[i] && now_ms - r->cold[i] < PLACING_COLD_WINDOW_MS;
 	return n;
 }
 
@@ -204,9 +203,9 @@
 static double far_cost(const struct placing *pl,
 		       const struct catalog_upstream *up)
 {
-	return strcmp(domain_name(pl->cat, up->domain), pl->domain) != 0 ?
-		       pl->far_cost :
-		       0;
+	return strcmp(domain_name(pl->cat, up->domain), pl->domain) != 0
+		       ? pl->far_cost
+		       : 0;
 }
 
 /*
@@ -260,9 +259,9 @@
 		     (doubted == best_doubted && score >= best_score)))
 			continue;
 		best.upstream = nr;
-		best.reason = doubted ? PLACE_DOUBTED :
-			      cold    ? PLACE_COLD :
-					PLACE_LEAST_LOADED;
+		best.reason = doubted ? PLACE_DOUBTED
+			      : cold  ? PLACE_COLD
+				      : PLACE_LEAST_LOADED;
 		best.load = load;
 		best_score = score;
 		best_doubted = doubted;
@@ -326,8 +325,8 @@
 	if (up) {
 		struct service_mean *mean = need_mean(pl, up->service);
 
-		mean->answer_ms += MEAN_WEIGHT *
-				   ((double)took_ms - mean->answer_ms);
+		mean->answer_ms +=
+			MEAN_WEIGHT * ((double)took_ms - mean->answer_ms);
 	}
 	note_life(pl, nr, now_ms);
 }
@@ -433,10 +432,9 @@
 		lr.cookie = up->cookie;
 		lr.busy = (uint16_t)MIN(r->busy, UINT16_MAX);
 		lr.open = (uint16_t)MIN(r->open, UINT16_MAX);
-		lr.life_ms = r->life_ms ?
-				     (uint16_t)MIN(now_ms - r->life_ms,
-						   UINT16_MAX) :
-				     UINT16_MAX;
+		lr.life_ms = r->life_ms ? (uint16_t)MIN(now_ms - r->life_ms,
+							UINT16_MAX)
+					: UINT16_MAX;
 		lr.health = (uint8_t)r->health;
 		g_array_append_val(rows, lr);
 	}
@@ -458,9 +456,9 @@
 		open += r->open + r->peer_open;
 	}
 	if (open)
-		mean->busy_ratio += MEAN_WEIGHT * ((double)MIN(busy, open) /
-							   open -
-						   mean->busy_ratio);
+		mean->busy_ratio +=
+			MEAN_WEIGHT *
+			((double)MIN(busy, open) / open - mean->busy_ratio);
 }
 
 static bool wants_check(const struct placing *pl, upstream_nr_t nr,
--- a/flow/placing.h
+++ b/flow/placing.h
@@ -138,8 +138,7 @@
 void note_check(struct placing *pl, upstream_nr_t nr, enum check_result result,
 		uint64_t now_ms);
 
-enum upstream_health placing_health(const struct placing *pl,
-				    upstream_nr_t nr);
+enum upstream_health placing_health(const struct placing *pl, upstream_nr_t nr);
 const char *place_reason_name(enum place_reason r);
 const char *check_result_name(enum check_result r);
 
--- a/net/datagrams.c
+++ b/net/datagrams.c
@@ -79,8 +79,7 @@
 {
 	struct endpoint from;
 
-	endpoint_from_sockaddr(&from,
-			       (const struct sockaddr *)&dg->in_addr[i]);
+	endpoint_from_sockaddr(&from, (const struct sockaddr *)&dg->in_addr[i]);
 	dg->fn(dg->in_data[i], dg->in[i].msg_len, &from, dg->user);
 }
 
@@ -152,8 +151,7 @@
 	int fd = open_socket(at);
 
 	if (fd < 0) {
-		set_status(st, STATUS_UNAVAILABLE,
-			   "cannot use UDP port %s: %s",
+		set_status(st, STATUS_UNAVAILABLE, "cannot use UDP port %s: %s",
 			   format_endpoint(at, text), uv_strerror(fd));
 		return NULL;
 	}
--- a/net/datagrams.h
+++ b/net/datagrams.h
@@ -12,9 +12,9 @@
 #include "base/endpoint.h"
 #include "base/status.h"
 
-#define DATAGRAM_MAX 2048   /* bytes; a packet has at most 1,240 */
-#define DATAGRAM_BATCH 32   /* datagrams in one system call */
-#define DATAGRAM_ROUNDS 4   /* batches taken before others get the loop */
+#define DATAGRAM_MAX 2048 /* bytes; a packet has at most 1,240 */
+#define DATAGRAM_BATCH 32 /* datagrams in one system call */
+#define DATAGRAM_ROUNDS 4 /* batches taken before others get the loop */
 #define DATAGRAM_BUFFER (2 * 1024 * 1024) /* bytes; asked of the kernel */
 
 struct datagrams;
--- a/net/edge-check.c
+++ b/net/edge-check.c
@@ -48,9 +48,9 @@
 	case STATUS_UNKNOWN:
 		return CHECK_SILENT;
 	default:
-		return now_ms - ck->started_ms <= CHECK_REFUSED_MS ?
-			       CHECK_REFUSED :
-			       CHECK_UNREACHABLE;
+		return now_ms - ck->started_ms <= CHECK_REFUSED_MS
+			       ? CHECK_REFUSED
+			       : CHECK_UNREACHABLE;
 	}
 }
 
--- a/net/edge-http.c
+++ b/net/edge-http.c
@@ -19,8 +19,9 @@
 
 	(void)m;
 	answer->code = is_edge_ready(e) ? 200 : 503;
-	set_http_body(answer, answer->code == 200 ? "{}" : "{\"error\":\"not "
-							   "ready\"}");
+	set_http_body(answer, answer->code == 200 ? "{}"
+						  : "{\"error\":\"not "
+						    "ready\"}");
 	add_http_header(answer, "Content-Type", "application/json");
 	answer_http(ex, answer);
 }
--- a/net/edge-packets.c
+++ b/net/edge-packets.c
@@ -109,30 +109,29 @@
 			const struct cookie_decision *d)
 {
 	char flow[FLOW_TEXT_MAX];
-	enum event_kind kind = is_cookie_syn(p) ? EVENT_FLOW_REFUSED :
-						  EVENT_FLOW_RESET;
-
-	log_event(e->log, kind,
-		  "flow=%s upstream=%s reason=%s placing=%s version=%llu "
-		  "store_revision=%llu store_age_ms=%llu",
-		  format_flow(&p->key, flow), upstream_label(e, d->upstream),
-		  cookie_reason_name(d->reason),
-		  d->reason == COOKIE_REFUSED ?
-			  place_reason_name(d->placement.reason) :
-			  "none",
-		  (unsigned long long)catalog_version(e->catalog),
-		  (unsigned long long)mirror_revision(e->mirror),
-		  (unsigned long long)(e->now_ms -
-				       mirror_contact_ms(e->mirror)));
+	enum event_kind kind =
+		is_cookie_syn(p) ? EVENT_FLOW_REFUSED : EVENT_FLOW_RESET;
+
+	log_event(
+		e->log, kind,
+		"flow=%s upstream=%s reason=%s placing=%s version=%llu "
+		"store_revision=%llu store_age_ms=%llu",
+		format_flow(&p->key, flow), upstream_label(e, d->upstream),
+		cookie_reason_name(d->reason),
+		d->reason == COOKIE_REFUSED
+			? place_reason_name(d->placement.reason)
+			: "none",
+		(unsigned long long)catalog_version(e->catalog),
+		(unsigned long long)mirror_revision(e->mirror),
+		(unsigned long long)(e->now_ms - mirror_contact_ms(e->mirror)));
 }
 
 static void log_placement(struct edge *e, const struct cookie_packet *p,
 			  const struct cookie_decision *d)
 {
 	char flow[FLOW_TEXT_MAX];
-	enum event_kind kind = d->reason == COOKIE_OPENED ?
-				       EVENT_FLOW_OPENED :
-				       EVENT_FLOW_REOPENED;
+	enum event_kind kind = d->reason == COOKIE_OPENED ? EVENT_FLOW_OPENED
+							  : EVENT_FLOW_REOPENED;
 
 	log_event(e->log, kind,
 		  "flow=%s upstream=%s syn=%u reason=%s load=%.2f version=%llu",
@@ -247,7 +246,8 @@
 static void on_beacon(struct edge *e, const uint8_t *data, size_t len)
 {
 	struct beacon b = { 0 };
-	struct mirror_event hint = { .kind = MIRROR_HINT };
+	struct mirror_hint seen;
+	struct mirror_event hint = { .kind = MIRROR_HINT, .hint = &seen };
 	const struct member *known;
 	struct member before;
 
@@ -268,7 +268,9 @@
 		take_peer_loads(e->placing, b.member.id,
 				(const struct load_row *)(void *)b.rows->data,
 				b.rows->len, e->now_ms);
-		hint.revision = b.store_revision;
+		seen.revision = b.store_revision;
+		seen.digest = b.store_digest;
+		seen.watching = b.flags & BEACON_WATCHING;
 		step_edge_mirror(e, &hint);
 	}
 	g_array_free(b.rows, TRUE);
@@ -311,11 +313,11 @@
 	b->member = *self;
 	b->flags = (e->stopping_ms ? BEACON_LEAVING : 0) |
 		   (is_edge_ready(e) ? BEACON_READY : 0) |
-		   (mirror_is_watching(e->mirror, e->now_ms) ?
-			    BEACON_WATCHING :
-			    0);
+		   (mirror_is_watching(e->mirror, e->now_ms) ? BEACON_WATCHING
+							     : 0);
 	b->config_version = catalog_version(e->catalog);
 	b->store_revision = mirror_revision(e->mirror);
+	b->store_digest = mirror_digest(e->mirror);
 	list_own_loads(e->placing, e->now_ms, b->rows);
 	if (b->rows->len > BEACON_ROWS_MAX)
 		g_array_set_size(b->rows, BEACON_ROWS_MAX);
--- a/net/edge-state.h
+++ b/net/edge-state.h
@@ -44,7 +44,7 @@
 	uv_signal_t sighup;
 	uv_signal_t sigterm;
 	uv_signal_t sigint;
-	uint64_t now_ms;     /* refreshed when the loop wakes */
+	uint64_t now_ms; /* refreshed when the loop wakes */
 	uint64_t ticked_ms;
 	uint64_t stopping_ms; /* when the stop began; 0: it has not */
 	uint64_t packet_ms;   /* when the last packet of a caller came */
--- a/net/edge-store.c
+++ b/net/edge-store.c
@@ -61,9 +61,9 @@
 			  (unsigned long long)a->revision,
 			  (unsigned long long)catalog_version(e->catalog),
 			  st.message);
-		count(&e->counters, kind == STATUS_CONFLICT ?
-					    COUNT_CONFIG_STALE :
-					    COUNT_CONFIG_CORRUPT);
+		count(&e->counters, kind == STATUS_CONFLICT
+					    ? COUNT_CONFIG_STALE
+					    : COUNT_CONFIG_CORRUPT);
 		return;
 	}
 	count(&e->counters, COUNT_CONFIG_APPLIED);
@@ -323,8 +323,8 @@
 		clear_news(e->news);
 		break;
 	case MIRROR_DO_WATCH:
-		e->watch = watch_store(e->store, &all, a->revision, on_watched,
-				       e);
+		e->watch =
+			watch_store(e->store, &all, a->revision, on_watched, e);
 		break;
 	case MIRROR_DO_STOP_WATCH:
 		stop_watch(e);
@@ -356,8 +356,7 @@
 	e->now_ms = edge_clock_ms();
 	step_mirror(e->mirror, ev, e->now_ms, actions);
 	for (guint i = 0; i < actions->len; i++)
-		carry_out(e,
-			  &g_array_index(actions, struct mirror_action, i));
+		carry_out(e, &g_array_index(actions, struct mirror_action, i));
 	g_array_free(actions, TRUE);
 }
 
--- a/net/edge.c
+++ b/net/edge.c
@@ -13,8 +13,8 @@
 
 /* Routers ask twice a second and take two misses to leave an instance. */
 #define STOP_LEAST_MS 1700
-#define STOP_QUIET_MS 600	/* no packet for so long: routers have left */
-#define STOP_RESERVE_MS 1500	/* before the platform kills the process */
+#define STOP_QUIET_MS 600    /* no packet for so long: routers have left */
+#define STOP_RESERVE_MS 1500 /* before the platform kills the process */
 
 uint64_t edge_clock_ms(void)
 {
@@ -46,13 +46,12 @@
 static void tick_stop(struct edge *e)
 {
 	uint64_t since = e->now_ms - e->stopping_ms;
-	uint64_t latest = e->settings.bounds.stop_ms > 2 * STOP_RESERVE_MS ?
-				  e->settings.bounds.stop_ms - STOP_RESERVE_MS :
-				  e->settings.bounds.stop_ms / 2;
+	uint64_t latest = e->settings.bounds.stop_ms > 2 * STOP_RESERVE_MS
+				  ? e->settings.bounds.stop_ms - STOP_RESERVE_MS
+				  : e->settings.bounds.stop_ms / 2;
 
-	if (since >= latest ||
-	    (since >= STOP_LEAST_MS &&
-	     e->now_ms - e->packet_ms >= STOP_QUIET_MS))
+	if (since >= latest || (since >= STOP_LEAST_MS &&
+				e->now_ms - e->packet_ms >= STOP_QUIET_MS))
 		close_edge(e);
 }
 
@@ -187,8 +186,8 @@
 	e->shares = create_shares(e->view);
 	e->placing = create_placing(e->catalog, e->view, e->shares,
 				    e->settings.domain, g_rand_int(e->rand));
-	e->steering = create_cookie_steering(e->catalog, e->placing,
-					     &e->counters);
+	e->steering =
+		create_cookie_steering(e->catalog, e->placing, &e->counters);
 }
 
 static void destroy_deciders(struct edge *e)
--- a/net/event-log.c
+++ b/net/event-log.c
@@ -50,8 +50,7 @@
 	el->len += len;
 }
 
-static int append_event(log4c_appender_t *a,
-			const log4c_logging_event_t *event)
+static int append_event(log4c_appender_t *a, const log4c_logging_event_t *event)
 {
 	struct event_log *el = log4c_appender_get_udata(a);
 
--- a/net/event-log.h
+++ b/net/event-log.h
@@ -28,8 +28,8 @@
 void destroy_event_log(struct event_log *el);
 
 /* Writes one line; FMT gives the fields behind time and event. */
-void log_event(struct event_log *el, enum event_kind kind, const char *fmt,
-	       ...) __attribute__((format(printf, 3, 4)));
+void log_event(struct event_log *el, enum event_kind kind, const char *fmt, ...)
+	__attribute__((format(printf, 3, 4)));
 
 /* Hands lines to the kernel and renews the budgets; NOW_MS is any clock. */
 void flush_event_log(struct event_log *el, uint64_t now_ms);
--- a/store/etcd.c
+++ b/store/etcd.c
@@ -274,8 +274,8 @@
 }
 
 struct etcd_store *create_etcd(uv_loop_t *loop,
-				const struct endpoint_list *endpoints,
-				struct counters *counters)
+			       const struct endpoint_list *endpoints,
+			       struct counters *counters)
 {
 	struct etcd_store *s = g_new0(struct etcd_store, 1);
 
@@ -383,13 +383,13 @@
 }
 
 void range_etcd(struct etcd_store *s, const struct store_range *r, store_fn fn,
-		 void *data)
+		void *data)
 {
 	start_call(s, CALL_KV, "/v3/kv/range", write_range_json(r), fn, data);
 }
 
 void commit_etcd(struct etcd_store *s, const struct store_txn *txn, store_fn fn,
-		  void *data)
+		 void *data)
 {
 	start_call(s, CALL_KV, "/v3/kv/txn", write_txn_json(txn), fn, data);
 }
@@ -407,11 +407,11 @@
 }
 
 struct etcd_watch *watch_etcd(struct etcd_store *s, const struct store_range *r,
-				uint64_t revision, store_fn fn, void *data)
+			      uint64_t revision, store_fn fn, void *data)
 {
 	return (struct etcd_watch *)start_call(s, CALL_WATCH, "/v3/watch",
-						write_watch_json(r, revision),
-						fn, data);
+					       write_watch_json(r, revision),
+					       fn, data);
 }
 
 void cancel_etcd_watch(struct etcd_watch *w)
--- a/store/etcd.h
+++ b/store/etcd.h
@@ -14,8 +14,8 @@
 void destroy_etcd_store(struct etcd_store *s);
 void range_etcd(struct etcd_store *s, const struct store_range *r, store_fn fn,
 		void *data);
-void commit_etcd(struct etcd_store *s, const struct store_txn *txn,
-		 store_fn fn, void *data);
+void commit_etcd(struct etcd_store *s, const struct store_txn *txn, store_fn fn,
+		 void *data);
 void grant_etcd(struct etcd_store *s, uint32_t ttl_s, store_fn fn, void *data);
 void keep_etcd(struct etcd_store *s, uint64_t lease, store_fn fn, void *data);
 struct etcd_watch *watch_etcd(struct etcd_store *s, const struct store_range *r,
--- a/store/store.c
+++ b/store/store.c
@@ -137,8 +137,8 @@
 		w->etcd = watch_etcd(s->etcd, r, revision, on_watched, w);
 		break;
 	case STORE_PLATFORM:
-		w->platform = watch_platform(s->platform, r, revision,
-					     on_watched, w);
+		w->platform =
+			watch_platform(s->platform, r, revision, on_watched, w);
 		break;
 	}
 	return w;
--- a/t/bench-placing.c
+++ b/t/bench-placing.c
@@ -32,9 +32,8 @@
 
 	play_placing(&opt, &r);
 	printf("%-14s %-12s %5.1f %7u %7.4f %6u %6u %7u %6.3f %7u\n", ld->name,
-	       placing_way_name(way), far, r.asked,
-	       (double)r.in_aim / r.asked, r.late, r.shed, r.refused,
-	       (double)r.far / r.asked, r.p99_ms);
+	       placing_way_name(way), far, r.asked, (double)r.in_aim / r.asked,
+	       r.late, r.shed, r.refused, (double)r.far / r.asked, r.p99_ms);
 }
 
 int main(void)
--- a/t/check-cookie.c
+++ b/t/check-cookie.c
@@ -40,9 +40,8 @@
 }
 
 /* A packet with LEN bytes of data after those of seq 1001. */
-static struct cookie_decision data(uint16_t port, uint32_t cookie,
-				   uint32_t seq, uint16_t len, uint32_t ack,
-				   uint64_t now_ms)
+static struct cookie_decision data(uint16_t port, uint32_t cookie, uint32_t seq,
+				   uint16_t len, uint32_t ack, uint64_t now_ms)
 {
 	struct cookie_packet p = bed_packet(CALLER, port, TCP_ACK, cookie);
 
@@ -136,9 +135,8 @@
 	ck_assert_uint_eq(
 		data(4000, second.cookie, 1001, 10, 500, 1220).upstream,
 		first.upstream);
-	ck_assert_uint_eq(
-		data(4000, second.cookie, 1001, 10, 500, 1220).cookie,
-		first.cookie);
+	ck_assert_uint_eq(data(4000, second.cookie, 1001, 10, 500, 1220).cookie,
+			  first.cookie);
 }
 END_TEST
 
@@ -262,9 +260,8 @@
 	cookie = get_upstream(in.catalog, nr)->cookie;
 	open_flow(4000, 1000);
 	for (uint64_t t = 1200; t < 5000; t += 200)
-		ck_assert_int_eq(
-			data(4000, cookie, 1001, 100, 500, t).verdict,
-			COOKIE_TO_UPSTREAM);
+		ck_assert_int_eq(data(4000, cookie, 1001, 100, 500, t).verdict,
+				 COOKIE_TO_UPSTREAM);
 	note_check(in.placing, nr, CHECK_SILENT, 5000);
 	ck_assert_int_eq(data(4000, cookie, 1001, 100, 500, 5100).verdict,
 			 COOKIE_TO_UPSTREAM);
@@ -344,9 +341,8 @@
 	bed_routes(in.catalog, 3, &other, 1, 20);
 	end_routeless_flows(in.steering, 1200, resets);
 	ck_assert_uint_eq(resets->len, 1);
-	ck_assert_int_eq(
-		g_array_index(resets, struct cookie_reset, 0).reason,
-		COOKIE_ROUTE_GONE);
+	ck_assert_int_eq(g_array_index(resets, struct cookie_reset, 0).reason,
+			 COOKIE_ROUTE_GONE);
 }
 END_TEST
 
@@ -406,17 +402,17 @@
 	tcase_add_test(tc, the_cookie_finds_the_upstream_without_memory);
 	tcase_add_test(tc, an_unknown_cookie_is_asked_about_once);
 	tcase_add_test(tc, a_copied_syn_goes_to_another_upstream);
-	tcase_add_test(
-		tc, a_copied_syn_stays_with_an_upstream_that_answers_others);
+	tcase_add_test(tc,
+		       a_copied_syn_stays_with_an_upstream_that_answers_others);
 	tcase_add_test(tc, late_answers_to_a_copy_do_not_move_the_flow);
-	tcase_add_test(
-		tc, a_caller_that_comes_again_at_once_gets_another_upstream);
+	tcase_add_test(tc,
+		       a_caller_that_comes_again_at_once_gets_another_upstream);
 	tcase_add_test(tc, handshakes_that_do_not_end_cast_doubt);
 	tcase_add_test(tc, one_that_stood_still_doubts_nobody);
 	tcase_add_test(tc, a_slow_answer_is_no_silence);
 	tcase_add_test(tc, bytes_sent_again_are_silence);
-	tcase_add_test(
-		tc, flows_of_a_dead_upstream_are_reset_the_silent_ones_too);
+	tcase_add_test(tc,
+		       flows_of_a_dead_upstream_are_reset_the_silent_ones_too);
 	tcase_add_test(tc, no_flow_is_reset_on_suspicion);
 	tcase_add_test(tc, an_upstream_whose_entry_went_keeps_its_flows);
 	tcase_add_test(
--- a/t/check-mirror.c
+++ b/t/check-mirror.c
@@ -56,7 +56,17 @@
 
 static void hint(uint64_t revision, uint64_t now_ms)
 {
-	struct mirror_event ev = { .kind = MIRROR_HINT, .revision = revision };
+	struct mirror_hint h = { .revision = revision };
+	struct mirror_event ev = { .kind = MIRROR_HINT, .hint = &h };
+
+	step_mirror(m, &ev, now_ms, out);
+}
+
+/* A reader holds what DIGEST stands for at REVISION. */
+static void reader_holds(uint64_t revision, uint64_t digest, uint64_t now_ms)
+{
+	struct mirror_hint h = { revision, digest, true };
+	struct mirror_event ev = { .kind = MIRROR_HINT, .hint = &h };
 
 	step_mirror(m, &ev, now_ms, out);
 }
@@ -342,6 +352,66 @@
 }
 END_TEST
 
+START_TEST(a_long_value_that_changes_while_it_is_read_is_read_again)
+{
+	struct store_entry first = { .key = (char *)"config",
+				     .mod_revision = 11 };
+	struct store_entry second = { .key = (char *)"config",
+				      .mod_revision = 12 };
+	struct store_entry whole = entry("config", "first", 11);
+
+	start_taking(1000);
+	news(10, 11, &first, 1, 0, 2000);
+	tick(2050);
+	ck_assert(find(MIRROR_DO_READ_KEY, NULL));
+	news(11, 12, &second, 1, 0, 2060);
+	answer(MIRROR_KEY_READ, STATUS_OK, 11, &whole, 1, 2070);
+	tick(2070 + MIRROR_KEY_MS);
+	ck_assert(find(MIRROR_DO_READ_KEY, NULL));
+}
+END_TEST
+
+START_TEST(what_was_missed_unnoticed_is_mended)
+{
+	struct store_entry b2 = entry("b", "2", 11);
+	uint64_t at_reader;
+
+	start_taking(1000);
+	news(10, 11, &b2, 1, 0, 1500);
+	at_reader = mirror_digest(m);
+	teardown();
+	setup();
+	start_taking(1000);
+	news(10, 11, NULL, 0, 0, 1500);
+	reader_holds(11, at_reader, 3000);
+	reader_holds(11, at_reader, 3000 + MIRROR_DIFFER_MS - 1);
+	tick(3000 + MIRROR_DIFFER_MS);
+	ck_assert_ptr_null(find(MIRROR_DO_READ, NULL));
+	reader_holds(11, at_reader, 3000 + MIRROR_DIFFER_MS);
+	tick(3000 + MIRROR_DIFFER_MS);
+	ck_assert(find(MIRROR_DO_READ, NULL));
+}
+END_TEST
+
+START_TEST(the_digest_is_that_of_what_is_held)
+{
+	struct store_entry a2 = entry("a", "2", 11);
+	struct store_entry gone = entry("b", NULL, 12);
+	struct store_entry es[] = { entry("a", "2", 11) };
+	uint64_t digest;
+
+	start(1000);
+	answer(MIRROR_WATCHED, STATUS_OK, 11, &a2, 1, 2000);
+	answer(MIRROR_WATCHED, STATUS_OK, 12, &gone, 1, 2100);
+	digest = mirror_digest(m);
+	teardown();
+	setup();
+	tick(1000);
+	answer(MIRROR_READ, STATUS_OK, 12, es, 1, 1000);
+	ck_assert_uint_eq(mirror_digest(m), digest);
+}
+END_TEST
+
 START_TEST(a_reader_that_steps_down_and_up_goes_on_where_it_was)
 {
 	start(1000);
@@ -387,9 +457,14 @@
 	tcase_add_test(tc, a_reader_passes_on_one_revision_after_the_other);
 	tcase_add_test(tc, news_in_order_are_taken_and_others_asked_for);
 	tcase_add_test(tc, whoever_gets_no_help_turns_to_the_store);
+	tcase_add_test(
+		tc, a_long_value_that_changes_while_it_is_read_is_read_again);
+	tcase_add_test(tc, what_was_missed_unnoticed_is_mended);
+	tcase_add_test(tc, the_digest_is_that_of_what_is_held);
 	tcase_add_test(tc, news_that_no_peer_keeps_are_read_whole);
 	tcase_add_test(tc, a_long_value_is_read_when_it_is_named);
-	tcase_add_test(tc, a_reader_that_steps_down_and_up_goes_on_where_it_was);
+	tcase_add_test(tc,
+		       a_reader_that_steps_down_and_up_goes_on_where_it_was);
 	tcase_add_test(tc, news_of_a_lapse_are_held_as_the_reader_holds_them);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_ENV);
--- a/t/check-placing.c
+++ b/t/check-placing.c
@@ -234,8 +234,7 @@
 
 	note_silence(in.placing, a, 1000, 1200);
 	for (uint64_t t = 1400; t < 2100; t += 351) {
-		ck_assert_int_eq(placing_health(in.placing, a),
-				 HEALTH_DOUBTED);
+		ck_assert_int_eq(placing_health(in.placing, a), HEALTH_DOUBTED);
 		note_life(in.placing, b, t + 100);
 		check_in_vain(a, t);
 	}
@@ -341,7 +340,8 @@
 	tcase_add_test(tc, a_doubt_that_stays_is_checked);
 	tcase_add_test(tc, several_silent_flows_are_checked_sooner);
 	tcase_add_test(tc, flows_that_go_on_outweigh_a_refused_check);
-	tcase_add_test(tc, an_upstream_out_of_reach_is_cut_off_if_others_answer);
+	tcase_add_test(tc,
+		       an_upstream_out_of_reach_is_cut_off_if_others_answer);
 	tcase_add_test(tc, an_instance_that_reaches_nobody_doubts_itself);
 	tcase_add_test(tc, another_start_begins_without_blame);
 	tcase_add_test(tc, two_ids_with_one_cookie_do_not_both_get_flows);
--- a/t/cookie-bed.c
+++ b/t/cookie-bed.c
@@ -61,10 +61,10 @@
 	bed_member(in, name, domain, MEMBER_ALIVE);
 	set_view_settled(in->view, true);
 	in->shares = create_shares(in->view);
-	in->placing = create_placing(in->catalog, in->view, in->shares, domain,
-				     7);
-	in->steering = create_cookie_steering(in->catalog, in->placing,
-					      &in->counters);
+	in->placing =
+		create_placing(in->catalog, in->view, in->shares, domain, 7);
+	in->steering =
+		create_cookie_steering(in->catalog, in->placing, &in->counters);
 	bed_routes(in->catalog, 1, &port, 1, 20);
 }
 
--- a/t/placing-world.c
+++ b/t/placing-world.c
@@ -1,6 +1,7 @@
 #include "t/placing-world.h"
 
 #include <math.h>
+#include <stdbool.h>
 #include <string.h>
 
 #include "t/cookie-bed.h"
@@ -81,18 +82,20 @@
 	return w->server_nr;
 }
 
-/* All upstreams but NR random ones: those not to be considered. */
-static size_t list_others(const struct world *w, unsigned int nr,
-			  upstream_nr_t *out)
+static unsigned int random_server(const struct world *w)
 {
-	unsigned int keep[2];
+	return (unsigned int)g_rand_int_range(w->rand, 0, (gint32)w->server_nr);
+}
+
+/* All upstreams but one or TWO random ones: those not to be considered. */
+static size_t list_others(const struct world *w, bool two, upstream_nr_t *out)
+{
+	unsigned int first = random_server(w);
+	unsigned int second = two ? random_server(w) : first;
 	size_t n = 0;
 
-	for (unsigned int i = 0; i < nr; i++)
-		keep[i] = (unsigned int)g_rand_int_range(
-			w->rand, 0, (gint32)w->server_nr);
 	for (unsigned int s = 0; s < w->server_nr; s++)
-		if (s != keep[0] && s != keep[nr - 1])
+		if (s != first && s != second)
 			out[n++] = w->handles[s];
 	return n;
 }
@@ -106,14 +109,14 @@
 	size_t n = 0;
 
 	if (w->opt->way == WAY_RANDOM)
-		n = list_others(w, 1, others);
+		n = list_others(w, false, others);
 	else if (w->opt->way == WAY_TWO_CHOICES)
-		n = list_others(w, 2, others);
+		n = list_others(w, true, others);
 	at = place_new_flow(in->placing, service, DEADLINE_MS, others, n,
 			    w->now_ms);
 	g_free(others);
-	return at.upstream == CATALOG_NONE ? w->server_nr :
-					     server_of(w, at.upstream);
+	return at.upstream == CATALOG_NONE ? w->server_nr
+					   : server_of(w, at.upstream);
 }
 
 static void count_answer(struct world *w, const struct work *wk)
@@ -180,8 +183,7 @@
 			count_answer(w, wk);
 			end_work(w, s, wk);
 		}
-		while (sv->running.length < w->opt->slots &&
-		       sv->waiting.length)
+		while (sv->running.length < w->opt->slots && sv->waiting.length)
 			g_queue_push_tail(&sv->running,
 					  g_queue_pop_head(&sv->waiting));
 	}
@@ -281,11 +283,12 @@
 	uint32_t backlog = 0;
 
 	for (w->now_ms = 1; w->now_ms <= opt->length_ms; w->now_ms++) {
-		bool gap = w->now_ms >= gap_at &&
-			   w->now_ms < gap_at + opt->gap_ms;
+		bool gap =
+			w->now_ms >= gap_at && w->now_ms < gap_at + opt->gap_ms;
 
 		due += opt->requests_s / 1000;
-		for (; due >= 1; due--) {
+		while (due >= 1) {
+			due -= 1;
 			if (gap)
 				backlog++;
 			else
@@ -342,16 +345,16 @@
 	play(&w);
 	g_array_sort(w.took, compare_ms);
 	if (w.took->len)
-		res->p99_ms = g_array_index(w.took, uint32_t,
-					    w.took->len * 99 / 100);
+		res->p99_ms =
+			g_array_index(w.took, uint32_t, w.took->len * 99 / 100);
 	release_world(&w);
 }
 
 const char *placing_way_name(enum placing_way way)
 {
-	static const char *const names[PLACING_WAY_NR] = {
-		"random", "own view", "two choices", "full scan"
-	};
+	static const char *const names[PLACING_WAY_NR] = { "random", "own view",
+							   "two choices",
+							   "full scan" };
 
 	return names[way];
 }
--- a/t/placing-world.h
+++ b/t/placing-world.h
@@ -23,14 +23,14 @@
 	double far_cost;
 	uint32_t seed;
 	unsigned int domain_nr;
-	unsigned int instances;	/* in each domain */
-	unsigned int upstreams;	/* in each domain */
+	unsigned int instances; /* in each domain */
+	unsigned int upstreams; /* in each domain */
 	unsigned int slots;	/* of each upstream */
 	unsigned int queue;	/* of each upstream, behind the slots */
 	double requests_s;	/* all callers together, in fresh flows */
 	double long_flows;	/* flows with a request a second each */
-	double skew;	   /* load of the first domain against the mean */
-	uint32_t beacon_ms; /* between an instance's beacons */
+	double skew;		/* load of the first domain against the mean */
+	uint32_t beacon_ms;	/* between an instance's beacons */
 	uint32_t length_ms;
 	uint32_t gap_ms; /* nothing is served for so long in the middle;
 			  * callers come back all at once */
