--- a/fleet/news.c
+++ b/fleet/news.c
@@ -51,7 +51,8 @@
 	put_uint(w, to);
 	put_uint(w, hold_ms);
 	for (size_t i = 0; i < nr; i++) {
-		bool whole = !es[i].deleted && es[i].len <= NEWS_VALUE_MAX;
+		bool whole = !es[i].deleted && es[i].value &&
+			     es[i].len <= NEWS_VALUE_MAX;
 
 		put_str(w, es[i].key);
 		put_bool(w, es[i].deleted);
--- /dev/null
+++ b/stand-in/cookie-caller.c
@@ -0,0 +1,378 @@
+/*
+ * cookie-caller-stand-in ADDRESS:PORT SERVICE INSTANCES FLOWS SECONDS PAUSE-MS
+ * Callers of the users' platform, and the routers before the instances, for
+ * tests. INSTANCES are addresses joined by commas; packets go to PORT there,
+ * and PORT + 1 tells whether an instance is ready. Each of FLOWS flows sends a
+ * request, waits for its answer, pauses, and goes on; what ends early is
+ * opened again.
+ *
+ * Prints, at the end: answered, opened, refused (resets of SYNs), reset (of
+ * open flows), lost (no answer within the deadline), wrong (an answer to
+ * something else), moved (answers of one flow by two upstreams), late_ms (the
+ * longest wait for an answer). Exit code 1 if any was wrong or moved.
+ */
+
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "net/datagrams.h"
+#include "net/http-client.h"
+#include "stand-in/cookie-wire.h"
+
+#define TICK_MS 10
+#define READY_MS 250 /* between two looks at an instance */
+#define SYN_GIVE_UP_MS 1400
+#define REPEAT_MS 200 /* first wait before bytes are sent again */
+#define REPEAT_MAX_MS 1600
+#define DEADLINE_MS 3000
+#define AGAIN_MS 20 /* before a flow that ended early is opened again */
+#define CALLER_SEQ 5000
+#define INSTANCES_MAX 64
+
+enum phase { PHASE_CLOSED, PHASE_OPENING, PHASE_IDLE, PHASE_WAITING };
+
+struct caller_flow {
+	enum phase phase;
+	uint16_t port;
+	uint32_t cookie;
+	uint32_t seq;
+	uint32_t ack;
+	unsigned int request;
+	unsigned int copies;
+	uint64_t since;	 /* loop time: SYN, request or end of the last */
+	uint64_t repeat; /* loop time of the next copy */
+	uint32_t repeat_ms;
+	char upstream[64];
+};
+
+struct router_target {
+	struct endpoint at;
+	unsigned int misses;
+};
+
+struct cookie_caller {
+	uv_loop_t *loop;
+	uv_timer_t timer;
+	uv_timer_t looks;
+	struct datagrams *dg;
+	struct endpoint own;
+	struct endpoint service;
+	struct router_target instances[INSTANCES_MAX];
+	size_t instance_nr;
+	struct caller_flow *flows;
+	size_t flow_nr;
+	uint64_t pause_ms;
+	uint64_t end; /* loop time */
+	uint16_t next_port;
+	unsigned int answered, opened, refused, reset, lost, wrong, moved;
+	uint64_t late_ms;
+};
+
+/* By rendezvous over those in rotation, or over all if too few are. */
+static const struct router_target *pick(const struct cookie_caller *c,
+					const struct caller_flow *f)
+{
+	const struct router_target *best = NULL;
+	uint64_t best_weight = 0;
+	size_t in = 0;
+
+	for (size_t i = 0; i < c->instance_nr; i++)
+		in += c->instances[i].misses < 2;
+	for (size_t i = 0; i < c->instance_nr; i++) {
+		uint64_t weight = (f->port * 2654435761ULL) ^
+				  ((i + 1) * 0x9e3779b97f4a7c15ULL);
+
+		weight ^= weight >> 29;
+		weight *= 0xbf58476d1ce4e5b9ULL;
+		weight ^= weight >> 32;
+		if (2 * in >= c->instance_nr && c->instances[i].misses >= 2)
+			continue;
+		if (!best || weight > best_weight) {
+			best = &c->instances[i];
+			best_weight = weight;
+		}
+	}
+	return best;
+}
+
+static void send_flow(struct cookie_caller *c, const struct caller_flow *f,
+		      uint8_t flags, uint32_t ack, const char *data)
+{
+	const struct router_target *to = pick(c, f);
+	struct cookie_packet p = {
+		.flags = flags, .cookie = f->cookie, .seq = f->seq, .ack = ack
+	};
+	uint8_t out[PLATFORM_HEADER + PLATFORM_DATA_MAX];
+	size_t len;
+
+	p.key.caller_ip = endpoint_ipv4(&c->own);
+	p.key.caller_port = f->port;
+	p.key.service_ip = endpoint_ipv4(&c->service);
+	p.key.service_port = c->service.port;
+	p.payload = data ? (uint16_t)strlen(data) : 0;
+	len = write_cookie_packet(&p, data, out);
+	queue_datagram(c->dg, endpoint_ipv4(&to->at), c->own.port, NULL, 0, out,
+		       len);
+}
+
+static void send_syn(struct cookie_caller *c, struct caller_flow *f)
+{
+	send_flow(c, f, TCP_SYN, f->copies++, NULL);
+}
+
+static void request_text(const struct caller_flow *f, char *text, size_t size)
+{
+	g_snprintf(text, size, "f%u-%u", f->port, f->request);
+}
+
+static void send_request(struct cookie_caller *c, const struct caller_flow *f)
+{
+	char text[32];
+
+	request_text(f, text, sizeof(text));
+	send_flow(c, f, TCP_ACK, f->ack, text);
+}
+
+static void close_flow(struct cookie_caller *c, struct caller_flow *f)
+{
+	f->phase = PHASE_CLOSED;
+	f->since = uv_now(c->loop);
+}
+
+static void open_flow(struct cookie_caller *c, struct caller_flow *f)
+{
+	memset(f, 0, sizeof(*f));
+	f->phase = PHASE_OPENING;
+	f->port = c->next_port++;
+	f->seq = CALLER_SEQ;
+	f->since = uv_now(c->loop);
+	f->repeat = f->since + REPEAT_MS;
+	send_syn(c, f);
+}
+
+static void ask(struct cookie_caller *c, struct caller_flow *f)
+{
+	f->phase = PHASE_WAITING;
+	f->request++;
+	f->since = uv_now(c->loop);
+	f->repeat_ms = REPEAT_MS;
+	f->repeat = f->since + f->repeat_ms;
+	send_request(c, f);
+}
+
+static void tick_opening(struct cookie_caller *c, struct caller_flow *f,
+			 uint64_t now)
+{
+	if (now - f->since >= SYN_GIVE_UP_MS) {
+		c->lost++;
+		close_flow(c, f);
+	} else if (f->copies < 3 && now >= f->repeat) {
+		f->repeat += 2 * REPEAT_MS;
+		send_syn(c, f);
+	}
+}
+
+static void tick_waiting(struct cookie_caller *c, struct caller_flow *f,
+			 uint64_t now)
+{
+	if (now - f->since >= DEADLINE_MS) {
+		c->lost++;
+		send_flow(c, f, TCP_ACK | TCP_FIN, f->ack, NULL);
+		close_flow(c, f);
+	} else if (now >= f->repeat) {
+		f->repeat_ms = MIN(2 * f->repeat_ms, REPEAT_MAX_MS);
+		f->repeat = now + f->repeat_ms;
+		send_request(c, f);
+	}
+}
+
+static void report(const struct cookie_caller *c)
+{
+	printf("answered=%u opened=%u refused=%u reset=%u lost=%u wrong=%u "
+	       "moved=%u late_ms=%llu\n",
+	       c->answered, c->opened, c->refused, c->reset, c->lost, c->wrong,
+	       c->moved, (unsigned long long)c->late_ms);
+	exit(c->wrong || c->moved);
+}
+
+static void on_tick(uv_timer_t *timer)
+{
+	struct cookie_caller *c = timer->data;
+	uint64_t now = uv_now(c->loop);
+
+	if (now >= c->end)
+		report(c);
+	for (size_t i = 0; i < c->flow_nr; i++) {
+		struct caller_flow *f = &c->flows[i];
+
+		switch (f->phase) {
+		case PHASE_CLOSED:
+			if (now - f->since >= AGAIN_MS)
+				open_flow(c, f);
+			break;
+		case PHASE_OPENING:
+			tick_opening(c, f, now);
+			break;
+		case PHASE_IDLE:
+			if (now - f->since >= c->pause_ms)
+				ask(c, f);
+			break;
+		case PHASE_WAITING:
+			tick_waiting(c, f, now);
+			break;
+		}
+	}
+	flush_datagrams(c->dg);
+}
+
+static void take_answer(struct cookie_caller *c, struct caller_flow *f,
+			const uint8_t *data, const struct cookie_packet *p)
+{
+	char text[256];
+	char expected[32];
+	char *rest;
+	uint64_t took = uv_now(c->loop) - f->since;
+
+	g_snprintf(text, sizeof(text), "%.*s", p->payload, (const char *)data);
+	rest = strchr(text, ' ');
+	if (rest)
+		*rest++ = '\0';
+	request_text(f, expected, sizeof(expected));
+	if (f->phase != PHASE_WAITING || p->seq != f->ack)
+		return; /* an answer that was sent again */
+	if (!rest || strcmp(rest, expected) != 0)
+		c->wrong++;
+	if (f->upstream[0] && strcmp(f->upstream, text) != 0)
+		c->moved++;
+	g_strlcpy(f->upstream, text, sizeof(f->upstream));
+	c->answered++;
+	c->late_ms = MAX(c->late_ms, took);
+	f->seq += (uint32_t)strlen(expected);
+	f->ack += p->payload;
+	f->phase = PHASE_IDLE;
+	f->since = uv_now(c->loop);
+	send_flow(c, f, TCP_ACK, f->ack, NULL);
+}
+
+static void take_reset(struct cookie_caller *c, struct caller_flow *f)
+{
+	if (f->phase == PHASE_OPENING)
+		c->refused++;
+	else if (f->phase != PHASE_CLOSED)
+		c->reset++;
+	close_flow(c, f);
+}
+
+static void on_datagram(uint8_t *data, size_t len, const struct endpoint *from,
+			void *user)
+{
+	struct cookie_caller *c = user;
+	struct caller_flow *f = NULL;
+	struct cookie_packet p;
+
+	(void)from;
+	if (!read_platform_packet(data, len, &p))
+		return;
+	/* in what comes back, the caller is the destination */
+	for (size_t i = 0; i < c->flow_nr && !f; i++)
+		if (c->flows[i].port == p.key.service_port)
+			f = &c->flows[i];
+	if (!f || f->phase == PHASE_CLOSED)
+		return;
+	if (p.flags & TCP_RST) {
+		take_reset(c, f);
+		return;
+	}
+	f->cookie = p.cookie;
+	if (p.flags & TCP_SYN && f->phase == PHASE_OPENING) {
+		c->opened++;
+		f->seq++;
+		f->ack = p.seq + 1;
+		send_flow(c, f, TCP_ACK, f->ack, NULL);
+		ask(c, f);
+	} else if (p.payload) {
+		take_answer(c, f, data + PLATFORM_HEADER, &p);
+	}
+}
+
+static void on_look(const struct http_call_result *r, void *data)
+{
+	struct router_target *t = data;
+
+	if (r->kind == STATUS_OK && r->answer->code == 200)
+		t->misses = 0;
+	else
+		t->misses++;
+}
+
+static void on_looks(uv_timer_t *timer)
+{
+	struct cookie_caller *c = timer->data;
+
+	for (size_t i = 0; i < c->instance_nr; i++) {
+		struct http_message *m = create_http_message();
+
+		m->method = HTTP_GET;
+		m->target = g_strdup("/ready");
+		start_http_call(c->loop, &c->instances[i].at, m, READY_MS, 4096,
+				on_look, &c->instances[i]);
+		destroy_http_message(m);
+	}
+}
+
+static bool read_instances(struct cookie_caller *c, const char *list)
+{
+	char **parts = g_strsplit(list, ",", -1);
+	bool ok = true;
+
+	for (char **p = parts; *p && ok && c->instance_nr < INSTANCES_MAX;
+	     p++) {
+		struct endpoint *at = &c->instances[c->instance_nr++].at;
+
+		ok = parse_address(*p, at, NULL) == STATUS_OK;
+		at->port = (uint16_t)(c->own.port + 1);
+	}
+	g_strfreev(parts);
+	return ok;
+}
+
+static void start(struct cookie_caller *c, uint64_t seconds)
+{
+	c->flows = g_new0(struct caller_flow, c->flow_nr);
+	c->next_port = (uint16_t)(1024 + (uint64_t)getpid() % 20000);
+	uv_update_time(c->loop);
+	c->end = uv_now(c->loop) + seconds * 1000;
+	uv_timer_init(c->loop, &c->timer);
+	uv_timer_init(c->loop, &c->looks);
+	c->timer.data = c;
+	c->looks.data = c;
+	uv_timer_start(&c->timer, on_tick, TICK_MS, TICK_MS);
+	uv_timer_start(&c->looks, on_looks, 0, READY_MS);
+}
+
+int main(int argc, char **argv)
+{
+	struct cookie_caller c = { 0 };
+	struct status st = { 0 };
+
+	if (argc != 7 || parse_endpoint(argv[1], &c.own, &st) != STATUS_OK ||
+	    parse_endpoint(argv[2], &c.service, &st) != STATUS_OK ||
+	    !read_instances(&c, argv[3])) {
+		fprintf(stderr, "usage: cookie-caller-stand-in ADDRESS:PORT "
+				"SERVICE INSTANCES FLOWS SECONDS PAUSE-MS\n");
+		return 1;
+	}
+	c.loop = uv_default_loop();
+	c.flow_nr = (size_t)atoi(argv[4]);
+	c.pause_ms = (uint64_t)atoi(argv[6]);
+	c.dg = create_datagrams(c.loop, &c.own, on_datagram, &c, &st);
+	if (!c.dg) {
+		fprintf(stderr, "cookie-caller-stand-in: %s\n", st.message);
+		return 1;
+	}
+	start(&c, (uint64_t)atoi(argv[5]));
+	return uv_run(c.loop, UV_RUN_DEFAULT);
+}
--- /dev/null
+++ b/stand-in/cookie-upstream.c
@@ -0,0 +1,324 @@
+/*
+ * cookie-upstream-stand-in ID SERVICE DOMAIN ADDRESS:PORT CALLER-PORT
+ * STORE WORK-MS: one upstream of the users' platform for tests. Announces
+ * itself in the store, takes packets over UDP, answers the health check over
+ * TCP and each request after WORK-MS with "ID REQUEST".
+ *
+ * SIGTERM: says that it drains, serves on for three seconds, and leaves.
+ */
+
+#include <jansson.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/time.h>
+
+#include "net/datagrams.h"
+#include "net/http-client.h"
+#include "net/http-server.h"
+#include "stand-in/cookie-wire.h"
+
+#define HEARTBEAT_MS 400
+#define DRAIN_MS 3000
+#define FLOW_SEQ 7000 /* first byte of each flow of this upstream */
+
+struct served_flow {
+	struct flow_key key;
+	uint32_t seq;	/* next byte to send */
+	uint32_t heard; /* next byte of the caller's */
+	char last[256]; /* the last answer, sent again on a repeat */
+	bool open;
+};
+
+struct cookie_stand_in {
+	uv_loop_t *loop;
+	uv_timer_t heartbeat;
+	uv_signal_t sigterm;
+	const char *name;
+	const char *service;
+	const char *domain;
+	struct endpoint at;
+	struct endpoint store;
+	uint16_t caller_port;
+	uint64_t work_ms;
+	uint64_t id;
+	uint64_t start_ms;
+	uint64_t drain_until; /* loop time; 0: does not drain */
+	GHashTable *flows;    /* of struct served_flow */
+	struct datagrams *dg;
+};
+
+struct delayed {
+	uv_timer_t timer;
+	struct cookie_stand_in *u;
+	struct flow_key key;
+	struct cookie_packet asked;
+	char text[200];
+};
+
+static void on_put(const struct http_call_result *r, void *data)
+{
+	(void)r;
+	(void)data;
+}
+
+static void announce(struct cookie_stand_in *u, bool leave)
+{
+	struct http_message *m = create_http_message();
+	char at[ENDPOINT_TEXT_MAX];
+	json_t *j = json_pack(
+		"{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:i, s:I}", "service",
+		u->service, "addr", format_endpoint(&u->at, at), "zone",
+		u->domain, "version", "v1", "slots", 3, "state",
+		u->drain_until ? "draining" : "ready", "warmupLeftMs", 0, "seq",
+		1, "born", (json_int_t)u->start_ms);
+	char *text = json_dumps(j, JSON_COMPACT);
+
+	m->method = leave ? HTTP_DELETE : HTTP_PUT;
+	m->target = g_strdup_printf("/entry?servers/%s", u->name);
+	set_http_body(m, text);
+	start_http_call(u->loop, &u->store, m, 1000, 65536, on_put, NULL);
+	destroy_http_message(m);
+	free(text);
+	json_decref(j);
+}
+
+static void send_packet(struct cookie_stand_in *u,
+			const struct cookie_packet *p, const void *data)
+{
+	uint8_t out[PLATFORM_HEADER + PLATFORM_DATA_MAX];
+	size_t len = write_cookie_packet(p, data, out);
+
+	/* the caller is the destination of what an upstream sends */
+	queue_datagram(u->dg, p->key.service_ip, u->caller_port, NULL, 0, out,
+		       len);
+}
+
+static void send_answer(struct cookie_stand_in *u, struct served_flow *f,
+			const struct cookie_packet *asked)
+{
+	struct cookie_packet a = answer_to(asked);
+
+	a.payload = (uint16_t)strlen(f->last);
+	a.seq = f->seq;
+	a.ack = f->heard;
+	send_packet(u, &a, f->last);
+	flush_datagrams(u->dg);
+}
+
+static guint hash_key(gconstpointer k)
+{
+	const struct flow_key *key = k;
+
+	return key->caller_ip * 31U + key->caller_port;
+}
+
+static gboolean same_key(gconstpointer a, gconstpointer b)
+{
+	return !memcmp(a, b, sizeof(struct flow_key));
+}
+
+static void free_delayed(uv_handle_t *h)
+{
+	g_free(h->data);
+}
+
+static void on_worked(uv_timer_t *timer)
+{
+	struct delayed *d = timer->data;
+	struct served_flow *f = g_hash_table_lookup(d->u->flows, &d->key);
+
+	if (f) {
+		g_strlcpy(f->last, d->text, sizeof(f->last));
+		send_answer(d->u, f, &d->asked);
+	}
+	uv_close((uv_handle_t *)timer, free_delayed);
+}
+
+static void run_request(struct cookie_stand_in *u,
+			const struct cookie_packet *p, const uint8_t *data)
+{
+	struct delayed *d = g_new0(struct delayed, 1);
+
+	d->u = u;
+	d->key = p->key;
+	d->asked = *p;
+	g_snprintf(d->text, sizeof(d->text), "%s %.*s", u->name,
+		   (int)MIN(p->payload, 100), (const char *)data);
+	uv_timer_init(u->loop, &d->timer);
+	d->timer.data = d;
+	uv_timer_start(&d->timer, on_worked, u->work_ms, 0);
+}
+
+static void reset_caller(struct cookie_stand_in *u,
+			 const struct cookie_packet *p)
+{
+	struct cookie_packet a = answer_to(p);
+
+	a.flags = TCP_RST;
+	a.seq = p->ack;
+	send_packet(u, &a, NULL);
+}
+
+static void take_data(struct cookie_stand_in *u, struct served_flow *f,
+		      const struct cookie_packet *p, const uint8_t *data)
+{
+	struct cookie_packet ack = answer_to(p);
+
+	if (p->ack > f->seq) {
+		f->seq = p->ack;
+		f->last[0] = '\0';
+	}
+	if (!p->payload)
+		return;
+	if (p->seq == f->heard) {
+		f->heard += p->payload;
+		run_request(u, p, data);
+	} else if (f->last[0]) {
+		send_answer(u, f, p);
+		return;
+	}
+	ack.seq = f->seq;
+	ack.ack = f->heard;
+	send_packet(u, &ack, NULL);
+}
+
+static void take_packet(struct cookie_stand_in *u,
+			const struct cookie_packet *p, const uint8_t *data)
+{
+	struct served_flow *f = g_hash_table_lookup(u->flows, &p->key);
+	struct cookie_packet a = answer_to(p);
+
+	if (is_cookie_syn(p)) {
+		if (!f) {
+			f = g_new0(struct served_flow, 1);
+			f->key = p->key;
+			g_hash_table_insert(u->flows, &f->key, f);
+		}
+		f->seq = FLOW_SEQ + 1;
+		f->heard = p->seq + 1;
+		a.flags |= TCP_SYN;
+		a.seq = FLOW_SEQ;
+		a.ack = f->heard;
+		send_packet(u, &a, NULL);
+		return;
+	}
+	if (!f) {
+		reset_caller(u, p);
+	} else if (p->flags & (TCP_FIN | TCP_RST)) {
+		g_hash_table_remove(u->flows, &p->key);
+	} else {
+		take_data(u, f, p, data);
+	}
+}
+
+static void on_datagram(uint8_t *data, size_t len, const struct endpoint *from,
+			void *user)
+{
+	struct cookie_stand_in *u = user;
+	struct cookie_packet p;
+	uint64_t to = 0;
+
+	(void)from;
+	if (len < PLATFORM_PREFIX)
+		return;
+	for (int i = 0; i < PLATFORM_PREFIX; i++)
+		to = to << 8 | data[i];
+	data += PLATFORM_PREFIX;
+	len -= PLATFORM_PREFIX;
+	if (to != u->id || !read_platform_packet(data, len, &p))
+		return;
+	if (!has_right_sum(data, len)) {
+		printf("changed packet\n");
+		fflush(stdout);
+		return;
+	}
+	take_packet(u, &p, data + PLATFORM_HEADER);
+}
+
+static void on_health(struct http_exchange *ex, const struct http_message *m,
+		      void *data)
+{
+	const struct cookie_stand_in *u = data;
+	struct http_message *answer = create_http_message();
+
+	(void)m;
+	answer->code = u->drain_until ? 503 : 200;
+	add_http_header(answer, "X-Instance-Id", u->name);
+	answer_http(ex, answer);
+}
+
+static void on_heartbeat(uv_timer_t *timer)
+{
+	struct cookie_stand_in *u = timer->data;
+
+	if (!u->drain_until || uv_now(u->loop) < u->drain_until) {
+		announce(u, false);
+	} else {
+		announce(u, true);
+		uv_timer_stop(timer);
+		uv_stop(u->loop);
+	}
+}
+
+static void on_sigterm(uv_signal_t *sig, int signum)
+{
+	struct cookie_stand_in *u = sig->data;
+
+	(void)signum;
+	u->drain_until = uv_now(u->loop) + DRAIN_MS;
+	announce(u, false);
+}
+
+static bool start(struct cookie_stand_in *u, struct status *st)
+{
+	struct http_handler handler = { .on_request = on_health, .data = u };
+	struct timeval tv;
+
+	gettimeofday(&tv, NULL);
+	u->start_ms = (uint64_t)tv.tv_sec * 1000 + (uint64_t)tv.tv_usec / 1000;
+	u->loop = uv_default_loop();
+	u->flows = g_hash_table_new_full(hash_key, same_key, NULL, g_free);
+	u->dg = create_datagrams(u->loop, &u->at, on_datagram, u, st);
+	if (!u->dg || !create_http_server(u->loop, &u->at, 4096, &handler, st))
+		return false;
+	uv_timer_init(u->loop, &u->heartbeat);
+	u->heartbeat.data = u;
+	uv_timer_start(&u->heartbeat, on_heartbeat, 0, HEARTBEAT_MS);
+	uv_signal_init(u->loop, &u->sigterm);
+	u->sigterm.data = u;
+	uv_signal_start(&u->sigterm, on_sigterm, SIGTERM);
+	return true;
+}
+
+int main(int argc, char **argv)
+{
+	struct cookie_stand_in u = { 0 };
+	struct status st = { 0 };
+	const char *dash;
+
+	if (argc != 8 || parse_endpoint(argv[4], &u.at, &st) != STATUS_OK ||
+	    parse_endpoint(argv[6], &u.store, &st) != STATUS_OK) {
+		fprintf(stderr, "usage: cookie-upstream-stand-in ID SERVICE "
+				"DOMAIN ADDRESS:PORT CALLER-PORT STORE "
+				"WORK-MS\n");
+		return 1;
+	}
+	u.name = argv[1];
+	u.service = argv[2];
+	u.domain = argv[3];
+	u.caller_port = (uint16_t)atoi(argv[5]);
+	u.work_ms = (uint64_t)atoi(argv[7]);
+	dash = strrchr(u.name, '-');
+	u.id = g_ascii_strtoull(dash ? dash + 1 : u.name, NULL, 16);
+	if (!start(&u, &st)) {
+		fprintf(stderr, "cookie-upstream-stand-in: %s\n", st.message);
+		return 1;
+	}
+	uv_run(u.loop, UV_RUN_DEFAULT);
+	/* the last call to the store may still be under way */
+	for (int i = 0; i < 20; i++)
+		uv_run(u.loop, UV_RUN_NOWAIT);
+	return 0;
+}
--- /dev/null
+++ b/stand-in/cookie-wire.c
@@ -0,0 +1,75 @@
+#include "stand-in/cookie-wire.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+static void set16(uint8_t *at, uint16_t v)
+{
+	at[0] = (uint8_t)(v >> 8);
+	at[1] = (uint8_t)v;
+}
+
+static void set32(uint8_t *at, uint32_t v)
+{
+	set16(at, (uint16_t)(v >> 16));
+	set16(at + 2, (uint16_t)v);
+}
+
+static uint32_t packet_sum(const uint8_t *data, size_t len)
+{
+	uint8_t copy[PLATFORM_HEADER + PLATFORM_DATA_MAX];
+
+	memcpy(copy, data, len);
+	memset(copy + 1, 0, 9); /* padding, cookie and the sum itself */
+	return (uint32_t)XXH3_64bits_withSeed(copy, len, 0x5eed);
+}
+
+bool has_right_sum(const uint8_t *data, size_t len)
+{
+	uint8_t sum[4];
+
+	set32(sum, packet_sum(data, len));
+	return !memcmp(sum, data + 6, sizeof(sum));
+}
+
+static uint8_t wire_flags(uint8_t flags)
+{
+	return (uint8_t)((flags & TCP_SYN ? 128 : 0) |
+			 (flags & TCP_ACK ? 64 : 0) |
+			 (flags & TCP_FIN ? 32 : 0) |
+			 (flags & TCP_RST ? 2 : 0));
+}
+
+size_t write_cookie_packet(const struct cookie_packet *p, const void *data,
+			   uint8_t *out)
+{
+	size_t len = PLATFORM_HEADER + (size_t)p->payload;
+
+	memset(out, 0, PLATFORM_HEADER);
+	out[0] = wire_flags(p->flags);
+	set32(out + 2, p->cookie);
+	set16(out + 10, p->key.service_port);
+	set32(out + 12, p->key.caller_ip);
+	set16(out + 16, p->key.caller_port);
+	set32(out + 18, p->key.service_ip);
+	set32(out + 22, p->seq);
+	set32(out + 26, p->ack);
+	set16(out + 30, p->payload);
+	if (p->payload)
+		memcpy(out + PLATFORM_HEADER, data, p->payload);
+	set32(out + 6, packet_sum(out, len));
+	return len;
+}
+
+struct cookie_packet answer_to(const struct cookie_packet *p)
+{
+	struct cookie_packet a = { .flags = TCP_ACK,
+				   .cookie = p->cookie,
+				   .ack = p->seq + p->payload };
+
+	a.key.caller_ip = p->key.service_ip;
+	a.key.caller_port = p->key.service_port;
+	a.key.service_ip = p->key.caller_ip;
+	a.key.service_port = p->key.caller_port;
+	return a;
+}
--- /dev/null
+++ b/stand-in/platform-store.c
@@ -0,0 +1,437 @@
+/*
+ * platform-store-stand-in: the users' metadata store for tests, in memory,
+ * at ADDRESS:PORT. Speaks what platform/store.c speaks; besides:
+ *
+ *   PUT /entry?KEY      sets KEY to the body, as operators and upstreams do
+ *   DELETE /entry?KEY   removes it
+ *   POST /fault/WORD    how calls fare from now on: well, busy (503), silent
+ *                       (no answer), lossy (writes are done, not answered),
+ *                       forget (the history goes, once)
+ */
+
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "net/http-server.h"
+
+#define BODY_MAX (2 * 1024 * 1024) /* bytes */
+#define TICK_MS 20
+
+enum fault { FAULT_NONE, FAULT_BUSY, FAULT_SILENT, FAULT_LOSSY };
+
+struct lease {
+	uint64_t id;
+	uint64_t ttl_ms;
+	uint64_t until; /* loop time */
+};
+
+/* A watch that waits for changes after a revision. */
+struct waiting {
+	struct http_exchange *ex;
+	char *prefix;
+	json_int_t after;
+	uint64_t until; /* loop time */
+};
+
+struct platform_stand_in {
+	uv_loop_t *loop;
+	uv_timer_t timer;
+	json_t *items;	 /* key -> item */
+	json_t *history; /* events, oldest first */
+	json_int_t revision;
+	json_int_t forgotten; /* no history up to this revision */
+	uint64_t lease_nr;
+	GList *leases;	/* of struct lease */
+	GList *waiting; /* of struct waiting */
+	enum fault fault;
+};
+
+static void reply(struct http_exchange *ex, unsigned int code, json_t *j)
+{
+	struct http_message *m = create_http_message();
+	char *text = json_dumps(j, JSON_COMPACT);
+
+	m->code = code;
+	add_http_header(m, "Content-Type", "application/json");
+	set_http_body(m, text);
+	free(text);
+	json_decref(j);
+	answer_http(ex, m);
+}
+
+static void reply_error(struct http_exchange *ex, unsigned int code,
+			const char *why)
+{
+	reply(ex, code, json_pack("{s:s}", "error", why));
+}
+
+/* The value of NAME in the query of TARGET, unescaped; NULL if not there. */
+static char *query_value(const char *target, const char *name)
+{
+	const char *query = strchr(target, '?');
+	char **parts = g_strsplit(query ? query + 1 : "", "&", -1);
+	size_t n = strlen(name);
+	char *value = NULL;
+
+	for (char **p = parts; *p && !value; p++)
+		if (!strncmp(*p, name, n) && (*p)[n] == '=')
+			value = g_uri_unescape_string(*p + n + 1, NULL);
+	g_strfreev(parts);
+	return value;
+}
+
+static json_int_t query_number(const char *target, const char *name)
+{
+	char *text = query_value(target, name);
+	json_int_t n = text ? atoll(text) : 0;
+
+	g_free(text);
+	return n;
+}
+
+static void put_item(struct platform_stand_in *s, const char *key,
+		     const char *value, json_int_t lease)
+{
+	const json_t *old = json_object_get(s->items, key);
+	json_int_t made =
+		old ? json_integer_value(json_object_get(old, "createRev"))
+		    : s->revision;
+	json_t *item = json_pack("{s:s, s:s, s:I, s:I, s:I}", "key", key,
+				 "value", value, "rev", s->revision,
+				 "createRev", made, "lease", lease);
+
+	json_object_set(s->items, key, item);
+	json_array_append_new(s->history, item);
+}
+
+static void remove_item(struct platform_stand_in *s, const char *key)
+{
+	if (json_object_del(s->items, key))
+		return;
+	json_array_append_new(s->history,
+			      json_pack("{s:s, s:I, s:b}", "key", key, "rev",
+					s->revision, "removed", 1));
+}
+
+static bool has_prefix(const json_t *item, const char *prefix)
+{
+	const char *key = json_string_value(json_object_get(item, "key"));
+
+	return !strncmp(key, prefix, strlen(prefix));
+}
+
+/* Events after AFTER under PREFIX; a new array. */
+static json_t *events_after(const struct platform_stand_in *s,
+			    const char *prefix, json_int_t after)
+{
+	json_t *list = json_array();
+	json_t *ev;
+	size_t i;
+
+	json_array_foreach(s->history, i, ev)
+	{
+		if (json_integer_value(json_object_get(ev, "rev")) > after &&
+		    has_prefix(ev, prefix))
+			json_array_append(list, ev);
+	}
+	return list;
+}
+
+static void free_waiting(struct waiting *w)
+{
+	g_free(w->prefix);
+	g_free(w);
+}
+
+/* Answers the watches that have news, have waited long enough or are cut. */
+static void serve_waiting(struct platform_stand_in *s)
+{
+	GList *next;
+
+	for (GList *l = s->waiting; l; l = next) {
+		struct waiting *w = l->data;
+		json_t *events;
+
+		next = l->next;
+		if (s->fault == FAULT_SILENT)
+			continue;
+		if (w->after < s->forgotten) {
+			reply_error(w->ex, 410, "history is gone");
+		} else {
+			events = events_after(s, w->prefix, w->after);
+			if (!json_array_size(events) &&
+			    uv_now(s->loop) < w->until) {
+				json_decref(events);
+				continue;
+			}
+			reply(w->ex, 200,
+			      json_pack("{s:o, s:I}", "events", events,
+					"storeRevision", s->revision));
+		}
+		s->waiting = g_list_delete_link(s->waiting, l);
+		free_waiting(w);
+	}
+}
+
+static void on_gone(struct http_exchange *ex, void *data)
+{
+	struct platform_stand_in *s = data;
+
+	for (GList *l = s->waiting; l; l = l->next) {
+		struct waiting *w = l->data;
+
+		if (w->ex != ex)
+			continue;
+		s->waiting = g_list_delete_link(s->waiting, l);
+		free_waiting(w);
+		return;
+	}
+}
+
+static void take_watch(struct platform_stand_in *s, struct http_exchange *ex,
+		       const char *target)
+{
+	struct waiting *w = g_new0(struct waiting, 1);
+
+	w->ex = ex;
+	w->prefix = query_value(target, "prefix");
+	if (!w->prefix)
+		w->prefix = g_strdup("");
+	w->after = query_number(target, "after");
+	w->until = uv_now(s->loop) + (uint64_t)query_number(target, "waitMs");
+	s->waiting = g_list_append(s->waiting, w);
+	serve_waiting(s);
+}
+
+static void take_range(const struct platform_stand_in *s,
+		       struct http_exchange *ex, const char *target)
+{
+	char *prefix = query_value(target, "prefix");
+	json_t *items = json_array();
+	const char *key;
+	json_t *item;
+
+	json_object_foreach(s->items, key, item)
+	{
+		if (has_prefix(item, prefix ? prefix : ""))
+			json_array_append(items, item);
+	}
+	g_free(prefix);
+	reply(ex, 200,
+	      json_pack("{s:o, s:b, s:I}", "items", items, "hasMore", 0,
+			"storeRevision", s->revision));
+}
+
+static struct lease *find_lease(const struct platform_stand_in *s, uint64_t id)
+{
+	for (GList *l = s->leases; l; l = l->next)
+		if (((struct lease *)l->data)->id == id)
+			return l->data;
+	return NULL;
+}
+
+/* Answers a write, unless its answer is to be lost. */
+static void reply_write(const struct platform_stand_in *s,
+			struct http_exchange *ex, json_t *j)
+{
+	if (s->fault == FAULT_LOSSY) {
+		json_decref(j);
+		drop_http(ex);
+	} else {
+		reply(ex, 200, j);
+	}
+}
+
+static void take_txn(struct platform_stand_in *s, struct http_exchange *ex,
+		     const json_t *body)
+{
+	const json_t *puts = json_object_get(body, "puts");
+	json_t *put;
+	size_t i;
+
+	json_array_foreach(puts, i, put)
+	{
+		json_int_t lease =
+			json_integer_value(json_object_get(put, "lease"));
+
+		if (!lease || find_lease(s, (uint64_t)lease))
+			continue;
+		reply_error(ex, 404, "no such lease");
+		return;
+	}
+	s->revision++;
+	json_array_foreach(puts, i, put)
+	{
+		put_item(s, json_string_value(json_object_get(put, "key")),
+			 json_string_value(json_object_get(put, "value")),
+			 json_integer_value(json_object_get(put, "lease")));
+	}
+	reply_write(s, ex, json_pack("{s:I}", "rev", s->revision));
+	serve_waiting(s);
+}
+
+static void take_lease(struct platform_stand_in *s, struct http_exchange *ex,
+		       const json_t *body)
+{
+	struct lease *l = g_new0(struct lease, 1);
+
+	l->id = ++s->lease_nr;
+	l->ttl_ms =
+		(uint64_t)json_integer_value(json_object_get(body, "ttlMs"));
+	l->until = uv_now(s->loop) + l->ttl_ms;
+	s->leases = g_list_append(s->leases, l);
+	reply_write(s, ex,
+		    json_pack("{s:I, s:I}", "lease", (json_int_t)l->id, "ttlMs",
+			      (json_int_t)l->ttl_ms));
+}
+
+static void take_keep(struct platform_stand_in *s, struct http_exchange *ex,
+		      const char *target)
+{
+	struct lease *l = find_lease(s, (uint64_t)atoll(target + 9));
+
+	if (!l) {
+		reply_error(ex, 404, "no such lease");
+		return;
+	}
+	l->until = uv_now(s->loop) + l->ttl_ms;
+	reply_write(s, ex, json_pack("{s:I}", "ttlMs", (json_int_t)l->ttl_ms));
+}
+
+static void take_entry(struct platform_stand_in *s, struct http_exchange *ex,
+		       const struct http_message *m)
+{
+	const char *key = strchr(m->target, '?');
+	char *value;
+
+	if (!key || !key[1]) {
+		reply_error(ex, 400, "PUT or DELETE /entry?KEY");
+		return;
+	}
+	s->revision++;
+	if (m->method == HTTP_DELETE) {
+		remove_item(s, key + 1);
+	} else {
+		value = g_base64_encode(m->body->data, m->body->len);
+		put_item(s, key + 1, value, 0);
+		g_free(value);
+	}
+	reply(ex, 200, json_pack("{s:I}", "rev", s->revision));
+	serve_waiting(s);
+}
+
+static void take_fault(struct platform_stand_in *s, struct http_exchange *ex,
+		       const char *word)
+{
+	static const char *const words[] = { "well", "busy", "silent",
+					     "lossy" };
+
+	if (!strcmp(word, "forget")) {
+		s->forgotten = s->revision;
+		json_array_clear(s->history);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(words); i++)
+		if (!strcmp(word, words[i]))
+			s->fault = (enum fault)i;
+	reply(ex, 200, json_object());
+	serve_waiting(s);
+}
+
+static void take_call(struct platform_stand_in *s, struct http_exchange *ex,
+		      const struct http_message *m)
+{
+	json_t *body =
+		json_loadb((const char *)m->body->data, m->body->len, 0, NULL);
+
+	if (g_str_has_prefix(m->target, "/kv-range?"))
+		take_range(s, ex, m->target);
+	else if (g_str_has_prefix(m->target, "/kv-watch?"))
+		take_watch(s, ex, m->target);
+	else if (!strcmp(m->target, "/kv-txn"))
+		take_txn(s, ex, body);
+	else if (!strcmp(m->target, "/kv-lease"))
+		take_lease(s, ex, body);
+	else if (g_str_has_prefix(m->target, "/kv-keep/"))
+		take_keep(s, ex, m->target);
+	else
+		reply_error(ex, 404, "no such call");
+	json_decref(body);
+}
+
+static void on_request(struct http_exchange *ex, const struct http_message *m,
+		       void *data)
+{
+	struct platform_stand_in *s = data;
+
+	if (g_str_has_prefix(m->target, "/entry"))
+		take_entry(s, ex, m);
+	else if (g_str_has_prefix(m->target, "/fault/"))
+		take_fault(s, ex, m->target + strlen("/fault/"));
+	else if (s->fault == FAULT_BUSY)
+		reply_error(ex, 503, "busy");
+	else if (s->fault != FAULT_SILENT)
+		take_call(s, ex, m);
+}
+
+/* Ends leases whose time is over, with their keys. */
+static void expire_leases(struct platform_stand_in *s)
+{
+	GList *next;
+
+	for (GList *l = s->leases; l; l = next) {
+		struct lease *le = l->data;
+		const char *key;
+		json_t *item;
+		void *tmp;
+
+		next = l->next;
+		if (uv_now(s->loop) < le->until)
+			continue;
+		s->revision++;
+		json_object_foreach_safe(s->items, tmp, key, item)
+		{
+			if ((uint64_t)json_integer_value(
+				    json_object_get(item, "lease")) == le->id)
+				remove_item(s, key);
+		}
+		s->leases = g_list_delete_link(s->leases, l);
+		g_free(le);
+	}
+}
+
+static void on_tick(uv_timer_t *timer)
+{
+	struct platform_stand_in *s = timer->data;
+
+	expire_leases(s);
+	serve_waiting(s);
+}
+
+int main(int argc, char **argv)
+{
+	struct platform_stand_in s = { .revision = 1 };
+	struct http_handler handler = { .on_request = on_request,
+					.on_gone = on_gone,
+					.data = &s };
+	struct endpoint at;
+	struct status st;
+
+	if (argc != 2 || parse_endpoint(argv[1], &at, &st) != STATUS_OK) {
+		fprintf(stderr, "usage: platform-store-stand-in "
+				"ADDRESS:PORT\n");
+		return 1;
+	}
+	s.loop = uv_default_loop();
+	s.items = json_object();
+	s.history = json_array();
+	if (!create_http_server(s.loop, &at, BODY_MAX, &handler, &st)) {
+		fprintf(stderr, "platform-store-stand-in: %s\n", st.message);
+		return 1;
+	}
+	uv_timer_init(s.loop, &s.timer);
+	s.timer.data = &s;
+	uv_timer_start(&s.timer, on_tick, TICK_MS, TICK_MS);
+	return uv_run(s.loop, UV_RUN_DEFAULT);
+}
--- a/t/check-beacon.c
+++ b/t/check-beacon.c
@@ -274,6 +274,25 @@
 }
 END_TEST
 
+/* One that takes news keeps them too, without the values left out. */
+START_TEST(what_was_left_out_is_left_out_when_passed_on_again)
+{
+	struct news_log *nl = create_news_log();
+	struct store_entry e = { .key = (char *)"config" };
+	struct wire_message msg;
+	const void *data;
+	struct news n;
+	size_t len;
+
+	data = add_news(nl, 1, 2, 0, &e, 1, &len);
+	ck_assert(read_news(&msg, &n, data, len));
+	ck_assert(!n.entries[0].removed);
+	ck_assert_ptr_null(n.entries[0].value);
+	release_wire(&msg);
+	destroy_news_log(nl);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("beacon");
@@ -295,6 +314,7 @@
 	tcase_add_test(tc, news_are_kept_for_those_that_missed_them);
 	tcase_add_test(tc,
 		       long_values_are_named_and_long_lists_are_not_passed_on);
+	tcase_add_test(tc, what_was_left_out_is_left_out_when_passed_on_again);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_ENV);
 	failed = srunner_ntests_failed(sr);
