--- a/stand-in/cookie-caller.c
+++ b/stand-in/cookie-caller.c
@@ -254,6 +254,11 @@
 	f->ack += p->payload;
 	f->phase = PHASE_IDLE;
 	f->since = uv_now(c->loop);
+	if (p->flags & TCP_FIN) {
+		send_flow(c, f, TCP_ACK | TCP_FIN, f->ack, NULL);
+		close_flow(c, f);
+		return;
+	}
 	send_flow(c, f, TCP_ACK, f->ack, NULL);
 }
 
--- a/stand-in/cookie-upstream.c
+++ b/stand-in/cookie-upstream.c
@@ -100,6 +100,8 @@
 {
 	struct cookie_packet a = answer_to(asked);
 
+	if (u->drain_until)
+		a.flags |= TCP_FIN; /* a draining one closes behind an answer */
 	a.payload = (uint16_t)strlen(f->last);
 	a.seq = f->seq;
 	a.ack = f->heard;
--- a/stand-in/platform-store.c
+++ b/stand-in/platform-store.c
@@ -300,6 +300,16 @@
 	reply_write(s, ex, json_pack("{s:I}", "ttlMs", (json_int_t)l->ttl_ms));
 }
 
+/* A heartbeat that says nothing new is no change. */
+static bool is_same(const struct platform_stand_in *s, const char *key,
+		    const char *value)
+{
+	const json_t *old = json_object_get(s->items, key);
+	const char *had = json_string_value(json_object_get(old, "value"));
+
+	return had && !strcmp(had, value);
+}
+
 static void take_entry(struct platform_stand_in *s, struct http_exchange *ex,
 		       const struct http_message *m)
 {
@@ -310,12 +320,15 @@
 		reply_error(ex, 400, "PUT or DELETE /entry?KEY");
 		return;
 	}
-	s->revision++;
 	if (m->method == HTTP_DELETE) {
+		s->revision++;
 		remove_item(s, key + 1);
 	} else {
 		value = g_base64_encode(m->body->data, m->body->len);
-		put_item(s, key + 1, value, 0);
+		if (!is_same(s, key + 1, value)) {
+			s->revision++;
+			put_item(s, key + 1, value, 0);
+		}
 		g_free(value);
 	}
 	reply(ex, 200, json_pack("{s:I}", "rev", s->revision));
--- /dev/null
+++ b/t/whole-edge.sh
@@ -0,0 +1,148 @@
+#!/bin/sh
+# Flows on the users' platform through real processes: three instances, four
+# upstreams, the store's stand-in. An instance is killed, one stops, an
+# upstream drains, one is killed, the store is away for a while, and the
+# configuration drops a route. No flow moves, nothing is answered wrongly, and
+# what is open is reset only when its upstream is dead.
+
+bin=$1
+. "$(dirname "$0")/lib.sh"
+store=$net.0.1:22779
+port=8172
+service=198.18.0.1:8443
+
+fail () {
+	echo "FAILED: $*"
+	tail -n 20 "$work"/*.log
+	exit 1
+}
+
+# put KEY FILE: writes an entry of the store, as operators do.
+put () {
+	curl -sS --noproxy '*' -X PUT --data-binary "@$2" \
+		"http://$store/entry?$1" >/dev/null
+}
+
+# write_config VERSION PORT...: a configuration with a route for each port.
+write_config () {
+	version=$1
+	shift
+	routes=
+	for p in "$@"
+	do
+		routes="$routes${routes:+,}{\"name\":\"r-$p\",\"host\":\"198.18.0.1\",\"prefix\":\"/$p/\",\"kind\":\"safe\",\"timeoutMs\":3000,\"sloMs\":200,\"priority\":1,\"service\":\"board\"}"
+	done
+	echo "{\"version\":$version,\"routes\":[$routes],\"services\":[{\"name\":\"board\",\"healthPath\":\"/health\",\"maxConns\":2000,\"warmupS\":2.0,\"warmupPerS\":5}],\"limits\":{\"idleTimeoutMs\":15000}}" >"$work/config.json"
+	put op/config "$work/config.json"
+}
+
+# edge_settings NAME DOMAIN ADDRESS
+edge_settings () {
+	cat >"$work/$1.ini" <<-EOT
+	[instance]
+	name = $1
+	domain = $2
+	address = $3
+	peer-port = 7720
+	[listen]
+	packets = $3:$port
+	ready = $3:$((port + 1))
+	metrics = $3:$((port + 2))
+	[flows]
+	steering = cookie
+	[store]
+	endpoints = $store
+	[bounds]
+	heartbeat = 400ms
+	stop = 6s
+	EOT
+}
+
+is_ready () {
+	curl -sS --noproxy '*' --max-time 1 -f "http://$1:$((port + 1))/ready"
+}
+
+# value NAME FILE: the number behind NAME= in a caller's report.
+value () {
+	sed -n "s/.*$1=\([0-9]*\).*/\1/p" "$2"
+}
+
+start store "$bin/platform-store-stand-in" $store
+wait_until 5 curl -sS --noproxy '*' "http://$store/kv-range?prefix=" ||
+	fail "no store"
+write_config 1 8443 8080
+n=1
+for domain in north north south
+do
+	edge_settings "in-$n" $domain "$net.71.$n"
+	start "in-$n" "$bin/baobabvalved" --config="$work/in-$n.ini"
+	n=$((n + 1))
+done
+for n in 1 2 3 4
+do
+	domain=north
+	test $n -gt 2 && domain=south
+	start "up-$n" "$bin/cookie-upstream-stand-in" "i-a$n" board $domain \
+		"$net.72.$n:9003" $port $store 10
+done
+for n in 1 2 3
+do
+	wait_until 10 is_ready $net.71.$n || fail "in-$n is not ready"
+done
+sleep 1
+
+# Planned changes, the death of an instance and a store that is away reset
+# nothing.
+start caller "$bin/cookie-caller-stand-in" "$net.73.1:$port" $service \
+	$net.71.1,$net.71.2,$net.71.3 60 11 100
+caller=$(cat "$work/caller.pid")
+sleep 1
+stop_process in-2 KILL
+start in-2 "$bin/baobabvalved" --config="$work/in-2.ini"
+sleep 2
+kill -s TERM "$(cat "$work/up-1.pid")"
+curl -sS --noproxy '*' -X POST "http://$store/fault/forget" >/dev/null
+sleep 1
+curl -sS --noproxy '*' -X POST "http://$store/fault/silent" >/dev/null
+sleep 3
+curl -sS --noproxy '*' -X POST "http://$store/fault/well" >/dev/null
+stop_process in-3 TERM
+start in-3 "$bin/baobabvalved" --config="$work/in-3.ini"
+wait "$caller" || fail "answers went wrong: $(cat "$work/caller.log")"
+report=$work/caller.log
+cat "$report"
+grep -q "changed packet" "$work"/up-*.log && fail "a packet was changed"
+test "$(value answered "$report")" -gt 3000 || fail "too few answers"
+test "$(value reset "$report")" -eq 0 || fail "open flows were reset"
+test "$(value lost "$report")" -eq 0 || fail "requests were lost"
+
+# An upstream that dies: its flows are reset, and no others.
+start second "$bin/cookie-caller-stand-in" "$net.73.1:$port" $service \
+	$net.71.1,$net.71.2,$net.71.3 60 5 100
+caller=$(cat "$work/second.pid")
+sleep 1
+stop_process up-2 KILL
+wait "$caller" || fail "answers went wrong: $(cat "$work/second.log")"
+report=$work/second.log
+cat "$report"
+test "$(value reset "$report")" -gt 0 || fail "no flow was told of the death"
+test "$(value lost "$report")" -eq 0 || fail "requests were lost"
+grep -h "event=flow-reset" "$work"/in-*.log | grep -v "upstream=i-a2" &&
+	fail "a flow of a living upstream was reset"
+
+# A dropped route refuses new flows and ends open ones.
+write_config 2 8080
+sleep 1.5
+"$bin/cookie-caller-stand-in" "$net.73.2:$port" $service $net.71.1 5 1 50 \
+	>"$work/dropped.log"
+test "$(value answered "$work/dropped.log")" -eq 0 ||
+	fail "a dropped route still answers: $(cat "$work/dropped.log")"
+grep -q "event=flow-refused.*reason=no-route" "$work/in-1.log" ||
+	fail "no line tells of the refusal"
+curl -sS --noproxy '*' "http://$net.71.1:$((port + 2))/metrics" |
+	grep -q "^baobabvalve_flow_forwarded [1-9]" || fail "no metrics"
+
+# A stop is graceful: the process ends by itself within its time.
+kill -s TERM "$(cat "$work/in-1.pid")"
+wait "$(cat "$work/in-1.pid")" || fail "in-1 did not stop cleanly"
+echo ok
