net: end checks and the loop cleanly when an instance stops

Cause: whole-edge, under sanitizers, found the loop's memory leaked at the end, and a check that ended later would have used closed sockets.

--- a/net/edge-check.c
+++ b/net/edge-check.c
@@ -25,6 +25,7 @@
 	upstream_nr_t nr;
 	uint64_t id; /* of the upstream, should the handle be used again */
 	uint64_t started_ms;
+	struct http_call *call;
 };
 
 static enum check_result read_answer(const struct catalog_upstream *up,
@@ -88,6 +89,7 @@
 				  placing_health(e->placing, ck->nr)));
 		end_dead_flows(e, ck->nr);
 	}
+	g_hash_table_remove(e->checks, ck);
 	g_free(ck);
 }
 
@@ -105,10 +107,11 @@
 	m->method = HTTP_GET;
 	m->target = g_strdup(sv->health_path[0] ? sv->health_path : "/health");
 	count(&e->counters, COUNT_HEALTH_PROBES);
-	limit_http_connect(start_http_call(&e->loop, &up->report.address, m,
-					   CHECK_TIMEOUT_MS, CHECK_ANSWER_MAX,
-					   on_checked, ck),
-			   CHECK_CONNECT_MS);
+	g_hash_table_add(e->checks, ck);
+	ck->call = start_http_call(&e->loop, &up->report.address, m,
+				   CHECK_TIMEOUT_MS, CHECK_ANSWER_MAX,
+				   on_checked, ck);
+	limit_http_connect(ck->call, CHECK_CONNECT_MS);
 	destroy_http_message(m);
 }
 
@@ -117,3 +120,18 @@
 	for (guint i = 0; i < checks->len; i++)
 		start_check(e, g_array_index(checks, upstream_nr_t, i));
 }
+
+void cancel_checks(struct edge *e)
+{
+	GHashTableIter it;
+	gpointer key;
+
+	g_hash_table_iter_init(&it, e->checks);
+	while (g_hash_table_iter_next(&it, &key, NULL)) {
+		struct check *ck = key;
+
+		cancel_http_call(ck->call);
+		g_free(ck);
+		g_hash_table_iter_remove(&it);
+	}
+}
--- a/net/edge-state.h
+++ b/net/edge-state.h
@@ -37,6 +37,7 @@
 	struct datagrams *peers;   /* beacons and packets of other instances */
 	struct http_server *ready;
 	struct http_server *metrics;
+	GHashTable *checks; /* of struct check that are under way */
 	GQueue early; /* of struct early_packet: came before the first read */
 	GRand *rand;
 	uv_timer_t tick;
@@ -79,6 +80,7 @@
 
 /* edge-check.c: checks of upstreams in doubt */
 void check_upstreams(struct edge *e, const GArray *checks);
+void cancel_checks(struct edge *e);
 
 /* edge-http.c: readiness and metrics */
 bool open_edge_http(struct edge *e, struct status *st);
--- a/net/edge.c
+++ b/net/edge.c
@@ -36,10 +36,10 @@
 	destroy_http_server(e->ready);
 	destroy_http_server(e->metrics);
 	stop_edge_store(e);
+	cancel_checks(e);
 	destroy_datagrams(e->packets);
 	destroy_datagrams(e->peers);
 	g_queue_clear_full(&e->early, g_free);
-	uv_stop(&e->loop);
 }
 
 /* Ends when the routers send nothing more here, or at the latest in time. */
@@ -232,6 +232,7 @@
 	e->path = path;
 	e->settings = *settings;
 	e->log = create_event_log(STDOUT_FILENO);
+	e->checks = g_hash_table_new(NULL, NULL);
 	uv_random(NULL, NULL, &seed, sizeof(seed), 0, NULL);
 	e->rand = g_rand_new_with_seed(seed);
 	g_snprintf(e->incarnation, sizeof(e->incarnation), "%08x", seed);
@@ -244,8 +245,8 @@
 		code = 1;
 	}
 	uv_run(&e->loop, UV_RUN_DEFAULT);
-	/* close callbacks; a check or two may still be under way */
-	uv_run(&e->loop, UV_RUN_NOWAIT);
+	uv_loop_close(&e->loop);
+	g_hash_table_destroy(e->checks);
 	destroy_event_log(e->log);
 	destroy_deciders(e);
 	g_rand_free(e->rand);
