flow: leave SYNs to their copies while all upstreams are full

Cause: after an outage of all instances all callers come back within milliseconds. Each instance places alone, since peers' sums are 150 ms old, and upstreams shed what exceeds their queues; a shed request costs one of three tries.

Change: an upstream with four requests in flight for each slot counts as full. While all are, a SYN of a route that is less urgent than others is not answered; the caller's copies come after 200 and 600 ms, and the last one is placed in any case. Instances tell peers at once when their own load has moved by half.

--- a/base/counter-list.h
+++ b/base/counter-list.h
@@ -47,6 +47,7 @@
 COUNTER(FLOW_NO_UPSTREAM, "flow.no-upstream", "packets with no upstream")
 COUNTER(FLOW_GIVEN_UP, "flow.given-up",
 	"resets for dead or taken-out upstreams")
+COUNTER(FLOW_DEFERRED, "flow.deferred", "SYNs left to their next copy")
 COUNTER(FLOW_CUT_OFF, "flow.cut-off", "packets for a domain out of reach")
 COUNTER(FLOW_TOO_YOUNG, "flow.too-young", "packets dropped in the first second")
 COUNTER(FLOW_SILENT, "flow.silent", "resets of flows without progress")
--- a/config/catalog.c
+++ b/config/catalog.c
@@ -13,6 +13,8 @@
 	uint64_t flow_ttl_ms;
 	uint64_t version;
 	uint32_t idle_ms;
+	uint32_t first_priority; /* of the most urgent routes */
+	uint32_t last_priority;	 /* of the least urgent ones */
 	GArray *routes;		 /* of struct catalog_route, sorted */
 	GPtrArray *upstreams;	 /* of struct catalog_upstream */
 	GHashTable *by_name;	 /* name -> handle + 1 */
@@ -144,6 +146,15 @@
 	c->routes = routes;
 	c->version = version;
 	c->idle_ms = idle_ms;
+	c->first_priority = UINT32_MAX;
+	c->last_priority = 0;
+	for (guint i = 0; i < routes->len; i++) {
+		uint32_t priority =
+			g_array_index(routes, struct catalog_route, i).priority;
+
+		c->first_priority = MIN(c->first_priority, priority);
+		c->last_priority = MAX(c->last_priority, priority);
+	}
 	for (guint i = 0; i < c->services->len; i++) {
 		struct catalog_service *sv = g_ptr_array_index(c->services, i);
 
@@ -359,6 +370,12 @@
 	}
 }
 
+bool gives_way(const struct catalog *c, const struct catalog_route *r)
+{
+	return r->priority > c->first_priority ||
+	       c->first_priority == c->last_priority;
+}
+
 uint64_t catalog_version(const struct catalog *c)
 {
 	return c->version;
--- a/config/catalog.h
+++ b/config/catalog.h
@@ -121,6 +121,9 @@
 /* Forgets upstreams that left so long ago that no flow can be open. */
 void expire_catalog(struct catalog *c, uint64_t now_ms);
 
+/* Whether R gives way to other routes, which are more urgent. */
+bool gives_way(const struct catalog *c, const struct catalog_route *r);
+
 /* Version of the routes in force; 0: none yet. */
 uint64_t catalog_version(const struct catalog *c);
 uint32_t catalog_idle_ms(const struct catalog *c);
--- a/fleet/beacon.c
+++ b/fleet/beacon.c
@@ -311,12 +311,14 @@
 	return best;
 }
 
-bool tick_beacons(struct beacons *bs, uint64_t now_ms, GArray *to)
+bool tick_beacons(struct beacons *bs, uint64_t now_ms, bool urgent, GArray *to)
 {
+	uint64_t wait = urgent ? BEACON_URGENT_MS : beacon_interval(bs);
+
 	note_silent_peers(bs, now_ms);
 	if (now_ms >= bs->settle_ms && !is_view_settled(bs->view))
 		set_view_settled(bs->view, true);
-	if (bs->sent_ms && now_ms - bs->sent_ms < beacon_interval(bs))
+	if (bs->sent_ms && now_ms - bs->sent_ms < wait)
 		return false;
 	bs->sent_ms = now_ms;
 	bs->round++;
--- a/fleet/beacon.h
+++ b/fleet/beacon.h
@@ -16,6 +16,7 @@
 #define BEACON_MS 150	       /* between two beacons in a small domain */
 #define BEACON_PER_MEMBER_MS 8 /* on top, for each member beyond ten */
 #define BEACON_SMALL_DOMAIN 10
+#define BEACON_URGENT_MS 30    /* least time between two */
 #define BEACON_MISSES 6	       /* beacons missed in a row: dead */
 #define BEACON_SEARCH_MS 1000  /* between two to an address that is silent */
 #define BEACON_FORGET_MS 30000 /* a member silent for longer is forgotten */
@@ -66,10 +67,11 @@
 void restart_beacons(struct beacons *bs, uint64_t now_ms);
 
 /*
- * Notes members that went silent; true if a beacon is due, which is to be
- * sent to the addresses put into TO (of struct endpoint).
+ * Notes members that went silent; true if a beacon is due, sooner if there is
+ * something URGENT to tell. It is to be sent to the addresses put into TO (of
+ * struct endpoint).
  */
-bool tick_beacons(struct beacons *bs, uint64_t now_ms, GArray *to);
+bool tick_beacons(struct beacons *bs, uint64_t now_ms, bool urgent, GArray *to);
 
 /*
  * Whether this instance is to follow the store: it is one of its domain's
--- a/flow/cookie.c
+++ b/flow/cookie.c
@@ -324,6 +324,13 @@
 		d.placement = at;
 		return d;
 	}
+	if (at.reason == PLACE_FULL && p->ack < COOKIE_COPIES &&
+	    gives_way(cs->cat, route)) {
+		remove_flow_entry(cs, f);
+		d = decide(COOKIE_DROP, COOKIE_DEFERRED);
+		d.placement = at;
+		return d;
+	}
 	d = steer_to(cs, at.upstream,
 		     f->tried_nr ? COOKIE_REOPENED : COOKIE_OPENED);
 	d.placement = at;
@@ -646,8 +653,9 @@
 const char *cookie_reason_name(enum cookie_reason r)
 {
 	static const char *const names[COOKIE_REASON_NR] = {
-		"opened",  "reopened",	    "steered", "no-route", "route-gone",
-		"refused", "upstream-dead", "unknown", "not-ready"
+		"opened",     "reopened", "steered", "no-route",
+		"route-gone", "deferred", "refused", "upstream-dead",
+		"unknown",    "not-ready"
 	};
 
 	return names[r];
--- a/flow/cookie.h
+++ b/flow/cookie.h
@@ -39,6 +39,13 @@
  * kept away from that flow's upstream.
  */
 #define COOKIE_AGAIN_MS 1000
+
+/*
+ * While all upstreams are full, a SYN waits for its next copy, of which there
+ * are so many (after 200 and 600 ms); that uses up none of the caller's tries.
+ * The last one is refused, so that the caller can come again at once.
+ */
+#define COOKIE_COPIES 2
 #define COOKIE_AVOID_MAX 8 /* upstreams kept away from one flow */
 
 enum cookie_verdict {
@@ -54,6 +61,7 @@
 	COOKIE_STEERED,	      /* by the flow's cookie */
 	COOKIE_NO_ROUTE,      /* callers' address is in no route */
 	COOKIE_ROUTE_GONE,    /* the flow's route was dropped */
+	COOKIE_DEFERRED,      /* all are full: the caller's next copy may fit */
 	COOKIE_REFUSED,	      /* no upstream can take the flow */
 	COOKIE_UPSTREAM_DEAD, /* the flow's upstream is dead */
 	COOKIE_UNKNOWN,	      /* names no upstream known here */
--- a/flow/placing.c
+++ b/flow/placing.c
@@ -54,12 +54,14 @@
 	char *domain;
 	double far_cost;
 	GRand *rand;
-	GPtrArray *rows;   /* of struct row, by handle */
-	GArray *services;  /* of struct service_mean, by handle */
-	GArray *peers;	   /* of struct peer_load */
-	uint64_t means_ms; /* when the means were updated */
-	bool in_doubt;	   /* some upstream is not in good health */
-	uint64_t life_ms;  /* when any upstream last showed life here */
+	GPtrArray *rows;    /* of struct row, by handle */
+	GArray *services;   /* of struct service_mean, by handle */
+	GArray *peers;	    /* of struct peer_load */
+	uint64_t means_ms;  /* when the means were updated */
+	bool in_doubt;	    /* some upstream is not in good health */
+	uint64_t life_ms;   /* when any upstream last showed life here */
+	uint32_t busy;	    /* own requests in flight, all upstreams together */
+	uint32_t told_busy; /* the same when peers were last told */
 };
 
 struct placing *create_placing(const struct catalog *cat,
@@ -139,6 +141,7 @@
 	if (!up)
 		return;
 	if (r->id != up->report.id) {
+		pl->busy -= r->busy;
 		memset(r, 0, sizeof(*r));
 		r->id = up->report.id;
 		r->starts = up->starts;
@@ -208,6 +211,15 @@
 		       : 0;
 }
 
+/* Requests in flight for each slot of NR as last told, without averaging. */
+static double present_load(const struct placing *pl, upstream_nr_t nr)
+{
+	const struct row *r = find_row(pl, nr);
+
+	return (double)(r->busy + r->peer_busy) /
+	       get_upstream(pl->cat, nr)->report.slots;
+}
+
 /*
  * Expected wait for a slot at LOAD, in requests for each slot, is that of
  * the requests ahead beyond those that run.
@@ -273,6 +285,8 @@
 		best.reason = PLACE_OVERLOADED;
 		return best;
 	}
+	if (present_load(pl, best.upstream) >= PLACING_FULL_LOAD)
+		best.reason = PLACE_FULL;
 	if (is_cold_upstream(pl->cat, best.upstream, now_ms)) {
 		struct row *r = find_row(pl, best.upstream);
 
@@ -297,14 +311,17 @@
 void note_request(struct placing *pl, upstream_nr_t nr)
 {
 	need_row(pl, nr)->busy++;
+	pl->busy++;
 }
 
 void note_request_end(struct placing *pl, upstream_nr_t nr)
 {
 	struct row *r = need_row(pl, nr);
 
-	if (r->busy)
-		r->busy--;
+	if (!r->busy)
+		return;
+	r->busy--;
+	pl->busy--;
 }
 
 void note_life(struct placing *pl, upstream_nr_t nr, uint64_t now_ms)
@@ -419,8 +436,17 @@
 	}
 }
 
-void list_own_loads(const struct placing *pl, uint64_t now_ms, GArray *rows)
+bool has_load_moved(const struct placing *pl)
+{
+	uint32_t moved = pl->busy > pl->told_busy ? pl->busy - pl->told_busy
+						  : pl->told_busy - pl->busy;
+
+	return moved >= PLACING_TELL_LEAST && 2 * moved >= pl->told_busy;
+}
+
+void list_own_loads(struct placing *pl, uint64_t now_ms, GArray *rows)
 {
+	pl->told_busy = pl->busy;
 	for (guint i = 0; i < pl->rows->len; i++) {
 		const struct row *r = g_ptr_array_index(pl->rows, i);
 		const struct catalog_upstream *up =
@@ -567,8 +593,8 @@
 const char *place_reason_name(enum place_reason r)
 {
 	static const char *const names[PLACE_REASON_NR] = {
-		"least-loaded", "cold",	    "doubted",	 "none-listed",
-		"all-dead",	"all-cold", "overloaded"
+		"least-loaded", "cold",	    "doubted", "none-listed",
+		"all-dead",	"all-cold", "full",    "overloaded"
 	};
 
 	return names[r];
--- a/flow/placing.h
+++ b/flow/placing.h
@@ -30,6 +30,19 @@
 
 /* A peer's sums are used so long; in large fleets they come every 2 s. */
 #define PLACING_PEER_MS 2500
+
+/*
+ * Requests in flight for each slot at which an upstream counts as full: it
+ * runs one and keeps some four more (12 for 3 slots, 8 for 2), and sheds what
+ * comes then, which costs callers one of few tries.
+ */
+#define PLACING_FULL_LOAD 4.0
+
+/*
+ * A change of the own requests in flight that is worth telling peers at once:
+ * after an outage all callers come back within the time between two beacons.
+ */
+#define PLACING_TELL_LEAST 6
 #define PLACING_MEANS_MS 100 /* between two updates of the running means */
 
 /*
@@ -83,6 +96,7 @@
 	PLACE_NONE_LISTED, /* the service has no upstream that takes flows */
 	PLACE_ALL_DEAD,	   /* none of them can be reached */
 	PLACE_ALL_COLD,	   /* all are cold and this instance's share is used */
+	PLACE_FULL,	   /* all are full now, though not for long */
 	PLACE_OVERLOADED,  /* no one could answer before the deadline */
 	PLACE_REASON_NR
 };
@@ -125,8 +139,11 @@
 void take_peer_loads(struct placing *pl, uint64_t member,
 		     const struct load_row *rows, size_t nr, uint64_t now_ms);
 
-/* Appends rows (struct load_row) for the peers. */
-void list_own_loads(const struct placing *pl, uint64_t now_ms, GArray *rows);
+/* Appends rows (struct load_row) for the peers, which are then told. */
+void list_own_loads(struct placing *pl, uint64_t now_ms, GArray *rows);
+
+/* Whether the own load has changed much since the peers were told. */
+bool has_load_moved(const struct placing *pl);
 
 /*
  * Forgets peers that are silent. Upstreams that are to be checked now are
--- a/net/edge-packets.c
+++ b/net/edge-packets.c
@@ -141,6 +141,19 @@
 		  (unsigned long long)catalog_version(e->catalog));
 }
 
+static void log_deferral(struct edge *e, const struct cookie_packet *p,
+			 const struct cookie_decision *d)
+{
+	char flow[FLOW_TEXT_MAX];
+
+	count(&e->counters, COUNT_FLOW_DEFERRED);
+	log_event(e->log, EVENT_FLOW_DEFERRED,
+		  "flow=%s syn=%u placing=%s load=%.2f version=%llu",
+		  format_flow(&p->key, flow), p->ack,
+		  place_reason_name(d->placement.reason), d->placement.load,
+		  (unsigned long long)catalog_version(e->catalog));
+}
+
 static void carry_out(struct edge *e, const struct cookie_packet *p,
 		      const struct cookie_decision *d, uint8_t *data,
 		      size_t len)
@@ -166,6 +179,10 @@
 		count(&e->counters, COUNT_FLOW_NO_UPSTREAM);
 		break;
 	case COOKIE_DROP:
+		if (d->reason == COOKIE_DEFERRED) {
+			log_deferral(e, p, d);
+			break;
+		}
 		log_event(e->log, EVENT_FLOW_UNKNOWN,
 			  "flow=%s reason=%s cookie=%08x",
 			  format_flow(&p->key, flow),
@@ -306,7 +323,7 @@
 	}
 }
 
-static void fill_beacon(const struct edge *e, struct beacon *b)
+static void fill_beacon(struct edge *e, struct beacon *b)
 {
 	const struct member *self = find_member(e->view, view_self(e->view));
 
@@ -350,7 +367,7 @@
 {
 	GArray *to = g_array_new(FALSE, FALSE, sizeof(struct endpoint));
 
-	if (tick_beacons(e->beacons, e->now_ms, to))
+	if (tick_beacons(e->beacons, e->now_ms, has_load_moved(e->placing), to))
 		send_beacon(e, to);
 	g_array_free(to, TRUE);
 }
--- a/net/edge.c
+++ b/net/edge.c
@@ -91,6 +91,8 @@
 	tick_placing(e->placing, e->now_ms, checks);
 	check_upstreams(e, checks);
 	g_array_free(checks, TRUE);
+	if (has_load_moved(e->placing))
+		tick_edge_beacons(e);
 }
 
 static void on_tick(uv_timer_t *timer)
--- a/t/bench-placing.c
+++ b/t/bench-placing.c
@@ -10,6 +10,7 @@
 	double long_flows;
 	double skew;
 	uint32_t gap_ms;
+	bool no_defer;
 };
 
 static void play_row(const struct load *ld, enum placing_way way, double far)
@@ -27,22 +28,25 @@
 				       .skew = ld->skew,
 				       .beacon_ms = 150,
 				       .length_ms = 30000,
+				       .no_defer = ld->no_defer,
 				       .gap_ms = ld->gap_ms };
 	struct placing_result r;
 
 	play_placing(&opt, &r);
-	printf("%-14s %-12s %5.1f %7u %7.4f %6u %6u %7u %6.3f %7u\n", ld->name,
-	       placing_way_name(way), far, r.asked, (double)r.in_aim / r.asked,
-	       r.late, r.shed, r.refused, (double)r.far / r.asked, r.p99_ms);
+	printf("%-14s %-12s %5.1f %7u %7.4f %6u %6u %7u %7u %6u %6.3f %7u\n",
+	       ld->name, placing_way_name(way), far, r.asked,
+	       (double)r.in_aim / r.asked, r.late, r.shed, r.refused,
+	       r.deferred, r.failed, (double)r.far / r.asked, r.p99_ms);
 }
 
 int main(void)
 {
 	static const struct load loads[] = {
-		{ "usual", 150, 300, 1.0, 0 },
-		{ "heavy", 400, 450, 1.0, 0 },
-		{ "heavy, skewed", 400, 450, 1.8, 0 },
-		{ "after a gap", 300, 300, 1.0, 2000 },
+		{ "usual", 150, 300, 1.0, 0, false },
+		{ "heavy", 400, 450, 1.0, 0, false },
+		{ "heavy, skewed", 400, 450, 1.8, 0, false },
+		{ "after a gap", 300, 300, 1.0, 2000, false },
+		{ "gap, no defer", 300, 300, 1.0, 2000, true },
 	};
 	static const double far[] = { 0, 0.3, 0.7, 1.0, 2.0, 5.0 };
 
--- a/t/check-beacon.c
+++ b/t/check-beacon.c
@@ -43,7 +43,7 @@
 static bool tick(uint64_t now_ms)
 {
 	g_array_set_size(to, 0);
-	return tick_beacons(bs, now_ms, to);
+	return tick_beacons(bs, now_ms, false, to);
 }
 
 static void hear(const char *name, const char *domain, uint16_t port,
@@ -137,6 +137,16 @@
 }
 END_TEST
 
+START_TEST(urgent_news_do_not_wait_for_the_interval)
+{
+	hear("b", "south", 2, 0, 1000);
+	ck_assert(tick(1000));
+	ck_assert(!tick_beacons(bs, 1000 + BEACON_URGENT_MS - 1, true, to));
+	ck_assert(tick_beacons(bs, 1000 + BEACON_URGENT_MS, true, to));
+	ck_assert(!tick(1000 + BEACON_URGENT_MS + BEACON_MS - 1));
+}
+END_TEST
+
 START_TEST(nobody_is_a_reader_before_peers_were_heard)
 {
 	ck_assert(!wants_reading(bs, 1000 + BEACON_ROLE_MS - 1));
@@ -305,6 +315,7 @@
 	tcase_add_test(tc, a_silent_member_is_dead_and_comes_back);
 	tcase_add_test(tc, addresses_without_an_answer_are_tried_rarely);
 	tcase_add_test(tc, a_member_that_is_heard_gets_every_beacon);
+	tcase_add_test(tc, urgent_news_do_not_wait_for_the_interval);
 	tcase_add_test(tc, nobody_is_a_reader_before_peers_were_heard);
 	tcase_add_test(tc, a_domain_whose_reader_follows_needs_no_other);
 	tcase_add_test(tc, a_reader_that_does_not_reach_the_store_is_replaced);
--- a/t/check-cookie.c
+++ b/t/check-cookie.c
@@ -328,6 +328,53 @@
 }
 END_TEST
 
+/* Fills every slot and queue of NR. */
+static void fill(upstream_nr_t nr)
+{
+	for (int i = 0; i < 3 * PLACING_FULL_LOAD; i++) {
+		note_flow_open(in.placing, nr);
+		note_request(in.placing, nr);
+	}
+}
+
+START_TEST(while_all_are_full_a_syn_waits_for_its_copies)
+{
+	struct cookie_decision d;
+
+	fill(put("u-a", 0));
+	d = syn(4000, 0, 1000);
+	ck_assert_int_eq(d.verdict, COOKIE_DROP);
+	ck_assert_int_eq(d.reason, COOKIE_DEFERRED);
+	ck_assert_int_eq(syn(4000, 1, 1200).reason, COOKIE_DEFERRED);
+	ck_assert_int_eq(syn(4000, 2, 1600).verdict, COOKIE_TO_UPSTREAM);
+	ck_assert_int_eq(syn(4001, 0, 1600).reason, COOKIE_DEFERRED);
+	put("u-b", 1700);
+	ck_assert_int_eq(syn(4001, 1, 1800).verdict, COOKIE_TO_UPSTREAM);
+}
+END_TEST
+
+START_TEST(the_most_urgent_route_does_not_wait)
+{
+	GArray *routes =
+		g_array_new(FALSE, FALSE, sizeof(struct catalog_route));
+	struct catalog_route r = { .ip = BED_ROUTE_IP,
+				   .port = BED_ROUTE_PORT,
+				   .deadline_ms = BED_DEADLINE_MS,
+				   .share_nr = 1 };
+	struct route_share share = { intern_service(in.catalog, "board"), 1 };
+
+	for (uint32_t priority = 1; priority <= 2; priority++) {
+		r.shares = g_memdup2(&share, sizeof(share));
+		r.priority = priority;
+		r.port = (uint16_t)(BED_ROUTE_PORT + priority - 1);
+		g_array_append_val(routes, r);
+	}
+	set_catalog_routes(in.catalog, 9, routes, BED_IDLE_MS);
+	fill(put("u-a", 0));
+	ck_assert_int_eq(syn(4000, 0, 1000).verdict, COOKIE_TO_UPSTREAM);
+}
+END_TEST
+
 START_TEST(flows_of_a_dropped_route_end_and_the_others_stay)
 {
 	const uint16_t ports[] = { 1, BED_ROUTE_PORT };
@@ -418,6 +465,8 @@
 	tcase_add_test(
 		tc, draining_and_taken_out_upstreams_keep_flows_and_get_none);
 	tcase_add_test(tc, what_cannot_be_served_is_refused_at_its_syn);
+	tcase_add_test(tc, while_all_are_full_a_syn_waits_for_its_copies);
+	tcase_add_test(tc, the_most_urgent_route_does_not_wait);
 	tcase_add_test(tc, flows_of_a_dropped_route_end_and_the_others_stay);
 	tcase_add_test(tc, an_older_configuration_never_comes_back);
 	tcase_add_test(tc, one_with_no_configuration_asks_others);
--- a/t/check-placing.c
+++ b/t/check-placing.c
@@ -319,6 +319,37 @@
 }
 END_TEST
 
+/*
+ * After an outage all callers come back at once. Leaving SYNs to their copies
+ * must lose fewer requests than letting upstreams shed them.
+ */
+START_TEST(after_an_outage_fewer_requests_are_lost)
+{
+	struct placing_options opt = { .way = WAY_FULL_SCAN,
+				       .far_cost = PLACING_FAR_COST,
+				       .seed = 20261204,
+				       .domain_nr = 4,
+				       .instances = 2,
+				       .upstreams = 4,
+				       .slots = 3,
+				       .queue = 12,
+				       .requests_s = 300,
+				       .long_flows = 300,
+				       .skew = 1,
+				       .beacon_ms = 150,
+				       .length_ms = 15000,
+				       .gap_ms = 2000 };
+	struct placing_result r;
+	struct placing_result shedding;
+
+	play_placing(&opt, &r);
+	opt.no_defer = true;
+	play_placing(&opt, &shedding);
+	ck_assert_uint_lt(r.failed, shedding.failed);
+	ck_assert_uint_ge(r.in_aim + r.late, shedding.in_aim + shedding.late);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("placing");
@@ -346,6 +377,7 @@
 	tcase_add_test(tc, another_start_begins_without_blame);
 	tcase_add_test(tc, two_ids_with_one_cookie_do_not_both_get_flows);
 	tcase_add_test(tc, the_heaviest_load_is_served_in_time);
+	tcase_add_test(tc, after_an_outage_fewer_requests_are_lost);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_ENV);
 	failed = srunner_ntests_failed(sr);
--- a/t/placing-world.c
+++ b/t/placing-world.c
@@ -4,15 +4,31 @@
 #include <stdbool.h>
 #include <string.h>
 
+#include "fleet/beacon.h"
 #include "t/cookie-bed.h"
 
 #define DEADLINE_MS 3000
+#define TRIES 3	    /* of one request */
+#define AGAIN_MS 15 /* until a caller comes again */
+
+/* When a SYN and its copies are sent, and when the caller gives up, ms. */
+static const uint32_t copy_ms[] = { 0, 200, 600, 1400 };
+
+/* A request whose caller will send a SYN at DUE_MS. */
+struct asking {
+	uint64_t asked_ms; /* when the caller first asked */
+	uint64_t syn_ms;   /* when this try began */
+	uint64_t due_ms;
+	unsigned int copy;
+	unsigned int tries;
+};
 
 /* One request at an upstream. */
 struct work {
 	uint64_t asked_ms; /* when the caller first asked */
 	uint32_t left_ms;
 	unsigned int instance;
+	unsigned int tries;
 	bool lasting; /* of a long flow, which goes on */
 };
 
@@ -36,7 +52,8 @@
 	upstream_nr_t *handles; /* of servers, the same at all instances */
 	struct server *servers;
 	struct long_flow *flows;
-	GArray *took; /* of uint32_t, ms */
+	GArray *took;	/* of uint32_t, ms */
+	GArray *asking; /* of struct asking */
 	uint64_t now_ms;
 };
 
@@ -100,7 +117,7 @@
 	return n;
 }
 
-static unsigned int choose(struct world *w, unsigned int instance)
+static struct placement choose(struct world *w, unsigned int instance)
 {
 	struct bed_instance *in = &w->instances[instance];
 	service_nr_t service = intern_service(in->catalog, "board");
@@ -115,8 +132,7 @@
 	at = place_new_flow(in->placing, service, DEADLINE_MS, others, n,
 			    w->now_ms);
 	g_free(others);
-	return at.upstream == CATALOG_NONE ? w->server_nr
-					   : server_of(w, at.upstream);
+	return at;
 }
 
 static void count_answer(struct world *w, const struct work *wk)
@@ -140,15 +156,30 @@
 	g_free(wk);
 }
 
+/* The caller of a try that did not run comes again, if it may. */
+static void try_again(struct world *w, uint64_t asked_ms, unsigned int tries)
+{
+	struct asking a = { .asked_ms = asked_ms,
+			    .syn_ms = w->now_ms + AGAIN_MS,
+			    .due_ms = w->now_ms + AGAIN_MS,
+			    .tries = tries + 1 };
+
+	if (a.tries < TRIES)
+		g_array_append_val(w->asking, a);
+	else
+		w->res->failed++;
+}
+
 static void offer(struct world *w, unsigned int server, unsigned int instance,
-		  uint64_t asked_ms, bool lasting)
+		  const struct asking *a, bool lasting)
 {
 	struct server *sv = &w->servers[server];
 	struct placing *pl = w->instances[instance].placing;
 	struct work *wk = g_new0(struct work, 1);
 	double u = g_rand_double_range(w->rand, 1e-6, 1);
 
-	wk->asked_ms = asked_ms;
+	wk->asked_ms = a->asked_ms;
+	wk->tries = a->tries;
 	wk->left_ms = 1 + (uint32_t)(-log(u) * PLACING_WORLD_WORK_MS);
 	wk->instance = instance;
 	wk->lasting = lasting;
@@ -164,6 +195,7 @@
 	} else {
 		w->res->shed++;
 		end_work(w, server, wk);
+		try_again(w, a->asked_ms, a->tries);
 	}
 }
 
@@ -203,16 +235,48 @@
 					      (gint32)w->opt->instances);
 }
 
-static void ask_fresh(struct world *w, uint64_t asked_ms)
+/* A SYN of A arrives. */
+static void take_syn(struct world *w, struct asking *a)
 {
 	unsigned int instance = pick_instance(w);
-	unsigned int server = choose(w, instance);
+	struct placement at = choose(w, instance);
+	bool defer = at.reason == PLACE_FULL && !w->opt->no_defer;
+
+	if (defer && a->copy < COOKIE_COPIES) {
+		a->copy++;
+		a->due_ms = a->syn_ms + copy_ms[a->copy];
+		w->res->deferred++;
+		g_array_append_val(w->asking, *a);
+	} else if (at.upstream != CATALOG_NONE) {
+		offer(w, server_of(w, at.upstream), instance, a, false);
+	} else {
+		w->res->refused++;
+		try_again(w, a->asked_ms, a->tries);
+	}
+}
+
+static void ask_fresh(struct world *w, uint64_t asked_ms)
+{
+	struct asking a = { .asked_ms = asked_ms,
+			    .syn_ms = w->now_ms,
+			    .due_ms = w->now_ms };
 
 	w->res->asked++;
-	if (server == w->server_nr)
-		w->res->refused++;
-	else
-		offer(w, server, instance, asked_ms, false);
+	take_syn(w, &a);
+}
+
+/* Lets the callers send whose time has come. */
+static void ask_again(struct world *w)
+{
+	for (guint i = w->asking->len; i > 0; i--) {
+		struct asking a =
+			g_array_index(w->asking, struct asking, i - 1);
+
+		if (a.due_ms > w->now_ms)
+			continue;
+		g_array_remove_index_fast(w->asking, i - 1);
+		take_syn(w, &a);
+	}
 }
 
 static void open_long_flows(struct world *w)
@@ -224,7 +288,7 @@
 		struct long_flow *f = &w->flows[i];
 
 		f->instance = pick_instance(w);
-		f->server = choose(w, f->instance);
+		f->server = server_of(w, choose(w, f->instance).upstream);
 		if (f->server < w->server_nr)
 			note_flow_open(w->instances[f->instance].placing,
 				       w->handles[f->server]);
@@ -234,6 +298,7 @@
 static void ask_long(struct world *w)
 {
 	unsigned int n = (unsigned int)w->opt->long_flows;
+	struct asking a = { .asked_ms = w->now_ms };
 
 	for (unsigned int i = 0; i < n; i++) {
 		const struct long_flow *f = &w->flows[i];
@@ -242,7 +307,7 @@
 		    g_rand_double(w->rand) >= 0.001)
 			continue;
 		w->res->asked++;
-		offer(w, f->server, f->instance, w->now_ms, true);
+		offer(w, f->server, f->instance, &a, true);
 	}
 }
 
@@ -265,8 +330,11 @@
 	GArray *checks = g_array_new(FALSE, FALSE, sizeof(upstream_nr_t));
 
 	for (unsigned int i = 0; i < w->instance_nr; i++) {
-		if (w->opt->way != WAY_OWN_VIEW &&
-		    (w->now_ms + i * 13) % w->opt->beacon_ms == 0)
+		bool due = (w->now_ms + i * 13) % w->opt->beacon_ms == 0;
+
+		due |= has_load_moved(w->instances[i].placing) &&
+		       (w->now_ms + i * 13) % BEACON_URGENT_MS == 0;
+		if (w->opt->way != WAY_OWN_VIEW && due)
 			send_beacon(w, i);
 		if (w->now_ms % PLACING_MEANS_MS == 0)
 			tick_placing(w->instances[i].placing, w->now_ms,
@@ -298,6 +366,7 @@
 			continue;
 		for (; backlog; backlog--)
 			ask_fresh(w, w->now_ms);
+		ask_again(w);
 		ask_long(w);
 		run_servers(w);
 		tick(w);
@@ -325,6 +394,7 @@
 	g_free(w->handles);
 	g_free(w->flows);
 	g_array_free(w->took, TRUE);
+	g_array_free(w->asking, TRUE);
 	g_rand_free(w->rand);
 }
 
@@ -339,6 +409,7 @@
 	w.servers = g_new0(struct server, w.server_nr);
 	w.handles = g_new0(upstream_nr_t, w.server_nr);
 	w.took = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	w.asking = g_array_new(FALSE, FALSE, sizeof(struct asking));
 	w.rand = g_rand_new_with_seed(opt->seed);
 	create_instances(&w);
 	open_long_flows(&w);
--- a/t/placing-world.h
+++ b/t/placing-world.h
@@ -7,6 +7,7 @@
  * queue and shed what exceeds it. What callers get is counted.
  */
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /* How an instance chooses. */
@@ -32,17 +33,20 @@
 	double skew;		/* load of the first domain against the mean */
 	uint32_t beacon_ms;	/* between an instance's beacons */
 	uint32_t length_ms;
+	bool no_defer;	 /* an upstream that sheds is the only refusal */
 	uint32_t gap_ms; /* nothing is served for so long in the middle;
 			  * callers come back all at once */
 };
 
 struct placing_result {
 	uint32_t asked;
-	uint32_t in_aim;  /* answered within PLACING_WORLD_AIM_MS */
-	uint32_t late;	  /* answered after that */
-	uint32_t shed;	  /* refused by the upstream, not run */
-	uint32_t refused; /* refused by the instance */
-	uint32_t far;	  /* of all, at an upstream of another domain */
+	uint32_t in_aim;   /* answered within PLACING_WORLD_AIM_MS */
+	uint32_t late;	   /* answered after that */
+	uint32_t shed;	   /* refused by the upstream, not run */
+	uint32_t refused;  /* refused by the instance */
+	uint32_t deferred; /* SYNs left to their next copy */
+	uint32_t failed;   /* requests that used up their tries */
+	uint32_t far;	   /* of all, at an upstream of another domain */
 	uint32_t p99_ms;
 };
 
