net, builtin: histograms, status and checks; take in changed settings

Metrics have histograms of handshakes and, for each service, of times to answer, and counts of upstreams by health. GET /status serves what 'baobabvalve status' shows; 'baobabvalve check' takes settings and configurations of the platform. The settings file is looked at every second, since it may change without a signal.

--- a/config/catalog.c
+++ b/config/catalog.c
@@ -444,6 +444,11 @@
 	return c->services->len;
 }
 
+size_t catalog_domain_nr(const struct catalog *c)
+{
+	return c->domains->len;
+}
+
 const char *domain_name(const struct catalog *c, domain_nr_t nr)
 {
 	return g_array_index(c->domains, struct domain, nr).name;
--- a/config/catalog.h
+++ b/config/catalog.h
@@ -141,6 +141,7 @@
 const struct catalog_service *get_service(const struct catalog *c,
 					  service_nr_t nr);
 size_t catalog_service_nr(const struct catalog *c);
+size_t catalog_domain_nr(const struct catalog *c);
 const char *domain_name(const struct catalog *c, domain_nr_t nr);
 bool is_catalog_domain_out(const struct catalog *c, domain_nr_t nr);
 
--- a/flow/cookie.c
+++ b/flow/cookie.c
@@ -47,7 +47,8 @@
 	GArray *opening;	/* of struct opening, oldest first */
 	uint64_t swept_ms;
 	uint64_t ticked_ms;
-	double handshake_ms; /* mean from SYN to the next packet */
+	struct histogram handshakes; /* ms */
+	double handshake_ms;	     /* mean from SYN to the next packet */
 };
 
 static guint hash_flow(gconstpointer data)
@@ -418,6 +419,7 @@
 			double took = (double)(now_ms - f->syn_ms);
 
 			note_life(cs->placing, f->upstream, now_ms);
+			add_duration(&cs->handshakes, now_ms - f->syn_ms);
 			cs->handshake_ms +=
 				HANDSHAKE_WEIGHT *
 				(MIN(took, COOKIE_HANDSHAKE_MAX_MS) -
@@ -650,6 +652,11 @@
 	return g_hash_table_size(cs->flows);
 }
 
+const struct histogram *handshake_times(const struct cookie_steering *cs)
+{
+	return &cs->handshakes;
+}
+
 const char *cookie_reason_name(enum cookie_reason r)
 {
 	static const char *const names[COOKIE_REASON_NR] = {
--- a/flow/cookie.h
+++ b/flow/cookie.h
@@ -116,6 +116,9 @@
 /* Flows followed. */
 size_t cookie_flow_nr(const struct cookie_steering *cs);
 
+/* Times from a SYN that was passed on to the caller's next packet, ms. */
+const struct histogram *handshake_times(const struct cookie_steering *cs);
+
 const char *cookie_reason_name(enum cookie_reason r);
 
 #endif
--- a/flow/placing.c
+++ b/flow/placing.c
@@ -45,6 +45,7 @@
 struct service_mean {
 	double answer_ms;
 	double busy_ratio;
+	struct histogram answers; /* ms */
 };
 
 struct placing {
@@ -118,7 +119,8 @@
 
 static struct service_mean *need_mean(struct placing *pl, service_nr_t sv)
 {
-	struct service_mean start = { ANSWER_MS_START, BUSY_RATIO_START };
+	struct service_mean start = { .answer_ms = ANSWER_MS_START,
+				      .busy_ratio = BUSY_RATIO_START };
 
 	while (pl->services->len <= sv)
 		g_array_append_val(pl->services, start);
@@ -342,6 +344,7 @@
 	if (up) {
 		struct service_mean *mean = need_mean(pl, up->service);
 
+		add_duration(&mean->answers, took_ms);
 		mean->answer_ms +=
 			MEAN_WEIGHT * ((double)took_ms - mean->answer_ms);
 	}
@@ -436,6 +439,11 @@
 	}
 }
 
+uint32_t busy_request_nr(const struct placing *pl)
+{
+	return pl->busy;
+}
+
 bool has_load_moved(const struct placing *pl)
 {
 	uint32_t moved = pl->busy > pl->told_busy ? pl->busy - pl->told_busy
@@ -583,6 +591,16 @@
 	}
 }
 
+const struct histogram *answer_times(const struct placing *pl,
+				     service_nr_t service)
+{
+	return service < pl->services->len
+		       ? &g_array_index(pl->services, struct service_mean,
+					service)
+				  .answers
+		       : NULL;
+}
+
 enum upstream_health placing_health(const struct placing *pl, upstream_nr_t nr)
 {
 	const struct row *r = find_row(pl, nr);
--- a/flow/placing.h
+++ b/flow/placing.h
@@ -17,6 +17,7 @@
  */
 
 #include "base/counters.h"
+#include "base/histogram.h"
 #include "config/catalog.h"
 #include "fleet/load.h"
 #include "fleet/share.h"
@@ -142,6 +143,9 @@
 /* Appends rows (struct load_row) for the peers, which are then told. */
 void list_own_loads(struct placing *pl, uint64_t now_ms, GArray *rows);
 
+/* Requests in flight on flows that this instance carries. */
+uint32_t busy_request_nr(const struct placing *pl);
+
 /* Whether the own load has changed much since the peers were told. */
 bool has_load_moved(const struct placing *pl);
 
@@ -155,6 +159,10 @@
 void note_check(struct placing *pl, upstream_nr_t nr, enum check_result result,
 		uint64_t now_ms);
 
+/* Times to answer of SERVICE, ms; NULL if none was seen. */
+const struct histogram *answer_times(const struct placing *pl,
+				     service_nr_t service);
+
 enum upstream_health placing_health(const struct placing *pl, upstream_nr_t nr);
 const char *place_reason_name(enum place_reason r);
 const char *check_result_name(enum check_result r);
--- a/net/admin.c
+++ b/net/admin.c
@@ -51,13 +51,13 @@
 	return list;
 }
 
-static json_t *members_json(const struct admin_source *src)
+json_t *members_json(const struct view *view)
 {
 	json_t *list = json_array();
 	const struct member *ms;
 	size_t nr;
 
-	ms = view_members(src->view, &nr);
+	ms = view_members(view, &nr);
 	for (size_t i = 0; i < nr; i++)
 		json_array_append_new(
 			list, json_pack("{s:s, s:s, s:s}", "name", ms[i].name,
@@ -66,7 +66,7 @@
 	return list;
 }
 
-static json_t *counters_json(const struct counters *cs)
+json_t *counters_json(const struct counters *cs)
 {
 	json_t *j = json_object();
 
@@ -102,7 +102,7 @@
 		j, "open-requests",
 		json_integer((json_int_t)src->open_requests(src->data)));
 	json_object_set_new(j, "domains", domains_json(src));
-	json_object_set_new(j, "members", members_json(src));
+	json_object_set_new(j, "members", members_json(src->view));
 	json_object_set_new(j, "services", services_json(src, sn));
 	json_object_set_new(j, "counters", counters_json(src->counters));
 	text = json_dumps(j, JSON_INDENT(1));
--- a/net/admin.h
+++ b/net/admin.h
@@ -3,6 +3,7 @@
 
 /* What an instance tells operators over HTTP, as "baobabvalve status" shows. */
 
+#include <jansson.h>
 #include <uv.h>
 
 #include "base/counters.h"
@@ -24,6 +25,10 @@
 	void *data;
 };
 
+/* Parts of the answer that other kinds of instance have too. */
+json_t *members_json(const struct view *view);
+json_t *counters_json(const struct counters *cs);
+
 /* Serves GET /status at the settings' admin port. */
 struct http_server *create_admin(uv_loop_t *loop,
 				 const struct admin_source *src,
--- a/net/edge-http.c
+++ b/net/edge-http.c
@@ -1,5 +1,6 @@
 /* Readiness, which decides whether packets come here, and metrics. */
 
+#include <stdlib.h>
 #include <string.h>
 
 #include "net/edge-state.h"
@@ -41,6 +42,68 @@
 	g_free(plain);
 }
 
+/* Services are few; a label for each stays bounded. */
+#define SERVICES_SHOWN_MAX 50
+
+static void add_answer_times(GString *text, const struct edge *e)
+{
+	size_t nr = MIN(catalog_service_nr(e->catalog), SERVICES_SHOWN_MAX);
+
+	g_string_append(text, "# HELP baobabvalve_answer_ms time from a request"
+			      " to the first acknowledged byte of its answer\n"
+			      "# TYPE baobabvalve_answer_ms histogram\n");
+	for (size_t i = 0; i < nr; i++) {
+		const struct histogram *h =
+			answer_times(e->placing, (service_nr_t)i);
+		char *labels;
+
+		if (!h || !duration_nr(h))
+			continue;
+		labels = g_strdup_printf(
+			"service=\"%s\"",
+			get_service(e->catalog, (service_nr_t)i)->name);
+		print_histogram(text, "baobabvalve_answer_ms", labels, h);
+		g_free(labels);
+	}
+}
+
+static void add_histograms(GString *text, const struct edge *e)
+{
+	g_string_append(text, "# HELP baobabvalve_handshake_ms time from a SYN "
+			      "passed on to the caller's next packet\n"
+			      "# TYPE baobabvalve_handshake_ms histogram\n");
+	print_histogram(text, "baobabvalve_handshake_ms", "",
+			handshake_times(e->steering));
+	add_answer_times(text, e);
+}
+
+/* Upstreams of each health, and how many of them take flows. */
+static void add_upstreams(GString *text, const struct edge *e)
+{
+	uint64_t nr[HEALTH_DEAD + 1] = { 0 };
+	uint64_t taking = 0;
+
+	for (size_t i = 0; i < catalog_upstream_nr(e->catalog); i++) {
+		upstream_nr_t up = (upstream_nr_t)i;
+
+		if (!get_upstream(e->catalog, up) ||
+		    !get_upstream(e->catalog, up)->listed)
+			continue;
+		nr[placing_health(e->placing, up)]++;
+		taking += accepts_flows(e->catalog, up);
+	}
+	g_string_append(text, "# HELP baobabvalve_upstreams upstreams listed, "
+			      "by health as judged here\n"
+			      "# TYPE baobabvalve_upstreams gauge\n");
+	for (int h = 0; h <= HEALTH_DEAD; h++)
+		g_string_append_printf(
+			text, "baobabvalve_upstreams{health=\"%s\"} %llu\n",
+			upstream_health_name((enum upstream_health)h),
+			(unsigned long long)nr[h]);
+	add_metric(text, "upstreams-taking-flows", "gauge",
+		   "upstreams that may get new flows", taking);
+}
+
 static char *metrics_text(const struct edge *e)
 {
 	GString *text = g_string_new(NULL);
@@ -63,6 +126,8 @@
 		   "log lines over their budget", suppressed_events(e->log));
 	add_metric(text, "log-lost", "counter",
 		   "log lines that nobody read in time", lost_events(e->log));
+	add_upstreams(text, e);
+	add_histograms(text, e);
 	return g_string_free(text, FALSE);
 }
 
@@ -79,9 +144,15 @@
 				"text/plain; version=0.0.4");
 		set_http_body(answer, text);
 		g_free(text);
+	} else if (m->method == HTTP_GET && !strcmp(m->target, "/status")) {
+		text = edge_status_text(data);
+		answer->code = 200;
+		add_http_header(answer, "Content-Type", "application/json");
+		set_http_body(answer, text);
+		free(text);
 	} else {
 		answer->code = 404;
-		set_http_body(answer, "GET /metrics is all there is\n");
+		set_http_body(answer, "GET /metrics or /status\n");
 	}
 	answer_http(ex, answer);
 }
--- a/net/edge-state.h
+++ b/net/edge-state.h
@@ -4,6 +4,7 @@
 /* What the files net/edge*.c share; for no one else. */
 
 #include <glib.h>
+#include <time.h>
 #include <uv.h>
 
 #include "config/catalog.h"
@@ -21,6 +22,9 @@
 	uv_loop_t loop;
 	const char *path; /* of the settings file */
 	struct settings settings;
+	struct timespec settings_mtime; /* of the file as last seen */
+	off_t settings_size;
+	uint64_t looked_ms; /* at the settings file */
 	struct counters counters;
 	struct event_log *log;
 	struct catalog *catalog;
@@ -82,6 +86,9 @@
 void check_upstreams(struct edge *e, const GArray *checks);
 void cancel_checks(struct edge *e);
 
+/* edge-status.c: what "baobabvalve status" shows, as JSON; use free() */
+char *edge_status_text(const struct edge *e);
+
 /* edge-http.c: readiness and metrics */
 bool open_edge_http(struct edge *e, struct status *st);
 
--- a/net/edge.c
+++ b/net/edge.c
@@ -2,11 +2,13 @@
 
 #include <signal.h>
 #include <string.h>
+#include <sys/stat.h>
 #include <time.h>
 
 #include "net/files.h"
 
 #define TICK_MS 50
+#define SETTINGS_LOOK_MS 1000 /* between two looks at the settings file */
 
 /* A tick that comes so late means that this process stood still. */
 #define STOOD_STILL_MS 700
@@ -80,6 +82,77 @@
 		  (unsigned long long)catalog_version(e->catalog));
 }
 
+/* True if A and B differ in what only a restart can change. */
+static bool needs_restart(const struct settings *a, const struct settings *b)
+{
+	return strcmp(a->name, b->name) != 0 ||
+	       strcmp(a->domain, b->domain) != 0 ||
+	       a->peer_port != b->peer_port ||
+	       !same_endpoint(&a->packets, &b->packets) ||
+	       !same_endpoint(&a->ready, &b->ready) ||
+	       !same_endpoint(&a->metrics, &b->metrics);
+}
+
+static void add_seeds(struct edge *e, const struct settings *s)
+{
+	for (size_t i = 0; i < s->seeds.nr; i++) {
+		struct endpoint at = s->seeds.at[i];
+
+		/* seeds name other ports; ours are the same everywhere */
+		at.port = e->settings.peer_port;
+		add_beacon_address(e->beacons, &at);
+	}
+}
+
+/* Takes in what of the settings can change while the process runs. */
+static void apply_settings(struct edge *e, const struct settings *new)
+{
+	if (needs_restart(&e->settings, new))
+		log_event(e->log, EVENT_PROBLEM,
+			  "what=settings why=\"names and addresses change "
+			  "only with a restart\"");
+	e->settings.bounds = new->bounds;
+	e->settings.seeds = new->seeds;
+	e->settings.store = new->store;
+	set_store_endpoints(e->store, &new->store);
+	add_seeds(e, new);
+}
+
+static void reload(struct edge *e, const char *cause)
+{
+	struct problems *ps = create_problems();
+	struct settings new;
+
+	if (load_settings(e->path, &new, ps)) {
+		apply_settings(e, &new);
+		log_event(e->log, EVENT_RELOAD, "path=%s cause=%s", e->path,
+			  cause);
+	}
+	for (size_t i = 0; problem_at(ps, i); i++)
+		log_event(e->log, EVENT_PROBLEM, "what=settings why=\"%s\"",
+			  problem_at(ps, i));
+	destroy_problems(ps);
+}
+
+/* The file may change without a signal. */
+static void look_at_settings(struct edge *e)
+{
+	struct stat sb;
+
+	if (e->now_ms - e->looked_ms < SETTINGS_LOOK_MS)
+		return;
+	e->looked_ms = e->now_ms;
+	if (stat(e->path, &sb))
+		return;
+	if (e->settings_mtime.tv_sec &&
+	    (sb.st_mtim.tv_sec != e->settings_mtime.tv_sec ||
+	     sb.st_mtim.tv_nsec != e->settings_mtime.tv_nsec ||
+	     sb.st_size != e->settings_size))
+		reload(e, "changed");
+	e->settings_mtime = sb.st_mtim;
+	e->settings_size = sb.st_size;
+}
+
 /* The quick part: what must not wait for the slower tick. */
 static void on_quick_tick(uv_timer_t *timer)
 {
@@ -105,6 +178,7 @@
 	update_shares(e->shares, e->now_ms);
 	expire_catalog(e->catalog, e->now_ms);
 	tick_edge_beacons(e);
+	look_at_settings(e);
 	log_readiness(e);
 	flush_event_log(e->log, e->now_ms);
 	if (e->stopping_ms)
@@ -126,25 +200,10 @@
 	tick_edge_beacons(e);
 }
 
-static void reload(struct edge *e)
-{
-	struct problems *ps = create_problems();
-	struct settings new;
-
-	if (load_settings(e->path, &new, ps)) {
-		e->settings.bounds = new.bounds;
-		log_event(e->log, EVENT_RELOAD, "path=%s", e->path);
-	}
-	for (size_t i = 0; problem_at(ps, i); i++)
-		log_event(e->log, EVENT_PROBLEM, "what=settings why=\"%s\"",
-			  problem_at(ps, i));
-	destroy_problems(ps);
-}
-
 static void on_reload(uv_signal_t *sig, int signum)
 {
 	(void)signum;
-	reload(sig->data);
+	reload(sig->data, "signal");
 }
 
 static void start_signal(struct edge *e, uv_signal_t *sig, uv_signal_cb cb,
@@ -177,13 +236,7 @@
 	e->now_ms = edge_clock_ms();
 	e->view = create_view(self.id);
 	e->beacons = create_beacons(&self, e->view, e->now_ms);
-	for (size_t i = 0; i < e->settings.seeds.nr; i++) {
-		struct endpoint at = e->settings.seeds.at[i];
-
-		/* seeds name other ports; ours are the same everywhere */
-		at.port = e->settings.peer_port;
-		add_beacon_address(e->beacons, &at);
-	}
+	add_seeds(e, &e->settings);
 	e->catalog = create_catalog(e->settings.bounds.flow_ttl_ms);
 	e->shares = create_shares(e->view);
 	e->placing = create_placing(e->catalog, e->view, e->shares,
--- a/store/etcd.c
+++ b/store/etcd.c
@@ -382,6 +382,13 @@
 	return c;
 }
 
+void set_etcd_endpoints(struct etcd_store *s,
+			const struct endpoint_list *endpoints)
+{
+	s->endpoints = *endpoints;
+	s->current = 0;
+}
+
 void range_etcd(struct etcd_store *s, const struct store_range *r, store_fn fn,
 		void *data)
 {
--- a/store/etcd.h
+++ b/store/etcd.h
@@ -12,6 +12,8 @@
 			       const struct endpoint_list *endpoints,
 			       struct counters *counters);
 void destroy_etcd_store(struct etcd_store *s);
+void set_etcd_endpoints(struct etcd_store *s,
+			const struct endpoint_list *endpoints);
 void range_etcd(struct etcd_store *s, const struct store_range *r, store_fn fn,
 		void *data);
 void commit_etcd(struct etcd_store *s, const struct store_txn *txn, store_fn fn,
--- a/store/store.c
+++ b/store/store.c
@@ -62,6 +62,18 @@
 	g_free(s);
 }
 
+void set_store_endpoints(struct store *s, const struct endpoint_list *endpoints)
+{
+	switch (s->protocol) {
+	case STORE_ETCD:
+		set_etcd_endpoints(s->etcd, endpoints);
+		break;
+	case STORE_PLATFORM:
+		set_platform_endpoints(s->platform, endpoints);
+		break;
+	}
+}
+
 void range_store(struct store *s, const struct store_range *r, store_fn fn,
 		 void *data)
 {
--- a/store/store.h
+++ b/store/store.h
@@ -33,6 +33,10 @@
 /* Drops all calls without calling back; memory goes when the loop has run. */
 void destroy_store(struct store *s);
 
+/* Later calls go to ENDPOINTS; those under way go on. */
+void set_store_endpoints(struct store *s,
+			 const struct endpoint_list *endpoints);
+
 void range_store(struct store *s, const struct store_range *r, store_fn fn,
 		 void *data);
 
--- a/t/check-config.c
+++ b/t/check-config.c
@@ -214,6 +214,49 @@
 }
 END_TEST
 
+#define EDGE_SETTINGS                                                          \
+	"[instance]\nname = front-1\ndomain = north\n"                         \
+	"address = 10.1.0.10\npeer-port = 7720\nlink-mbps = 1000.0\n"          \
+	"[listen]\npackets = 10.1.0.10:8172\nready = 10.1.0.10:8167\n"         \
+	"metrics = \n[flows]\nsteering = cookie\n"                             \
+	"[store]\nendpoints = 10.200.1.7:8169\n[peers]\nseeds = \n"            \
+	"[bounds]\nheartbeat = 1200ms\nflow-lifetime = 60s\nstop = 6s\n"
+
+START_TEST(settings_for_steering_by_cookie_are_checked)
+{
+	static const char *const broken[][2] = {
+		{ "steering = cookie", "steering = cookies" },
+		{ "ready = 10.1.0.10:8167", "ready = here" },
+		{ "ready = 10.1.0.10:8167", "" },
+		{ "link-mbps = 1000.0", "link-mbps = -1" },
+		{ "heartbeat = 1200ms", "heartbeat = 1200" },
+		{ "stop = 6s", "halt = 6s" },
+	};
+	struct problems *ps = create_problems();
+	struct settings s;
+
+	ck_assert(parse_settings("s", EDGE_SETTINGS, strlen(EDGE_SETTINGS), &s,
+				 ps));
+	ck_assert_int_eq(s.steering, STEER_BY_COOKIE);
+	ck_assert_uint_eq(s.packets.port, 8172);
+	ck_assert_uint_eq(s.metrics.family, 0);
+	ck_assert_uint_eq(s.link_mbps, 1000);
+	ck_assert_uint_eq(s.bounds.heartbeat_ms, 1200);
+	ck_assert_uint_eq(s.bounds.stop_ms, 6000);
+	for (size_t i = 0; i < G_N_ELEMENTS(broken); i++) {
+		char **parts = g_strsplit(EDGE_SETTINGS, broken[i][0], 2);
+		char *text = g_strjoinv(broken[i][1], parts);
+		size_t before = problem_count(ps);
+
+		ck_assert(!parse_settings("s", text, strlen(text), &s, ps));
+		ck_assert_uint_gt(problem_count(ps), before);
+		g_strfreev(parts);
+		g_free(text);
+	}
+	destroy_problems(ps);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("config");
@@ -235,6 +278,7 @@
 	tcase_add_test(tc, two_services_on_one_address_are_refused);
 	tcase_add_test(tc, snapshot_survives_the_wire);
 	tcase_add_test(tc, settings_are_checked);
+	tcase_add_test(tc, settings_for_steering_by_cookie_are_checked);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_ENV);
 	failed = srunner_ntests_failed(sr);
--- a/t/whole-edge.sh
+++ b/t/whole-edge.sh
@@ -142,6 +142,31 @@
 curl -sS --noproxy '*' "http://$net.71.1:$((port + 2))/metrics" |
 	grep -q "^baobabvalve_flow_forwarded [1-9]" || fail "no metrics"
 
+# A settings file that changes without a signal is taken in.
+sed -i 's/^heartbeat = .*/heartbeat = 500ms/' "$work/in-1.ini"
+wait_until 5 grep -q "event=reload .*cause=changed" "$work/in-1.log" ||
+	fail "a changed settings file was not noticed"
+kill -s HUP "$(cat "$work/in-1.pid")"
+wait_until 5 grep -q "event=reload .*cause=signal" "$work/in-1.log" ||
+	fail "SIGHUP was not heard"
+
+# The operators' command works on what this platform has.
+"$bin/baobabvalve" check --settings="$work/in-1.ini" >/dev/null ||
+	fail "check of good settings"
+sed 's/^ready = .*/ready = nowhere/' "$work/in-1.ini" >"$work/bad.ini"
+"$bin/baobabvalve" check --settings="$work/bad.ini" >"$work/bad.log" 2>&1 &&
+	fail "check took bad settings"
+grep -q "bad.ini:[0-9]*: \[listen\] ready" "$work/bad.log" ||
+	fail "check does not name file and line: $(cat "$work/bad.log")"
+"$bin/baobabvalve" check --platform-config="$work/config.json" >/dev/null ||
+	fail "check of a good configuration"
+echo '{"version":3}' >"$work/bad.json"
+"$bin/baobabvalve" check --platform-config="$work/bad.json" >/dev/null 2>&1 &&
+	fail "check took a bad configuration"
+"$bin/baobabvalve" status "$net.71.1:$((port + 2))" >"$work/status.log" ||
+	fail status
+grep -q "service board" "$work/status.log" || fail "status shows no service"
+
 # A stop is graceful: the process ends by itself within its time.
 kill -s TERM "$(cat "$work/in-1.pid")"
 wait "$(cat "$work/in-1.pid")" || fail "in-1 did not stop cleanly"
