--- a/t/check-config.c
+++ b/t/check-config.c
@@ -232,7 +232,6 @@
 		{ "heartbeat = 1200ms", "heartbeat = 1200" },
 		{ "stop = 6s", "halt = 6s" },
 	};
-	struct problems *ps = create_problems();
 	struct settings s;
 
 	ck_assert(parse_settings("s", EDGE_SETTINGS, strlen(EDGE_SETTINGS), &s,
@@ -253,7 +252,6 @@
 		g_strfreev(parts);
 		g_free(text);
 	}
-	destroy_problems(ps);
 }
 END_TEST
 
