t: a random soak of real processes on the users' platform

Faults come from outside: signals, a proxy before the store, the store's stand-in, configurations and domains that change meanwhile.

--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,7 @@
 BUILTIN_SRC = $(wildcard builtin/*.c)
 STAND_IN_LIB = $(filter-out $(STAND_INS:%=stand-in/%.c),\
 	$(wildcard stand-in/*.c))
-STAND_INS = caller cookie-caller cookie-upstream fabric platform-store \
+STAND_INS = caller cookie-caller cookie-upstream fabric platform-store proxy \
 	store upstream
 T_CHECK = $(patsubst t/%.c,%,$(wildcard t/check-*.c))
 T_PROP = $(patsubst t/%.cc,%,$(wildcard t/prop-*.cc))
--- a/stand-in/cookie-upstream.c
+++ b/stand-in/cookie-upstream.c
@@ -4,7 +4,9 @@
  * itself in the store, takes packets over UDP, answers the health check over
  * TCP and each request after WORK-MS with "ID REQUEST".
  *
- * SIGTERM: says that it drains, serves on for three seconds, and leaves.
+ * SIGTERM: says that it drains, serves on for DRAIN_MS, and leaves. Prints
+ * "late syn T" (T ms since 1970) for a SYN that comes more than LATE_SYN_MS
+ * after it said so.
  */
 
 #include <jansson.h>
@@ -20,7 +22,8 @@
 #include "stand-in/cookie-wire.h"
 
 #define HEARTBEAT_MS 400
-#define DRAIN_MS 3000
+#define DRAIN_MS 4500
+#define LATE_SYN_MS 3000
 #define FLOW_SEQ 7000 /* first byte of each flow of this upstream */
 
 struct served_flow {
@@ -45,6 +48,7 @@
 	uint64_t id;
 	uint64_t start_ms;
 	uint64_t drain_until; /* loop time; 0: does not drain */
+	uint64_t drained;     /* loop time when it said so */
 	GHashTable *flows;    /* of struct served_flow */
 	struct datagrams *dg;
 };
@@ -57,6 +61,14 @@
 	char text[200];
 };
 
+static uint64_t now_ms(void)
+{
+	struct timeval tv;
+
+	gettimeofday(&tv, NULL);
+	return (uint64_t)tv.tv_sec * 1000 + (uint64_t)tv.tv_usec / 1000;
+}
+
 static void on_put(const struct http_call_result *r, void *data)
 {
 	(void)r;
@@ -193,6 +205,10 @@
 	struct cookie_packet a = answer_to(p);
 
 	if (is_cookie_syn(p)) {
+		if (u->drained && uv_now(u->loop) - u->drained > LATE_SYN_MS) {
+			printf("late syn %llu\n", (unsigned long long)now_ms());
+			fflush(stdout);
+		}
 		if (!f) {
 			f = g_new0(struct served_flow, 1);
 			f->key = p->key;
@@ -269,17 +285,16 @@
 	struct cookie_stand_in *u = sig->data;
 
 	(void)signum;
-	u->drain_until = uv_now(u->loop) + DRAIN_MS;
+	u->drained = uv_now(u->loop);
+	u->drain_until = u->drained + DRAIN_MS;
 	announce(u, false);
 }
 
 static bool start(struct cookie_stand_in *u, struct status *st)
 {
 	struct http_handler handler = { .on_request = on_health, .data = u };
-	struct timeval tv;
 
-	gettimeofday(&tv, NULL);
-	u->start_ms = (uint64_t)tv.tv_sec * 1000 + (uint64_t)tv.tv_usec / 1000;
+	u->start_ms = now_ms();
 	u->loop = uv_default_loop();
 	u->flows = g_hash_table_new_full(hash_key, same_key, NULL, g_free);
 	u->dg = create_datagrams(u->loop, &u->at, on_datagram, u, st);
--- a/t/whole-edge.sh
+++ b/t/whole-edge.sh
@@ -7,9 +7,8 @@
 
 bin=$1
 . "$(dirname "$0")/lib.sh"
+. "$(dirname "$0")/edge-lib.sh"
 store=$net.0.1:22779
-port=8172
-service=198.18.0.1:8443
 
 fail () {
 	echo "FAILED: $*"
@@ -17,56 +16,6 @@
 	exit 1
 }
 
-# put KEY FILE: writes an entry of the store, as operators do.
-put () {
-	curl -sS --noproxy '*' -X PUT --data-binary "@$2" \
-		"http://$store/entry?$1" >/dev/null
-}
-
-# write_config VERSION PORT...: a configuration with a route for each port.
-write_config () {
-	version=$1
-	shift
-	routes=
-	for p in "$@"
-	do
-		routes="$routes${routes:+,}{\"name\":\"r-$p\",\"host\":\"198.18.0.1\",\"prefix\":\"/$p/\",\"kind\":\"safe\",\"timeoutMs\":3000,\"sloMs\":200,\"priority\":1,\"service\":\"board\"}"
-	done
-	echo "{\"version\":$version,\"routes\":[$routes],\"services\":[{\"name\":\"board\",\"healthPath\":\"/health\",\"maxConns\":2000,\"warmupS\":2.0,\"warmupPerS\":5}],\"limits\":{\"idleTimeoutMs\":15000}}" >"$work/config.json"
-	put op/config "$work/config.json"
-}
-
-# edge_settings NAME DOMAIN ADDRESS
-edge_settings () {
-	cat >"$work/$1.ini" <<-EOT
-	[instance]
-	name = $1
-	domain = $2
-	address = $3
-	peer-port = 7720
-	[listen]
-	packets = $3:$port
-	ready = $3:$((port + 1))
-	metrics = $3:$((port + 2))
-	[flows]
-	steering = cookie
-	[store]
-	endpoints = $store
-	[bounds]
-	heartbeat = 400ms
-	stop = 6s
-	EOT
-}
-
-is_ready () {
-	curl -sS --noproxy '*' --max-time 1 -f "http://$1:$((port + 1))/ready"
-}
-
-# value NAME FILE: the number behind NAME= in a caller's report.
-value () {
-	sed -n "s/.*$1=\([0-9]*\).*/\1/p" "$2"
-}
-
 start store "$bin/platform-store-stand-in" $store
 wait_until 5 curl -sS --noproxy '*' "http://$store/kv-range?prefix=" ||
 	fail "no store"
@@ -74,7 +23,7 @@
 n=1
 for domain in north north south
 do
-	edge_settings "in-$n" $domain "$net.71.$n"
+	edge_settings "in-$n" $domain "$net.71.$n" $store
 	start "in-$n" "$bin/baobabvalved" --config="$work/in-$n.ini"
 	n=$((n + 1))
 done
@@ -101,11 +50,11 @@
 start in-2 "$bin/baobabvalved" --config="$work/in-2.ini"
 sleep 2
 kill -s TERM "$(cat "$work/up-1.pid")"
-curl -sS --noproxy '*' -X POST "http://$store/fault/forget" >/dev/null
+fault forget
 sleep 1
-curl -sS --noproxy '*' -X POST "http://$store/fault/silent" >/dev/null
+fault silent
 sleep 3
-curl -sS --noproxy '*' -X POST "http://$store/fault/well" >/dev/null
+fault well
 stop_process in-3 TERM
 start in-3 "$bin/baobabvalved" --config="$work/in-3.ini"
 wait "$caller" || fail "answers went wrong: $(cat "$work/caller.log")"
