--- a/flow/placing.c
+++ b/flow/placing.c
@@ -63,6 +63,7 @@
 	uint64_t life_ms;   /* when any upstream last showed life here */
 	uint32_t busy;	    /* own requests in flight, all upstreams together */
 	uint32_t told_busy; /* the same when peers were last told */
+	GArray *changes;    /* of struct health_change, not taken yet */
 };
 
 struct placing *create_placing(const struct catalog *cat,
@@ -80,6 +81,7 @@
 	pl->rows = g_ptr_array_new_with_free_func(g_free);
 	pl->services = g_array_new(FALSE, TRUE, sizeof(struct service_mean));
 	pl->peers = g_array_new(FALSE, FALSE, sizeof(struct peer_load));
+	pl->changes = g_array_new(FALSE, FALSE, sizeof(struct health_change));
 	return pl;
 }
 
@@ -96,6 +98,7 @@
 		g_array_free(g_array_index(pl->peers, struct peer_load, i).rows,
 			     TRUE);
 	g_array_free(pl->peers, TRUE);
+	g_array_free(pl->changes, TRUE);
 	g_array_free(pl->services, TRUE);
 	g_ptr_array_free(pl->rows, TRUE);
 	g_rand_free(pl->rand);
@@ -127,12 +130,35 @@
 	return &g_array_index(pl->services, struct service_mean, sv);
 }
 
-static void clear_doubt(struct row *r)
+static void set_health(struct placing *pl, upstream_nr_t nr, struct row *r,
+		       enum upstream_health to, uint64_t now_ms)
 {
+	struct health_change ch = { .upstream = nr,
+				    .from = r->health,
+				    .to = to,
+				    .signs = r->doubt_nr };
+
+	if (r->health == to)
+		return;
+	if (r->life_ms)
+		ch.silent_ms = now_ms - MIN(now_ms, r->life_ms);
+	r->health = to;
+	g_array_append_val(pl->changes, ch);
+}
+
+void take_health_changes(struct placing *pl, GArray *changes)
+{
+	g_array_append_vals(changes, pl->changes->data, pl->changes->len);
+	g_array_set_size(pl->changes, 0);
+}
+
+static void clear_doubt(struct placing *pl, upstream_nr_t nr, struct row *r,
+			uint64_t now_ms)
+{
+	set_health(pl, nr, r, HEALTH_GOOD, now_ms);
 	r->doubt_ms = 0;
 	r->doubt_nr = 0;
 	r->unreachable = 0;
-	r->health = HEALTH_GOOD;
 }
 
 void update_placing(struct placing *pl, upstream_nr_t nr, uint64_t now_ms)
@@ -149,12 +175,12 @@
 		r->starts = up->starts;
 	} else if (r->starts != up->starts) {
 		r->starts = up->starts;
-		clear_doubt(r);
+		clear_doubt(pl, nr, r, now_ms);
 	}
 	/* a new entry is a sign of life, though not that it can be reached */
 	if (up->listed && r->health == HEALTH_DEAD &&
 	    up->learned_ms == now_ms) {
-		r->health = HEALTH_DOUBTED;
+		set_health(pl, nr, r, HEALTH_DOUBTED, now_ms);
 		r->doubt_ms = now_ms;
 		r->check_ms = now_ms;
 	}
@@ -330,10 +356,10 @@
 {
 	struct row *r = need_row(pl, nr);
 
+	if (r->doubt_ms || r->health != HEALTH_GOOD)
+		clear_doubt(pl, nr, r, now_ms);
 	r->life_ms = now_ms;
 	pl->life_ms = now_ms;
-	if (r->doubt_ms || r->health != HEALTH_GOOD)
-		clear_doubt(r);
 }
 
 void note_answer(struct placing *pl, upstream_nr_t nr, uint64_t took_ms,
@@ -376,7 +402,7 @@
 	r->doubt_ms = now_ms;
 	r->check_ms = MAX(r->check_ms, now_ms + PLACING_DOUBT_MS);
 	if (r->health == HEALTH_GOOD)
-		r->health = HEALTH_DOUBTED;
+		set_health(pl, nr, r, HEALTH_DOUBTED, now_ms);
 	pl->in_doubt = true;
 }
 
@@ -434,7 +460,7 @@
 		if (rows[i].life_ms < UINT16_MAX)
 			r->life_ms = MAX(r->life_ms, lived);
 		if (r->health == HEALTH_DOUBTED && r->life_ms > r->doubt_ms)
-			clear_doubt(r);
+			clear_doubt(pl, pr.nr, r, now_ms);
 		g_array_append_val(p->rows, pr);
 	}
 }
@@ -566,13 +592,13 @@
 	case CHECK_BAD:
 	case CHECK_SILENT:
 		r->unreachable = 0;
-		r->health = HEALTH_DOUBTED;
+		set_health(pl, nr, r, HEALTH_DOUBTED, now_ms);
 		if (!r->doubt_ms)
 			r->doubt_ms = now_ms;
 		break;
 	case CHECK_REFUSED:
 	case CHECK_REPLACED:
-		r->health = HEALTH_DEAD;
+		set_health(pl, nr, r, HEALTH_DEAD, now_ms);
 		r->check_ms = now_ms + PLACING_DEAD_AGAIN_MS;
 		break;
 	case CHECK_UNREACHABLE:
@@ -583,7 +609,7 @@
 			r->check_ms = now_ms;
 			break;
 		}
-		r->health = HEALTH_CUT_OFF;
+		set_health(pl, nr, r, HEALTH_CUT_OFF, now_ms);
 		r->check_ms = now_ms + PLACING_DEAD_AGAIN_MS;
 		break;
 	case CHECK_RESULT_NR:
--- a/flow/placing.h
+++ b/flow/placing.h
@@ -155,6 +155,18 @@
  */
 void tick_placing(struct placing *pl, uint64_t now_ms, GArray *checks);
 
+/* A change of an upstream's health as judged here. */
+struct health_change {
+	upstream_nr_t upstream;
+	enum upstream_health from;
+	enum upstream_health to;
+	uint32_t signs;	    /* of silence since its last sign of life */
+	uint64_t silent_ms; /* since that; 0: none was seen */
+};
+
+/* Moves the changes since the last call to the end of CHANGES. */
+void take_health_changes(struct placing *pl, GArray *changes);
+
 /* The check that tick_placing() asked for has ended. */
 void note_check(struct placing *pl, upstream_nr_t nr, enum check_result result,
 		uint64_t now_ms);
--- a/net/edge.c
+++ b/net/edge.c
@@ -153,6 +153,29 @@
 	e->settings_size = sb.st_size;
 }
 
+static void log_health_changes(struct edge *e)
+{
+	GArray *changes =
+		g_array_new(FALSE, FALSE, sizeof(struct health_change));
+
+	take_health_changes(e->placing, changes);
+	for (guint i = 0; i < changes->len; i++) {
+		const struct health_change *ch =
+			&g_array_index(changes, struct health_change, i);
+		const struct catalog_upstream *up =
+			get_upstream(e->catalog, ch->upstream);
+
+		log_event(e->log, EVENT_HEALTH,
+			  "upstream=%s health=%s before=%s signs=%u "
+			  "silent_ms=%llu",
+			  up ? up->report.name : "none",
+			  upstream_health_name(ch->to),
+			  upstream_health_name(ch->from), ch->signs,
+			  (unsigned long long)ch->silent_ms);
+	}
+	g_array_free(changes, TRUE);
+}
+
 /* The quick part: what must not wait for the slower tick. */
 static void on_quick_tick(uv_timer_t *timer)
 {
@@ -164,6 +187,7 @@
 	tick_placing(e->placing, e->now_ms, checks);
 	check_upstreams(e, checks);
 	g_array_free(checks, TRUE);
+	log_health_changes(e);
 	if (has_load_moved(e->placing))
 		tick_edge_beacons(e);
 }
--- a/net/event-log.c
+++ b/net/event-log.c
@@ -182,3 +182,8 @@
 {
 	return rows[kind].doc;
 }
+
+uint32_t event_budget(enum event_kind kind)
+{
+	return rows[kind].budget;
+}
--- a/net/event-log.h
+++ b/net/event-log.h
@@ -42,4 +42,7 @@
 const char *event_name(enum event_kind kind);
 const char *event_doc(enum event_kind kind);
 
+/* Lines of KIND that are written in a second. */
+uint32_t event_budget(enum event_kind kind);
+
 #endif
--- /dev/null
+++ b/t/check-event-log.c
@@ -0,0 +1,142 @@
+/* Tests of net/event-log: budgets, a reader that stops, the list of events. */
+
+#include <check.h>
+#include <fcntl.h>
+#include <glib.h>
+#include <log4c.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "net/event-log.h"
+
+static struct event_log *el;
+static int fds[2];
+
+static size_t count_lines(const char *text)
+{
+	size_t n = 0;
+
+	for (; *text; text++)
+		n += *text == '\n';
+	return n;
+}
+
+static void setup(void)
+{
+	log4c_init();
+	ck_assert(!pipe(fds));
+	fcntl(fds[0], F_SETFL, O_NONBLOCK);
+	el = create_event_log(fds[1]);
+}
+
+static void teardown(void)
+{
+	destroy_event_log(el);
+	close(fds[0]);
+	close(fds[1]);
+	log4c_fini();
+}
+
+/* What was written since the last call; the caller frees it. */
+static char *read_all(void)
+{
+	GString *text = g_string_new(NULL);
+	char buf[4096];
+	ssize_t n;
+
+	while ((n = read(fds[0], buf, sizeof(buf))) > 0)
+		g_string_append_len(text, buf, n);
+	return g_string_free(text, FALSE);
+}
+
+START_TEST(a_line_has_time_event_and_fields)
+{
+	char *text;
+
+	log_event(el, EVENT_ROUTES, "version=%d", 7);
+	flush_event_log(el, 1000);
+	text = read_all();
+	ck_assert(g_str_has_prefix(text, "t="));
+	ck_assert(g_str_has_suffix(text, " event=routes version=7\n"));
+	g_free(text);
+}
+END_TEST
+
+START_TEST(what_exceeds_the_budget_is_counted)
+{
+	char *text;
+
+	flush_event_log(el, 1000);
+	for (int i = 0; i < 100; i++)
+		log_event(el, EVENT_ROUTES, "version=%d", i);
+	flush_event_log(el, 1500);
+	text = read_all();
+	ck_assert_uint_eq(count_lines(text), 10);
+	g_free(text);
+	flush_event_log(el, 2000);
+	text = read_all();
+	ck_assert(strstr(text, "event=suppressed kind=routes count=90\n"));
+	ck_assert_uint_eq(suppressed_events(el), 90);
+	g_free(text);
+}
+END_TEST
+
+/* A pipe that nobody reads for ten seconds costs lines, never time. */
+START_TEST(a_reader_that_stops_costs_lines_only)
+{
+	char *text;
+
+	for (uint64_t t = 1000; t < 11000; t += 10) {
+		for (int i = 0; i < 5; i++)
+			log_event(el, EVENT_FLOW_RESET,
+				  "flow=%d padding=%0200d", i, 0);
+		flush_event_log(el, t);
+	}
+	ck_assert_uint_gt(lost_events(el), 0);
+	text = read_all();
+	ck_assert(g_str_has_prefix(text, "t="));
+	g_free(text);
+	flush_event_log(el, 11000);
+	text = read_all();
+	ck_assert_uint_gt(strlen(text), 0);
+	g_free(text);
+}
+END_TEST
+
+START_TEST(the_page_lists_every_event)
+{
+	char *page;
+
+	ck_assert(g_file_get_contents("docs/LOGS.md", &page, NULL, NULL));
+	for (int i = 0; i < EVENT_KIND_NR; i++) {
+		char *row = g_strdup_printf("| `%s` | %u | %s |",
+					    event_name((enum event_kind)i),
+					    event_budget((enum event_kind)i),
+					    event_doc((enum event_kind)i));
+
+		ck_assert_msg(strstr(page, row), "docs/LOGS.md lacks: %s", row);
+		g_free(row);
+	}
+	g_free(page);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("event-log");
+	TCase *tc = tcase_create("event-log");
+	SRunner *sr = srunner_create(s);
+	int failed;
+
+	tcase_add_checked_fixture(tc, setup, teardown);
+	tcase_add_test(tc, a_line_has_time_event_and_fields);
+	tcase_add_test(tc, what_exceeds_the_budget_is_counted);
+	tcase_add_test(tc, a_reader_that_stops_costs_lines_only);
+	tcase_add_test(tc, the_page_lists_every_event);
+	suite_add_tcase(s, tc);
+	srunner_run_all(sr, CK_ENV);
+	failed = srunner_ntests_failed(sr);
+	srunner_free(sr);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- a/t/check-placing.c
+++ b/t/check-placing.c
@@ -198,6 +198,34 @@
 }
 END_TEST
 
+START_TEST(each_change_of_health_is_told_once)
+{
+	upstream_nr_t a = put("u-a", "north", 0);
+	GArray *changes =
+		g_array_new(FALSE, FALSE, sizeof(struct health_change));
+	const struct health_change *ch;
+
+	note_life(in.placing, a, 900);
+	note_silence(in.placing, a, 1000, 1200);
+	note_silence(in.placing, a, 1000, 1250);
+	wants_check(a, 1200 + PLACING_DOUBT_MS);
+	note_check(in.placing, a, CHECK_REFUSED, 1500);
+	note_life(in.placing, a, 1600);
+	take_health_changes(in.placing, changes);
+	ck_assert_uint_eq(changes->len, 3);
+	ch = (const struct health_change *)(void *)changes->data;
+	ck_assert_int_eq(ch[0].to, HEALTH_DOUBTED);
+	ck_assert_int_eq(ch[1].to, HEALTH_DEAD);
+	ck_assert_uint_eq(ch[1].signs, 2);
+	ck_assert_uint_eq(ch[1].silent_ms, 600);
+	ck_assert_int_eq(ch[2].to, HEALTH_GOOD);
+	g_array_set_size(changes, 0);
+	take_health_changes(in.placing, changes);
+	ck_assert_uint_eq(changes->len, 0);
+	g_array_free(changes, TRUE);
+}
+END_TEST
+
 START_TEST(several_silent_flows_are_checked_sooner)
 {
 	upstream_nr_t a = put("u-a", "north", 0);
@@ -369,6 +397,7 @@
 	tcase_add_test(tc, doubt_goes_behind_and_ends_with_life);
 	tcase_add_test(tc, life_seen_by_a_peer_ends_a_doubt);
 	tcase_add_test(tc, a_doubt_that_stays_is_checked);
+	tcase_add_test(tc, each_change_of_health_is_told_once);
 	tcase_add_test(tc, several_silent_flows_are_checked_sooner);
 	tcase_add_test(tc, flows_that_go_on_outweigh_a_refused_check);
 	tcase_add_test(tc,
