--- a/t/bench-flows.c
+++ b/t/bench-flows.c
@@ -56,10 +56,10 @@
 	"all replaced, leaving"
 };
 
-static const char *const way_names[WAY_NR] = { "A nothing", "B local table",
-					       "C remember old",
-					       "D remember new",
-					       "E remember all" };
+static const char *const way_names[WAY_NR] = {
+	"A nothing",	  "B local table",  "C remember old",
+	"D remember new", "E remember all", "F cookie"
+};
 
 struct run {
 	enum scenario scenario;
--- a/t/flow-bed.c
+++ b/t/flow-bed.c
@@ -244,6 +244,8 @@
 	b->rand = g_rand_new_with_seed(opt->seed);
 	b->queue = create_event_queue();
 	b->flows = g_array_new(FALSE, TRUE, sizeof(struct bed_flow));
+	b->cookies = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					   g_free);
 	for (uint32_t s = 0; s < (uint32_t)opt->service_nr; s++)
 		for (int i = 0; i < opt->upstream_nr; i++)
 			add_bed_upstream(b, s,
@@ -266,6 +268,7 @@
 	unref_snapshot(b->snapshot);
 	destroy_event_queue(b->queue);
 	g_array_free(b->flows, TRUE);
+	g_hash_table_destroy(b->cookies);
 	g_rand_free(b->rand);
 	g_free(b);
 }
--- a/t/flow-bed.h
+++ b/t/flow-bed.h
@@ -25,6 +25,7 @@
 	WAY_REMEMBER_OLD, /* C: old flows told to keepers at each move */
 	WAY_REMEMBER_NEW, /* D: flow/ as it ships */
 	WAY_REMEMBER_ALL, /* E: flow/ with every slot unsettled */
+	WAY_COOKIE,	  /* F: packets name their upstream; flow/cookie.h */
 	WAY_NR
 };
 
@@ -91,6 +92,7 @@
 	int upstream_nr[BED_SERVICE_MAX];
 	bool domain_out[BED_DOMAIN_MAX];
 	GArray *flows;	      /* of struct bed_flow */
+	GHashTable *cookies;  /* flow hash -> upstream id, as packets carry */
 	struct counters past; /* of instances that were replaced */
 	uint64_t packets;
 	uint64_t hops;
--- a/t/flow-ways.c
+++ b/t/flow-ways.c
@@ -184,6 +184,22 @@
 	       s != UPSTREAM_OUT;
 }
 
+/* Way F: the flow's packets name the upstream that its SYN was sent to. */
+static uint64_t steer_by_cookie(struct bed *b, struct route *rt,
+				const struct packet *p)
+{
+	const struct upstream *up;
+	uint64_t id = get_flow(b->cookies, p->hash);
+
+	if (!(p->flags & TCP_SYN))
+		return is_listed(rt, id) ? id : 0;
+	up = choose_slot(rt, flow_slot(p->hash)).target;
+	if (!up)
+		return 0;
+	put_flow(b->cookies, p->hash, up->id);
+	return up->id;
+}
+
 uint64_t steer_model(struct bed *b, int i, const struct packet *p)
 {
 	struct model *m = b->at[i].model;
@@ -200,6 +216,8 @@
 	update_shares(m->shares, b->now);
 	update_keepers(m->keepers, b->now);
 	rt = model_route(b, m, sv);
+	if (b->opt.way == WAY_COOKIE)
+		return steer_by_cookie(b, rt, p);
 	tell_old_flows(b, m, rt);
 	if (b->opt.way != WAY_NOTHING)
 		id = get_flow(m->local, p->hash);
