flow: keep within a cold upstream's bound on all sides of a cut

Found by prop-cookie, written for the purpose: two sides of a cut that believe each other dead both used all that a cold upstream bears, 47 new flows in a second where 44 are allowed.

Change: instances together use at most half of the platform's bound, which the settings now name, and none of it where most members that were heard lately are silent. The property fails without either.

--- a/config/settings.c
+++ b/config/settings.c
@@ -15,6 +15,8 @@
 #define HEARTBEAT_MS_DEFAULT 1200
 #define FLOW_TTL_MS_DEFAULT 60000
 #define BOUND_STOP_MS_DEFAULT 6000
+#define COLD_FACTOR_DEFAULT 1.5 /* the platform's bounds for cold upstreams */
+#define COLD_SLACK_DEFAULT 5
 
 struct settings_draft {
 	const char *file;
@@ -154,6 +156,19 @@
 			  "unknown key; known are packets, ready, metrics");
 }
 
+static enum status_kind take_decimal(const char *value, double *out,
+				     struct status *st)
+{
+	char *end;
+	double n = g_ascii_strtod(value, &end);
+
+	if (end == value || *end || n < 0 || n > UINT32_MAX)
+		return set_status(st, STATUS_INVALID,
+				  "'%s' is not a number from 0 on", value);
+	*out = n;
+	return STATUS_OK;
+}
+
 static enum status_kind take_bound_key(struct steering_bounds *b,
 				       const char *key, const char *value,
 				       struct status *st)
@@ -165,9 +180,13 @@
 		return parse_duration(value, BOUND_MS_MAX, &b->flow_ttl_ms, st);
 	if (!strcmp(key, "stop"))
 		return parse_duration(value, BOUND_MS_MAX, &b->stop_ms, st);
+	if (!strcmp(key, "cold-factor"))
+		return take_decimal(value, &b->cold_factor, st);
+	if (!strcmp(key, "cold-slack"))
+		return take_decimal(value, &b->cold_slack, st);
 	return set_status(st, STATUS_NOT_FOUND,
 			  "unknown key; known are heartbeat, flow-lifetime, "
-			  "stop");
+			  "stop, cold-factor, cold-slack");
 }
 
 static enum status_kind
@@ -242,6 +261,8 @@
 	s->bounds.heartbeat_ms = HEARTBEAT_MS_DEFAULT;
 	s->bounds.flow_ttl_ms = FLOW_TTL_MS_DEFAULT;
 	s->bounds.stop_ms = BOUND_STOP_MS_DEFAULT;
+	s->bounds.cold_factor = COLD_FACTOR_DEFAULT;
+	s->bounds.cold_slack = COLD_SLACK_DEFAULT;
 	read_ini(file, text, len, take_settings_entry, &d, ps);
 	if (problem_count(ps) == before)
 		check_settings(&d);
--- a/config/settings.h
+++ b/config/settings.h
@@ -31,6 +31,9 @@
 	uint32_t heartbeat_ms; /* upstreams renew their entries so often */
 	uint32_t flow_ttl_ms;  /* no flow is older */
 	uint32_t stop_ms;      /* killed so long after SIGTERM */
+	double cold_factor; /* new flows a second that a cold upstream may get:
+			     * what it bears, times this, ... */
+	double cold_slack;  /* ... and so many more */
 };
 
 struct settings {
--- a/flow/placing.c
+++ b/flow/placing.c
@@ -64,6 +64,8 @@
 	uint32_t busy;	    /* own requests in flight, all upstreams together */
 	uint32_t told_busy; /* the same when peers were last told */
 	GArray *changes;    /* of struct health_change, not taken yet */
+	double cold_factor;
+	double cold_slack;
 };
 
 struct placing *create_placing(const struct catalog *cat,
@@ -77,6 +79,7 @@
 	pl->shares = shares;
 	pl->domain = g_strdup(domain);
 	pl->far_cost = PLACING_FAR_COST;
+	pl->cold_factor = 1;
 	pl->rand = g_rand_new_with_seed(seed);
 	pl->rows = g_ptr_array_new_with_free_func(g_free);
 	pl->services = g_array_new(FALSE, TRUE, sizeof(struct service_mean));
@@ -85,6 +88,12 @@
 	return pl;
 }
 
+void set_cold_bounds(struct placing *pl, double factor, double slack)
+{
+	pl->cold_factor = factor;
+	pl->cold_slack = slack;
+}
+
 void set_far_cost(struct placing *pl, double cost)
 {
 	pl->far_cost = cost;
@@ -204,14 +213,26 @@
 	return n;
 }
 
+/* Whether most of the members that were heard lately still live. */
+static bool sees_majority(const struct placing *pl)
+{
+	size_t known;
+
+	view_members(pl->view, &known);
+	return 2 * live_member_nr(pl->view) > known;
+}
+
 static bool may_take_cold(const struct placing *pl, upstream_nr_t nr,
 			  const struct row *r, uint64_t now_ms)
 {
 	const struct catalog_upstream *up = get_upstream(pl->cat, nr);
 	const struct catalog_service *sv = get_service(pl->cat, up->service);
-	uint32_t bears = (uint32_t)MIN(sv->cold_per_s, PLACING_COLD_MAX);
+	double half = (sv->cold_per_s * pl->cold_factor + pl->cold_slack) / 2;
+	uint32_t bears = (uint32_t)MIN(MIN(sv->cold_per_s, half),
+				       (double)PLACING_COLD_MAX);
 
-	if (!is_view_settled(pl->view))
+	/* the shares of a view that lacks most members are others' too */
+	if (!is_view_settled(pl->view) || !sees_majority(pl))
 		return false;
 	return recent_cold_flows(r, now_ms) <
 	       upstream_share(pl->shares, up->report.id, bears, now_ms);
--- a/flow/placing.h
+++ b/flow/placing.h
@@ -83,6 +83,13 @@
 			       const char *domain, uint32_t seed);
 void destroy_placing(struct placing *pl);
 
+/*
+ * A cold upstream that bears B new flows a second may get B * FACTOR + SLACK.
+ * Instances use no more than half of that together, so that two sides of a
+ * cut which do not know of each other stay within it.
+ */
+void set_cold_bounds(struct placing *pl, double factor, double slack);
+
 /* Replaces PLACING_FAR_COST, to compare. */
 void set_far_cost(struct placing *pl, double cost);
 
--- a/net/edge.c
+++ b/net/edge.c
@@ -115,6 +115,8 @@
 	e->settings.seeds = new->seeds;
 	e->settings.store = new->store;
 	set_store_endpoints(e->store, &new->store);
+	set_cold_bounds(e->placing, new->bounds.cold_factor,
+			new->bounds.cold_slack);
 	add_seeds(e, new);
 }
 
@@ -265,6 +267,8 @@
 	e->shares = create_shares(e->view);
 	e->placing = create_placing(e->catalog, e->view, e->shares,
 				    e->settings.domain, g_rand_int(e->rand));
+	set_cold_bounds(e->placing, e->settings.bounds.cold_factor,
+			e->settings.bounds.cold_slack);
 	e->steering =
 		create_cookie_steering(e->catalog, e->placing, &e->counters);
 }
--- a/t/cookie-bed.c
+++ b/t/cookie-bed.c
@@ -63,6 +63,7 @@
 	in->shares = create_shares(in->view);
 	in->placing =
 		create_placing(in->catalog, in->view, in->shares, domain, 7);
+	set_cold_bounds(in->placing, 1.5, 5);
 	in->steering =
 		create_cookie_steering(in->catalog, in->placing, &in->counters);
 	bed_routes(in->catalog, 1, &port, 1, 20);
