--- a/stand-in/cookie-wire.c
+++ b/stand-in/cookie-wire.c
@@ -3,17 +3,7 @@
 #include <string.h>
 #include <xxhash.h>
 
-static void set16(uint8_t *at, uint16_t v)
-{
-	at[0] = (uint8_t)(v >> 8);
-	at[1] = (uint8_t)v;
-}
-
-static void set32(uint8_t *at, uint32_t v)
-{
-	set16(at, (uint16_t)(v >> 16));
-	set16(at + 2, (uint16_t)v);
-}
+#include "base/bytes.h"
 
 static uint32_t packet_sum(const uint8_t *data, size_t len)
 {
@@ -28,7 +18,7 @@
 {
 	uint8_t sum[4];
 
-	set32(sum, packet_sum(data, len));
+	set_be32(sum, packet_sum(data, len));
 	return !memcmp(sum, data + 6, sizeof(sum));
 }
 
@@ -47,17 +37,17 @@
 
 	memset(out, 0, PLATFORM_HEADER);
 	out[0] = wire_flags(p->flags);
-	set32(out + 2, p->cookie);
-	set16(out + 10, p->key.service_port);
-	set32(out + 12, p->key.caller_ip);
-	set16(out + 16, p->key.caller_port);
-	set32(out + 18, p->key.service_ip);
-	set32(out + 22, p->seq);
-	set32(out + 26, p->ack);
-	set16(out + 30, p->payload);
+	set_be32(out + 2, p->cookie);
+	set_be16(out + 10, p->key.service_port);
+	set_be32(out + 12, p->key.caller_ip);
+	set_be16(out + 16, p->key.caller_port);
+	set_be32(out + 18, p->key.service_ip);
+	set_be32(out + 22, p->seq);
+	set_be32(out + 26, p->ack);
+	set_be16(out + 30, p->payload);
 	if (p->payload)
 		memcpy(out + PLATFORM_HEADER, data, p->payload);
-	set32(out + 6, packet_sum(out, len));
+	set_be32(out + 6, packet_sum(out, len));
 	return len;
 }
 
--- a/t/bench-placing.c
+++ b/t/bench-placing.c
@@ -15,23 +15,18 @@
 
 static void play_row(const struct load *ld, enum placing_way way, double far)
 {
-	struct placing_options opt = { .way = way,
-				       .far_cost = far,
-				       .seed = 20261204,
-				       .domain_nr = 4,
-				       .instances = 2,
-				       .upstreams = 4,
-				       .slots = 3,
-				       .queue = 12,
-				       .requests_s = ld->requests_s,
-				       .long_flows = ld->long_flows,
-				       .skew = ld->skew,
-				       .beacon_ms = 150,
-				       .length_ms = 30000,
-				       .no_defer = ld->no_defer,
-				       .gap_ms = ld->gap_ms };
+	struct placing_options opt;
 	struct placing_result r;
 
+	init_site_options(&opt);
+	opt.way = way;
+	opt.far_cost = far;
+	opt.requests_s = ld->requests_s;
+	opt.long_flows = ld->long_flows;
+	opt.skew = ld->skew;
+	opt.length_ms = 30000;
+	opt.no_defer = ld->no_defer;
+	opt.gap_ms = ld->gap_ms;
 	play_placing(&opt, &r);
 	printf("%-14s %-12s %5.1f %7u %7.4f %6u %6u %7u %7u %6u %6.3f %7u\n",
 	       ld->name, placing_way_name(way), far, r.asked,
--- a/t/check-placing.c
+++ b/t/check-placing.c
@@ -321,22 +321,14 @@
  */
 START_TEST(the_heaviest_load_is_served_in_time)
 {
-	struct placing_options opt = { .way = WAY_FULL_SCAN,
-				       .far_cost = PLACING_FAR_COST,
-				       .seed = 20261204,
-				       .domain_nr = 4,
-				       .instances = 2,
-				       .upstreams = 4,
-				       .slots = 3,
-				       .queue = 12,
-				       .requests_s = 400,
-				       .long_flows = 450,
-				       .skew = 1.8,
-				       .beacon_ms = 150,
-				       .length_ms = 15000 };
+	struct placing_options opt;
 	struct placing_result r;
 	struct placing_result random;
 
+	init_site_options(&opt);
+	opt.requests_s = 400;
+	opt.long_flows = 450;
+	opt.skew = 1.8;
 	play_placing(&opt, &r);
 	ck_assert_uint_ge(r.in_aim, r.asked * 95 / 100);
 	ck_assert_uint_le(r.shed + r.refused, r.asked / 200);
@@ -353,23 +345,14 @@
  */
 START_TEST(after_an_outage_fewer_requests_are_lost)
 {
-	struct placing_options opt = { .way = WAY_FULL_SCAN,
-				       .far_cost = PLACING_FAR_COST,
-				       .seed = 20261204,
-				       .domain_nr = 4,
-				       .instances = 2,
-				       .upstreams = 4,
-				       .slots = 3,
-				       .queue = 12,
-				       .requests_s = 300,
-				       .long_flows = 300,
-				       .skew = 1,
-				       .beacon_ms = 150,
-				       .length_ms = 15000,
-				       .gap_ms = 2000 };
+	struct placing_options opt;
 	struct placing_result r;
 	struct placing_result shedding;
 
+	init_site_options(&opt);
+	opt.requests_s = 300;
+	opt.long_flows = 300;
+	opt.gap_ms = 2000;
 	play_placing(&opt, &r);
 	opt.no_defer = true;
 	play_placing(&opt, &shedding);
--- a/t/placing-world.c
+++ b/t/placing-world.c
@@ -398,6 +398,21 @@
 	g_rand_free(w->rand);
 }
 
+void init_site_options(struct placing_options *opt)
+{
+	*opt = (struct placing_options){ .way = WAY_FULL_SCAN,
+					 .far_cost = PLACING_FAR_COST,
+					 .seed = 20261204,
+					 .domain_nr = 4,
+					 .instances = 2,
+					 .upstreams = 4,
+					 .slots = 3,
+					 .queue = 12,
+					 .skew = 1,
+					 .beacon_ms = BEACON_MS,
+					 .length_ms = 15000 };
+}
+
 void play_placing(const struct placing_options *opt, struct placing_result *res)
 {
 	struct world w = { .opt = opt, .res = res };
--- a/t/placing-world.h
+++ b/t/placing-world.h
@@ -53,6 +53,9 @@
 #define PLACING_WORLD_AIM_MS 200
 #define PLACING_WORLD_WORK_MS 45 /* mean of a request, exponential */
 
+/* Eight instances and sixteen upstreams in four domains, as on the sites. */
+void init_site_options(struct placing_options *opt);
+
 void play_placing(const struct placing_options *opt,
 		  struct placing_result *res);
 
