--- a/config/settings.h
+++ b/config/settings.h
@@ -50,7 +50,7 @@
 	struct endpoint ready;	 /* HTTP; whether packets may be sent here */
 	struct endpoint metrics; /* HTTP; counters as text */
 	struct steering_bounds bounds;
-	uint32_t link_mbps; /* of this machine; 0: not said */
+	uint32_t link_mbps; /* of the instance; 0: not said */
 	struct endpoint_list store;
 	struct endpoint_list seeds; /* peer endpoints known at start */
 	char directory[256];	    /* local service files; "" if none */
