--- a/fleet/beacon.c
+++ b/fleet/beacon.c
@@ -31,6 +31,12 @@
 	uint64_t round;	    /* counts beacons sent */
 };
 
+/* Whether M is in another domain than this instance. */
+static bool is_far(const struct beacons *bs, const struct member *m)
+{
+	return strcmp(m->domain, bs->self.domain) != 0;
+}
+
 void write_beacon(struct wire_writer *w, const struct beacon *b)
 {
 	put_array(w, 11 + ROW_FIELDS * b->rows->len);
@@ -128,9 +134,8 @@
 void add_beacon_address(struct beacons *bs, const struct endpoint *at)
 {
 	struct address a = { .at = *at };
-	struct endpoint self = bs->self.address;
+	struct endpoint self = member_endpoint(&bs->self);
 
-	self.port = bs->self.peer_port;
 	if (same_endpoint(&self, at))
 		return;
 	for (guint i = 0; i < bs->addresses->len; i++)
@@ -157,7 +162,7 @@
 	struct peer new = { .id = b->member.id };
 	struct member m = b->member;
 	struct peer *p = find_peer(bs, m.id);
-	struct endpoint at = m.address;
+	struct endpoint at = member_endpoint(&m);
 
 	if (m.id == bs->self.id)
 		return;
@@ -172,7 +177,6 @@
 		p->watching_ms = now_ms;
 	m.state = b->flags & BEACON_LEAVING ? MEMBER_LEAVING : MEMBER_ALIVE;
 	put_member(bs->view, &m);
-	at.port = m.peer_port;
 	add_beacon_address(bs, &at);
 }
 
@@ -192,8 +196,7 @@
 
 	ms = view_members(bs->view, &nr);
 	for (size_t i = 0; i < nr; i++)
-		members += is_live_member(&ms[i]) &&
-			   !strcmp(ms[i].domain, bs->self.domain);
+		members += is_live_member(&ms[i]) && !is_far(bs, &ms[i]);
 	if (members <= BEACON_SMALL_DOMAIN)
 		return BEACON_MS;
 	return BEACON_MS +
@@ -210,10 +213,8 @@
 			&g_array_index(bs->peers, struct peer, i - 1);
 		const struct member *known = find_member(bs->view, p->id);
 		uint64_t silent = now_ms - p->heard_ms;
-		bool is_far =
-			known && strcmp(known->domain, bs->self.domain) != 0;
-		uint64_t limit =
-			large && is_far ? near * BEACON_FAR_FACTOR : near;
+		bool rare = large && known && is_far(bs, known);
+		uint64_t limit = rare ? near * BEACON_FAR_FACTOR : near;
 
 		if (silent > limit && known && known->state != MEMBER_DEAD) {
 			struct member m = *known;
@@ -237,9 +238,8 @@
 
 	ms = view_members(bs->view, &nr);
 	for (size_t i = 0; i < nr; i++) {
-		struct endpoint ep = ms[i].address;
+		struct endpoint ep = member_endpoint(&ms[i]);
 
-		ep.port = ms[i].peer_port;
 		if (ms[i].state != MEMBER_DEAD && same_endpoint(&ep, at))
 			return &ms[i];
 	}
@@ -249,8 +249,7 @@
 /* Whether this beacon is not for M, which is in another domain. */
 static bool far_skips(const struct beacons *bs, const struct member *m)
 {
-	return live_member_nr(bs->view) > BEACON_FAR_FLEET &&
-	       strcmp(m->domain, bs->self.domain) != 0 &&
+	return live_member_nr(bs->view) > BEACON_FAR_FLEET && is_far(bs, m) &&
 	       (bs->round + m->id) % BEACON_FAR_FACTOR;
 }
 
@@ -267,8 +266,8 @@
 			&g_array_index(bs->peers, struct peer, i);
 		const struct member *m = find_member(bs->view, p->id);
 
-		if (m && !strcmp(m->domain, bs->self.domain) &&
-		    p->watching_ms && now_ms - p->watching_ms < limit)
+		if (m && !is_far(bs, m) && p->watching_ms &&
+		    now_ms - p->watching_ms < limit)
 			return false;
 	}
 	return true;
@@ -281,11 +280,10 @@
 
 	ms = view_members(bs->view, &nr);
 	for (size_t i = 0; i < nr; i++) {
-		struct endpoint at = ms[i].address;
+		struct endpoint at = member_endpoint(&ms[i]);
 
-		at.port = ms[i].peer_port;
 		if (ms[i].id != bs->self.id && ms[i].state != MEMBER_DEAD &&
-		    !strcmp(ms[i].domain, bs->self.domain))
+		    !is_far(bs, &ms[i]))
 			g_array_append_val(to, at);
 	}
 }
@@ -305,8 +303,7 @@
 			       p->watching_ms <= best->watching_ms))))
 			continue;
 		best = p;
-		*at = m->address;
-		at->port = m->peer_port;
+		*at = member_endpoint(m);
 	}
 	return best;
 }
@@ -353,8 +350,7 @@
 
 		if (!p->ready || !m || m->state != MEMBER_ALIVE)
 			continue;
-		to[found] = m->address;
-		to[found++].port = m->peer_port;
+		to[found++] = member_endpoint(m);
 	}
 	return found;
 }
--- a/fleet/internal.h
+++ b/fleet/internal.h
@@ -170,7 +170,6 @@
 /* False for a record that would bring back what was forgotten. */
 bool is_member_news(const struct fleet *f, const struct record *head);
 enum member_state record_state(const struct record *rec);
-struct endpoint member_endpoint(const struct member *m);
 
 /* links.c: which members this instance keeps links to */
 void choose_links(struct fleet *f);
--- a/fleet/member.c
+++ b/fleet/member.c
@@ -37,14 +37,6 @@
 	       (uint64_t)f->self.start << START_SHIFT | (uint64_t)f->self.state;
 }
 
-struct endpoint member_endpoint(const struct member *m)
-{
-	struct endpoint ep = m->address;
-
-	ep.port = m->peer_port;
-	return ep;
-}
-
 static void encode_member(struct wire_writer *w, const struct member *m)
 {
 	put_array(w, MEMBER_FIELD_NR);
--- a/fleet/view.c
+++ b/fleet/view.c
@@ -99,6 +99,14 @@
 	v->settled = settled;
 }
 
+struct endpoint member_endpoint(const struct member *m)
+{
+	struct endpoint ep = m->address;
+
+	ep.port = m->peer_port;
+	return ep;
+}
+
 bool is_live_member(const struct member *m)
 {
 	return m->state == MEMBER_ALIVE || m->state == MEMBER_SUSPECT;
--- a/fleet/view.h
+++ b/fleet/view.h
@@ -65,6 +65,9 @@
 const struct member *view_members(const struct view *v, size_t *nr);
 const struct member *find_member(const struct view *v, uint64_t id);
 
+/* Where M takes messages of its peers. */
+struct endpoint member_endpoint(const struct member *m);
+
 /* True if M is alive or suspect: a suspect still counts as live. */
 bool is_live_member(const struct member *m);
 
--- a/flow/placing-health.c
+++ b/flow/placing-health.c
@@ -100,7 +100,6 @@
 	pl->in_doubt = true;
 }
 
-/* Whether an upstream in health H is out of the question. */
 bool is_out_of_question(const struct upstream_load *r)
 {
 	return r->health == HEALTH_DEAD || r->health == HEALTH_CUT_OFF;
--- a/net/edge-packets.c
+++ b/net/edge-packets.c
@@ -154,12 +154,20 @@
 		  (unsigned long long)catalog_version(e->catalog));
 }
 
+static void log_unknown(struct edge *e, const struct cookie_packet *p,
+			const struct cookie_decision *d)
+{
+	char flow[FLOW_TEXT_MAX];
+
+	log_event(e->log, EVENT_FLOW_UNKNOWN, "flow=%s reason=%s cookie=%08x",
+		  format_flow(&p->key, flow), cookie_reason_name(d->reason),
+		  p->cookie);
+}
+
 static void carry_out(struct edge *e, const struct cookie_packet *p,
 		      const struct cookie_decision *d, uint8_t *data,
 		      size_t len)
 {
-	char flow[FLOW_TEXT_MAX];
-
 	switch (d->verdict) {
 	case COOKIE_TO_UPSTREAM:
 		if (d->reason != COOKIE_STEERED)
@@ -168,10 +176,7 @@
 		break;
 	case COOKIE_TO_PEER:
 		if (!relay(e, data, len, RELAYS))
-			log_event(e->log, EVENT_FLOW_UNKNOWN,
-				  "flow=%s reason=%s cookie=%08x",
-				  format_flow(&p->key, flow),
-				  cookie_reason_name(d->reason), p->cookie);
+			log_unknown(e, p, d);
 		break;
 	case COOKIE_RESET:
 		log_refusal(e, p, d);
@@ -183,10 +188,7 @@
 			log_deferral(e, p, d);
 			break;
 		}
-		log_event(e->log, EVENT_FLOW_UNKNOWN,
-			  "flow=%s reason=%s cookie=%08x",
-			  format_flow(&p->key, flow),
-			  cookie_reason_name(d->reason), p->cookie);
+		log_unknown(e, p, d);
 		break;
 	}
 }
