fleet, platform: one reader in small domains; longer waits between calls

Calls are priced.

A domain of fewer than eight members has one reader while other domains live; one that is alone keeps two, since no other reader could tell it of news.

Ruled out: waits of 3 s, after which a silent watch is noticed later than the bounds for news hold again.

Test: check-beacon a_domain_without_others_has_two_readers.

--- a/config/mirror.h
+++ b/config/mirror.h
@@ -134,7 +134,7 @@
 
 /* True if this mirror watches the store and the store has answered lately. */
 bool mirror_is_watching(const struct mirror *m, uint64_t now_ms);
-#define MIRROR_CONTACT_MS 1700 /* a watch answers every second */
+#define MIRROR_CONTACT_MS 2700 /* a watch answers every two seconds */
 
 /* When the store last answered; 0 if never. */
 uint64_t mirror_contact_ms(const struct mirror *m);
--- a/fleet/reader.c
+++ b/fleet/reader.c
@@ -27,17 +27,23 @@
 	const struct member *ms;
 	unsigned int above = 0;
 	unsigned int members = 1;
+	bool alone = true;
 	size_t nr;
 
 	if (!self)
 		return true;
 	ms = view_members(v, &nr);
 	for (size_t i = 0; i < nr; i++) {
-		if (ms[i].id == self->id || !is_live_member(&ms[i]) ||
-		    strcmp(ms[i].domain, self->domain) != 0)
+		if (ms[i].id == self->id || !is_live_member(&ms[i]))
 			continue;
+		if (strcmp(ms[i].domain, self->domain) != 0) {
+			alone = false;
+			continue;
+		}
 		members++;
 		above += outranks(&ms[i], self);
 	}
-	return above < (members < READERS_DOMAIN_MIN ? 1 : READERS_PER_DOMAIN);
+	return above < (members < READERS_DOMAIN_MIN && !alone
+				? 1
+				: READERS_PER_DOMAIN);
 }
--- a/t/check-beacon.c
+++ b/t/check-beacon.c
@@ -172,6 +172,19 @@
 }
 END_TEST
 
+START_TEST(a_domain_without_others_has_two_readers)
+{
+	struct beacon b = { .member = make_member("b", "north", 2),
+			    .flags = BEACON_WATCHING };
+
+	b.member.strength = 100;
+	take_beacon(bs, &b, 5000);
+	ck_assert(wants_reading(bs, 5100));
+	hear("c", "south", 3, BEACON_WATCHING, 5100);
+	ck_assert(!wants_reading(bs, 5100));
+}
+END_TEST
+
 START_TEST(a_reader_that_does_not_reach_the_store_is_replaced)
 {
 	hear_stronger(BEACON_WATCHING, 5000);
@@ -318,6 +331,7 @@
 	tcase_add_test(tc, urgent_news_do_not_wait_for_the_interval);
 	tcase_add_test(tc, nobody_is_a_reader_before_peers_were_heard);
 	tcase_add_test(tc, a_domain_whose_reader_follows_needs_no_other);
+	tcase_add_test(tc, a_domain_without_others_has_two_readers);
 	tcase_add_test(tc, a_reader_that_does_not_reach_the_store_is_replaced);
 	tcase_add_test(tc, a_frozen_reader_is_replaced);
 	tcase_add_test(tc, a_pause_unsettles_the_view);
