flow: check at once what a peer found dead, where flows need it

A flow that moves here with data for an upstream that showed no life for 300 ms now casts doubt at once. What a peer found dead or out of reach is checked without waiting, if flows here need it. Nobody is reset on a peer's word.

Tests: check-placing what_a_peer_found_dead_..., a_peers_verdict_waits_..., check-cookie a_flow_that_moves_here_...; seen failing without the change.

--- a/flow/cookie.c
+++ b/flow/cookie.c
@@ -310,6 +310,8 @@
 		if (f) {
 			f->phase = PHASE_OPEN;
 			f->ack = p->ack;
+			if (p->payload)
+				note_moved_flow(cs->placing, nr, now_ms);
 		}
 	}
 	if (!f)
--- a/flow/placing-health.c
+++ b/flow/placing-health.c
@@ -100,6 +100,46 @@
 	pl->in_doubt = true;
 }
 
+/* Whether NR was alive, though not for a while; unknown is not quiet. */
+static bool is_quiet(const struct upstream_load *r, uint64_t now_ms)
+{
+	return r->life_ms && now_ms > r->life_ms + PLACING_QUIET_MS;
+}
+
+/* A peer has checked before: there is nothing to wait for. */
+static void check_told(struct upstream_load *r, uint64_t now_ms)
+{
+	if (r->told_ms && now_ms - r->told_ms < PLACING_TOLD_AGAIN_MS)
+		return;
+	r->told_ms = now_ms;
+	r->check_ms = MIN(r->check_ms, now_ms);
+}
+
+void note_moved_flow(struct placing *pl, upstream_nr_t nr, uint64_t now_ms)
+{
+	struct upstream_load *r = need_load_row(pl, nr);
+
+	if (!is_quiet(r, now_ms) || r->doubt_ms)
+		return;
+	note_silence(pl, nr, now_ms - PLACING_QUIET_MS, now_ms);
+	if (r->peer_lost)
+		check_told(r, now_ms);
+}
+
+void note_peer_verdict(struct placing *pl, upstream_nr_t nr,
+		       struct upstream_load *r, uint64_t now_ms)
+{
+	uint64_t since = now_ms - MIN(now_ms, PLACING_QUIET_MS);
+
+	/* without flows here there is no one to tell, and checks are priced */
+	if (!r->open || is_out_of_question(r) ||
+	    has_lived_since(pl, nr, since) ||
+	    (r->told_ms && now_ms - r->told_ms < PLACING_TOLD_AGAIN_MS))
+		return;
+	note_silence(pl, nr, since, now_ms);
+	check_told(r, now_ms);
+}
+
 bool is_out_of_question(const struct upstream_load *r)
 {
 	return r->health == HEALTH_DEAD || r->health == HEALTH_CUT_OFF;
--- a/flow/placing-peers.c
+++ b/flow/placing-peers.c
@@ -33,6 +33,7 @@
 		r->peer_busy -= MIN(r->peer_busy, pr->busy);
 		r->peer_open -= MIN(r->peer_open, pr->open);
 		r->peer_dead -= MIN(r->peer_dead, (uint32_t)pr->dead);
+		r->peer_lost -= MIN(r->peer_lost, (uint32_t)pr->lost);
 	}
 	g_array_set_size(p->rows, 0);
 }
@@ -47,7 +48,10 @@
 	for (size_t i = 0; i < nr; i++) {
 		struct peer_row pr = { find_by_cookie(pl->cat, rows[i].cookie),
 				       rows[i].busy, rows[i].open,
-				       rows[i].health == HEALTH_DEAD };
+				       rows[i].health == HEALTH_DEAD,
+				       rows[i].health == HEALTH_DEAD ||
+					       rows[i].health ==
+						       HEALTH_CUT_OFF };
 		uint64_t lived = now_ms - MIN(now_ms, rows[i].life_ms);
 		struct upstream_load *r;
 
@@ -57,10 +61,13 @@
 		r->peer_busy += pr.busy;
 		r->peer_open += pr.open;
 		r->peer_dead += pr.dead;
+		r->peer_lost += pr.lost;
 		if (rows[i].life_ms < UINT16_MAX)
 			r->life_ms = MAX(r->life_ms, lived);
 		if (r->health == HEALTH_DOUBTED && r->life_ms > r->doubt_ms)
 			clear_doubt(pl, pr.nr, r, now_ms);
+		if (pr.lost)
+			note_peer_verdict(pl, pr.nr, r, now_ms);
 		g_array_append_val(p->rows, pr);
 	}
 }
--- a/flow/placing-state.h
+++ b/flow/placing-state.h
@@ -16,6 +16,7 @@
 	uint16_t busy;
 	uint16_t open;
 	bool dead;
+	bool lost; /* dead or cut off */
 };
 
 struct upstream_load {
@@ -27,6 +28,7 @@
 	uint32_t peer_open;
 	double peer_mean;   /* of peer_busy; a sum is old within one request */
 	uint32_t peer_dead; /* peers that found nothing listening */
+	uint32_t peer_lost; /* peers that found that, or could not reach it */
 	uint64_t life_ms;
 	uint64_t doubt_ms; /* since when it is doubted; 0: it is not */
 	uint32_t doubt_nr; /* signs of silence since then */
@@ -34,6 +36,7 @@
 	bool checking;
 	uint32_t unreachable; /* checks in vain, one after the other */
 	uint64_t check_ms;    /* no check before */
+	uint64_t told_ms;     /* when peers' word last led to a check */
 	uint64_t started_ms;  /* when the check under way began */
 	uint64_t cold[PLACING_COLD_MAX]; /* times of the last flows */
 	uint32_t cold_at;
@@ -77,6 +80,10 @@
 void clear_doubt(struct placing *pl, upstream_nr_t nr, struct upstream_load *r,
 		 uint64_t now_ms);
 
+/* A peer found the upstream of R dead or out of reach. */
+void note_peer_verdict(struct placing *pl, upstream_nr_t nr,
+		       struct upstream_load *r, uint64_t now_ms);
+
 /* Whether R's upstream gets no new flows, whatever its load. */
 bool is_out_of_question(const struct upstream_load *r);
 
--- a/flow/placing.h
+++ b/flow/placing.h
@@ -61,6 +61,13 @@
 #define PLACING_DOUBT_MS 200
 #define PLACING_DOUBT_SOON_MS 40
 #define PLACING_DOUBT_SOON_NR 3
+/*
+ * An upstream that showed no life for so long is suspect if a peer found it
+ * dead or out of reach, or a flow comes here that another instance carried:
+ * busy upstreams acknowledge something every few ms.
+ */
+#define PLACING_QUIET_MS 300
+#define PLACING_TOLD_AGAIN_MS 2000 /* between checks on the word of peers */
 #define PLACING_CHECK_AGAIN_MS 500 /* after a check without a verdict */
 #define PLACING_DEAD_AGAIN_MS 2000 /* after one that found it dead */
 #define PLACING_UNREACHABLE_NR 2   /* checks in vain before it counts as dead */
@@ -139,6 +146,12 @@
 void note_silence(struct placing *pl, upstream_nr_t nr, uint64_t sent_ms,
 		  uint64_t now_ms);
 
+/*
+ * A flow of NR comes here that another instance carried, with data: its caller
+ * may be sending again what the upstream did not acknowledge.
+ */
+void note_moved_flow(struct placing *pl, upstream_nr_t nr, uint64_t now_ms);
+
 /* True if NR has shown life since SINCE_MS, here or at a peer. */
 bool has_lived_since(const struct placing *pl, upstream_nr_t nr,
 		     uint64_t since_ms);
--- a/t/check-cookie.c
+++ b/t/check-cookie.c
@@ -230,6 +230,28 @@
 }
 END_TEST
 
+/* The first packet seen of a flow from PORT, which has data. */
+static void move_here(uint16_t port, upstream_nr_t nr, uint64_t now_ms)
+{
+	data(port, get_upstream(in.catalog, nr)->cookie, 1001, 100, 500,
+	     now_ms);
+}
+
+START_TEST(a_flow_that_moves_here_casts_doubt_on_a_quiet_upstream)
+{
+	upstream_nr_t nr = put("u-a", 0);
+
+	/* nothing is known of it yet: flows move when an instance starts */
+	move_here(4000, nr, 1000);
+	ck_assert_int_eq(placing_health(in.placing, nr), HEALTH_GOOD);
+	note_life(in.placing, nr, 1000);
+	move_here(4001, nr, 1000 + PLACING_QUIET_MS);
+	ck_assert_int_eq(placing_health(in.placing, nr), HEALTH_GOOD);
+	move_here(4002, nr, 1001 + PLACING_QUIET_MS);
+	ck_assert_int_eq(placing_health(in.placing, nr), HEALTH_DOUBTED);
+}
+END_TEST
+
 START_TEST(flows_of_a_dead_upstream_are_reset_the_silent_ones_too)
 {
 	upstream_nr_t nr;
@@ -458,6 +480,8 @@
 	tcase_add_test(tc, one_that_stood_still_doubts_nobody);
 	tcase_add_test(tc, a_slow_answer_is_no_silence);
 	tcase_add_test(tc, bytes_sent_again_are_silence);
+	tcase_add_test(
+		tc, a_flow_that_moves_here_casts_doubt_on_a_quiet_upstream);
 	tcase_add_test(tc,
 		       flows_of_a_dead_upstream_are_reset_the_silent_ones_too);
 	tcase_add_test(tc, no_flow_is_reset_on_suspicion);
--- a/t/check-placing.c
+++ b/t/check-placing.c
@@ -270,6 +270,75 @@
 }
 END_TEST
 
+static void hear_verdict(upstream_nr_t nr, enum upstream_health health,
+			 uint64_t now_ms)
+{
+	struct load_row row = { get_upstream(in.catalog, nr)->cookie, 0, 1,
+				2000, (uint8_t)health };
+
+	take_peer_loads(in.placing, 42, &row, 1, now_ms);
+}
+
+START_TEST(what_a_peer_found_dead_is_checked_at_once)
+{
+	static const enum upstream_health verdicts[] = { HEALTH_DEAD,
+							 HEALTH_CUT_OFF };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(verdicts); i++) {
+		char name[] = { 'u', '-', (char)('a' + i), '\0' };
+		upstream_nr_t a = put(name, "north", 0);
+
+		note_life(in.placing, a, 1000);
+		note_flow_open(in.placing, a);
+		hear_verdict(a, verdicts[i], 1500);
+		ck_assert_int_eq(placing_health(in.placing, a), HEALTH_DOUBTED);
+		ck_assert(wants_check(a, 1500));
+		note_check(in.placing, a, CHECK_REFUSED, 1510);
+		ck_assert_int_eq(placing_health(in.placing, a), HEALTH_DEAD);
+	}
+}
+END_TEST
+
+START_TEST(a_peers_verdict_waits_for_a_flow_that_needs_it)
+{
+	upstream_nr_t a = put("u-a", "north", 0);
+
+	note_life(in.placing, a, 1000);
+	hear_verdict(a, HEALTH_CUT_OFF, 1500);
+	ck_assert_int_eq(placing_health(in.placing, a), HEALTH_GOOD);
+	note_moved_flow(in.placing, a, 1600);
+	ck_assert(wants_check(a, 1600));
+}
+END_TEST
+
+START_TEST(flows_that_go_on_outweigh_a_peers_verdict)
+{
+	upstream_nr_t a = put("u-a", "north", 0);
+
+	note_flow_open(in.placing, a);
+	note_life(in.placing, a, 1400);
+	hear_verdict(a, HEALTH_CUT_OFF, 1500);
+	ck_assert_int_eq(placing_health(in.placing, a), HEALTH_GOOD);
+}
+END_TEST
+
+START_TEST(a_check_that_contradicts_a_peer_is_not_repeated_for_a_while)
+{
+	upstream_nr_t a = put("u-a", "north", 0);
+
+	note_flow_open(in.placing, a);
+	hear_verdict(a, HEALTH_CUT_OFF, 1500);
+	ck_assert(wants_check(a, 1500));
+	note_check(in.placing, a, CHECK_GOOD, 1510);
+	for (uint64_t t = 1900; t < 1500 + PLACING_TOLD_AGAIN_MS; t += 50) {
+		hear_verdict(a, HEALTH_CUT_OFF, t);
+		ck_assert(!wants_check(a, t));
+	}
+	hear_verdict(a, HEALTH_CUT_OFF, 1500 + PLACING_TOLD_AGAIN_MS);
+	ck_assert(wants_check(a, 1500 + PLACING_TOLD_AGAIN_MS));
+}
+END_TEST
+
 START_TEST(an_instance_that_reaches_nobody_doubts_itself)
 {
 	upstream_nr_t a = put("u-a", "north", 0);
@@ -385,6 +454,11 @@
 	tcase_add_test(tc, flows_that_go_on_outweigh_a_refused_check);
 	tcase_add_test(tc,
 		       an_upstream_out_of_reach_is_cut_off_if_others_answer);
+	tcase_add_test(tc, what_a_peer_found_dead_is_checked_at_once);
+	tcase_add_test(tc, a_peers_verdict_waits_for_a_flow_that_needs_it);
+	tcase_add_test(tc, flows_that_go_on_outweigh_a_peers_verdict);
+	tcase_add_test(
+		tc, a_check_that_contradicts_a_peer_is_not_repeated_for_a_while);
 	tcase_add_test(tc, an_instance_that_reaches_nobody_doubts_itself);
 	tcase_add_test(tc, another_start_begins_without_blame);
 	tcase_add_test(tc, two_ids_with_one_cookie_do_not_both_get_flows);
