--- a/t/check-cookie.c
+++ b/t/check-cookie.c
@@ -480,8 +480,8 @@
 	tcase_add_test(tc, one_that_stood_still_doubts_nobody);
 	tcase_add_test(tc, a_slow_answer_is_no_silence);
 	tcase_add_test(tc, bytes_sent_again_are_silence);
-	tcase_add_test(
-		tc, a_flow_that_moves_here_casts_doubt_on_a_quiet_upstream);
+	tcase_add_test(tc,
+		       a_flow_that_moves_here_casts_doubt_on_a_quiet_upstream);
 	tcase_add_test(tc,
 		       flows_of_a_dead_upstream_are_reset_the_silent_ones_too);
 	tcase_add_test(tc, no_flow_is_reset_on_suspicion);
--- a/t/check-placing.c
+++ b/t/check-placing.c
@@ -458,7 +458,8 @@
 	tcase_add_test(tc, a_peers_verdict_waits_for_a_flow_that_needs_it);
 	tcase_add_test(tc, flows_that_go_on_outweigh_a_peers_verdict);
 	tcase_add_test(
-		tc, a_check_that_contradicts_a_peer_is_not_repeated_for_a_while);
+		tc,
+		a_check_that_contradicts_a_peer_is_not_repeated_for_a_while);
 	tcase_add_test(tc, an_instance_that_reaches_nobody_doubts_itself);
 	tcase_add_test(tc, another_start_begins_without_blame);
 	tcase_add_test(tc, two_ids_with_one_cookie_do_not_both_get_flows);
