fleet, config, net: news that scale: packed, told by readers alone

Played on a site of our own with 300 instances and 3,000 upstreams, counters of the messages showed that every instance of a domain sent each of 500 changes a second to all others (37,000 datagrams, 6.8 MB): an instance that was behind watched the store to catch up and passed on what it learned, so that more fell behind.

Only readers pass news on; one that catches up keeps them for those that ask. Changes of many revisions share a datagram; each entry carries its revision. Questions go to a random member that knows more, of the own domain first, not all to the best informed. An instance that peers help leaves the store alone. Right after start a large domain hears two rounds of beacons before roles.

Ruled out: beacons (58 bytes, 13 KB a second at 300 instances).

Tests: check-mirror one_that_only_catches_up_... and while_peers_help_..., check-beacon many_changes_..., questions_go_to_any_..., in_a_large_domain_...; the reader's test now expects all changes of an answer in one piece, and those of the log that they are split at whole revisions.

--- a/config/mirror.c
+++ b/config/mirror.c
@@ -312,37 +312,28 @@
 		compare_digest(m, h->digest, now_ms);
 }
 
-/* Passes the changes of each revision in A on, one after the other. */
+/*
+ * Passes the changes in A on. One that watches only to catch up keeps them: if
+ * all that are behind passed on what they learn, none would get through.
+ */
 static void tell_changes(struct mirror *m, const struct store_answer *a,
 			 uint64_t now_ms, GArray *out)
 {
 	uint64_t hold = hold_until(m, now_ms);
-	uint64_t from = m->revision;
-	size_t start = 0;
+	size_t known = 0;
+	struct mirror_news *n;
 
-	for (size_t i = 1; i <= a->entry_nr; i++) {
-		uint64_t revision = a->entries[start].mod_revision;
-		struct mirror_news *n;
-
-		if (i < a->entry_nr && a->entries[i].mod_revision == revision)
-			continue;
-		if (revision > from) {
-			n = &act(out, MIRROR_TELL)->news;
-			n->from = from;
-			n->to = revision;
-			n->hold_ms = hold ? (uint32_t)(hold - now_ms) : 0;
-			n->entries = &a->entries[start];
-			n->entry_nr = i - start;
-			from = revision;
-		}
-		start = i;
-	}
-	if (a->revision > from) {
-		struct mirror_news *n = &act(out, MIRROR_TELL)->news;
-
-		n->from = from;
-		n->to = a->revision;
-	}
+	if (a->revision <= m->revision)
+		return;
+	while (known < a->entry_nr &&
+	       a->entries[known].mod_revision <= m->revision)
+		known++;
+	n = &act(out, m->reader ? MIRROR_TELL : MIRROR_KEEP)->news;
+	n->from = m->revision;
+	n->to = a->revision;
+	n->hold_ms = hold ? (uint32_t)(hold - now_ms) : 0;
+	n->entries = &a->entries[known];
+	n->entry_nr = a->entry_nr - known;
 }
 
 static void take_watched(struct mirror *m, const struct store_answer *a,
@@ -423,14 +414,15 @@
 		const struct store_entry *e = &n->entries[i];
 
 		if (e->deleted)
-			remove_item(m, e->key, n->to, hold, out);
+			remove_item(m, e->key, e->mod_revision, hold, out);
 		else if (e->value)
 			change_item(m, e, out);
 		else
-			want_key(m, e->key, n->to);
+			want_key(m, e->key, e->mod_revision);
 	}
 	m->revision = n->to;
 	m->differs_ms = 0;
+	m->hint_ms = now_ms; /* peers do help */
 }
 
 static void set_reader(struct mirror *m, bool reader, GArray *out)
--- a/config/mirror.h
+++ b/config/mirror.h
@@ -71,7 +71,7 @@
 	bool watching;	 /* it reads the store itself */
 };
 
-/* Changes that lead from revision FROM to TO. */
+/* Changes that lead from revision FROM to TO, in order of their revisions. */
 struct mirror_news {
 	uint64_t from;
 	uint64_t to;
@@ -95,6 +95,7 @@
 	MIRROR_DO_READ_KEY,   /* read KEY */
 	MIRROR_DO_ASK,	      /* ask a peer what followed REVISION */
 	MIRROR_TELL,	      /* pass NEWS on */
+	MIRROR_KEEP,	      /* keep NEWS for those that ask */
 	MIRROR_TELL_NONE,     /* news before this point cannot be passed on */
 	MIRROR_DO_WATCH,      /* watch from REVISION on */
 	MIRROR_DO_STOP_WATCH, /* end the watch */
--- a/fleet/beacon.c
+++ b/fleet/beacon.c
@@ -27,8 +27,8 @@
 	GArray *addresses; /* of struct address */
 	uint64_t sent_ms;
 	uint64_t settle_ms; /* the view is settled from then on */
-	uint64_t role_ms;   /* readers are known from then on */
-	uint64_t round;	    /* counts beacons sent */
+	uint64_t start_ms;
+	uint64_t round; /* counts beacons sent */
 };
 
 /* Whether M is in another domain than this instance. */
@@ -117,7 +117,7 @@
 	bs->peers = g_array_new(FALSE, FALSE, sizeof(struct peer));
 	bs->addresses = g_array_new(FALSE, FALSE, sizeof(struct address));
 	bs->settle_ms = now_ms + BEACON_SETTLE_MS;
-	bs->role_ms = now_ms + BEACON_ROLE_MS;
+	bs->start_ms = now_ms;
 	put_member(view, self);
 	return bs;
 }
@@ -255,9 +255,11 @@
 
 bool wants_reading(const struct beacons *bs, uint64_t now_ms)
 {
-	uint64_t limit = (BEACON_MISSES - 1) * beacon_interval(bs);
+	uint64_t interval = beacon_interval(bs);
+	uint64_t limit = (BEACON_MISSES - 1) * interval;
 
-	if (now_ms < bs->role_ms)
+	if (now_ms - bs->start_ms <
+	    MAX(BEACON_ROLE_MS, BEACON_ROLE_ROUNDS * interval))
 		return false;
 	if (is_reader(bs->view))
 		return true;
@@ -288,24 +290,29 @@
 	}
 }
 
-bool find_best_informed(const struct beacons *bs, struct endpoint *at)
+bool pick_informed(const struct beacons *bs, uint64_t revision, GRand *rand,
+		   struct endpoint *at)
 {
-	const struct peer *best = NULL;
+	bool near = false;
+	gint32 found = 0;
 
 	for (guint i = 0; i < bs->peers->len; i++) {
 		const struct peer *p =
 			&g_array_index(bs->peers, struct peer, i);
 		const struct member *m = find_member(bs->view, p->id);
 
-		if (!m || m->state == MEMBER_DEAD ||
-		    (best && (p->revision < best->revision ||
-			      (p->revision == best->revision &&
-			       p->watching_ms <= best->watching_ms))))
+		if (!m || m->state == MEMBER_DEAD || p->revision <= revision ||
+		    (near && is_far(bs, m)))
 			continue;
-		best = p;
-		*at = member_endpoint(m);
+		if (!near && !is_far(bs, m)) {
+			near = true;
+			found = 0;
+		}
+		/* each of those found so far stays with equal chance */
+		if (g_rand_int_range(rand, 0, ++found) == 0)
+			*at = member_endpoint(m);
 	}
-	return best;
+	return found;
 }
 
 bool tick_beacons(struct beacons *bs, uint64_t now_ms, bool urgent, GArray *to)
--- a/fleet/beacon.h
+++ b/fleet/beacon.h
@@ -21,6 +21,7 @@
 #define BEACON_SEARCH_MS 1000  /* between two to an address that is silent */
 #define BEACON_FORGET_MS 30000 /* a member silent for longer is forgotten */
 #define BEACON_ROLE_MS 400     /* after start: peers have been heard */
+#define BEACON_ROLE_ROUNDS 2   /* the same in rounds of beacons, if longer */
 #define BEACON_FAR_FACTOR 6    /* other domains hear less often ... */
 #define BEACON_FAR_FLEET 20    /* ... in fleets larger than this */
 #define BEACON_SETTLE_MS 1000  /* after start or a pause: peers have spoken */
@@ -82,8 +83,12 @@
 /* Addresses of the members of the own domain, appended to TO. */
 void list_domain_addresses(const struct beacons *bs, GArray *to);
 
-/* The live member that has seen most of the store; false if none is known. */
-bool find_best_informed(const struct beacons *bs, struct endpoint *at);
+/*
+ * A live member that has seen more of the store than REVISION, at random, of
+ * the own domain if there is one; false if none is known.
+ */
+bool pick_informed(const struct beacons *bs, uint64_t revision, GRand *rand,
+		   struct endpoint *at);
 
 /* Up to NR live and ready members, in random order, for packets relayed. */
 size_t pick_relays(const struct beacons *bs, GRand *rand, struct endpoint *to,
--- a/net/edge-store.c
+++ b/net/edge-store.c
@@ -195,32 +195,40 @@
 	count_n(&e->counters, COUNT_PEER_SENT_BYTES, len);
 }
 
+struct telling {
+	struct edge *e;
+	const GArray *to; /* of struct endpoint */
+};
+
+static void tell_one(const void *data, size_t len, void *user)
+{
+	const struct telling *t = user;
+
+	for (guint i = 0; i < t->to->len; i++)
+		send_to(t->e, &g_array_index(t->to, struct endpoint, i), data,
+			len);
+	flush_datagrams(t->e->peers);
+}
+
 /* Passes news on to the others of the own domain. */
 static void tell(struct edge *e, const struct mirror_news *n)
 {
-	GArray *to;
-	const void *data;
-	size_t len;
+	GArray *to = g_array_new(FALSE, FALSE, sizeof(struct endpoint));
+	struct telling t = { e, to };
 
-	data = add_news(e->news, n->from, n->to, n->hold_ms, n->entries,
-			n->entry_nr, &len);
-	if (!data)
-		return;
-	to = g_array_new(FALSE, FALSE, sizeof(struct endpoint));
 	list_domain_addresses(e->beacons, to);
-	for (guint i = 0; i < to->len; i++)
-		send_to(e, &g_array_index(to, struct endpoint, i), data, len);
-	flush_datagrams(e->peers);
+	add_news(e->news, n->from, n->to, n->hold_ms, n->entries, n->entry_nr,
+		 tell_one, &t);
 	g_array_free(to, TRUE);
 }
 
-/* Asks the peer that knows most what followed REVISION. */
+/* Asks a peer that has seen more what followed REVISION. */
 static void ask(struct edge *e, uint64_t revision)
 {
 	struct wire_writer w;
 	struct endpoint to;
 
-	if (!find_best_informed(e->beacons, &to))
+	if (!pick_informed(e->beacons, revision, e->rand, &to))
 		return;
 	init_wire_writer(&w);
 	write_news_mark(&w, NEWS_ASK, revision);
@@ -273,14 +281,14 @@
 			.key = (char *)n->entries[i].key,
 			.value = (void *)n->entries[i].value,
 			.len = n->entries[i].len,
-			.mod_revision = n->to,
+			.mod_revision = n->entries[i].revision,
 			.deleted = n->entries[i].removed
 		};
 	step_edge_mirror(e, &ev);
 	/* kept for those that ask here */
 	if (mirror_revision(e->mirror) > before)
 		add_news(e->news, n->from, n->to, n->hold_ms, entries, n->nr,
-			 &(size_t){ 0 });
+			 NULL, NULL);
 }
 
 void take_edge_news(struct edge *e, const struct news *n,
@@ -319,6 +327,10 @@
 	case MIRROR_TELL:
 		tell(e, &a->news);
 		break;
+	case MIRROR_KEEP:
+		add_news(e->news, a->news.from, a->news.to, a->news.hold_ms,
+			 a->news.entries, a->news.entry_nr, NULL, NULL);
+		break;
 	case MIRROR_TELL_NONE:
 		clear_news(e->news);
 		break;
--- a/t/check-beacon.c
+++ b/t/check-beacon.c
@@ -55,6 +55,15 @@
 	take_beacon(bs, &b, now_ms);
 }
 
+static void hear_revision(const char *name, const char *domain, uint16_t port,
+			  uint64_t revision, uint64_t now_ms)
+{
+	struct beacon b = { .member = make_member(name, domain, port),
+			    .store_revision = revision };
+
+	take_beacon(bs, &b, now_ms);
+}
+
 static enum member_state state_of(const char *name)
 {
 	return find_member(view, service_id(name))->state;
@@ -247,6 +256,13 @@
 	release_wire(&msg);
 }
 
+static bool add_one(struct news_log *nl, uint64_t from, uint64_t until,
+		    struct store_entry *e)
+{
+	e->mod_revision = until;
+	return add_news(nl, from, until, 0, e, 1, NULL, NULL);
+}
+
 START_TEST(news_are_kept_for_those_that_missed_them)
 {
 	struct news_log *nl = create_news_log();
@@ -254,11 +270,10 @@
 				 .value = (void *)"v",
 				 .len = 1 };
 	struct resent rs = { .nr = 0 };
-	size_t len;
 
 	ck_assert(!resend_news(nl, 10, note_resent, &rs));
 	for (uint64_t r = 10; r < 14; r++)
-		ck_assert(add_news(nl, r, r + 1, 0, &e, 1, &len));
+		ck_assert(add_one(nl, r, r + 1, &e));
 	ck_assert(resend_news(nl, 12, note_resent, &rs));
 	ck_assert_uint_eq(rs.nr, 2);
 	ck_assert_uint_eq(rs.to[0], 13);
@@ -270,52 +285,130 @@
 }
 END_TEST
 
+/* Reads the last datagram that was sent. */
+struct last_sent {
+	struct wire_message msg;
+	struct news n;
+	size_t nr;
+	uint64_t to; /* of the one before */
+};
+
+static void note_sent(const void *data, size_t len, void *user)
+{
+	struct last_sent *ls = user;
+
+	if (ls->nr++) {
+		ls->to = ls->n.to;
+		release_wire(&ls->msg);
+	}
+	ck_assert_uint_le(len, NEWS_BYTES_MAX);
+	ck_assert(read_news(&ls->msg, &ls->n, data, len));
+	if (ls->nr > 1)
+		ck_assert_uint_eq(ls->n.from, ls->to);
+}
+
 START_TEST(long_values_are_named_and_long_lists_are_not_passed_on)
 {
 	struct news_log *nl = create_news_log();
 	char *value = g_malloc0(NEWS_VALUE_MAX + 1);
+	struct last_sent ls = { .nr = 0 };
 	struct store_entry es[8];
-	struct wire_message msg;
-	const void *data;
-	struct news n;
-	size_t len;
 
 	for (int i = 0; i < 8; i++)
 		es[i] = (struct store_entry){ .key = (char *)"k",
 					      .value = value,
-					      .len = NEWS_VALUE_MAX };
-	ck_assert_ptr_null(add_news(nl, 1, 2, 0, es, 8, &len));
+					      .len = NEWS_VALUE_MAX,
+					      .mod_revision = 2 };
+	ck_assert(!add_news(nl, 1, 2, 0, es, 8, note_sent, &ls));
+	ck_assert_uint_eq(ls.nr, 0);
 	es[0].len = NEWS_VALUE_MAX + 1;
-	data = add_news(nl, 2, 3, 500, es, 1, &len);
-	ck_assert(read_news(&msg, &n, data, len));
-	ck_assert_ptr_null(n.entries[0].value);
-	ck_assert(!n.entries[0].removed);
-	ck_assert_uint_eq(n.hold_ms, 500);
-	release_wire(&msg);
+	es[0].mod_revision = 3;
+	ck_assert(add_news(nl, 2, 3, 500, es, 1, note_sent, &ls));
+	ck_assert_uint_eq(ls.nr, 1);
+	ck_assert_ptr_null(ls.n.entries[0].value);
+	ck_assert(!ls.n.entries[0].removed);
+	ck_assert_uint_eq(ls.n.hold_ms, 500);
+	release_wire(&ls.msg);
 	g_free(value);
 	destroy_news_log(nl);
 }
 END_TEST
 
+START_TEST(many_changes_are_told_in_few_datagrams)
+{
+	enum { NR = 300 };
+	struct news_log *nl = create_news_log();
+	struct last_sent ls = { .nr = 0 };
+	struct store_entry es[NR];
+	char value[200] = "";
+
+	/* two changes to a revision, which stay together */
+	for (int i = 0; i < NR; i++)
+		es[i] = (struct store_entry){ .key = (char *)"servers/u",
+					      .value = value,
+					      .len = sizeof(value),
+					      .mod_revision = 11 + i / 2 };
+	ck_assert(add_news(nl, 10, 400, 0, es, NR, note_sent, &ls));
+	ck_assert_uint_eq(ls.n.to, 400);
+	ck_assert_uint_eq(ls.n.entries[ls.n.nr - 1].revision, 10 + NR / 2);
+	ck_assert_uint_eq(ls.n.nr % 2, 0);
+	ck_assert_uint_le(ls.nr, NR * 250 / (NEWS_BYTES_MAX - 500));
+	release_wire(&ls.msg);
+	destroy_news_log(nl);
+}
+END_TEST
+
 /* One that takes news keeps them too, without the values left out. */
 START_TEST(what_was_left_out_is_left_out_when_passed_on_again)
 {
 	struct news_log *nl = create_news_log();
-	struct store_entry e = { .key = (char *)"config" };
-	struct wire_message msg;
-	const void *data;
-	struct news n;
-	size_t len;
+	struct store_entry e = { .key = (char *)"config", .mod_revision = 2 };
+	struct last_sent ls = { .nr = 0 };
 
-	data = add_news(nl, 1, 2, 0, &e, 1, &len);
-	ck_assert(read_news(&msg, &n, data, len));
-	ck_assert(!n.entries[0].removed);
-	ck_assert_ptr_null(n.entries[0].value);
-	release_wire(&msg);
+	ck_assert(add_news(nl, 1, 2, 0, &e, 1, note_sent, &ls));
+	ck_assert(!ls.n.entries[0].removed);
+	ck_assert_ptr_null(ls.n.entries[0].value);
+	release_wire(&ls.msg);
 	destroy_news_log(nl);
 }
 END_TEST
 
+START_TEST(questions_go_to_any_that_know_more_near_ones_first)
+{
+	GRand *rand = g_rand_new_with_seed(20261204);
+	unsigned int asked[6] = { 0 };
+	struct endpoint at;
+
+	ck_assert(!pick_informed(bs, 7, rand, &at));
+	hear_revision("far", "south", 5, 9, 1000);
+	ck_assert(pick_informed(bs, 7, rand, &at));
+	hear_revision("b", "north", 2, 8, 1000);
+	hear_revision("c", "north", 3, 9, 1000);
+	hear_revision("d", "north", 4, 7, 1000);
+	for (int i = 0; i < 200; i++) {
+		ck_assert(pick_informed(bs, 7, rand, &at));
+		asked[at.port]++;
+	}
+	ck_assert_uint_gt(asked[2], 60);
+	ck_assert_uint_gt(asked[3], 60);
+	ck_assert_uint_eq(asked[2] + asked[3], 200);
+	g_rand_free(rand);
+}
+END_TEST
+
+START_TEST(in_a_large_domain_more_rounds_are_heard_before_roles)
+{
+	char name[8];
+
+	for (unsigned int i = 2; i < 60; i++) {
+		g_snprintf(name, sizeof(name), "m%u", i);
+		hear(name, "north", (uint8_t)i, 0, 1000);
+	}
+	ck_assert(!wants_reading(bs, 1000 + BEACON_ROLE_MS));
+	ck_assert(!wants_reading(bs, 1000 + 900));
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("beacon");
@@ -340,6 +433,10 @@
 	tcase_add_test(tc,
 		       long_values_are_named_and_long_lists_are_not_passed_on);
 	tcase_add_test(tc, what_was_left_out_is_left_out_when_passed_on_again);
+	tcase_add_test(tc, many_changes_are_told_in_few_datagrams);
+	tcase_add_test(tc, questions_go_to_any_that_know_more_near_ones_first);
+	tcase_add_test(tc,
+		       in_a_large_domain_more_rounds_are_heard_before_roles);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_ENV);
 	failed = srunner_ntests_failed(sr);
--- a/t/check-mirror.c
+++ b/t/check-mirror.c
@@ -258,23 +258,53 @@
 	ck_assert_ptr_null(find(MIRROR_DO_WATCH, NULL));
 }
 
-START_TEST(a_reader_passes_on_one_revision_after_the_other)
+START_TEST(a_reader_passes_on_what_it_learns)
 {
-	struct store_entry es[] = { entry("a", "2", 12), entry("c", "1", 12),
-				    entry("b", NULL, 14) };
+	struct store_entry es[] = { entry("a", "1", 10), entry("a", "2", 12),
+				    entry("c", "1", 12), entry("b", NULL, 14) };
 	const struct mirror_action *a;
 
 	start(1000);
-	answer(MIRROR_WATCHED, STATUS_OK, 15, es, 3, 2000);
+	answer(MIRROR_WATCHED, STATUS_OK, 15, es, 4, 2000);
 	a = find(MIRROR_TELL, NULL);
-	ck_assert(a && a[1].kind == MIRROR_TELL && a[2].kind == MIRROR_TELL);
-	ck_assert_uint_eq(a[0].news.from, 10);
-	ck_assert_uint_eq(a[0].news.to, 12);
-	ck_assert_uint_eq(a[0].news.entry_nr, 2);
-	ck_assert_uint_eq(a[1].news.from, 12);
-	ck_assert_uint_eq(a[1].news.to, 14);
-	ck_assert_uint_eq(a[2].news.from, 14);
-	ck_assert_uint_eq(a[2].news.to, 15);
+	ck_assert_ptr_nonnull(a);
+	ck_assert_uint_eq(a->news.from, 10);
+	ck_assert_uint_eq(a->news.to, 15);
+	/* without what was known before */
+	ck_assert_uint_eq(a->news.entry_nr, 3);
+	ck_assert_uint_eq(a->news.entries[0].mod_revision, 12);
+	answer(MIRROR_WATCHED, STATUS_OK, 15, NULL, 0, 3000);
+	ck_assert_ptr_null(find(MIRROR_TELL, NULL));
+	answer(MIRROR_WATCHED, STATUS_OK, 17, NULL, 0, 4000);
+	ck_assert_uint_eq(find(MIRROR_TELL, NULL)->news.to, 17);
+}
+END_TEST
+
+START_TEST(one_that_only_catches_up_passes_nothing_on)
+{
+	struct store_entry a2 = entry("a", "2", 12);
+
+	start_taking(1000);
+	hint(12, 5000);
+	tick(5000 + MIRROR_HELP_MS);
+	answer(MIRROR_WATCHED, STATUS_OK, 12, &a2, 1, 5800);
+	ck_assert_ptr_null(find(MIRROR_TELL, NULL));
+	ck_assert_uint_eq(find(MIRROR_KEEP, NULL)->news.to, 12);
+}
+END_TEST
+
+START_TEST(while_peers_help_the_store_is_left_alone)
+{
+	start_taking(1000);
+	for (uint64_t r = 11; r < 60; r++) {
+		uint64_t now_ms = 5000 + r * MIRROR_HELP_MS / 2;
+
+		hint(100, now_ms);
+		news(r - 1, r, NULL, 0, 0, now_ms);
+		tick(now_ms + MIRROR_ASK_MS);
+		ck_assert_ptr_null(find(MIRROR_DO_WATCH, NULL));
+		ck_assert_uint_eq(find(MIRROR_DO_ASK, NULL)->revision, r);
+	}
 }
 END_TEST
 
@@ -454,7 +484,9 @@
 	tcase_add_test(tc, a_silent_watch_is_replaced_when_peers_know_more);
 	tcase_add_test(tc, failures_are_spaced_by_a_bounded_back_off);
 	tcase_add_test(tc, waking_up_renews_the_watch_at_once);
-	tcase_add_test(tc, a_reader_passes_on_one_revision_after_the_other);
+	tcase_add_test(tc, a_reader_passes_on_what_it_learns);
+	tcase_add_test(tc, one_that_only_catches_up_passes_nothing_on);
+	tcase_add_test(tc, while_peers_help_the_store_is_left_alone);
 	tcase_add_test(tc, news_in_order_are_taken_and_others_asked_for);
 	tcase_add_test(tc, whoever_gets_no_help_turns_to_the_store);
 	tcase_add_test(
