t: split routes, an address that another upstream uses, loss of all instances

Seen failing: check-cookie with the first service taken for every flow; whole-edge with the upstream's name in the answer of a check ignored (requests were lost).

--- a/t/check-cookie.c
+++ b/t/check-cookie.c
@@ -415,6 +415,78 @@
 }
 END_TEST
 
+/* Routes of BED_ROUTE_PORT whose flows are divided by WEIGHTS. */
+static void split_route(uint64_t version, const uint32_t weights[3])
+{
+	static const char *const names[] = { "board", "desk", "intake" };
+	GArray *routes =
+		g_array_new(FALSE, FALSE, sizeof(struct catalog_route));
+	struct catalog_route r = { .ip = BED_ROUTE_IP,
+				   .port = BED_ROUTE_PORT,
+				   .deadline_ms = BED_DEADLINE_MS,
+				   .share_nr = 3 };
+
+	r.shares = g_new0(struct route_share, 3);
+	for (size_t i = 0; i < 3; i++) {
+		r.shares[i].service = intern_service(in.catalog, names[i]);
+		r.shares[i].weight = weights[i];
+	}
+	g_array_append_val(routes, r);
+	ck_assert(set_catalog_routes(in.catalog, version, routes, BED_IDLE_MS));
+}
+
+static upstream_nr_t put_for(const char *name, const char *service)
+{
+	struct upstream_report r = bed_report(name, "north");
+
+	g_strlcpy(r.service, service, sizeof(r.service));
+	r.slots = 10000; /* weights are to decide, not load */
+	return bed_put(&in, &r, 0);
+}
+
+START_TEST(a_split_route_divides_flows_by_weight)
+{
+	enum { FLOWS = 4000 };
+	static const uint32_t weights[] = { 3, 1, 0 };
+	upstream_nr_t board = put_for("u-a", "board");
+	upstream_nr_t desk = put_for("u-b", "desk");
+	uint32_t got = 0;
+
+	put_for("u-c", "intake");
+	split_route(2, weights);
+	for (uint16_t port = 1; port <= FLOWS; port++) {
+		upstream_nr_t nr = syn(port, 0, 1000).upstream;
+
+		ck_assert(nr == board || nr == desk);
+		got += nr == board;
+		/* the copy belongs to the same service */
+		ck_assert_uint_eq(syn(port, 1, 1200).upstream, nr);
+	}
+	/* five standard deviations of the binomial distribution: 137 */
+	ck_assert_uint_ge(got, FLOWS * 3 / 4 - 137);
+	ck_assert_uint_le(got, FLOWS * 3 / 4 + 137);
+}
+END_TEST
+
+START_TEST(new_weights_leave_open_flows_where_they_are)
+{
+	static const uint32_t before[] = { 1, 0, 0 };
+	static const uint32_t after[] = { 0, 1, 0 };
+	upstream_nr_t board = put_for("u-a", "board");
+	upstream_nr_t desk = put_for("u-b", "desk");
+	uint32_t cookie = get_upstream(in.catalog, board)->cookie;
+
+	split_route(2, before);
+	ck_assert_uint_eq(open_flow(4000, 1000), board);
+	split_route(3, after);
+	end_routeless_flows(in.steering, 1100, resets);
+	ck_assert_uint_eq(resets->len, 0);
+	ck_assert_uint_eq(data(4000, cookie, 1101, 100, 900, 1200).upstream,
+			  board);
+	ck_assert_uint_eq(syn(4001, 0, 1200).upstream, desk);
+}
+END_TEST
+
 START_TEST(an_older_configuration_never_comes_back)
 {
 	const uint16_t old = 1;
@@ -492,6 +564,8 @@
 	tcase_add_test(tc, while_all_are_full_a_syn_waits_for_its_copies);
 	tcase_add_test(tc, the_most_urgent_route_does_not_wait);
 	tcase_add_test(tc, flows_of_a_dropped_route_end_and_the_others_stay);
+	tcase_add_test(tc, a_split_route_divides_flows_by_weight);
+	tcase_add_test(tc, new_weights_leave_open_flows_where_they_are);
 	tcase_add_test(tc, an_older_configuration_never_comes_back);
 	tcase_add_test(tc, one_with_no_configuration_asks_others);
 	tcase_add_test(tc, ended_flows_are_forgotten);
--- a/t/whole-edge.sh
+++ b/t/whole-edge.sh
@@ -79,6 +79,43 @@
 grep -h "event=flow-reset" "$work"/in-*.log | grep -v "upstream=i-a2" &&
 	fail "a flow of a living upstream was reset"
 
+# Another upstream at the address of one that died gets none of its flows, and
+# their callers are told.
+start third "$bin/cookie-caller-stand-in" "$net.73.1:$port" $service \
+	$net.71.1,$net.71.2,$net.71.3 60 5 100
+caller=$(cat "$work/third.pid")
+sleep 1
+stop_process up-3 KILL
+start up-5 "$bin/cookie-upstream-stand-in" i-a5 board south \
+	"$net.72.3:9003" $port $store 10
+wait "$caller" || fail "answers went wrong: $(cat "$work/third.log")"
+report=$work/third.log
+cat "$report"
+test "$(value lost "$report")" -eq 0 || fail "requests were lost"
+grep -q "event=check upstream=i-a3 result=replaced" "$work"/in-*.log ||
+	fail "the check did not tell that another upstream answers"
+
+# All instances die at once and come back: flows that are open go on.
+start fourth "$bin/cookie-caller-stand-in" "$net.73.1:$port" $service \
+	$net.71.1,$net.71.2,$net.71.3 60 6 100
+caller=$(cat "$work/fourth.pid")
+sleep 1
+for n in 1 2 3
+do
+	stop_process "in-$n" KILL
+done
+sleep 0.3
+for n in 1 2 3
+do
+	start "in-$n" "$bin/baobabvalved" --config="$work/in-$n.ini"
+done
+wait "$caller" || fail "answers went wrong: $(cat "$work/fourth.log")"
+report=$work/fourth.log
+cat "$report"
+test "$(value reset "$report")" -eq 0 || fail "open flows were reset"
+test "$(value lost "$report")" -eq 0 || fail "requests were lost"
+test "$(value answered "$report")" -gt 1000 || fail "too few answers"
+
 # A dropped route refuses new flows and ends open ones.
 write_config 2 8080
 sleep 1.5
