base, config, fleet: tell long values as their difference from the one before

Instances that the store turned away could not have it at all and read everything again and again (some 340 calls in nine seconds): the peers that had it had only its name to give.

A reader now tells such a value as its difference from the one that it held before (zstd with that one as dictionary; 43 bytes for one change in a configuration of 390 routes, 59 KB). Who holds another one reads it as before. Received datagrams are kept as they came for those that ask.

Ruled out: zlib, whose window of 32 KB does not reach back to the same place of a longer configuration.

Tests: check-base a_patch_..., check-beacon a_long_value_..., what_was_received_..., check-mirror long_values_..., a_value_that_comes_after_all_...; check-beacon's what_was_left_out_... gave way to what_was_received_..., since datagrams are no longer written anew.

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 VARIANT = release
 B = build/$(VARIANT)
 
-PKGS = libuv libzmq glib-2.0 log4c inih libcurl jansson msgpack libxxhash
+PKGS = libuv libzmq glib-2.0 log4c inih libcurl jansson msgpack libxxhash libzstd
 # Installs what is missing, once per call of make, unless NO_INSTALL is set.
 ifeq ($(MAKELEVEL)$(NO_INSTALL),0)
 $(shell .ci/install >&2)
--- a/config/mirror.c
+++ b/config/mirror.c
@@ -24,7 +24,8 @@
 struct mirror {
 	enum mirror_state state;
 	GHashTable *items; /* key -> struct item */
-	GPtrArray *dead;   /* keys that the actions of this step name */
+	GPtrArray *dead;   /* keys and values that this step's actions name */
+	GArray *bases;	   /* of struct mirror_base, of the news of this step */
 	GRand *rand;
 	uint64_t revision;
 	uint64_t digest;      /* of the items that are not gone */
@@ -63,6 +64,7 @@
 	m->items = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					 free_item);
 	m->dead = g_ptr_array_new_with_free_func(g_free);
+	m->bases = g_array_new(FALSE, TRUE, sizeof(struct mirror_base));
 	m->rand = g_rand_new_with_seed(seed);
 	m->read_next = true;
 	m->reader = true;
@@ -75,6 +77,7 @@
 		return;
 	g_hash_table_destroy(m->items);
 	g_ptr_array_free(m->dead, TRUE);
+	g_array_free(m->bases, TRUE);
 	g_rand_free(m->rand);
 	g_free(m->wanted);
 	g_free(m);
@@ -312,6 +315,48 @@
 		compare_digest(m, h->digest, now_ms);
 }
 
+struct mirror_base mirror_value(const struct mirror *m, const char *key)
+{
+	const struct item *it = g_hash_table_lookup(m->items, key);
+	struct mirror_base b = { NULL, 0, 0 };
+
+	if (it && !it->gone_ms) {
+		b.value = it->value;
+		b.len = it->len;
+		b.revision = it->revision;
+	}
+	return b;
+}
+
+/*
+ * Notes what was held of the long values that ENTRIES change. The last change
+ * of a key stands for those before it.
+ */
+static void note_bases(struct mirror *m, const struct store_entry *entries,
+		       size_t nr)
+{
+	g_array_set_size(m->bases, 0);
+	g_array_set_size(m->bases, (guint)nr);
+	for (size_t i = nr; i > 0; i--) {
+		const struct store_entry *e = &entries[i - 1];
+		struct mirror_base *b =
+			&g_array_index(m->bases, struct mirror_base, i - 1);
+		bool last = true;
+
+		if (e->deleted || e->len <= MIRROR_LONG_VALUE)
+			continue;
+		for (size_t k = i; k < nr && last; k++)
+			last = strcmp(entries[k].key, e->key) != 0;
+		if (!last)
+			continue;
+		*b = mirror_value(m, e->key);
+		if (!b->value)
+			continue;
+		b->value = g_memdup2(b->value, b->len);
+		g_ptr_array_add(m->dead, (gpointer)b->value);
+	}
+}
+
 /*
  * Passes the changes in A on. One that watches only to catch up keeps them: if
  * all that are behind passed on what they learn, none would get through.
@@ -334,6 +379,8 @@
 	n->hold_ms = hold ? (uint32_t)(hold - now_ms) : 0;
 	n->entries = &a->entries[known];
 	n->entry_nr = a->entry_nr - known;
+	note_bases(m, n->entries, n->entry_nr);
+	n->bases = (const struct mirror_base *)(void *)m->bases->data;
 }
 
 static void take_watched(struct mirror *m, const struct store_answer *a,
@@ -368,6 +415,16 @@
 	}
 }
 
+/* Takes in a value that may be the one that was left out before. */
+static void take_value(struct mirror *m, const struct store_entry *e,
+		       GArray *out)
+{
+	change_item(m, e, out);
+	if (m->wanted && !strcmp(e->key, m->wanted) &&
+	    e->mod_revision >= m->wanted_revision)
+		g_clear_pointer(&m->wanted, g_free);
+}
+
 static void take_key(struct mirror *m, const struct store_answer *a,
 		     uint64_t now_ms, GArray *out)
 {
@@ -376,11 +433,8 @@
 	if (a->status.kind != STATUS_OK)
 		return;
 	for (size_t i = 0; i < a->entry_nr; i++)
-		if (m->wanted && !strcmp(a->entries[i].key, m->wanted)) {
-			change_item(m, &a->entries[i], out);
-			if (a->entries[i].mod_revision >= m->wanted_revision)
-				g_clear_pointer(&m->wanted, g_free);
-		}
+		if (m->wanted && !strcmp(a->entries[i].key, m->wanted))
+			take_value(m, &a->entries[i], out);
 }
 
 /* Remembers that KEY has a value that was too long to be passed on. */
@@ -416,7 +470,7 @@
 		if (e->deleted)
 			remove_item(m, e->key, e->mod_revision, hold, out);
 		else if (e->value)
-			change_item(m, e, out);
+			take_value(m, e, out);
 		else
 			want_key(m, e->key, e->mod_revision);
 	}
--- a/config/mirror.h
+++ b/config/mirror.h
@@ -71,6 +71,16 @@
 	bool watching;	 /* it reads the store itself */
 };
 
+/* A value that others hold, too; NULL if there is none. */
+struct mirror_base {
+	const void *value;
+	size_t len;
+	uint64_t revision;
+};
+
+/* Values longer than this are told as a difference, or left out. */
+#define MIRROR_LONG_VALUE 900 /* bytes, so that a datagram holds a change */
+
 /* Changes that lead from revision FROM to TO, in order of their revisions. */
 struct mirror_news {
 	uint64_t from;
@@ -78,6 +88,8 @@
 	uint32_t hold_ms; /* removals may be lapses: hold them back so long */
 	const struct store_entry *entries; /* a value of NULL was left out */
 	size_t entry_nr;
+	/* of a reader's: what was held before each entry with a long value */
+	const struct mirror_base *bases;
 };
 
 struct mirror_event {
@@ -137,6 +149,9 @@
 bool mirror_is_watching(const struct mirror *m, uint64_t now_ms);
 #define MIRROR_CONTACT_MS 2700 /* a watch answers every two seconds */
 
+/* What is held of KEY, until the next step; its value is NULL if nothing is. */
+struct mirror_base mirror_value(const struct mirror *m, const char *key);
+
 /* When the store last answered; 0 if never. */
 uint64_t mirror_contact_ms(const struct mirror *m);
 
--- a/fleet/news.c
+++ b/fleet/news.c
@@ -2,9 +2,11 @@
 
 #include <string.h>
 
+#include "base/patch.h"
+
 #define ENTRY_FIELDS 5
 #define HEAD_BYTES 32  /* at most, before the entries */
-#define ENTRY_BYTES 24 /* at most, of an entry besides key and value */
+#define ENTRY_BYTES 33 /* at most, of an entry besides key and value */
 
 struct kept {
 	uint64_t from;
@@ -45,103 +47,171 @@
 	g_free(nl);
 }
 
-/* Whether the value of E is passed on, not only named. */
-static bool is_told_whole(const struct store_entry *e)
+/* How one change is to be written. */
+struct told {
+	const struct store_entry *entry;
+	enum news_form form;
+	uint64_t base;
+	GBytes *patch; /* of NEWS_PATCH */
+};
+
+static void free_told(gpointer data)
 {
-	return !e->deleted && e->value && e->len <= NEWS_VALUE_MAX;
+	struct told *t = data;
+
+	if (t->patch)
+		g_bytes_unref(t->patch);
 }
 
-static void write_changes(struct wire_writer *w, uint64_t from, uint64_t to,
-			  uint32_t hold_ms, const struct store_entry *es,
-			  size_t nr)
+static struct told choose_form(const struct store_entry *e,
+			       const struct mirror_base *base)
 {
-	put_array(w, 4 + ENTRY_FIELDS * nr);
-	put_uint(w, NEWS_CHANGES);
-	put_uint(w, from);
-	put_uint(w, to);
-	put_uint(w, hold_ms);
-	for (size_t i = 0; i < nr; i++) {
-		bool whole = is_told_whole(&es[i]);
+	struct told t = { .entry = e, .form = NEWS_NAMED };
 
-		put_str(w, es[i].key);
-		put_uint(w, es[i].mod_revision - from);
-		put_bool(w, es[i].deleted);
-		put_bool(w, whole);
-		put_bin(w, es[i].value, whole ? es[i].len : 0);
+	if (e->deleted) {
+		t.form = NEWS_REMOVED;
+	} else if (e->value && e->len <= NEWS_VALUE_MAX) {
+		t.form = NEWS_WHOLE;
+	} else if (e->value && base && base->value) {
+		t.patch = make_patch(base->value, base->len, e->value, e->len);
+		if (t.patch && g_bytes_get_size(t.patch) <= NEWS_PATCH_MAX) {
+			t.form = NEWS_PATCH;
+			t.base = base->revision;
+		}
 	}
+	return t;
 }
 
-static void keep(struct news_log *nl, uint64_t from, uint64_t to,
-		 uint32_t hold_ms, const struct store_entry *es, size_t nr,
-		 news_fn send, void *user)
+static size_t told_value_len(const struct told *t)
+{
+	switch (t->form) {
+	case NEWS_WHOLE:
+		return t->entry->len;
+	case NEWS_PATCH:
+		return g_bytes_get_size(t->patch);
+	case NEWS_REMOVED:
+	case NEWS_NAMED:
+		break;
+	}
+	return 0;
+}
+
+static void write_told(struct wire_writer *w, const struct told *t,
+		       uint64_t from)
+{
+	const void *value = t->form == NEWS_PATCH
+				    ? g_bytes_get_data(t->patch, NULL)
+				    : t->entry->value;
+
+	put_str(w, t->entry->key);
+	put_uint(w, t->entry->mod_revision - from);
+	put_uint(w, t->form);
+	put_uint(w, t->base);
+	put_bin(w, value, told_value_len(t));
+}
+
+static void keep_datagram(struct news_log *nl, uint64_t from, uint64_t to,
+			  GBytes *datagram)
 {
 	struct kept *k = g_new0(struct kept, 1);
-	struct wire_writer w;
-	const void *data;
-	size_t len;
 
-	init_wire_writer(&w);
-	write_changes(&w, from, to, hold_ms, es, nr);
 	k->from = from;
 	k->to = to;
-	k->datagram = g_bytes_new(w.buf.data, w.buf.size);
-	release_wire_writer(&w);
+	k->datagram = datagram;
 	g_queue_push_tail(&nl->kept, k);
 	if (nl->kept.length > NEWS_KEPT_MAX)
 		free_kept(g_queue_pop_head(&nl->kept));
-	data = g_bytes_get_data(k->datagram, &len);
+}
+
+void keep_news(struct news_log *nl, const struct news *n, const void *data,
+	       size_t len)
+{
+	keep_datagram(nl, n->from, n->to, g_bytes_new(data, len));
+}
+
+/* Makes one datagram of NR changes, keeps it and passes it to SEND. */
+static void tell(struct news_log *nl, uint64_t from, uint64_t to,
+		 uint32_t hold_ms, const struct told *ts, size_t nr,
+		 news_fn send, void *user)
+{
+	struct wire_writer w;
+	GBytes *datagram;
+
+	init_wire_writer(&w);
+	put_array(&w, 4 + ENTRY_FIELDS * nr);
+	put_uint(&w, NEWS_CHANGES);
+	put_uint(&w, from);
+	put_uint(&w, to);
+	put_uint(&w, hold_ms);
+	for (size_t i = 0; i < nr; i++)
+		write_told(&w, &ts[i], from);
+	datagram = g_bytes_new(w.buf.data, w.buf.size);
+	release_wire_writer(&w);
+	keep_datagram(nl, from, to, datagram);
 	if (send)
-		send(data, len, user);
+		send(g_bytes_get_data(datagram, NULL),
+		     g_bytes_get_size(datagram), user);
 }
 
 /* How many of the changes, by whole revisions, fit one datagram. */
-static size_t count_fitting(const struct store_entry *es, size_t nr)
+static size_t count_fitting(const struct told *ts, size_t nr)
 {
 	size_t bytes = HEAD_BYTES;
 	size_t fitting = 0;
 
 	for (size_t i = 0; i < nr && i < NEWS_ENTRIES_MAX; i++) {
-		bytes += strlen(es[i].key) + ENTRY_BYTES;
-		if (is_told_whole(&es[i]))
-			bytes += es[i].len;
+		bytes += strlen(ts[i].entry->key) + ENTRY_BYTES +
+			 told_value_len(&ts[i]);
 		if (bytes > NEWS_BYTES_MAX)
 			break;
-		if (i + 1 == nr || es[i + 1].mod_revision != es[i].mod_revision)
+		if (i + 1 == nr ||
+		    ts[i + 1].entry->mod_revision != ts[i].entry->mod_revision)
 			fitting = i + 1;
 	}
 	return fitting;
 }
 
-bool add_news(struct news_log *nl, uint64_t from, uint64_t to, uint32_t hold_ms,
-	      const struct store_entry *entries, size_t nr, news_fn send,
-	      void *user)
+bool add_news(struct news_log *nl, const struct mirror_news *changes,
+	      news_fn send, void *user)
 {
+	GArray *ts = g_array_new(FALSE, FALSE, sizeof(struct told));
+	size_t nr = changes->entry_nr;
+	uint64_t from = changes->from;
+	const struct told *t;
 	bool all = true;
 	size_t at = 0;
 
+	g_array_set_clear_func(ts, free_told);
+	for (size_t i = 0; i < nr; i++) {
+		struct told one =
+			choose_form(&changes->entries[i],
+				    changes->bases ? &changes->bases[i] : NULL);
+
+		g_array_append_val(ts, one);
+	}
+	t = (const struct told *)(void *)ts->data;
 	while (at < nr) {
-		size_t n = count_fitting(&entries[at], nr - at);
-		uint64_t revision = entries[at].mod_revision;
+		size_t n = count_fitting(&t[at], nr - at);
+		uint64_t to = t[at].entry->mod_revision;
 
 		if (n) {
-			uint64_t last =
-				at + n == nr ? to
-					     : entries[at + n - 1].mod_revision;
-
-			keep(nl, from, last, hold_ms, &entries[at], n, send,
-			     user);
-			from = last;
 			at += n;
-			continue;
+			to = at == nr ? changes->to
+				      : t[at - 1].entry->mod_revision;
+			tell(nl, from, to, changes->hold_ms, &t[at - n], n,
+			     send, user);
+		} else {
+			clear_news(nl);
+			all = false;
+			while (at < nr && t[at].entry->mod_revision == to)
+				at++;
 		}
-		clear_news(nl);
-		all = false;
-		from = revision;
-		while (at < nr && entries[at].mod_revision == revision)
-			at++;
+		from = to;
 	}
-	if (to > from)
-		keep(nl, from, to, hold_ms, NULL, 0, send, user);
+	if (changes->to > from)
+		tell(nl, from, changes->to, changes->hold_ms, NULL, 0, send,
+		     user);
+	g_array_free(ts, TRUE);
 	return all;
 }
 
@@ -181,14 +251,13 @@
 	n->hold_ms = (uint32_t)take_uint(r, UINT32_MAX);
 	while (!r->bad && r->left >= ENTRY_FIELDS && n->nr < NEWS_ENTRIES_MAX) {
 		struct news_entry *e = &n->entries[n->nr++];
-		bool whole;
 
 		take_str(r, e->key, sizeof(e->key));
 		e->revision = n->from + take_uint(r, UINT32_MAX);
-		e->removed = take_bool(r);
-		whole = take_bool(r);
+		e->form = (enum news_form)take_uint(r, NEWS_PATCH);
+		e->base = take_uint(r, UINT64_MAX);
 		e->len = take_bin(r, &e->value);
-		if (!whole)
+		if (e->form != NEWS_WHOLE && e->form != NEWS_PATCH)
 			e->value = NULL;
 	}
 }
--- a/fleet/news.h
+++ b/fleet/news.h
@@ -4,8 +4,8 @@
 /*
  * What readers pass on of the store: the changes of some revisions in one
  * datagram, each naming the revision it follows, so that a receiver notices
- * what it missed and asks for it. Values that are too long are left out and
- * only named. Whoever takes news keeps the latest for those that ask.
+ * what it missed and asks for it. Values that are too long are told as the
+ * difference from the one before, or only named. Whoever takes news keeps the latest for those that ask.
  */
 
 #include <glib.h>
@@ -13,28 +13,39 @@
 #include <stdint.h>
 
 #include "base/wire.h"
-#include "config/store-call.h"
+#include "config/mirror.h"
 
-#define NEWS_BYTES_MAX 1300 /* of one datagram */
-#define NEWS_VALUE_MAX 900  /* bytes of a value that is passed on */
-#define NEWS_ENTRIES_MAX 64 /* changes in one datagram */
-#define NEWS_KEPT_MAX 400   /* datagrams that a reader keeps */
-#define NEWS_RESENT_MAX 40  /* datagrams sent for one question */
+#define NEWS_BYTES_MAX 1300		 /* of one datagram */
+#define NEWS_VALUE_MAX MIRROR_LONG_VALUE /* bytes of a value told whole */
+#define NEWS_PATCH_MAX 1000	 /* bytes of a difference that is told */
+#define NEWS_PATCHED_MAX 1048576 /* bytes of a value in the store, at most */
+#define NEWS_ENTRIES_MAX 64	 /* changes in one datagram */
+#define NEWS_KEPT_MAX 400	 /* datagrams that a reader keeps */
+#define NEWS_RESENT_MAX 40	 /* datagrams sent for one question */
 
 /* First elements of the messages; a beacon's is BEACON_FORMAT. */
 enum news_format {
 	NEWS_ASK = 3,  /* what followed a revision? */
 	NEWS_GONE = 4, /* that is no longer known; read the store */
-	NEWS_CHANGES = 5
+	NEWS_CHANGES = 6
 };
 
-/* One change; VALUE points into the message. */
+/* How a change is told. */
+enum news_form {
+	NEWS_REMOVED,
+	NEWS_NAMED, /* its value is left out */
+	NEWS_WHOLE,
+	NEWS_PATCH /* the difference from the value of BASE, base/patch.h */
+};
+
+/* One change; VALUE points into the message, and is NULL if there is none. */
 struct news_entry {
 	char key[256];
 	uint64_t revision;
-	const void *value; /* NULL: removed, or left out */
+	enum news_form form;
+	uint64_t base;
+	const void *value;
 	size_t len;
-	bool removed;
 };
 
 struct news {
@@ -63,14 +74,16 @@
 typedef void (*news_fn)(const void *data, size_t len, void *user);
 
 /*
- * Adds the NR changes that lead from revision FROM to TO, in the order of their
- * revisions, and calls SEND (unless NULL) for each datagram that tells them.
- * False if the changes of one revision do not fit a datagram: those before are
- * forgotten, and receivers are to read the store.
+ * Adds CHANGES and calls SEND for each datagram that tells them. False if the
+ * changes of one revision do not fit a datagram: those before are forgotten,
+ * and receivers are to read the store.
  */
-bool add_news(struct news_log *nl, uint64_t from, uint64_t to, uint32_t hold_ms,
-	      const struct store_entry *entries, size_t nr, news_fn send,
-	      void *user);
+bool add_news(struct news_log *nl, const struct mirror_news *changes,
+	      news_fn send, void *user);
+
+/* Keeps a datagram that was received, N as read from it. */
+void keep_news(struct news_log *nl, const struct news *n, const void *data,
+	       size_t len);
 
 /* Forgets all: something was read whose parts are not known. */
 void clear_news(struct news_log *nl);
--- a/net/edge-packets.c
+++ b/net/edge-packets.c
@@ -302,7 +302,7 @@
 	struct news n;
 
 	if (read_news(&msg, &n, data, len))
-		take_edge_news(e, &n, from);
+		take_edge_news(e, &n, data, len, from);
 	else
 		count(&e->counters, COUNT_PEER_MALFORMED);
 	release_wire(&msg);
--- a/net/edge-state.h
+++ b/net/edge-state.h
@@ -72,8 +72,9 @@
 void stop_edge_store(struct edge *e);
 void tick_edge_store(struct edge *e);
 void step_edge_mirror(struct edge *e, const struct mirror_event *ev);
-void take_edge_news(struct edge *e, const struct news *n,
-		    const struct endpoint *from);
+/* N as read from DATA, which came FROM a peer. */
+void take_edge_news(struct edge *e, const struct news *n, const void *data,
+		    size_t len, const struct endpoint *from);
 
 /* edge-packets.c: packets and beacons */
 bool open_edge_ports(struct edge *e, struct status *st);
--- a/net/edge-store.c
+++ b/net/edge-store.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "base/patch.h"
 #include "base/wire.h"
 #include "net/edge-state.h"
 #include "platform/records.h"
@@ -217,8 +218,7 @@
 	struct telling t = { e, to };
 
 	list_domain_addresses(e->beacons, to);
-	add_news(e->news, n->from, n->to, n->hold_ms, n->entries, n->entry_nr,
-		 tell_one, &t);
+	add_news(e->news, n, tell_one, &t);
 	g_array_free(to, TRUE);
 }
 
@@ -265,9 +265,36 @@
 	flush_datagrams(e->peers);
 }
 
-static void take_changes(struct edge *e, const struct news *n)
+/*
+ * The entry that N tells of; its value is NULL if it was left out, or is a
+ * difference from one that is not held here. VALUE is to be released.
+ */
+static struct store_entry
+expand_entry(const struct edge *e, const struct news_entry *n, GBytes **value)
+{
+	struct store_entry se = { .key = (char *)n->key,
+				  .value = (void *)n->value,
+				  .len = n->len,
+				  .mod_revision = n->revision,
+				  .deleted = n->form == NEWS_REMOVED };
+	struct mirror_base base;
+
+	*value = NULL;
+	if (n->form != NEWS_PATCH)
+		return se;
+	base = mirror_value(e->mirror, n->key);
+	if (base.value && base.revision == n->base)
+		*value = apply_patch(base.value, base.len, n->value, n->len,
+				     NEWS_PATCHED_MAX);
+	se.value = *value ? (void *)g_bytes_get_data(*value, &se.len) : NULL;
+	return se;
+}
+
+static void take_changes(struct edge *e, const struct news *n, const void *data,
+			 size_t len)
 {
 	struct store_entry entries[NEWS_ENTRIES_MAX];
+	GBytes *values[NEWS_ENTRIES_MAX];
 	struct mirror_news changes = { .from = n->from,
 				       .to = n->to,
 				       .hold_ms = n->hold_ms,
@@ -277,28 +304,24 @@
 	uint64_t before = mirror_revision(e->mirror);
 
 	for (size_t i = 0; i < n->nr; i++)
-		entries[i] = (struct store_entry){
-			.key = (char *)n->entries[i].key,
-			.value = (void *)n->entries[i].value,
-			.len = n->entries[i].len,
-			.mod_revision = n->entries[i].revision,
-			.deleted = n->entries[i].removed
-		};
+		entries[i] = expand_entry(e, &n->entries[i], &values[i]);
 	step_edge_mirror(e, &ev);
 	/* kept for those that ask here */
 	if (mirror_revision(e->mirror) > before)
-		add_news(e->news, n->from, n->to, n->hold_ms, entries, n->nr,
-			 NULL, NULL);
+		keep_news(e->news, n, data, len);
+	for (size_t i = 0; i < n->nr; i++)
+		if (values[i])
+			g_bytes_unref(values[i]);
 }
 
-void take_edge_news(struct edge *e, const struct news *n,
-		    const struct endpoint *from)
+void take_edge_news(struct edge *e, const struct news *n, const void *data,
+		    size_t len, const struct endpoint *from)
 {
 	struct mirror_event none = { .kind = MIRROR_NO_NEWS };
 
 	switch (n->format) {
 	case NEWS_CHANGES:
-		take_changes(e, n);
+		take_changes(e, n, data, len);
 		break;
 	case NEWS_ASK:
 		answer_ask(e, n->from, from);
@@ -328,8 +351,7 @@
 		tell(e, &a->news);
 		break;
 	case MIRROR_KEEP:
-		add_news(e->news, a->news.from, a->news.to, a->news.hold_ms,
-			 a->news.entries, a->news.entry_nr, NULL, NULL);
+		add_news(e->news, &a->news, NULL, NULL);
 		break;
 	case MIRROR_TELL_NONE:
 		clear_news(e->news);
--- a/t/check-base.c
+++ b/t/check-base.c
@@ -4,12 +4,49 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/patch.h"
 #include "base/chart.h"
 #include "base/counters.h"
 #include "base/endpoint.h"
 #include "base/handles.h"
 #include "base/wire.h"
 
+START_TEST(a_patch_leads_from_one_value_to_the_next_only)
+{
+	static const char old[] = "one two three four five six seven eight";
+	static const char new[] = "one two three FOUR five six seven eight";
+	static const char other[] = "nine ten eleven twelve thirteen fourteen";
+	GBytes *patch = make_patch(old, sizeof(old), new, sizeof(new));
+	size_t len;
+	const guint8 *data = g_bytes_get_data(patch, &len);
+	guint8 *broken = g_memdup2(data, len);
+	GBytes *got = apply_patch(old, sizeof(old), data, len, sizeof(new));
+
+	ck_assert_ptr_nonnull(got);
+	ck_assert_uint_eq(g_bytes_get_size(got), sizeof(new));
+	ck_assert_str_eq(g_bytes_get_data(got, NULL), new);
+	g_bytes_unref(got);
+	ck_assert_ptr_null(
+		apply_patch(old, sizeof(old), data, len, sizeof(new) - 1));
+	ck_assert_ptr_null(
+		apply_patch(other, sizeof(other), data, len, sizeof(new)));
+	for (size_t cut = 0; cut < len; cut++)
+		ck_assert_ptr_null(
+			apply_patch(old, sizeof(old), data, cut, sizeof(new)));
+	for (size_t i = 0; i < 8 * len; i++) {
+		broken[i / 8] ^= (guint8)(1 << i % 8);
+		got = apply_patch(old, sizeof(old), broken, len, sizeof(new));
+		/* some bits of the frame's head change nothing */
+		if (got)
+			ck_assert_str_eq(g_bytes_get_data(got, NULL), new);
+		g_clear_pointer(&got, g_bytes_unref);
+		broken[i / 8] ^= (guint8)(1 << i % 8);
+	}
+	g_free(broken);
+	g_bytes_unref(patch);
+}
+END_TEST
+
 START_TEST(every_status_kind_has_a_row)
 {
 	for (int k = 0; k < STATUS_KIND_NR; k++) {
@@ -147,6 +184,7 @@
 	SRunner *sr = srunner_create(s);
 	int failed;
 
+	tcase_add_test(tc, a_patch_leads_from_one_value_to_the_next_only);
 	tcase_add_test(tc, every_status_kind_has_a_row);
 	tcase_add_test(tc, every_counter_has_a_name_of_its_own);
 	tcase_add_test(tc, endpoints_round_trip);
--- a/t/check-beacon.c
+++ b/t/check-beacon.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/patch.h"
 #include "fleet/beacon.h"
 #include "fleet/news.h"
 
@@ -259,8 +260,12 @@
 static bool add_one(struct news_log *nl, uint64_t from, uint64_t until,
 		    struct store_entry *e)
 {
+	struct mirror_news n = {
+		.from = from, .to = until, .entries = e, .entry_nr = 1
+	};
+
 	e->mod_revision = until;
-	return add_news(nl, from, until, 0, e, 1, NULL, NULL);
+	return add_news(nl, &n, NULL, NULL);
 }
 
 START_TEST(news_are_kept_for_those_that_missed_them)
@@ -307,6 +312,20 @@
 		ck_assert_uint_eq(ls->n.from, ls->to);
 }
 
+/* Adds ES as the changes from revision FROM to UNTIL, noting what is sent. */
+static bool add_all(struct news_log *nl, uint64_t from, uint64_t until,
+		    const struct store_entry *es, size_t nr,
+		    struct last_sent *ls)
+{
+	struct mirror_news n = { .from = from,
+				 .to = until,
+				 .hold_ms = 500,
+				 .entries = es,
+				 .entry_nr = nr };
+
+	return add_news(nl, &n, note_sent, ls);
+}
+
 START_TEST(long_values_are_named_and_long_lists_are_not_passed_on)
 {
 	struct news_log *nl = create_news_log();
@@ -319,14 +338,14 @@
 					      .value = value,
 					      .len = NEWS_VALUE_MAX,
 					      .mod_revision = 2 };
-	ck_assert(!add_news(nl, 1, 2, 0, es, 8, note_sent, &ls));
+	ck_assert(!add_all(nl, 1, 2, es, 8, &ls));
 	ck_assert_uint_eq(ls.nr, 0);
 	es[0].len = NEWS_VALUE_MAX + 1;
 	es[0].mod_revision = 3;
-	ck_assert(add_news(nl, 2, 3, 500, es, 1, note_sent, &ls));
+	ck_assert(add_all(nl, 2, 3, es, 1, &ls));
 	ck_assert_uint_eq(ls.nr, 1);
 	ck_assert_ptr_null(ls.n.entries[0].value);
-	ck_assert(!ls.n.entries[0].removed);
+	ck_assert_int_eq(ls.n.entries[0].form, NEWS_NAMED);
 	ck_assert_uint_eq(ls.n.hold_ms, 500);
 	release_wire(&ls.msg);
 	g_free(value);
@@ -348,7 +367,7 @@
 					      .value = value,
 					      .len = sizeof(value),
 					      .mod_revision = 11 + i / 2 };
-	ck_assert(add_news(nl, 10, 400, 0, es, NR, note_sent, &ls));
+	ck_assert(add_all(nl, 10, 400, es, NR, &ls));
 	ck_assert_uint_eq(ls.n.to, 400);
 	ck_assert_uint_eq(ls.n.entries[ls.n.nr - 1].revision, 10 + NR / 2);
 	ck_assert_uint_eq(ls.n.nr % 2, 0);
@@ -358,17 +377,66 @@
 }
 END_TEST
 
-/* One that takes news keeps them too, without the values left out. */
-START_TEST(what_was_left_out_is_left_out_when_passed_on_again)
+START_TEST(a_long_value_is_told_as_a_difference)
 {
 	struct news_log *nl = create_news_log();
+	struct last_sent ls = { .nr = 0 };
+	GString *old = g_string_new(NULL);
+	GString *new;
+	struct mirror_base base = { .revision = 7 };
+	struct store_entry e = { .key = (char *)"config", .mod_revision = 9 };
+	struct mirror_news n = {
+		.from = 8, .to = 9, .entries = &e, .entry_nr = 1, .bases = &base
+	};
+	GBytes *got;
+
+	for (int i = 0; i < 400; i++)
+		g_string_append_printf(old, "{\"route\":\"r-%x\"},",
+				       i * 2654435761u);
+	new = g_string_new_len(old->str, (gssize)old->len);
+	g_string_insert(new, 3000, "{\"route\":\"new\"},");
+	base.value = old->str;
+	base.len = old->len;
+	e.value = new->str;
+	e.len = new->len;
+	ck_assert(add_news(nl, &n, note_sent, &ls));
+	ck_assert_int_eq(ls.n.entries[0].form, NEWS_PATCH);
+	ck_assert_uint_eq(ls.n.entries[0].base, 7);
+	got = apply_patch(old->str, old->len, ls.n.entries[0].value,
+			  ls.n.entries[0].len, NEWS_PATCHED_MAX);
+	ck_assert_ptr_nonnull(got);
+	ck_assert_uint_eq(g_bytes_get_size(got), new->len);
+	ck_assert_int_eq(
+		memcmp(g_bytes_get_data(got, NULL), new->str, new->len), 0);
+	g_bytes_unref(got);
+	release_wire(&ls.msg);
+	g_string_free(old, TRUE);
+	g_string_free(new, TRUE);
+	destroy_news_log(nl);
+}
+END_TEST
+
+/* One that takes news passes them on as they came. */
+START_TEST(what_was_received_is_passed_on_unchanged)
+{
+	struct news_log *nl = create_news_log();
+	struct news_log *other = create_news_log();
 	struct store_entry e = { .key = (char *)"config", .mod_revision = 2 };
 	struct last_sent ls = { .nr = 0 };
+	struct last_sent again = { .nr = 0 };
+	struct wire_writer w;
 
-	ck_assert(add_news(nl, 1, 2, 0, &e, 1, note_sent, &ls));
-	ck_assert(!ls.n.entries[0].removed);
-	ck_assert_ptr_null(ls.n.entries[0].value);
+	ck_assert(add_all(nl, 1, 2, &e, 1, &ls));
+	ck_assert_int_eq(ls.n.entries[0].form, NEWS_NAMED);
+	init_wire_writer(&w);
+	write_news_mark(&w, NEWS_ASK, 1); /* any bytes */
+	keep_news(other, &ls.n, w.buf.data, w.buf.size);
+	ck_assert(resend_news(other, 1, note_sent, &again));
+	ck_assert_int_eq(again.n.format, NEWS_ASK);
+	release_wire_writer(&w);
+	release_wire(&again.msg);
 	release_wire(&ls.msg);
+	destroy_news_log(other);
 	destroy_news_log(nl);
 }
 END_TEST
@@ -432,7 +500,8 @@
 	tcase_add_test(tc, news_are_kept_for_those_that_missed_them);
 	tcase_add_test(tc,
 		       long_values_are_named_and_long_lists_are_not_passed_on);
-	tcase_add_test(tc, what_was_left_out_is_left_out_when_passed_on_again);
+	tcase_add_test(tc, a_long_value_is_told_as_a_difference);
+	tcase_add_test(tc, what_was_received_is_passed_on_unchanged);
 	tcase_add_test(tc, many_changes_are_told_in_few_datagrams);
 	tcase_add_test(tc, questions_go_to_any_that_know_more_near_ones_first);
 	tcase_add_test(tc,
--- a/t/check-cookie.c
+++ b/t/check-cookie.c
@@ -446,7 +446,7 @@
 
 START_TEST(a_split_route_divides_flows_by_weight)
 {
-	enum { FLOWS = 4000 };
+	const uint16_t flow_nr = 4000;
 	static const uint32_t weights[] = { 3, 1, 0 };
 	upstream_nr_t board = put_for("u-a", "board");
 	upstream_nr_t desk = put_for("u-b", "desk");
@@ -454,7 +454,7 @@
 
 	put_for("u-c", "intake");
 	split_route(2, weights);
-	for (uint16_t port = 1; port <= FLOWS; port++) {
+	for (uint16_t port = 1; port <= flow_nr; port++) {
 		upstream_nr_t nr = syn(port, 0, 1000).upstream;
 
 		ck_assert(nr == board || nr == desk);
@@ -463,8 +463,8 @@
 		ck_assert_uint_eq(syn(port, 1, 1200).upstream, nr);
 	}
 	/* five standard deviations of the binomial distribution: 137 */
-	ck_assert_uint_ge(got, FLOWS * 3 / 4 - 137);
-	ck_assert_uint_le(got, FLOWS * 3 / 4 + 137);
+	ck_assert_uint_ge(got, flow_nr * 3 / 4 - 137);
+	ck_assert_uint_le(got, flow_nr * 3 / 4 + 137);
 }
 END_TEST
 
--- a/t/check-mirror.c
+++ b/t/check-mirror.c
@@ -244,7 +244,7 @@
 static void news(uint64_t from, uint64_t to, struct store_entry *es, size_t nr,
 		 uint32_t hold_ms, uint64_t now_ms)
 {
-	struct mirror_news n = { from, to, hold_ms, es, nr };
+	struct mirror_news n = { from, to, hold_ms, es, nr, NULL };
 	struct mirror_event ev = { .kind = MIRROR_NEWS, .news = &n };
 
 	step_mirror(m, &ev, now_ms, out);
@@ -280,6 +280,51 @@
 }
 END_TEST
 
+START_TEST(long_values_are_passed_on_with_what_was_before)
+{
+	char *first = g_strnfill(MIRROR_LONG_VALUE + 1, 'a');
+	char *second = g_strnfill(MIRROR_LONG_VALUE + 1, 'b');
+	char *third = g_strnfill(MIRROR_LONG_VALUE + 1, 'c');
+	struct store_entry before = entry("config", first, 11);
+	struct store_entry es[] = { entry("config", second, 12),
+				    entry("a", "2", 13),
+				    entry("config", third, 14) };
+	const struct mirror_news *n;
+
+	start(1000);
+	answer(MIRROR_WATCHED, STATUS_OK, 11, &before, 1, 2000);
+	n = &find(MIRROR_TELL, NULL)->news;
+	ck_assert_ptr_null(n->bases[0].value);
+	answer(MIRROR_WATCHED, STATUS_OK, 14, es, 3, 3000);
+	n = &find(MIRROR_TELL, NULL)->news;
+	/* receivers hold none of those in between */
+	ck_assert_ptr_null(n->bases[0].value);
+	ck_assert_ptr_null(n->bases[1].value);
+	ck_assert_uint_eq(n->bases[2].revision, 11);
+	ck_assert_int_eq(memcmp(n->bases[2].value, first, n->bases[2].len), 0);
+	ck_assert_uint_eq(mirror_value(m, "config").revision, 14);
+	ck_assert_ptr_null(mirror_value(m, "none").value);
+	g_free(first);
+	g_free(second);
+	g_free(third);
+}
+END_TEST
+
+START_TEST(a_value_that_comes_after_all_is_not_read)
+{
+	struct store_entry named = { .key = (char *)"config",
+				     .mod_revision = 11 };
+	struct store_entry whole = entry("config", "long", 12);
+
+	start_taking(1000);
+	news(10, 11, &named, 1, 0, 2000);
+	news(11, 12, &whole, 1, 0, 2010);
+	ck_assert(find(MIRROR_CHANGED, "config"));
+	tick(2050);
+	ck_assert_ptr_null(find(MIRROR_DO_READ_KEY, NULL));
+}
+END_TEST
+
 START_TEST(one_that_only_catches_up_passes_nothing_on)
 {
 	struct store_entry a2 = entry("a", "2", 12);
@@ -485,6 +530,8 @@
 	tcase_add_test(tc, failures_are_spaced_by_a_bounded_back_off);
 	tcase_add_test(tc, waking_up_renews_the_watch_at_once);
 	tcase_add_test(tc, a_reader_passes_on_what_it_learns);
+	tcase_add_test(tc, long_values_are_passed_on_with_what_was_before);
+	tcase_add_test(tc, a_value_that_comes_after_all_is_not_read);
 	tcase_add_test(tc, one_that_only_catches_up_passes_nothing_on);
 	tcase_add_test(tc, while_peers_help_the_store_is_left_alone);
 	tcase_add_test(tc, news_in_order_are_taken_and_others_asked_for);
