flow, config: compare a route's urgency with others of its service

A route gave way if any route of the configuration was more urgent, and the configuration has 110 routes without traffic, all of the highest priority.

A route now gives way if no route of its service is less urgent.

--- a/config/catalog.c
+++ b/config/catalog.c
@@ -13,8 +13,6 @@
 	uint64_t flow_ttl_ms;
 	uint64_t version;
 	uint32_t idle_ms;
-	uint32_t first_priority; /* of the most urgent routes */
-	uint32_t last_priority;	 /* of the least urgent ones */
 	GArray *routes;		 /* of struct catalog_route, sorted */
 	GPtrArray *upstreams;	 /* of struct catalog_upstream */
 	GHashTable *by_name;	 /* name -> handle + 1 */
@@ -134,6 +132,17 @@
 	return compare_address(x->ip, x->port, y->ip, y->port);
 }
 
+/* Notes how urgent R is among the routes of its services. */
+static void rank_route(struct catalog *c, const struct catalog_route *r)
+{
+	for (uint32_t i = 0; i < r->share_nr; i++) {
+		struct catalog_service *sv =
+			g_ptr_array_index(c->services, r->shares[i].service);
+
+		sv->last_priority = MAX(sv->last_priority, r->priority);
+	}
+}
+
 bool set_catalog_routes(struct catalog *c, uint64_t version, GArray *routes,
 			uint32_t idle_ms)
 {
@@ -146,20 +155,14 @@
 	c->routes = routes;
 	c->version = version;
 	c->idle_ms = idle_ms;
-	c->first_priority = UINT32_MAX;
-	c->last_priority = 0;
-	for (guint i = 0; i < routes->len; i++) {
-		uint32_t priority =
-			g_array_index(routes, struct catalog_route, i).priority;
-
-		c->first_priority = MIN(c->first_priority, priority);
-		c->last_priority = MAX(c->last_priority, priority);
-	}
 	for (guint i = 0; i < c->services->len; i++) {
 		struct catalog_service *sv = g_ptr_array_index(c->services, i);
 
 		sv->listed = false;
+		sv->last_priority = 0;
 	}
+	for (guint i = 0; i < routes->len; i++)
+		rank_route(c, &g_array_index(routes, struct catalog_route, i));
 	return true;
 }
 
@@ -370,10 +373,12 @@
 	}
 }
 
-bool gives_way(const struct catalog *c, const struct catalog_route *r)
+bool gives_way(const struct catalog *c, const struct catalog_route *r,
+	       service_nr_t service)
 {
-	return r->priority > c->first_priority ||
-	       c->first_priority == c->last_priority;
+	const struct catalog_service *sv = get_service(c, service);
+
+	return sv && r->priority >= sv->last_priority;
 }
 
 uint64_t catalog_version(const struct catalog *c)
--- a/config/catalog.h
+++ b/config/catalog.h
@@ -56,11 +56,12 @@
 struct catalog_service {
 	char name[CATALOG_NAME_MAX];
 	char health_path[CATALOG_NAME_MAX];
-	uint32_t cold_ms;     /* an upstream is cold so long after start */
-	double cold_per_s;    /* new flows a second that a cold one bears */
-	uint32_t connections; /* flows that one upstream holds */
-	bool listed;	      /* in the routes in force */
-	GArray *upstreams;    /* of upstream_nr_t */
+	uint32_t cold_ms;	/* an upstream is cold so long after start */
+	double cold_per_s;	/* new flows a second that a cold one bears */
+	uint32_t connections;	/* flows that one upstream holds */
+	bool listed;		/* in the routes in force */
+	uint32_t last_priority; /* of its least urgent routes */
+	GArray *upstreams;	/* of upstream_nr_t */
 };
 
 /* One of the services that new flows of a route go to. */
@@ -121,8 +122,13 @@
 /* Forgets upstreams that left so long ago that no flow can be open. */
 void expire_catalog(struct catalog *c, uint64_t now_ms);
 
-/* Whether R gives way to other routes, which are more urgent. */
-bool gives_way(const struct catalog *c, const struct catalog_route *r);
+/*
+ * Whether R gives way to others at SERVICE: no route there is less urgent.
+ * Routes that see no traffic may be the most urgent of all, which must not
+ * push those aside that do.
+ */
+bool gives_way(const struct catalog *c, const struct catalog_route *r,
+	       service_nr_t service);
 
 /* Version of the routes in force; 0: none yet. */
 uint64_t catalog_version(const struct catalog *c);
--- a/flow/cookie.c
+++ b/flow/cookie.c
@@ -128,7 +128,7 @@
 		return d;
 	}
 	if (at.reason == PLACE_FULL && p->ack < COOKIE_COPIES &&
-	    gives_way(cs->cat, route)) {
+	    gives_way(cs->cat, route, service)) {
 		remove_cookie_flow(cs, f);
 		d = decide(COOKIE_DROP, COOKIE_DEFERRED);
 		d.placement = at;
