flow: while upstreams are crowded, serve some in time and refuse the rest

While all upstreams are crowded (an answer is expected later than the route aims at) or full, SYNs of the least urgent routes wait for their copies, as before while all were full; the last copy is now refused. An instance that has just started lets it pass and waits only while all are full.

Tests: check-placing when_upstreams_are_lost_..., an_upstream_is_ crowded_..., check-cookie the_last_copy_..., routes_without_traffic_...; the first plays the load and was seen failing with last copies let pass.

--- a/flow/cookie-state.h
+++ b/flow/cookie-state.h
@@ -44,6 +44,7 @@
 	GPtrArray *of_upstream; /* first struct flow, by handle */
 	GHashTable *of_caller;	/* caller's address -> first struct flow */
 	GArray *opening;	/* of struct opening, oldest first */
+	uint64_t first_ms;	/* when the first packet came; 0: none has */
 	uint64_t swept_ms;
 	uint64_t ticked_ms;
 	struct histogram handshakes; /* ms */
--- a/flow/cookie.c
+++ b/flow/cookie.c
@@ -103,6 +103,29 @@
 	return nr;
 }
 
+/* Whether callers may have used up tries while nobody was here. */
+static bool has_just_started(const struct cookie_steering *cs, uint64_t now_ms)
+{
+	return now_ms - cs->first_ms < COOKIE_STARTED_MS;
+}
+
+/*
+ * Right after a start all callers come with what they are behind with; what
+ * matters then is that upstreams shed nothing, not how late they answer.
+ */
+enum syn_verdict judge_syn(const struct placement *at, uint32_t copy,
+			   bool gives_way, bool just_started)
+{
+	bool crowded = at->reason == PLACE_FULL ||
+		       (at->reason == PLACE_CROWDED && !just_started);
+
+	if (!crowded || !gives_way)
+		return SYN_PLACE;
+	if (copy < COOKIE_COPIES)
+		return SYN_LEAVE;
+	return just_started ? SYN_PLACE : SYN_REFUSE;
+}
+
 /* Places the flow F, which its caller asks to open. */
 static struct cookie_decision place(struct cookie_steering *cs, struct flow *f,
 				    const struct cookie_packet *p,
@@ -113,24 +136,32 @@
 	struct opening o = { p->key, now_ms };
 	upstream_nr_t avoid[COOKIE_AVOID_MAX];
 	size_t avoid_nr = list_avoided(cs, f, now_ms, avoid);
+	struct place_wish wish = { .service = service,
+				   .deadline_ms = route->deadline_ms,
+				   .aim_ms = route->aim_ms,
+				   .tried = avoid,
+				   .tried_nr = avoid_nr };
+	enum syn_verdict verdict;
 	struct cookie_decision d;
 	struct placement at;
 
-	at = place_new_flow(cs->placing, service, route->deadline_ms, avoid,
-			    avoid_nr, now_ms);
-	if (at.upstream == CATALOG_NONE && avoid_nr)
-		at = place_new_flow(cs->placing, service, route->deadline_ms,
-				    NULL, 0, now_ms);
+	at = place_new_flow(cs->placing, &wish, now_ms);
+	if (at.upstream == CATALOG_NONE && avoid_nr) {
+		wish.tried_nr = 0;
+		at = place_new_flow(cs->placing, &wish, now_ms);
+	}
 	if (at.upstream == CATALOG_NONE) {
 		remove_cookie_flow(cs, f);
 		d = reset_for(p, COOKIE_REFUSED);
 		d.placement = at;
 		return d;
 	}
-	if (at.reason == PLACE_FULL && p->ack < COOKIE_COPIES &&
-	    gives_way(cs->cat, route, service)) {
+	verdict = judge_syn(&at, p->ack, gives_way(cs->cat, route, service),
+			    has_just_started(cs, now_ms));
+	if (verdict != SYN_PLACE) {
 		remove_cookie_flow(cs, f);
-		d = decide(COOKIE_DROP, COOKIE_DEFERRED);
+		d = verdict == SYN_LEAVE ? decide(COOKIE_DROP, COOKIE_DEFERRED)
+					 : reset_for(p, COOKIE_REFUSED);
 		d.placement = at;
 		return d;
 	}
@@ -292,6 +323,8 @@
 	upstream_nr_t nr;
 
 	count(cs->counters, COUNT_FLOW_PACKETS);
+	if (!cs->first_ms)
+		cs->first_ms = now_ms;
 	if (is_cookie_syn(p))
 		return open_cookie_flow(cs, p, now_ms);
 	f = find_cookie_flow(cs, &p->key);
--- a/flow/cookie.h
+++ b/flow/cookie.h
@@ -41,10 +41,14 @@
 #define COOKIE_AGAIN_MS 1000
 
 /*
- * While all upstreams are full, a SYN waits for its next copy, of which there
+ * While all upstreams are crowded, a SYN waits for its next copy, of which there
  * are so many (after 200 and 600 ms); that uses up none of the caller's tries.
- * The last one is refused, so that the caller can come again at once.
+ * The last one is refused: those that are served are then served in time, and
+ * the caller is told. An instance that has just started lets it pass, since
+ * callers have used up tries while no instance answered (1.4 s each), and what
+ * they are behind with is soon served.
  */
+#define COOKIE_STARTED_MS 3000
 #define COOKIE_COPIES 2
 #define COOKIE_AVOID_MAX 8 /* upstreams kept away from one flow */
 
@@ -87,6 +91,20 @@
 	uint64_t waited_ms; /* since the request was sent; 0: none waits */
 };
 
+/* What becomes of a SYN for which there is a place. */
+enum syn_verdict {
+	SYN_PLACE,
+	SYN_LEAVE, /* to its next copy */
+	SYN_REFUSE
+};
+
+/*
+ * Judges copy number COPY (0: the first) of a SYN whose best place is AT.
+ * GIVES_WAY: others are more urgent; JUST_STARTED: this instance is.
+ */
+enum syn_verdict judge_syn(const struct placement *at, uint32_t copy,
+			   bool gives_way, bool just_started);
+
 struct cookie_steering;
 
 struct cookie_steering *create_cookie_steering(const struct catalog *cat,
--- a/flow/placing-state.h
+++ b/flow/placing-state.h
@@ -44,6 +44,7 @@
 
 struct service_mean {
 	double answer_ms;
+	double usual_ms; /* the same of upstreams with a free slot */
 	double busy_ratio;
 	struct histogram answers; /* ms */
 };
--- a/flow/placing.c
+++ b/flow/placing.c
@@ -73,6 +73,7 @@
 struct service_mean *need_service_mean(struct placing *pl, service_nr_t sv)
 {
 	struct service_mean start = { .answer_ms = ANSWER_MS_START,
+				      .usual_ms = ANSWER_MS_START,
 				      .busy_ratio = BUSY_RATIO_START };
 
 	while (pl->services->len <= sv)
@@ -158,14 +159,21 @@
 	return load > 1 && (load - 1) * answer_ms > deadline_ms;
 }
 
-struct placement place_new_flow(struct placing *pl, service_nr_t service,
-				uint32_t deadline_ms,
-				const upstream_nr_t *tried, size_t tried_nr,
-				uint64_t now_ms)
+/* Requests a slot beyond which an answer is expected later than AIM_MS. */
+static double crowded_load(const struct service_mean *mean, uint32_t aim_ms)
 {
-	const struct catalog_service *sv = get_service(pl->cat, service);
+	if (!aim_ms)
+		return PLACING_FULL_LOAD;
+	return CLAMP(aim_ms / mean->usual_ms, PLACING_CROWDED_MIN,
+		     PLACING_FULL_LOAD);
+}
+
+struct placement place_new_flow(struct placing *pl,
+				const struct place_wish *wish, uint64_t now_ms)
+{
+	const struct catalog_service *sv = get_service(pl->cat, wish->service);
 	struct placement best = { CATALOG_NONE, PLACE_NONE_LISTED, 0 };
-	const struct service_mean *mean = need_service_mean(pl, service);
+	const struct service_mean *mean = need_service_mean(pl, wish->service);
 	double best_score = 0;
 	bool best_doubted = false;
 
@@ -181,7 +189,8 @@
 
 		if (!accepts_flows(pl->cat, nr))
 			continue;
-		if (is_out_of_question(r) || was_tried(tried, tried_nr, nr)) {
+		if (is_out_of_question(r) ||
+		    was_tried(wish->tried, wish->tried_nr, nr)) {
 			if (best.upstream == CATALOG_NONE &&
 			    best.reason == PLACE_NONE_LISTED)
 				best.reason = PLACE_ALL_DEAD;
@@ -209,13 +218,15 @@
 	}
 	if (best.upstream == CATALOG_NONE)
 		return best;
-	if (is_too_late(best.load, mean->answer_ms, deadline_ms)) {
+	if (is_too_late(best.load, mean->answer_ms, wish->deadline_ms)) {
 		best.upstream = CATALOG_NONE;
 		best.reason = PLACE_OVERLOADED;
 		return best;
 	}
 	if (present_load(pl, best.upstream) >= PLACING_FULL_LOAD)
 		best.reason = PLACE_FULL;
+	else if (best.load >= crowded_load(mean, wish->aim_ms))
+		best.reason = PLACE_CROWDED;
 	if (is_cold_upstream(pl->cat, best.upstream, now_ms)) {
 		struct upstream_load *r = find_load_row(pl, best.upstream);
 
@@ -264,6 +275,9 @@
 		add_duration(&mean->answers, took_ms);
 		mean->answer_ms +=
 			MEAN_WEIGHT * ((double)took_ms - mean->answer_ms);
+		if (present_load(pl, nr) <= 1)
+			mean->usual_ms += MEAN_WEIGHT *
+					  ((double)took_ms - mean->usual_ms);
 	}
 	note_life(pl, nr, now_ms);
 }
@@ -281,8 +295,8 @@
 const char *place_reason_name(enum place_reason r)
 {
 	static const char *const names[PLACE_REASON_NR] = {
-		"least-loaded", "cold",	    "doubted", "none-listed",
-		"all-dead",	"all-cold", "full",    "overloaded"
+		"least-loaded", "cold",	   "doubted", "none-listed", "all-dead",
+		"all-cold",	"crowded", "full",    "overloaded"
 	};
 
 	return names[r];
--- a/flow/placing.h
+++ b/flow/placing.h
@@ -39,6 +39,14 @@
  */
 #define PLACING_FULL_LOAD 4.0
 
+/*
+ * An upstream counts as crowded where a request is expected to be answered
+ * later than its route aims at: at so many requests a slot that take the usual
+ * time one after the other, though not at fewer than this, which would leave
+ * slots idle.
+ */
+#define PLACING_CROWDED_MIN 2.0
+
 /*
  * A change of the own requests in flight that is worth telling peers at once:
  * after an outage all callers come back within the time between two beacons.
@@ -111,6 +119,7 @@
 	PLACE_NONE_LISTED, /* the service has no upstream that takes flows */
 	PLACE_ALL_DEAD,	   /* none of them can be reached */
 	PLACE_ALL_COLD,	   /* all are cold and this instance's share is used */
+	PLACE_CROWDED,	   /* all others would answer later still, too late */
 	PLACE_FULL,	   /* all are full now, though not for long */
 	PLACE_OVERLOADED,  /* no one could answer before the deadline */
 	PLACE_REASON_NR
@@ -122,14 +131,17 @@
 	double load; /* expected requests in flight for each of its slots */
 };
 
-/*
- * Chooses for one flow of SERVICE whose request must be answered within
- * DEADLINE_MS. TRIED are the TRIED_NR upstreams that did not answer it.
- */
-struct placement place_new_flow(struct placing *pl, service_nr_t service,
-				uint32_t deadline_ms,
-				const upstream_nr_t *tried, size_t tried_nr,
-				uint64_t now_ms);
+/* A flow that is to be placed. */
+struct place_wish {
+	service_nr_t service;
+	uint32_t deadline_ms;	    /* a request must be answered within */
+	uint32_t aim_ms;	    /* it should be; 0: no aim is known */
+	const upstream_nr_t *tried; /* upstreams that did not answer it */
+	size_t tried_nr;
+};
+
+struct placement place_new_flow(struct placing *pl,
+				const struct place_wish *wish, uint64_t now_ms);
 
 /* What the flows that this instance carries show. */
 void note_flow_open(struct placing *pl, upstream_nr_t nr);
--- a/t/check-cookie.c
+++ b/t/check-cookie.c
@@ -375,6 +375,51 @@
 }
 END_TEST
 
+START_TEST(the_last_copy_is_refused_unless_the_instance_has_just_started)
+{
+	const uint64_t start_ms = 1000;
+	const uint64_t then_ms = start_ms + COOKIE_STARTED_MS;
+
+	fill(put("u-a", 0));
+	ck_assert_int_eq(syn(4000, 2, start_ms).verdict, COOKIE_TO_UPSTREAM);
+	ck_assert_int_eq(syn(4001, 2, then_ms - 1).verdict, COOKIE_TO_UPSTREAM);
+	ck_assert_int_eq(syn(4002, 1, then_ms).reason, COOKIE_DEFERRED);
+	ck_assert_int_eq(syn(4002, 2, then_ms + 400).verdict, COOKIE_RESET);
+}
+END_TEST
+
+START_TEST(routes_without_traffic_do_not_push_others_aside)
+{
+	static const char *const services[] = { "board", "board", "idle" };
+	GArray *routes =
+		g_array_new(FALSE, FALSE, sizeof(struct catalog_route));
+
+	/* the middle one is more urgent than another of its service */
+	for (uint32_t i = 0; i < 3; i++) {
+		struct catalog_route r = { .ip = BED_ROUTE_IP,
+					   .port = (uint16_t)(BED_ROUTE_PORT +
+							      i),
+					   .deadline_ms = BED_DEADLINE_MS,
+					   .priority = 2 - i,
+					   .share_nr = 1 };
+		struct route_share share = {
+			intern_service(in.catalog, services[i]), 1
+		};
+
+		r.shares = g_memdup2(&share, sizeof(share));
+		g_array_append_val(routes, r);
+	}
+	ck_assert(set_catalog_routes(in.catalog, 9, routes, BED_IDLE_MS));
+	for (uint16_t i = 0; i < 2; i++) {
+		const struct catalog_route *r = find_catalog_route(
+			in.catalog, BED_ROUTE_IP, BED_ROUTE_PORT + i);
+
+		ck_assert_int_eq(gives_way(in.catalog, r, r->shares[0].service),
+				 i == 0);
+	}
+}
+END_TEST
+
 START_TEST(the_most_urgent_route_does_not_wait)
 {
 	GArray *routes =
@@ -562,6 +607,10 @@
 		tc, draining_and_taken_out_upstreams_keep_flows_and_get_none);
 	tcase_add_test(tc, what_cannot_be_served_is_refused_at_its_syn);
 	tcase_add_test(tc, while_all_are_full_a_syn_waits_for_its_copies);
+	tcase_add_test(
+		tc,
+		the_last_copy_is_refused_unless_the_instance_has_just_started);
+	tcase_add_test(tc, routes_without_traffic_do_not_push_others_aside);
 	tcase_add_test(tc, the_most_urgent_route_does_not_wait);
 	tcase_add_test(tc, flows_of_a_dropped_route_end_and_the_others_stay);
 	tcase_add_test(tc, a_split_route_divides_flows_by_weight);
--- a/t/check-placing.c
+++ b/t/check-placing.c
@@ -44,8 +44,10 @@
 
 static struct placement place(uint64_t now_ms)
 {
-	return place_new_flow(in.placing, board, BED_DEADLINE_MS, NULL, 0,
-			      now_ms);
+	struct place_wish wish = { .service = board,
+				   .deadline_ms = BED_DEADLINE_MS };
+
+	return place_new_flow(in.placing, &wish, now_ms);
 }
 
 static bool wants_check(upstream_nr_t nr, uint64_t now_ms)
@@ -430,6 +432,60 @@
 }
 END_TEST
 
+/*
+ * Half of the upstreams are lost for six seconds while callers ask for a third
+ * more than the others bear.
+ */
+START_TEST(when_upstreams_are_lost_those_that_are_served_are_in_time)
+{
+	struct placing_options opt;
+	struct placing_result r;
+	struct placing_result admitting;
+	struct placing_result shedding;
+
+	init_site_options(&opt);
+	opt.requests_s = 300;
+	opt.long_flows = 400;
+	opt.lost_domains = 2;
+	opt.lost_ms = 6000;
+	play_placing(&opt, &r);
+	opt.admit_last = true;
+	play_placing(&opt, &admitting);
+	opt.no_defer = true;
+	play_placing(&opt, &shedding);
+	ck_assert_uint_gt(r.in_aim, admitting.in_aim);
+	ck_assert_uint_gt(r.in_aim, shedding.in_aim);
+	ck_assert_double_gt(placing_worth(&r, 0.3),
+			    placing_worth(&admitting, 0.3));
+	ck_assert_double_gt(placing_worth(&r, 0.3),
+			    placing_worth(&shedding, 0.3));
+	ck_assert_uint_lt(r.failed, shedding.failed);
+	ck_assert_uint_lt(10 * r.shed, shedding.shed);
+}
+END_TEST
+
+START_TEST(an_upstream_is_crowded_where_its_answer_would_be_late)
+{
+	upstream_nr_t a = put("u-a", "north", 0);
+	struct place_wish wish = { .service = board,
+				   .deadline_ms = BED_DEADLINE_MS,
+				   .aim_ms = 150 };
+
+	for (int i = 0; i < 9; i++) {
+		ck_assert_int_eq(place_new_flow(in.placing, &wish, 0).reason,
+				 PLACE_LEAST_LOADED);
+		note_flow_open(in.placing, a);
+		note_request(in.placing, a);
+	}
+	/* three requests a slot, of 50 ms each */
+	ck_assert_int_eq(place_new_flow(in.placing, &wish, 0).reason,
+			 PLACE_CROWDED);
+	wish.aim_ms = 500;
+	ck_assert_int_eq(place_new_flow(in.placing, &wish, 0).reason,
+			 PLACE_LEAST_LOADED);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("placing");
@@ -465,6 +521,10 @@
 	tcase_add_test(tc, two_ids_with_one_cookie_do_not_both_get_flows);
 	tcase_add_test(tc, the_heaviest_load_is_served_in_time);
 	tcase_add_test(tc, after_an_outage_fewer_requests_are_lost);
+	tcase_add_test(
+		tc, when_upstreams_are_lost_those_that_are_served_are_in_time);
+	tcase_add_test(tc,
+		       an_upstream_is_crowded_where_its_answer_would_be_late);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_ENV);
 	failed = srunner_ntests_failed(sr);
--- a/t/placing-world.c
+++ b/t/placing-world.c
@@ -14,6 +14,12 @@
 /* When a SYN and its copies are sent, and when the caller gives up, ms. */
 static const uint32_t copy_ms[] = { 0, 200, 600, 1400 };
 
+struct long_flow {
+	unsigned int instance;
+	unsigned int server; /* server_nr: it is not open */
+	bool asking;	     /* its caller is opening it */
+};
+
 /* A request whose caller will send a SYN at DUE_MS. */
 struct asking {
 	uint64_t asked_ms; /* when the caller first asked */
@@ -21,15 +27,17 @@
 	uint64_t due_ms;
 	unsigned int copy;
 	unsigned int tries;
+	struct long_flow *flow; /* that it opens; NULL: one for itself */
 };
 
 /* One request at an upstream. */
 struct work {
 	uint64_t asked_ms; /* when the caller first asked */
 	uint32_t left_ms;
+	uint64_t started_ms;
 	unsigned int instance;
 	unsigned int tries;
-	bool lasting; /* of a long flow, which goes on */
+	struct long_flow *flow; /* which goes on after it; NULL: none does */
 };
 
 struct server {
@@ -37,11 +45,6 @@
 	GQueue waiting;
 };
 
-struct long_flow {
-	unsigned int instance;
-	unsigned int server;
-};
-
 struct world {
 	const struct placing_options *opt;
 	struct placing_result *res;
@@ -67,6 +70,21 @@
 	return i / w->opt->upstreams;
 }
 
+/* Server S is there, and all instances know of it. */
+static void put_server(struct world *w, unsigned int s)
+{
+	struct upstream_report r;
+	char domain[16];
+	char name[16];
+
+	g_snprintf(domain, sizeof(domain), "d%u", domain_of_server(w, s));
+	g_snprintf(name, sizeof(name), "u%u", s);
+	r = bed_report(name, domain);
+	r.slots = w->opt->slots;
+	for (unsigned int i = 0; i < w->instance_nr; i++)
+		w->handles[s] = bed_put(&w->instances[i], &r, w->now_ms);
+}
+
 static void create_instances(struct world *w)
 {
 	char domain[16];
@@ -78,17 +96,9 @@
 		g_snprintf(name, sizeof(name), "i%u", i);
 		init_bed_instance(&w->instances[i], name, domain);
 		set_far_cost(w->instances[i].placing, w->opt->far_cost);
-		for (unsigned int s = 0; s < w->server_nr; s++) {
-			struct upstream_report r;
-
-			g_snprintf(domain, sizeof(domain), "d%u",
-				   domain_of_server(w, s));
-			g_snprintf(name, sizeof(name), "u%u", s);
-			r = bed_report(name, domain);
-			r.slots = w->opt->slots;
-			w->handles[s] = bed_put(&w->instances[i], &r, 0);
-		}
 	}
+	for (unsigned int s = 0; s < w->server_nr; s++)
+		put_server(w, s);
 }
 
 static unsigned int server_of(const struct world *w, upstream_nr_t nr)
@@ -120,7 +130,10 @@
 static struct placement choose(struct world *w, unsigned int instance)
 {
 	struct bed_instance *in = &w->instances[instance];
-	service_nr_t service = intern_service(in->catalog, "board");
+	struct place_wish wish = { .service =
+					   intern_service(in->catalog, "board"),
+				   .deadline_ms = DEADLINE_MS,
+				   .aim_ms = PLACING_WORLD_AIM_MS };
 	upstream_nr_t *others = g_new(upstream_nr_t, w->server_nr);
 	struct placement at;
 	size_t n = 0;
@@ -129,8 +142,9 @@
 		n = list_others(w, false, others);
 	else if (w->opt->way == WAY_TWO_CHOICES)
 		n = list_others(w, true, others);
-	at = place_new_flow(in->placing, service, DEADLINE_MS, others, n,
-			    w->now_ms);
+	wish.tried = others;
+	wish.tried_nr = n;
+	at = place_new_flow(in->placing, &wish, w->now_ms);
 	g_free(others);
 	return at;
 }
@@ -151,27 +165,34 @@
 	struct placing *pl = w->instances[wk->instance].placing;
 
 	note_request_end(pl, w->handles[server]);
-	if (!wk->lasting)
+	if (!wk->flow)
 		note_flow_end(pl, w->handles[server]);
 	g_free(wk);
 }
 
 /* The caller of a try that did not run comes again, if it may. */
-static void try_again(struct world *w, uint64_t asked_ms, unsigned int tries)
+static void try_again(struct world *w, uint64_t asked_ms, unsigned int tries,
+		      struct long_flow *flow)
 {
 	struct asking a = { .asked_ms = asked_ms,
 			    .syn_ms = w->now_ms + AGAIN_MS,
 			    .due_ms = w->now_ms + AGAIN_MS,
-			    .tries = tries + 1 };
+			    .tries = tries + 1,
+			    .flow = flow };
 
-	if (a.tries < TRIES)
+	if (a.tries < TRIES && w->now_ms - asked_ms < DEADLINE_MS) {
+		if (flow)
+			flow->asking = true;
 		g_array_append_val(w->asking, a);
-	else
-		w->res->failed++;
+		return;
+	}
+	w->res->failed++;
+	if (flow)
+		flow->asking = false;
 }
 
 static void offer(struct world *w, unsigned int server, unsigned int instance,
-		  const struct asking *a, bool lasting)
+		  const struct asking *a)
 {
 	struct server *sv = &w->servers[server];
 	struct placing *pl = w->instances[instance].placing;
@@ -182,8 +203,9 @@
 	wk->tries = a->tries;
 	wk->left_ms = 1 + (uint32_t)(-log(u) * PLACING_WORLD_WORK_MS);
 	wk->instance = instance;
-	wk->lasting = lasting;
-	if (!lasting)
+	wk->started_ms = w->now_ms;
+	wk->flow = a->flow;
+	if (!a->flow)
 		note_flow_open(pl, w->handles[server]);
 	note_request(pl, w->handles[server]);
 	if (domain_of_instance(w, instance) != domain_of_server(w, server))
@@ -195,7 +217,7 @@
 	} else {
 		w->res->shed++;
 		end_work(w, server, wk);
-		try_again(w, a->asked_ms, a->tries);
+		try_again(w, a->asked_ms, a->tries, NULL);
 	}
 }
 
@@ -213,6 +235,9 @@
 				continue;
 			}
 			count_answer(w, wk);
+			note_answer(w->instances[wk->instance].placing,
+				    w->handles[s], w->now_ms - wk->started_ms,
+				    w->now_ms);
 			end_work(w, s, wk);
 		}
 		while (sv->running.length < w->opt->slots && sv->waiting.length)
@@ -235,23 +260,62 @@
 					      (gint32)w->opt->instances);
 }
 
+static void open_long_flow(struct world *w, struct long_flow *f,
+			   unsigned int instance, unsigned int server)
+{
+	f->instance = instance;
+	f->server = server;
+	f->asking = false;
+	if (server < w->server_nr)
+		note_flow_open(w->instances[instance].placing,
+			       w->handles[server]);
+}
+
+/* Whether the gap, in which no instance was there, has just ended. */
+static bool has_just_started(const struct world *w)
+{
+	uint64_t end_ms = w->opt->length_ms / 2 + w->opt->gap_ms;
+
+	return w->opt->gap_ms && w->now_ms >= end_ms &&
+	       w->now_ms < end_ms + COOKIE_STARTED_MS;
+}
+
+static enum syn_verdict judge(const struct world *w, const struct asking *a,
+			      const struct placement *at)
+{
+	enum syn_verdict v;
+
+	if (at->upstream == CATALOG_NONE)
+		return SYN_REFUSE;
+	if (w->opt->no_defer)
+		return SYN_PLACE;
+	v = judge_syn(at, a->copy, true, has_just_started(w));
+	return v == SYN_REFUSE && w->opt->admit_last ? SYN_PLACE : v;
+}
+
 /* A SYN of A arrives. */
 static void take_syn(struct world *w, struct asking *a)
 {
 	unsigned int instance = pick_instance(w);
 	struct placement at = choose(w, instance);
-	bool defer = at.reason == PLACE_FULL && !w->opt->no_defer;
 
-	if (defer && a->copy < COOKIE_COPIES) {
+	switch (judge(w, a, &at)) {
+	case SYN_LEAVE:
 		a->copy++;
 		a->due_ms = a->syn_ms + copy_ms[a->copy];
 		w->res->deferred++;
 		g_array_append_val(w->asking, *a);
-	} else if (at.upstream != CATALOG_NONE) {
-		offer(w, server_of(w, at.upstream), instance, a, false);
-	} else {
+		break;
+	case SYN_PLACE:
+		if (a->flow)
+			open_long_flow(w, a->flow, instance,
+				       server_of(w, at.upstream));
+		offer(w, server_of(w, at.upstream), instance, a);
+		break;
+	case SYN_REFUSE:
 		w->res->refused++;
-		try_again(w, a->asked_ms, a->tries);
+		try_again(w, a->asked_ms, a->tries, a->flow);
+		break;
 	}
 }
 
@@ -285,29 +349,85 @@
 
 	w->flows = g_new0(struct long_flow, n ? n : 1);
 	for (unsigned int i = 0; i < n; i++) {
-		struct long_flow *f = &w->flows[i];
+		unsigned int instance = pick_instance(w);
 
-		f->instance = pick_instance(w);
-		f->server = server_of(w, choose(w, f->instance).upstream);
-		if (f->server < w->server_nr)
-			note_flow_open(w->instances[f->instance].placing,
-				       w->handles[f->server]);
+		open_long_flow(w, &w->flows[i], instance,
+			       server_of(w, choose(w, instance).upstream));
 	}
 }
 
 static void ask_long(struct world *w)
 {
 	unsigned int n = (unsigned int)w->opt->long_flows;
-	struct asking a = { .asked_ms = w->now_ms };
 
 	for (unsigned int i = 0; i < n; i++) {
-		const struct long_flow *f = &w->flows[i];
+		struct long_flow *f = &w->flows[i];
+		struct asking a = { .asked_ms = w->now_ms,
+				    .syn_ms = w->now_ms,
+				    .due_ms = w->now_ms,
+				    .flow = f };
 
-		if (f->server == w->server_nr ||
-		    g_rand_double(w->rand) >= 0.001)
+		if (f->asking || g_rand_double(w->rand) >= 0.001)
 			continue;
 		w->res->asked++;
-		offer(w, f->server, f->instance, &a, true);
+		if (f->server < w->server_nr) {
+			offer(w, f->server, f->instance, &a);
+			continue;
+		}
+		f->asking = true;
+		g_array_append_val(w->asking, a);
+	}
+}
+
+/* The requests at server S are lost; their callers come again. */
+static void lose_work(struct world *w, unsigned int s, GQueue *works)
+{
+	struct work *wk;
+
+	while ((wk = g_queue_pop_head(works))) {
+		uint64_t asked_ms = wk->asked_ms;
+		unsigned int tries = wk->tries;
+
+		end_work(w, s, wk);
+		try_again(w, asked_ms, tries, NULL);
+	}
+}
+
+static void lose_server(struct world *w, unsigned int s)
+{
+	char name[16];
+
+	lose_work(w, s, &w->servers[s].running);
+	lose_work(w, s, &w->servers[s].waiting);
+	for (unsigned int i = 0; i < (unsigned int)w->opt->long_flows; i++) {
+		struct long_flow *f = &w->flows[i];
+
+		if (f->server != s)
+			continue;
+		note_flow_end(w->instances[f->instance].placing, w->handles[s]);
+		f->server = w->server_nr;
+	}
+	g_snprintf(name, sizeof(name), "u%u", s);
+	for (unsigned int i = 0; i < w->instance_nr; i++) {
+		remove_catalog_upstream(w->instances[i].catalog, name,
+					w->now_ms);
+		update_placing(w->instances[i].placing, w->handles[s],
+			       w->now_ms);
+	}
+}
+
+/* Loses the upstreams of some domains, and brings them back. */
+static void change_servers(struct world *w)
+{
+	uint64_t lost_at = w->opt->length_ms / 2;
+
+	for (unsigned int s = 0; s < w->server_nr; s++) {
+		if (domain_of_server(w, s) >= w->opt->lost_domains)
+			continue;
+		if (w->now_ms == lost_at)
+			lose_server(w, s);
+		else if (w->now_ms == lost_at + w->opt->lost_ms)
+			put_server(w, s);
 	}
 }
 
@@ -362,6 +482,7 @@
 			else
 				ask_fresh(w, w->now_ms);
 		}
+		change_servers(w);
 		if (gap)
 			continue;
 		for (; backlog; backlog--)
@@ -413,6 +534,11 @@
 					 .length_ms = 15000 };
 }
 
+double placing_worth(const struct placing_result *res, double late)
+{
+	return (res->in_aim + late * res->late) / res->asked;
+}
+
 void play_placing(const struct placing_options *opt, struct placing_result *res)
 {
 	struct world w = { .opt = opt, .res = res };
--- a/t/placing-world.h
+++ b/t/placing-world.h
@@ -34,6 +34,9 @@
 	uint32_t beacon_ms;	/* between an instance's beacons */
 	uint32_t length_ms;
 	bool no_defer;	 /* an upstream that sheds is the only refusal */
+	bool admit_last; /* the last copy of a SYN is never refused */
+	unsigned int lost_domains; /* whose upstreams are lost in the middle */
+	uint32_t lost_ms;	   /* ... for so long */
 	uint32_t gap_ms; /* nothing is served for so long in the middle;
 			  * callers come back all at once */
 };
@@ -56,6 +59,9 @@
 /* Eight instances and sixteen upstreams in four domains, as on the sites. */
 void init_site_options(struct placing_options *opt);
 
+/* What the answers are worth to callers: a late one counts LATE. */
+double placing_worth(const struct placing_result *res, double late);
+
 void play_placing(const struct placing_options *opt,
 		  struct placing_result *res);
 
