--- a/net/edge-http.c
+++ b/net/edge-http.c
@@ -107,7 +107,6 @@
 static char *metrics_text(const struct edge *e)
 {
 	GString *text = g_string_new(NULL);
-	uint64_t now = edge_clock_ms();
 
 	for (int i = 0; i < COUNTER_NR; i++)
 		add_metric(text, counter_name((enum counter)i), "counter",
@@ -118,8 +117,7 @@
 		   "version of the routes in force",
 		   catalog_version(e->catalog));
 	add_metric(text, "store-age-ms", "gauge",
-		   "since the store last answered",
-		   e->mirror ? now - mirror_contact_ms(e->mirror) : 0);
+		   "since the store last answered", edge_store_age_ms(e));
 	add_metric(text, "members", "gauge", "instances that live",
 		   live_member_nr(e->view));
 	add_metric(text, "log-suppressed", "counter",
--- a/net/edge-packets.c
+++ b/net/edge-packets.c
@@ -112,18 +112,17 @@
 	enum event_kind kind =
 		is_cookie_syn(p) ? EVENT_FLOW_REFUSED : EVENT_FLOW_RESET;
 
-	log_event(
-		e->log, kind,
-		"flow=%s upstream=%s reason=%s placing=%s version=%llu "
-		"store_revision=%llu store_age_ms=%llu",
-		format_flow(&p->key, flow), upstream_label(e, d->upstream),
-		cookie_reason_name(d->reason),
-		d->reason == COOKIE_REFUSED
-			? place_reason_name(d->placement.reason)
-			: "none",
-		(unsigned long long)catalog_version(e->catalog),
-		(unsigned long long)mirror_revision(e->mirror),
-		(unsigned long long)(e->now_ms - mirror_contact_ms(e->mirror)));
+	log_event(e->log, kind,
+		  "flow=%s upstream=%s reason=%s placing=%s version=%llu "
+		  "store_revision=%llu store_age_ms=%llu",
+		  format_flow(&p->key, flow), upstream_label(e, d->upstream),
+		  cookie_reason_name(d->reason),
+		  d->reason == COOKIE_REFUSED
+			  ? place_reason_name(d->placement.reason)
+			  : "none",
+		  (unsigned long long)catalog_version(e->catalog),
+		  (unsigned long long)mirror_revision(e->mirror),
+		  (unsigned long long)edge_store_age_ms(e));
 }
 
 static void log_placement(struct edge *e, const struct cookie_packet *p,
--- a/net/edge-state.h
+++ b/net/edge-state.h
@@ -64,6 +64,9 @@
 /* Milliseconds on a clock that counts suspended time. */
 uint64_t edge_clock_ms(void);
 
+/* Since the store last answered; 0 if it never has. */
+uint64_t edge_store_age_ms(const struct edge *e);
+
 /* Whether callers' packets are wanted here. */
 bool is_edge_ready(const struct edge *e);
 
--- a/net/edge-store.c
+++ b/net/edge-store.c
@@ -372,8 +372,7 @@
 	case MIRROR_LOST:
 		log_event(e->log, EVENT_STORE_LOST, "revision=%llu age_ms=%llu",
 			  (unsigned long long)mirror_revision(e->mirror),
-			  (unsigned long long)(e->now_ms -
-					       mirror_contact_ms(e->mirror)));
+			  (unsigned long long)edge_store_age_ms(e));
 		break;
 	case MIRROR_REGAINED:
 		log_event(e->log, EVENT_STORE_REGAINED, "revision=%llu",
@@ -382,6 +381,13 @@
 	}
 }
 
+uint64_t edge_store_age_ms(const struct edge *e)
+{
+	uint64_t contact = e->mirror ? mirror_contact_ms(e->mirror) : 0;
+
+	return contact ? edge_clock_ms() - contact : 0;
+}
+
 void step_edge_mirror(struct edge *e, const struct mirror_event *ev)
 {
 	GArray *actions =
