config: do not read a long value that is held already

News that are told again name values that were left out; each was read from the store though the mirror held it. Seen failing: check-mirror a_value_that_is_held_already_is_not_read without the change.

--- a/config/mirror.c
+++ b/config/mirror.c
@@ -440,6 +440,10 @@
 /* Remembers that KEY has a value that was too long to be passed on. */
 static void want_key(struct mirror *m, const char *key, uint64_t revision)
 {
+	const struct item *it = g_hash_table_lookup(m->items, key);
+
+	if (it && it->revision >= revision)
+		return;
 	if (m->wanted && !strcmp(m->wanted, key)) {
 		m->wanted_revision = revision;
 		return;
--- a/t/check-mirror.c
+++ b/t/check-mirror.c
@@ -310,6 +310,22 @@
 }
 END_TEST
 
+START_TEST(a_value_that_is_held_already_is_not_read)
+{
+	struct store_entry whole = entry("config", "long", 12);
+	struct store_entry named = { .key = (char *)"config",
+				     .mod_revision = 12 };
+
+	start_taking(1000);
+	news(10, 12, &whole, 1, 0, 2000);
+	/* the same told again, with more */
+	news(10, 13, &named, 1, 0, 2010);
+	ck_assert_uint_eq(mirror_revision(m), 13);
+	tick(2050);
+	ck_assert_ptr_null(find(MIRROR_DO_READ_KEY, NULL));
+}
+END_TEST
+
 START_TEST(a_value_that_comes_after_all_is_not_read)
 {
 	struct store_entry named = { .key = (char *)"config",
@@ -531,6 +547,7 @@
 	tcase_add_test(tc, waking_up_renews_the_watch_at_once);
 	tcase_add_test(tc, a_reader_passes_on_what_it_learns);
 	tcase_add_test(tc, long_values_are_passed_on_with_what_was_before);
+	tcase_add_test(tc, a_value_that_is_held_already_is_not_read);
 	tcase_add_test(tc, a_value_that_comes_after_all_is_not_read);
 	tcase_add_test(tc, one_that_only_catches_up_passes_nothing_on);
 	tcase_add_test(tc, while_peers_help_the_store_is_left_alone);
