--- a/config/mirror.c
+++ b/config/mirror.c
@@ -1,54 +1,10 @@
-#include "config/mirror.h"
+#include "config/mirror-state.h"
 
 #include <string.h>
 #include <xxhash.h>
 
 #include "base/backoff.h"
 
-enum mirror_state {
-	STATE_START,	/* nothing was asked yet */
-	STATE_READING,	/* a read of all entries is under way */
-	STATE_WATCHING, /* a watch stands */
-	STATE_TAKING,	/* news come from peers */
-	STATE_WAITING	/* after a failure */
-};
-
-struct item {
-	void *value;
-	size_t len;
-	uint64_t revision;
-	uint64_t gone_ms; /* removal held back until; 0: it is there */
-	bool seen;	  /* in the read that is being taken in */
-};
-
-struct mirror {
-	enum mirror_state state;
-	GHashTable *items; /* key -> struct item */
-	GPtrArray *dead;   /* keys and values that this step's actions name */
-	GArray *bases;	   /* of struct mirror_base, of the news of this step */
-	GRand *rand;
-	uint64_t revision;
-	uint64_t digest;      /* of the items that are not gone */
-	uint64_t differs_ms;  /* since when a reader's digest differs */
-	uint64_t repaired_ms; /* when that was last mended */
-	uint64_t contact_ms;
-	uint64_t well_since; /* 0: the store does not answer */
-	uint64_t lost_ms;    /* first failure of the last outage */
-	uint64_t retry_ms;   /* end of STATE_WAITING */
-	unsigned int failures;
-	bool read_next;	   /* the watch cannot go on from the revision */
-	bool reader;	   /* watches; else takes news */
-	bool helping_self; /* no reader, but behind: watches until it is not */
-	uint64_t hint;	   /* newest revision known to a peer */
-	uint64_t hint_ms;
-	uint64_t asked_ms;
-	uint64_t rewatch_ms;
-	char *wanted; /* key whose value was left out; NULL: none */
-	uint64_t wanted_revision;
-	uint64_t wanted_ms; /* when it may be read */
-	bool reading_key;
-};
-
 static void free_item(gpointer data)
 {
 	struct item *it = data;
@@ -83,7 +39,7 @@
 	g_free(m);
 }
 
-static struct mirror_action *act(GArray *out, enum mirror_action_kind kind)
+struct mirror_action *act_mirror(GArray *out, enum mirror_action_kind kind)
 {
 	struct mirror_action a = { .kind = kind };
 
@@ -94,13 +50,13 @@
 static void start_read(struct mirror *m, GArray *out)
 {
 	m->state = STATE_READING;
-	act(out, MIRROR_DO_READ);
+	act_mirror(out, MIRROR_DO_READ);
 }
 
 static void start_watch(struct mirror *m, GArray *out)
 {
 	m->state = STATE_WATCHING;
-	act(out, MIRROR_DO_WATCH)->revision = m->revision + 1;
+	act_mirror(out, MIRROR_DO_WATCH)->revision = m->revision + 1;
 }
 
 /* Whether a peer has seen more of the store. */
@@ -126,14 +82,14 @@
 	if (m->well_since)
 		return;
 	m->well_since = now_ms;
-	act(out, MIRROR_REGAINED);
+	act_mirror(out, MIRROR_REGAINED);
 }
 
 static void note_failure(struct mirror *m, uint64_t now_ms, GArray *out)
 {
 	if (m->well_since || !m->lost_ms) {
 		m->lost_ms = now_ms;
-		act(out, MIRROR_LOST);
+		act_mirror(out, MIRROR_LOST);
 	}
 	m->well_since = 0;
 	m->failures++;
@@ -142,8 +98,7 @@
 					  MIRROR_BACKOFF_MAX_MS, m->rand);
 }
 
-/* Until when a removal learned now is held back; 0: believe it. */
-static uint64_t hold_until(const struct mirror *m, uint64_t now_ms)
+uint64_t hold_until(const struct mirror *m, uint64_t now_ms)
 {
 	uint64_t until = m->well_since + MIRROR_RETURN_MS;
 
@@ -156,8 +111,7 @@
 	return XXH3_64bits_withSeed(key, strlen(key), revision);
 }
 
-static void change_item(struct mirror *m, const struct store_entry *e,
-			GArray *out)
+void change_item(struct mirror *m, const struct store_entry *e, GArray *out)
 {
 	struct item *it = g_hash_table_lookup(m->items, e->key);
 	struct mirror_action *a;
@@ -179,7 +133,7 @@
 	it->revision = e->mod_revision;
 	it->gone_ms = 0;
 	it->seen = true;
-	a = act(out, MIRROR_CHANGED);
+	a = act_mirror(out, MIRROR_CHANGED);
 	a->key = e->key;
 	a->value = it->value;
 	a->len = it->len;
@@ -190,16 +144,15 @@
 static void tell_removed(struct mirror *m, char *key, const struct item *it,
 			 GArray *out)
 {
-	struct mirror_action *a = act(out, MIRROR_REMOVED);
+	struct mirror_action *a = act_mirror(out, MIRROR_REMOVED);
 
 	g_ptr_array_add(m->dead, key);
 	a->key = key;
 	a->revision = it->revision;
 }
 
-/* Removes KEY as of REVISION, at HOLD_MS if that is not 0. */
-static void remove_item(struct mirror *m, const char *key, uint64_t revision,
-			uint64_t hold_ms, GArray *out)
+void remove_item(struct mirror *m, const char *key, uint64_t revision,
+		 uint64_t hold_ms, GArray *out)
 {
 	struct item *it = g_hash_table_lookup(m->items, key);
 	gpointer owned;
@@ -276,11 +229,11 @@
 		remove_unseen(m, a->revision, now_ms, out);
 	m->revision = MAX(m->revision, a->revision);
 	m->read_next = false;
-	act(out, MIRROR_TELL_NONE);
+	act_mirror(out, MIRROR_TELL_NONE);
 	follow(m, out);
 }
 
-static void note_newer(struct mirror *m, uint64_t revision, uint64_t now_ms)
+void note_newer(struct mirror *m, uint64_t revision, uint64_t now_ms)
 {
 	if (revision <= m->revision || revision <= m->hint)
 		return;
@@ -315,74 +268,6 @@
 		compare_digest(m, h->digest, now_ms);
 }
 
-struct mirror_base mirror_value(const struct mirror *m, const char *key)
-{
-	const struct item *it = g_hash_table_lookup(m->items, key);
-	struct mirror_base b = { NULL, 0, 0 };
-
-	if (it && !it->gone_ms) {
-		b.value = it->value;
-		b.len = it->len;
-		b.revision = it->revision;
-	}
-	return b;
-}
-
-/*
- * Notes what was held of the long values that ENTRIES change. The last change
- * of a key stands for those before it.
- */
-static void note_bases(struct mirror *m, const struct store_entry *entries,
-		       size_t nr)
-{
-	g_array_set_size(m->bases, 0);
-	g_array_set_size(m->bases, (guint)nr);
-	for (size_t i = nr; i > 0; i--) {
-		const struct store_entry *e = &entries[i - 1];
-		struct mirror_base *b =
-			&g_array_index(m->bases, struct mirror_base, i - 1);
-		bool last = true;
-
-		if (e->deleted || e->len <= MIRROR_LONG_VALUE)
-			continue;
-		for (size_t k = i; k < nr && last; k++)
-			last = strcmp(entries[k].key, e->key) != 0;
-		if (!last)
-			continue;
-		*b = mirror_value(m, e->key);
-		if (!b->value)
-			continue;
-		b->value = g_memdup2(b->value, b->len);
-		g_ptr_array_add(m->dead, (gpointer)b->value);
-	}
-}
-
-/*
- * Passes the changes in A on. One that watches only to catch up keeps them: if
- * all that are behind passed on what they learn, none would get through.
- */
-static void tell_changes(struct mirror *m, const struct store_answer *a,
-			 uint64_t now_ms, GArray *out)
-{
-	uint64_t hold = hold_until(m, now_ms);
-	size_t known = 0;
-	struct mirror_news *n;
-
-	if (a->revision <= m->revision)
-		return;
-	while (known < a->entry_nr &&
-	       a->entries[known].mod_revision <= m->revision)
-		known++;
-	n = &act(out, m->reader ? MIRROR_TELL : MIRROR_KEEP)->news;
-	n->from = m->revision;
-	n->to = a->revision;
-	n->hold_ms = hold ? (uint32_t)(hold - now_ms) : 0;
-	n->entries = &a->entries[known];
-	n->entry_nr = a->entry_nr - known;
-	note_bases(m, n->entries, n->entry_nr);
-	n->bases = (const struct mirror_base *)(void *)m->bases->data;
-}
-
 static void take_watched(struct mirror *m, const struct store_answer *a,
 			 uint64_t now_ms, GArray *out)
 {
@@ -410,86 +295,18 @@
 	}
 	m->revision = MAX(m->revision, a->revision);
 	if (m->helping_self && !is_behind(m)) {
-		act(out, MIRROR_DO_STOP_WATCH);
+		act_mirror(out, MIRROR_DO_STOP_WATCH);
 		follow(m, out);
 	}
 }
 
-/* Takes in a value that may be the one that was left out before. */
-static void take_value(struct mirror *m, const struct store_entry *e,
-		       GArray *out)
-{
-	change_item(m, e, out);
-	if (m->wanted && !strcmp(e->key, m->wanted) &&
-	    e->mod_revision >= m->wanted_revision)
-		g_clear_pointer(&m->wanted, g_free);
-}
-
-static void take_key(struct mirror *m, const struct store_answer *a,
-		     uint64_t now_ms, GArray *out)
-{
-	m->reading_key = false;
-	m->wanted_ms = now_ms + MIRROR_KEY_MS;
-	if (a->status.kind != STATUS_OK)
-		return;
-	for (size_t i = 0; i < a->entry_nr; i++)
-		if (m->wanted && !strcmp(a->entries[i].key, m->wanted))
-			take_value(m, &a->entries[i], out);
-}
-
-/* Remembers that KEY has a value that was too long to be passed on. */
-static void want_key(struct mirror *m, const char *key, uint64_t revision)
-{
-	const struct item *it = g_hash_table_lookup(m->items, key);
-
-	if (it && it->revision >= revision)
-		return;
-	if (m->wanted && !strcmp(m->wanted, key)) {
-		m->wanted_revision = revision;
-		return;
-	}
-	if (m->wanted) {
-		/* two of them: only a whole read brings both */
-		m->read_next = true;
-		return;
-	}
-	m->wanted = g_strdup(key);
-	m->wanted_revision = revision;
-}
-
-static void take_news(struct mirror *m, const struct mirror_news *n,
-		      uint64_t now_ms, GArray *out)
-{
-	uint64_t hold = n->hold_ms ? now_ms + n->hold_ms : 0;
-
-	if (m->state != STATE_TAKING || n->to <= m->revision)
-		return;
-	if (n->from > m->revision) {
-		note_newer(m, n->to, now_ms);
-		return;
-	}
-	for (size_t i = 0; i < n->entry_nr; i++) {
-		const struct store_entry *e = &n->entries[i];
-
-		if (e->deleted)
-			remove_item(m, e->key, e->mod_revision, hold, out);
-		else if (e->value)
-			take_value(m, e, out);
-		else
-			want_key(m, e->key, e->mod_revision);
-	}
-	m->revision = n->to;
-	m->differs_ms = 0;
-	m->hint_ms = now_ms; /* peers do help */
-}
-
 static void set_reader(struct mirror *m, bool reader, GArray *out)
 {
 	if (m->reader == reader)
 		return;
 	m->reader = reader;
 	if (m->state == STATE_WATCHING && !reader) {
-		act(out, MIRROR_DO_STOP_WATCH);
+		act_mirror(out, MIRROR_DO_STOP_WATCH);
 		follow(m, out);
 	} else if (m->state == STATE_TAKING && reader) {
 		follow(m, out);
@@ -507,7 +324,7 @@
 static void restart_watch(struct mirror *m, uint64_t now_ms, GArray *out)
 {
 	m->rewatch_ms = now_ms;
-	act(out, MIRROR_DO_STOP_WATCH);
+	act_mirror(out, MIRROR_DO_STOP_WATCH);
 	start_watch(m, out);
 }
 
@@ -525,7 +342,7 @@
 		m->helping_self = true;
 	} else if (now_ms - m->asked_ms >= MIRROR_ASK_MS) {
 		m->asked_ms = now_ms;
-		act(out, MIRROR_DO_ASK)->revision = m->revision;
+		act_mirror(out, MIRROR_DO_ASK)->revision = m->revision;
 	}
 }
 
@@ -534,7 +351,7 @@
 	drop_held(m, now_ms, out);
 	if (m->wanted && !m->reading_key && now_ms >= m->wanted_ms) {
 		m->reading_key = true;
-		act(out, MIRROR_DO_READ_KEY)->key = m->wanted;
+		act_mirror(out, MIRROR_DO_READ_KEY)->key = m->wanted;
 	}
 	if (m->state == STATE_TAKING)
 		catch_up(m, now_ms, out);
