--- a/fleet/news.h
+++ b/fleet/news.h
@@ -5,7 +5,8 @@
  * What readers pass on of the store: the changes of some revisions in one
  * datagram, each naming the revision it follows, so that a receiver notices
  * what it missed and asks for it. Values that are too long are told as the
- * difference from the one before, or only named. Whoever takes news keeps the latest for those that ask.
+ * difference from the one before, or only named. Whoever takes news keeps the
+ * latest for those that ask.
  */
 
 #include <glib.h>
--- a/flow/cookie.h
+++ b/flow/cookie.h
@@ -41,12 +41,12 @@
 #define COOKIE_AGAIN_MS 1000
 
 /*
- * While all upstreams are crowded, a SYN waits for its next copy, of which there
- * are so many (after 200 and 600 ms); that uses up none of the caller's tries.
- * The last one is refused: those that are served are then served in time, and
- * the caller is told. An instance that has just started lets it pass, since
- * callers have used up tries while no instance answered (1.4 s each), and what
- * they are behind with is soon served.
+ * While all upstreams are crowded, a SYN waits for its next copy, of which
+ * there are so many (after 200 and 600 ms); that uses up none of the caller's
+ * tries. The last one is refused: those that are served are then served in
+ * time, and the caller is told. An instance that has just started lets it pass,
+ * since callers have used up tries while no instance answered (1.4 s each), and
+ * what they are behind with is soon served.
  */
 #define COOKIE_STARTED_MS 3000
 #define COOKIE_COPIES 2
--- a/flow/placing.h
+++ b/flow/placing.h
@@ -119,9 +119,9 @@
 	PLACE_NONE_LISTED, /* the service has no upstream that takes flows */
 	PLACE_ALL_DEAD,	   /* none of them can be reached */
 	PLACE_ALL_COLD,	   /* all are cold and this instance's share is used */
-	PLACE_CROWDED,	   /* all others would answer later still, too late */
-	PLACE_FULL,	   /* all are full now, though not for long */
-	PLACE_OVERLOADED,  /* no one could answer before the deadline */
+	PLACE_CROWDED, /* its answer is expected late, all others are worse */
+	PLACE_FULL,    /* all are full now, though not for long */
+	PLACE_OVERLOADED, /* no one could answer before the deadline */
 	PLACE_REASON_NR
 };
 
--- a/net/edge-store.c
+++ b/net/edge-store.c
@@ -270,7 +270,7 @@
  * difference from one that is not held here. VALUE is to be released.
  */
 static struct store_entry
-expand_entry(const struct edge *e, const struct news_entry *n, GBytes **value)
+expand_entry(struct edge *e, const struct news_entry *n, GBytes **value)
 {
 	struct store_entry se = { .key = (char *)n->key,
 				  .value = (void *)n->value,
@@ -283,9 +283,18 @@
 	if (n->form != NEWS_PATCH)
 		return se;
 	base = mirror_value(e->mirror, n->key);
-	if (base.value && base.revision == n->base)
+	if (base.value && base.revision == n->base) {
 		*value = apply_patch(base.value, base.len, n->value, n->len,
 				     NEWS_PATCHED_MAX);
+		if (!*value) {
+			count(&e->counters, COUNT_PEER_MALFORMED);
+			log_event(e->log, EVENT_PROBLEM,
+				  "what=news why=\"the difference for %.64s "
+				  "does not lead from revision %llu to %llu\"",
+				  n->key, (unsigned long long)n->base,
+				  (unsigned long long)n->revision);
+		}
+	}
 	se.value = *value ? (void *)g_bytes_get_data(*value, &se.len) : NULL;
 	return se;
 }
