t/whole-edge: kill an upstream that has flows, after all flows opened

In the last part, flows that had not opened yet sent their SYNs while no instance ran.

The caller stand-in closes its flows when it ends, and says when a flow and when all flows had an answer. The test waits for all of them, then kills the upstream that has most flows. All checks are as before; a flow that changes its upstream counts at each answer.

--- a/stand-in/cookie-caller.c
+++ b/stand-in/cookie-caller.c
@@ -4,15 +4,18 @@
  * the instances, for tests. INSTANCES are addresses separated by commas;
  * packets go to PORT there, and readiness is checked at PORT + 1. Each of FLOWS
  * flows repeatedly sends a request, waits for its answer and pauses; a flow
- * that ends early is opened again.
+ * that ends early is opened again. Ends after SECONDS or on SIGTERM, and closes
+ * its flows then.
  *
- * Prints, at the end: answered, opened, refused (resets of SYNs), reset (of
+ * Prints "flow on UPSTREAM" when a flow gets its first answer, and "all flows
+ * answered" once every flow had one. At the end, it prints: answered, opened, refused (resets of SYNs), reset (of
  * open flows), lost (no answer within the deadline), wrong (an answer to
  * something else), moved (answers of one flow by two upstreams), late_ms (the
  * longest wait for an answer). Exit code 1 if any was wrong or moved.
  */
 
 #include <glib.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -46,6 +49,7 @@
 	uint64_t next_resend_ms;   /* loop time */
 	uint32_t resend_interval_ms;
 	char upstream[64];
+	bool ever_answered; /* by any upstream, since the caller started */
 };
 
 struct router_target {
@@ -57,6 +61,7 @@
 	uv_loop_t *loop;
 	uv_timer_t timer;
 	uv_timer_t ready_timer;
+	uv_signal_t sigterm;
 	struct datagrams *dg;
 	struct endpoint own;
 	struct endpoint service;
@@ -69,6 +74,7 @@
 	uint16_t next_port;
 	unsigned int answered, opened, refused, reset, lost, wrong, moved;
 	uint64_t longest_wait_ms;
+	size_t answered_flow_nr; /* flows that had at least one answer */
 };
 
 /*
@@ -149,7 +155,10 @@
 
 static void open_flow(struct cookie_caller *c, struct caller_flow *f)
 {
+	bool ever_answered = f->ever_answered;
+
 	memset(f, 0, sizeof(*f));
+	f->ever_answered = ever_answered;
 	f->phase = PHASE_OPENING;
 	f->port = c->next_port++;
 	f->seq = CALLER_SEQ;
@@ -195,8 +204,16 @@
 	}
 }
 
-static void report(const struct cookie_caller *c)
+/* Closes the flows, so that they are no load for later callers, and reports. */
+static void end(struct cookie_caller *c)
 {
+	for (size_t i = 0; i < c->flow_nr; i++) {
+		struct caller_flow *f = &c->flows[i];
+
+		if (f->phase == PHASE_IDLE || f->phase == PHASE_WAITING)
+			send_flow(c, f, TCP_ACK | TCP_FIN, f->ack, NULL);
+	}
+	flush_datagrams(c->dg);
 	printf("answered=%u opened=%u refused=%u reset=%u lost=%u wrong=%u "
 	       "moved=%u late_ms=%llu\n",
 	       c->answered, c->opened, c->refused, c->reset, c->lost, c->wrong,
@@ -210,7 +227,7 @@
 	uint64_t now = uv_now(c->loop);
 
 	if (now >= c->end_ms)
-		report(c);
+		end(c);
 	for (size_t i = 0; i < c->flow_nr; i++) {
 		struct caller_flow *f = &c->flows[i];
 
@@ -234,6 +251,16 @@
 	flush_datagrams(c->dg);
 }
 
+/* Reports the upstream of F, which got its first answer from it. */
+static void report_first_answer(struct cookie_caller *c, struct caller_flow *f)
+{
+	printf("flow on %s\n", f->upstream);
+	if (!f->ever_answered && ++c->answered_flow_nr == c->flow_nr)
+		printf("all flows answered\n");
+	f->ever_answered = true;
+	fflush(stdout);
+}
+
 static void handle_answer(struct cookie_caller *c, struct caller_flow *f,
 			  const uint8_t *data, const struct cookie_packet *p)
 {
@@ -254,7 +281,10 @@
 		c->wrong++;
 	if (f->upstream[0] && strcmp(f->upstream, text) != 0)
 		c->moved++;
-	g_strlcpy(f->upstream, text, sizeof(f->upstream));
+	if (!f->upstream[0]) {
+		g_strlcpy(f->upstream, text, sizeof(f->upstream));
+		report_first_answer(c, f);
+	}
 	c->answered++;
 	c->longest_wait_ms = MAX(c->longest_wait_ms, took);
 	f->seq += (uint32_t)strlen(expected);
@@ -352,6 +382,12 @@
 	return ok;
 }
 
+static void on_sigterm(uv_signal_t *sig, int signum)
+{
+	(void)signum;
+	end(sig->data);
+}
+
 static void start(struct cookie_caller *c, uint64_t seconds)
 {
 	c->flows = g_new0(struct caller_flow, c->flow_nr);
@@ -362,6 +398,9 @@
 	uv_timer_init(c->loop, &c->ready_timer);
 	c->timer.data = c;
 	c->ready_timer.data = c;
+	uv_signal_init(c->loop, &c->sigterm);
+	c->sigterm.data = c;
+	uv_signal_start(&c->sigterm, on_sigterm, SIGTERM);
 	uv_timer_start(&c->timer, on_tick, TICK_MS, TICK_MS);
 	uv_timer_start(&c->ready_timer, on_ready_timer, 0,
 		       READY_CHECK_INTERVAL_MS);
--- a/t/whole-edge.sh
+++ b/t/whole-edge.sh
@@ -16,6 +16,30 @@
 	exit 1
 }
 
+# start_caller NAME: starts a caller of 60 flows and waits until each of them
+# had an answer.
+start_caller () {
+	start "$1" "$bin/cookie-caller-stand-in" "$net.73.1:$port" $service \
+		$net.71.1,$net.71.2,$net.71.3 60 120 100
+	wait_until 60 grep -q "^all flows answered" "$work/$1.log" ||
+		fail "not all flows of $1 were answered"
+}
+
+# end_caller NAME: ends it, prints its report and checks its answers.
+end_caller () {
+	report=$work/$1.log
+	kill -s TERM "$(cat "$work/$1.pid")"
+	wait "$(cat "$work/$1.pid")" || fail "answers went wrong: $(cat "$report")"
+	grep answered= "$report"
+}
+
+# busiest_upstream NAME: prints the number N of the upstream i-aN that has most
+# flows of the caller.
+busiest_upstream () {
+	sed -n 's/^flow on i-a//p' "$work/$1.log" | sort | uniq -c |
+		sort -rn | awk 'NR == 1 { print $2 }'
+}
+
 start store "$bin/platform-store-stand-in" $store
 wait_until 5 curl -sS --noproxy '*' "http://$store/kv-range?prefix=" ||
 	fail "the store does not answer"
@@ -66,40 +90,31 @@
 test "$(value lost "$report")" -eq 0 || fail "requests were lost"
 
 # Only the flows of a killed upstream are reset.
-start second "$bin/cookie-caller-stand-in" "$net.73.1:$port" $service \
-	$net.71.1,$net.71.2,$net.71.3 60 5 100
-caller=$(cat "$work/second.pid")
-sleep 1
-stop_process up-2 KILL
-wait "$caller" || fail "answers went wrong: $(cat "$work/second.log")"
-report=$work/second.log
-cat "$report"
+start_caller second
+killed=$(busiest_upstream second)
+stop_process "up-$killed" KILL
+sleep 4
+end_caller second
 test "$(value reset "$report")" -gt 0 || fail "no flow of the killed upstream was reset"
 test "$(value lost "$report")" -eq 0 || fail "requests were lost"
-grep -h "event=flow-reset" "$work"/in-*.log | grep -v "upstream=i-a2" &&
+grep -h "event=flow-reset" "$work"/in-*.log | grep -v "upstream=i-a$killed" &&
 	fail "a flow of a live upstream was reset"
 
 # A new upstream at the address of a killed one gets none of its flows; these
 # are reset.
-start third "$bin/cookie-caller-stand-in" "$net.73.1:$port" $service \
-	$net.71.1,$net.71.2,$net.71.3 60 5 100
-caller=$(cat "$work/third.pid")
-sleep 1
-stop_process up-3 KILL
+start_caller third
+killed=$(busiest_upstream third)
+stop_process "up-$killed" KILL
 start up-5 "$bin/cookie-upstream-stand-in" i-a5 board south \
-	"$net.72.3:9003" $port $store 10
-wait "$caller" || fail "answers went wrong: $(cat "$work/third.log")"
-report=$work/third.log
-cat "$report"
+	"$net.72.$killed:9003" $port $store 10
+sleep 4
+end_caller third
 test "$(value lost "$report")" -eq 0 || fail "requests were lost"
-grep -q "event=check upstream=i-a3 result=replaced" "$work"/in-*.log ||
+grep -q "event=check upstream=i-a$killed result=replaced" "$work"/in-*.log ||
 	fail "the health check did not detect the new upstream"
 
 # All instances are killed at once and restarted: open flows continue.
-start fourth "$bin/cookie-caller-stand-in" "$net.73.1:$port" $service \
-	$net.71.1,$net.71.2,$net.71.3 60 6 100
-caller=$(cat "$work/fourth.pid")
-sleep 1
+start_caller fourth
 for n in 1 2 3
 do
 	stop_process "in-$n" KILL
@@ -109,9 +124,8 @@
 do
 	start "in-$n" "$bin/baobabvalved" --config="$work/in-$n.ini"
 done
-wait "$caller" || fail "answers went wrong: $(cat "$work/fourth.log")"
-report=$work/fourth.log
-cat "$report"
+sleep 5
+end_caller fourth
 test "$(value reset "$report")" -eq 0 || fail "open flows were reset"
 test "$(value lost "$report")" -eq 0 || fail "requests were lost"
 test "$(value answered "$report")" -gt 1000 || fail "too few answers"
