--- a/flow/cookie-flows.c
+++ b/flow/cookie-flows.c
@@ -17,6 +17,14 @@
 	return !memcmp(a, b, sizeof(struct flow_key));
 }
 
+static void free_cookie_flow(gpointer data)
+{
+	struct cookie_flow *f = data;
+
+	g_free(f->held_syn);
+	g_free(f);
+}
+
 struct cookie_steering *create_cookie_steering(const struct catalog *cat,
 					       struct placer *pl,
 					       struct counters *counters)
@@ -27,11 +35,12 @@
 	cs->placer = pl;
 	cs->counters = counters;
 	cs->flows = g_hash_table_new_full(hash_flow_key, flow_keys_equal, NULL,
-					  g_free);
+					  free_cookie_flow);
 	cs->flows_by_upstream = g_ptr_array_new();
 	cs->flows_by_caller = g_hash_table_new(NULL, NULL);
 	cs->pending_handshakes =
 		g_array_new(FALSE, FALSE, sizeof(struct pending_handshake));
+	cs->syn_queue = create_syn_queue();
 	cs->mean_handshake_ms = COOKIE_HANDSHAKE_INITIAL_MS;
 	return cs;
 }
@@ -44,6 +53,7 @@
 	g_ptr_array_free(cs->flows_by_upstream, TRUE);
 	g_hash_table_destroy(cs->flows_by_caller);
 	g_array_free(cs->pending_handshakes, TRUE);
+	destroy_syn_queue(cs->syn_queue);
 	g_free(cs);
 }
 
@@ -144,10 +154,27 @@
 	return f;
 }
 
-void remove_cookie_flow(struct cookie_steering *cs, struct cookie_flow *f)
+void cancel_held_syn(struct cookie_steering *cs, struct cookie_flow *f)
 {
+	if (!f->held_syn)
+		return;
+	remove_waiting_syn(cs->syn_queue, f->held_syn->place);
+	g_free(f->held_syn);
+	f->held_syn = NULL;
+}
+
+/* Ends all that refers to F, so that it can leave the table of flows. */
+static void detach_cookie_flow(struct cookie_steering *cs,
+			       struct cookie_flow *f)
+{
+	cancel_held_syn(cs, f);
 	unassign_cookie_flow(cs, f);
 	unlink_caller_flow(cs, f);
+}
+
+void remove_cookie_flow(struct cookie_steering *cs, struct cookie_flow *f)
+{
+	detach_cookie_flow(cs, f);
 	g_hash_table_remove(cs->flows, &f->key);
 }
 
@@ -209,8 +236,7 @@
 				       f->key.service_port))
 			continue;
 		add_reset(f, COOKIE_ROUTE_GONE, now_ms, resets);
-		unassign_cookie_flow(cs, f);
-		unlink_caller_flow(cs, f);
+		detach_cookie_flow(cs, f);
 		g_hash_table_iter_remove(&it);
 	}
 }
@@ -293,8 +319,7 @@
 			end_pending_request(cs, f);
 		if (!has_timed_out(cs, f, now_ms))
 			continue;
-		unassign_cookie_flow(cs, f);
-		unlink_caller_flow(cs, f);
+		detach_cookie_flow(cs, f);
 		g_hash_table_iter_remove(&it);
 	}
 }
@@ -308,3 +333,8 @@
 {
 	return &cs->handshake_histogram;
 }
+
+size_t cookie_waiting_syn_count(const struct cookie_steering *cs)
+{
+	return waiting_syn_count(cs->syn_queue);
+}
--- a/flow/cookie-state.h
+++ b/flow/cookie-state.h
@@ -4,6 +4,7 @@
 /* Private to flow/cookie.c and flow/cookie-flows.c. */
 
 #include "flow/cookie.h"
+#include "flow/syn-queue.h"
 
 enum flow_phase {
 	PHASE_OPENING, /* no sign yet that the upstream answered the SYN */
@@ -11,8 +12,16 @@
 	PHASE_CLOSING /* the caller has sent a FIN or RST */
 };
 
+/* A SYN that waits for room at an upstream. */
+struct held_syn {
+	struct cookie_packet packet;
+	uint8_t datagram[COOKIE_SYN_DATAGRAM_MAX];
+	struct waiting_syn *place; /* in the queue */
+};
+
 struct cookie_flow {
 	struct flow_key key;
+	struct held_syn *held_syn;	   /* NULL: its SYN does not wait */
 	struct cookie_flow *upstream_next; /* flows of the same upstream */
 	struct cookie_flow *upstream_prev;
 	struct cookie_flow *caller_next; /* flows of the same caller */
@@ -44,6 +53,7 @@
 	GPtrArray *flows_by_upstream; /* list heads, indexed by upstream */
 	GHashTable *flows_by_caller;  /* caller's IP address -> list head */
 	GArray *pending_handshakes;   /* oldest first */
+	struct syn_queue *syn_queue;  /* owners: struct cookie_flow */
 	uint64_t first_packet_ms;     /* 0: no packet was received yet */
 	uint64_t last_sweep_ms;
 	uint64_t last_tick_ms;
@@ -75,6 +85,9 @@
 				    uint64_t now_ms);
 void remove_cookie_flow(struct cookie_steering *cs, struct cookie_flow *f);
 
+/* Removes the SYN of F from the queue, if it waits. */
+void cancel_held_syn(struct cookie_steering *cs, struct cookie_flow *f);
+
 /* Ends the pending request of F, if there is one. */
 void end_pending_request(struct cookie_steering *cs, struct cookie_flow *f);
 
--- a/flow/cookie.c
+++ b/flow/cookie.c
@@ -117,33 +117,12 @@
 	return now_ms - cs->first_packet_ms < COOKIE_STARTUP_MS;
 }
 
-/*
- * Right after a start all callers send the requests that they could not send
- * before. Even then SYNs are deferred if the upstream would shed (PLACE_FULL),
- * but not if it would only answer late (PLACE_CROWDED).
- */
-enum syn_verdict decide_syn(const struct placement *best, uint32_t syn_copy,
-			    bool is_lowest_priority, bool just_started)
-{
-	bool crowded = best->reason == PLACE_FULL ||
-		       (best->reason == PLACE_CROWDED && !just_started);
-
-	if (!crowded || !is_lowest_priority)
-		return SYN_PLACE;
-	if (syn_copy < COOKIE_SYN_COPIES)
-		return SYN_DEFER;
-	return just_started ? SYN_PLACE : SYN_REFUSE;
-}
-
-/* Chooses an upstream for F, whose SYN is P. */
-static struct cookie_decision place_syn(struct cookie_steering *cs,
-					struct cookie_flow *f,
-					const struct cookie_packet *p,
-					const struct catalog_route *route,
-					uint64_t now_ms)
+/* The best upstream for F now, one of those to avoid if all others are worse. */
+static struct placement find_placement(struct cookie_steering *cs,
+				       const struct cookie_flow *f,
+				       const struct catalog_route *route,
+				       service_index_t service, uint64_t now_ms)
 {
-	service_index_t service = pick_service(route, &p->key);
-	struct pending_handshake pending = { p->key, now_ms };
 	upstream_index_t avoided[COOKIE_AVOIDED_MAX];
 	size_t avoided_nr = list_avoided_upstreams(cs, f, now_ms, avoided);
 	struct placement_request request = { .service = service,
@@ -151,45 +130,190 @@
 					     .target_ms = route->slo_ms,
 					     .excluded = avoided,
 					     .excluded_nr = avoided_nr };
-	enum syn_verdict verdict;
-	struct cookie_decision d;
-	struct placement best;
+	struct placement best = place_new_flow(cs->placer, &request, now_ms);
 
-	best = place_new_flow(cs->placer, &request, now_ms);
 	if (best.upstream == CATALOG_NONE && avoided_nr) {
 		request.excluded_nr = 0;
 		best = place_new_flow(cs->placer, &request, now_ms);
 	}
-	if (best.upstream == CATALOG_NONE) {
-		remove_cookie_flow(cs, f);
-		d = make_reset_decision(p, COOKIE_REFUSED);
-		d.placement = best;
-		return d;
-	}
-	verdict = decide_syn(&best, p->ack,
-			     is_lowest_priority(cs->catalog, route, service),
-			     has_just_started(cs, now_ms));
-	if (verdict != SYN_PLACE) {
-		remove_cookie_flow(cs, f);
-		d = verdict == SYN_DEFER
-			    ? make_decision(COOKIE_DROP, COOKIE_DEFERRED)
-			    : make_reset_decision(p, COOKIE_REFUSED);
-		d.placement = best;
-		return d;
-	}
-	d = steer_to(cs, best.upstream,
-		     f->syn_upstream_nr ? COOKIE_REOPENED : COOKIE_OPENED);
-	d.placement = best;
+	return best;
+}
+
+static struct cookie_decision refuse_syn(struct cookie_steering *cs,
+					 struct cookie_flow *f,
+					 const struct cookie_packet *p,
+					 const struct placement *best)
+{
+	struct cookie_decision d = make_reset_decision(p, COOKIE_REFUSED);
+
+	d.placement = *best;
+	remove_cookie_flow(cs, f);
+	return d;
+}
+
+static struct cookie_decision
+send_syn_to(struct cookie_steering *cs, struct cookie_flow *f,
+	    const struct cookie_packet *p, service_index_t service,
+	    const struct placement *best, uint64_t now_ms)
+{
+	struct pending_handshake pending = { p->key, now_ms };
+	struct cookie_decision d =
+		steer_to(cs, best->upstream,
+			 f->syn_upstream_nr ? COOKIE_REOPENED : COOKIE_OPENED);
+
+	d.placement = *best;
+	note_syn_placed(cs->syn_queue, service, now_ms);
 	unassign_cookie_flow(cs, f);
-	assign_cookie_flow(cs, f, best.upstream);
+	assign_cookie_flow(cs, f, best->upstream);
 	f->syn_upstreams[f->syn_upstream_nr++ % COOKIE_SYN_UPSTREAMS_MAX] =
-		best.upstream;
+		best->upstream;
 	f->syn_upstream_nr = MIN(f->syn_upstream_nr, COOKIE_SYN_UPSTREAMS_MAX);
 	f->syn_ms = now_ms;
 	g_array_append_val(cs->pending_handshakes, pending);
 	return d;
 }
 
+/* Lets the SYN P of F wait until an upstream of SERVICE has room. */
+static struct cookie_decision
+hold_syn(struct cookie_steering *cs, struct cookie_flow *f,
+	 const struct cookie_packet *p, const struct catalog_route *route,
+	 service_index_t service, const struct placement *best, uint64_t now_ms)
+{
+	bool just_started = has_just_started(cs, now_ms);
+	struct syn_limits limits =
+		get_syn_limits(route->slo_ms, p->ack, just_started);
+	struct cookie_decision d = make_decision(COOKIE_WAIT, COOKIE_CROWDED);
+	struct waiting_syn *place = NULL;
+	struct held_syn *held;
+
+	if (p->datagram_len <= COOKIE_SYN_DATAGRAM_MAX)
+		place = queue_syn(cs->syn_queue, service, limits, just_started,
+				  f, now_ms);
+	if (!place)
+		return refuse_syn(cs, f, p, best);
+	held = g_new0(struct held_syn, 1);
+	held->packet = *p;
+	held->packet.datagram = NULL;
+	if (p->datagram_len)
+		memcpy(held->datagram, p->datagram, p->datagram_len);
+	held->place = place;
+	f->held_syn = held;
+	d.placement = *best;
+	return d;
+}
+
+/* Decides about P, the SYN of F, which does not wait. */
+static struct cookie_decision place_syn(struct cookie_steering *cs,
+					struct cookie_flow *f,
+					const struct cookie_packet *p,
+					const struct catalog_route *route,
+					uint64_t now_ms)
+{
+	service_index_t service = pick_service(route, &p->key);
+	struct placement best = find_placement(cs, f, route, service, now_ms);
+	bool yields = is_lowest_priority(cs->catalog, route, service);
+	enum syn_verdict verdict =
+		decide_syn(&best, yields, has_just_started(cs, now_ms));
+
+	if (yields)
+		note_syn_arrival(cs->syn_queue, service, verdict == SYN_WAIT,
+				 now_ms);
+	/* the upstream that got it before may still answer */
+	if (verdict == SYN_WAIT && f->syn_upstream_nr &&
+	    best.upstream != CATALOG_NONE)
+		verdict = SYN_PLACE;
+	switch (verdict) {
+	case SYN_PLACE:
+		return send_syn_to(cs, f, p, service, &best, now_ms);
+	case SYN_WAIT:
+		return hold_syn(cs, f, p, route, service, &best, now_ms);
+	case SYN_REFUSE:
+		break;
+	}
+	return refuse_syn(cs, f, p, &best);
+}
+
+/* Starts the decision about the SYN of F, which leaves the queue. */
+static struct released_syn take_held_syn(struct cookie_steering *cs,
+					 struct cookie_flow *f, uint64_t now_ms)
+{
+	struct released_syn r = { .packet = f->held_syn->packet };
+
+	r.waited_ms = now_ms - f->held_syn->place->queued_ms;
+	memcpy(r.datagram, f->held_syn->datagram, sizeof(r.datagram));
+	cancel_held_syn(cs, f);
+	return r;
+}
+
+/*
+ * Places a waiting SYN of SERVICE, the newest or one whose wait has ended; false
+ * if there is none or it has to wait on.
+ */
+static bool release_syn(struct cookie_steering *cs, service_index_t service,
+			uint64_t now_ms, GArray *released)
+{
+	struct waiting_syn *overdue =
+		next_overdue_syn(cs->syn_queue, service, now_ms);
+	struct waiting_syn *w =
+		overdue ? overdue : next_waiting_syn(cs->syn_queue, service);
+	const struct catalog_route *route;
+	struct released_syn r;
+	struct placement best;
+	struct cookie_flow *f;
+	enum syn_verdict verdict;
+
+	if (!w)
+		return false;
+	f = w->owner;
+	route = find_catalog_route(cs->catalog, f->key.service_ip,
+				   f->key.service_port);
+	if (!route) {
+		r = take_held_syn(cs, f, now_ms);
+		r.decision = make_reset_decision(&r.packet, COOKIE_NO_ROUTE);
+		remove_cookie_flow(cs, f);
+		g_array_append_val(released, r);
+		return true;
+	}
+	/* the route may have changed since */
+	service = pick_service(route, &f->key);
+	best = find_placement(cs, f, route, service, now_ms);
+	verdict = decide_syn(&best,
+			     is_lowest_priority(cs->catalog, route, service),
+			     has_just_started(cs, now_ms));
+	if (verdict == SYN_WAIT && !overdue)
+		return false;
+	if (verdict == SYN_WAIT)
+		verdict =
+			decide_overdue_syn(&best, has_just_started(cs, now_ms));
+	r = take_held_syn(cs, f, now_ms);
+	r.decision = verdict == SYN_PLACE ? send_syn_to(cs, f, &r.packet,
+							service, &best, now_ms)
+					  : refuse_syn(cs, f, &r.packet, &best);
+	g_array_append_val(released, r);
+	return true;
+}
+
+void release_waiting_syns(struct cookie_steering *cs, uint64_t now_ms,
+			  GArray *released)
+{
+	const struct placement crowded = { CATALOG_NONE, PLACE_CROWDED, 0 };
+	struct waiting_syn *w;
+
+	/* refusals first: after a delay the callers may be gone */
+	while ((w = next_syn_to_refuse(cs->syn_queue, now_ms))) {
+		struct cookie_flow *f = w->owner;
+		struct released_syn r = take_held_syn(cs, f, now_ms);
+
+		r.decision = refuse_syn(cs, f, &r.packet, &crowded);
+		g_array_append_val(released, r);
+	}
+	if (!waiting_syn_count(cs->syn_queue))
+		return;
+	for (size_t i = 0; i < syn_queue_service_count(cs->syn_queue); i++)
+		while (release_syn(cs, (service_index_t)i, now_ms, released))
+			;
+}
+
 static struct cookie_decision handle_syn(struct cookie_steering *cs,
 					 const struct cookie_packet *p,
 					 uint64_t now_ms)
@@ -206,6 +330,8 @@
 		remove_cookie_flow(cs, f);
 		f = NULL;
 	}
+	if (f && f->held_syn)
+		return make_decision(COOKIE_DROP, COOKIE_CROWDED);
 	if (!f)
 		f = add_cookie_flow(cs, p, route, now_ms);
 	if (!f)
@@ -348,6 +474,8 @@
 	if (is_cookie_syn(p))
 		return handle_syn(cs, p, now_ms);
 	f = find_cookie_flow(cs, &p->key);
+	if (f)
+		cancel_held_syn(cs, f); /* opened through another instance */
 	nr = find_packet_upstream(cs, p, f);
 	if (nr == CATALOG_NONE)
 		return make_decision(relayed ? COOKIE_DROP : COOKIE_TO_PEER,
@@ -383,7 +511,7 @@
 {
 	static const char *const names[COOKIE_REASON_NR] = {
 		"opened",     "reopened", "steered", "no-route",
-		"route-gone", "deferred", "refused", "upstream-dead",
+		"route-gone", "crowded",  "refused", "upstream-dead",
 		"unknown",    "not-ready"
 	};
 
--- a/flow/cookie.h
+++ b/flow/cookie.h
@@ -43,22 +43,18 @@
 #define COOKIE_AVOID_MS 1000
 
 /*
- * While all upstreams are crowded, a SYN and its first copy are dropped, so
- * that the next copy may find room (copies are sent after 200 and 600 ms). This
- * uses up none of the caller's attempts. The last copy is refused, which tells
- * the caller at once and lets admitted requests be answered in time. For
- * COOKIE_STARTUP_MS after its start an instance admits the last copy: callers
- * have used up attempts (1.4 s each) while no instance answered, and their
- * backlog is short.
+ * For this long after its start an instance lets SYNs wait longer, and only
+ * while upstreams would shed; see SYN_WAIT_MAX_MS.
  */
 #define COOKIE_STARTUP_MS 3000
-#define COOKIE_SYN_COPIES 2  /* retransmissions of a SYN */
-#define COOKIE_AVOIDED_MAX 8 /* upstreams excluded for one flow */
+#define COOKIE_AVOIDED_MAX 8	   /* upstreams excluded for one flow */
+#define COOKIE_SYN_DATAGRAM_MAX 64 /* bytes; longer SYNs do not wait */
 
 enum cookie_verdict {
 	COOKIE_TO_UPSTREAM, /* send the packet, with COOKIE, to UPSTREAM */
 	COOKIE_TO_PEER, /* relay it to an instance that may know the upstream */
 	COOKIE_RESET,	/* send the caller a TCP reset with RESET_SEQ */
+	COOKIE_WAIT,	/* a SYN; release_waiting_syns() decides about it */
 	COOKIE_DROP
 };
 
@@ -68,7 +64,7 @@
 	COOKIE_STEERED,	   /* a later packet was forwarded */
 	COOKIE_NO_ROUTE,   /* no route has the destination address and port */
 	COOKIE_ROUTE_GONE, /* the flow's route was removed */
-	COOKIE_DEFERRED,   /* all are crowded: dropped until the next copy */
+	COOKIE_CROWDED,	   /* all upstreams are crowded: it waits */
 	COOKIE_REFUSED,	   /* no upstream can take the flow */
 	COOKIE_UPSTREAM_DEAD, /* or cut off */
 	COOKIE_UNKNOWN,	      /* the cookie is of no upstream known here */
@@ -94,22 +90,14 @@
 	uint64_t waited_ms; /* since the pending request was sent; 0: none */
 };
 
-/* What to do with a SYN for which an upstream was found. */
-enum syn_verdict {
-	SYN_PLACE,
-	SYN_DEFER, /* drop it; its next copy may be placed */
-	SYN_REFUSE
+/* A SYN that waited, and what to do with it now. */
+struct released_syn {
+	struct cookie_packet packet;
+	struct cookie_decision decision;
+	uint64_t waited_ms;
+	uint8_t datagram[COOKIE_SYN_DATAGRAM_MAX];
 };
 
-/*
- * Decides about a SYN that was sent SYN_COPY times before and whose best
- * placement is BEST. IS_LOWEST_PRIORITY: no route to the service has a lower
- * priority; only such SYNs are deferred or refused. JUST_STARTED: this instance
- * started less than COOKIE_STARTUP_MS ago.
- */
-enum syn_verdict decide_syn(const struct placement *best, uint32_t syn_copy,
-			    bool is_lowest_priority, bool just_started);
-
 struct cookie_steering;
 
 struct cookie_steering *create_cookie_steering(const struct catalog *cat,
@@ -122,6 +110,16 @@
 					   const struct cookie_packet *p,
 					   bool relayed, uint64_t now_ms);
 
+/*
+ * Places waiting SYNs whose upstreams have room again, and refuses those that
+ * have waited too long. Appends both to RELEASED (of struct released_syn).
+ */
+void release_waiting_syns(struct cookie_steering *cs, uint64_t now_ms,
+			  GArray *released);
+
+/* Number of SYNs that wait. */
+size_t cookie_waiting_syn_count(const struct cookie_steering *cs);
+
 /*
  * Ends the flows of upstream NR, which is dead or cut off, and appends the
  * resets to send to RESETS (of struct cookie_reset).
--- a/net/edge-packets.c
+++ b/net/edge-packets.c
@@ -116,52 +116,58 @@
 	return n;
 }
 
+/* WAITED_MS: how long a SYN waited for room before. */
 static void log_refusal(struct edge *e, const struct cookie_packet *p,
-			const struct cookie_decision *d)
+			const struct cookie_decision *d, uint64_t waited_ms)
 {
 	char flow[FLOW_TEXT_MAX_BYTES];
 	enum event_kind kind =
 		is_cookie_syn(p) ? EVENT_FLOW_REFUSED : EVENT_FLOW_RESET;
 
 	log_event(e->log, kind,
-		  "flow=%s upstream=%s reason=%s placing=%s version=%llu "
-		  "store_revision=%llu store_age_ms=%llu",
+		  "flow=%s upstream=%s reason=%s placing=%s waited_ms=%llu "
+		  "version=%llu store_revision=%llu store_age_ms=%llu",
 		  format_flow(&p->key, flow), upstream_label(e, d->upstream),
 		  cookie_reason_name(d->reason),
 		  d->reason == COOKIE_REFUSED
 			  ? place_reason_name(d->placement.reason)
 			  : "none",
+		  (unsigned long long)waited_ms,
 		  (unsigned long long)catalog_version(e->catalog),
 		  (unsigned long long)mirror_revision(e->mirror),
 		  (unsigned long long)edge_store_age_ms(e));
 }
 
+/* WAITED_MS as of log_refusal(). */
 static void log_placement(struct edge *e, const struct cookie_packet *p,
-			  const struct cookie_decision *d)
+			  const struct cookie_decision *d, uint64_t waited_ms)
 {
 	char flow[FLOW_TEXT_MAX_BYTES];
 	enum event_kind kind = d->reason == COOKIE_OPENED ? EVENT_FLOW_OPENED
 							  : EVENT_FLOW_REOPENED;
 
 	log_event(e->log, kind,
-		  "flow=%s upstream=%s syn=%u reason=%s load=%.2f version=%llu",
+		  "flow=%s upstream=%s syn=%u reason=%s load=%.2f "
+		  "waited_ms=%llu version=%llu",
 		  format_flow(&p->key, flow), upstream_label(e, d->upstream),
 		  p->ack, place_reason_name(d->placement.reason),
-		  d->placement.load,
+		  d->placement.load, (unsigned long long)waited_ms,
 		  (unsigned long long)catalog_version(e->catalog));
 }
 
-static void log_deferral(struct edge *e, const struct cookie_packet *p,
-			 const struct cookie_decision *d)
+static void log_waiting_syn(struct edge *e, const struct cookie_packet *p,
+			    const struct cookie_decision *d)
 {
 	char flow[FLOW_TEXT_MAX_BYTES];
 
-	count(&e->counters, COUNT_FLOW_DEFERRED);
-	log_event(e->log, EVENT_FLOW_DEFERRED,
-		  "flow=%s syn=%u placing=%s load=%.2f version=%llu",
-		  format_flow(&p->key, flow), p->ack,
-		  place_reason_name(d->placement.reason), d->placement.load,
-		  (unsigned long long)catalog_version(e->catalog));
+	count(&e->counters, COUNT_FLOW_QUEUED);
+	log_event(
+		e->log, EVENT_FLOW_QUEUED,
+		"flow=%s syn=%u placing=%s load=%.2f waiting=%zu version=%llu",
+		format_flow(&p->key, flow), p->ack,
+		place_reason_name(d->placement.reason), d->placement.load,
+		cookie_waiting_syn_count(e->steering),
+		(unsigned long long)catalog_version(e->catalog));
 }
 
 static void log_unknown_flow(struct edge *e, const struct cookie_packet *p,
@@ -174,14 +180,15 @@
 		  p->cookie);
 }
 
+/* Executes D about P, received as DATA. WAITED_MS as of log_refusal(). */
 static void execute_decision(struct edge *e, const struct cookie_packet *p,
 			     const struct cookie_decision *d, uint8_t *data,
-			     size_t len)
+			     size_t len, uint64_t waited_ms)
 {
 	switch (d->verdict) {
 	case COOKIE_TO_UPSTREAM:
 		if (d->reason != COOKIE_STEERED)
-			log_placement(e, p, d);
+			log_placement(e, p, d, waited_ms);
 		send_to_upstream(e, d, data, len);
 		break;
 	case COOKIE_TO_PEER:
@@ -189,16 +196,17 @@
 			log_unknown_flow(e, p, d);
 		break;
 	case COOKIE_RESET:
-		log_refusal(e, p, d);
+		log_refusal(e, p, d, waited_ms);
 		send_reset(e, &p->key, d->reset_seq);
 		count(&e->counters, COUNT_FLOW_NO_UPSTREAM);
 		break;
+	case COOKIE_WAIT:
+		log_waiting_syn(e, p, d);
+		break;
 	case COOKIE_DROP:
-		if (d->reason == COOKIE_DEFERRED) {
-			log_deferral(e, p, d);
-			break;
-		}
-		log_unknown_flow(e, p, d);
+		/* a copy of a SYN that waits here */
+		if (d->reason != COOKIE_CROWDED)
+			log_unknown_flow(e, p, d);
 		break;
 	}
 }
@@ -213,10 +221,31 @@
 		count(&e->counters, COUNT_FLOW_MALFORMED);
 		return;
 	}
+	p.datagram = data;
+	p.datagram_len = len;
 	d = steer_cookie_packet(e->steering, &p, relayed, e->now_ms);
 	if (relayed && d.verdict == COOKIE_TO_PEER)
 		d.verdict = COOKIE_DROP;
-	execute_decision(e, &p, &d, data, len);
+	execute_decision(e, &p, &d, data, len, 0);
+}
+
+void tick_edge_waiting_syns(struct edge *e)
+{
+	GArray *released;
+
+	if (!cookie_waiting_syn_count(e->steering))
+		return;
+	released = g_array_new(FALSE, FALSE, sizeof(struct released_syn));
+	release_waiting_syns(e->steering, e->now_ms, released);
+	for (guint i = 0; i < released->len; i++) {
+		struct released_syn *r =
+			&g_array_index(released, struct released_syn, i);
+
+		execute_decision(e, &r->packet, &r->decision, r->datagram,
+				 r->packet.datagram_len, r->waited_ms);
+	}
+	g_array_free(released, TRUE);
+	flush_datagrams(e->packet_socket);
 }
 
 /* Lets one other instance steer the packet; false if none is ready. */
--- a/net/edge-state.h
+++ b/net/edge-state.h
@@ -88,6 +88,8 @@
 void tick_edge_heartbeats(struct edge *e);
 /* Steers the packets queued before the first store read; drops old ones. */
 void steer_early_packets(struct edge *e);
+/* Sends on or refuses SYNs that waited for room. */
+void tick_edge_waiting_syns(struct edge *e);
 void send_edge_resets(struct edge *e, const GArray *resets);
 
 /* edge-check.c: health checks of suspected upstreams */
--- a/net/edge.c
+++ b/net/edge.c
@@ -198,6 +198,7 @@
 	start_health_checks(e, checks);
 	g_array_free(checks, TRUE);
 	log_health_changes(e);
+	tick_edge_waiting_syns(e);
 	if (has_load_changed(e->placement))
 		tick_edge_heartbeats(e);
 }
--- a/t/bench-placement.c
+++ b/t/bench-placement.c
@@ -15,8 +15,7 @@
 	double long_flows;
 	double first_domain_load;
 	uint32_t outage_ms;
-	bool no_defer;
-	bool admit_last;
+	enum overload_strategy overload;
 	unsigned int lost_domains;
 };
 
@@ -33,9 +32,8 @@
 	opt.long_flows = load->long_flows;
 	opt.first_domain_load = load->first_domain_load;
 	opt.length_ms = 30000;
-	opt.no_defer = load->no_defer;
+	opt.overload = load->overload;
 	opt.outage_ms = load->outage_ms;
-	opt.admit_last = load->admit_last;
 	opt.lost_domains = load->lost_domains;
 	opt.lost_ms = 6000;
 	simulate_placement(&opt, &r);
@@ -43,26 +41,26 @@
 	       "%7u\n",
 	       load->name, pick_strategy_name(strategy), remote_cost,
 	       r.requests, (double)r.in_time / r.requests,
-	       placement_score(&r, 0.3), r.late, r.shed, r.refused, r.deferred,
+	       placement_score(&r, 0.3), r.late, r.shed, r.refused, r.waited,
 	       r.failed, (double)r.remote_domain / r.requests, r.p99_ms);
 }
 
 int main(void)
 {
 	static const struct bench_load loads[] = {
-		{ "usual", 150, 300, 1.0, 0, false, false, 0 },
-		{ "heavy", 400, 450, 1.0, 0, false, false, 0 },
-		{ "heavy, skewed", 400, 450, 1.8, 0, false, false, 0 },
-		{ "after a gap", 300, 300, 1.0, 2000, false, false, 0 },
-		{ "gap, no defer", 300, 300, 1.0, 2000, true, false, 0 },
-		{ "half lost", 300, 400, 1.0, 0, false, false, 2 },
-		{ "lost, admit", 300, 400, 1.0, 0, false, true, 2 },
-		{ "lost, no defer", 300, 400, 1.0, 0, true, false, 2 },
+		{ "usual", 150, 300, 1.0, 0, OVERLOAD_QUEUE, 0 },
+		{ "heavy", 400, 450, 1.0, 0, OVERLOAD_QUEUE, 0 },
+		{ "heavy, skewed", 400, 450, 1.8, 0, OVERLOAD_QUEUE, 0 },
+		{ "after a gap", 300, 300, 1.0, 2000, OVERLOAD_QUEUE, 0 },
+		{ "gap, place all", 300, 300, 1.0, 2000, OVERLOAD_PLACE, 0 },
+		{ "half lost", 300, 400, 1.0, 0, OVERLOAD_QUEUE, 2 },
+		{ "lost, admit", 300, 400, 1.0, 0, OVERLOAD_DEFER_ADMIT, 2 },
+		{ "lost, place", 300, 400, 1.0, 0, OVERLOAD_PLACE, 2 },
 	};
 	static const double remote_costs[] = { 0, 0.3, 0.7, 1.0, 2.0, 5.0 };
 
 	printf("load           way            far   asked  in aim   worth   "
-	       "late   shed refused deferred failed    far  p99 ms\n");
+	       "late   shed refused   waited failed    far  p99 ms\n");
 	for (size_t i = 0; i < sizeof(loads) / sizeof(loads[0]); i++) {
 		for (int strategy = 0; strategy < PICK_STRATEGY_NR; strategy++)
 			print_row(&loads[i], (enum pick_strategy)strategy, 0.7);
--- a/t/check-cookie.c
+++ b/t/check-cookie.c
@@ -5,23 +5,27 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "flow/syn-queue.h"
 #include "t/cookie-harness.h"
 
 #define CALLER 0x64400007 /* 100.64.0.7 */
 
 static struct cookie_instance in;
 static GArray *resets;
+static GArray *released;
 
 static void setup(void)
 {
 	init_cookie_instance(&in, "front-1", "north");
 	resets = g_array_new(FALSE, FALSE, sizeof(struct cookie_reset));
+	released = g_array_new(FALSE, FALSE, sizeof(struct released_syn));
 }
 
 static void teardown(void)
 {
 	release_cookie_instance(&in);
 	g_array_free(resets, TRUE);
+	g_array_free(released, TRUE);
 }
 
 static upstream_index_t put_upstream(const char *name, uint64_t now_ms)
@@ -372,35 +376,154 @@
 	}
 }
 
-START_TEST(syn_is_deferred_to_copies_while_all_are_full)
+/* Releases waiting SYNs; returns how many were decided about. */
+static guint release_syns(uint64_t now_ms)
 {
+	g_array_set_size(released, 0);
+	release_waiting_syns(in.steering, now_ms, released);
+	return released->len;
+}
+
+static const struct released_syn *released_syn(guint i)
+{
+	return &g_array_index(released, struct released_syn, i);
+}
+
+/* Later than COOKIE_STARTUP_MS after the first packet, at time 1. */
+static uint64_t end_startup(void)
+{
+	send_syn(1, 0, 1);
+	return 1 + COOKIE_STARTUP_MS;
+}
+
+START_TEST(syn_waits_while_all_are_full_and_goes_to_new_upstream)
+{
+	uint64_t now_ms = end_startup();
 	struct cookie_decision d;
+	upstream_index_t free_upstream;
 
 	fill_upstream(put_upstream("u-a", 0));
-	d = send_syn(4000, 0, 1000);
-	ck_assert_int_eq(d.verdict, COOKIE_DROP);
-	ck_assert_int_eq(d.reason, COOKIE_DEFERRED);
-	ck_assert_int_eq(send_syn(4000, 1, 1200).reason, COOKIE_DEFERRED);
-	ck_assert_int_eq(send_syn(4000, 2, 1600).verdict, COOKIE_TO_UPSTREAM);
-	ck_assert_int_eq(send_syn(4001, 0, 1600).reason, COOKIE_DEFERRED);
-	put_upstream("u-b", 1700);
-	ck_assert_int_eq(send_syn(4001, 1, 1800).verdict, COOKIE_TO_UPSTREAM);
+	d = send_syn(4000, 0, now_ms);
+	ck_assert_int_eq(d.verdict, COOKIE_WAIT);
+	ck_assert_int_eq(d.placement.reason, PLACE_FULL);
+	ck_assert_uint_eq(release_syns(now_ms + 10), 0);
+	/* its copy changes nothing */
+	ck_assert_int_eq(send_syn(4000, 1, now_ms + 200).verdict, COOKIE_DROP);
+	ck_assert_uint_eq(cookie_waiting_syn_count(in.steering), 1);
+	free_upstream = put_upstream("u-b", now_ms + 210);
+	ck_assert_uint_eq(release_syns(now_ms + 220), 1);
+	ck_assert_int_eq(released_syn(0)->decision.verdict, COOKIE_TO_UPSTREAM);
+	ck_assert_uint_eq(released_syn(0)->decision.upstream, free_upstream);
+	ck_assert_uint_eq(released_syn(0)->packet.key.caller_port, 4000);
+	ck_assert_uint_eq(released_syn(0)->waited_ms, 220);
+	ck_assert_uint_eq(cookie_waiting_syn_count(in.steering), 0);
 }
 END_TEST
 
-START_TEST(last_syn_copy_is_refused_except_after_startup)
+START_TEST(waiting_syn_is_sent_on_as_it_was_received)
 {
-	const uint64_t start_ms = 1000;
-	const uint64_t then_ms = start_ms + COOKIE_STARTUP_MS;
+	const uint8_t data[] = { 0x80, 1, 2, 3, 4, 5 };
+	uint64_t now_ms = end_startup();
+	struct cookie_packet p = make_cookie_packet(CALLER, 4000, TCP_SYN, 0);
 
 	fill_upstream(put_upstream("u-a", 0));
-	ck_assert_int_eq(send_syn(4000, 2, start_ms).verdict,
-			 COOKIE_TO_UPSTREAM);
-	ck_assert_int_eq(send_syn(4001, 2, then_ms - 1).verdict,
+	p.datagram = data;
+	p.datagram_len = sizeof(data);
+	ck_assert_int_eq(
+		steer_cookie_packet(in.steering, &p, false, now_ms).verdict,
+		COOKIE_WAIT);
+	put_upstream("u-b", now_ms + 10);
+	ck_assert_uint_eq(release_syns(now_ms + 20), 1);
+	ck_assert_uint_eq(released_syn(0)->packet.datagram_len, sizeof(data));
+	ck_assert_mem_eq(released_syn(0)->datagram, data, sizeof(data));
+}
+END_TEST
+
+START_TEST(syn_that_waits_too_long_is_refused)
+{
+	uint64_t now_ms = end_startup();
+
+	fill_upstream(put_upstream("u-a", 0));
+	for (uint16_t i = 0; i < SYN_OVERLOAD_MIN; i++)
+		send_syn(4000 + i, 0, now_ms);
+	/* nothing was placed lately: the queue holds few */
+	ck_assert_uint_eq(release_syns(now_ms + 10),
+			  SYN_OVERLOAD_MIN - SYN_QUEUE_MIN);
+	ck_assert_int_eq(released_syn(0)->decision.verdict, COOKIE_RESET);
+	ck_assert_uint_eq(released_syn(0)->packet.key.caller_port, 4000);
+	ck_assert_uint_eq(release_syns(now_ms + SYN_WAIT_MAX_MS - 1), 0);
+	ck_assert_uint_eq(release_syns(now_ms + SYN_WAIT_MAX_MS),
+			  SYN_QUEUE_MIN);
+	ck_assert_int_eq(released_syn(0)->decision.verdict, COOKIE_RESET);
+	ck_assert_int_eq(released_syn(0)->decision.reason, COOKIE_REFUSED);
+	ck_assert_uint_eq(cookie_flow_count(in.steering), 0);
+}
+END_TEST
+
+/* A process that was paused must not open flows for callers that left. */
+START_TEST(syn_is_not_sent_on_after_its_limit_though_there_is_room)
+{
+	uint64_t now_ms = end_startup();
+
+	fill_upstream(put_upstream("u-a", 0));
+	send_syn(4000, 0, now_ms);
+	put_upstream("u-b", now_ms + 10);
+	ck_assert_uint_eq(release_syns(now_ms + 5000), 1);
+	ck_assert_int_eq(released_syn(0)->decision.verdict, COOKIE_RESET);
+}
+END_TEST
+
+/* Right after a start callers have few attempts left. */
+START_TEST(syn_is_placed_after_its_wait_right_after_start)
+{
+	fill_upstream(put_upstream("u-a", 0));
+	ck_assert_int_eq(send_syn(4000, 0, 1000).verdict, COOKIE_WAIT);
+	ck_assert_uint_eq(release_syns(1000 + SYN_WAIT_MAX_MS - 1), 0);
+	ck_assert_uint_eq(release_syns(1000 + SYN_WAIT_MAX_MS), 1);
+	ck_assert_int_eq(released_syn(0)->decision.verdict, COOKIE_TO_UPSTREAM);
+	/* its last copy, sent 600 ms after the first */
+	send_syn(4001, 2, 2000);
+	ck_assert_uint_eq(release_syns(2000), 1);
+	ck_assert_int_eq(released_syn(0)->decision.verdict, COOKIE_TO_UPSTREAM);
+}
+END_TEST
+
+START_TEST(waiting_syn_obeys_changes_made_meanwhile)
+{
+	const uint16_t other_port = 1;
+	uint64_t now_ms = end_startup();
+
+	fill_upstream(put_upstream("u-a", 0));
+	send_syn(4000, 0, now_ms);
+	send_syn(4001, 0, now_ms);
+	put_upstream("u-b", now_ms + 10);
+	set_catalog_domain_out(in.catalog, "north", true, 0, now_ms + 15);
+	/* no upstream takes flows: refused at once */
+	ck_assert_uint_eq(release_syns(now_ms + 20), 2);
+	ck_assert_int_eq(released_syn(0)->decision.verdict, COOKIE_RESET);
+	set_catalog_domain_out(in.catalog, "north", false, 0, now_ms + 30);
+	fill_upstream(put_upstream("u-b", now_ms + 30));
+	ck_assert_int_eq(send_syn(4002, 0, now_ms + 40).verdict, COOKIE_WAIT);
+	set_test_routes(in.catalog, 2, &other_port, 1, 20);
+	end_flows_without_route(in.steering, now_ms + 50, resets);
+	ck_assert_uint_eq(resets->len, 1);
+	ck_assert_uint_eq(cookie_waiting_syn_count(in.steering), 0);
+}
+END_TEST
+
+START_TEST(syn_leaves_the_queue_if_its_flow_opens_elsewhere)
+{
+	uint64_t now_ms = end_startup();
+	upstream_index_t full = put_upstream("u-a", 0);
+
+	fill_upstream(full);
+	send_syn(4000, 0, now_ms);
+	ck_assert_int_eq(send_data(4000, get_upstream(in.catalog, full)->cookie,
+				   1001, 0, 500, now_ms + 20)
+				 .verdict,
 			 COOKIE_TO_UPSTREAM);
-	ck_assert_int_eq(send_syn(4002, 1, then_ms).reason, COOKIE_DEFERRED);
-	ck_assert_int_eq(send_syn(4002, 2, then_ms + 400).verdict,
-			 COOKIE_RESET);
+	ck_assert_uint_eq(cookie_waiting_syn_count(in.steering), 0);
+	ck_assert_uint_eq(release_syns(now_ms + 5000), 0);
 }
 END_TEST
 
@@ -437,7 +560,7 @@
 }
 END_TEST
 
-START_TEST(syn_of_highest_priority_is_not_deferred)
+START_TEST(syn_of_highest_priority_does_not_wait)
 {
 	GArray *routes =
 		g_array_new(FALSE, FALSE, sizeof(struct catalog_route));
@@ -620,10 +743,17 @@
 	tcase_add_test(tc, unlisted_upstream_keeps_flows_until_expiry);
 	tcase_add_test(tc, draining_and_out_upstreams_keep_flows_only);
 	tcase_add_test(tc, syn_without_upstream_or_route_is_reset);
-	tcase_add_test(tc, syn_is_deferred_to_copies_while_all_are_full);
-	tcase_add_test(tc, last_syn_copy_is_refused_except_after_startup);
+	tcase_add_test(tc,
+		       syn_waits_while_all_are_full_and_goes_to_new_upstream);
+	tcase_add_test(tc, waiting_syn_is_sent_on_as_it_was_received);
+	tcase_add_test(tc, syn_that_waits_too_long_is_refused);
+	tcase_add_test(tc,
+		       syn_is_not_sent_on_after_its_limit_though_there_is_room);
+	tcase_add_test(tc, syn_is_placed_after_its_wait_right_after_start);
+	tcase_add_test(tc, waiting_syn_obeys_changes_made_meanwhile);
+	tcase_add_test(tc, syn_leaves_the_queue_if_its_flow_opens_elsewhere);
 	tcase_add_test(tc, route_gives_way_only_within_its_service);
-	tcase_add_test(tc, syn_of_highest_priority_is_not_deferred);
+	tcase_add_test(tc, syn_of_highest_priority_does_not_wait);
 	tcase_add_test(tc, only_flows_of_removed_route_are_reset);
 	tcase_add_test(tc, split_route_divides_flows_by_weight);
 	tcase_add_test(tc, weight_change_does_not_move_open_flows);
--- a/t/check-placement.c
+++ b/t/check-placement.c
@@ -416,39 +416,45 @@
 END_TEST
 
 /*
- * After an outage all callers return at once. Deferring SYNs to their copies
- * must lose fewer requests than letting upstreams shed them.
+ * After an outage all callers return at once. Holding SYNs back must lose fewer
+ * requests than letting upstreams shed them, and no more than leaving them to
+ * their copies.
  */
-START_TEST(deferring_syns_loses_fewer_requests_after_outage)
+START_TEST(waiting_syns_lose_fewer_requests_after_outage)
 {
 	struct placement_sim_options opt;
 	struct placement_sim_result r;
-	struct placement_sim_result no_deferral;
+	struct placement_sim_result left_to_copies;
+	struct placement_sim_result all_placed;
 
 	init_site_options(&opt);
 	opt.requests_per_s = 300;
 	opt.long_flows = 300;
 	opt.outage_ms = 2000;
 	simulate_placement(&opt, &r);
-	opt.no_defer = true;
-	simulate_placement(&opt, &no_deferral);
-	ck_assert_uint_lt(r.failed, no_deferral.failed);
+	opt.overload = OVERLOAD_DEFER;
+	simulate_placement(&opt, &left_to_copies);
+	opt.overload = OVERLOAD_PLACE;
+	simulate_placement(&opt, &all_placed);
+	ck_assert_uint_lt(r.failed, all_placed.failed);
 	ck_assert_uint_ge(r.in_time + r.late,
-			  no_deferral.in_time + no_deferral.late);
+			  all_placed.in_time + all_placed.late);
+	ck_assert_uint_le(r.failed, left_to_copies.failed);
 }
 END_TEST
 
 /*
  * Half of the upstreams are lost for six seconds, while the load is a third
- * above the capacity of the others. Admitting the last copies of SYNs, or all
- * SYNs, would make the answers late.
+ * above the capacity of the others. Admitting all SYNs, or the last copies,
+ * would make the answers late.
  */
 START_TEST(admitted_requests_are_in_time_after_upstream_loss)
 {
+	static const enum overload_strategy others[] = { OVERLOAD_DEFER,
+							 OVERLOAD_DEFER_ADMIT,
+							 OVERLOAD_PLACE };
 	struct placement_sim_options opt;
 	struct placement_sim_result r;
-	struct placement_sim_result admitting_last;
-	struct placement_sim_result no_deferral;
 
 	init_site_options(&opt);
 	opt.requests_per_s = 300;
@@ -456,18 +462,54 @@
 	opt.lost_domains = 2;
 	opt.lost_ms = 6000;
 	simulate_placement(&opt, &r);
-	opt.admit_last = true;
-	simulate_placement(&opt, &admitting_last);
-	opt.no_defer = true;
-	simulate_placement(&opt, &no_deferral);
-	ck_assert_uint_gt(r.in_time, admitting_last.in_time);
-	ck_assert_uint_gt(r.in_time, no_deferral.in_time);
-	ck_assert_double_gt(placement_score(&r, 0.3),
-			    placement_score(&admitting_last, 0.3));
-	ck_assert_double_gt(placement_score(&r, 0.3),
-			    placement_score(&no_deferral, 0.3));
-	ck_assert_uint_lt(r.failed, no_deferral.failed);
-	ck_assert_uint_lt(10 * r.shed, no_deferral.shed);
+	for (size_t i = 0; i < G_N_ELEMENTS(others); i++) {
+		struct placement_sim_result other;
+
+		opt.overload = others[i];
+		simulate_placement(&opt, &other);
+		ck_assert_uint_gt(r.in_time, other.in_time);
+		ck_assert_double_gt(placement_score(&r, 0.3),
+				    placement_score(&other, 0.3));
+		if (others[i] == OVERLOAD_PLACE)
+			ck_assert_uint_lt(10 * r.shed, other.shed);
+	}
+}
+END_TEST
+
+/*
+ * A domain and three upstreams of the others are lost while two and a half
+ * times as many callers come. Of those that are not served, 95 % must know
+ * within a quarter of the time in which their route aims to answer, and the
+ * route that does not yield must lose none.
+ */
+START_TEST(refused_callers_are_told_early_in_overload)
+{
+	for (uint32_t seed = 1; seed <= 5; seed++) {
+		struct placement_sim_options opt;
+		struct placement_sim_result r;
+		struct placement_sim_result left_to_copies;
+
+		init_site_options(&opt);
+		opt.seed = seed;
+		opt.requests_per_s = 250;
+		opt.long_flows = 300;
+		opt.lost_domains = 1;
+		opt.lost_upstreams = 3;
+		opt.lost_ms = 8000;
+		opt.burst = 2.5;
+		opt.urgent_share = 0.25;
+		opt.length_ms = 30000;
+		simulate_placement(&opt, &r);
+		opt.overload = OVERLOAD_DEFER;
+		simulate_placement(&opt, &left_to_copies);
+		ck_assert_uint_gt(r.failed, 0);
+		ck_assert_uint_le(r.refusal_p95_ms,
+				  SIM_TARGET_MS / 4 + COOKIE_TICK_MS);
+		ck_assert_uint_le(r.urgent_failed, r.urgent_requests / 1000);
+		ck_assert_uint_gt(r.in_time, left_to_copies.in_time);
+		ck_assert_double_gt(placement_score(&r, 0.3),
+				    placement_score(&left_to_copies, 0.3));
+	}
 }
 END_TEST
 
@@ -524,7 +566,8 @@
 	tcase_add_test(tc, restarted_upstream_is_healthy_again);
 	tcase_add_test(tc, cookie_collision_gives_flows_to_one_upstream);
 	tcase_add_test(tc, heaviest_load_is_answered_in_time);
-	tcase_add_test(tc, deferring_syns_loses_fewer_requests_after_outage);
+	tcase_add_test(tc, waiting_syns_lose_fewer_requests_after_outage);
+	tcase_add_test(tc, refused_callers_are_told_early_in_overload);
 	tcase_add_test(tc, admitted_requests_are_in_time_after_upstream_loss);
 	tcase_add_test(tc, upstream_is_crowded_if_answers_would_be_late);
 	suite_add_tcase(s, tc);
--- a/t/placement-simulation.c
+++ b/t/placement-simulation.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "fleet/heartbeat.h"
+#include "flow/syn-queue.h"
 #include "t/cookie-harness.h"
 
 #define DEADLINE_MS 3000
@@ -28,6 +29,9 @@
 	unsigned int syn_copy;
 	unsigned int attempts;
 	struct long_flow *flow; /* opened by the SYN; NULL: a short flow */
+	bool urgent;		/* does not yield to others */
+	unsigned int instance;	/* where it waits */
+	struct waiting_syn *waiting;
 };
 
 /* One request at an upstream. */
@@ -37,6 +41,7 @@
 	uint64_t started_ms;
 	unsigned int instance;
 	unsigned int attempts;
+	bool urgent;
 	struct long_flow *flow; /* NULL: a flow for this request only */
 };
 
@@ -52,6 +57,8 @@
 	unsigned int instance_nr;
 	unsigned int upstream_nr;
 	struct cookie_instance *instances;
+	struct syn_queue **syn_queues; /* by instance */
+	GArray *refusal_times_ms;      /* of uint32_t */
 	upstream_index_t *handles; /* of upstreams, the same at all instances */
 	struct sim_upstream *upstreams;
 	struct long_flow *long_flows;
@@ -100,6 +107,7 @@
 		init_cookie_instance(&sim->instances[i], name, domain);
 		set_remote_domain_cost(sim->instances[i].placer,
 				       sim->opt->remote_domain_cost);
+		sim->syn_queues[i] = create_syn_queue();
 	}
 	for (unsigned int s = 0; s < sim->upstream_nr; s++)
 		put_upstream(sim, s);
@@ -182,12 +190,14 @@
 
 /* Schedules the next attempt of a request, if any is left. */
 static void schedule_retry(struct placement_sim *sim, uint64_t requested_ms,
-			   unsigned int attempts, struct long_flow *flow)
+			   unsigned int attempts, bool urgent,
+			   struct long_flow *flow)
 {
 	struct pending_syn syn = { .requested_ms = requested_ms,
 				   .syn_ms = sim->now_ms + RETRY_DELAY_MS,
 				   .next_syn_ms = sim->now_ms + RETRY_DELAY_MS,
 				   .attempts = attempts + 1,
+				   .urgent = urgent,
 				   .flow = flow };
 
 	if (syn.attempts < ATTEMPTS_MAX &&
@@ -198,6 +208,7 @@
 		return;
 	}
 	sim->result->failed++;
+	sim->result->urgent_failed += urgent;
 	if (flow)
 		flow->opening = false;
 }
@@ -212,6 +223,7 @@
 
 	rq->requested_ms = syn->requested_ms;
 	rq->attempts = syn->attempts;
+	rq->urgent = syn->urgent;
 	rq->remaining_ms = 1 + (uint32_t)(-log(u) * SIM_REQUEST_MS);
 	rq->instance = instance;
 	rq->started_ms = sim->now_ms;
@@ -229,7 +241,8 @@
 	} else {
 		sim->result->shed++;
 		end_request(sim, upstream, rq);
-		schedule_retry(sim, syn->requested_ms, syn->attempts, NULL);
+		schedule_retry(sim, syn->requested_ms, syn->attempts,
+			       syn->urgent, NULL);
 	}
 }
 
@@ -294,55 +307,184 @@
 	       sim->now_ms < end_ms + COOKIE_STARTUP_MS;
 }
 
+/* Whether BEST is too loaded for a SYN that yields to others. */
+static bool is_crowded(const struct placement *best, bool just_started)
+{
+	return best->reason == PLACE_FULL ||
+	       (best->reason == PLACE_CROWDED && !just_started);
+}
+
 static enum syn_verdict decide(const struct placement_sim *sim,
 			       const struct pending_syn *syn,
 			       const struct placement *best)
 {
-	enum syn_verdict v;
+	bool just_started = has_just_started(sim);
+	bool crowded = is_crowded(best, just_started) && !syn->urgent;
+	bool last = syn->syn_copy >= G_N_ELEMENTS(syn_copy_at_ms) - 2;
 
 	if (best->upstream == CATALOG_NONE)
 		return SYN_REFUSE;
-	if (sim->opt->no_defer)
+	switch (sim->opt->overload) {
+	case OVERLOAD_QUEUE:
+	case OVERLOAD_QUEUE_OLDEST:
+		return decide_syn(best, !syn->urgent, just_started);
+	case OVERLOAD_REFUSE:
+		return crowded ? SYN_REFUSE : SYN_PLACE;
+	case OVERLOAD_DEFER:
+	case OVERLOAD_DEFER_ADMIT:
+		if (!crowded)
+			return SYN_PLACE;
+		if (!last)
+			return SYN_WAIT;
+		return just_started || sim->opt->overload ==
+					       OVERLOAD_DEFER_ADMIT
+			       ? SYN_PLACE
+			       : SYN_REFUSE;
+	default:
 		return SYN_PLACE;
-	v = decide_syn(best, syn->syn_copy, true, has_just_started(sim));
-	return v == SYN_REFUSE && sim->opt->admit_last ? SYN_PLACE : v;
+	}
+}
+
+static void place_syn(struct placement_sim *sim, struct pending_syn *syn,
+		      const struct placement *best)
+{
+	struct cookie_instance *in = &sim->instances[syn->instance];
+	unsigned int upstream = upstream_index(sim, best->upstream);
+
+	note_syn_placed(sim->syn_queues[syn->instance],
+			intern_service(in->catalog, "board"), sim->now_ms);
+	if (syn->flow)
+		place_long_flow(sim, syn->flow, syn->instance, upstream);
+	send_request(sim, upstream, syn->instance, syn);
+}
+
+static void refuse_syn(struct placement_sim *sim, const struct pending_syn *syn)
+{
+	uint32_t held_ms = (uint32_t)(sim->now_ms - syn->syn_ms);
+
+	sim->result->refused++;
+	g_array_append_val(sim->refusal_times_ms, held_ms);
+	schedule_retry(sim, syn->requested_ms, syn->attempts, syn->urgent,
+		       syn->flow);
+}
+
+static void drop_syn(struct placement_sim *sim, struct pending_syn *syn)
+{
+	syn->syn_copy++;
+	syn->next_syn_ms = syn->syn_ms + syn_copy_at_ms[syn->syn_copy];
+	sim->result->waited++;
+	g_array_append_val(sim->pending_syns, *syn);
+}
+
+static void hold_syn(struct placement_sim *sim, const struct pending_syn *syn)
+{
+	struct cookie_instance *in = &sim->instances[syn->instance];
+	bool just_started = has_just_started(sim);
+	struct syn_limits limits =
+		get_syn_limits(SIM_TARGET_MS, 0, just_started);
+	struct pending_syn *copy = g_memdup2(syn, sizeof(*syn));
+
+	if (sim->opt->wait_limit_ms && !just_started)
+		limits.wait_ms = sim->opt->wait_limit_ms;
+	copy->waiting = queue_syn(sim->syn_queues[syn->instance],
+				  intern_service(in->catalog, "board"), limits,
+				  just_started, copy, sim->now_ms);
+	sim->result->waited++;
+	if (!copy->waiting) {
+		refuse_syn(sim, copy);
+		g_free(copy);
+	}
 }
 
 /* A SYN arrives at a random instance. */
 static void handle_syn(struct placement_sim *sim, struct pending_syn *syn)
 {
-	unsigned int instance = pick_instance(sim);
-	struct placement best = choose_upstream(sim, instance);
-
-	switch (decide(sim, syn, &best)) {
-	case SYN_DEFER:
-		syn->syn_copy++;
-		syn->next_syn_ms = syn->syn_ms + syn_copy_at_ms[syn->syn_copy];
-		sim->result->deferred++;
-		g_array_append_val(sim->pending_syns, *syn);
+	struct placement best;
+	enum syn_verdict verdict;
+
+	syn->instance = pick_instance(sim);
+	best = choose_upstream(sim, syn->instance);
+	verdict = decide(sim, syn, &best);
+	if (!syn->urgent)
+		note_syn_arrival(
+			sim->syn_queues[syn->instance],
+			intern_service(sim->instances[syn->instance].catalog,
+				       "board"),
+			verdict == SYN_WAIT, sim->now_ms);
+	switch (verdict) {
+	case SYN_WAIT:
+		if (sim->opt->overload == OVERLOAD_DEFER ||
+		    sim->opt->overload == OVERLOAD_DEFER_ADMIT)
+			drop_syn(sim, syn);
+		else
+			hold_syn(sim, syn);
 		break;
 	case SYN_PLACE:
-		if (syn->flow)
-			place_long_flow(sim, syn->flow, instance,
-					upstream_index(sim, best.upstream));
-		send_request(sim, upstream_index(sim, best.upstream), instance,
-			     syn);
+		place_syn(sim, syn, &best);
 		break;
 	case SYN_REFUSE:
-		sim->result->refused++;
-		schedule_retry(sim, syn->requested_ms, syn->attempts,
-			       syn->flow);
+		refuse_syn(sim, syn);
 		break;
 	}
 }
 
+static struct waiting_syn *next_to_place(const struct placement_sim *sim,
+					 unsigned int instance,
+					 service_index_t service)
+{
+	struct waiting_syn *w =
+		next_waiting_syn(sim->syn_queues[instance], service);
+
+	if (w && sim->opt->overload == OVERLOAD_QUEUE_OLDEST)
+		w = oldest_waiting_syn(sim->syn_queues[instance], service);
+	return w;
+}
+
+/* Places and refuses SYNs that wait at INSTANCE. */
+static void release_syns_at(struct placement_sim *sim, unsigned int instance)
+{
+	struct syn_queue *q = sim->syn_queues[instance];
+	service_index_t service =
+		intern_service(sim->instances[instance].catalog, "board");
+	struct waiting_syn *w;
+
+	while ((w = next_syn_to_refuse(q, sim->now_ms))) {
+		struct pending_syn *syn = w->owner;
+
+		remove_waiting_syn(q, w);
+		refuse_syn(sim, syn);
+		g_free(syn);
+	}
+	while ((w = next_to_place(sim, instance, service))) {
+		struct waiting_syn *overdue =
+			next_overdue_syn(q, service, sim->now_ms);
+		struct pending_syn *syn = overdue ? overdue->owner : w->owner;
+		struct placement best = choose_upstream(sim, instance);
+		enum syn_verdict verdict = decide(sim, syn, &best);
+
+		if (verdict == SYN_WAIT && !overdue)
+			break;
+		if (verdict == SYN_WAIT)
+			verdict = decide_overdue_syn(&best,
+						     has_just_started(sim));
+		remove_waiting_syn(q, syn->waiting);
+		if (verdict == SYN_PLACE)
+			place_syn(sim, syn, &best);
+		else
+			refuse_syn(sim, syn);
+		g_free(syn);
+	}
+}
+
 static void send_first_syn(struct placement_sim *sim, uint64_t requested_ms)
 {
 	struct pending_syn syn = { .requested_ms = requested_ms,
 				   .syn_ms = sim->now_ms,
 				   .next_syn_ms = sim->now_ms };
 
+	syn.urgent = g_rand_double(sim->rand) < sim->opt->urgent_share;
 	sim->result->requests++;
+	sim->result->urgent_requests += syn.urgent;
 	handle_syn(sim, &syn);
 }
 
@@ -405,11 +547,11 @@
 	struct sim_request *rq;
 
 	while ((rq = g_queue_pop_head(requests))) {
-		uint64_t requested_ms = rq->requested_ms;
-		unsigned int attempts = rq->attempts;
+		struct sim_request lost = *rq;
 
 		end_request(sim, s, rq);
-		schedule_retry(sim, requested_ms, attempts, NULL);
+		schedule_retry(sim, lost.requested_ms, lost.attempts,
+			       lost.urgent, NULL);
 	}
 }
 
@@ -443,7 +585,11 @@
 	uint64_t lost_at_ms = sim->opt->length_ms / 2;
 
 	for (unsigned int s = 0; s < sim->upstream_nr; s++) {
-		if (domain_of_upstream(sim, s) >= sim->opt->lost_domains)
+		bool lost =
+			domain_of_upstream(sim, s) < sim->opt->lost_domains ||
+			s + sim->opt->lost_upstreams >= sim->upstream_nr;
+
+		if (!lost)
 			continue;
 		if (sim->now_ms == lost_at_ms)
 			lose_upstream(sim, s);
@@ -479,6 +625,8 @@
 		       (sim->now_ms + i * 13) % HEARTBEAT_URGENT_MS == 0;
 		if (sim->opt->strategy != PICK_BY_OWN_LOADS && due)
 			send_heartbeat(sim, i);
+		if (sim->now_ms % COOKIE_TICK_MS == 0)
+			release_syns_at(sim, i);
 		if (sim->now_ms % PLACEMENT_MEANS_INTERVAL_MS == 0)
 			tick_placer(sim->instances[i].placer, sim->now_ms,
 				    checks);
@@ -497,7 +645,11 @@
 		bool in_outage = sim->now_ms >= outage_at_ms &&
 				 sim->now_ms < outage_at_ms + opt->outage_ms;
 
-		due += opt->requests_per_s / 1000;
+		bool in_burst = sim->now_ms >= outage_at_ms &&
+				sim->now_ms < outage_at_ms + opt->lost_ms;
+
+		due += opt->requests_per_s / 1000 *
+		       (in_burst && opt->burst > 0 ? opt->burst : 1);
 		while (due >= 1) {
 			due -= 1;
 			if (in_outage)
@@ -525,14 +677,32 @@
 	return x < y ? -1 : x > y;
 }
 
+static uint32_t percentile(GArray *times_ms, unsigned int percent)
+{
+	if (!times_ms->len)
+		return 0;
+	g_array_sort(times_ms, compare_ms);
+	return g_array_index(times_ms, uint32_t, times_ms->len * percent / 100);
+}
+
 static void release_simulation(struct placement_sim *sim)
 {
 	for (unsigned int s = 0; s < sim->upstream_nr; s++) {
 		g_queue_clear_full(&sim->upstreams[s].running, g_free);
 		g_queue_clear_full(&sim->upstreams[s].waiting, g_free);
 	}
-	for (unsigned int i = 0; i < sim->instance_nr; i++)
+	for (unsigned int i = 0; i < sim->instance_nr; i++) {
+		struct waiting_syn *w;
+
+		while ((w = next_waiting_syn(sim->syn_queues[i], 0))) {
+			g_free(w->owner);
+			remove_waiting_syn(sim->syn_queues[i], w);
+		}
+		destroy_syn_queue(sim->syn_queues[i]);
 		release_cookie_instance(&sim->instances[i]);
+	}
+	g_array_free(sim->refusal_times_ms, TRUE);
+	g_free(sim->syn_queues);
 	g_free(sim->instances);
 	g_free(sim->upstreams);
 	g_free(sim->handles);
@@ -573,6 +743,8 @@
 	sim.instance_nr = opt->domain_nr * opt->instances_per_domain;
 	sim.upstream_nr = opt->domain_nr * opt->upstreams_per_domain;
 	sim.instances = g_new0(struct cookie_instance, sim.instance_nr);
+	sim.syn_queues = g_new0(struct syn_queue *, sim.instance_nr);
+	sim.refusal_times_ms = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	sim.upstreams = g_new0(struct sim_upstream, sim.upstream_nr);
 	sim.handles = g_new0(upstream_index_t, sim.upstream_nr);
 	sim.answer_times_ms = g_array_new(FALSE, FALSE, sizeof(uint32_t));
@@ -582,11 +754,8 @@
 	create_instances(&sim);
 	open_long_flows(&sim);
 	run_simulation(&sim);
-	g_array_sort(sim.answer_times_ms, compare_ms);
-	if (sim.answer_times_ms->len)
-		res->p99_ms =
-			g_array_index(sim.answer_times_ms, uint32_t,
-				      sim.answer_times_ms->len * 99 / 100);
+	res->p99_ms = percentile(sim.answer_times_ms, 99);
+	res->refusal_p95_ms = percentile(sim.refusal_times_ms, 95);
 	release_simulation(&sim);
 }
 
@@ -598,3 +767,13 @@
 
 	return names[strategy];
 }
+
+const char *overload_strategy_name(enum overload_strategy strategy)
+{
+	static const char *const names[OVERLOAD_STRATEGY_NR] = {
+		"queue", "oldest first", "refuse",
+		"defer", "defer, admit", "place all"
+	};
+
+	return names[strategy];
+}
--- a/t/placement-simulation.h
+++ b/t/placement-simulation.h
@@ -19,8 +19,21 @@
 	PICK_STRATEGY_NR
 };
 
+/* What an instance does with SYNs while all upstreams are crowded. */
+enum overload_strategy {
+	OVERLOAD_QUEUE,	       /* flow/syn-queue.h: newest first */
+	OVERLOAD_QUEUE_OLDEST, /* the same, oldest first */
+	OVERLOAD_REFUSE,       /* refused at once */
+	OVERLOAD_DEFER,	       /* dropped; the last copy is refused */
+	OVERLOAD_DEFER_ADMIT,  /* dropped; the last copy is placed */
+	OVERLOAD_PLACE,	       /* placed; upstreams shed */
+	OVERLOAD_STRATEGY_NR
+};
+
 struct placement_sim_options {
 	enum pick_strategy strategy;
+	enum overload_strategy overload;
+	uint32_t wait_limit_ms; /* of waiting SYNs; 0: syn_wait_limit_ms() */
 	double remote_domain_cost;
 	uint32_t seed;
 	unsigned int domain_nr;
@@ -33,10 +46,11 @@
 	double first_domain_load; /* relative to the mean of domains */
 	uint32_t heartbeat_ms;	  /* between an instance's heartbeats */
 	uint32_t length_ms;
-	bool no_defer;		   /* never defer or refuse a crowded SYN */
-	bool admit_last;	   /* the last copy of a SYN is never refused */
-	unsigned int lost_domains; /* number that lose upstreams half-way */
-	uint32_t lost_ms;	   /* how long these are lost */
+	double urgent_share; /* of short flows, which yield to no others */
+	double burst;	     /* times the short flows, while domains are lost */
+	unsigned int lost_upstreams; /* number lost, besides lost_domains */
+	unsigned int lost_domains;   /* number that lose upstreams half-way */
+	uint32_t lost_ms;	     /* how long these are lost */
 	uint32_t outage_ms; /* of all instances, half-way; callers return at
 			     * once afterwards */
 };
@@ -47,10 +61,13 @@
 	uint32_t late;		/* answered after that */
 	uint32_t shed;		/* refused by an upstream, not run */
 	uint32_t refused;	/* refused by an instance */
-	uint32_t deferred;	/* SYNs left to their next copy */
+	uint32_t waited;	/* SYNs that had to wait, or come again */
 	uint32_t failed;	/* requests that used up their attempts */
 	uint32_t remote_domain; /* sent to an upstream of another domain */
 	uint32_t p99_ms;
+	uint32_t urgent_requests;
+	uint32_t urgent_failed;
+	uint32_t refusal_p95_ms; /* time from a refused SYN to its refusal */
 };
 
 #define SIM_TARGET_MS 200
@@ -66,5 +83,6 @@
 			struct placement_sim_result *res);
 
 const char *pick_strategy_name(enum pick_strategy strategy);
+const char *overload_strategy_name(enum overload_strategy strategy);
 
 #endif
