flow: report not ready while no upstream can be reached from a cut-off domain

An instance that has heard no other domain for 900 ms and reaches no upstream is not ready, so that routers use the nearest domains. The silence is that of all members of other domains together, since in large fleets a single one is found dead only after many seconds.

--- a/fleet/heartbeat.c
+++ b/fleet/heartbeat.c
@@ -23,8 +23,9 @@
 struct heartbeat_tracker {
 	struct member self;
 	struct view *view;
-	GArray *peers;	   /* of struct peer */
-	GArray *addresses; /* of struct address */
+	GArray *peers;		 /* of struct peer */
+	GArray *addresses;	 /* of struct address */
+	uint64_t last_remote_ms; /* last heartbeat of another domain */
 	uint64_t last_sent_ms;
 	uint64_t settled_at_ms; /* time from which the view is settled */
 	uint64_t started_at_ms;
@@ -177,6 +178,8 @@
 		p = find_heartbeat_peer(ht, m.id);
 	}
 	p->last_heard_ms = now_ms;
+	if (is_remote(ht, &m))
+		ht->last_remote_ms = now_ms;
 	p->ready = hm->flags & HEARTBEAT_READY;
 	p->store_revision = hm->store_revision;
 	if (hm->flags & HEARTBEAT_READS_STORE)
@@ -190,6 +193,8 @@
 {
 	set_view_settled(ht->view, false);
 	ht->settled_at_ms = now_ms + HEARTBEAT_SETTLE_MS;
+	if (ht->last_remote_ms)
+		ht->last_remote_ms = now_ms;
 	for (guint i = 0; i < ht->peers->len; i++)
 		g_array_index(ht->peers, struct peer, i).last_heard_ms = now_ms;
 }
@@ -290,6 +295,11 @@
 	return true;
 }
 
+uint64_t last_heard_remote_ms(const struct heartbeat_tracker *ht)
+{
+	return ht->last_remote_ms;
+}
+
 void list_domain_endpoints(const struct heartbeat_tracker *ht, GArray *to)
 {
 	const struct member *ms;
--- a/fleet/heartbeat.h
+++ b/fleet/heartbeat.h
@@ -93,6 +93,9 @@
 bool tick_heartbeats(struct heartbeat_tracker *ht, uint64_t now_ms, bool urgent,
 		     GArray *to);
 
+/* When an instance of another domain was heard last, ms; 0: never. */
+uint64_t last_heard_remote_ms(const struct heartbeat_tracker *ht);
+
 /*
  * True if this instance is to read and watch the store: it is one of its
  * domain's store readers, or no reader there reports an answering store.
--- a/flow/placement-health.c
+++ b/flow/placement-health.c
@@ -229,6 +229,23 @@
 	}
 }
 
+bool reaches_no_upstream(const struct placer *pl)
+{
+	bool any_accepts = false;
+
+	for (size_t i = 0; i < catalog_upstream_count(pl->catalog); i++) {
+		upstream_index_t nr = (upstream_index_t)i;
+		const struct upstream_load *ul = find_upstream_load(pl, nr);
+
+		if (!accepts_flows(pl->catalog, nr))
+			continue;
+		if (!ul || !is_dead_or_cut_off(ul))
+			return false;
+		any_accepts = true;
+	}
+	return any_accepts;
+}
+
 enum upstream_health assessed_health(const struct placer *pl,
 				     upstream_index_t nr)
 {
--- a/flow/placement.h
+++ b/flow/placement.h
@@ -212,6 +212,12 @@
 void note_check_result(struct placer *pl, upstream_index_t nr,
 		       enum check_result result, uint64_t now_ms);
 
+/*
+ * True if upstreams accept flows, but this instance found all of them dead or
+ * cut off.
+ */
+bool reaches_no_upstream(const struct placer *pl);
+
 /* Answer times of SERVICE, ms; NULL if none was observed. */
 const struct histogram *answer_times(const struct placer *pl,
 				     service_index_t service);
--- a/net/edge-http.c
+++ b/net/edge-http.c
@@ -12,7 +12,8 @@
 
 bool is_edge_ready(const struct edge *e)
 {
-	return catalog_version(e->catalog) && e->synced && !e->stop_began_ms;
+	return catalog_version(e->catalog) && e->synced && !e->stop_began_ms &&
+	       !e->isolation.isolated;
 }
 
 static void on_ready(struct http_exchange *ex, const struct http_message *m,
--- a/net/edge-state.h
+++ b/net/edge-state.h
@@ -12,6 +12,7 @@
 #include "fleet/heartbeat.h"
 #include "fleet/store-update.h"
 #include "flow/cookie.h"
+#include "flow/isolation.h"
 #include "net/datagrams.h"
 #include "net/edge.h"
 #include "net/event-log.h"
@@ -33,6 +34,7 @@
 	struct quotas *upstream_quotas;
 	struct placer *placement;
 	struct cookie_steering *steering;
+	struct isolation isolation;
 	struct heartbeat_tracker *instance_heartbeats;
 	struct mirror *mirror;
 	struct update_log *recent_updates;
@@ -70,7 +72,10 @@
 /* Time since the store last answered; 0 if it never has. */
 uint64_t edge_store_age_ms(const struct edge *e);
 
-/* True if routes and entries are known and the process is not stopping. */
+/*
+ * True if routes and entries are known, upstreams can be reached and the
+ * process is not stopping.
+ */
 bool is_edge_ready(const struct edge *e);
 
 /* edge-store.c: copies the store's entries, registers this instance */
--- a/net/edge.c
+++ b/net/edge.c
@@ -86,8 +86,9 @@
 	if (ready == e->logged_ready)
 		return;
 	e->logged_ready = ready;
-	log_event(e->log, EVENT_READY, "ready=%d version=%llu", ready,
-		  (unsigned long long)catalog_version(e->catalog));
+	log_event(e->log, EVENT_READY, "ready=%d version=%llu isolated=%d",
+		  ready, (unsigned long long)catalog_version(e->catalog),
+		  e->isolation.isolated);
 }
 
 /* True if A and B differ in settings that only a restart can change. */
@@ -213,6 +214,9 @@
 	update_quotas(e->upstream_quotas, e->now_ms);
 	expire_catalog(e->catalog, e->now_ms);
 	tick_edge_heartbeats(e);
+	update_isolation(&e->isolation,
+			 last_heard_remote_ms(e->instance_heartbeats),
+			 e->placement, e->now_ms);
 	check_settings_file(e);
 	log_readiness(e);
 	flush_event_log(e->log, e->now_ms);
