config/mirror: keep the values of all changes until the next step

Cause, found by a model of the restored store under AddressSanitizer: a watch answer with two changes of a key, or a change and its removal, freed the first value while the first action still pointed to it. The edge decoded freed memory, for instance in a storm of configurations. Test, which failed before: check-mirror every_change_of_an_answer_keeps_its_value (heap-use-after-free).

--- a/config/mirror.c
+++ b/config/mirror.c
@@ -5,6 +5,12 @@
 
 #include "base/backoff.h"
 
+/* Keeps VALUE, which actions of this step may point to, until the next one. */
+static void retire_value(struct mirror *m, void *value)
+{
+	g_ptr_array_add(m->step_memory, value);
+}
+
 static void free_mirror_item(gpointer data)
 {
 	struct mirror_item *it = data;
@@ -129,7 +135,7 @@
 		m->digest ^= item_digest(e->key, it->revision);
 	}
 	m->digest ^= item_digest(e->key, e->mod_revision);
-	g_free(it->value);
+	retire_value(m, it->value);
 	it->value = g_memdup2(e->value, e->len);
 	it->len = e->len;
 	it->revision = e->mod_revision;
@@ -172,6 +178,8 @@
 	report_removed(m, g_strdup(key), it, out);
 	g_hash_table_steal_extended(m->items, key, &owned, NULL);
 	g_free(owned);
+	retire_value(m, it->value);
+	it->value = NULL;
 	free_mirror_item(it);
 }
 
--- a/t/check-mirror.c
+++ b/t/check-mirror.c
@@ -244,6 +244,32 @@
 }
 END_TEST
 
+/* A watch answer may hold several changes of a key, also its removal. */
+START_TEST(every_change_of_an_answer_keeps_its_value)
+{
+	struct store_entry es[] = { make_entry("a", "first", 11),
+				    make_entry("a", "second", 12),
+				    make_entry("a", NULL, 13) };
+	const char *expected[] = { "first", "second" };
+	size_t seen = 0;
+
+	read_initial_entries(1000);
+	send_answer(MIRROR_WATCH_ANSWER, STATUS_OK, 13, es, 3, 2000);
+	for (guint i = 0; i < out->len; i++) {
+		const struct mirror_action *a =
+			&g_array_index(out, struct mirror_action, i);
+
+		if (a->kind != MIRROR_KEY_CHANGED)
+			continue;
+		ck_assert_uint_lt(seen, 2);
+		ck_assert_mem_eq(a->value, expected[seen], a->len);
+		seen++;
+	}
+	ck_assert_uint_eq(seen, 2);
+	ck_assert(find_action(MIRROR_KEY_REMOVED, "a"));
+}
+END_TEST
+
 static void send_role(bool reader, uint64_t now_ms)
 {
 	struct mirror_event ev = { .kind = MIRROR_ROLE_CHANGED,
@@ -577,6 +603,7 @@
 	tcase_add_test(tc, reads_a_long_value_left_out_of_an_update);
 	tcase_add_test(tc, role_changes_keep_the_revision);
 	tcase_add_test(tc, delays_removals_as_long_as_the_update_says);
+	tcase_add_test(tc, every_change_of_an_answer_keeps_its_value);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_ENV);
 	failed = srunner_ntests_failed(sr);
