--- a/base/counter-list.h
+++ b/base/counter-list.h
@@ -11,6 +11,13 @@
 /* store */
 COUNTER(STORE_CALLS, "store.calls", "calls made to the store")
 COUNTER(STORE_FAILURES, "store.failures", "calls that got no answer")
+COUNTER(STORE_ERAS, "store.eras", "times that the store was restored")
+COUNTER(STORE_OLD_ANSWERS, "store.old-answers",
+	"answers from before a restore that came after it")
+COUNTER(STORE_ERA_MALFORMED, "store.era-malformed",
+	"answers whose era could not be read")
+COUNTER(STORE_RECORDS_HELD, "store.records-held",
+	"records of a restored store that were not believed yet")
 
 /* requests */
 COUNTER(REQUEST_ACCEPTED, "request.accepted", "requests received in full")
--- a/builtin/status.c
+++ b/builtin/status.c
@@ -55,6 +55,11 @@
 			       : "");
 	else
 		printf("  store has not answered yet\n");
+	if (json_object_get(j, "store-era"))
+		printf("  store era %lld, revision %lld, %lld records held\n",
+		       integer_member(j, "store-era"),
+		       integer_member(j, "store-revision"),
+		       integer_member(j, "records-held"));
 }
 
 static void print_domains(const json_t *j)
--- a/config/catalog.h
+++ b/config/catalog.h
@@ -40,6 +40,7 @@
 	bool draining;		/* takes no new flows */
 	uint32_t cold_left_ms;	/* remaining time of its cold start */
 	uint64_t started_at_ms; /* Unix time, by its own clock; 0: unknown */
+	uint64_t write_count;	/* its writings since then, as it counts */
 };
 
 struct catalog_upstream {
--- a/config/mirror-state.h
+++ b/config/mirror-state.h
@@ -27,7 +27,7 @@
 	GPtrArray *step_memory; /* frees what this step's actions point to */
 	GArray *bases; /* of struct mirror_entry, for this step's update */
 	GRand *rand;
-	uint64_t revision;
+	struct store_position position;
 	uint64_t digest; /* of the items without a delayed removal */
 	/* start of a lasting mismatch with a store reader's digest; 0: none */
 	uint64_t digest_mismatch_since_ms;
@@ -37,10 +37,10 @@
 	uint64_t store_lost_at_ms;  /* first failure of the last outage */
 	uint64_t retry_at_ms;	    /* end of MIRROR_STATE_BACKOFF */
 	unsigned int failures;
-	bool needs_full_read;	   /* changes since REVISION were missed */
+	bool needs_full_read;	   /* changes since POSITION were missed */
 	bool is_store_reader;	   /* watches the store; else applies updates */
 	bool watching_to_catch_up; /* is no store reader, but lags behind */
-	uint64_t peer_revision;	   /* highest revision that a peer reported */
+	struct store_position peer_position; /* highest that a peer reported */
 	/* start of the lag, or the last applied update if later */
 	uint64_t behind_since_ms;
 	uint64_t last_query_ms;
@@ -58,8 +58,26 @@
 /* When a removal that is learned now applies; 0: at once. */
 uint64_t removal_hold_until_ms(const struct mirror *m, uint64_t now_ms);
 
-/* Records that a peer has reached REVISION. */
-void note_peer_revision(struct mirror *m, uint64_t revision, uint64_t now_ms);
+/* Records that a peer has reached POSITION. */
+void note_peer_position(struct mirror *m, struct store_position position,
+			uint64_t now_ms);
+
+/*
+ * Makes the copy equal to the content of the restored store, whose entries that
+ * differ are in ENTRIES; deleted ones are not in the store.
+ */
+void apply_restored_entries(struct mirror *m, const struct store_entry *entries,
+			    size_t nr, GArray *out);
+
+/* Lets any revision of KEY replace its item. */
+void void_item_revision(struct mirror *m, const char *key);
+
+/*
+ * Records the current entries of the long values that ENTRIES change, in
+ * m->bases. A key that changes several times gets one only for its last change.
+ */
+void record_bases(struct mirror *m, const struct store_entry *entries,
+		  size_t nr);
 
 /* Stores E, unless the item with its key is at least as new. */
 void update_mirror_item(struct mirror *m, const struct store_entry *e,
--- a/config/mirror-update.c
+++ b/config/mirror-update.c
@@ -17,12 +17,8 @@
 	return b;
 }
 
-/*
- * Records the current entries of the long values that ENTRIES change. A key
- * that changes several times gets one only for its last change.
- */
-static void record_bases(struct mirror *m, const struct store_entry *entries,
-			 size_t nr)
+void record_bases(struct mirror *m, const struct store_entry *entries,
+		  size_t nr)
 {
 	g_array_set_size(m->bases, 0);
 	g_array_set_size(m->bases, (guint)nr);
@@ -57,16 +53,16 @@
 	size_t already_known = 0;
 	struct mirror_update *n;
 
-	if (a->revision <= m->revision)
+	if (a->revision <= m->position.revision)
 		return;
 	while (already_known < a->entry_nr &&
-	       a->entries[already_known].mod_revision <= m->revision)
+	       a->entries[already_known].mod_revision <= m->position.revision)
 		already_known++;
 	n = &add_mirror_action(out, m->is_store_reader ? MIRROR_DO_SEND_UPDATE
 						       : MIRROR_DO_KEEP_UPDATE)
 		     ->update;
-	n->from = m->revision;
-	n->to = a->revision;
+	n->from = m->position;
+	n->to = (struct store_position){ a->era, a->revision };
 	n->removal_hold_ms =
 		hold_until_ms ? (uint32_t)(hold_until_ms - now_ms) : 0;
 	n->entries = &a->entries[already_known];
@@ -92,6 +88,10 @@
 	m->key_read_allowed_ms = now_ms + MIRROR_KEY_READ_INTERVAL_MS;
 	if (a->status.kind != STATUS_OK)
 		return;
+	if (a->era != m->position.era) {
+		m->needs_full_read |= a->era > m->position.era;
+		return;
+	}
 	for (size_t i = 0; i < a->entry_nr; i++)
 		if (m->missing_key &&
 		    !strcmp(a->entries[i].key, m->missing_key))
@@ -119,30 +119,69 @@
 	m->missing_key_revision = revision;
 }
 
+/* Whether N leads on from a copy at position AT. */
+static bool continues_at(const struct mirror_update *n,
+			 struct store_position at)
+{
+	if (n->restored)
+		return !compare_store_positions(n->from, at);
+	return n->from.era == at.era && n->from.revision <= at.revision;
+}
+
+static void apply_change(struct mirror *m, const struct store_entry *e,
+			 uint64_t hold_until_ms, GArray *out)
+{
+	if (e->deleted)
+		remove_mirror_item(m, e->key, e->mod_revision, hold_until_ms,
+				   out);
+	else if (e->value)
+		apply_value(m, e, out);
+	else
+		note_missing_value(m, e->key, e->mod_revision);
+}
+
+/* Applies a part of the differences from the content before a restore. */
+static void handle_restored_update(struct mirror *m,
+				   const struct mirror_update *n, GArray *out)
+{
+	if (n->from.era != n->to.era) {
+		add_mirror_action(out, MIRROR_ERA_BEGAN)->position =
+			m->position;
+		g_clear_pointer(&m->missing_key, g_free);
+	}
+	for (size_t i = 0; i < n->entry_nr; i++) {
+		const struct store_entry *e = &n->entries[i];
+
+		if (e->value || e->deleted) {
+			apply_restored_entries(m, e, 1, out);
+			continue;
+		}
+		/* its value was left out and is read next */
+		void_item_revision(m, e->key);
+		note_missing_value(m, e->key, e->mod_revision);
+	}
+}
+
 void handle_update(struct mirror *m, const struct mirror_update *n,
 		   uint64_t now_ms, GArray *out)
 {
 	uint64_t hold_until_ms =
 		n->removal_hold_ms ? now_ms + n->removal_hold_ms : 0;
 
-	if (m->state != MIRROR_STATE_PEER_UPDATES || n->to <= m->revision)
+	if (m->state != MIRROR_STATE_PEER_UPDATES ||
+	    compare_store_positions(n->to, m->position) <= 0)
 		return;
-	if (n->from > m->revision) {
-		note_peer_revision(m, n->to, now_ms);
+	if (!continues_at(n, m->position)) {
+		note_peer_position(m, n->to, now_ms);
 		return;
 	}
-	for (size_t i = 0; i < n->entry_nr; i++) {
-		const struct store_entry *e = &n->entries[i];
-
-		if (e->deleted)
-			remove_mirror_item(m, e->key, e->mod_revision,
-					   hold_until_ms, out);
-		else if (e->value)
-			apply_value(m, e, out);
-		else
-			note_missing_value(m, e->key, e->mod_revision);
+	if (n->restored) {
+		handle_restored_update(m, n, out);
+	} else {
+		for (size_t i = 0; i < n->entry_nr; i++)
+			apply_change(m, &n->entries[i], hold_until_ms, out);
 	}
-	m->revision = n->to;
+	m->position = n->to;
 	m->digest_mismatch_since_ms = 0;
 	m->behind_since_ms = now_ms; /* peers answer: no need for the store */
 }
--- a/config/mirror.c
+++ b/config/mirror.c
@@ -63,13 +63,14 @@
 static void start_watch(struct mirror *m, GArray *out)
 {
 	m->state = MIRROR_STATE_WATCHING;
-	add_mirror_action(out, MIRROR_DO_WATCH)->revision = m->revision + 1;
+	add_mirror_action(out, MIRROR_DO_WATCH)->revision =
+		m->position.revision + 1;
 }
 
-/* Whether a peer has reached a higher revision. */
+/* Whether a peer has reached a later position. */
 static bool is_behind_peers(const struct mirror *m)
 {
-	return m->peer_revision > m->revision;
+	return compare_store_positions(m->peer_position, m->position) > 0;
 }
 
 /* Continues at the current revision: by a watch, or with peers' updates. */
@@ -183,17 +184,19 @@
 	free_mirror_item(it);
 }
 
-/*
- * Applies the delayed removals that are due. A store reader waits while the
- * store does not answer, since it would not learn that an entry came back.
- */
+bool mirror_hears_changes(const struct mirror *m)
+{
+	return !m->is_store_reader || m->store_up_since_ms;
+}
+
+/* Applies the delayed removals that are due. */
 static void apply_due_removals(struct mirror *m, uint64_t now_ms, GArray *out)
 {
 	GHashTableIter iter;
 	gpointer key;
 	gpointer value;
 
-	if (m->is_store_reader && !m->store_up_since_ms)
+	if (!mirror_hears_changes(m))
 		return;
 	g_hash_table_iter_init(&iter, m->items);
 	while (g_hash_table_iter_next(&iter, &key, &value)) {
@@ -224,37 +227,178 @@
 	g_list_free(keys);
 }
 
+/* Whether IT is just what E, of a restored store, says. */
+static bool is_same_item(const struct mirror_item *it,
+			 const struct store_entry *e)
+{
+	return it->revision == e->mod_revision && !it->removal_due_ms &&
+	       it->len == e->len && !memcmp(it->value, e->value, e->len);
+}
+
+/* Replaces the item of E, whatever its revision, with E or nothing. */
+static void replace_mirror_item(struct mirror *m, const struct store_entry *e,
+				GArray *out)
+{
+	struct mirror_item *it = g_hash_table_lookup(m->items, e->key);
+
+	if (it ? !e->deleted && is_same_item(it, e) : e->deleted)
+		return;
+	if (it) {
+		if (!it->removal_due_ms)
+			m->digest ^= item_digest(e->key, it->revision);
+		if (e->deleted)
+			report_removed(m, g_strdup(e->key), it, out);
+		retire_value(m, it->value);
+		it->value = NULL;
+		g_hash_table_remove(m->items, e->key);
+	}
+	if (!e->deleted)
+		update_mirror_item(m, e, out);
+	g_array_index(out, struct mirror_action, out->len - 1).source =
+		MIRROR_RESTORED;
+}
+
+void void_item_revision(struct mirror *m, const char *key)
+{
+	struct mirror_item *it = g_hash_table_lookup(m->items, key);
+
+	if (!it)
+		return;
+	if (!it->removal_due_ms)
+		m->digest ^=
+			item_digest(key, it->revision) ^ item_digest(key, 0);
+	it->revision = 0;
+}
+
+void apply_restored_entries(struct mirror *m, const struct store_entry *entries,
+			    size_t nr, GArray *out)
+{
+	for (size_t i = 0; i < nr; i++)
+		replace_mirror_item(m, &entries[i], out);
+}
+
+/*
+ * Lists the differences between the items and the whole content A of a restored
+ * store. The entries belong to A and to the items.
+ */
+static GArray *list_differences(struct mirror *m, const struct store_answer *a)
+{
+	GArray *differences =
+		g_array_new(FALSE, TRUE, sizeof(struct store_entry));
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, m->items);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((struct mirror_item *)value)->in_last_read = false;
+	for (size_t i = 0; i < a->entry_nr; i++) {
+		struct mirror_item *it =
+			g_hash_table_lookup(m->items, a->entries[i].key);
+
+		if (it)
+			it->in_last_read = true;
+		if (it && is_same_item(it, &a->entries[i]))
+			continue;
+		g_array_append_val(differences, a->entries[i]);
+	}
+	g_hash_table_iter_init(&iter, m->items);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		struct store_entry removed = { .mod_revision = a->revision,
+					       .deleted = true };
+
+		if (((struct mirror_item *)value)->in_last_read)
+			continue;
+		removed.key = g_strdup(key);
+		g_ptr_array_add(m->step_memory, removed.key);
+		g_array_append_val(differences, removed);
+	}
+	return differences;
+}
+
+/* Applies A, the whole content of a store that was restored since. */
+static void handle_restored_read(struct mirror *m, const struct store_answer *a,
+				 GArray *out)
+{
+	struct store_position to = { a->era, a->revision };
+	GArray *differences = list_differences(m, a);
+	size_t nr = differences->len;
+	const struct store_entry *entries =
+		(const struct store_entry *)(void *)differences->data;
+	struct mirror_update *n;
+
+	add_mirror_action(out, MIRROR_ERA_BEGAN)->position = m->position;
+	g_clear_pointer(&m->missing_key, g_free);
+	record_bases(m, entries, nr);
+	n = &add_mirror_action(out, m->is_store_reader ? MIRROR_DO_SEND_UPDATE
+						       : MIRROR_DO_KEEP_UPDATE)
+		     ->update;
+	n->from = m->position;
+	n->to = to;
+	n->restored = true;
+	n->entries = entries;
+	n->entry_nr = nr;
+	n->bases = (const struct mirror_entry *)(void *)m->bases->data;
+	g_ptr_array_add(m->step_memory, g_array_free(differences, FALSE));
+	apply_restored_entries(m, entries, nr, out);
+	m->position = to;
+}
+
+/* True if A is of an era that has ended; such answers are ignored. */
+static bool is_old_answer(const struct mirror *m, const struct store_answer *a,
+			  GArray *out)
+{
+	struct store_position at = { a->era, a->revision };
+
+	if (a->status.kind != STATUS_OK || a->era >= m->position.era)
+		return false;
+	add_mirror_action(out, MIRROR_OLD_ANSWER)->position = at;
+	return true;
+}
+
 static void handle_read(struct mirror *m, const struct store_answer *a,
 			uint64_t now_ms, GArray *out)
 {
 	GHashTableIter iter;
 	gpointer value;
 
-	if (a->status.kind != STATUS_OK) {
+	if (a->status.kind != STATUS_OK || is_old_answer(m, a, out)) {
 		note_store_failure(m, now_ms, out);
 		return;
 	}
 	note_store_answer(m, now_ms, out);
+	m->needs_full_read = false;
+	if (m->position.revision && a->era > m->position.era) {
+		handle_restored_read(m, a, out);
+		enter_following_state(m, out);
+		return;
+	}
+	m->position.era = a->era;
 	g_hash_table_iter_init(&iter, m->items);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		((struct mirror_item *)value)->in_last_read = false;
 	for (size_t i = 0; i < a->entry_nr; i++)
 		update_mirror_item(m, &a->entries[i], out);
-	if (a->revision >= m->revision)
+	if (!m->position.revision)
+		for (guint i = 0; i < out->len; i++)
+			g_array_index(out, struct mirror_action, i).source =
+				MIRROR_FIRST_READ;
+	if (a->revision >= m->position.revision)
 		remove_items_not_read(m, a->revision, now_ms, out);
-	m->revision = MAX(m->revision, a->revision);
-	m->needs_full_read = false;
+	m->position.revision = MAX(m->position.revision, a->revision);
 	add_mirror_action(out, MIRROR_DO_DROP_UPDATES);
 	enter_following_state(m, out);
 }
 
-void note_peer_revision(struct mirror *m, uint64_t revision, uint64_t now_ms)
+void note_peer_position(struct mirror *m, struct store_position position,
+			uint64_t now_ms)
 {
-	if (revision <= m->revision || revision <= m->peer_revision)
+	if (compare_store_positions(position, m->position) <= 0 ||
+	    compare_store_positions(position, m->peer_position) <= 0)
 		return;
-	if (m->peer_revision <= m->revision)
+	if (!is_behind_peers(m))
 		m->behind_since_ms = now_ms;
-	m->peer_revision = revision;
+	m->peer_position = position;
 }
 
 /* Compares DIGEST of a store reader at the same revision with that of M. */
@@ -278,9 +422,9 @@
 			      const struct mirror_peer_state *h,
 			      uint64_t now_ms)
 {
-	note_peer_revision(m, h->revision, now_ms);
+	note_peer_position(m, h->position, now_ms);
 	if (h->watching && m->state == MIRROR_STATE_PEER_UPDATES &&
-	    h->revision == m->revision)
+	    !compare_store_positions(h->position, m->position))
 		compare_digest(m, h->digest, now_ms);
 }
 
@@ -298,7 +442,18 @@
 		note_store_failure(m, now_ms, out);
 		return;
 	}
+	if (is_old_answer(m, a, out)) {
+		add_mirror_action(out, MIRROR_DO_STOP_WATCH);
+		note_store_failure(m, now_ms, out);
+		return;
+	}
 	note_store_answer(m, now_ms, out);
+	if (a->era > m->position.era) {
+		/* its revisions do not continue those of this copy */
+		add_mirror_action(out, MIRROR_DO_STOP_WATCH);
+		start_read(m, out);
+		return;
+	}
 	forward_changes(m, a, now_ms, out);
 	for (size_t i = 0; i < a->entry_nr; i++) {
 		const struct store_entry *e = &a->entries[i];
@@ -310,7 +465,7 @@
 		else
 			update_mirror_item(m, e, out);
 	}
-	m->revision = MAX(m->revision, a->revision);
+	m->position.revision = MAX(m->position.revision, a->revision);
 	if (m->watching_to_catch_up && !is_behind_peers(m)) {
 		add_mirror_action(out, MIRROR_DO_STOP_WATCH);
 		enter_following_state(m, out);
@@ -342,7 +497,11 @@
 {
 	m->last_rewatch_ms = now_ms;
 	add_mirror_action(out, MIRROR_DO_STOP_WATCH);
-	start_watch(m, out);
+	/* a watch does not lead from one era to the next */
+	if (m->peer_position.era > m->position.era)
+		start_read(m, out);
+	else
+		start_watch(m, out);
 }
 
 /* Fetches missed changes: from peers first, then from the store. */
@@ -355,13 +514,16 @@
 	if (!is_behind_peers(m) ||
 	    now_ms - m->behind_since_ms < MIRROR_PEER_QUERY_MS)
 		return;
-	if (now_ms - m->behind_since_ms >= MIRROR_STORE_FALLBACK_MS) {
+	if (now_ms - m->behind_since_ms >= MIRROR_STORE_FALLBACK_MS &&
+	    m->peer_position.era > m->position.era) {
+		start_read(m, out);
+	} else if (now_ms - m->behind_since_ms >= MIRROR_STORE_FALLBACK_MS) {
 		start_watch(m, out);
 		m->watching_to_catch_up = true;
 	} else if (now_ms - m->last_query_ms >= MIRROR_PEER_QUERY_MS) {
 		m->last_query_ms = now_ms;
-		add_mirror_action(out, MIRROR_DO_QUERY_PEER)->revision =
-			m->revision;
+		add_mirror_action(out, MIRROR_DO_QUERY_PEER)->position =
+			m->position;
 	}
 }
 
@@ -380,8 +542,7 @@
 		start_read(m, out);
 	else if (m->state == MIRROR_STATE_BACKOFF && now_ms >= m->retry_at_ms)
 		resume_after_backoff(m, out);
-	else if (m->state == MIRROR_STATE_WATCHING &&
-		 m->peer_revision > m->revision &&
+	else if (m->state == MIRROR_STATE_WATCHING && is_behind_peers(m) &&
 		 now_ms - m->behind_since_ms >= MIRROR_WATCH_LAG_MS &&
 		 now_ms - m->last_rewatch_ms >= MIRROR_REWATCH_INTERVAL_MS)
 		restart_watch(m, now_ms, out);
@@ -425,9 +586,14 @@
 	}
 }
 
+struct store_position mirror_position(const struct mirror *m)
+{
+	return m->position;
+}
+
 uint64_t mirror_revision(const struct mirror *m)
 {
-	return m->revision;
+	return m->position.revision;
 }
 
 uint64_t mirror_digest(const struct mirror *m)
--- a/config/mirror.h
+++ b/config/mirror.h
@@ -16,6 +16,11 @@
  * Removals that are learned within MIRROR_REMOVAL_HOLD_MS of its return are
  * therefore delayed until that time is over, and canceled if the entry
  * reappears.
+ *
+ * A store that was restored from an older copy begins a new era. The copy is
+ * then read as a whole by store readers, which send the others the differences
+ * from what they had. Answers of earlier eras are ignored. These changes are
+ * marked as restored; config/restored-records.h decides what to believe.
  */
 
 #include <glib.h>
@@ -24,6 +29,7 @@
 #include <stdint.h>
 
 #include "config/store-call.h"
+#include "config/store-position.h"
 
 #define MIRROR_TICK_MS 50 /* interval of MIRROR_TICK */
 
@@ -71,8 +77,8 @@
 
 /* State of a peer's copy of the store. */
 struct mirror_peer_state {
-	uint64_t revision;
-	uint64_t digest; /* of its entries at REVISION */
+	struct store_position position;
+	uint64_t digest; /* of its entries at POSITION */
 	bool watching;	 /* it watches the store itself */
 };
 
@@ -89,10 +95,15 @@
  */
 #define MIRROR_INLINE_VALUE_MAX 900
 
-/* An update: the changes from revision FROM to TO, sorted by revision. */
+/*
+ * An update: the changes between two positions of one era, sorted by revision.
+ * RESTORED: the differences between the content at FROM and that of the store
+ * after it was restored, at TO in a later era; it applies only at FROM.
+ */
 struct mirror_update {
-	uint64_t from;
-	uint64_t to;
+	struct store_position from;
+	struct store_position to;
+	bool restored;
 	uint32_t removal_hold_ms; /* delay of removals, after a store outage */
 	const struct store_entry *entries; /* NULL value: it was left out */
 	size_t entry_nr;
@@ -110,6 +121,13 @@
 	};
 };
 
+/* How a change became known. */
+enum mirror_source {
+	MIRROR_WRITTEN,	   /* its owner made it */
+	MIRROR_FIRST_READ, /* by the first read, at some time before */
+	MIRROR_RESTORED	   /* by the first read of a restored store */
+};
+
 enum mirror_action_kind {
 	MIRROR_DO_READ,		/* read all entries */
 	MIRROR_DO_READ_KEY,	/* read KEY */
@@ -122,7 +140,9 @@
 	MIRROR_KEY_CHANGED,	/* KEY now has VALUE of LEN bytes */
 	MIRROR_KEY_REMOVED,	/* KEY was removed */
 	MIRROR_STORE_LOST,	/* the store stopped answering */
-	MIRROR_STORE_REGAINED	/* the store answers again */
+	MIRROR_STORE_REGAINED,	/* the store answers again */
+	MIRROR_ERA_BEGAN,	/* the store was restored; POSITION: before */
+	MIRROR_OLD_ANSWER	/* an answer of era POSITION.era was ignored */
 };
 
 /* Pointers are valid until the next step. */
@@ -132,6 +152,8 @@
 	const char *key;
 	const void *value;
 	size_t len;
+	struct store_position position;
+	enum mirror_source source; /* of KEY_CHANGED and KEY_REMOVED */
 	struct mirror_update update;
 };
 
@@ -144,7 +166,10 @@
 void step_mirror(struct mirror *m, const struct mirror_event *ev,
 		 uint64_t now_ms, GArray *out);
 
-/* Store revision that the copy has reached; 0 before the first read. */
+/* Position that the copy has reached; revision 0 before the first read. */
+struct store_position mirror_position(const struct mirror *m);
+
+/* The revision of mirror_position(). */
 uint64_t mirror_revision(const struct mirror *m);
 
 /* Hash of the keys and revisions of all entries. */
@@ -160,6 +185,12 @@
 bool mirror_is_watching(const struct mirror *m, uint64_t now_ms);
 #define MIRROR_WATCH_TIMEOUT_MS 2700 /* a watch answers every two seconds */
 
+/*
+ * False while this mirror watches the store and the store does not answer: it
+ * would not learn that what it is about to remove came back.
+ */
+bool mirror_hears_changes(const struct mirror *m);
+
 /* The entry of KEY; valid until the next step. */
 struct mirror_entry find_mirror_entry(const struct mirror *m, const char *key);
 
--- a/config/settings.h
+++ b/config/settings.h
@@ -37,6 +37,8 @@
 	 */
 	double cold_factor;
 	double cold_slack;
+	/* operators write again what a restored store lacks within this time */
+	uint32_t operator_rewrite_ms;
 };
 
 struct settings {
--- a/config/store-call.h
+++ b/config/store-call.h
@@ -33,6 +33,7 @@
 	struct status status;
 	bool succeeded;	   /* transactions: all comparisons held */
 	uint64_t revision; /* of the store when it answered */
+	uint64_t era;	   /* of that revision, see config/store-position.h */
 	uint64_t lease_id; /* id of a granted lease */
 	struct store_entry *entries;
 	size_t entry_nr;
--- a/fleet/heartbeat.c
+++ b/fleet/heartbeat.c
@@ -4,14 +4,15 @@
 
 #include "fleet/store-reader.h"
 
-#define HEARTBEAT_FORMAT 1 /* first element; differs for every wire layout */
+#define HEARTBEAT_FORMAT 11 /* first element; differs for every wire layout */
 #define LOAD_ROW_FIELDS 5
 
 struct peer {
 	uint64_t id;
 	uint64_t last_heard_ms;
 	uint64_t last_reader_ms; /* last with HEARTBEAT_READS_STORE; 0: none */
-	uint64_t store_revision; /* the latest that it reported */
+	struct store_position store_position; /* the latest that it reported */
+	uint64_t config_version;	      /* in force there */
 	bool ready;
 };
 
@@ -41,7 +42,7 @@
 
 void write_heartbeat(struct wire_writer *w, const struct heartbeat_message *hm)
 {
-	write_array(w, 11 + LOAD_ROW_FIELDS * hm->rows->len);
+	write_array(w, 12 + LOAD_ROW_FIELDS * hm->rows->len);
 	write_uint(w, HEARTBEAT_FORMAT);
 	write_str(w, hm->member.name);
 	write_str(w, hm->member.domain);
@@ -51,7 +52,8 @@
 	write_uint(w, hm->member.link_mbps);
 	write_uint(w, hm->flags);
 	write_uint(w, hm->config_version);
-	write_uint(w, hm->store_revision);
+	write_uint(w, hm->store_position.era);
+	write_uint(w, hm->store_position.revision);
 	write_uint(w, hm->store_digest);
 	for (guint i = 0; i < hm->rows->len; i++) {
 		const struct upstream_load_row *r =
@@ -90,7 +92,8 @@
 		hm->member.link_mbps = (uint32_t)read_uint(&r, UINT32_MAX);
 		hm->flags = (uint8_t)read_uint(&r, UINT8_MAX);
 		hm->config_version = read_uint(&r, UINT64_MAX);
-		hm->store_revision = read_uint(&r, UINT64_MAX);
+		hm->store_position.era = read_uint(&r, UINT64_MAX);
+		hm->store_position.revision = read_uint(&r, UINT64_MAX);
 		hm->store_digest = read_uint(&r, UINT64_MAX);
 	}
 	while (ok && !r.malformed && r.remaining >= LOAD_ROW_FIELDS) {
@@ -181,7 +184,8 @@
 	if (is_remote(ht, &m))
 		ht->last_remote_ms = now_ms;
 	p->ready = hm->flags & HEARTBEAT_READY;
-	p->store_revision = hm->store_revision;
+	p->store_position = hm->store_position;
+	p->config_version = hm->config_version;
 	if (hm->flags & HEARTBEAT_READS_STORE)
 		p->last_reader_ms = now_ms;
 	m.state = hm->flags & HEARTBEAT_LEAVING ? MEMBER_LEAVING : MEMBER_ALIVE;
@@ -295,6 +299,21 @@
 	return true;
 }
 
+uint64_t highest_ready_config_version(const struct heartbeat_tracker *ht)
+{
+	uint64_t highest = 0;
+
+	for (guint i = 0; i < ht->peers->len; i++) {
+		const struct peer *p =
+			&g_array_index(ht->peers, struct peer, i);
+		const struct member *m = find_member(ht->view, p->id);
+
+		if (p->ready && m && m->state == MEMBER_ALIVE)
+			highest = MAX(highest, p->config_version);
+	}
+	return highest;
+}
+
 uint64_t last_heard_remote_ms(const struct heartbeat_tracker *ht)
 {
 	return ht->last_remote_ms;
@@ -315,8 +334,9 @@
 	}
 }
 
-bool pick_member_ahead(const struct heartbeat_tracker *ht, uint64_t revision,
-		       GRand *rand, struct endpoint *at)
+bool pick_member_ahead(const struct heartbeat_tracker *ht,
+		       struct store_position position, GRand *rand,
+		       struct endpoint *at)
 {
 	bool in_own_domain = false;
 	gint32 found = 0;
@@ -327,7 +347,7 @@
 		const struct member *m = find_member(ht->view, p->id);
 
 		if (!m || m->state == MEMBER_DEAD ||
-		    p->store_revision <= revision ||
+		    compare_store_positions(p->store_position, position) <= 0 ||
 		    (in_own_domain && is_remote(ht, m)))
 			continue;
 		if (!in_own_domain && !is_remote(ht, m)) {
--- a/fleet/heartbeat.h
+++ b/fleet/heartbeat.h
@@ -10,6 +10,7 @@
  */
 
 #include "base/wire.h"
+#include "config/store-position.h"
 #include "fleet/load.h"
 #include "fleet/view.h"
 
@@ -49,8 +50,8 @@
 	struct member member;
 	uint8_t flags;
 	uint64_t config_version;
-	uint64_t store_revision;
-	uint64_t store_digest; /* of the store's content at that revision */
+	struct store_position store_position;
+	uint64_t store_digest; /* of the store's content at that position */
 	GArray *rows;	       /* of struct upstream_load_row */
 };
 
@@ -93,6 +94,9 @@
 bool tick_heartbeats(struct heartbeat_tracker *ht, uint64_t now_ms, bool urgent,
 		     GArray *to);
 
+/* Highest configuration version of live members that are ready; 0: none. */
+uint64_t highest_ready_config_version(const struct heartbeat_tracker *ht);
+
 /* When an instance of another domain was heard last, ms; 0: never. */
 uint64_t last_heard_remote_ms(const struct heartbeat_tracker *ht);
 
@@ -106,11 +110,12 @@
 void list_domain_endpoints(const struct heartbeat_tracker *ht, GArray *to);
 
 /*
- * Picks a live member whose store revision is higher than REVISION, at random,
+ * Picks a live member whose store position is later than POSITION, at random,
  * in the own domain if there is one. False if none is known.
  */
-bool pick_member_ahead(const struct heartbeat_tracker *ht, uint64_t revision,
-		       GRand *rand, struct endpoint *at);
+bool pick_member_ahead(const struct heartbeat_tracker *ht,
+		       struct store_position position, GRand *rand,
+		       struct endpoint *at);
 
 /*
  * Picks up to NR members that are alive and ready, starting at a random one,
--- a/fleet/store-update.h
+++ b/fleet/store-update.h
@@ -15,6 +15,7 @@
 
 #include "base/wire.h"
 #include "config/mirror.h"
+#include "config/restored-records.h"
 
 #define UPDATE_DATAGRAM_MAX 1300 /* bytes of one datagram */
 /* bytes of a value sent whole */
@@ -25,11 +26,19 @@
 #define UPDATE_KEPT_DATAGRAMS 400  /* datagrams kept to be sent again */
 #define UPDATE_RESEND_DATAGRAMS 40 /* datagrams sent for one request */
 
-/* First elements of the messages; that of a heartbeat is HEARTBEAT_FORMAT. */
+/*
+ * First elements of the messages; that of a heartbeat is HEARTBEAT_FORMAT.
+ * Instances ignore messages of layouts that they do not know.
+ */
 enum update_format {
-	UPDATE_REQUEST = 3,  /* request for the changes after a revision */
-	UPDATE_NOT_KEPT = 4, /* reply: no longer kept; read the store */
-	UPDATE_CHANGES = 6
+	UPDATE_REQUEST = 7,  /* request for the changes after a position */
+	UPDATE_NOT_KEPT = 8, /* reply: no longer kept; read the store */
+	UPDATE_CHANGES = 9,
+	/* differences from the content before the store was restored; parts of
+	 * them lead to positions of the new era that the store never has */
+	UPDATE_RESTORED = 10,
+	UPDATE_HELD_REQUEST = 11, /* from an instance that has just started */
+	UPDATE_HELD = 12	  /* records that the sender holds */
 };
 
 /* How the value of a change is encoded. */
@@ -50,11 +59,17 @@
 	size_t len;
 };
 
+/*
+ * Of an UPDATE_HELD message, each entry is a record that the sender does not
+ * take from the restored store: UPDATE_REMOVED if it is not in force there,
+ * UPDATE_OMITTED if it is, then with the time left in its base_revision, ms.
+ * HOLD_MS is the number of messages that follow.
+ */
 struct store_update {
 	enum update_format format;
-	uint64_t from_revision; /* changes after it are sent or requested */
-	uint64_t to_revision; /* all changes up to this revision are included */
-	uint32_t hold_ms;     /* delay of removals: may be expired leases */
+	struct store_position from; /* changes after it are sent or requested */
+	struct store_position to;   /* all changes up to it are included */
+	uint32_t hold_ms; /* delay of removals: may be expired leases */
 	struct update_entry entries[UPDATE_ENTRIES_MAX];
 	size_t nr;
 };
@@ -68,16 +83,23 @@
 
 /* Writes a message without changes: UPDATE_REQUEST or UPDATE_NOT_KEPT. */
 void write_update_control(struct wire_writer *w, enum update_format format,
-			  uint64_t from);
+			  struct store_position from);
+
+/* Receives one datagram, which is valid during the call. */
+typedef void (*send_update_fn)(const void *data, size_t len, void *user);
+
+/*
+ * Calls SEND for each datagram of an answer to UPDATE_HELD_REQUEST: the records
+ * in HELD (of struct held_record) that an instance at position AT holds.
+ */
+void write_held_records(struct store_position at, const GArray *held,
+			send_update_fn send, void *user);
 
 struct update_log;
 
 struct update_log *create_update_log(void);
 void destroy_update_log(struct update_log *ul);
 
-/* Receives one datagram, which is valid until the next call with the log. */
-typedef void (*send_update_fn)(const void *data, size_t len, void *user);
-
 /*
  * Adds CHANGES and calls SEND for each datagram made of them. False if the
  * changes of one revision do not fit a datagram: these are skipped, the log
@@ -94,10 +116,10 @@
 void clear_updates(struct update_log *ul);
 
 /*
- * Calls SEND for the datagrams that an instance at revision SINCE lacks, in
+ * Calls SEND for the datagrams that an instance at position SINCE lacks, in
  * order, up to UPDATE_RESEND_DATAGRAMS. False if they are no longer kept.
  */
-bool resend_updates(const struct update_log *ul, uint64_t since,
+bool resend_updates(const struct update_log *ul, struct store_position since,
 		    send_update_fn send, void *user);
 
 #endif
--- a/net/edge-http.c
+++ b/net/edge-http.c
@@ -10,9 +10,14 @@
 
 #define REQUEST_BODY_MAX_BYTES 4096 /* larger bodies get 413; none is used */
 
+bool may_place_flows(const struct edge *e)
+{
+	return catalog_version(e->catalog) && e->synced && e->start_check.done;
+}
+
 bool is_edge_ready(const struct edge *e)
 {
-	return catalog_version(e->catalog) && e->synced && !e->stop_began_ms &&
+	return may_place_flows(e) && !e->stop_began_ms &&
 	       !e->isolation.isolated;
 }
 
@@ -121,6 +126,15 @@
 	add_metric(text, "config-version", "gauge",
 		   "version of the routes in force",
 		   catalog_version(e->catalog));
+	add_metric(text, "store-era", "gauge",
+		   "era of the store, counts its restores",
+		   mirror_position(e->mirror).era);
+	add_metric(text, "store-revision", "gauge",
+		   "revision of the store that was reached",
+		   mirror_position(e->mirror).revision);
+	add_metric(text, "records-held", "gauge",
+		   "records of a restored store that are not believed yet",
+		   held_record_count(e->restored_records));
 	add_metric(text, "store-age-ms", "gauge",
 		   "time since the store last answered", edge_store_age_ms(e));
 	add_metric(text, "members", "gauge", "live instances",
--- a/net/edge-packets.c
+++ b/net/edge-packets.c
@@ -279,6 +279,20 @@
 	flush_datagrams(e->packet_socket);
 }
 
+/*
+ * Packets of open flows go where their cookies say; SYNs need all that decides
+ * about new flows.
+ */
+static bool may_steer(const struct edge *e, const uint8_t *data, size_t len)
+{
+	struct cookie_packet p;
+
+	if (may_place_flows(e))
+		return true;
+	return e->synced && catalog_version(e->catalog) &&
+	       read_platform_packet(data, len, &p) && !is_cookie_syn(&p);
+}
+
 static void on_caller_packet(uint8_t *data, size_t len,
 			     const struct endpoint *from, void *user)
 {
@@ -287,7 +301,7 @@
 	(void)from;
 	e->now_ms = edge_clock_ms();
 	e->last_packet_ms = e->now_ms;
-	if (e->synced && catalog_version(e->catalog))
+	if (may_steer(e, data, len))
 		handle_flow_packet(e, data, len, false);
 	else if (!relay_early_packet(e, data, len))
 		queue_early_packet(e, data, len);
@@ -331,7 +345,7 @@
 			e->placement, b.member.id,
 			(const struct upstream_load_row *)(void *)b.rows->data,
 			b.rows->len, e->now_ms);
-		peer_state.revision = b.store_revision;
+		peer_state.position = b.store_position;
 		peer_state.digest = b.store_digest;
 		peer_state.watching = b.flags & HEARTBEAT_READS_STORE;
 		step_edge_mirror(e, &ev);
@@ -380,7 +394,7 @@
 			    ? HEARTBEAT_READS_STORE
 			    : 0);
 	b->config_version = catalog_version(e->catalog);
-	b->store_revision = mirror_revision(e->mirror);
+	b->store_position = mirror_position(e->mirror);
 	b->store_digest = mirror_digest(e->mirror);
 	list_own_loads(e->placement, e->now_ms, b->rows);
 	if (b->rows->len > HEARTBEAT_ROWS_MAX)
--- a/net/edge-state.h
+++ b/net/edge-state.h
@@ -9,7 +9,9 @@
 
 #include "config/catalog.h"
 #include "config/mirror.h"
+#include "config/restored-records.h"
 #include "fleet/heartbeat.h"
+#include "fleet/start-check.h"
 #include "fleet/store-update.h"
 #include "flow/cookie.h"
 #include "flow/isolation.h"
@@ -37,6 +39,8 @@
 	struct isolation isolation;
 	struct heartbeat_tracker *instance_heartbeats;
 	struct mirror *mirror;
+	struct restored_records *restored_records;
+	struct start_check start_check;
 	struct update_log *recent_updates;
 	struct store *store;
 	struct store_watch *watch;
@@ -56,9 +60,10 @@
 	uv_signal_t sigint;
 	uint64_t now_ms; /* edge_clock_ms() when the current callback began */
 	uint64_t last_tick_ms;
-	uint64_t stop_began_ms;	 /* 0: not stopping */
-	uint64_t last_packet_ms; /* last packet from a caller */
-	uint64_t entry_lease;	 /* of this instance's store entry; 0: none */
+	uint64_t stop_began_ms;	  /* 0: not stopping */
+	uint64_t last_packet_ms;  /* last packet from a caller */
+	uint64_t entry_lease;	  /* of this instance's store entry; 0: none */
+	uint64_t entry_lease_era; /* of the store, when it was granted */
 	uint64_t lease_call_due_ms; /* next grant or renewal of ENTRY_LEASE */
 	bool registration_pending;  /* a call for that entry runs */
 	bool synced;		    /* all store entries have been read once */
@@ -72,6 +77,9 @@
 /* Time since the store last answered; 0 if it never has. */
 uint64_t edge_store_age_ms(const struct edge *e);
 
+/* True if new flows may be placed: routes and entries are known. */
+bool may_place_flows(const struct edge *e);
+
 /*
  * True if routes and entries are known, upstreams can be reached and the
  * process is not stopping.
@@ -82,6 +90,7 @@
 void start_edge_store(struct edge *e);
 void stop_edge_store(struct edge *e);
 void tick_edge_store(struct edge *e);
+void set_edge_hold_times(struct edge *e); /* from the settings */
 void step_edge_mirror(struct edge *e, const struct mirror_event *ev);
 /* Handles N, which was decoded from DATA and sent by the peer FROM. */
 void handle_edge_update(struct edge *e, const struct store_update *n,
--- a/net/edge-status.c
+++ b/net/edge-status.c
@@ -94,6 +94,15 @@
 		j, "store-age-ms",
 		contact_ms ? json_integer((json_int_t)(e->now_ms - contact_ms))
 			   : json_null());
+	json_object_set_new(
+		j, "store-era",
+		json_integer((json_int_t)mirror_position(e->mirror).era));
+	json_object_set_new(
+		j, "store-revision",
+		json_integer((json_int_t)mirror_position(e->mirror).revision));
+	json_object_set_new(j, "records-held",
+			    json_integer((json_int_t)held_record_count(
+				    e->restored_records)));
 	json_object_set_new(
 		j, "open-requests",
 		json_integer((json_int_t)busy_request_count(e->placement)));
--- a/net/edge-store.c
+++ b/net/edge-store.c
@@ -17,6 +17,14 @@
 #define OWN_ENTRY_LEASE_S 60
 #define OWN_ENTRY_RENEW_MS 20000 /* a third of the lease */
 #define OWN_ENTRY_RETRY_MS 2000	 /* after a call that failed */
+/*
+ * After a restore all instances register again within this time. Those that
+ * know each other do not need the entries.
+ */
+#define OWN_ENTRY_SPREAD_MS 2000
+
+/* An upstream's entry lapses after so many heartbeats that did not come. */
+#define LAPSE_HEARTBEATS 3
 
 /*
  * An upstream may have turned cold while its domain was out, and reports that
@@ -26,6 +34,29 @@
 #define ASSUME_COLD_HEARTBEATS 2
 #define ASSUME_COLD_SLACK_MS 200
 
+/*
+ * Whether the change A goes into force, or what was known before the store was
+ * restored stays.
+ */
+static bool is_believed(struct edge *e, const struct mirror_action *a,
+			enum record_class class, struct record_order order)
+{
+	bool present = a->kind == MIRROR_KEY_CHANGED;
+
+	if (admit_record(e->restored_records, a->key, class, present, order,
+			 a->source, e->now_ms) == RECORD_APPLY)
+		return true;
+	count(&e->counters, COUNT_STORE_RECORDS_HELD);
+	log_event(e->log, EVENT_RECORD_HELD,
+		  "key=%.200s store=%s revision=%llu era=%llu", a->key,
+		  present ? "older" : "missing",
+		  (unsigned long long)a->revision,
+		  (unsigned long long)mirror_position(e->mirror).era);
+	return false;
+}
+
+static const struct record_order no_order;
+
 static void handle_upstream_entry(struct edge *e, const char *name,
 				  const struct mirror_action *a)
 {
@@ -33,8 +64,14 @@
 	struct status st;
 	upstream_index_t nr;
 	char at[ENDPOINT_TEXT_MAX];
+	enum status_kind kind =
+		read_upstream_entry(name, a->value, a->len, &r, &st);
+	struct record_order order = { r.started_at_ms, r.write_count };
 
-	if (read_upstream_entry(name, a->value, a->len, &r, &st) != STATUS_OK) {
+	if (!is_believed(e, a, RECORD_CLASS_UPSTREAM,
+			 kind == STATUS_OK ? order : no_order))
+		return;
+	if (kind != STATUS_OK) {
 		log_event(e->log, EVENT_UPSTREAM_INVALID,
 			  "upstream=%.64s revision=%llu why=\"%s\"", name,
 			  (unsigned long long)a->revision, st.message);
@@ -121,7 +158,8 @@
 		handle_routes_entry(e, a);
 		break;
 	case RECORD_DOMAIN_OUT:
-		handle_domain_out(e, name, true, a->revision);
+		if (is_believed(e, a, RECORD_CLASS_DOMAIN_OUT, no_order))
+			handle_domain_out(e, name, true, a->revision);
 		break;
 	case RECORD_UPSTREAM:
 		handle_upstream_entry(e, name, a);
@@ -134,22 +172,30 @@
 	}
 }
 
-static void handle_removed_entry(struct edge *e, const struct mirror_action *a)
+static void handle_upstream_gone(struct edge *e, const char *name,
+				 uint64_t revision)
+{
+	upstream_index_t nr =
+		remove_catalog_upstream(e->catalog, name, e->now_ms);
+
+	if (nr != CATALOG_NONE)
+		update_placer_upstream(e->placement, nr, e->now_ms);
+	log_event(e->log, EVENT_UPSTREAM,
+		  "upstream=%s state=gone revision=%llu", name,
+		  (unsigned long long)revision);
+}
+
+/* Applies the end of the record at KEY. */
+static void end_record(struct edge *e, const char *key, uint64_t revision)
 {
 	const char *name;
-	upstream_index_t nr;
 
-	switch (platform_key_kind(a->key, &name)) {
+	switch (platform_key_kind(key, &name)) {
 	case RECORD_DOMAIN_OUT:
-		handle_domain_out(e, name, false, a->revision);
+		handle_domain_out(e, name, false, revision);
 		break;
 	case RECORD_UPSTREAM:
-		nr = remove_catalog_upstream(e->catalog, name, e->now_ms);
-		if (nr != CATALOG_NONE)
-			update_placer_upstream(e->placement, nr, e->now_ms);
-		log_event(e->log, EVENT_UPSTREAM,
-			  "upstream=%s state=gone revision=%llu", name,
-			  (unsigned long long)a->revision);
+		handle_upstream_gone(e, name, revision);
 		break;
 	case RECORD_ROUTES:
 	case RECORD_INSTANCE:
@@ -158,6 +204,116 @@
 	}
 }
 
+static enum record_class record_class_of(const char *key)
+{
+	const char *name;
+
+	switch (platform_key_kind(key, &name)) {
+	case RECORD_DOMAIN_OUT:
+		return RECORD_CLASS_DOMAIN_OUT;
+	case RECORD_UPSTREAM:
+		return RECORD_CLASS_UPSTREAM;
+	case RECORD_ROUTES:
+	case RECORD_INSTANCE:
+	case RECORD_OTHER:
+		break;
+	}
+	return RECORD_CLASS_OTHER;
+}
+
+static void handle_removed_entry(struct edge *e, const struct mirror_action *a)
+{
+	if (is_believed(e, a, record_class_of(a->key), no_order))
+		end_record(e, a->key, a->revision);
+}
+
+/* Lets what the store has of records that are no longer held go into force. */
+static void tick_restored_records(struct edge *e)
+{
+	GPtrArray *keys;
+
+	if (!mirror_hears_changes(e->mirror))
+		return;
+	keys = g_ptr_array_new_with_free_func(g_free);
+	end_record_holds(e->restored_records, e->now_ms, keys);
+	for (guint i = 0; i < keys->len; i++) {
+		const char *key = g_ptr_array_index(keys, i);
+		struct mirror_entry entry = find_mirror_entry(e->mirror, key);
+		struct mirror_action a = { .kind = entry.value
+							   ? MIRROR_KEY_CHANGED
+							   : MIRROR_KEY_REMOVED,
+					   .key = key,
+					   .value = entry.value,
+					   .len = entry.len,
+					   .revision = entry.revision };
+
+		if (entry.value)
+			handle_changed_entry(e, &a);
+		else
+			handle_removed_entry(e, &a);
+	}
+	g_ptr_array_free(keys, TRUE);
+}
+
+void set_edge_hold_times(struct edge *e)
+{
+	const struct steering_bounds *b = &e->settings.bounds;
+	struct record_hold_times times = {
+		.operator_ms = b->operator_rewrite_ms,
+		.upstream_ms = MIRROR_REMOVAL_HOLD_MS,
+		.lapse_ms = (uint64_t)LAPSE_HEARTBEATS * b->heartbeat_ms +
+			    MIRROR_REMOVAL_HOLD_MS
+	};
+
+	set_record_hold_times(e->restored_records, &times);
+}
+
+static void send_to_peer(struct edge *e, const struct endpoint *to,
+			 const void *data, size_t len)
+{
+	queue_datagram(e->peer_socket, endpoint_ipv4(to), to->port, NULL, 0,
+		       data, len);
+	count(&e->counters, COUNT_PEER_SENT);
+	count_n(&e->counters, COUNT_PEER_SENT_BYTES, len);
+}
+
+/* Asks a ready peer which records of the store it holds. */
+static void request_held_records(struct edge *e)
+{
+	struct wire_writer w;
+	struct endpoint to;
+
+	if (!pick_relays(e->instance_heartbeats, e->rand, &to, 1))
+		return;
+	init_wire_writer(&w);
+	write_update_control(&w, UPDATE_HELD_REQUEST,
+			     mirror_position(e->mirror));
+	send_to_peer(e, &to, w.buf.data, w.buf.size);
+	flush_datagrams(e->peer_socket);
+	release_wire_writer(&w);
+}
+
+/* Lets this instance place flows once it knows what its peers know. */
+static void tick_start(struct edge *e)
+{
+	struct start_check_state state = {
+		.store_era = mirror_position(e->mirror).era,
+		.config_version = catalog_version(e->catalog),
+		.highest_peer_version =
+			highest_ready_config_version(e->instance_heartbeats)
+	};
+	struct endpoint any;
+
+	if (!e->synced || e->start_check.done)
+		return;
+	state.has_ready_peer =
+		pick_relays(e->instance_heartbeats, e->rand, &any, 1);
+	if (tick_start_check(&e->start_check, &state, e->now_ms))
+		request_held_records(e);
+	if (may_place_flows(e))
+		steer_early_packets(e);
+}
+
 static void on_all_read(const struct store_answer *a, void *data)
 {
 	struct mirror_event ev = { .kind = MIRROR_READ_DONE, .answer = a };
@@ -167,8 +323,7 @@
 	if (a->status.kind != STATUS_OK)
 		return;
 	e->synced = true;
-	if (catalog_version(e->catalog))
-		steer_early_packets(e);
+	tick_start(e);
 }
 
 static void on_key_read(const struct store_answer *a, void *data)
@@ -195,15 +350,6 @@
 	e->watch = NULL;
 }
 
-static void send_to_peer(struct edge *e, const struct endpoint *to,
-			 const void *data, size_t len)
-{
-	queue_datagram(e->peer_socket, endpoint_ipv4(to), to->port, NULL, 0,
-		       data, len);
-	count(&e->counters, COUNT_PEER_SENT);
-	count_n(&e->counters, COUNT_PEER_SENT_BYTES, len);
-}
-
 struct update_targets {
 	struct edge *e;
 	const GArray *endpoints; /* of struct endpoint */
@@ -231,16 +377,17 @@
 	g_array_free(to, TRUE);
 }
 
-/* Requests the changes after REVISION from a peer that has newer ones. */
-static void request_missing_updates(struct edge *e, uint64_t revision)
+/* Requests the changes after POSITION from a peer that has newer ones. */
+static void request_missing_updates(struct edge *e,
+				    struct store_position position)
 {
 	struct wire_writer w;
 	struct endpoint to;
 
-	if (!pick_member_ahead(e->instance_heartbeats, revision, e->rand, &to))
+	if (!pick_member_ahead(e->instance_heartbeats, position, e->rand, &to))
 		return;
 	init_wire_writer(&w);
-	write_update_control(&w, UPDATE_REQUEST, revision);
+	write_update_control(&w, UPDATE_REQUEST, position);
 	send_to_peer(e, &to, w.buf.data, w.buf.size);
 	flush_datagrams(e->peer_socket);
 	release_wire_writer(&w);
@@ -258,17 +405,16 @@
 	send_to_peer(rs->e, rs->to, data, len);
 }
 
-static void answer_update_request(struct edge *e, uint64_t from_revision,
+static void answer_update_request(struct edge *e, struct store_position since,
 				  const struct endpoint *from)
 {
 	struct resend_target rs = { e, from };
 	struct wire_writer w;
 
-	if (!resend_updates(e->recent_updates, from_revision, resend_datagram,
-			    &rs) &&
+	if (!resend_updates(e->recent_updates, since, resend_datagram, &rs) &&
 	    mirror_is_watching(e->mirror, e->now_ms)) {
 		init_wire_writer(&w);
-		write_update_control(&w, UPDATE_NOT_KEPT, from_revision);
+		write_update_control(&w, UPDATE_NOT_KEPT, since);
 		send_to_peer(e, from, w.buf.data, w.buf.size);
 		release_wire_writer(&w);
 	}
@@ -316,26 +462,72 @@
 {
 	struct store_entry entries[UPDATE_ENTRIES_MAX];
 	GBytes *values[UPDATE_ENTRIES_MAX];
-	struct mirror_update changes = { .from = n->from_revision,
-					 .to = n->to_revision,
+	struct mirror_update changes = { .from = n->from,
+					 .to = n->to,
+					 .restored =
+						 n->format == UPDATE_RESTORED,
 					 .removal_hold_ms = n->hold_ms,
 					 .entries = entries,
 					 .entry_nr = n->nr };
 	struct mirror_event ev = { .kind = MIRROR_PEER_UPDATE,
 				   .update = &changes };
-	uint64_t before = mirror_revision(e->mirror);
+	struct store_position before = mirror_position(e->mirror);
 
 	for (size_t i = 0; i < n->nr; i++)
 		entries[i] = decode_update_entry(e, &n->entries[i], &values[i]);
 	step_edge_mirror(e, &ev);
 	/* kept for peers that request it later */
-	if (mirror_revision(e->mirror) > before)
+	if (compare_store_positions(mirror_position(e->mirror), before) > 0)
 		keep_update(e->recent_updates, n, data, len);
 	for (size_t i = 0; i < n->nr; i++)
 		if (values[i])
 			g_bytes_unref(values[i]);
 }
 
+static void answer_held_request(struct edge *e, const struct endpoint *from)
+{
+	GArray *held = g_array_new(FALSE, FALSE, sizeof(struct held_record));
+	struct resend_target rs = { e, from };
+
+	if (may_place_flows(e)) {
+		list_held_records(e->restored_records, e->now_ms, held);
+		write_held_records(mirror_position(e->mirror), held,
+				   resend_datagram, &rs);
+	}
+	g_array_free(held, TRUE);
+	flush_datagrams(e->peer_socket);
+}
+
+/* Takes over what a peer holds; only a starting instance asks for that. */
+static void adopt_held_records(struct edge *e, const struct store_update *n)
+{
+	/* a peer that has not seen the restore yet holds nothing */
+	if (e->start_check.done || n->from.era < mirror_position(e->mirror).era)
+		return;
+	for (size_t i = 0; i < n->nr; i++) {
+		const struct update_entry *ue = &n->entries[i];
+		struct held_record h = { ue->key,
+					 ue->encoding == UPDATE_OMITTED,
+					 ue->base_revision };
+		enum record_class class = record_class_of(ue->key);
+		const char *name;
+
+		if (adopt_held_record(e->restored_records, &h, class,
+				      e->now_ms) == RECORD_HOLD)
+			continue;
+		log_event(e->log, EVENT_RECORD_HELD,
+			  "key=%.200s store=%s revision=0 era=%llu", ue->key,
+			  h.present ? "missing" : "older",
+			  (unsigned long long)n->from.era);
+		if (!h.present)
+			end_record(e, ue->key, 0);
+		else if (platform_key_kind(ue->key, &name) == RECORD_DOMAIN_OUT)
+			handle_domain_out(e, name, true, 0);
+	}
+	e->start_check.answered |= !n->hold_ms;
+	tick_start(e);
+}
+
 void handle_edge_update(struct edge *e, const struct store_update *n,
 			const void *data, size_t len,
 			const struct endpoint *from)
@@ -344,17 +536,47 @@
 
 	switch (n->format) {
 	case UPDATE_CHANGES:
+	case UPDATE_RESTORED:
 		apply_edge_update(e, n, data, len);
 		break;
 	case UPDATE_REQUEST:
-		answer_update_request(e, n->from_revision, from);
+		answer_update_request(e, n->from, from);
 		break;
 	case UPDATE_NOT_KEPT:
 		step_edge_mirror(e, &none);
 		break;
+	case UPDATE_HELD_REQUEST:
+		answer_held_request(e, from);
+		break;
+	case UPDATE_HELD:
+		adopt_held_records(e, n);
+		break;
 	}
 }
 
+/* The store was restored; it had reached position BEFORE here. */
+static void handle_new_era(struct edge *e, struct store_position before)
+{
+	struct store_position at = mirror_position(e->mirror);
+
+	count(&e->counters, COUNT_STORE_ERAS);
+	log_event(e->log, EVENT_STORE_RESTORED,
+		  "era=%llu revision=%llu before_era=%llu before_revision=%llu "
+		  "version=%llu",
+		  (unsigned long long)at.era, (unsigned long long)at.revision,
+		  (unsigned long long)before.era,
+		  (unsigned long long)before.revision,
+		  (unsigned long long)catalog_version(e->catalog));
+	restart_record_holds(e->restored_records, e->now_ms);
+	if (!e->entry_lease || e->entry_lease_era == at.era)
+		return;
+	/* lease ids are given out again: it may be of another owner now */
+	e->entry_lease = 0;
+	e->lease_call_due_ms =
+		e->now_ms +
+		(uint64_t)g_rand_int_range(e->rand, 0, OWN_ENTRY_SPREAD_MS);
+}
+
 static void execute_action(struct edge *e, const struct mirror_action *a)
 {
 	const struct store_range all = { .key = "" };
@@ -368,7 +590,7 @@
 		query_store_range(e->store, &one, on_key_read, e);
 		break;
 	case MIRROR_DO_QUERY_PEER:
-		request_missing_updates(e, a->revision);
+		request_missing_updates(e, a->position);
 		break;
 	case MIRROR_DO_SEND_UPDATE:
 		send_update_to_domain(e, &a->update);
@@ -397,6 +619,17 @@
 			  (unsigned long long)mirror_revision(e->mirror),
 			  (unsigned long long)edge_store_age_ms(e));
 		break;
+	case MIRROR_ERA_BEGAN:
+		handle_new_era(e, a->position);
+		break;
+	case MIRROR_OLD_ANSWER:
+		count(&e->counters, COUNT_STORE_OLD_ANSWERS);
+		log_event(e->log, EVENT_STORE_OLD_ANSWER,
+			  "era=%llu revision=%llu in_force_era=%llu",
+			  (unsigned long long)a->position.era,
+			  (unsigned long long)a->position.revision,
+			  (unsigned long long)mirror_position(e->mirror).era);
+		break;
 	case MIRROR_STORE_REGAINED:
 		log_event(e->log, EVENT_STORE_REGAINED, "revision=%llu",
 			  (unsigned long long)mirror_revision(e->mirror));
@@ -433,6 +666,13 @@
 				     const struct store_answer *a)
 {
 	e->registration_pending = false;
+	if (a->status.kind == STATUS_OK && e->entry_lease &&
+	    a->era != e->entry_lease_era) {
+		/* the lease was of a store that has been restored since */
+		e->entry_lease = 0;
+		e->lease_call_due_ms = edge_clock_ms();
+		return false;
+	}
 	if (a->status.kind == STATUS_OK) {
 		e->lease_call_due_ms = edge_clock_ms() + OWN_ENTRY_RENEW_MS;
 		return true;
@@ -481,6 +721,7 @@
 	if (!finish_registration_call(e, a))
 		return;
 	e->entry_lease = a->lease_id;
+	e->entry_lease_era = a->era;
 	write_own_entry(e);
 }
 
@@ -510,6 +751,8 @@
 		should_read_store(e->instance_heartbeats, e->now_ms);
 	step_edge_mirror(e, &role);
 	step_edge_mirror(e, &ev);
+	tick_restored_records(e);
+	tick_start(e);
 	maintain_own_entry(e);
 }
 
@@ -519,6 +762,8 @@
 
 	e->mirror = create_mirror(seed);
 	e->recent_updates = create_update_log();
+	e->restored_records = create_restored_records();
+	set_edge_hold_times(e);
 	e->store = create_platform_store(&e->loop, &e->settings.store,
 					 &e->counters);
 	tick_edge_store(e);
@@ -533,4 +778,6 @@
 	e->mirror = NULL;
 	destroy_update_log(e->recent_updates);
 	e->recent_updates = NULL;
+	destroy_restored_records(e->restored_records);
+	e->restored_records = NULL;
 }
--- a/net/edge.c
+++ b/net/edge.c
@@ -124,6 +124,7 @@
 	e->settings.seeds = new->seeds;
 	e->settings.store = new->store;
 	set_store_endpoints(e->store, &new->store);
+	set_edge_hold_times(e);
 	set_cold_bounds(e->placement, new->bounds.cold_factor,
 			new->bounds.cold_slack);
 	add_seeds(e, new);
--- a/net/event-list.h
+++ b/net/event-list.h
@@ -9,6 +9,12 @@
 EVENT(PROBLEM, "problem", 10, "a problem that an operator should look at")
 EVENT(STORE_LOST, "store-lost", 5, "the store does not answer")
 EVENT(STORE_REGAINED, "store-regained", 5, "the store answers again")
+EVENT(STORE_RESTORED, "store-restored", 5,
+      "the store was restored from an older copy")
+EVENT(STORE_OLD_ANSWER, "store-old-answer", 5,
+      "an answer of the store from before it was restored was ignored")
+EVENT(RECORD_HELD, "record-held", 30,
+      "a record of a restored store is not believed yet")
 EVENT(ROUTES, "routes", 10, "a configuration was applied")
 EVENT(ROUTES_REFUSED, "routes-refused", 10, "a configuration was refused")
 EVENT(DOMAIN, "domain", 10, "a domain was taken out of service or put back")
--- a/stand-in/platform-store.c
+++ b/stand-in/platform-store.c
@@ -7,7 +7,10 @@
  *   POST /fault/WORD    fault of all further calls: well (none), busy (503),
  *                       silent (no answer), lossy (writes are applied but not
  *                       answered), forget (deletes the history, once; the
- *                       current fault stays)
+ *                       current fault stays), copy (copies the content),
+ *                       restore (comes back from that copy, in the next era),
+ *                       stale (calls are answered as before the restore, by
+ *                       the era before, until "well")
  */
 
 #include <jansson.h>
@@ -19,8 +22,9 @@
 
 #define BODY_MAX (2 * 1024 * 1024) /* bytes */
 #define TICK_MS 20
+#define LAPSE_MS 3600 /* three heartbeats of an upstream */
 
-enum fault { FAULT_NONE, FAULT_BUSY, FAULT_SILENT, FAULT_LOSSY };
+enum fault { FAULT_NONE, FAULT_BUSY, FAULT_SILENT, FAULT_LOSSY, FAULT_STALE };
 
 struct lease {
 	uint64_t id;
@@ -47,14 +51,27 @@
 	GList *leases;		/* of struct lease */
 	GList *pending_watches; /* of struct pending_watch */
 	enum fault fault;
+	json_int_t era;
+	/* content to come back from, and the content before that */
+	json_t *copy;
+	json_t *before;
+	json_int_t copy_revision;
+	json_int_t before_revision;
+	json_t *unconfirmed; /* upstreams' keys not written since the restore */
+	uint64_t lapse_at_ms; /* when these lapse; loop time */
 };
 
+static json_int_t answered_era; /* of the answers given now */
+
 static void reply(struct http_exchange *ex, unsigned int code, json_t *j)
 {
 	struct http_message *m = create_http_message();
 	char *text = json_dumps(j, JSON_COMPACT);
+	char era[24];
 
 	m->code = code;
+	g_snprintf(era, sizeof(era), "%lld", (long long)answered_era);
+	add_http_header(m, "Store-Era", era);
 	add_http_header(m, "Content-Type", "application/json");
 	set_http_body(m, text);
 	free(text);
@@ -158,7 +175,8 @@
 		next = l->next;
 		if (s->fault == FAULT_SILENT)
 			continue;
-		if (w->after_revision < s->forgotten_revision) {
+		if (w->after_revision < s->forgotten_revision ||
+		    w->after_revision > s->revision) {
 			reply_error(w->ex, 410, "history is gone");
 		} else {
 			events = events_after(s, w->prefix, w->after_revision);
@@ -322,6 +340,8 @@
 		reply_error(ex, 400, "PUT or DELETE /entry?KEY");
 		return;
 	}
+	if (s->unconfirmed)
+		json_object_del(s->unconfirmed, key + 1);
 	if (m->method == HTTP_DELETE) {
 		s->revision++;
 		remove_item(s, key + 1);
@@ -337,29 +357,122 @@
 	answer_ready_watches(s);
 }
 
+/* Upstreams that do not write again within LAPSE_MS lapse. */
+static void note_unconfirmed(struct platform_stand_in *s)
+{
+	const char *key;
+	json_t *item;
+
+	json_decref(s->unconfirmed);
+	s->unconfirmed = json_object();
+	s->lapse_at_ms = uv_now(s->loop) + LAPSE_MS;
+	json_object_foreach(s->items, key, item)
+	{
+		if (g_str_has_prefix(key, "servers/"))
+			json_object_set_new(s->unconfirmed, key, json_true());
+	}
+}
+
+static void expire_unconfirmed(struct platform_stand_in *s)
+{
+	const char *key;
+	json_t *item;
+
+	if (!s->unconfirmed || uv_now(s->loop) < s->lapse_at_ms)
+		return;
+	json_object_foreach(s->unconfirmed, key, item)
+	{
+		s->revision++;
+		remove_item(s, key);
+	}
+	json_decref(s->unconfirmed);
+	s->unconfirmed = NULL;
+}
+
+/* Comes back from the copy: what was written since is gone, leases too. */
+static void restore_copy(struct platform_stand_in *s)
+{
+	GList *watches;
+
+	if (!s->copy)
+		return;
+	json_decref(s->before);
+	s->before = s->items;
+	s->before_revision = s->revision;
+	s->items = json_deep_copy(s->copy);
+	s->revision = s->copy_revision;
+	s->forgotten_revision = s->revision;
+	json_array_clear(s->history);
+	g_list_free_full(s->leases, g_free);
+	s->leases = NULL;
+	s->last_lease_id = 0;
+	s->era++;
+	note_unconfirmed(s);
+	answered_era = s->era;
+	/* calls under way are cut: nobody tells them what became of them */
+	watches = g_steal_pointer(&s->pending_watches);
+	for (GList *l = watches; l; l = l->next) {
+		struct pending_watch *w = l->data;
+
+		close_http_exchange(w->ex);
+		free_pending_watch(w);
+	}
+	g_list_free(watches);
+}
+
 static void handle_fault(struct platform_stand_in *s, struct http_exchange *ex,
 			 const char *word)
 {
-	static const char *const words[] = { "well", "busy", "silent",
-					     "lossy" };
+	static const char *const words[] = { "well", "busy", "silent", "lossy",
+					     "stale" };
 
 	if (!strcmp(word, "forget")) {
 		s->forgotten_revision = s->revision;
 		json_array_clear(s->history);
 	}
+	if (!strcmp(word, "copy")) {
+		json_decref(s->copy);
+		s->copy = json_deep_copy(s->items);
+		s->copy_revision = s->revision;
+	}
+	if (!strcmp(word, "restore"))
+		restore_copy(s);
 	for (size_t i = 0; i < G_N_ELEMENTS(words); i++)
 		if (!strcmp(word, words[i]))
 			s->fault = (enum fault)i;
+	answered_era = s->fault == FAULT_STALE ? s->era - 1 : s->era;
 	reply(ex, 200, json_object());
 	answer_ready_watches(s);
 }
 
+/* A read that is answered with the content before the restore. */
+static bool answer_stale_read(struct platform_stand_in *s,
+			      struct http_exchange *ex, const char *target)
+{
+	json_t *items = s->items;
+	json_int_t revision = s->revision;
+
+	if (s->fault != FAULT_STALE || !s->before ||
+	    !g_str_has_prefix(target, "/kv-range?"))
+		return false;
+	s->items = s->before;
+	s->revision = s->before_revision;
+	handle_range(s, ex, target);
+	s->items = items;
+	s->revision = revision;
+	return true;
+}
+
 static void handle_call(struct platform_stand_in *s, struct http_exchange *ex,
 			const struct http_message *m)
 {
 	json_t *body =
 		json_loadb((const char *)m->body->data, m->body->len, 0, NULL);
 
+	if (answer_stale_read(s, ex, m->target)) {
+		json_decref(body);
+		return;
+	}
 	if (g_str_has_prefix(m->target, "/kv-range?"))
 		handle_range(s, ex, m->target);
 	else if (g_str_has_prefix(m->target, "/kv-watch?"))
@@ -421,12 +534,13 @@
 	struct platform_stand_in *s = timer->data;
 
 	expire_leases(s);
+	expire_unconfirmed(s);
 	answer_ready_watches(s);
 }
 
 int main(int argc, char **argv)
 {
-	struct platform_stand_in s = { .revision = 1 };
+	struct platform_stand_in s = { .revision = 1, .era = 1 };
 	struct http_handler handler = { .on_request = on_request,
 					.on_caller_left = on_caller_left,
 					.data = &s };
@@ -438,6 +552,7 @@
 				"ADDRESS:PORT\n");
 		return 1;
 	}
+	answered_era = s.era;
 	s.loop = uv_default_loop();
 	s.items = json_object();
 	s.history = json_array();
--- a/t/check-heartbeat.c
+++ b/t/check-heartbeat.c
@@ -13,6 +13,11 @@
 #include "fleet/heartbeat.h"
 #include "fleet/store-update.h"
 
+static struct store_position at_revision(uint64_t revision)
+{
+	return (struct store_position){ 0, revision };
+}
+
 static struct view *view;
 static struct heartbeat_tracker *ht;
 static GArray *to;
@@ -66,7 +71,7 @@
 {
 	struct heartbeat_message hm = { .member =
 						make_member(name, domain, port),
-					.store_revision = revision };
+					.store_position = { 0, revision } };
 
 	handle_heartbeat(ht, &hm, now_ms);
 }
@@ -81,7 +86,7 @@
 	struct heartbeat_message hm = { .member = make_member("b", "south", 77),
 					.flags = HEARTBEAT_READY,
 					.config_version = 7,
-					.store_revision = 99 };
+					.store_position = { 3, 99 } };
 	struct heartbeat_message got = { 0 };
 	struct upstream_load_row row = { 1, 2, 3, 4, HEALTH_DEAD };
 	struct wire_writer w;
@@ -97,7 +102,8 @@
 	ck_assert_str_eq(got.member.name, "b");
 	ck_assert_uint_eq(got.member.id, hm.member.id);
 	ck_assert_uint_eq(got.member.link_mbps, 10);
-	ck_assert_uint_eq(got.store_revision, 99);
+	ck_assert_uint_eq(got.store_position.era, 3);
+	ck_assert_uint_eq(got.store_position.revision, 99);
 	ck_assert_uint_eq(got.rows->len, 1);
 	ck_assert_mem_eq(got.rows->data, &row, sizeof(row));
 	for (size_t len = 0; len < w.buf.size; len++) {
@@ -267,16 +273,17 @@
 	struct store_update n;
 
 	ck_assert(read_store_update(&msg, &n, data, len));
-	rs->to[rs->nr++] = n.to_revision;
+	rs->to[rs->nr++] = n.to.revision;
 	release_wire_message(&msg);
 }
 
 static bool add_change(struct update_log *ul, uint64_t from, uint64_t until,
 		       struct store_entry *e)
 {
-	struct mirror_update n = {
-		.from = from, .to = until, .entries = e, .entry_nr = 1
-	};
+	struct mirror_update n = { .from = at_revision(from),
+				   .to = at_revision(until),
+				   .entries = e,
+				   .entry_nr = 1 };
 
 	e->mod_revision = until;
 	return add_updates(ul, &n, NULL, NULL);
@@ -290,16 +297,16 @@
 				 .len = 1 };
 	struct resent_updates rs = { .nr = 0 };
 
-	ck_assert(!resend_updates(ul, 10, record_resent, &rs));
+	ck_assert(!resend_updates(ul, at_revision(10), record_resent, &rs));
 	for (uint64_t r = 10; r < 14; r++)
 		ck_assert(add_change(ul, r, r + 1, &e));
-	ck_assert(resend_updates(ul, 12, record_resent, &rs));
+	ck_assert(resend_updates(ul, at_revision(12), record_resent, &rs));
 	ck_assert_uint_eq(rs.nr, 2);
 	ck_assert_uint_eq(rs.to[0], 13);
 	ck_assert_uint_eq(rs.to[1], 14);
-	ck_assert(!resend_updates(ul, 9, record_resent, &rs));
+	ck_assert(!resend_updates(ul, at_revision(9), record_resent, &rs));
 	clear_updates(ul);
-	ck_assert(!resend_updates(ul, 12, record_resent, &rs));
+	ck_assert(!resend_updates(ul, at_revision(12), record_resent, &rs));
 	destroy_update_log(ul);
 }
 END_TEST
@@ -317,13 +324,13 @@
 	struct last_sent *ls = user;
 
 	if (ls->nr++) {
-		ls->previous_to = ls->n.to_revision;
+		ls->previous_to = ls->n.to.revision;
 		release_wire_message(&ls->msg);
 	}
 	ck_assert_uint_le(len, UPDATE_DATAGRAM_MAX);
 	ck_assert(read_store_update(&ls->msg, &ls->n, data, len));
 	if (ls->nr > 1)
-		ck_assert_uint_eq(ls->n.from_revision, ls->previous_to);
+		ck_assert_uint_eq(ls->n.from.revision, ls->previous_to);
 }
 
 /* Adds ES, the changes from revision FROM to UNTIL; LS gets the datagrams. */
@@ -331,8 +338,8 @@
 			const struct store_entry *es, size_t nr,
 			struct last_sent *ls)
 {
-	struct mirror_update n = { .from = from,
-				   .to = until,
+	struct mirror_update n = { .from = at_revision(from),
+				   .to = at_revision(until),
 				   .removal_hold_ms = 500,
 				   .entries = es,
 				   .entry_nr = nr };
@@ -382,7 +389,7 @@
 					      .len = sizeof(value),
 					      .mod_revision = 11 + i / 2 };
 	ck_assert(add_changes(ul, 10, 400, es, NR, &ls));
-	ck_assert_uint_eq(ls.n.to_revision, 400);
+	ck_assert_uint_eq(ls.n.to.revision, 400);
 	ck_assert_uint_eq(ls.n.entries[ls.n.nr - 1].revision, 10 + NR / 2);
 	ck_assert_uint_eq(ls.n.nr % 2, 0);
 	ck_assert_uint_le(ls.nr, NR * 250 / (UPDATE_DATAGRAM_MAX - 500));
@@ -399,9 +406,11 @@
 	GString *new;
 	struct mirror_entry base = { .revision = 7 };
 	struct store_entry e = { .key = (char *)"config", .mod_revision = 9 };
-	struct mirror_update n = {
-		.from = 8, .to = 9, .entries = &e, .entry_nr = 1, .bases = &base
-	};
+	struct mirror_update n = { .from = { 0, 8 },
+				   .to = { 0, 9 },
+				   .entries = &e,
+				   .entry_nr = 1,
+				   .bases = &base };
 	GBytes *got;
 
 	for (int i = 0; i < 400; i++)
@@ -443,9 +452,10 @@
 	ck_assert(add_changes(ul, 1, 2, &e, 1, &ls));
 	ck_assert_int_eq(ls.n.entries[0].encoding, UPDATE_OMITTED);
 	init_wire_writer(&w);
-	write_update_control(&w, UPDATE_REQUEST, 1); /* any bytes */
+	write_update_control(&w, UPDATE_REQUEST,
+			     at_revision(1)); /* any bytes */
 	keep_update(other, &ls.n, w.buf.data, w.buf.size);
-	ck_assert(resend_updates(other, 1, record_sent, &again));
+	ck_assert(resend_updates(other, at_revision(1), record_sent, &again));
 	ck_assert_int_eq(again.n.format, UPDATE_REQUEST);
 	release_wire_writer(&w);
 	release_wire_message(&again.msg);
@@ -461,14 +471,14 @@
 	unsigned int picked[6] = { 0 };
 	struct endpoint at;
 
-	ck_assert(!pick_member_ahead(ht, 7, rand, &at));
+	ck_assert(!pick_member_ahead(ht, at_revision(7), rand, &at));
 	receive_revision("far", "south", 5, 9, 1000);
-	ck_assert(pick_member_ahead(ht, 7, rand, &at));
+	ck_assert(pick_member_ahead(ht, at_revision(7), rand, &at));
 	receive_revision("b", "north", 2, 8, 1000);
 	receive_revision("c", "north", 3, 9, 1000);
 	receive_revision("d", "north", 4, 7, 1000);
 	for (int i = 0; i < 200; i++) {
-		ck_assert(pick_member_ahead(ht, 7, rand, &at));
+		ck_assert(pick_member_ahead(ht, at_revision(7), rand, &at));
 		picked[at.port]++;
 	}
 	ck_assert_uint_gt(picked[2], 60);
@@ -491,6 +501,86 @@
 }
 END_TEST
 
+/* The parts of the differences after a restore form a chain. */
+START_TEST(differences_after_a_restore_lead_to_its_position)
+{
+	enum { NR = 90 };
+	struct update_log *ul = create_update_log();
+	struct resent_updates rs = { 0 };
+	struct store_entry es[NR];
+	char keys[NR][32];
+	struct mirror_update n = { .from = { 3, 500 },
+				   .to = { 4, 400 },
+				   .restored = true,
+				   .entries = es,
+				   .entry_nr = NR };
+
+	for (int i = 0; i < NR; i++) {
+		g_snprintf(keys[i], sizeof(keys[i]), "servers/i-%d", i);
+		es[i] = (struct store_entry){ .key = keys[i],
+					      .mod_revision = 399,
+					      .deleted = true };
+	}
+	ck_assert(add_updates(ul, &n, NULL, NULL));
+	/* one that was in step before gets all, one that is ahead nothing */
+	ck_assert(resend_updates(ul, (struct store_position){ 3, 500 },
+				 record_resent, &rs));
+	ck_assert_uint_ge(rs.nr, 3);
+	ck_assert_uint_eq(rs.to[0], 1);
+	ck_assert_uint_eq(rs.to[1], 2);
+	ck_assert_uint_eq(rs.to[rs.nr - 1], 400);
+	rs.nr = 0;
+	ck_assert(resend_updates(ul, (struct store_position){ 4, 400 },
+				 record_resent, &rs));
+	ck_assert_uint_eq(rs.nr, 0);
+	ck_assert(!resend_updates(ul, (struct store_position){ 3, 499 },
+				  record_resent, &rs));
+	destroy_update_log(ul);
+}
+END_TEST
+
+static void keep_last_datagram(const void *data, size_t len, void *user)
+{
+	GByteArray *bytes = user;
+
+	g_byte_array_set_size(bytes, 0);
+	g_byte_array_append(bytes, data, (guint)len);
+}
+
+START_TEST(held_records_are_told_with_what_is_left)
+{
+	GArray *held = g_array_new(FALSE, FALSE, sizeof(struct held_record));
+	GByteArray *bytes = g_byte_array_new();
+	struct held_record out = { "op/evacuate/north", true, 1234 };
+	struct held_record left = { "servers/i-1", false, 0 };
+	struct wire_message msg;
+	struct store_update n;
+
+	g_array_append_val(held, out);
+	g_array_append_val(held, left);
+	write_held_records((struct store_position){ 4, 9 }, held,
+			   keep_last_datagram, bytes);
+	ck_assert(read_store_update(&msg, &n, bytes->data, bytes->len));
+	ck_assert_int_eq(n.format, UPDATE_HELD);
+	ck_assert_uint_eq(n.from.era, 4);
+	ck_assert_uint_eq(n.hold_ms, 0);
+	ck_assert_uint_eq(n.nr, 2);
+	ck_assert_str_eq(n.entries[0].key, out.key);
+	ck_assert_int_eq(n.entries[0].encoding, UPDATE_OMITTED);
+	ck_assert_uint_eq(n.entries[0].base_revision, 1234);
+	ck_assert_int_eq(n.entries[1].encoding, UPDATE_REMOVED);
+	release_wire_message(&msg);
+	g_array_set_size(held, 0);
+	write_held_records((struct store_position){ 4, 9 }, held,
+			   keep_last_datagram, bytes);
+	ck_assert(read_store_update(&msg, &n, bytes->data, bytes->len));
+	ck_assert_uint_eq(n.nr, 0);
+	release_wire_message(&msg);
+	g_byte_array_free(bytes, TRUE);
+	g_array_free(held, TRUE);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("heartbeat");
@@ -519,6 +609,8 @@
 	tcase_add_test(tc,
 		       requests_go_to_members_ahead_in_the_own_domain_first);
 	tcase_add_test(tc, a_large_domain_delays_the_store_reader_role);
+	tcase_add_test(tc, differences_after_a_restore_lead_to_its_position);
+	tcase_add_test(tc, held_records_are_told_with_what_is_left);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_ENV);
 	failed = srunner_ntests_failed(sr);
--- a/t/check-mirror.c
+++ b/t/check-mirror.c
@@ -61,7 +61,7 @@
 
 static void send_peer_revision(uint64_t revision, uint64_t now_ms)
 {
-	struct mirror_peer_state h = { .revision = revision };
+	struct mirror_peer_state h = { .position = { 0, revision } };
 	struct mirror_event ev = { .kind = MIRROR_PEER_STATE, .peer = &h };
 
 	step_mirror(m, &ev, now_ms, out);
@@ -71,7 +71,7 @@
 static void send_reader_digest(uint64_t revision, uint64_t digest,
 			       uint64_t now_ms)
 {
-	struct mirror_peer_state h = { revision, digest, true };
+	struct mirror_peer_state h = { { 0, revision }, digest, true };
 	struct mirror_event ev = { .kind = MIRROR_PEER_STATE, .peer = &h };
 
 	step_mirror(m, &ev, now_ms, out);
@@ -281,7 +281,11 @@
 static void send_update(uint64_t from, uint64_t to, struct store_entry *es,
 			size_t nr, uint32_t hold_ms, uint64_t now_ms)
 {
-	struct mirror_update n = { from, to, hold_ms, es, nr, NULL };
+	struct mirror_update n = { .from = { 0, from },
+				   .to = { 0, to },
+				   .removal_hold_ms = hold_ms,
+				   .entries = es,
+				   .entry_nr = nr };
 	struct mirror_event ev = { .kind = MIRROR_PEER_UPDATE, .update = &n };
 
 	step_mirror(m, &ev, now_ms, out);
@@ -307,16 +311,17 @@
 	send_answer(MIRROR_WATCH_ANSWER, STATUS_OK, 15, es, 4, 2000);
 	a = find_action(MIRROR_DO_SEND_UPDATE, NULL);
 	ck_assert_ptr_nonnull(a);
-	ck_assert_uint_eq(a->update.from, 10);
-	ck_assert_uint_eq(a->update.to, 15);
+	ck_assert_uint_eq(a->update.from.revision, 10);
+	ck_assert_uint_eq(a->update.to.revision, 15);
 	/* without the entry that the store reader already had */
 	ck_assert_uint_eq(a->update.entry_nr, 3);
 	ck_assert_uint_eq(a->update.entries[0].mod_revision, 12);
 	send_answer(MIRROR_WATCH_ANSWER, STATUS_OK, 15, NULL, 0, 3000);
 	ck_assert_ptr_null(find_action(MIRROR_DO_SEND_UPDATE, NULL));
 	send_answer(MIRROR_WATCH_ANSWER, STATUS_OK, 17, NULL, 0, 4000);
-	ck_assert_uint_eq(find_action(MIRROR_DO_SEND_UPDATE, NULL)->update.to,
-			  17);
+	ck_assert_uint_eq(
+		find_action(MIRROR_DO_SEND_UPDATE, NULL)->update.to.revision,
+		17);
 }
 END_TEST
 
@@ -390,8 +395,9 @@
 	send_tick(5000 + MIRROR_STORE_FALLBACK_MS);
 	send_answer(MIRROR_WATCH_ANSWER, STATUS_OK, 12, &a2, 1, 5800);
 	ck_assert_ptr_null(find_action(MIRROR_DO_SEND_UPDATE, NULL));
-	ck_assert_uint_eq(find_action(MIRROR_DO_KEEP_UPDATE, NULL)->update.to,
-			  12);
+	ck_assert_uint_eq(
+		find_action(MIRROR_DO_KEEP_UPDATE, NULL)->update.to.revision,
+		12);
 }
 END_TEST
 
@@ -405,8 +411,9 @@
 		send_update(r - 1, r, NULL, 0, 0, now_ms);
 		send_tick(now_ms + MIRROR_PEER_QUERY_MS);
 		ck_assert_ptr_null(find_action(MIRROR_DO_WATCH, NULL));
-		ck_assert_uint_eq(
-			find_action(MIRROR_DO_QUERY_PEER, NULL)->revision, r);
+		ck_assert_uint_eq(find_action(MIRROR_DO_QUERY_PEER, NULL)
+					  ->position.revision,
+				  r);
 	}
 }
 END_TEST
@@ -423,8 +430,8 @@
 	ck_assert_ptr_null(find_action(MIRROR_KEY_REMOVED, NULL));
 	ck_assert_uint_eq(mirror_revision(m), 11);
 	send_tick(2100 + MIRROR_PEER_QUERY_MS);
-	ck_assert_uint_eq(find_action(MIRROR_DO_QUERY_PEER, NULL)->revision,
-			  11);
+	ck_assert_uint_eq(
+		find_action(MIRROR_DO_QUERY_PEER, NULL)->position.revision, 11);
 	send_update(11, 12, NULL, 0, 0, 2300);
 	send_update(12, 13, &gone, 1, 0, 2300);
 	ck_assert(find_action(MIRROR_KEY_REMOVED, "b"));
@@ -570,6 +577,225 @@
 }
 END_TEST
 
+static void send_answer_of_era(enum mirror_event_kind kind, uint64_t era,
+			       uint64_t revision, struct store_entry *es,
+			       size_t nr, uint64_t now_ms)
+{
+	struct store_answer a = {
+		.era = era, .revision = revision, .entries = es, .entry_nr = nr
+	};
+	struct mirror_event ev = { .kind = kind, .answer = &a };
+
+	step_mirror(m, &ev, now_ms, out);
+}
+
+/* A and B at revision 10 and C at revision 20, in era 3. */
+static void read_before_restore(uint64_t now_ms)
+{
+	struct store_entry es[] = { make_entry("a", "1", 5),
+				    make_entry("b", "2", 10),
+				    make_entry("c", "3", 20) };
+
+	send_tick(now_ms);
+	send_answer_of_era(MIRROR_READ_DONE, 3, 20, es, 3, now_ms);
+}
+
+/*
+ * The copy is from revision 12, when B was not written again yet and C did not
+ * exist. D was written since, with a revision that was given out before.
+ */
+static void read_after_restore(uint64_t now_ms)
+{
+	struct store_entry es[] = { make_entry("a", "1", 5),
+				    make_entry("b", "old", 8),
+				    make_entry("d", "4", 13) };
+
+	send_answer_of_era(MIRROR_READ_DONE, 4, 13, es, 3, now_ms);
+}
+
+START_TEST(restored_store_is_read_and_its_differences_are_sent)
+{
+	const struct mirror_update *n;
+
+	read_before_restore(1000);
+	/* a watch does not lead from one era to the next */
+	send_answer_of_era(MIRROR_WATCH_ANSWER, 4, 25, NULL, 0, 2000);
+	ck_assert(find_action(MIRROR_DO_STOP_WATCH, NULL));
+	ck_assert(find_action(MIRROR_DO_READ, NULL));
+	ck_assert_uint_eq(mirror_revision(m), 20);
+	read_after_restore(2010);
+	ck_assert_uint_eq(find_action(MIRROR_ERA_BEGAN, NULL)->position.era, 3);
+	ck_assert_uint_eq(mirror_position(m).era, 4);
+	ck_assert_uint_eq(mirror_position(m).revision, 13);
+	ck_assert_ptr_null(find_action(MIRROR_KEY_CHANGED, "a"));
+	ck_assert_int_eq(find_action(MIRROR_KEY_CHANGED, "b")->source,
+			 MIRROR_RESTORED);
+	ck_assert_int_eq(find_action(MIRROR_KEY_REMOVED, "c")->source,
+			 MIRROR_RESTORED);
+	ck_assert(find_action(MIRROR_KEY_CHANGED, "d"));
+	ck_assert_uint_eq(find_action(MIRROR_DO_WATCH, NULL)->revision, 14);
+	n = &find_action(MIRROR_DO_SEND_UPDATE, NULL)->update;
+	ck_assert(n->restored);
+	ck_assert_uint_eq(n->from.revision, 20);
+	ck_assert_uint_eq(n->to.era, 4);
+	ck_assert_uint_eq(n->entry_nr, 3);
+}
+END_TEST
+
+START_TEST(revisions_given_out_again_are_applied)
+{
+	struct store_entry again = make_entry("b", "new", 14);
+
+	read_before_restore(1000);
+	send_answer_of_era(MIRROR_WATCH_ANSWER, 4, 25, NULL, 0, 2000);
+	read_after_restore(2010);
+	/* lower than the revisions of the era before */
+	send_answer_of_era(MIRROR_WATCH_ANSWER, 4, 14, &again, 1, 3000);
+	ck_assert_int_eq(find_action(MIRROR_KEY_CHANGED, "b")->source,
+			 MIRROR_WRITTEN);
+	ck_assert_uint_eq(mirror_revision(m), 14);
+}
+END_TEST
+
+START_TEST(late_answers_of_an_earlier_era_are_ignored)
+{
+	struct store_entry late = make_entry("c", "late", 30);
+
+	read_before_restore(1000);
+	send_answer_of_era(MIRROR_WATCH_ANSWER, 4, 25, NULL, 0, 2000);
+	read_after_restore(2010);
+	send_answer_of_era(MIRROR_WATCH_ANSWER, 3, 30, &late, 1, 2020);
+	ck_assert(find_action(MIRROR_OLD_ANSWER, NULL));
+	ck_assert_ptr_null(find_action(MIRROR_KEY_CHANGED, NULL));
+	/* a store that no longer tells its era */
+	send_tick(9000);
+	send_answer_of_era(MIRROR_WATCH_ANSWER, 0, 99, &late, 1, 9010);
+	ck_assert(find_action(MIRROR_OLD_ANSWER, NULL));
+	ck_assert_uint_eq(mirror_position(m).era, 4);
+	ck_assert_uint_eq(mirror_revision(m), 13);
+}
+END_TEST
+
+static void send_restored_update(struct store_position from,
+				 struct store_position to,
+				 struct store_entry *es, size_t nr,
+				 uint64_t now_ms)
+{
+	struct mirror_update n = { .from = from,
+				   .to = to,
+				   .restored = true,
+				   .entries = es,
+				   .entry_nr = nr };
+	struct mirror_event ev = { .kind = MIRROR_PEER_UPDATE, .update = &n };
+
+	step_mirror(m, &ev, now_ms, out);
+}
+
+START_TEST(others_follow_the_differences_without_a_call)
+{
+	struct store_position before = { 3, 20 };
+	struct store_position part = { 4, 1 };
+	struct store_position after = { 4, 13 };
+	struct store_entry es[] = { make_entry("b", "old", 8),
+				    make_entry("c", NULL, 13),
+				    make_entry("d", "4", 13) };
+	struct store_entry write = make_entry("a", "5", 14);
+	struct mirror_update next = {
+		.from = after, .to = { 4, 14 }, .entries = &write, .entry_nr = 1
+	};
+	struct mirror_event ev = { .kind = MIRROR_PEER_UPDATE,
+				   .update = &next };
+
+	send_role(false, 1000);
+	read_before_restore(1000);
+	/* the second part does not apply before the first one */
+	send_restored_update(part, after, &es[2], 1, 2000);
+	ck_assert_uint_eq(mirror_position(m).era, 3);
+	send_restored_update(before, part, es, 2, 2010);
+	ck_assert(find_action(MIRROR_ERA_BEGAN, NULL));
+	ck_assert_int_eq(find_action(MIRROR_KEY_REMOVED, "c")->source,
+			 MIRROR_RESTORED);
+	send_restored_update(part, after, &es[2], 1, 2020);
+	ck_assert_ptr_null(find_action(MIRROR_ERA_BEGAN, NULL));
+	ck_assert_uint_eq(mirror_revision(m), 13);
+	step_mirror(m, &ev, 2030, out);
+	ck_assert(find_action(MIRROR_KEY_CHANGED, "a"));
+	for (uint64_t ms = 2050; ms < 5000; ms += MIRROR_TICK_MS) {
+		send_tick(ms);
+		ck_assert_ptr_null(find_action(MIRROR_DO_READ, NULL));
+		ck_assert_ptr_null(find_action(MIRROR_DO_WATCH, NULL));
+	}
+}
+END_TEST
+
+START_TEST(updates_of_an_earlier_era_are_refused)
+{
+	struct store_entry late = make_entry("c", "late", 30);
+
+	send_role(false, 1000);
+	read_before_restore(1000);
+	send_restored_update((struct store_position){ 3, 20 },
+			     (struct store_position){ 4, 13 }, NULL, 0, 2000);
+	ck_assert_uint_eq(mirror_position(m).era, 4);
+	{
+		struct mirror_update n = { .from = { 3, 20 },
+					   .to = { 3, 30 },
+					   .entries = &late,
+					   .entry_nr = 1 };
+		struct mirror_event ev = { .kind = MIRROR_PEER_UPDATE,
+					   .update = &n };
+
+		step_mirror(m, &ev, 2010, out);
+	}
+	ck_assert_ptr_null(find_action(MIRROR_KEY_CHANGED, NULL));
+	ck_assert_uint_eq(mirror_position(m).era, 4);
+}
+END_TEST
+
+START_TEST(who_misses_the_differences_asks_peers_and_then_reads)
+{
+	struct mirror_peer_state h = { { 4, 13 }, 1, true };
+	struct mirror_event ev = { .kind = MIRROR_PEER_STATE, .peer = &h };
+	bool asked = false;
+
+	send_role(false, 1000);
+	read_before_restore(1000);
+	step_mirror(m, &ev, 2000, out);
+	for (uint64_t ms = 2000; ms < 2000 + MIRROR_STORE_FALLBACK_MS;
+	     ms += MIRROR_TICK_MS) {
+		send_tick(ms);
+		asked |= find_action(MIRROR_DO_QUERY_PEER, NULL) != NULL;
+		ck_assert_ptr_null(find_action(MIRROR_DO_READ, NULL));
+	}
+	ck_assert(asked);
+	send_tick(2000 + MIRROR_STORE_FALLBACK_MS);
+	ck_assert(find_action(MIRROR_DO_READ, NULL));
+	read_after_restore(3000);
+	ck_assert_uint_eq(mirror_position(m).era, 4);
+}
+END_TEST
+
+START_TEST(copies_are_alike_after_a_restore)
+{
+	struct store_entry es[] = { make_entry("b", "old", 8),
+				    make_entry("c", NULL, 13),
+				    make_entry("d", "4", 13) };
+	uint64_t read_digest;
+
+	read_before_restore(1000);
+	send_answer_of_era(MIRROR_WATCH_ANSWER, 4, 25, NULL, 0, 2000);
+	read_after_restore(2010);
+	read_digest = mirror_digest(m);
+	destroy_mirror(m);
+	m = create_mirror(2);
+	send_role(false, 1000);
+	read_before_restore(1000);
+	send_restored_update((struct store_position){ 3, 20 },
+			     (struct store_position){ 4, 13 }, es, 3, 2000);
+	ck_assert_uint_eq(mirror_digest(m), read_digest);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("mirror");
@@ -604,6 +830,14 @@
 	tcase_add_test(tc, role_changes_keep_the_revision);
 	tcase_add_test(tc, delays_removals_as_long_as_the_update_says);
 	tcase_add_test(tc, every_change_of_an_answer_keeps_its_value);
+	tcase_add_test(tc, restored_store_is_read_and_its_differences_are_sent);
+	tcase_add_test(tc, revisions_given_out_again_are_applied);
+	tcase_add_test(tc, late_answers_of_an_earlier_era_are_ignored);
+	tcase_add_test(tc, others_follow_the_differences_without_a_call);
+	tcase_add_test(tc, updates_of_an_earlier_era_are_refused);
+	tcase_add_test(tc,
+		       who_misses_the_differences_asks_peers_and_then_reads);
+	tcase_add_test(tc, copies_are_alike_after_a_restore);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_ENV);
 	failed = srunner_ntests_failed(sr);
