restored records: the known writing goes before an equal one of the copy

The upstream's stand-in counted all its writings as the first, so the copy's report "ready" was no older than the known "draining" and went into force until the upstream wrote again, 0.5 s later. Writings count up now in the stand-in, and the store's compares them without the count, as the users' pages say; and where orders are equal, what is known stays.

--- a/config/restored-records.c
+++ b/config/restored-records.c
@@ -91,11 +91,16 @@
 	}
 }
 
-static void set_present(struct restored_records *rr, struct known_record *k,
-			bool present, uint64_t now_ms)
+static void end_hold(struct known_record *k)
 {
 	k->held = false;
 	k->hold_end_ms = 0;
+}
+
+static void set_present(struct restored_records *rr, struct known_record *k,
+			bool present, uint64_t now_ms)
+{
+	end_hold(k);
 	if (!present) {
 		rr->removed_nr += k->present || !k->removed_ms;
 		k->removed_ms = now_ms;
@@ -117,9 +122,7 @@
 		return order.started_at_ms > k->order.started_at_ms
 			       ? RECORD_APPLY
 			       : RECORD_HOLD;
-	return is_newer(order, k->order) || is_same_order(order, k->order)
-		       ? RECORD_APPLY
-		       : RECORD_HOLD;
+	return is_newer(order, k->order) ? RECORD_APPLY : RECORD_HOLD;
 }
 
 /* Starts to hold K, which the restored store lacks. */
@@ -174,7 +177,11 @@
 	}
 	if (restored && k && present &&
 	    admit_restored_writing(k, order) == RECORD_HOLD) {
-		hold_writing_back(rr, k, now_ms);
+		/* the known writing again is no reason to wait for another */
+		if (k->present && is_same_order(order, k->order))
+			end_hold(k);
+		else
+			hold_writing_back(rr, k, now_ms);
 		return RECORD_HOLD;
 	}
 	if (restored && k && !present && k->present) {
@@ -204,8 +211,7 @@
 
 		if (!k->hold_end_ms || now_ms < k->hold_end_ms)
 			continue;
-		k->held = false;
-		k->hold_end_ms = 0;
+		end_hold(k);
 		g_ptr_array_add(keys, g_strdup(key));
 	}
 }
--- a/stand-in/cookie-upstream.c
+++ b/stand-in/cookie-upstream.c
@@ -48,6 +48,7 @@
 	uint64_t work_ms;
 	uint64_t id; /* hexadecimal end of NAME; prefix of its packets */
 	uint64_t start_ms;
+	json_int_t write_count;
 	uint64_t drain_until_ms;     /* loop time; 0: not draining */
 	uint64_t drain_announced_ms; /* loop time */
 	GHashTable *flows;	     /* of struct served_flow */
@@ -81,11 +82,11 @@
 	struct http_message *m = create_http_message();
 	char at[ENDPOINT_TEXT_MAX];
 	json_t *j = json_pack(
-		"{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:i, s:I}", "service",
+		"{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:I, s:I}", "service",
 		u->service, "addr", format_endpoint(&u->at, at), "zone",
 		u->domain, "version", "v1", "slots", 3, "state",
 		u->drain_until_ms ? "draining" : "ready", "warmupLeftMs", 0,
-		"seq", 1, "born", (json_int_t)u->start_ms);
+		"seq", ++u->write_count, "born", (json_int_t)u->start_ms);
 	char *text = json_dumps(j, JSON_COMPACT);
 
 	m->method = leave ? HTTP_DELETE : HTTP_PUT;
--- a/stand-in/platform-store.c
+++ b/stand-in/platform-store.c
@@ -320,14 +320,41 @@
 	reply_write(s, ex, json_pack("{s:I}", "ttlMs", (json_int_t)l->ttl_ms));
 }
 
-/* True if KEY has this value already; such a heartbeat is not a change. */
+/* The text without the field that counts writings. */
+static char *without_count(const char *base64)
+{
+	gsize len;
+	guchar *text = g_base64_decode(base64, &len);
+	json_t *j = json_loadb((const char *)text, len, 0, NULL);
+	char *out;
+
+	json_object_del(j, "seq");
+	out = j ? json_dumps(j, JSON_SORT_KEYS) : NULL;
+	json_decref(j);
+	g_free(text);
+	return out;
+}
+
+/*
+ * True if KEY has this value already, or one that counts fewer writings; such a
+ * heartbeat is not a change.
+ */
 static bool is_unchanged(const struct platform_stand_in *s, const char *key,
 			 const char *value)
 {
 	const json_t *old = json_object_get(s->items, key);
 	const char *had = json_string_value(json_object_get(old, "value"));
+	bool same = false;
 
-	return had && !strcmp(had, value);
+	if (had) {
+		char *before = without_count(had);
+		char *after = without_count(value);
+
+		same = before && after && !strcmp(before, after);
+		free(before);
+		free(after);
+	}
+	return same;
 }
 
 static void handle_entry(struct platform_stand_in *s, struct http_exchange *ex,
--- a/t/check-restored-records.c
+++ b/t/check-restored-records.c
@@ -109,6 +109,10 @@
 	ck_assert_uint_eq(ended_at(900000), 0);
 	ck_assert_int_eq(admit_upstream(true, 5, 8, MIRROR_WRITTEN, 900000),
 			 RECORD_APPLY);
+	/* the same writing again changes nothing, and nothing is awaited */
+	ck_assert_int_eq(admit_upstream(true, 5, 8, MIRROR_RESTORED, 900000),
+			 RECORD_HOLD);
+	ck_assert_uint_eq(held_record_count(rr), 0);
 	/* one that is newer than the known one is taken from the copy */
 	ck_assert_int_eq(admit_upstream(true, 5, 9, MIRROR_RESTORED, 900001),
 			 RECORD_APPLY);
