store: ask less often, and read cheaply at start

The pace of polls was fixed for the smallest bounds.

Polls wait two thirds, and pause a sixth, of the shorter of the bounds for configuration and drain ([bounds] change, drain). Leases of own entries last ten minutes instead of one, as heartbeats tell who lives.

Tests: check-mirror first_read_may_be_stale_and_is_followed_by_a_watch, pace_of_a_watch_follows_the_bound.

--- a/builtin/audit.c
+++ b/builtin/audit.c
@@ -65,7 +65,9 @@
 	bool more = true;
 
 	while (ok && more) {
-		struct store_range r = { from, KEY_AUDIT_END, PAGE_ENTRIES };
+		struct store_range r = { .key = from,
+					 .end = KEY_AUDIT_END,
+					 .limit = PAGE_ENTRIES };
 		const struct store_answer *a = read_store_range(s, &r);
 
 		ok = a->status.kind == STATUS_OK;
--- a/config/mirror-state.h
+++ b/config/mirror-state.h
@@ -37,6 +37,7 @@
 	uint64_t store_lost_at_ms;  /* first failure of the last outage */
 	uint64_t retry_at_ms;	    /* end of MIRROR_STATE_BACKOFF */
 	unsigned int failures;
+	struct watch_pace pace;
 	bool needs_full_read;	   /* changes since POSITION were missed */
 	bool is_store_reader;	   /* watches the store; else applies updates */
 	bool watching_to_catch_up; /* is no store reader, but lags behind */
--- a/config/mirror.c
+++ b/config/mirror.c
@@ -5,6 +5,11 @@
 
 #include "base/backoff.h"
 
+#define BOUND_MS_DEFAULT 3000
+#define WATCH_WAIT_MIN_MS 500
+#define WATCH_WAIT_MAX_MS 10000
+#define WATCH_PAUSE_MAX_MS 1000
+
 /* Keeps VALUE, which actions of this step may point to, until the next one. */
 static void retire_value(struct mirror *m, void *value)
 {
@@ -28,11 +33,28 @@
 	m->step_memory = g_ptr_array_new_with_free_func(g_free);
 	m->bases = g_array_new(FALSE, TRUE, sizeof(struct mirror_entry));
 	m->rand = g_rand_new_with_seed(seed);
+	m->pace = choose_watch_pace(BOUND_MS_DEFAULT);
 	m->needs_full_read = true;
 	m->is_store_reader = true;
 	return m;
 }
 
+struct watch_pace choose_watch_pace(uint32_t bound_ms)
+{
+	struct watch_pace pace = {
+		.wait_ms = CLAMP(bound_ms * 2 / 3, WATCH_WAIT_MIN_MS,
+				 WATCH_WAIT_MAX_MS),
+		.pause_ms = MIN(bound_ms / 6, WATCH_PAUSE_MAX_MS)
+	};
+
+	return pace;
+}
+
+void set_mirror_watch_pace(struct mirror *m, struct watch_pace pace)
+{
+	m->pace = pace;
+}
+
 void destroy_mirror(struct mirror *m)
 {
 	if (!m)
@@ -57,7 +79,8 @@
 static void start_read(struct mirror *m, GArray *out)
 {
 	m->state = MIRROR_STATE_READING;
-	add_mirror_action(out, MIRROR_DO_READ);
+	add_mirror_action(out, MIRROR_DO_READ)->may_be_stale =
+		!m->position.revision;
 }
 
 static void start_watch(struct mirror *m, GArray *out)
@@ -359,6 +382,7 @@
 static void handle_read(struct mirror *m, const struct store_answer *a,
 			uint64_t now_ms, GArray *out)
 {
+	bool first = !m->position.revision;
 	GHashTableIter iter;
 	gpointer value;
 
@@ -379,7 +403,7 @@
 		((struct mirror_item *)value)->in_last_read = false;
 	for (size_t i = 0; i < a->entry_nr; i++)
 		update_mirror_item(m, &a->entries[i], out);
-	if (!m->position.revision)
+	if (first)
 		for (guint i = 0; i < out->len; i++)
 			g_array_index(out, struct mirror_action, i).source =
 				MIRROR_FIRST_READ;
@@ -387,6 +411,11 @@
 		remove_items_not_read(m, a->revision, now_ms, out);
 	m->position.revision = MAX(m->position.revision, a->revision);
 	add_mirror_action(out, MIRROR_DO_DROP_UPDATES);
+	if (first && !m->is_store_reader) {
+		start_watch(m, out);
+		m->watching_to_catch_up = true;
+		return;
+	}
 	enter_following_state(m, out);
 }
 
@@ -609,7 +638,8 @@
 bool mirror_is_watching(const struct mirror *m, uint64_t now_ms)
 {
 	return m->state == MIRROR_STATE_WATCHING && m->store_up_since_ms &&
-	       now_ms - m->last_answer_ms < MIRROR_WATCH_TIMEOUT_MS;
+	       now_ms - m->last_answer_ms <
+		       m->pace.wait_ms + MIRROR_WATCH_SLACK_MS;
 }
 
 uint64_t mirror_last_answer_ms(const struct mirror *m)
--- a/config/mirror.h
+++ b/config/mirror.h
@@ -12,6 +12,9 @@
  * that was too long for an update, and when they lag behind and no peer
  * answers.
  *
+ * The first read may be answered with content that is seconds old, since it is
+ * followed by a watch from the revision of that content on, at all instances.
+ *
  * While the store is unavailable, entries of live upstreams may expire.
  * Removals that are learned within MIRROR_REMOVAL_HOLD_MS of its return are
  * therefore delayed until that time is over, and canceled if the entry
@@ -129,7 +132,7 @@
 };
 
 enum mirror_action_kind {
-	MIRROR_DO_READ,		/* read all entries */
+	MIRROR_DO_READ,		/* read all entries; see MAY_BE_STALE */
 	MIRROR_DO_READ_KEY,	/* read KEY */
 	MIRROR_DO_QUERY_PEER,	/* ask a peer for the updates after REVISION */
 	MIRROR_DO_SEND_UPDATE,	/* send UPDATE to all other instances */
@@ -154,6 +157,7 @@
 	size_t len;
 	struct store_position position;
 	enum mirror_source source; /* of KEY_CHANGED and KEY_REMOVED */
+	bool may_be_stale;	   /* of MIRROR_DO_READ: a cheap read will do */
 	struct mirror_update update;
 };
 
@@ -179,11 +183,22 @@
 uint64_t mirror_store_up_since_ms(const struct mirror *m);
 
 /*
- * True if this mirror watches the store and the store answered within
- * MIRROR_WATCH_TIMEOUT_MS.
+ * True if this mirror watches the store, which answered when the watch's pace
+ * says, within MIRROR_WATCH_SLACK_MS.
  */
 bool mirror_is_watching(const struct mirror *m, uint64_t now_ms);
-#define MIRROR_WATCH_TIMEOUT_MS 2700 /* a watch answers every two seconds */
+
+/*
+ * Pace of a watch for changes that must be in force within BOUND_MS. Each poll
+ * is a priced call. A watch whose path fails silently is noticed a call's
+ * time-out after the wait, before bounds apply again (contactMs, which is no
+ * shorter than the bound).
+ */
+struct watch_pace choose_watch_pace(uint32_t bound_ms);
+void set_mirror_watch_pace(struct mirror *m, struct watch_pace pace);
+
+/* A watch that answers this much later than its wait is not relied on. */
+#define MIRROR_WATCH_SLACK_MS 700
 
 /*
  * False while this mirror watches the store and the store does not answer: it
--- a/config/settings.c
+++ b/config/settings.c
@@ -17,6 +17,7 @@
 #define BOUND_STOP_MS_DEFAULT 6000
 #define COLD_FACTOR_DEFAULT 1.5 /* the platform's bound for cold upstreams */
 #define OPERATOR_REWRITE_MS_DEFAULT 12000
+#define CHANGE_MS_DEFAULT 3000
 #define COLD_SLACK_DEFAULT 5
 
 struct settings_draft {
@@ -191,12 +192,17 @@
 		return parse_decimal(value, &b->cold_factor, st);
 	if (!strcmp(key, "cold-slack"))
 		return parse_decimal(value, &b->cold_slack, st);
+	if (!strcmp(key, "change"))
+		return parse_duration(value, BOUND_MS_MAX, &b->change_ms, st);
+	if (!strcmp(key, "drain"))
+		return parse_duration(value, BOUND_MS_MAX, &b->drain_ms, st);
 	if (!strcmp(key, "operator-rewrite"))
 		return parse_duration(value, BOUND_MS_MAX,
 				      &b->operator_rewrite_ms, st);
 	return set_status(st, STATUS_NOT_FOUND,
 			  "unknown key; known are heartbeat, flow-lifetime, "
-			  "stop, cold-factor, cold-slack, operator-rewrite");
+			  "stop, cold-factor, cold-slack, change, drain, "
+			  "operator-rewrite");
 }
 
 static enum status_kind
@@ -274,6 +280,8 @@
 	s->bounds.cold_factor = COLD_FACTOR_DEFAULT;
 	s->bounds.cold_slack = COLD_SLACK_DEFAULT;
 	s->bounds.operator_rewrite_ms = OPERATOR_REWRITE_MS_DEFAULT;
+	s->bounds.change_ms = CHANGE_MS_DEFAULT;
+	s->bounds.drain_ms = CHANGE_MS_DEFAULT;
 	read_ini(file, text, len, handle_settings_entry, &d, ps);
 	if (problem_count(ps) == before)
 		check_settings(&d);
--- a/config/settings.h
+++ b/config/settings.h
@@ -37,6 +37,9 @@
 	 */
 	double cold_factor;
 	double cold_slack;
+	/* a change in the store must be in force within this time */
+	uint32_t change_ms;
+	uint32_t drain_ms;
 	/* operators write again what a restored store lacks within this time */
 	uint32_t operator_rewrite_ms;
 };
--- a/config/store-call.h
+++ b/config/store-call.h
@@ -39,11 +39,20 @@
 	size_t entry_nr;
 };
 
+/* How often a watch asks. */
+struct watch_pace {
+	uint32_t wait_ms;  /* the store may hold its answer for so long */
+	uint32_t pause_ms; /* after an answer with changes, to collect more */
+};
+
 /* Keys from KEY up to but without END; KEY alone if END is NULL. */
 struct store_range {
 	const char *key;
 	const char *end;
 	uint32_t limit; /* maximum number of entries; 0 for no limit */
+	/* any replica may answer, with content that is seconds old */
+	bool may_be_stale;
+	struct watch_pace pace; /* of a watch that polls */
 };
 
 enum store_op_kind { STORE_PUT, STORE_DELETE, STORE_GET };
--- a/net/edge-store.c
+++ b/net/edge-store.c
@@ -14,9 +14,9 @@
  * Other instances find a new instance by its store entry, and detect from its
  * heartbeats whether it is alive.
  */
-#define OWN_ENTRY_LEASE_S 60
-#define OWN_ENTRY_RENEW_MS 20000 /* a third of the lease */
-#define OWN_ENTRY_RETRY_MS 2000	 /* after a call that failed */
+#define OWN_ENTRY_LEASE_S 600
+#define OWN_ENTRY_RENEW_MS 200000 /* a third of the lease */
+#define OWN_ENTRY_RETRY_MS 2000	  /* after a call that failed */
 /*
  * After a restore all instances register again within this time. Those that
  * know each other do not need the entries.
@@ -577,10 +577,19 @@
 		(uint64_t)g_rand_int_range(e->rand, 0, OWN_ENTRY_SPREAD_MS);
 }
 
+static struct watch_pace edge_watch_pace(const struct edge *e)
+{
+	const struct steering_bounds *b = &e->settings.bounds;
+
+	return choose_watch_pace(MIN(b->change_ms, b->drain_ms));
+}
+
 static void execute_action(struct edge *e, const struct mirror_action *a)
 {
-	const struct store_range all = { .key = "" };
+	const struct store_range all = { .key = "",
+					 .may_be_stale = a->may_be_stale };
 	const struct store_range one = { .key = a->key };
+	struct store_range watched = all;
 
 	switch (a->kind) {
 	case MIRROR_DO_READ:
@@ -602,7 +611,8 @@
 		clear_updates(e->recent_updates);
 		break;
 	case MIRROR_DO_WATCH:
-		e->watch = watch_store(e->store, &all, a->revision,
+		watched.pace = edge_watch_pace(e);
+		e->watch = watch_store(e->store, &watched, a->revision,
 				       on_watch_answer, e);
 		break;
 	case MIRROR_DO_STOP_WATCH:
@@ -761,6 +771,7 @@
 	uint32_t seed = g_rand_int(e->rand);
 
 	e->mirror = create_mirror(seed);
+	set_mirror_watch_pace(e->mirror, edge_watch_pace(e));
 	e->recent_updates = create_update_log();
 	e->restored_records = create_restored_records();
 	set_edge_hold_times(e);
--- a/t/check-mirror.c
+++ b/t/check-mirror.c
@@ -291,12 +291,21 @@
 	step_mirror(m, &ev, now_ms, out);
 }
 
+/* The watch that follows the first read brings nothing, and ends. */
+static void end_first_watch(uint64_t revision, uint64_t now_ms)
+{
+	ck_assert(find_action(MIRROR_DO_WATCH, NULL));
+	send_answer(MIRROR_WATCH_ANSWER, STATUS_OK, revision, NULL, 0, now_ms);
+	ck_assert(find_action(MIRROR_DO_STOP_WATCH, NULL));
+	ck_assert_ptr_null(find_action(MIRROR_DO_WATCH, NULL));
+}
+
 /* Reads A and B at revision 10; then applies updates from there. */
 static void start_with_peer_updates(uint64_t now_ms)
 {
 	send_role(false, now_ms);
 	read_initial_entries(now_ms);
-	ck_assert_ptr_null(find_action(MIRROR_DO_WATCH, NULL));
+	end_first_watch(10, now_ms);
 }
 
 START_TEST(store_reader_sends_only_new_changes)
@@ -708,6 +717,7 @@
 
 	send_role(false, 1000);
 	read_before_restore(1000);
+	send_answer_of_era(MIRROR_WATCH_ANSWER, 3, 20, NULL, 0, 1010);
 	/* the second part does not apply before the first one */
 	send_restored_update(part, after, &es[2], 1, 2000);
 	ck_assert_uint_eq(mirror_position(m).era, 3);
@@ -734,6 +744,7 @@
 
 	send_role(false, 1000);
 	read_before_restore(1000);
+	send_answer_of_era(MIRROR_WATCH_ANSWER, 3, 20, NULL, 0, 1010);
 	send_restored_update((struct store_position){ 3, 20 },
 			     (struct store_position){ 4, 13 }, NULL, 0, 2000);
 	ck_assert_uint_eq(mirror_position(m).era, 4);
@@ -760,6 +771,7 @@
 
 	send_role(false, 1000);
 	read_before_restore(1000);
+	send_answer_of_era(MIRROR_WATCH_ANSWER, 3, 20, NULL, 0, 1010);
 	step_mirror(m, &ev, 2000, out);
 	for (uint64_t ms = 2000; ms < 2000 + MIRROR_STORE_FALLBACK_MS;
 	     ms += MIRROR_TICK_MS) {
@@ -790,12 +802,52 @@
 	m = create_mirror(2);
 	send_role(false, 1000);
 	read_before_restore(1000);
+	send_answer_of_era(MIRROR_WATCH_ANSWER, 3, 20, NULL, 0, 1010);
 	send_restored_update((struct store_position){ 3, 20 },
 			     (struct store_position){ 4, 13 }, es, 3, 2000);
 	ck_assert_uint_eq(mirror_digest(m), read_digest);
 }
 END_TEST
 
+START_TEST(first_read_may_be_stale_and_is_followed_by_a_watch)
+{
+	struct store_entry read = make_entry("b", "2", 10);
+	struct store_entry missed = make_entry("b", "3", 12);
+
+	send_role(false, 1000);
+	send_tick(1000);
+	ck_assert(find_action(MIRROR_DO_READ, NULL)->may_be_stale);
+	send_answer(MIRROR_READ_DONE, STATUS_OK, 10, &read, 1, 1000);
+	ck_assert_uint_eq(find_action(MIRROR_DO_WATCH, NULL)->revision, 11);
+	send_answer(MIRROR_WATCH_ANSWER, STATUS_OK, 12, &missed, 1, 1010);
+	ck_assert(find_action(MIRROR_KEY_CHANGED, "b"));
+	ck_assert(find_action(MIRROR_DO_STOP_WATCH, NULL));
+	/* later reads are not stale: what was missed is older than that */
+	for (uint64_t ms = 2000; ms <= 3000; ms += 100)
+		send_reader_digest(12, 99, ms);
+	send_tick(3050);
+	ck_assert(!find_action(MIRROR_DO_READ, NULL)->may_be_stale);
+}
+END_TEST
+
+START_TEST(pace_of_a_watch_follows_the_bound)
+{
+	ck_assert_uint_eq(choose_watch_pace(3000).wait_ms, 2000);
+	ck_assert_uint_eq(choose_watch_pace(3000).pause_ms, 500);
+	ck_assert_uint_eq(choose_watch_pace(6000).wait_ms, 4000);
+	ck_assert_uint_eq(choose_watch_pace(6000).pause_ms, 1000);
+	/* what was learned before a pause has the rest of the bound */
+	for (uint32_t bound_ms = 1000; bound_ms <= 60000; bound_ms += 1000)
+		ck_assert_uint_le(choose_watch_pace(bound_ms).pause_ms,
+				  bound_ms / 6);
+	read_initial_entries(1000);
+	set_mirror_watch_pace(m, choose_watch_pace(6000));
+	send_answer(MIRROR_WATCH_ANSWER, STATUS_OK, 10, NULL, 0, 2000);
+	ck_assert(mirror_is_watching(m, 2000 + 4000));
+	ck_assert(!mirror_is_watching(m, 2000 + 4000 + MIRROR_WATCH_SLACK_MS));
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("mirror");
@@ -838,6 +890,8 @@
 	tcase_add_test(tc,
 		       who_misses_the_differences_asks_peers_and_then_reads);
 	tcase_add_test(tc, copies_are_alike_after_a_restore);
+	tcase_add_test(tc, first_read_may_be_stale_and_is_followed_by_a_watch);
+	tcase_add_test(tc, pace_of_a_watch_follows_the_bound);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_ENV);
 	failed = srunner_ntests_failed(sr);
--- a/t/check-store.c
+++ b/t/check-store.c
@@ -69,7 +69,7 @@
 static void range(const char *key, const char *end, uint32_t limit,
 		  struct store_answer *a)
 {
-	struct store_range r = { key, end, limit };
+	struct store_range r = { .key = key, .end = end, .limit = limit };
 	json_t *body = parse(write_range_json(&r));
 
 	decode(kv_range(kv, body), read_kv_json, a);
@@ -145,7 +145,7 @@
 /* Reads events of "/a/" from *REVISION on, which advances; false if none. */
 static bool poll_events(uint64_t *revision, struct store_answer *a)
 {
-	struct store_range r = { "/a/", "/a0", 0 };
+	struct store_range r = { .key = "/a/", .end = "/a0" };
 	json_t *body = parse(write_watch_json(&r, *revision));
 	json_t *events = kv_events(kv, json_object_get(body, "create_request"),
 				   revision);
