net/frontend-request: bound the body that is kept for a retry

Cause, from reading: the last part of a body before its call starts may pass FRONTEND_RETRY_BODY_MAX; then the room left wrapped around and all that followed was kept, without a bound. Test: check-http-server body_kept_for_a_retry_is_bounded, which fails for the wrapped difference.

--- a/net/frontend-request.c
+++ b/net/frontend-request.c
@@ -188,17 +188,25 @@
 	set_exchange_data(ex, fr);
 }
 
+bool keeps_body_part(size_t kept, size_t len, bool call_started)
+{
+	if (!call_started)
+		return true;
+	/* the last part before the call may have passed the limit */
+	return kept < FRONTEND_RETRY_BODY_MAX &&
+	       len <= FRONTEND_RETRY_BODY_MAX - kept;
+}
+
 void handle_request_body(struct frontend_request *fr, const char *part,
 			 size_t len)
 {
-	size_t free_bytes = FRONTEND_RETRY_BODY_MAX - fr->body->len;
-
 	XXH3_64bits_update(fr->body_hash, part, len);
 	if (fr->discarding_body)
 		return;
 	if (fr->call)
 		add_call_body(fr->call, part, len);
-	if (!fr->body_overflowed && (len <= free_bytes || !fr->call))
+	if (!fr->body_overflowed &&
+	    keeps_body_part(fr->body->len, len, fr->call))
 		g_byte_array_append(fr->body, (const guint8 *)part, (guint)len);
 	else
 		fr->body_overflowed = true;
--- a/net/frontend-request.h
+++ b/net/frontend-request.h
@@ -36,6 +36,13 @@
 void handle_caller_gone(struct frontend_request *fr);
 void handle_answer_drained(struct frontend_request *fr);
 
+/*
+ * Whether a part of LEN bytes joins the KEPT bytes of a body that is kept to be
+ * sent again. Before the call to an upstream starts all parts are kept, as none
+ * was sent; reading pauses then at FRONTEND_RETRY_BODY_MAX.
+ */
+bool keeps_body_part(size_t kept, size_t len, bool call_started);
+
 /* True once a byte of FR may have reached an upstream. */
 bool is_request_attempted(const struct frontend_request *fr);
 
--- a/t/check-http-server.c
+++ b/t/check-http-server.c
@@ -10,6 +10,8 @@
 #include <string.h>
 #include <uv.h>
 
+#include "net/frontend-request.h"
+#include "net/frontend.h"
 #include "net/http-server.h"
 
 #define BODY_LEN (3 * 65536)
@@ -122,6 +124,20 @@
 }
 END_TEST
 
+/*
+ * A body may pass the limit with the last part before its call starts. What
+ * follows must not be kept without a bound.
+ */
+START_TEST(body_kept_for_a_retry_is_bounded)
+{
+	ck_assert(keeps_body_part(FRONTEND_RETRY_BODY_MAX - 1, 65536, false));
+	ck_assert(!keeps_body_part(FRONTEND_RETRY_BODY_MAX + 65535, 1, true));
+	ck_assert(!keeps_body_part(FRONTEND_RETRY_BODY_MAX, 1, true));
+	ck_assert(keeps_body_part(FRONTEND_RETRY_BODY_MAX - 1, 1, true));
+	ck_assert(!keeps_body_part(FRONTEND_RETRY_BODY_MAX - 1, 2, true));
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("http-server");
@@ -130,6 +146,7 @@
 	int failed;
 
 	tcase_add_test(tc, body_in_buffer_sized_pieces_is_not_cut_short);
+	tcase_add_test(tc, body_kept_for_a_retry_is_bounded);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_ENV);
 	failed = srunner_ntests_failed(sr);
