--- a/net/peers.c
+++ b/net/peers.c
@@ -7,7 +7,6 @@
 
 #define LINK_QUEUE_MAX 128	/* messages queued on one link */
 #define RECEIVE_BATCH 256	/* messages handled in one loop iteration */
-#define LINKS_MAX 96		/* outgoing connections */
 #define LINK_IDLE_MS 20000	/* a link unused this long is closed */
 #define SWEEP_INTERVAL_MS 5000	/* between two checks for unused links */
 #define CONNECT_TIMEOUT_MS 2000 /* of one attempt to connect */
@@ -241,6 +240,11 @@
 	ps->handlers[c].user = user;
 }
 
+size_t peer_link_count(const struct peers *ps)
+{
+	return g_hash_table_size(ps->links);
+}
+
 static void drop_oldest_link(struct peers *ps)
 {
 	const struct peer_link *oldest = NULL;
@@ -263,7 +267,7 @@
 	struct peer_link *l = g_new0(struct peer_link, 1);
 	char address[ADDRESS_MAX];
 
-	if (g_hash_table_size(ps->links) >= LINKS_MAX)
+	if (g_hash_table_size(ps->links) >= PEER_LINKS_MAX)
 		drop_oldest_link(ps);
 	l->to = *to;
 	l->socket = zmq_socket(ps->context, ZMQ_PUSH);
--- a/net/peers.h
+++ b/net/peers.h
@@ -14,6 +14,7 @@
 #include "base/status.h"
 
 #define PEER_MESSAGE_MAX (1280 * 1024) /* bytes; fits one store value */
+#define PEER_LINKS_MAX 96	       /* outgoing connections */
 
 enum peer_channel {
 	PEER_FLEET,    /* membership, configuration, domains, health */
@@ -40,6 +41,9 @@
 void send_peer(struct peers *ps, const struct endpoint *to, enum peer_channel c,
 	       const void *data, size_t len);
 
+/* Number of outgoing connections, at most PEER_LINKS_MAX. */
+size_t peer_link_count(const struct peers *ps);
+
 /*
  * Closes the connection to TO, which makes no progress; messages queued on it
  * are lost. The next message opens a new one.
--- a/stand-in/caller.c
+++ b/stand-in/caller.c
@@ -2,7 +2,7 @@
  * caller-stand-in: opens flows through the fabric. Each flow sends PACKETS TCP
  * segments, at most one every GAP-MS, and resends a segment until it is
  * answered, as TCP does. All answers must come from the upstream that answered
- * first. Prints a line of counts; exits 1 if a flow moved to another upstream,
+ * first. Prints a line of counts and one "flow on UPSTREAM" for each flow; exits 1 if a flow moved to another upstream,
  * was reset or did not get all answers.
  */
 
@@ -197,6 +197,8 @@
 	       "%u flows moved, %u reset\n",
 	       c->flow_nr, answered, c->flow_nr * c->packet_nr, resent, moved,
 	       reset);
+	for (unsigned int i = 0; i < c->flow_nr; i++)
+		printf("flow on %s\n", c->flows[i].upstream);
 	return moved || reset || answered < c->flow_nr * c->packet_nr;
 }
 
--- a/t/check-peers.c
+++ b/t/check-peers.c
@@ -163,7 +163,9 @@
 
 		to.port = port;
 		send_peer(peers[0], &to, PEER_FLOWS, &number, sizeof(number));
+		ck_assert_uint_le(peer_link_count(peers[0]), PEER_LINKS_MAX);
 	}
+	ck_assert_uint_eq(peer_link_count(peers[0]), PEER_LINKS_MAX);
 	send_numbers(1);
 	ck_assert(wait_for(1));
 }
--- a/t/whole-flows.sh
+++ b/t/whole-flows.sh
@@ -50,6 +50,10 @@
 sleep 3
 "$bin/caller-stand-in" $vip:6080 $vip:8443 60 10 50 >"$work/second.log" ||
 	fail "flows opened after the drain failed: $(cat "$work/second.log")"
+grep -q "^flow on board-[234]\$" "$work/second.log" ||
+	fail "no upstream of new flows is reported"
+grep "^flow on board-1\$" "$work/second.log" &&
+	fail "a new flow was placed on the drained upstream"
 wait "$caller" || fail "flows open during the kill and the drain failed"
-cat "$work/caller.log" "$work/second.log"
+grep -h segments "$work/caller.log" "$work/second.log"
 echo ok
