restored records: look the record up after old ones are forgotten

Found while reading: admit_record() kept a pointer to a record that prune_removals() may have freed. Test, which failed before under AddressSanitizer: check-restored-records record_is_forgotten_while_it_is_decided_about. The decision about a restored record is a function of its own, and nothing is scanned while none is held.

--- a/config/restored-records.c
+++ b/config/restored-records.c
@@ -2,20 +2,23 @@
 
 #include <string.h>
 
+/* What this instance knows of a record, whatever a restored store has. */
 struct known_record {
 	enum record_class class;
-	bool present; /* in force, or would be but for its own content */
-	struct record_order order;
-	bool held;	      /* the store has something else */
-	bool written;	      /* by its owner, since this instance started */
-	uint64_t hold_end_ms; /* of a record that the store lacks; 0: none */
-	uint64_t removed_ms;  /* when it was removed; if not present */
+	bool present;
+	struct record_order order; /* of its last writing */
+	bool written;		   /* since this instance started */
+	bool held;		   /* the store has something else */
+	/* when the store is believed; 0: not before the owner writes */
+	uint64_t hold_end_ms;
+	uint64_t removed_ms; /* when it was removed; 0: it is present */
 };
 
 struct restored_records {
 	GHashTable *records; /* key -> struct known_record */
 	struct record_hold_times times;
 	uint32_t removed_nr; /* records that are not present */
+	uint32_t held_nr;    /* records that are held */
 	uint64_t pruned_ms;
 };
 
@@ -91,8 +94,18 @@
 	}
 }
 
-static void end_hold(struct known_record *k)
+/* END_MS as known_record.hold_end_ms. */
+static void begin_hold(struct restored_records *rr, struct known_record *k,
+		       uint64_t end_ms)
 {
+	rr->held_nr += !k->held;
+	k->held = true;
+	k->hold_end_ms = end_ms;
+}
+
+static void end_hold(struct restored_records *rr, struct known_record *k)
+{
+	rr->held_nr -= k->held;
 	k->held = false;
 	k->hold_end_ms = 0;
 }
@@ -100,7 +113,7 @@
 static void set_present(struct restored_records *rr, struct known_record *k,
 			bool present, uint64_t now_ms)
 {
-	end_hold(k);
+	end_hold(rr, k);
 	if (!present) {
 		rr->removed_nr += k->present || !k->removed_ms;
 		k->removed_ms = now_ms;
@@ -126,21 +139,20 @@
 }
 
 /* Starts to hold K, which the restored store lacks. */
-static void hold_missing_record(const struct restored_records *rr,
+static void hold_missing_record(struct restored_records *rr,
 				struct known_record *k, uint64_t now_ms)
 {
-	k->held = true;
-	k->hold_end_ms = now_ms + (k->class == RECORD_CLASS_DOMAIN_OUT
-					   ? rr->times.operator_ms
-					   : rr->times.upstream_ms);
+	begin_hold(rr, k,
+		   now_ms + (k->class == RECORD_CLASS_DOMAIN_OUT
+				     ? rr->times.operator_ms
+				     : rr->times.upstream_ms));
 }
 
 /* Starts to hold back the restored store's writing of K. */
-static void hold_writing_back(const struct restored_records *rr,
+static void hold_writing_back(struct restored_records *rr,
 			      struct known_record *k, uint64_t now_ms)
 {
-	k->held = true;
-	k->hold_end_ms = k->present ? 0 : now_ms + rr->times.lapse_ms;
+	begin_hold(rr, k, k->present ? 0 : now_ms + rr->times.lapse_ms);
 }
 
 void restart_record_holds(struct restored_records *rr, uint64_t now_ms)
@@ -159,6 +171,27 @@
 	}
 }
 
+/* Decides about K, of which a restored store has a writing or nothing. */
+static enum record_verdict
+admit_restored_record(struct restored_records *rr, struct known_record *k,
+		      bool present, struct record_order order, uint64_t now_ms)
+{
+	if (!present) {
+		if (!k->present)
+			return RECORD_APPLY;
+		hold_missing_record(rr, k, now_ms);
+		return RECORD_HOLD;
+	}
+	if (admit_restored_writing(k, order) == RECORD_APPLY)
+		return RECORD_APPLY;
+	/* the known writing again is no reason to wait for another */
+	if (k->present && is_same_order(order, k->order))
+		end_hold(rr, k);
+	else
+		hold_writing_back(rr, k, now_ms);
+	return RECORD_HOLD;
+}
+
 enum record_verdict admit_record(struct restored_records *rr, const char *key,
 				 enum record_class class, bool present,
 				 struct record_order order,
@@ -167,29 +200,19 @@
 	struct known_record *k = g_hash_table_lookup(rr->records, key);
 	bool restored = source == MIRROR_RESTORED;
 
-	if (class == RECORD_CLASS_OTHER)
+	if (class == RECORD_CLASS_OTHER || (!k && !present))
 		return RECORD_APPLY;
 	prune_removals(rr, now_ms);
-	if (restored && !k && present && class == RECORD_CLASS_UPSTREAM) {
+	k = g_hash_table_lookup(rr->records, key);
+	if (restored && !k && class == RECORD_CLASS_UPSTREAM) {
+		/* one that was never seen is taken for one that left */
 		k = get_or_create_record(rr, key, class);
 		set_present(rr, k, false, now_ms);
 		k->order = order;
 	}
-	if (restored && k && present &&
-	    admit_restored_writing(k, order) == RECORD_HOLD) {
-		/* the known writing again is no reason to wait for another */
-		if (k->present && is_same_order(order, k->order))
-			end_hold(k);
-		else
-			hold_writing_back(rr, k, now_ms);
+	if (restored && k &&
+	    admit_restored_record(rr, k, present, order, now_ms) == RECORD_HOLD)
 		return RECORD_HOLD;
-	}
-	if (restored && k && !present && k->present) {
-		hold_missing_record(rr, k, now_ms);
-		return RECORD_HOLD;
-	}
-	if (!k && !present)
-		return RECORD_APPLY;
 	k = get_or_create_record(rr, key, class);
 	k->written |= source == MIRROR_WRITTEN;
 	if (present)
@@ -205,27 +228,22 @@
 	gpointer key;
 	gpointer value;
 
+	if (!rr->held_nr)
+		return;
 	g_hash_table_iter_init(&it, rr->records);
 	while (g_hash_table_iter_next(&it, &key, &value)) {
 		struct known_record *k = value;
 
 		if (!k->hold_end_ms || now_ms < k->hold_end_ms)
 			continue;
-		end_hold(k);
+		end_hold(rr, k);
 		g_ptr_array_add(keys, g_strdup(key));
 	}
 }
 
 size_t held_record_count(const struct restored_records *rr)
 {
-	GHashTableIter it;
-	gpointer value;
-	size_t n = 0;
-
-	g_hash_table_iter_init(&it, rr->records);
-	while (g_hash_table_iter_next(&it, NULL, &value))
-		n += ((const struct known_record *)value)->held;
-	return n;
+	return rr->held_nr;
 }
 
 void list_held_records(const struct restored_records *rr, uint64_t now_ms,
@@ -266,8 +284,7 @@
 			return RECORD_HOLD;
 		k = get_or_create_record(rr, h->key, class);
 		set_present(rr, k, true, now_ms);
-		k->held = true;
-		k->hold_end_ms = now_ms + h->left_ms;
+		begin_hold(rr, k, now_ms + h->left_ms);
 		return RECORD_APPLY;
 	case RECORD_CLASS_UPSTREAM:
 		/* one that the store lacks is not known by its content here */
@@ -278,9 +295,9 @@
 			k->order.started_at_ms = UINT64_MAX; /* not known */
 		}
 		set_present(rr, k, false, now_ms);
-		k->held = true;
-		k->hold_end_ms =
-			now_ms + (h->left_ms ? h->left_ms : rr->times.lapse_ms);
+		begin_hold(rr, k,
+			   now_ms + (h->left_ms ? h->left_ms
+						: rr->times.lapse_ms));
 		return RECORD_APPLY;
 	case RECORD_CLASS_OTHER:
 		break;
--- a/t/check-restored-records.c
+++ b/t/check-restored-records.c
@@ -162,6 +162,18 @@
 }
 END_TEST
 
+/* The record that is decided about may be the one that is forgotten. */
+START_TEST(record_is_forgotten_while_it_is_decided_about)
+{
+	admit_upstream(true, 5, 1, MIRROR_WRITTEN, 1000);
+	admit_upstream(false, 0, 0, MIRROR_WRITTEN, 1500);
+	ck_assert_int_eq(admit_upstream(true, 5, 2, MIRROR_RESTORED,
+					1500 + RESTORED_REMOVAL_MEMORY_MS),
+			 RECORD_HOLD);
+	ck_assert_uint_eq(held_record_count(rr), 1);
+}
+END_TEST
+
 START_TEST(starting_instance_adopts_what_a_peer_holds)
 {
 	struct held_record left = { .key = UPSTREAM, .left_ms = 3000 };
@@ -261,6 +273,7 @@
 	tcase_add_test(tc, domain_is_taken_back_by_a_newer_writing);
 	tcase_add_test(tc, second_restore_begins_holds_anew);
 	tcase_add_test(tc, removals_are_forgotten_after_a_while);
+	tcase_add_test(tc, record_is_forgotten_while_it_is_decided_about);
 	tcase_add_test(tc, starting_instance_adopts_what_a_peer_holds);
 	tcase_add_test(tc, start_waits_for_a_peer_and_its_configuration);
 	tcase_add_test(tc, start_alone_or_without_eras_does_not_wait);
