net: the records of the store have a file of their own

edge-store.c held both the calls and what records mean. Moved, not changed, but for apply_edge_change(), which serves actions and ended holds alike.

--- a/net/edge-state.h
+++ b/net/edge-state.h
@@ -90,13 +90,20 @@
 void start_edge_store(struct edge *e);
 void stop_edge_store(struct edge *e);
 void tick_edge_store(struct edge *e);
-void set_edge_hold_times(struct edge *e); /* from the settings */
 void step_edge_mirror(struct edge *e, const struct mirror_event *ev);
 /* Handles N, which was decoded from DATA and sent by the peer FROM. */
 void handle_edge_update(struct edge *e, const struct store_update *n,
 			const void *data, size_t len,
 			const struct endpoint *from);
 
+/* edge-records.c: applies the store's records */
+void apply_edge_change(struct edge *e, const struct mirror_action *a);
+/* Lets what the store has of records that are no longer held go into force. */
+void tick_edge_records(struct edge *e);
+/* Takes over the records that a peer holds, which N lists. */
+void adopt_edge_records(struct edge *e, const struct store_update *n);
+void set_edge_hold_times(struct edge *e); /* from the settings */
+
 /* edge-packets.c: packets, heartbeats and store updates over UDP */
 bool open_edge_ports(struct edge *e, struct status *st);
 void tick_edge_heartbeats(struct edge *e);
--- a/net/edge-store.c
+++ b/net/edge-store.c
@@ -1,6 +1,6 @@
 /*
- * Applies changes of the store's entries, exchanges them with peers as updates,
- * and keeps this instance's own entry in the store alive.
+ * Carries out what the mirror of the store asks for: calls, and updates to and
+ * from peers. Keeps this instance's own entry in the store alive.
  */
 
 #include <string.h>
@@ -23,251 +23,6 @@
  */
 #define OWN_ENTRY_SPREAD_MS 2000
 
-/* An upstream's entry lapses after so many heartbeats that did not come. */
-#define LAPSE_HEARTBEATS 3
-
-/*
- * An upstream may have turned cold while its domain was out, and reports that
- * with its next heartbeat. It counts as cold until a second heartbeat is due,
- * in case the first is lost, plus the delay until that arrives here.
- */
-#define ASSUME_COLD_HEARTBEATS 2
-#define ASSUME_COLD_SLACK_MS 200
-
-/*
- * Whether the change A goes into force, or what was known before the store was
- * restored stays.
- */
-static bool is_believed(struct edge *e, const struct mirror_action *a,
-			enum record_class class, struct record_order order)
-{
-	bool present = a->kind == MIRROR_KEY_CHANGED;
-
-	if (admit_record(e->restored_records, a->key, class, present, order,
-			 a->source, e->now_ms) == RECORD_APPLY)
-		return true;
-	count(&e->counters, COUNT_STORE_RECORDS_HELD);
-	log_event(e->log, EVENT_RECORD_HELD,
-		  "key=%.200s store=%s revision=%llu era=%llu", a->key,
-		  present ? "older" : "missing",
-		  (unsigned long long)a->revision,
-		  (unsigned long long)mirror_position(e->mirror).era);
-	return false;
-}
-
-static const struct record_order no_order;
-
-static void handle_upstream_entry(struct edge *e, const char *name,
-				  const struct mirror_action *a)
-{
-	struct upstream_report r;
-	struct status st;
-	upstream_index_t nr;
-	char at[ENDPOINT_TEXT_MAX];
-	enum status_kind kind =
-		read_upstream_entry(name, a->value, a->len, &r, &st);
-	struct record_order order = { r.started_at_ms, r.write_count };
-
-	if (!is_believed(e, a, RECORD_CLASS_UPSTREAM,
-			 kind == STATUS_OK ? order : no_order))
-		return;
-	if (kind != STATUS_OK) {
-		log_event(e->log, EVENT_UPSTREAM_INVALID,
-			  "upstream=%.64s revision=%llu why=\"%s\"", name,
-			  (unsigned long long)a->revision, st.message);
-		count(&e->counters, COUNT_CONFIG_CORRUPT);
-		nr = remove_catalog_upstream(e->catalog, name, e->now_ms);
-	} else {
-		nr = update_catalog_upstream(e->catalog, &r, a->revision,
-					     e->now_ms);
-		log_event(e->log, EVENT_UPSTREAM,
-			  "upstream=%s service=%s domain=%s address=%s "
-			  "state=%s cold_ms=%u start_ms=%llu revision=%llu",
-			  name, r.service, r.domain,
-			  format_endpoint(&r.address, at),
-			  r.draining ? "draining" : "ready", r.cold_left_ms,
-			  (unsigned long long)r.started_at_ms,
-			  (unsigned long long)a->revision);
-	}
-	if (nr != CATALOG_NONE)
-		update_placer_upstream(e->placement, nr, e->now_ms);
-}
-
-static void handle_routes_entry(struct edge *e, const struct mirror_action *a)
-{
-	GArray *resets;
-	struct status st;
-	enum status_kind kind =
-		read_operator_config(e->catalog, a->value, a->len, &st);
-
-	if (kind != STATUS_OK) {
-		log_event(e->log, EVENT_ROUTES_REFUSED,
-			  "revision=%llu in_force=%llu why=\"%s\"",
-			  (unsigned long long)a->revision,
-			  (unsigned long long)catalog_version(e->catalog),
-			  st.message);
-		count(&e->counters, kind == STATUS_CONFLICT
-					    ? COUNT_CONFIG_STALE
-					    : COUNT_CONFIG_CORRUPT);
-		return;
-	}
-	count(&e->counters, COUNT_CONFIG_APPLIED);
-	log_event(e->log, EVENT_ROUTES, "version=%llu revision=%llu routes=%zu",
-		  (unsigned long long)catalog_version(e->catalog),
-		  (unsigned long long)a->revision,
-		  catalog_route_count(e->catalog));
-	resets = g_array_new(FALSE, FALSE, sizeof(struct cookie_reset));
-	end_flows_without_route(e->steering, e->now_ms, resets);
-	send_edge_resets(e, resets);
-	g_array_free(resets, TRUE);
-}
-
-static void handle_domain_out(struct edge *e, const char *name, bool out,
-			      uint64_t revision)
-{
-	uint64_t assume_cold_ms = (uint64_t)ASSUME_COLD_HEARTBEATS *
-					  e->settings.bounds.heartbeat_ms +
-				  ASSUME_COLD_SLACK_MS;
-
-	set_catalog_domain_out(e->catalog, name, out, assume_cold_ms,
-			       e->now_ms);
-	log_event(e->log, EVENT_DOMAIN, "domain=%s out=%d revision=%llu", name,
-		  out, (unsigned long long)revision);
-}
-
-static void handle_instance_entry(struct edge *e, const struct mirror_action *a)
-{
-	struct wire_message msg;
-	struct wire_reader r;
-	struct endpoint at;
-
-	if (open_wire_message(&msg, &r, a->value, a->len)) {
-		read_endpoint(&r, &at);
-		if (!r.malformed && at.family == 4)
-			add_heartbeat_address(e->instance_heartbeats, &at);
-	}
-	release_wire_message(&msg);
-}
-
-static void handle_changed_entry(struct edge *e, const struct mirror_action *a)
-{
-	const char *name;
-
-	switch (platform_key_kind(a->key, &name)) {
-	case RECORD_ROUTES:
-		handle_routes_entry(e, a);
-		break;
-	case RECORD_DOMAIN_OUT:
-		if (is_believed(e, a, RECORD_CLASS_DOMAIN_OUT, no_order))
-			handle_domain_out(e, name, true, a->revision);
-		break;
-	case RECORD_UPSTREAM:
-		handle_upstream_entry(e, name, a);
-		break;
-	case RECORD_INSTANCE:
-		handle_instance_entry(e, a);
-		break;
-	case RECORD_OTHER:
-		break;
-	}
-}
-
-static void handle_upstream_gone(struct edge *e, const char *name,
-				 uint64_t revision)
-{
-	upstream_index_t nr =
-		remove_catalog_upstream(e->catalog, name, e->now_ms);
-
-	if (nr != CATALOG_NONE)
-		update_placer_upstream(e->placement, nr, e->now_ms);
-	log_event(e->log, EVENT_UPSTREAM,
-		  "upstream=%s state=gone revision=%llu", name,
-		  (unsigned long long)revision);
-}
-
-/* Applies the end of the record at KEY. */
-static void end_record(struct edge *e, const char *key, uint64_t revision)
-{
-	const char *name;
-
-	switch (platform_key_kind(key, &name)) {
-	case RECORD_DOMAIN_OUT:
-		handle_domain_out(e, name, false, revision);
-		break;
-	case RECORD_UPSTREAM:
-		handle_upstream_gone(e, name, revision);
-		break;
-	case RECORD_ROUTES:
-	case RECORD_INSTANCE:
-	case RECORD_OTHER:
-		break;
-	}
-}
-
-static enum record_class record_class_of(const char *key)
-{
-	const char *name;
-
-	switch (platform_key_kind(key, &name)) {
-	case RECORD_DOMAIN_OUT:
-		return RECORD_CLASS_DOMAIN_OUT;
-	case RECORD_UPSTREAM:
-		return RECORD_CLASS_UPSTREAM;
-	case RECORD_ROUTES:
-	case RECORD_INSTANCE:
-	case RECORD_OTHER:
-		break;
-	}
-	return RECORD_CLASS_OTHER;
-}
-
-static void handle_removed_entry(struct edge *e, const struct mirror_action *a)
-{
-	if (is_believed(e, a, record_class_of(a->key), no_order))
-		end_record(e, a->key, a->revision);
-}
-
-/* Lets what the store has of records that are no longer held go into force. */
-static void tick_restored_records(struct edge *e)
-{
-	GPtrArray *keys;
-
-	if (!mirror_hears_changes(e->mirror))
-		return;
-	keys = g_ptr_array_new_with_free_func(g_free);
-	end_record_holds(e->restored_records, e->now_ms, keys);
-	for (guint i = 0; i < keys->len; i++) {
-		const char *key = g_ptr_array_index(keys, i);
-		struct mirror_entry entry = find_mirror_entry(e->mirror, key);
-		struct mirror_action a = { .kind = entry.value
-							   ? MIRROR_KEY_CHANGED
-							   : MIRROR_KEY_REMOVED,
-					   .key = key,
-					   .value = entry.value,
-					   .len = entry.len,
-					   .revision = entry.revision };
-
-		if (entry.value)
-			handle_changed_entry(e, &a);
-		else
-			handle_removed_entry(e, &a);
-	}
-	g_ptr_array_free(keys, TRUE);
-}
-
-void set_edge_hold_times(struct edge *e)
-{
-	const struct steering_bounds *b = &e->settings.bounds;
-	struct record_hold_times times = {
-		.operator_ms = b->operator_rewrite_ms,
-		.upstream_ms = MIRROR_REMOVAL_HOLD_MS,
-		.lapse_ms = (uint64_t)LAPSE_HEARTBEATS * b->heartbeat_ms +
-			    MIRROR_REMOVAL_HOLD_MS
-	};
-
-	set_record_hold_times(e->restored_records, &times);
-}
-
 static void send_to_peer(struct edge *e, const struct endpoint *to,
 			 const void *data, size_t len)
 {
@@ -499,31 +254,12 @@
 }
 
 /* Takes over what a peer holds; only a starting instance asks for that. */
-static void adopt_held_records(struct edge *e, const struct store_update *n)
+static void handle_held_records(struct edge *e, const struct store_update *n)
 {
 	/* a peer that has not seen the restore yet holds nothing */
 	if (e->start_check.done || n->from.era < mirror_position(e->mirror).era)
 		return;
-	for (size_t i = 0; i < n->nr; i++) {
-		const struct update_entry *ue = &n->entries[i];
-		struct held_record h = { ue->key,
-					 ue->encoding == UPDATE_OMITTED,
-					 ue->base_revision };
-		enum record_class class = record_class_of(ue->key);
-		const char *name;
-
-		if (adopt_held_record(e->restored_records, &h, class,
-				      e->now_ms) == RECORD_HOLD)
-			continue;
-		log_event(e->log, EVENT_RECORD_HELD,
-			  "key=%.200s store=%s revision=0 era=%llu", ue->key,
-			  h.present ? "missing" : "older",
-			  (unsigned long long)n->from.era);
-		if (!h.present)
-			end_record(e, ue->key, 0);
-		else if (platform_key_kind(ue->key, &name) == RECORD_DOMAIN_OUT)
-			handle_domain_out(e, name, true, 0);
-	}
+	adopt_edge_records(e, n);
 	e->start_check.answered |= !n->hold_ms;
 	tick_start(e);
 }
@@ -549,7 +285,7 @@
 		answer_held_request(e, from);
 		break;
 	case UPDATE_HELD:
-		adopt_held_records(e, n);
+		handle_held_records(e, n);
 		break;
 	}
 }
@@ -619,10 +355,8 @@
 		stop_watch(e);
 		break;
 	case MIRROR_KEY_CHANGED:
-		handle_changed_entry(e, a);
-		break;
 	case MIRROR_KEY_REMOVED:
-		handle_removed_entry(e, a);
+		apply_edge_change(e, a);
 		break;
 	case MIRROR_STORE_LOST:
 		log_event(e->log, EVENT_STORE_LOST, "revision=%llu age_ms=%llu",
@@ -761,7 +495,7 @@
 		should_read_store(e->instance_heartbeats, e->now_ms);
 	step_edge_mirror(e, &role);
 	step_edge_mirror(e, &ev);
-	tick_restored_records(e);
+	tick_edge_records(e);
 	tick_start(e);
 	maintain_own_entry(e);
 }
