t: an unreadable era, and reads after a restore at 9 and at 300 instances

The stand-in's store can answer with an era that is not a number; whole-restore shows that it is counted and changes nothing. check-restore counts the reads of a domain of 9 and of 300: one each.

--- a/stand-in/platform-store.c
+++ b/stand-in/platform-store.c
@@ -10,7 +10,8 @@
  *                       current fault stays), copy (copies the content),
  *                       restore (comes back from that copy, in the next era),
  *                       stale (calls are answered as before the restore, by
- *                       the era before, until "well")
+ *                       the era before, until "well"), bad-era (answers
+ *                       have an era that is not a number)
  */
 
 #include <jansson.h>
@@ -24,7 +25,14 @@
 #define TICK_MS 20
 #define LAPSE_MS 3600 /* three heartbeats of an upstream */
 
-enum fault { FAULT_NONE, FAULT_BUSY, FAULT_SILENT, FAULT_LOSSY, FAULT_STALE };
+enum fault {
+	FAULT_NONE,
+	FAULT_BUSY,
+	FAULT_SILENT,
+	FAULT_LOSSY,
+	FAULT_STALE,
+	FAULT_BAD_ERA
+};
 
 struct lease {
 	uint64_t id;
@@ -61,7 +69,7 @@
 	uint64_t lapse_at_ms; /* when these lapse; loop time */
 };
 
-static json_int_t answered_era; /* of the answers given now */
+static json_int_t answered_era; /* of the answers given now; -1: unreadable */
 
 static void reply(struct http_exchange *ex, unsigned int code, json_t *j)
 {
@@ -70,7 +78,10 @@
 	char era[24];
 
 	m->code = code;
-	g_snprintf(era, sizeof(era), "%lld", (long long)answered_era);
+	if (answered_era < 0)
+		g_strlcpy(era, "soon", sizeof(era));
+	else
+		g_snprintf(era, sizeof(era), "%lld", (long long)answered_era);
 	add_http_header(m, "Store-Era", era);
 	add_http_header(m, "Content-Type", "application/json");
 	set_http_body(m, text);
@@ -450,8 +461,8 @@
 static void handle_fault(struct platform_stand_in *s, struct http_exchange *ex,
 			 const char *word)
 {
-	static const char *const words[] = { "well", "busy", "silent", "lossy",
-					     "stale" };
+	static const char *const words[] = { "well",  "busy",  "silent",
+					     "lossy", "stale", "bad-era" };
 
 	if (!strcmp(word, "forget")) {
 		s->forgotten_revision = s->revision;
@@ -467,7 +478,9 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(words); i++)
 		if (!strcmp(word, words[i]))
 			s->fault = (enum fault)i;
-	answered_era = s->fault == FAULT_STALE ? s->era - 1 : s->era;
+	answered_era = s->fault == FAULT_STALE	   ? s->era - 1
+		       : s->fault == FAULT_BAD_ERA ? -1
+						   : s->era;
 	reply(ex, 200, json_object());
 	answer_ready_watches(s);
 }
--- a/t/check-restore.c
+++ b/t/check-restore.c
@@ -155,24 +155,28 @@
 }
 END_TEST
 
-/* Others are told what changed; they do not all read the store. */
+/* Others are told what changed, in a domain of any size; one reads. */
 START_TEST(only_the_reader_reads_after_a_restore)
 {
-	struct restore_sim *sim = create_restore_sim(8, false);
-	unsigned int before;
-
-	step_restore_sim(sim, RESTORE_COPY);
-	step_restore_sim(sim, RESTORE_CONFIG);
-	step_restore_sim(sim, RESTORE_WATCH);
-	step_restore_sim(sim, RESTORE_UPDATES);
-	before = restore_read_count(sim);
-	step_restore_sim(sim, RESTORE_RESTORE);
-	step_restore_sim(sim, RESTORE_WATCH);
-	step_restore_sim(sim, RESTORE_UPDATES);
-	settle_restore_sim(sim);
-	ck_assert_ptr_null(restore_violation(sim));
-	ck_assert_uint_eq(restore_read_count(sim), before + 1);
-	destroy_restore_sim(sim);
+	static const unsigned int sizes[] = { 9, 300 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		struct restore_sim *sim = create_restore_sim(sizes[i], false);
+		unsigned int before;
+
+		step_restore_sim(sim, RESTORE_COPY);
+		step_restore_sim(sim, RESTORE_CONFIG);
+		step_restore_sim(sim, RESTORE_WATCH);
+		step_restore_sim(sim, RESTORE_UPDATES);
+		before = restore_read_count(sim);
+		step_restore_sim(sim, RESTORE_RESTORE);
+		step_restore_sim(sim, RESTORE_WATCH);
+		step_restore_sim(sim, RESTORE_UPDATES);
+		settle_restore_sim(sim);
+		ck_assert_ptr_null(restore_violation(sim));
+		ck_assert_uint_eq(restore_read_count(sim), before + 1);
+		destroy_restore_sim(sim);
+	}
 }
 END_TEST
 
--- a/t/restore-simulation.c
+++ b/t/restore-simulation.c
@@ -8,7 +8,7 @@
 #include "config/restored-records.h"
 #include "fleet/start-check.h"
 
-#define INSTANCES_MAX 8
+#define INSTANCES_MAX 300
 #define STEP_MS 400
 #define WAIT_MS 2500
 #define OPERATOR_MS 12000
--- a/t/whole-restore.sh
+++ b/t/whole-restore.sh
@@ -113,6 +113,16 @@
 sleep 2.5
 fault well
 all_show store_era 3 || fail "an instance went back to an earlier era"
+
+# Nor does an era that cannot be read.
+fault bad-era
+sleep 2.5
+fault well
+all_show store_era 3 || fail "an instance took an unreadable era"
+wait_until 5 shows 3 store_era 3 || fail "in-3 does not answer"
+malformed=$(metric 1 store_era_malformed)
+test "${malformed:-0}" -gt 0 || test "$(metric 2 store_era_malformed)" -gt 0 ||
+	fail "an unreadable era was not counted"
 write_config 3 8443 8080
 wait_until 10 all_show config_version 3 ||
 	fail "changes of the new era do not arrive"
