fleet: give every datagram layout a number of its own

A request for held records had the first element 11, as heartbeats. The receiver reads heartbeats first, so the request was counted as malformed and an instance that started after a restore of the store never got an answer. All layouts are now in one enum (fleet/peer-format.h). The new test fails on the old numbers.

--- a/fleet/heartbeat.c
+++ b/fleet/heartbeat.c
@@ -2,9 +2,9 @@
 
 #include <string.h>
 
+#include "fleet/peer-format.h"
 #include "fleet/store-reader.h"
 
-#define HEARTBEAT_FORMAT 11 /* first element; differs for every wire layout */
 #define LOAD_ROW_FIELDS 5
 
 struct peer {
@@ -69,10 +69,7 @@
 
 bool is_heartbeat(const uint8_t *data, size_t len)
 {
-	/* a MessagePack array header takes one, three or five bytes */
-	size_t head = data[0] == 0xdc ? 3 : data[0] == 0xdd ? 5 : 1;
-
-	return len > head && data[head] == HEARTBEAT_FORMAT;
+	return has_peer_format(data, len, HEARTBEAT_FORMAT);
 }
 
 bool read_heartbeat(const void *data, size_t len, struct heartbeat_message *hm)
--- a/fleet/store-update.c
+++ b/fleet/store-update.c
@@ -148,7 +148,7 @@
 }
 
 /* Encodes NR changes as one datagram, keeps it and passes it to SEND. */
-static void send_changes(struct update_log *ul, enum update_format format,
+static void send_changes(struct update_log *ul, enum peer_format format,
 			 struct store_position from, struct store_position to,
 			 uint32_t hold_ms, const struct encoded_change *ecs,
 			 size_t nr, send_update_fn send, void *user)
@@ -315,7 +315,7 @@
 	return true;
 }
 
-void write_update_control(struct wire_writer *w, enum update_format format,
+void write_update_control(struct wire_writer *w, enum peer_format format,
 			  struct store_position from)
 {
 	write_array(w, 3);
@@ -383,7 +383,7 @@
 	su->nr = 0;
 	if (!open_wire_message(msg, &r, data, len))
 		return false;
-	su->format = (enum update_format)read_uint(&r, UINT8_MAX);
+	su->format = (enum peer_format)read_uint(&r, UINT8_MAX);
 	su->from = read_position(&r);
 	switch (su->format) {
 	case UPDATE_CHANGES:
--- a/fleet/store-update.h
+++ b/fleet/store-update.h
@@ -16,6 +16,7 @@
 #include "base/wire.h"
 #include "config/mirror.h"
 #include "config/restored-records.h"
+#include "fleet/peer-format.h"
 
 #define UPDATE_DATAGRAM_MAX 1300 /* bytes of one datagram */
 /* bytes of a value sent whole */
@@ -26,21 +27,6 @@
 #define UPDATE_KEPT_DATAGRAMS 400  /* datagrams kept to be sent again */
 #define UPDATE_RESEND_DATAGRAMS 40 /* datagrams sent for one request */
 
-/*
- * First elements of the messages; that of a heartbeat is HEARTBEAT_FORMAT.
- * Instances ignore messages of layouts that they do not know.
- */
-enum update_format {
-	UPDATE_REQUEST = 7,  /* request for the changes after a position */
-	UPDATE_NOT_KEPT = 8, /* reply: no longer kept; read the store */
-	UPDATE_CHANGES = 9,
-	/* differences from the content before the store was restored; parts of
-	 * them lead to positions of the new era that the store never has */
-	UPDATE_RESTORED = 10,
-	UPDATE_HELD_REQUEST = 11, /* from an instance that has just started */
-	UPDATE_HELD = 12	  /* records that the sender holds */
-};
-
 /* How the value of a change is encoded. */
 enum update_encoding {
 	UPDATE_REMOVED,
@@ -66,7 +52,7 @@
  * HOLD_MS is the number of messages that follow.
  */
 struct store_update {
-	enum update_format format;
+	enum peer_format format;
 	struct store_position from; /* changes after it are sent or requested */
 	struct store_position to;   /* all changes up to it are included */
 	uint32_t hold_ms; /* delay of removals: may be expired leases */
@@ -82,7 +68,7 @@
 		       const void *data, size_t len);
 
 /* Writes a message without changes: UPDATE_REQUEST or UPDATE_NOT_KEPT. */
-void write_update_control(struct wire_writer *w, enum update_format format,
+void write_update_control(struct wire_writer *w, enum peer_format format,
 			  struct store_position from);
 
 /* Receives one datagram, which is valid during the call. */
--- a/net/edge-store.c
+++ b/net/edge-store.c
@@ -287,6 +287,8 @@
 	case UPDATE_HELD:
 		handle_held_records(e, n);
 		break;
+	default: /* read_store_update() accepts no other */
+		break;
 	}
 }
 
--- a/t/check-heartbeat.c
+++ b/t/check-heartbeat.c
@@ -539,6 +539,29 @@
 }
 END_TEST
 
+START_TEST(no_update_message_is_taken_for_a_heartbeat)
+{
+	static const enum peer_format formats[] = { UPDATE_REQUEST,
+						    UPDATE_NOT_KEPT,
+						    UPDATE_HELD_REQUEST };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(formats); i++) {
+		struct wire_writer w;
+		struct wire_message msg;
+		struct store_update n;
+		const uint8_t *data;
+
+		init_wire_writer(&w);
+		write_update_control(&w, formats[i], at_revision(5));
+		data = (const uint8_t *)w.buf.data;
+		ck_assert(!is_heartbeat(data, w.buf.size));
+		ck_assert(read_store_update(&msg, &n, data, w.buf.size));
+		release_wire_message(&msg);
+		release_wire_writer(&w);
+	}
+}
+END_TEST
+
 static void keep_last_datagram(const void *data, size_t len, void *user)
 {
 	GByteArray *bytes = user;
@@ -610,6 +633,7 @@
 		       requests_go_to_members_ahead_in_the_own_domain_first);
 	tcase_add_test(tc, a_large_domain_delays_the_store_reader_role);
 	tcase_add_test(tc, differences_after_a_restore_lead_to_its_position);
+	tcase_add_test(tc, no_update_message_is_taken_for_a_heartbeat);
 	tcase_add_test(tc, held_records_are_told_with_what_is_left);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_ENV);
