fleet: tell members which flows moved to another instance

Routers hand a flow's packets to another instance when rotation changes. The one that saw the request counted it as in flight until the route's deadline, since it does not see the end; after a return of all instances most flows move within a second and upstreams looked full for three more.

The instance that gets a flow's first packet that is no SYN now tells the members of its domain, and the other one forgets the flow.

--- a/base/counter-list.h
+++ b/base/counter-list.h
@@ -58,6 +58,8 @@
 COUNTER(FLOW_NO_UPSTREAM, "flow.no-upstream", "packets without an upstream")
 COUNTER(FLOW_GIVEN_UP, "flow.given-up",
 	"resets for dead or taken-out upstreams")
+COUNTER(FLOW_MOVED_AWAY, "flow.moved-away",
+	"flows that another instance gets packets of now")
 COUNTER(FLOW_QUEUED, "flow.queued", "SYNs that waited for room at an upstream")
 COUNTER(FLOW_CUT_OFF, "flow.cut-off", "packets for an unreachable domain")
 COUNTER(FLOW_TOO_YOUNG, "flow.too-young", "packets dropped in the first second")
--- a/flow/cookie-flows.c
+++ b/flow/cookie-flows.c
@@ -186,6 +186,16 @@
 	note_request_end(cs->placer, f->upstream);
 }
 
+bool release_moved_flow(struct cookie_steering *cs, const struct flow_key *key)
+{
+	struct cookie_flow *f = find_cookie_flow(cs, key);
+
+	if (!f || f->upstream == CATALOG_NONE)
+		return false;
+	remove_cookie_flow(cs, f);
+	return true;
+}
+
 static void add_reset(struct cookie_flow *f, enum cookie_reason reason,
 		      uint64_t now_ms, GArray *resets)
 {
--- a/flow/cookie.c
+++ b/flow/cookie.c
@@ -465,8 +465,10 @@
 					   const struct cookie_packet *p,
 					   bool relayed, uint64_t now_ms)
 {
+	struct cookie_decision d;
 	struct cookie_flow *f;
 	upstream_index_t nr;
+	bool moved_in;
 
 	count(cs->counters, COUNT_FLOW_PACKETS);
 	if (!cs->first_packet_ms)
@@ -482,6 +484,8 @@
 				     COOKIE_UNKNOWN);
 	if (is_upstream_dead_or_cut_off(cs, nr))
 		return reset_flow_of_dead(cs, f, p, nr);
+	/* later packets of a relayed flow go to the instance that relays it */
+	moved_in = !f && !relayed;
 	if (!f) {
 		f = add_cookie_flow(cs, p,
 				    find_catalog_route(cs->catalog,
@@ -504,7 +508,9 @@
 	observe_packet(cs, f, p, now_ms);
 	observe_fin_or_rst(cs, f, p);
 	f->last_packet_ms = now_ms;
-	return steer_to(cs, nr, COOKIE_STEERED);
+	d = steer_to(cs, nr, COOKIE_STEERED);
+	d.moved_in = moved_in;
+	return d;
 }
 
 const char *cookie_reason_name(enum cookie_reason r)
--- a/flow/cookie.h
+++ b/flow/cookie.h
@@ -78,6 +78,7 @@
 	upstream_index_t upstream;
 	uint32_t cookie;
 	uint32_t reset_seq;
+	bool moved_in; /* the flow's earlier packets did not come here */
 	struct placement placement; /* of a SYN, by place_new_flow() */
 };
 
@@ -131,6 +132,12 @@
 void end_flows_without_route(struct cookie_steering *cs, uint64_t now_ms,
 			     GArray *resets);
 
+/*
+ * The flow KEY now sends its packets to another instance, see
+ * fleet/moved-flows.h: it is not tracked here any more. False if it was not.
+ */
+bool release_moved_flow(struct cookie_steering *cs, const struct flow_key *key);
+
 /* Detects overdue handshakes and removes flows that have timed out. */
 void tick_cookie_steering(struct cookie_steering *cs, uint64_t now_ms);
 
--- a/net/edge-packets.c
+++ b/net/edge-packets.c
@@ -226,6 +226,8 @@
 	d = steer_cookie_packet(e->steering, &p, relayed, e->now_ms);
 	if (relayed && d.verdict == COOKIE_TO_PEER)
 		d.verdict = COOKIE_DROP;
+	if (d.moved_in)
+		note_moved_in(e->moved_flows, &p.key);
 	execute_decision(e, &p, &d, data, len, 0);
 }
 
@@ -366,6 +368,22 @@
 	release_wire_message(&msg);
 }
 
+static void on_flows_moved(struct edge *e, const uint8_t *data, size_t len)
+{
+	GArray *keys = g_array_new(FALSE, FALSE, sizeof(struct flow_key));
+
+	if (!read_moved_flows(data, len, keys)) {
+		count(&e->counters, COUNT_PEER_MALFORMED);
+		g_array_set_size(keys, 0);
+	}
+	for (guint i = 0; i < keys->len; i++)
+		if (release_moved_flow(
+			    e->steering,
+			    &g_array_index(keys, struct flow_key, i)))
+			count(&e->counters, COUNT_FLOW_MOVED_AWAY);
+	g_array_free(keys, TRUE);
+}
+
 static void on_peer_datagram(uint8_t *data, size_t len,
 			     const struct endpoint *from, void *user)
 {
@@ -378,6 +396,8 @@
 		flush_datagrams(e->packet_socket);
 	} else if (len && is_heartbeat(data, len)) {
 		on_heartbeat_datagram(e, data, len);
+	} else if (has_peer_format(data, len, FLOWS_MOVED)) {
+		on_flows_moved(e, data, len);
 	} else {
 		on_store_update(e, data, len, from);
 	}
@@ -401,6 +421,22 @@
 		g_array_set_size(b->rows, HEARTBEAT_ROWS_MAX);
 }
 
+/* Sends the datagram in W to all of TO (of struct endpoint). */
+static void send_to_peers(struct edge *e, const struct wire_writer *w,
+			  const GArray *to)
+{
+	for (guint i = 0; i < to->len; i++) {
+		const struct endpoint *ep =
+			&g_array_index(to, struct endpoint, i);
+
+		queue_datagram(e->peer_socket, endpoint_ipv4(ep), ep->port,
+			       NULL, 0, w->buf.data, w->buf.size);
+	}
+	flush_datagrams(e->peer_socket);
+	count_n(&e->counters, COUNT_PEER_SENT, to->len);
+	count_n(&e->counters, COUNT_PEER_SENT_BYTES, to->len * w->buf.size);
+}
+
 static void send_own_heartbeat(struct edge *e, const GArray *to)
 {
 	struct heartbeat_message b = {
@@ -412,20 +448,33 @@
 	fill_own_heartbeat(e, &b);
 	init_wire_writer(&w);
 	write_heartbeat(&w, &b);
-	for (guint i = 0; i < to->len; i++) {
-		const struct endpoint *ep =
-			&g_array_index(to, struct endpoint, i);
-
-		queue_datagram(e->peer_socket, endpoint_ipv4(ep), ep->port,
-			       NULL, 0, w.buf.data, w.buf.size);
-	}
-	flush_datagrams(e->peer_socket);
-	count_n(&e->counters, COUNT_PEER_SENT, to->len);
-	count_n(&e->counters, COUNT_PEER_SENT_BYTES, to->len * w.buf.size);
+	send_to_peers(e, &w, to);
 	release_wire_writer(&w);
 	g_array_free(b.rows, TRUE);
 }
 
+void tick_edge_moved_flows(struct edge *e)
+{
+	GArray *keys;
+	GArray *to;
+
+	if (!has_moved_flows(e->moved_flows))
+		return;
+	keys = g_array_new(FALSE, FALSE, sizeof(struct flow_key));
+	to = g_array_new(FALSE, FALSE, sizeof(struct endpoint));
+	list_domain_endpoints(e->instance_heartbeats, to);
+	if (pop_moved_flows(e->moved_flows, to->len, e->now_ms, keys)) {
+		struct wire_writer w;
+
+		init_wire_writer(&w);
+		write_moved_flows(&w, keys);
+		send_to_peers(e, &w, to);
+		release_wire_writer(&w);
+	}
+	g_array_free(to, TRUE);
+	g_array_free(keys, TRUE);
+}
+
 void tick_edge_heartbeats(struct edge *e)
 {
 	GArray *to = g_array_new(FALSE, FALSE, sizeof(struct endpoint));
--- a/net/edge-state.h
+++ b/net/edge-state.h
@@ -11,6 +11,7 @@
 #include "config/mirror.h"
 #include "config/restored-records.h"
 #include "fleet/heartbeat.h"
+#include "fleet/moved-flows.h"
 #include "fleet/start-check.h"
 #include "fleet/store-update.h"
 #include "flow/cookie.h"
@@ -37,6 +38,7 @@
 	struct placer *placement;
 	struct cookie_steering *steering;
 	struct isolation isolation;
+	struct moved_flows *moved_flows;
 	struct heartbeat_tracker *instance_heartbeats;
 	struct mirror *mirror;
 	struct restored_records *restored_records;
@@ -109,6 +111,8 @@
 void tick_edge_heartbeats(struct edge *e);
 /* Steers the packets queued before the first store read; drops old ones. */
 void steer_early_packets(struct edge *e);
+/* Tells peers of the domain which of their flows come here now. */
+void tick_edge_moved_flows(struct edge *e);
 /* Sends on or refuses SYNs that waited for room. */
 void tick_edge_waiting_syns(struct edge *e);
 void send_edge_resets(struct edge *e, const GArray *resets);
--- a/net/edge.c
+++ b/net/edge.c
@@ -201,6 +201,7 @@
 	g_array_free(checks, TRUE);
 	log_health_changes(e);
 	tick_edge_waiting_syns(e);
+	tick_edge_moved_flows(e);
 	if (has_load_changed(e->placement))
 		tick_edge_heartbeats(e);
 }
@@ -284,6 +285,7 @@
 				     e->settings.domain, g_rand_int(e->rand));
 	set_cold_bounds(e->placement, e->settings.bounds.cold_factor,
 			e->settings.bounds.cold_slack);
+	e->moved_flows = create_moved_flows();
 	e->steering =
 		create_cookie_steering(e->catalog, e->placement, &e->counters);
 }
@@ -291,6 +293,7 @@
 static void destroy_decision_logic(struct edge *e)
 {
 	destroy_cookie_steering(e->steering);
+	destroy_moved_flows(e->moved_flows);
 	destroy_placer(e->placement);
 	destroy_quotas(e->upstream_quotas);
 	destroy_catalog(e->catalog);
