flow: count requests of unseen end by their survival

A pending request counted until its route's deadline if its end was not seen here, because its caller left or its packets go to another instance since rotation changed. After a return of all instances new SYNs waited or were refused for upstreams that were idle.

Each instance now keeps a decayed histogram of response times for each service, and of requests whose end it never saw. Every 50 ms a pending request is given the probability that it still runs as its weight, in sixteenths. Below 0.05, or at the deadline, it ends (flow.unseen-ends). While its upstream has shown no life since it was sent, it counts fully. An opening flow counts fully until its handshake is overdue.

--- a/base/counter-list.h
+++ b/base/counter-list.h
@@ -62,6 +62,8 @@
 COUNTER(FLOW_CUT_OFF, "flow.cut-off", "packets for an unreachable domain")
 COUNTER(FLOW_TOO_YOUNG, "flow.too-young", "packets dropped in the first second")
 COUNTER(FLOW_SILENT, "flow.silent", "resets of flows without progress")
+COUNTER(FLOW_UNSEEN_ENDS, "flow.unseen-ends",
+	"requests whose end was not seen here in time")
 COUNTER(FLOW_PLACED, "flow.placed", "new flows placed and recorded")
 COUNTER(FLOW_LEARNED, "flow.learned", "flows learned from a replica")
 COUNTER(FLOW_COPIED, "flow.copied", "flow records sent to a new replica")
--- a/flow/cookie-flows.c
+++ b/flow/cookie-flows.c
@@ -40,6 +40,7 @@
 	cs->flows_by_caller = g_hash_table_new(NULL, NULL);
 	cs->pending_handshakes =
 		g_array_new(FALSE, FALSE, sizeof(struct pending_handshake));
+	cs->pending_flows = g_ptr_array_new();
 	cs->syn_queue = create_syn_queue();
 	cs->mean_handshake_ms = COOKIE_HANDSHAKE_INITIAL_MS;
 	return cs;
@@ -53,6 +54,7 @@
 	g_ptr_array_free(cs->flows_by_upstream, TRUE);
 	g_hash_table_destroy(cs->flows_by_caller);
 	g_array_free(cs->pending_handshakes, TRUE);
+	g_ptr_array_free(cs->pending_flows, TRUE);
 	destroy_syn_queue(cs->syn_queue);
 	g_free(cs);
 }
@@ -70,8 +72,7 @@
 	g_ptr_array_index(cs->flows_by_upstream, nr) = f;
 	if (f->phase != PHASE_CLOSING)
 		note_flow_open(cs->placer, nr);
-	if (f->request_pending)
-		note_request_start(cs->placer, nr);
+	change_request_weight(cs->placer, nr, 0, f->load_weight);
 }
 
 void unassign_cookie_flow(struct cookie_steering *cs, struct cookie_flow *f)
@@ -87,8 +88,7 @@
 		f->upstream_next->upstream_prev = f->upstream_prev;
 	if (f->phase != PHASE_CLOSING)
 		note_flow_end(cs->placer, f->upstream);
-	if (f->request_pending)
-		note_request_end(cs->placer, f->upstream);
+	change_request_weight(cs->placer, f->upstream, f->load_weight, 0);
 	f->upstream = CATALOG_NONE;
 }
 
@@ -168,6 +168,7 @@
 			       struct cookie_flow *f)
 {
 	cancel_held_syn(cs, f);
+	end_flow_load(cs, f);
 	unassign_cookie_flow(cs, f);
 	unlink_caller_flow(cs, f);
 }
@@ -178,14 +179,6 @@
 	g_hash_table_remove(cs->flows, &f->key);
 }
 
-void end_pending_request(struct cookie_steering *cs, struct cookie_flow *f)
-{
-	if (!f->request_pending)
-		return;
-	f->request_pending = false;
-	note_request_end(cs->placer, f->upstream);
-}
-
 static void add_reset(struct cookie_flow *f, enum cookie_reason reason,
 		      uint64_t now_ms, GArray *resets)
 {
@@ -258,8 +251,7 @@
 	return true;
 }
 
-/* Longest handshake that does not make its upstream suspect. */
-static uint64_t handshake_limit_ms(const struct cookie_steering *cs)
+uint64_t handshake_limit_ms(const struct cookie_steering *cs)
 {
 	double limit_ms = COOKIE_HANDSHAKE_LIMIT_FACTOR * cs->mean_handshake_ms;
 
@@ -305,6 +297,7 @@
 	gpointer value;
 
 	note_slow_handshakes(cs, now_ms);
+	update_flow_loads(cs, now_ms);
 
 	if (now_ms - cs->last_sweep_ms < SWEEP_INTERVAL_MS)
 		return;
@@ -313,10 +306,6 @@
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct cookie_flow *f = value;
 
-		/* callers give up at the deadline, but send nothing */
-		if (f->request_pending &&
-		    now_ms - f->request_sent_ms > f->deadline_ms)
-			end_pending_request(cs, f);
 		if (!has_timed_out(cs, f, now_ms))
 			continue;
 		detach_cookie_flow(cs, f);
--- a/flow/cookie-state.h
+++ b/flow/cookie-state.h
@@ -31,6 +31,10 @@
 	uint8_t syn_upstream_nr; /* upstreams that the SYN was sent to */
 	enum flow_phase phase;
 	bool request_pending;	  /* a request was sent and not answered yet */
+	bool request_unseen;	  /* its end was not seen in time */
+	uint8_t load_weight;	  /* counted at the upstream, sixteenths */
+	guint pending_at;	  /* index in pending_flows, if it is listed */
+	bool is_listed;		  /* in pending_flows */
 	uint32_t caller_next_seq; /* follows the last byte sent by the caller */
 	uint32_t caller_ack;	  /* last acknowledgment number of the caller */
 	uint32_t deadline_ms;	  /* longest time that a request may take */
@@ -53,8 +57,10 @@
 	GPtrArray *flows_by_upstream; /* list heads, indexed by upstream */
 	GHashTable *flows_by_caller;  /* caller's IP address -> list head */
 	GArray *pending_handshakes;   /* oldest first */
-	struct syn_queue *syn_queue;  /* owners: struct cookie_flow */
-	uint64_t first_packet_ms;     /* 0: no packet was received yet */
+	GPtrArray *pending_flows;     /* struct cookie_flow that open or wait */
+	uint64_t weights_updated_ms;
+	struct syn_queue *syn_queue; /* owners: struct cookie_flow */
+	uint64_t first_packet_ms;    /* 0: no packet was received yet */
 	uint64_t last_sweep_ms;
 	uint64_t last_tick_ms;
 	/* from a forwarded SYN to the caller's next packet */
@@ -88,7 +94,24 @@
 /* Removes the SYN of F from the queue, if it waits. */
 void cancel_held_syn(struct cookie_steering *cs, struct cookie_flow *f);
 
-/* Ends the pending request of F, if there is one. */
-void end_pending_request(struct cookie_steering *cs, struct cookie_flow *f);
+/* Longest handshake that does not make its upstream suspect. */
+uint64_t handshake_limit_ms(const struct cookie_steering *cs);
+
+/* The SYN of F was sent to its upstream. */
+void start_flow_load(struct cookie_steering *cs, struct cookie_flow *f);
+
+/* F, whose upstream is known, sends a request at NOW_MS. */
+void start_request(struct cookie_steering *cs, struct cookie_flow *f,
+		   uint64_t now_ms);
+
+/* The upstream of F sent data that P acknowledges. */
+void observe_answer(struct cookie_steering *cs, struct cookie_flow *f,
+		    const struct cookie_packet *p, uint64_t now_ms);
+
+/* F no longer counts at its upstream. */
+void end_flow_load(struct cookie_steering *cs, struct cookie_flow *f);
+
+/* Updates the weights of all pending requests and of opening flows. */
+void update_flow_loads(struct cookie_steering *cs, uint64_t now_ms);
 
 #endif
--- a/flow/cookie.c
+++ b/flow/cookie.c
@@ -169,6 +169,7 @@
 		best->upstream;
 	f->syn_upstream_nr = MIN(f->syn_upstream_nr, COOKIE_SYN_UPSTREAMS_MAX);
 	f->syn_ms = now_ms;
+	start_flow_load(cs, f);
 	g_array_append_val(cs->pending_handshakes, pending);
 	return d;
 }
@@ -404,13 +405,7 @@
 	}
 	if (is_seq_after(p->ack, f->caller_ack)) {
 		f->caller_ack = p->ack;
-		if (f->request_pending) {
-			note_answer(cs->placer, f->upstream,
-				    now_ms - f->request_sent_ms, now_ms);
-			end_pending_request(cs, f);
-		} else {
-			note_upstream_alive(cs->placer, f->upstream, now_ms);
-		}
+		observe_answer(cs, f, p, now_ms);
 	}
 	if (!p->payload_len)
 		return;
@@ -420,11 +415,8 @@
 		return;
 	}
 	f->caller_next_seq = next_seq;
-	if (!f->request_pending) {
-		f->request_pending = true;
-		f->request_sent_ms = now_ms;
-		note_request_start(cs->placer, f->upstream);
-	}
+	if (!f->request_pending)
+		start_request(cs, f, now_ms);
 }
 
 /* Closes F if P has FIN or RST: its caller sends no more data. */
@@ -434,7 +426,7 @@
 {
 	if (f->phase == PHASE_CLOSING || !(p->flags & (TCP_FIN | TCP_RST)))
 		return;
-	end_pending_request(cs, f);
+	end_flow_load(cs, f);
 	note_flow_end(cs->placer, f->upstream);
 	f->phase = PHASE_CLOSING;
 }
--- /dev/null
+++ b/flow/in-flight.h
@@ -0,0 +1,55 @@
+#ifndef FLOW_IN_FLIGHT_H
+#define FLOW_IN_FLIGHT_H
+
+/*
+ * Estimates how likely a request still runs at its upstream if its end was not
+ * seen. Packets of a flow go to another instance when rotation changes, and
+ * callers that leave send nothing. No I/O.
+ *
+ * With S the share of recent responses that took longer than the request's age
+ * and Q the share of requests whose end is never seen here, the request still
+ * runs with probability S / ((1 - Q) S + Q). All requests of one estimator are
+ * taken to be alike; the placer has one for each service.
+ */
+
+#include <stdint.h>
+
+#define IN_FLIGHT_INITIAL_MS 50.0 /* mean response until one was observed */
+#define IN_FLIGHT_HALF_LIFE_MS 2000
+/* With fewer recent samples the rest follows an exponential distribution. */
+#define IN_FLIGHT_SAMPLES_MIN 20
+#define IN_FLIGHT_UNSEEN_MIN 0.01 /* least Q */
+#define IN_FLIGHT_UNSEEN_MAX 0.5  /* greatest Q */
+#define IN_FLIGHT_ENDED 0.05   /* a less probable request is taken as ended */
+#define IN_FLIGHT_UPDATE_MS 50 /* between updates of pending requests */
+
+/*
+ * Loads are sums of weights of single requests, in sixteenths, so that sums
+ * need no correction of rounding errors.
+ */
+#define IN_FLIGHT_WEIGHT_ONE 16
+
+struct in_flight_estimator;
+
+struct in_flight_estimator *create_in_flight_estimator(void);
+void destroy_in_flight_estimator(struct in_flight_estimator *e);
+
+/* A request was answered AGE_MS after it was sent. */
+void note_answered(struct in_flight_estimator *e, uint64_t age_ms,
+		   uint64_t now_ms);
+
+/* The end of a request was not seen in time. */
+void note_unseen_end(struct in_flight_estimator *e, uint64_t now_ms);
+
+/* A request noted with note_unseen_end() was answered after all. */
+void note_late_answered(struct in_flight_estimator *e, uint64_t age_ms,
+			uint64_t now_ms);
+
+/* Probability that a request sent AGE_MS ago, of unseen end, still runs. */
+double pending_probability(const struct in_flight_estimator *e, uint64_t age_ms,
+			   uint64_t now_ms);
+
+/* PROBABILITY in sixteenths, rounded. */
+uint8_t in_flight_weight(double probability);
+
+#endif
--- a/flow/placement-peers.c
+++ b/flow/placement-peers.c
@@ -1,5 +1,7 @@
 /* Loads reported by peers, and the running means computed from them. */
 
+#include <math.h>
+
 #include "flow/placement-state.h"
 
 /* Weights of the newest sample in running means. */
@@ -83,14 +85,15 @@
 
 uint32_t busy_request_count(const struct placer *pl)
 {
-	return pl->busy_requests;
+	return (uint32_t)lround(weight_as_requests(pl->busy_weight));
 }
 
 bool has_load_changed(const struct placer *pl)
 {
-	uint32_t change = pl->busy_requests > pl->sent_busy_requests
-				  ? pl->busy_requests - pl->sent_busy_requests
-				  : pl->sent_busy_requests - pl->busy_requests;
+	uint32_t busy = busy_request_count(pl);
+	uint32_t change = busy > pl->sent_busy_requests
+				  ? busy - pl->sent_busy_requests
+				  : pl->sent_busy_requests - busy;
 
 	return change >= PLACEMENT_URGENT_CHANGE_MIN &&
 	       2 * change >= pl->sent_busy_requests;
@@ -98,7 +101,7 @@
 
 void list_own_loads(struct placer *pl, uint64_t now_ms, GArray *rows)
 {
-	pl->sent_busy_requests = pl->busy_requests;
+	pl->sent_busy_requests = busy_request_count(pl);
 	for (guint i = 0; i < pl->upstream_loads->len; i++) {
 		const struct upstream_load *ul =
 			g_ptr_array_index(pl->upstream_loads, i);
@@ -110,7 +113,9 @@
 		    (!ul->open_flows && ul->health == HEALTH_GOOD))
 			continue;
 		lr.cookie = up->cookie;
-		lr.busy_flows = (uint16_t)MIN(ul->busy_requests, UINT16_MAX);
+		lr.busy_flows = (uint16_t)MIN(
+			lround(weight_as_requests(ul->busy_weight)),
+			UINT16_MAX);
 		lr.open_flows = (uint16_t)MIN(ul->open_flows, UINT16_MAX);
 		lr.silent_ms =
 			ul->last_alive_ms
@@ -136,7 +141,8 @@
 		ul->mean_peer_busy +=
 			PEER_LOAD_MEAN_WEIGHT *
 			(ul->peer_busy_requests - ul->mean_peer_busy);
-		busy += ul->busy_requests + ul->peer_busy_requests;
+		busy += (uint32_t)lround(weight_as_requests(ul->busy_weight)) +
+			ul->peer_busy_requests;
 		open += ul->open_flows + ul->peer_open_flows;
 	}
 	if (open)
--- a/flow/placement-state.h
+++ b/flow/placement-state.h
@@ -3,6 +3,7 @@
 
 /* Private to flow/placement*.c. */
 
+#include "flow/in-flight.h"
 #include "flow/placement.h"
 
 /* The loads that one peer sent last. */
@@ -24,7 +25,7 @@
 struct upstream_load {
 	uint64_t upstream_id; /* of the upstream that has this handle */
 	uint32_t starts;      /* of its process; a new start clears suspicion */
-	uint32_t busy_requests;
+	uint32_t busy_weight; /* of own requests in flight, sixteenths */
 	uint32_t open_flows;
 	uint32_t peer_busy_requests;
 	uint32_t peer_open_flows;
@@ -52,7 +53,8 @@
 	double mean_answer_ms;
 	double mean_unqueued_ms; /* of upstreams with a free slot */
 	double mean_busy_ratio;	 /* share of open flows with a request */
-	struct histogram answer_histogram; /* ms */
+	struct histogram answer_histogram;     /* ms */
+	struct in_flight_estimator *in_flight; /* NULL: no request yet */
 };
 
 struct placer {
@@ -68,7 +70,7 @@
 	uint64_t means_updated_ms;
 	bool has_unhealthy;	/* an upstream is not HEALTH_GOOD */
 	uint64_t last_alive_ms; /* when any upstream last showed life here */
-	uint32_t busy_requests; /* own, in flight at all upstreams */
+	uint32_t busy_weight;	/* of own requests in flight, sixteenths */
 	uint32_t sent_busy_requests; /* when last sent to peers */
 	GArray *health_changes; /* struct health_change, not retrieved yet */
 	double cold_factor;
@@ -86,6 +88,16 @@
 struct service_stats *get_or_create_service_stats(struct placer *pl,
 						  service_index_t sv);
 
+/* WEIGHT, in sixteenths, as a number of requests. */
+static inline double weight_as_requests(uint32_t weight)
+{
+	return (double)weight / IN_FLIGHT_WEIGHT_ONE;
+}
+
+/* Notes a response for the probabilities of NR's other requests. */
+void note_in_flight_answer(struct placer *pl, upstream_index_t nr,
+			   uint64_t took_ms, uint64_t now_ms);
+
 /* Makes NR HEALTH_GOOD and ends its suspicion. */
 void clear_suspicion(struct placer *pl, upstream_index_t nr,
 		     struct upstream_load *ul, uint64_t now_ms);
--- a/flow/placement.c
+++ b/flow/placement.c
@@ -51,6 +51,11 @@
 			     TRUE);
 	g_array_free(pl->peer_loads, TRUE);
 	g_array_free(pl->health_changes, TRUE);
+	for (guint i = 0; i < pl->service_stats->len; i++)
+		destroy_in_flight_estimator(g_array_index(pl->service_stats,
+							  struct service_stats,
+							  i)
+						    .in_flight);
 	g_array_free(pl->service_stats, TRUE);
 	g_ptr_array_free(pl->upstream_loads, TRUE);
 	g_rand_free(pl->rand);
@@ -91,7 +96,7 @@
 
 static double expected_load(const struct upstream_load *ul, double busy_ratio)
 {
-	double busy = ul->busy_requests + ul->mean_peer_busy;
+	double busy = weight_as_requests(ul->busy_weight) + ul->mean_peer_busy;
 	double idle = (double)ul->open_flows + ul->peer_open_flows - busy;
 
 	return busy + (idle > 0 ? busy_ratio * idle : 0);
@@ -159,7 +164,7 @@
 {
 	const struct upstream_load *ul = find_upstream_load(pl, nr);
 
-	return (double)(ul->busy_requests + ul->peer_busy_requests) /
+	return (weight_as_requests(ul->busy_weight) + ul->peer_busy_requests) /
 	       get_upstream(pl->catalog, nr)->report.slots;
 }
 
@@ -271,22 +276,6 @@
 		ul->open_flows--;
 }
 
-void note_request_start(struct placer *pl, upstream_index_t nr)
-{
-	get_or_create_upstream_load(pl, nr)->busy_requests++;
-	pl->busy_requests++;
-}
-
-void note_request_end(struct placer *pl, upstream_index_t nr)
-{
-	struct upstream_load *ul = get_or_create_upstream_load(pl, nr);
-
-	if (!ul->busy_requests)
-		return;
-	ul->busy_requests--;
-	pl->busy_requests--;
-}
-
 void note_answer(struct placer *pl, upstream_index_t nr, uint64_t took_ms,
 		 uint64_t now_ms)
 {
@@ -304,6 +293,7 @@
 			stats->mean_unqueued_ms +=
 				ANSWER_MEAN_WEIGHT *
 				((double)took_ms - stats->mean_unqueued_ms);
+		note_in_flight_answer(pl, nr, took_ms, now_ms);
 	}
 	note_upstream_alive(pl, nr, now_ms);
 }
--- a/flow/placement.h
+++ b/flow/placement.h
@@ -153,6 +153,28 @@
 void note_request_start(struct placer *pl, upstream_index_t nr);
 void note_request_end(struct placer *pl, upstream_index_t nr);
 
+/*
+ * Counts a request at NR with weight TO instead of FROM (sixteenths, see
+ * flow/in-flight.h); 0: it is not counted.
+ */
+void change_request_weight(struct placer *pl, upstream_index_t nr, uint8_t from,
+			   uint8_t to);
+
+/*
+ * Probability that a request sent to NR at SENT_MS, whose end was not seen,
+ * still runs. 1 while NR has shown no life since.
+ */
+double request_probability(struct placer *pl, upstream_index_t nr,
+			   uint64_t sent_ms, uint64_t now_ms);
+
+/* The end of such a request is not waited for any longer. */
+void note_request_unseen(struct placer *pl, upstream_index_t nr,
+			 uint64_t sent_ms, uint64_t now_ms);
+
+/* A request was answered TOOK_MS after it was sent, after note_request_unseen(). */
+void note_late_answer(struct placer *pl, upstream_index_t nr, uint64_t took_ms,
+		      uint64_t now_ms);
+
 /* A request was answered TOOK_MS after it was sent. */
 void note_answer(struct placer *pl, upstream_index_t nr, uint64_t took_ms,
 		 uint64_t now_ms);
--- a/t/check-cookie.c
+++ b/t/check-cookie.c
@@ -396,6 +396,49 @@
 	return 1 + COOKIE_STARTUP_MS;
 }
 
+/* Has a flow from PORT answered TOOK_MS after its request of NOW_MS. */
+static void answer_moved_flow(uint16_t port, upstream_index_t nr,
+			      uint64_t took_ms, uint64_t now_ms)
+{
+	uint32_t cookie = get_upstream(in.catalog, nr)->cookie;
+	struct cookie_packet fin =
+		make_cookie_packet(CALLER, port, TCP_ACK | TCP_FIN, cookie);
+
+	receive_moved_flow(port, nr, now_ms);
+	fin.seq = 1101;
+	fin.ack = 900;
+	steer_cookie_packet(in.steering, &fin, false, now_ms + took_ms);
+}
+
+/*
+ * After a change of rotation the ends of requests are seen by other instances.
+ * Counting them until the deadline refuses callers although upstreams idle.
+ */
+START_TEST(requests_that_end_elsewhere_do_not_fill_upstream)
+{
+	uint64_t now_ms = end_startup();
+	upstream_index_t nr = put_upstream("u-a", 0);
+	GArray *rows =
+		g_array_new(FALSE, FALSE, sizeof(struct upstream_load_row));
+
+	for (uint16_t i = 0; i < 3 * PLACEMENT_FULL_LOAD; i++)
+		receive_moved_flow(4000 + i, nr, now_ms);
+	ck_assert_int_eq(send_syn(3999, 0, now_ms + 20).verdict, COOKIE_WAIT);
+	for (uint16_t i = 0; i < 60; i++) {
+		tick_cookie_steering(in.steering, now_ms + i * 10);
+		answer_moved_flow(5000 + i, nr, 9, now_ms + i * 10);
+	}
+	now_ms += 600;
+	ck_assert_int_eq(send_syn(6000, 0, now_ms).placement.reason,
+			 PLACE_LEAST_LOADED);
+	list_own_loads(in.placer, now_ms, rows);
+	ck_assert_uint_eq(rows->len, 1);
+	ck_assert_uint_le(
+		g_array_index(rows, struct upstream_load_row, 0).busy_flows, 1);
+	g_array_free(rows, TRUE);
+}
+END_TEST
+
 START_TEST(syn_waits_while_all_are_full_and_goes_to_new_upstream)
 {
 	uint64_t now_ms = end_startup();
@@ -743,6 +786,7 @@
 	tcase_add_test(tc, unlisted_upstream_keeps_flows_until_expiry);
 	tcase_add_test(tc, draining_and_out_upstreams_keep_flows_only);
 	tcase_add_test(tc, syn_without_upstream_or_route_is_reset);
+	tcase_add_test(tc, requests_that_end_elsewhere_do_not_fill_upstream);
 	tcase_add_test(tc,
 		       syn_waits_while_all_are_full_and_goes_to_new_upstream);
 	tcase_add_test(tc, waiting_syn_is_sent_on_as_it_was_received);
