flow: tell a cut link between domains from dead upstreams

A failure domain that is cut off from the others by resets found their upstreams dead one by one, reset the flows to them, and refused callers, since each check over the link is refused at once. An instance became isolated only after all upstreams were found dead, and 900 ms without a heartbeat; with packets lost silently it never did, since no check says anything while no upstream answers.

flow/domain-link keeps one state for each other domain: up, doubtful (no heartbeat for six expected intervals) or lost (and no upstream answers). A refused check of an upstream in another domain proves it dead only if it is refused again after a sign that the link was open in between; a check of another upstream there is made for that at once. A check without connection counts only if the domain was heard since it began. Upstreams behind a lost link get no flows and count as not reached, so that the instance is isolated at once, and are good again as soon as the link is. While isolated, an instance drops SYNs and their first copy and refuses the last copy.

check-domain-link simulates 3 domains of 20 instances and 10 upstreams each, the own one out of service and then cut off.

--- a/fleet/heartbeat.c
+++ b/fleet/heartbeat.c
@@ -24,9 +24,9 @@
 struct heartbeat_tracker {
 	struct member self;
 	struct view *view;
-	GArray *peers;		 /* of struct peer */
-	GArray *addresses;	 /* of struct address */
-	uint64_t last_remote_ms; /* last heartbeat of another domain */
+	GArray *peers;	       /* of struct peer */
+	GArray *addresses;     /* of struct address */
+	GArray *heard_domains; /* of struct heard_domain */
 	uint64_t last_sent_ms;
 	uint64_t settled_at_ms; /* time from which the view is settled */
 	uint64_t started_at_ms;
@@ -122,6 +122,8 @@
 	ht->view = view;
 	ht->peers = g_array_new(FALSE, FALSE, sizeof(struct peer));
 	ht->addresses = g_array_new(FALSE, FALSE, sizeof(struct address));
+	ht->heard_domains =
+		g_array_new(FALSE, FALSE, sizeof(struct heard_domain));
 	ht->settled_at_ms = now_ms + HEARTBEAT_SETTLE_MS;
 	ht->started_at_ms = now_ms;
 	set_view_member(view, self);
@@ -133,6 +135,7 @@
 	if (!ht)
 		return;
 	g_array_free(ht->peers, TRUE);
+	g_array_free(ht->heard_domains, TRUE);
 	g_array_free(ht->addresses, TRUE);
 	g_free(ht);
 }
@@ -166,6 +169,24 @@
 	return NULL;
 }
 
+static void note_heard_domain(struct heartbeat_tracker *ht, const char *name,
+			      uint64_t now_ms)
+{
+	struct heard_domain new = { .last_heard_ms = now_ms };
+
+	for (guint i = 0; i < ht->heard_domains->len; i++) {
+		struct heard_domain *hd = &g_array_index(
+			ht->heard_domains, struct heard_domain, i);
+
+		if (strcmp(hd->name, name) != 0)
+			continue;
+		hd->last_heard_ms = now_ms;
+		return;
+	}
+	g_strlcpy(new.name, name, sizeof(new.name));
+	g_array_append_val(ht->heard_domains, new);
+}
+
 void handle_heartbeat(struct heartbeat_tracker *ht,
 		      const struct heartbeat_message *hm, uint64_t now_ms)
 {
@@ -181,8 +202,7 @@
 		p = find_heartbeat_peer(ht, m.id);
 	}
 	p->last_heard_ms = now_ms;
-	if (is_remote(ht, &m))
-		ht->last_remote_ms = now_ms;
+	note_heard_domain(ht, m.domain, now_ms);
 	p->ready = hm->flags & HEARTBEAT_READY;
 	p->store_position = hm->store_position;
 	p->config_version = hm->config_version;
@@ -197,12 +217,20 @@
 {
 	set_view_settled(ht->view, false);
 	ht->settled_at_ms = now_ms + HEARTBEAT_SETTLE_MS;
-	if (ht->last_remote_ms)
-		ht->last_remote_ms = now_ms;
 	for (guint i = 0; i < ht->peers->len; i++)
 		g_array_index(ht->peers, struct peer, i).last_heard_ms = now_ms;
 }
 
+/* Interval of an instance in a domain of MEMBERS live instances. */
+static uint64_t domain_interval_ms(size_t members)
+{
+	if (members <= HEARTBEAT_SMALL_DOMAIN_MEMBERS)
+		return HEARTBEAT_INTERVAL_MS;
+	return HEARTBEAT_INTERVAL_MS +
+	       HEARTBEAT_PER_MEMBER_MS *
+		       (members - HEARTBEAT_SMALL_DOMAIN_MEMBERS);
+}
+
 static uint64_t heartbeat_interval_ms(const struct heartbeat_tracker *ht)
 {
 	const struct member *ms;
@@ -212,11 +240,7 @@
 	ms = view_members(ht->view, &nr);
 	for (size_t i = 0; i < nr; i++)
 		members += is_live_member(&ms[i]) && !is_remote(ht, &ms[i]);
-	if (members <= HEARTBEAT_SMALL_DOMAIN_MEMBERS)
-		return HEARTBEAT_INTERVAL_MS;
-	return HEARTBEAT_INTERVAL_MS +
-	       HEARTBEAT_PER_MEMBER_MS *
-		       (members - HEARTBEAT_SMALL_DOMAIN_MEMBERS);
+	return domain_interval_ms(members);
 }
 
 static void mark_silent_peers_dead(struct heartbeat_tracker *ht,
@@ -314,9 +338,41 @@
 	return highest;
 }
 
-uint64_t last_heard_remote_ms(const struct heartbeat_tracker *ht)
+/* Live members of DOMAIN, without this instance. */
+static size_t live_members_in(const struct heartbeat_tracker *ht,
+			      const char *domain)
 {
-	return ht->last_remote_ms;
+	const struct member *ms;
+	size_t members = 0;
+	size_t nr;
+
+	ms = view_members(ht->view, &nr);
+	for (size_t i = 0; i < nr; i++)
+		members += ms[i].id != ht->self.id && is_live_member(&ms[i]) &&
+			   !strcmp(ms[i].domain, domain);
+	return members;
+}
+
+void list_heard_domains(const struct heartbeat_tracker *ht, GArray *to)
+{
+	bool large =
+		live_member_count(ht->view) > HEARTBEAT_REMOTE_FLEET_MEMBERS;
+
+	for (guint i = 0; i < ht->heard_domains->len; i++) {
+		struct heard_domain hd = g_array_index(ht->heard_domains,
+						       struct heard_domain, i);
+		bool remote = strcmp(hd.name, ht->self.domain) != 0;
+		size_t members = live_members_in(ht, hd.name);
+
+		/* this instance counts in the interval of its own domain */
+		if (members)
+			hd.expected_ms =
+				domain_interval_ms(members + !remote) *
+				(large && remote ? HEARTBEAT_REMOTE_FACTOR
+						 : 1) /
+				members;
+		g_array_append_val(to, hd);
+	}
 }
 
 void list_domain_endpoints(const struct heartbeat_tracker *ht, GArray *to)
--- a/fleet/heartbeat.h
+++ b/fleet/heartbeat.h
@@ -97,8 +97,17 @@
 /* Highest configuration version of live members that are ready; 0: none. */
 uint64_t highest_ready_config_version(const struct heartbeat_tracker *ht);
 
-/* When an instance of another domain was heard last, ms; 0: never. */
-uint64_t last_heard_remote_ms(const struct heartbeat_tracker *ht);
+/* What is heard of the other members of one failure domain. */
+struct heard_domain {
+	char name[CONFIG_NAME_MAX];
+	uint64_t last_heard_ms; /* last heartbeat of any of them */
+	/* mean time between the heartbeats that its live members send to this
+	 * instance, all together; 0: none is known to be alive */
+	uint64_t expected_ms;
+};
+
+/* Appends the domains of which a member was heard (struct heard_domain). */
+void list_heard_domains(const struct heartbeat_tracker *ht, GArray *to);
 
 /*
  * True if this instance is to read and watch the store: it is one of its
--- a/flow/cookie-state.h
+++ b/flow/cookie-state.h
@@ -54,6 +54,7 @@
 	GHashTable *flows_by_caller;  /* caller's IP address -> list head */
 	GArray *pending_handshakes;   /* oldest first */
 	struct syn_queue *syn_queue;  /* owners: struct cookie_flow */
+	bool isolated;		      /* see set_cookie_isolated() */
 	uint64_t first_packet_ms;     /* 0: no packet was received yet */
 	uint64_t last_sweep_ms;
 	uint64_t last_tick_ms;
--- a/flow/cookie.c
+++ b/flow/cookie.c
@@ -146,6 +146,10 @@
 {
 	struct cookie_decision d = make_reset_decision(p, COOKIE_REFUSED);
 
+	if (cs->isolated && p->ack < COOKIE_SYN_LAST_COPY) {
+		d = make_decision(COOKIE_DROP, COOKIE_ISOLATED);
+		count(cs->counters, COUNT_FLOW_DROPPED_ISOLATED);
+	}
 	d.placement = *best;
 	remove_cookie_flow(cs, f);
 	return d;
@@ -461,6 +465,11 @@
 	return h == HEALTH_DEAD || h == HEALTH_UNREACHABLE;
 }
 
+void set_cookie_isolated(struct cookie_steering *cs, bool isolated)
+{
+	cs->isolated = isolated;
+}
+
 struct cookie_decision steer_cookie_packet(struct cookie_steering *cs,
 					   const struct cookie_packet *p,
 					   bool relayed, uint64_t now_ms)
@@ -510,9 +519,9 @@
 const char *cookie_reason_name(enum cookie_reason r)
 {
 	static const char *const names[COOKIE_REASON_NR] = {
-		"opened",     "reopened", "steered", "no-route",
-		"route-gone", "crowded",  "refused", "upstream-dead",
-		"unknown",    "not-ready"
+		"opened",     "reopened",  "steered", "no-route",
+		"route-gone", "crowded",   "refused", "upstream-dead",
+		"unknown",    "not-ready", "isolated"
 	};
 
 	return names[r];
--- a/flow/cookie.h
+++ b/flow/cookie.h
@@ -21,6 +21,7 @@
 #define COOKIE_LATE_TICK_MS 100
 #define COOKIE_TICK_MS 10	   /* short, to detect dead upstreams early */
 #define COOKIE_SYN_UPSTREAMS_MAX 3 /* for a SYN and its two copies */
+#define COOKIE_SYN_LAST_COPY 2	   /* callers send no further copy */
 #define COOKIE_FLOWS_MAX 200000	   /* tracked at once */
 #define COOKIE_CLOSING_TIMEOUT_MS 3000 /* packets may follow the last FIN */
 #define COOKIE_OPENING_TIMEOUT_MS 1400 /* callers abandon their SYN then */
@@ -69,6 +70,7 @@
 	COOKIE_UPSTREAM_DEAD, /* or cut off */
 	COOKIE_UNKNOWN,	      /* the cookie is of no upstream known here */
 	COOKIE_NOT_READY,     /* no configuration yet */
+	COOKIE_ISOLATED,      /* no upstream can be reached from here */
 	COOKIE_REASON_NR
 };
 
@@ -105,6 +107,14 @@
 					       struct counters *counters);
 void destroy_cookie_steering(struct cookie_steering *cs);
 
+/*
+ * While this instance is isolated (flow/isolation), a SYN that cannot be placed
+ * is dropped instead of refused, except for its last copy: routers send the
+ * copies to other instances soon, while a caller that is refused uses up its
+ * attempts before that.
+ */
+void set_cookie_isolated(struct cookie_steering *cs, bool isolated);
+
 /* Decides about P. RELAYED: by an instance that does not know P's cookie. */
 struct cookie_decision steer_cookie_packet(struct cookie_steering *cs,
 					   const struct cookie_packet *p,
--- a/flow/isolation.c
+++ b/flow/isolation.c
@@ -1,17 +1,16 @@
 #include "flow/isolation.h"
 
-void update_isolation(struct isolation *is, uint64_t last_heard_ms,
+void update_isolation(struct isolation *is, const struct domain_links *links,
 		      const struct placer *pl, uint64_t now_ms)
 {
-	bool heard = now_ms - last_heard_ms < ISOLATION_SILENCE_MS;
-	bool recently_unheard;
+	bool unheard = hears_no_other_domain(links);
 
-	if (last_heard_ms && !heard)
+	if (unheard)
 		is->unheard_ms = now_ms;
 	/* begins only while nobody is heard */
-	if (heard && !is->isolated)
+	if (!unheard && !is->isolated)
 		return;
-	recently_unheard =
-		is->unheard_ms && now_ms - is->unheard_ms < ISOLATION_END_MS;
-	is->isolated = recently_unheard && reaches_no_upstream(pl);
+	is->isolated = is->unheard_ms &&
+		       now_ms - is->unheard_ms < ISOLATION_END_MS &&
+		       reaches_no_upstream(pl);
 }
--- a/flow/isolation.h
+++ b/flow/isolation.h
@@ -11,14 +11,9 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "flow/domain-link.h"
 #include "flow/placement.h"
 
-/*
- * Heartbeats of other domains come several times a second, of all their
- * members together, whatever the size of the fleet.
- */
-#define ISOLATION_SILENCE_MS 900
-
 /*
  * An instance that hears other domains again stays isolated for this long at
  * most, while upstreams there are checked again.
@@ -31,12 +26,11 @@
 };
 
 /*
- * Updates IS from the time when an instance of another domain was heard last
- * (0: never), and from the upstreams of PL. Isolated is who has heard other
- * domains before and hears none now, while upstreams accept flows but all of
- * them are dead or cut off here.
+ * Updates IS from LINKS and the upstreams of PL. Isolated is who has heard
+ * other domains before and hears none now, while upstreams accept flows but all
+ * of them are dead, cut off or behind lost links.
  */
-void update_isolation(struct isolation *is, uint64_t last_heard_ms,
+void update_isolation(struct isolation *is, const struct domain_links *links,
 		      const struct placer *pl, uint64_t now_ms);
 
 #endif
--- a/flow/placement-health.c
+++ b/flow/placement-health.c
@@ -35,6 +35,7 @@
 	ul->suspect_since_ms = 0;
 	ul->silence_count = 0;
 	ul->unreachable_checks = 0;
+	ul->refused_ms = 0;
 }
 
 void update_placer_upstream(struct placer *pl, upstream_index_t nr,
@@ -72,6 +73,7 @@
 		clear_suspicion(pl, nr, ul, now_ms);
 	ul->last_alive_ms = now_ms;
 	pl->last_alive_ms = now_ms;
+	note_progress_on_link(pl, nr, now_ms);
 }
 
 bool was_alive_since(const struct placer *pl, upstream_index_t nr,
@@ -178,6 +180,7 @@
 		if (!ul || ul->health == HEALTH_GOOD)
 			continue;
 		pl->has_unhealthy = true;
+		hasten_confirming_check(pl, nr, ul, now_ms);
 		if (!is_check_due(pl, nr, ul, now_ms))
 			continue;
 		ul->check_running = true;
@@ -193,7 +196,14 @@
 
 	pl->has_unhealthy = true;
 	ul->check_running = false;
-	ul->next_check_ms = now_ms + PLACEMENT_RECHECK_MS;
+	note_check_on_link(pl, nr, result, now_ms);
+	/* a control check must not delay the check of a new suspicion */
+	if (!ul->is_control)
+		ul->next_check_ms =
+			now_ms + (is_behind_lost_link(pl, nr)
+					  ? PLACEMENT_DEAD_RECHECK_MS
+					  : PLACEMENT_RECHECK_MS);
+	ul->is_control = false;
 	/* progress of flows outweighs all but an answer of bad health */
 	if (ul->health == HEALTH_GOOD && result != CHECK_BAD)
 		return;
@@ -209,13 +219,17 @@
 			ul->suspect_since_ms = now_ms;
 		break;
 	case CHECK_REFUSED:
+		if (!is_refusal_confirmed(pl, nr, ul, now_ms))
+			break;
+		/* fall through */
 	case CHECK_REPLACED:
 		set_health(pl, nr, ul, HEALTH_DEAD, now_ms);
 		ul->next_check_ms = now_ms + PLACEMENT_DEAD_RECHECK_MS;
 		break;
 	case CHECK_UNREACHABLE:
 		/* if no upstream answers, the fault is likely on this side */
-		if (pl->last_alive_ms <= ul->check_started_ms)
+		if (pl->last_alive_ms <= ul->check_started_ms ||
+		    !was_link_open_since(pl, nr, ul->check_started_ms))
 			break;
 		if (++ul->unreachable_checks < PLACEMENT_UNREACHABLE_CHECKS) {
 			ul->next_check_ms = now_ms;
@@ -239,7 +253,8 @@
 
 		if (!accepts_flows(pl->catalog, nr))
 			continue;
-		if (!ul || !is_dead_or_cut_off(ul))
+		if ((!ul || !is_dead_or_cut_off(ul)) &&
+		    !is_behind_lost_link(pl, nr))
 			return false;
 		any_accepts = true;
 	}
--- /dev/null
+++ b/flow/placement-links.c
@@ -0,0 +1,217 @@
+/* What links between failure domains mean for upstreams behind them. */
+
+#include "flow/domain-link.h"
+#include "flow/placement-state.h"
+
+/* Between two control checks of a domain. */
+#define CONTROL_INTERVAL_MS 500
+/* The same while a refusal waits for one; a refused check takes a round trip */
+#define URGENT_CONTROL_INTERVAL_MS 100
+
+void set_placer_links(struct placer *pl, struct domain_links *links)
+{
+	pl->links = links;
+}
+
+/* The domain of NR if there is a link to it, else CATALOG_NONE. */
+static domain_index_t linked_domain(const struct placer *pl,
+				    upstream_index_t nr)
+{
+	const struct catalog_upstream *up = get_upstream(pl->catalog, nr);
+
+	return pl->links && up ? up->domain : CATALOG_NONE;
+}
+
+bool is_behind_lost_link(const struct placer *pl, upstream_index_t nr)
+{
+	domain_index_t domain = linked_domain(pl, nr);
+
+	return domain != CATALOG_NONE &&
+	       domain_link_state(pl->links, domain) == LINK_LOST;
+}
+
+void note_progress_on_link(struct placer *pl, upstream_index_t nr,
+			   uint64_t now_ms)
+{
+	domain_index_t domain = linked_domain(pl, nr);
+
+	if (domain != CATALOG_NONE)
+		note_domain_progress(pl->links, domain, now_ms);
+}
+
+void note_check_on_link(struct placer *pl, upstream_index_t nr,
+			enum check_result result, uint64_t now_ms)
+{
+	domain_index_t domain = linked_domain(pl, nr);
+
+	if (domain == CATALOG_NONE)
+		return;
+	switch (result) {
+	case CHECK_GOOD:
+	case CHECK_BAD:
+	case CHECK_REPLACED:
+		note_domain_answer(pl->links, domain, now_ms);
+		break;
+	case CHECK_REFUSED:
+	case CHECK_UNREACHABLE:
+		note_domain_failed_check(pl->links, domain, nr);
+		break;
+	case CHECK_SILENT:
+	case CHECK_RESULT_NR:
+		break;
+	}
+}
+
+bool is_refusal_confirmed(struct placer *pl, upstream_index_t nr,
+			  struct upstream_load *ul, uint64_t now_ms)
+{
+	domain_index_t domain = linked_domain(pl, nr);
+
+	if (domain == CATALOG_NONE ||
+	    was_domain_heard_since(pl->links, domain,
+				   ul->refused_ms ? ul->refused_ms : now_ms)) {
+		ul->refused_ms = 0;
+		return true;
+	}
+	if (!ul->refused_ms)
+		ul->refused_ms = now_ms;
+	return false;
+}
+
+bool was_link_open_since(const struct placer *pl, upstream_index_t nr,
+			 uint64_t since_ms)
+{
+	domain_index_t domain = linked_domain(pl, nr);
+
+	return domain == CATALOG_NONE ||
+	       was_domain_heard_since(pl->links, domain, since_ms);
+}
+
+void hasten_confirming_check(const struct placer *pl, upstream_index_t nr,
+			     struct upstream_load *ul, uint64_t now_ms)
+{
+	if (ul->refused_ms && was_link_open_since(pl, nr, ul->refused_ms))
+		ul->next_check_ms = MIN(ul->next_check_ms, now_ms);
+}
+
+/* What the upstreams of one domain show about its link. */
+struct domain_upstreams {
+	size_t accepting;
+	size_t suspect;
+	bool refusal_waits;
+};
+
+static struct domain_upstreams review_domain(const struct placer *pl,
+					     domain_index_t domain)
+{
+	struct domain_upstreams du = { 0 };
+
+	for (size_t i = 0; i < catalog_upstream_count(pl->catalog); i++) {
+		upstream_index_t nr = (upstream_index_t)i;
+		const struct catalog_upstream *up =
+			get_upstream(pl->catalog, nr);
+		const struct upstream_load *ul = find_upstream_load(pl, nr);
+
+		if (!up || up->domain != domain || !up->listed)
+			continue;
+		du.accepting += accepts_flows(pl->catalog, nr);
+		du.suspect += ul && ul->suspect_since_ms;
+		du.refusal_waits |= ul && ul->refused_ms;
+	}
+	return du;
+}
+
+/* A listed upstream of DOMAIN that is not suspect; CATALOG_NONE if none is. */
+static upstream_index_t pick_control(struct placer *pl, domain_index_t domain)
+{
+	size_t n = catalog_upstream_count(pl->catalog);
+	size_t start = n ? (size_t)g_rand_int_range(pl->rand, 0, (gint32)n) : 0;
+
+	for (size_t i = 0; i < n; i++) {
+		upstream_index_t nr = (upstream_index_t)((start + i) % n);
+		const struct catalog_upstream *up =
+			get_upstream(pl->catalog, nr);
+		const struct upstream_load *ul = find_upstream_load(pl, nr);
+
+		if (up && up->domain == domain && up->listed &&
+		    (!ul || (ul->health == HEALTH_GOOD && !ul->check_running)))
+			return nr;
+	}
+	return CATALOG_NONE;
+}
+
+/*
+ * Lists a check of an upstream of DOMAIN that is not suspect, to tell a cut
+ * link from a dead upstream. Heartbeats cannot if no instance runs there.
+ */
+static void list_control_check(struct placer *pl, domain_index_t domain,
+			       bool urgent, uint64_t now_ms, GArray *checks)
+{
+	struct domain_control *dc = &g_array_index(
+		pl->domain_controls, struct domain_control, domain);
+	upstream_index_t nr;
+	struct upstream_load *ul;
+
+	if (now_ms - dc->checked_ms <
+	    (urgent ? URGENT_CONTROL_INTERVAL_MS : CONTROL_INTERVAL_MS))
+		return;
+	nr = pick_control(pl, domain);
+	if (nr == CATALOG_NONE)
+		return;
+	dc->checked_ms = now_ms;
+	ul = get_or_create_upstream_load(pl, nr);
+	ul->check_running = true;
+	ul->is_control = true;
+	ul->check_started_ms = now_ms;
+	g_array_append_val(checks, nr);
+}
+
+/* Makes the upstreams of DOMAIN, whose link was lost, usable again. */
+static void restore_domain(struct placer *pl, domain_index_t domain,
+			   uint64_t now_ms)
+{
+	for (guint i = 0; i < pl->upstream_loads->len; i++) {
+		struct upstream_load *ul =
+			g_ptr_array_index(pl->upstream_loads, i);
+		upstream_index_t nr = (upstream_index_t)i;
+
+		if (!ul || linked_domain(pl, nr) != domain)
+			continue;
+		if (is_dead_or_cut_off(ul))
+			ul->next_check_ms = MIN(ul->next_check_ms, now_ms);
+		else if (ul->health == HEALTH_SUSPECTED)
+			clear_suspicion(pl, nr, ul, now_ms);
+	}
+}
+
+void tick_placer_links(struct placer *pl, uint64_t now_ms, GArray *checks)
+{
+	size_t n = pl->links ? domain_link_count(pl->links) : 0;
+
+	if (pl->domain_controls->len < n)
+		g_array_set_size(pl->domain_controls, (guint)n);
+	for (size_t i = 0; i < n; i++) {
+		domain_index_t domain = (domain_index_t)i;
+		struct domain_upstreams du = review_domain(pl, domain);
+		bool doubtful =
+			domain_link_state(pl->links, domain) == LINK_DOUBTFUL;
+
+		set_domain_upstreams(pl->links, domain, du.accepting,
+				     du.suspect);
+		if (du.refusal_waits || (du.suspect && doubtful))
+			list_control_check(pl, domain, du.refusal_waits, now_ms,
+					   checks);
+	}
+	if (n)
+		update_domain_links(pl->links, now_ms);
+	for (size_t i = 0; i < n; i++) {
+		struct domain_control *dc = &g_array_index(
+			pl->domain_controls, struct domain_control, i);
+		bool lost = domain_link_state(pl->links, (domain_index_t)i) ==
+			    LINK_LOST;
+
+		if (dc->lost && !lost)
+			restore_domain(pl, (domain_index_t)i, now_ms);
+		dc->lost = lost;
+	}
+}
--- a/flow/placement-peers.c
+++ b/flow/placement-peers.c
@@ -162,6 +162,7 @@
 		for (size_t i = 0; i < catalog_service_count(pl->catalog); i++)
 			update_busy_ratio(pl, (service_index_t)i);
 	}
+	tick_placer_links(pl, now_ms, checks);
 	if (pl->has_unhealthy)
 		list_due_checks(pl, now_ms, checks);
 }
--- a/flow/placement-state.h
+++ b/flow/placement-state.h
@@ -42,6 +42,9 @@
 	uint64_t next_check_ms;	     /* earliest time of the next check */
 	uint64_t peer_check_ms; /* of the last check due to a peer's report */
 	uint64_t check_started_ms; /* start of the running check */
+	bool is_control; /* the running check is to probe the domain's link */
+	/* first refused check that waits for a confirming one; 0: none */
+	uint64_t refused_ms;
 	/* ring buffer: when it got flows while cold */
 	uint64_t cold_flow_ms[PLACEMENT_COLD_FLOWS_MAX];
 	uint32_t cold_flow_next;
@@ -55,6 +58,12 @@
 	struct histogram answer_histogram; /* ms */
 };
 
+/* Control checks of the upstreams of one domain. */
+struct domain_control {
+	uint64_t checked_ms; /* when the last one started */
+	bool lost;	     /* the link, after the last tick */
+};
+
 struct placer {
 	const struct catalog *catalog;
 	const struct view *view;
@@ -71,6 +80,8 @@
 	uint32_t busy_requests; /* own, in flight at all upstreams */
 	uint32_t sent_busy_requests; /* when last sent to peers */
 	GArray *health_changes; /* struct health_change, not retrieved yet */
+	struct domain_links *links; /* NULL: failure domains have none */
+	GArray *domain_controls;    /* struct domain_control by domain */
 	double cold_factor;
 	double cold_slack;
 };
@@ -100,4 +111,33 @@
 /* Appends the upstreams whose check is due to CHECKS, marked as running. */
 void list_due_checks(struct placer *pl, uint64_t now_ms, GArray *checks);
 
+/* placement-links.c: links between failure domains */
+
+/* True if NR is not reached because the link to its domain is lost. */
+bool is_behind_lost_link(const struct placer *pl, upstream_index_t nr);
+
+/* A flow to NR made progress. */
+void note_progress_on_link(struct placer *pl, upstream_index_t nr,
+			   uint64_t now_ms);
+void note_check_on_link(struct placer *pl, upstream_index_t nr,
+			enum check_result result, uint64_t now_ms);
+
+/*
+ * Whether a refused check of NR proves it dead. In another domain that takes a
+ * second refusal after a sign that the link was open in between.
+ */
+bool is_refusal_confirmed(struct placer *pl, upstream_index_t nr,
+			  struct upstream_load *ul, uint64_t now_ms);
+
+/* True if the link to NR's domain was open after SINCE_MS, or NR has none. */
+bool was_link_open_since(const struct placer *pl, upstream_index_t nr,
+			 uint64_t since_ms);
+
+/* Makes the second check due, if it can confirm a refusal now. */
+void hasten_confirming_check(const struct placer *pl, upstream_index_t nr,
+			     struct upstream_load *ul, uint64_t now_ms);
+
+/* Updates the links, and lists checks that tell their state. */
+void tick_placer_links(struct placer *pl, uint64_t now_ms, GArray *checks);
+
 #endif
--- a/flow/placement.c
+++ b/flow/placement.c
@@ -27,6 +27,8 @@
 	pl->peer_loads = g_array_new(FALSE, FALSE, sizeof(struct peer_load));
 	pl->health_changes =
 		g_array_new(FALSE, FALSE, sizeof(struct health_change));
+	pl->domain_controls =
+		g_array_new(FALSE, TRUE, sizeof(struct domain_control));
 	return pl;
 }
 
@@ -51,6 +53,7 @@
 			     TRUE);
 	g_array_free(pl->peer_loads, TRUE);
 	g_array_free(pl->health_changes, TRUE);
+	g_array_free(pl->domain_controls, TRUE);
 	g_array_free(pl->service_stats, TRUE);
 	g_ptr_array_free(pl->upstream_loads, TRUE);
 	g_rand_free(pl->rand);
@@ -208,7 +211,7 @@
 
 		if (!accepts_flows(pl->catalog, nr))
 			continue;
-		if (is_dead_or_cut_off(ul) ||
+		if (is_dead_or_cut_off(ul) || is_behind_lost_link(pl, nr) ||
 		    is_excluded(request->excluded, request->excluded_nr, nr)) {
 			if (best.upstream == CATALOG_NONE &&
 			    best.reason == PLACE_NONE_LISTED)
--- a/flow/placement.h
+++ b/flow/placement.h
@@ -9,7 +9,8 @@
  *
  * Rules, in this order:
  *  - only upstreams that take flows according to the catalog, are neither dead
- *    nor cut off, and are not excluded by the caller of place_new_flow();
+ *    nor cut off nor behind a lost link (flow/domain-link), and are not excluded
+ *    by the caller of place_new_flow();
  *  - a cold upstream gets at most this instance's quota of its cold limit;
  *  - upstreams that are not suspect go before suspect ones;
  *  - the least expected load for each slot, where an upstream of another
@@ -22,6 +23,7 @@
 #include "fleet/load.h"
 #include "fleet/quota.h"
 #include "fleet/view.h"
+#include "flow/domain-link.h"
 
 /*
  * Cost of choosing an upstream of another failure domain, in requests in flight
@@ -107,6 +109,12 @@
  */
 void set_cold_bounds(struct placer *pl, double factor, double slack);
 
+/*
+ * Links to other failure domains, which the placer updates on each tick. They
+ * must outlive it. Without this call all domains count as reached.
+ */
+void set_placer_links(struct placer *pl, struct domain_links *links);
+
 /* Replaces PLACEMENT_REMOTE_DOMAIN_COST; for tests and benchmarks. */
 void set_remote_domain_cost(struct placer *pl, double cost);
 
@@ -214,7 +222,7 @@
 
 /*
  * True if upstreams accept flows, but this instance found all of them dead or
- * cut off.
+ * cut off, or behind lost links.
  */
 bool reaches_no_upstream(const struct placer *pl);
 
--- a/net/edge-state.h
+++ b/net/edge-state.h
@@ -34,6 +34,7 @@
 	struct catalog *catalog;
 	struct view *view;
 	struct quotas *upstream_quotas;
+	struct domain_links *domain_links;
 	struct placer *placement;
 	struct cookie_steering *steering;
 	struct isolation isolation;
--- a/net/edge.c
+++ b/net/edge.c
@@ -188,6 +188,41 @@
 	g_array_free(changes, TRUE);
 }
 
+/* Tells the links when members of each domain were heard. */
+static void note_heard_domains(struct edge *e)
+{
+	GArray *heard = g_array_new(FALSE, FALSE, sizeof(struct heard_domain));
+
+	list_heard_domains(e->instance_heartbeats, heard);
+	for (guint i = 0; i < heard->len; i++) {
+		const struct heard_domain *hd =
+			&g_array_index(heard, struct heard_domain, i);
+
+		note_domain_heard(e->domain_links,
+				  intern_domain(e->catalog, hd->name),
+				  hd->last_heard_ms, hd->expected_ms);
+	}
+	g_array_free(heard, TRUE);
+}
+
+static void log_link_changes(struct edge *e)
+{
+	GArray *changes = g_array_new(FALSE, FALSE, sizeof(struct link_change));
+
+	pop_link_changes(e->domain_links, changes);
+	for (guint i = 0; i < changes->len; i++) {
+		const struct link_change *ch =
+			&g_array_index(changes, struct link_change, i);
+
+		log_event(e->log, EVENT_DOMAIN_LINK,
+			  "domain=%s link=%s before=%s silent_ms=%llu",
+			  domain_name(e->catalog, ch->domain),
+			  link_state_name(ch->to), link_state_name(ch->from),
+			  (unsigned long long)ch->silent_ms);
+	}
+	g_array_free(changes, TRUE);
+}
+
 /* Work that cannot wait for on_tick(): handshakes, health and load. */
 static void on_fast_tick(uv_timer_t *timer)
 {
@@ -196,9 +231,14 @@
 
 	e->now_ms = edge_clock_ms();
 	tick_cookie_steering(e->steering, e->now_ms);
+	note_heard_domains(e);
 	tick_placer(e->placement, e->now_ms, checks);
 	start_health_checks(e, checks);
 	g_array_free(checks, TRUE);
+	log_link_changes(e);
+	update_isolation(&e->isolation, e->domain_links, e->placement,
+			 e->now_ms);
+	set_cookie_isolated(e->steering, e->isolation.isolated);
 	log_health_changes(e);
 	tick_edge_waiting_syns(e);
 	if (has_load_changed(e->placement))
@@ -215,9 +255,6 @@
 	update_quotas(e->upstream_quotas, e->now_ms);
 	expire_catalog(e->catalog, e->now_ms);
 	tick_edge_heartbeats(e);
-	update_isolation(&e->isolation,
-			 last_heard_remote_ms(e->instance_heartbeats),
-			 e->placement, e->now_ms);
 	check_settings_file(e);
 	log_readiness(e);
 	flush_event_log(e->log, e->now_ms);
@@ -282,6 +319,9 @@
 	e->upstream_quotas = create_quotas(e->view);
 	e->placement = create_placer(e->catalog, e->view, e->upstream_quotas,
 				     e->settings.domain, g_rand_int(e->rand));
+	e->domain_links = create_domain_links(
+		intern_domain(e->catalog, e->settings.domain));
+	set_placer_links(e->placement, e->domain_links);
 	set_cold_bounds(e->placement, e->settings.bounds.cold_factor,
 			e->settings.bounds.cold_slack);
 	e->steering =
@@ -292,6 +332,7 @@
 {
 	destroy_cookie_steering(e->steering);
 	destroy_placer(e->placement);
+	destroy_domain_links(e->domain_links);
 	destroy_quotas(e->upstream_quotas);
 	destroy_catalog(e->catalog);
 	destroy_heartbeat_tracker(e->instance_heartbeats);
--- a/net/event-list.h
+++ b/net/event-list.h
@@ -23,6 +23,8 @@
 EVENT(HEALTH, "health", 20, "an upstream's health as assessed here changed")
 EVENT(CHECK, "check", 20, "a health check of an upstream ended")
 EVENT(MEMBER, "member", 20, "another instance joined, left or fell silent")
+EVENT(DOMAIN_LINK, "domain-link", 10,
+      "another failure domain was reached, or no longer")
 EVENT(WOKEN, "woken", 5, "the process was paused for a while")
 EVENT(READY, "ready", 5, "this instance's readiness changed")
 EVENT(FLOW_OPENED, "flow-opened", 15, "a new flow was placed")
