flow: check another upstream when a refusal needs confirmation

Heartbeats alone confirm a refused check up to 70 ms late, and not at all in a domain whose instances are gone while its upstreams live. The control check now goes to the upstream there with the latest sign of life, at most every 50 ms while a refusal waits; one that fails makes its upstream suspect, so that the next goes to another.

check-domain-link plays cuts by resets and by packet loss, of one way and of both, short and long; the return of the link; the loss of all instances of a domain; a crash of half and of all upstreams of a domain; domains of one to three instances; an instance that is cut off alone; pauses.

--- a/flow/placement-health.c
+++ b/flow/placement-health.c
@@ -197,13 +197,11 @@
 	pl->has_unhealthy = true;
 	ul->check_running = false;
 	note_check_on_link(pl, nr, result, now_ms);
-	/* a control check must not delay the check of a new suspicion */
-	if (!ul->is_control)
-		ul->next_check_ms =
-			now_ms + (is_behind_lost_link(pl, nr)
-					  ? PLACEMENT_DEAD_RECHECK_MS
-					  : PLACEMENT_RECHECK_MS);
-	ul->is_control = false;
+	if (end_control_check(pl, nr, ul, result, now_ms))
+		return;
+	ul->next_check_ms = now_ms + (is_behind_lost_link(pl, nr)
+					      ? PLACEMENT_DEAD_RECHECK_MS
+					      : PLACEMENT_RECHECK_MS);
 	/* progress of flows outweighs all but an answer of bad health */
 	if (ul->health == HEALTH_GOOD && result != CHECK_BAD)
 		return;
--- a/flow/placement-links.c
+++ b/flow/placement-links.c
@@ -6,7 +6,7 @@
 /* Between two control checks of a domain. */
 #define CONTROL_INTERVAL_MS 500
 /* The same while a refusal waits for one; a refused check takes a round trip */
-#define URGENT_CONTROL_INTERVAL_MS 100
+#define URGENT_CONTROL_INTERVAL_MS 50
 
 void set_placer_links(struct placer *pl, struct domain_links *links)
 {
@@ -121,23 +121,46 @@
 	return du;
 }
 
-/* A listed upstream of DOMAIN that is not suspect; CATALOG_NONE if none is. */
-static upstream_index_t pick_control(struct placer *pl, domain_index_t domain)
+/*
+ * The upstream of DOMAIN that is most likely alive, by its last sign of life;
+ * CATALOG_NONE if all are suspect or checked now.
+ */
+static upstream_index_t pick_control(const struct placer *pl,
+				     domain_index_t domain)
 {
-	size_t n = catalog_upstream_count(pl->catalog);
-	size_t start = n ? (size_t)g_rand_int_range(pl->rand, 0, (gint32)n) : 0;
+	upstream_index_t best = CATALOG_NONE;
+	uint64_t best_ms = 0;
 
-	for (size_t i = 0; i < n; i++) {
-		upstream_index_t nr = (upstream_index_t)((start + i) % n);
+	for (size_t i = 0; i < catalog_upstream_count(pl->catalog); i++) {
+		upstream_index_t nr = (upstream_index_t)i;
 		const struct catalog_upstream *up =
 			get_upstream(pl->catalog, nr);
 		const struct upstream_load *ul = find_upstream_load(pl, nr);
+		uint64_t alive_ms = ul ? ul->last_alive_ms : 0;
 
-		if (up && up->domain == domain && up->listed &&
-		    (!ul || (ul->health == HEALTH_GOOD && !ul->check_running)))
-			return nr;
+		if (!up || up->domain != domain || !up->listed ||
+		    (ul && (ul->health != HEALTH_GOOD || ul->check_running)) ||
+		    (best != CATALOG_NONE && alive_ms <= best_ms))
+			continue;
+		best = nr;
+		best_ms = alive_ms;
 	}
-	return CATALOG_NONE;
+	return best;
+}
+
+bool end_control_check(struct placer *pl, upstream_index_t nr,
+		       struct upstream_load *ul, enum check_result result,
+		       uint64_t now_ms)
+{
+	bool only_control = ul->is_control && ul->health == HEALTH_GOOD &&
+			    result != CHECK_BAD;
+
+	ul->is_control = false;
+	/* the next control check goes to another upstream */
+	if (only_control &&
+	    (result == CHECK_REFUSED || result == CHECK_UNREACHABLE))
+		note_upstream_silent(pl, nr, ul->check_started_ms, now_ms);
+	return only_control;
 }
 
 /*
--- a/flow/placement-state.h
+++ b/flow/placement-state.h
@@ -122,6 +122,14 @@
 void note_check_on_link(struct placer *pl, upstream_index_t nr,
 			enum check_result result, uint64_t now_ms);
 
+/*
+ * Ends a control check of NR, which was not suspect then and becomes so if the
+ * check failed. False if the result is to be used like that of another check.
+ */
+bool end_control_check(struct placer *pl, upstream_index_t nr,
+		       struct upstream_load *ul, enum check_result result,
+		       uint64_t now_ms);
+
 /*
  * Whether a refused check of NR proves it dead. In another domain that takes a
  * second refusal after a sign that the link was open in between.
--- a/t/check-cookie.c
+++ b/t/check-cookie.c
@@ -700,6 +700,37 @@
 }
 END_TEST
 
+/* A refused caller retries here at once and uses up its attempts. */
+START_TEST(isolated_instance_refuses_only_the_last_copy)
+{
+	upstream_index_t a = put_upstream("u-a", 0);
+
+	set_cookie_isolated(in.steering, true);
+	note_upstream_silent(in.placer, a, 1000, 1000);
+	note_check_result(in.placer, a, CHECK_REFUSED, 1000);
+	for (uint32_t copy = 0; copy < COOKIE_SYN_LAST_COPY; copy++) {
+		struct cookie_decision d = send_syn(2000, copy, 1100 + copy);
+
+		ck_assert_int_eq(d.verdict, COOKIE_DROP);
+		ck_assert_int_eq(d.reason, COOKIE_ISOLATED);
+	}
+	ck_assert_uint_eq(in.counters.value[COUNT_FLOW_DROPPED_ISOLATED], 2);
+	ck_assert_int_eq(send_syn(2000, COOKIE_SYN_LAST_COPY, 1700).verdict,
+			 COOKIE_RESET);
+	set_cookie_isolated(in.steering, false);
+	ck_assert_int_eq(send_syn(2001, 0, 1710).verdict, COOKIE_RESET);
+}
+END_TEST
+
+/* What can be placed is, whatever was found a moment ago. */
+START_TEST(isolated_instance_places_what_it_can)
+{
+	put_upstream("u-a", 0);
+	set_cookie_isolated(in.steering, true);
+	ck_assert_int_eq(send_syn(2000, 0, 1000).verdict, COOKIE_TO_UPSTREAM);
+}
+END_TEST
+
 START_TEST(ended_flows_are_removed)
 {
 	struct cookie_packet fin;
@@ -760,6 +791,8 @@
 	tcase_add_test(tc, older_configuration_is_ignored);
 	tcase_add_test(tc, instance_without_configuration_relays_syn);
 	tcase_add_test(tc, ended_flows_are_removed);
+	tcase_add_test(tc, isolated_instance_refuses_only_the_last_copy);
+	tcase_add_test(tc, isolated_instance_places_what_it_can);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_ENV);
 	failed = srunner_ntests_failed(sr);
--- a/t/check-domain-link.c
+++ b/t/check-domain-link.c
@@ -16,11 +16,14 @@
 #define START_MS 1000
 #define ROUND_TRIP_MS 10
 #define SYN_INTERVAL_MS 20
+#define BUSY_FLOW_SHARE 10 /* one flow in so many sends more than one request */
 #define REQUEST_INTERVAL_MS 50
 #define UPSTREAMS_MAX 40
-#define FLOWS_MAX 600
+#define FLOWS_MAX 2000
 #define CHECK_CONNECT_MS 350
 #define LAST_COPY 2 /* of a SYN */
+#define FIRST_COPY_MS 200
+#define LAST_COPY_MS 600
 
 enum path_state { PATH_OPEN, PATH_REFUSING, PATH_SILENT };
 
@@ -31,13 +34,13 @@
 	uint64_t interval_ms;  /* between two heartbeats of one of them */
 	enum path_state there; /* for what this instance sends */
 	enum path_state back;  /* for what is sent to this instance */
-	size_t upstream_nr;
-	bool upstreams_dead;
+	bool members_dead;
 };
 
 struct test_upstream {
 	upstream_index_t nr;
 	struct path *path;
+	bool dead;
 };
 
 struct test_flow {
@@ -46,8 +49,9 @@
 	uint32_t seq;
 	uint32_t ack;
 	uint64_t opened_ms; /* 0: the SYN was not answered */
-	uint64_t sent_ms;   /* when the last request was sent */
-	bool answered;
+	uint64_t syn_ms;    /* when the first SYN was sent */
+	bool answered;	    /* the last request */
+	bool idle;	    /* the caller sends nothing */
 	bool ended;
 };
 
@@ -71,6 +75,7 @@
 static unsigned int dead_nr;
 static unsigned int reset_nr;
 static unsigned int refused_nr;
+static unsigned int last_copies_refused;
 
 static void setup(void)
 {
@@ -78,6 +83,7 @@
 	memset(&is, 0, sizeof(is));
 	memset(paths, 0, sizeof(paths));
 	memset(flows, 0, sizeof(flows));
+	memset(upstreams, 0, sizeof(upstreams));
 	running = g_array_new(FALSE, FALSE, sizeof(struct running_check));
 	changes = g_array_new(FALSE, FALSE, sizeof(struct health_change));
 	now_ms = START_MS;
@@ -85,7 +91,7 @@
 	links = create_domain_links(intern_domain(in.catalog, "north"));
 	set_placer_links(in.placer, links);
 	upstream_nr = flow_nr = 0;
-	dead_nr = reset_nr = refused_nr = 0;
+	dead_nr = reset_nr = refused_nr = last_copies_refused = 0;
 }
 
 static void teardown(void)
@@ -105,7 +111,6 @@
 		paths[d].domain = names[d];
 		paths[d].members = d ? members : members - 1;
 		paths[d].interval_ms = interval_ms;
-		paths[d].upstream_nr = ups;
 		for (size_t i = 0; i < ups; i++) {
 			char *name = g_strdup_printf("%s-%zu", names[d], i);
 			struct upstream_report r =
@@ -120,14 +125,46 @@
 	update_quotas(in.quotas, now_ms);
 }
 
-static struct path *path_of(upstream_index_t nr)
+static struct test_upstream *find_test_upstream(upstream_index_t nr)
 {
 	for (size_t i = 0; i < upstream_nr; i++)
 		if (upstreams[i].nr == nr)
-			return upstreams[i].path;
+			return &upstreams[i];
+	ck_abort_msg("no upstream has index %u", nr);
 	return NULL;
 }
 
+static struct path *path_of(upstream_index_t nr)
+{
+	return find_test_upstream(nr)->path;
+}
+
+static domain_index_t domain_of(const struct path *p)
+{
+	return intern_domain(in.catalog, p->domain);
+}
+
+/* The first NR upstreams of P are gone; their machines refuse connections. */
+static void kill_upstreams(const struct path *p, size_t nr)
+{
+	for (size_t i = 0; i < upstream_nr; i++) {
+		if (upstreams[i].path != p || !nr)
+			continue;
+		upstreams[i].dead = true;
+		nr--;
+	}
+}
+
+/* Open flows to upstreams of P. */
+static size_t path_flow_count(const struct path *p)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < flow_nr; i++)
+		n += flows[i].opened_ms && path_of(flows[i].upstream) == p;
+	return n;
+}
+
 static bool is_path_cut(const struct path *p)
 {
 	return p->there != PATH_OPEN || p->back != PATH_OPEN;
@@ -144,11 +181,11 @@
 	for (size_t i = 0; i < p->members; i++) {
 		uint64_t phase = i * p->interval_ms / p->members;
 
-		if (p->back != PATH_OPEN ||
+		if (p->back != PATH_OPEN || p->members_dead ||
 		    (now_ms + phase) % p->interval_ms >= STEP_MS)
 			continue;
-		note_domain_heard(links, intern_domain(in.catalog, p->domain),
-				  now_ms, p->interval_ms / p->members);
+		note_domain_heard(links, domain_of(p), now_ms,
+				  p->interval_ms / p->members);
 	}
 }
 
@@ -170,7 +207,7 @@
 		return now_ms - c->started_ms >= CHECK_CONNECT_MS
 			       ? CHECK_UNREACHABLE
 			       : CHECK_RESULT_NR;
-	if (is_path_cut(p) || p->upstreams_dead)
+	if (is_path_cut(p) || find_test_upstream(c->nr)->dead)
 		return CHECK_REFUSED;
 	return CHECK_GOOD;
 }
@@ -228,9 +265,9 @@
 /* Whether the upstream of F answers what is sent now. */
 static bool is_answered(const struct test_flow *f)
 {
-	const struct path *p = path_of(f->upstream);
+	const struct test_upstream *u = find_test_upstream(f->upstream);
 
-	return p->there == PATH_OPEN && !p->upstreams_dead;
+	return u->path->there == PATH_OPEN && !u->dead;
 }
 
 static void send_syn(size_t flow, uint32_t copy)
@@ -239,7 +276,10 @@
 	struct cookie_decision d = send_packet(flow, TCP_SYN, copy, 0);
 
 	if (d.verdict == COOKIE_RESET) {
-		refused_nr++;
+		if (copy < LAST_COPY)
+			refused_nr++;
+		else
+			last_copies_refused++;
 		f->ended = true;
 	}
 	if (d.verdict != COOKIE_TO_UPSTREAM)
@@ -256,6 +296,7 @@
 	flows[flow_nr].upstream = CATALOG_NONE;
 	flows[flow_nr].seq = 1000;
 	flows[flow_nr].ack = 500;
+	flows[flow_nr].syn_ms = now_ms;
 	send_syn(flow_nr++, 0);
 }
 
@@ -268,27 +309,35 @@
 	if (now_ms == f->opened_ms + ROUND_TRIP_MS) {
 		f->cookie = get_upstream(in.catalog, f->upstream)->cookie;
 		f->seq = 1001;
-	} else if ((now_ms - f->opened_ms) % REQUEST_INTERVAL_MS) {
+	} else if (f->idle || (now_ms - f->opened_ms) % REQUEST_INTERVAL_MS) {
 		return;
 	} else if (f->answered) {
 		f->ack += 100;
+		f->idle = flow % BUSY_FLOW_SHARE;
 	}
-	d = send_packet(flow, TCP_ACK, 0, 100);
+	d = send_packet(flow, TCP_ACK, 0, f->idle ? 0 : 100);
 	if (d.verdict != COOKIE_TO_UPSTREAM) {
 		reset_nr += d.verdict == COOKIE_RESET;
 		f->ended = true;
 		return;
 	}
 	f->answered = is_answered(f);
-	if (f->answered)
+	if (f->answered && !f->idle)
 		f->seq += 100;
 }
 
 static void step_flows(void)
 {
-	for (size_t i = 0; i < flow_nr; i++)
-		if (!flows[i].ended && flows[i].opened_ms)
+	for (size_t i = 0; i < flow_nr; i++) {
+		if (flows[i].ended)
+			continue;
+		if (flows[i].opened_ms)
 			step_open_flow(i);
+		else if (now_ms == flows[i].syn_ms + FIRST_COPY_MS)
+			send_syn(i, 1);
+		else if (now_ms == flows[i].syn_ms + LAST_COPY_MS)
+			send_syn(i, LAST_COPY);
+	}
 }
 
 static void update_own_isolation(void)
@@ -326,33 +375,349 @@
 	cut_path(&paths[2], how);
 }
 
-/* The own domain is out of service and cut off from the others. */
-static void check_evacuated_domain(enum path_state how)
+static void take_own_domain_out(void)
 {
-	make_large_site();
 	set_catalog_domain_out(in.catalog, "north", true, 0, now_ms);
+}
+
+static size_t open_flow_count(void)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < flow_nr; i++)
+		n += flows[i].opened_ms && !flows[i].ended;
+	return n;
+}
+
+/* The own domain is out of service and cut off from the others. */
+static void check_evacuated_domain(enum path_state how, uint64_t limit_ms)
+{
+	take_own_domain_out();
 	run_until(3000, true);
 	ck_assert_uint_eq(dead_nr + reset_nr + refused_nr, 0);
 	cut_other_domains(how);
 	run_until(6000, true);
-	printf("isolated after %lld, dead %u, reset %u, refused %u\n",
-	       (long long)(isolated_ms - 3000), dead_nr, reset_nr, refused_nr);
 	ck_assert_uint_gt(isolated_ms, 3000);
-	ck_assert_uint_le(isolated_ms, 3600);
+	ck_assert_uint_le(isolated_ms, 3000 + limit_ms);
+	ck_assert(is.isolated);
 	ck_assert_uint_eq(dead_nr, 0);
 	ck_assert_uint_eq(reset_nr, 0);
 	ck_assert_uint_eq(refused_nr, 0);
+	ck_assert_uint_gt(last_copies_refused, 0);
+	ck_assert_uint_gt(in.counters.value[COUNT_FLOW_DROPPED_ISOLATED], 100);
 }
 
 START_TEST(evacuated_domain_is_isolated_by_resets)
 {
-	check_evacuated_domain(PATH_REFUSING);
+	make_large_site();
+	check_evacuated_domain(PATH_REFUSING, 600);
 }
 END_TEST
 
 START_TEST(evacuated_domain_is_isolated_by_packet_loss)
 {
-	check_evacuated_domain(PATH_SILENT);
+	make_large_site();
+	check_evacuated_domain(PATH_SILENT, 600);
+}
+END_TEST
+
+/* Sites of one, two and three instances in each domain. */
+START_TEST(small_domains_are_isolated)
+{
+	make_site((size_t)_i + 1, 150, 4);
+	check_evacuated_domain(PATH_REFUSING, DOMAIN_LINK_SILENCE_MAX_MS + 100);
+}
+END_TEST
+
+START_TEST(small_domains_are_isolated_by_packet_loss)
+{
+	make_site((size_t)_i + 1, 150, 4);
+	check_evacuated_domain(PATH_SILENT, DOMAIN_LINK_SILENCE_MAX_MS + 100);
+}
+END_TEST
+
+/* The flows of a cut domain go on, and its upstreams are used at once. */
+static void check_return(enum path_state how, uint64_t cut_ms)
+{
+	size_t open_flows;
+
+	make_large_site();
+	take_own_domain_out();
+	run_until(3000, true);
+	open_flows = open_flow_count();
+	cut_other_domains(how);
+	run_until(3000 + cut_ms, false);
+	cut_other_domains(PATH_OPEN);
+	run_until(now_ms + 200, false);
+	ck_assert(!is.isolated);
+	run_until(now_ms + 1000, true);
+	ck_assert_uint_eq(dead_nr + reset_nr + refused_nr, 0);
+	ck_assert_uint_ge(open_flow_count(), open_flows + 45);
+}
+
+START_TEST(upstreams_are_used_when_link_returns)
+{
+	/* shorter than detection, around it, and much longer */
+	static const uint64_t cut_ms[] = { 100, 300, 420, 600, 3000, 20000 };
+
+	check_return(_i % 2 ? PATH_REFUSING : PATH_SILENT, cut_ms[_i / 2]);
+}
+END_TEST
+
+/* One domain stays reached: it serves, and the instance is not isolated. */
+START_TEST(flows_go_to_the_domain_that_is_reached)
+{
+	make_large_site();
+	take_own_domain_out();
+	run_until(3000, true);
+	cut_path(&paths[1], _i ? PATH_REFUSING : PATH_SILENT);
+	run_until(3600, true);
+	ck_assert_int_eq(domain_link_state(links, domain_of(&paths[1])),
+			 LINK_LOST);
+	ck_assert_int_eq(domain_link_state(links, domain_of(&paths[2])),
+			 LINK_UP);
+	for (size_t first = flow_nr; now_ms < 6000;) {
+		run_until(now_ms + SYN_INTERVAL_MS, true);
+		ck_assert_ptr_eq(path_of(flows[flow_nr - 1].upstream),
+				 &paths[2]);
+		ck_assert_uint_ge(flow_nr, first);
+	}
+	ck_assert_uint_eq(isolated_ms, 0);
+	ck_assert_uint_eq(dead_nr + reset_nr + refused_nr, 0);
+}
+END_TEST
+
+/* Nobody there sends heartbeats, but the flows to upstreams there go on. */
+START_TEST(loss_of_all_instances_of_a_domain_is_no_cut)
+{
+	make_large_site();
+	take_own_domain_out();
+	run_until(3000, true);
+	paths[1].members_dead = true;
+	run_until(8000, true);
+	ck_assert_int_ne(domain_link_state(links, domain_of(&paths[1])),
+			 LINK_LOST);
+	ck_assert_uint_eq(dead_nr + reset_nr + refused_nr, 0);
+	ck_assert_uint_gt(path_flow_count(&paths[1]), flow_nr / 3);
+	/* a real crash there is still found */
+	kill_upstreams(&paths[1], 1);
+	run_until(9000, true);
+	ck_assert_uint_eq(dead_nr, 1);
+	ck_assert_int_ne(domain_link_state(links, domain_of(&paths[1])),
+			 LINK_LOST);
+}
+END_TEST
+
+/* With little traffic one dead upstream must not cost the whole domain. */
+START_TEST(quiet_domain_without_instances_is_not_lost)
+{
+	size_t flows_before;
+
+	make_large_site();
+	take_own_domain_out();
+	run_until(1400, true);
+	flows_before = flow_nr;
+	for (size_t i = 0; i < flow_nr; i++)
+		flows[i].idle = true;
+	paths[1].members_dead = true;
+	kill_upstreams(&paths[1], 1);
+	run_until(5000, false);
+	for (size_t i = 0; i < flows_before; i++) {
+		flows[i].idle = !find_test_upstream(flows[i].upstream)->dead;
+		flows[i].answered = false;
+	}
+	run_until(7000, false);
+	ck_assert_uint_eq(dead_nr, 1);
+	ck_assert_int_ne(domain_link_state(links, domain_of(&paths[1])),
+			 LINK_LOST);
+}
+END_TEST
+
+/* Time from a crash of half of a domain's upstreams until all are dead. */
+static uint64_t measure_crash(bool with_links, uint64_t start_ms)
+{
+	teardown();
+	setup();
+	if (!with_links)
+		set_placer_links(in.placer, NULL);
+	make_large_site();
+	take_own_domain_out();
+	run_until(start_ms, true);
+	kill_upstreams(&paths[1], 5);
+	while (dead_nr < 5 && now_ms < start_ms + 5000)
+		run_until(now_ms + STEP_MS, true);
+	ck_assert_uint_eq(dead_nr, 5);
+	return now_ms - start_ms;
+}
+
+/*
+ * Half of a domain's upstreams crash while its instances are heard. Besides the
+ * control check and the confirming one, which take a step and a tick each, only
+ * the interval between control checks may delay the verdicts.
+ */
+START_TEST(crash_is_found_as_fast_as_without_links)
+{
+	uint64_t start_ms = 3000 + 170 * (uint64_t)_i;
+	uint64_t without_ms = measure_crash(false, start_ms);
+	uint64_t with_ms = measure_crash(true, start_ms);
+
+	ck_assert_uint_le(with_ms, without_ms + 6 * STEP_MS);
+}
+END_TEST
+
+/* All upstreams of a domain crash at once; its instances are heard. */
+START_TEST(crash_of_all_upstreams_is_found)
+{
+	make_large_site();
+	take_own_domain_out();
+	run_until(3000, true);
+	kill_upstreams(&paths[1], 10);
+	run_until(4000, true);
+	ck_assert_uint_eq(dead_nr, 10);
+	ck_assert_int_eq(domain_link_state(links, domain_of(&paths[1])),
+			 LINK_UP);
+}
+END_TEST
+
+/* Heartbeats do not arrive, but what is sent there does. */
+START_TEST(cut_of_the_way_back_resets_no_flow)
+{
+	make_large_site();
+	take_own_domain_out();
+	run_until(3000, true);
+	paths[1].back = _i ? PATH_REFUSING : PATH_SILENT;
+	run_until(6000, true);
+	ck_assert_uint_eq(dead_nr + reset_nr + refused_nr, 0);
+	ck_assert_int_eq(domain_link_state(links, domain_of(&paths[1])),
+			 LINK_DOUBTFUL);
+}
+END_TEST
+
+/*
+ * Heartbeats arrive, but what is sent there does not. Nothing tells this from a
+ * crash of all upstreams there; they are used again once a check is answered.
+ */
+START_TEST(cut_of_the_way_there_looks_like_a_crash)
+{
+	make_large_site();
+	take_own_domain_out();
+	run_until(3000, true);
+	paths[1].there = PATH_REFUSING;
+	run_until(5000, true);
+	ck_assert_uint_eq(dead_nr, 10);
+	ck_assert_int_eq(domain_link_state(links, domain_of(&paths[1])),
+			 LINK_UP);
+	paths[1].there = PATH_OPEN;
+	run_until(5000 + PLACEMENT_DEAD_RECHECK_MS + 100, true);
+	for (size_t i = 0; i < upstream_nr; i++)
+		ck_assert_int_eq(assessed_health(in.placer, upstreams[i].nr),
+				 HEALTH_GOOD);
+}
+END_TEST
+
+/* This instance hears nobody, of its own domain either. */
+START_TEST(instance_that_is_cut_off_alone_is_isolated)
+{
+	make_large_site();
+	run_until(3000, true);
+	cut_path(&paths[0], PATH_REFUSING);
+	cut_other_domains(PATH_REFUSING);
+	run_until(6000, true);
+	ck_assert(is.isolated);
+	for (size_t i = 0; i < upstream_nr; i++)
+		if (upstreams[i].path != &paths[0])
+			ck_assert_int_ne(
+				assessed_health(in.placer, upstreams[i].nr),
+				HEALTH_DEAD);
+}
+END_TEST
+
+/* Missing heartbeats alone, also of the own domain, change nothing. */
+START_TEST(missing_heartbeats_alone_lose_no_link)
+{
+	make_large_site();
+	run_until(3000, true);
+	for (size_t d = 0; d < G_N_ELEMENTS(paths); d++)
+		paths[d].members_dead = true;
+	run_until(6000, true);
+	for (size_t d = 1; d < G_N_ELEMENTS(paths); d++)
+		ck_assert_int_eq(domain_link_state(links, domain_of(&paths[d])),
+				 LINK_DOUBTFUL);
+	ck_assert_uint_eq(isolated_ms, 0);
+	ck_assert_uint_eq(dead_nr + reset_nr + refused_nr, 0);
+}
+END_TEST
+
+/* What was not heard because the process did not run is no silence. */
+START_TEST(pause_of_this_process_is_no_silence)
+{
+	make_large_site();
+	take_own_domain_out();
+	run_until(3000, true);
+	now_ms += 2000;
+	update_domain_links(links, now_ms);
+	for (size_t d = 1; d < G_N_ELEMENTS(paths); d++)
+		ck_assert_int_eq(domain_link_state(links, domain_of(&paths[d])),
+				 LINK_UP);
+}
+END_TEST
+
+static struct link_change pop_link_change(void)
+{
+	GArray *got = g_array_new(FALSE, FALSE, sizeof(struct link_change));
+	struct link_change ch;
+
+	pop_link_changes(links, got);
+	ck_assert_uint_eq(got->len, 1);
+	ch = g_array_index(got, struct link_change, 0);
+	g_array_free(got, TRUE);
+	return ch;
+}
+
+START_TEST(link_changes_are_reported)
+{
+	domain_index_t south = intern_domain(in.catalog, "south");
+	struct link_change ch;
+
+	note_domain_heard(links, south, 1000, 100);
+	set_domain_upstreams(links, south, 3, 0);
+	for (now_ms = 1000; now_ms <= 1600; now_ms += STEP_MS)
+		update_domain_links(links, now_ms);
+	ch = pop_link_change();
+	ck_assert_int_eq(ch.to, LINK_DOUBTFUL);
+	ck_assert_uint_eq(ch.silent_ms, 600);
+	/* two checks of one upstream are not enough */
+	note_domain_failed_check(links, south, 1);
+	note_domain_failed_check(links, south, 1);
+	update_domain_links(links, 1610);
+	ck_assert_int_eq(domain_link_state(links, south), LINK_DOUBTFUL);
+	note_domain_failed_check(links, south, 2);
+	update_domain_links(links, 1620);
+	ch = pop_link_change();
+	ck_assert_int_eq(ch.from, LINK_DOUBTFUL);
+	ck_assert_int_eq(ch.to, LINK_LOST);
+	note_domain_answer(links, south, 1630);
+	update_domain_links(links, 1640);
+	ch = pop_link_change();
+	ck_assert_int_eq(ch.to, LINK_UP);
+}
+END_TEST
+
+/* Suspects count only while the own domain is heard. */
+START_TEST(suspects_lose_no_link_if_own_domain_is_silent)
+{
+	domain_index_t north = intern_domain(in.catalog, "north");
+	domain_index_t south = intern_domain(in.catalog, "south");
+
+	note_domain_heard(links, north, 1000, 100);
+	note_domain_heard(links, south, 1000, 100);
+	set_domain_upstreams(links, south, 5, DOMAIN_LINK_SUSPECTS);
+	for (now_ms = 1000; now_ms <= 2000; now_ms += STEP_MS)
+		update_domain_links(links, now_ms);
+	ck_assert_int_eq(domain_link_state(links, south), LINK_DOUBTFUL);
+	note_domain_heard(links, north, 2000, 100);
+	update_domain_links(links, 2010);
+	ck_assert_int_eq(domain_link_state(links, south), LINK_LOST);
 }
 END_TEST
 
@@ -366,6 +731,22 @@
 	tcase_add_checked_fixture(tc, setup, teardown);
 	tcase_add_test(tc, evacuated_domain_is_isolated_by_resets);
 	tcase_add_test(tc, evacuated_domain_is_isolated_by_packet_loss);
+	tcase_add_loop_test(tc, small_domains_are_isolated, 0, 3);
+	tcase_add_loop_test(tc, small_domains_are_isolated_by_packet_loss, 0,
+			    3);
+	tcase_add_loop_test(tc, upstreams_are_used_when_link_returns, 0, 12);
+	tcase_add_loop_test(tc, flows_go_to_the_domain_that_is_reached, 0, 2);
+	tcase_add_test(tc, loss_of_all_instances_of_a_domain_is_no_cut);
+	tcase_add_test(tc, quiet_domain_without_instances_is_not_lost);
+	tcase_add_loop_test(tc, crash_is_found_as_fast_as_without_links, 0, 8);
+	tcase_add_test(tc, crash_of_all_upstreams_is_found);
+	tcase_add_loop_test(tc, cut_of_the_way_back_resets_no_flow, 0, 2);
+	tcase_add_test(tc, cut_of_the_way_there_looks_like_a_crash);
+	tcase_add_test(tc, instance_that_is_cut_off_alone_is_isolated);
+	tcase_add_test(tc, missing_heartbeats_alone_lose_no_link);
+	tcase_add_test(tc, pause_of_this_process_is_no_silence);
+	tcase_add_test(tc, link_changes_are_reported);
+	tcase_add_test(tc, suspects_lose_no_link_if_own_domain_is_silent);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_NORMAL);
 	failed = srunner_ntests_failed(sr);
--- a/t/check-heartbeat.c
+++ b/t/check-heartbeat.c
@@ -581,6 +581,67 @@
 }
 END_TEST
 
+static struct heard_domain find_heard(const char *name)
+{
+	GArray *heard = g_array_new(FALSE, FALSE, sizeof(struct heard_domain));
+	struct heard_domain found = { 0 };
+
+	list_heard_domains(ht, heard);
+	for (guint i = 0; i < heard->len; i++) {
+		const struct heard_domain *hd =
+			&g_array_index(heard, struct heard_domain, i);
+
+		if (!strcmp(hd->name, name))
+			found = *hd;
+	}
+	g_array_free(heard, TRUE);
+	return found;
+}
+
+static void receive_from_domain(const char *domain, size_t members,
+				uint64_t now_ms)
+{
+	for (size_t i = 0; i < members; i++) {
+		char *name = g_strdup_printf("%s-%zu", domain, i);
+
+		receive_heartbeat(name, domain, (uint16_t)(100 + i), 0, now_ms);
+		g_free(name);
+	}
+}
+
+/* A wrong expectation would find links cut that are not, or find cuts late. */
+START_TEST(each_domain_has_its_expected_interval)
+{
+	ck_assert_uint_eq(find_heard("south").last_heard_ms, 0);
+	receive_from_domain("south", 3, 2000);
+	receive_from_domain("north", 1, 2010);
+	ck_assert_uint_eq(find_heard("south").last_heard_ms, 2000);
+	ck_assert_uint_eq(find_heard("south").expected_ms,
+			  HEARTBEAT_INTERVAL_MS / 3);
+	ck_assert_uint_eq(find_heard("north").last_heard_ms, 2010);
+	ck_assert_uint_eq(find_heard("north").expected_ms,
+			  HEARTBEAT_INTERVAL_MS);
+	/* members that are dead are not expected to send */
+	tick(2000 + HEARTBEAT_DEAD_MISSES * HEARTBEAT_INTERVAL_MS + 1);
+	ck_assert_uint_eq(find_heard("south").expected_ms, 0);
+	ck_assert_uint_eq(find_heard("south").last_heard_ms, 2000);
+}
+END_TEST
+
+START_TEST(members_of_large_fleets_are_heard_less_often)
+{
+	receive_from_domain("south", 20, 2000);
+	ck_assert_uint_eq(
+		find_heard("south").expected_ms,
+		(HEARTBEAT_INTERVAL_MS + HEARTBEAT_PER_MEMBER_MS * 10) *
+			HEARTBEAT_REMOTE_FACTOR / 20);
+	receive_from_domain("north", 19, 2000);
+	ck_assert_uint_eq(
+		find_heard("north").expected_ms,
+		(HEARTBEAT_INTERVAL_MS + HEARTBEAT_PER_MEMBER_MS * 10) / 19);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("heartbeat");
@@ -611,6 +672,8 @@
 	tcase_add_test(tc, a_large_domain_delays_the_store_reader_role);
 	tcase_add_test(tc, differences_after_a_restore_lead_to_its_position);
 	tcase_add_test(tc, held_records_are_told_with_what_is_left);
+	tcase_add_test(tc, each_domain_has_its_expected_interval);
+	tcase_add_test(tc, members_of_large_fleets_are_heard_less_often);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_ENV);
 	failed = srunner_ntests_failed(sr);
