flow: probe lost links, and take no proof of a cut from dead upstreams

A domain without instances whose link was found lost stayed so until one of its upstreams that were suspect answered; one live upstream among dead ones was never used again. While a link is doubtful or lost, waiting refusals no longer cause a control check every 50 ms.

check-domain-link: a live upstream among nine dead ones, in a domain without instances, was not found before and is now.

--- a/flow/domain-link.h
+++ b/flow/domain-link.h
@@ -76,11 +76,17 @@
 void note_domain_progress(struct domain_links *dl, domain_index_t domain,
 			  uint64_t now_ms);
 
-/* A check of UPSTREAM of DOMAIN was refused or found no connection. */
+/*
+ * A check of UPSTREAM of DOMAIN, which is not known to be dead, was refused or
+ * found no connection.
+ */
 void note_domain_failed_check(struct domain_links *dl, domain_index_t domain,
 			      upstream_index_t upstream);
 
-/* Numbers of upstreams of DOMAIN that accept flows, and of suspect ones. */
+/*
+ * Numbers of upstreams of DOMAIN that accept flows and are not dead, and of
+ * suspect ones.
+ */
 void set_domain_upstreams(struct domain_links *dl, domain_index_t domain,
 			  size_t accepting, size_t suspect);
 
--- a/flow/placement-links.c
+++ b/flow/placement-links.c
@@ -3,10 +3,14 @@
 #include "flow/domain-link.h"
 #include "flow/placement-state.h"
 
-/* Between two control checks of a domain. */
-#define CONTROL_INTERVAL_MS 500
-/* The same while a refusal waits for one; a refused check takes a round trip */
-#define URGENT_CONTROL_INTERVAL_MS 50
+/*
+ * Between two control checks of a domain: while the link is up and a refusal
+ * waits for confirmation, while it is doubtful, while it is lost. The first is
+ * short since callers wait for the verdict; all checks are billed.
+ */
+#define CONTROL_UP_MS 50
+#define CONTROL_DOUBTFUL_MS 500
+#define CONTROL_LOST_MS PLACEMENT_DEAD_RECHECK_MS
 
 void set_placer_links(struct placer *pl, struct domain_links *links)
 {
@@ -54,7 +58,9 @@
 		break;
 	case CHECK_REFUSED:
 	case CHECK_UNREACHABLE:
-		note_domain_failed_check(pl->links, domain, nr);
+		/* that a dead one does not answer says nothing of the link */
+		if (!is_dead_or_cut_off(find_upstream_load(pl, nr)))
+			note_domain_failed_check(pl->links, domain, nr);
 		break;
 	case CHECK_SILENT:
 	case CHECK_RESULT_NR:
@@ -114,8 +120,9 @@
 
 		if (!up || up->domain != domain || !up->listed)
 			continue;
-		du.accepting += accepts_flows(pl->catalog, nr);
-		du.suspect += ul && ul->suspect_since_ms;
+		du.accepting += accepts_flows(pl->catalog, nr) &&
+				!(ul && is_dead_or_cut_off(ul));
+		du.suspect += ul && ul->health == HEALTH_SUSPECTED;
 		du.refusal_waits |= ul && ul->refused_ms;
 	}
 	return du;
@@ -163,20 +170,39 @@
 	return only_control;
 }
 
+/* Time between two control checks of DOMAIN; 0: none is needed. */
+static uint64_t control_interval_ms(const struct placer *pl,
+				    domain_index_t domain,
+				    const struct domain_upstreams *du)
+{
+	switch (domain_link_state(pl->links, domain)) {
+	case LINK_UP:
+		return du->refusal_waits ? CONTROL_UP_MS : 0;
+	case LINK_DOUBTFUL:
+		return du->suspect ? CONTROL_DOUBTFUL_MS : 0;
+	case LINK_LOST:
+		return CONTROL_LOST_MS;
+	case LINK_STATE_NR:
+		break;
+	}
+	return 0;
+}
+
 /*
  * Lists a check of an upstream of DOMAIN that is not suspect, to tell a cut
  * link from a dead upstream. Heartbeats cannot if no instance runs there.
  */
 static void list_control_check(struct placer *pl, domain_index_t domain,
-			       bool urgent, uint64_t now_ms, GArray *checks)
+			       const struct domain_upstreams *du,
+			       uint64_t now_ms, GArray *checks)
 {
 	struct domain_control *dc = &g_array_index(
 		pl->domain_controls, struct domain_control, domain);
+	uint64_t interval_ms = control_interval_ms(pl, domain, du);
 	upstream_index_t nr;
 	struct upstream_load *ul;
 
-	if (now_ms - dc->checked_ms <
-	    (urgent ? URGENT_CONTROL_INTERVAL_MS : CONTROL_INTERVAL_MS))
+	if (!interval_ms || now_ms - dc->checked_ms < interval_ms)
 		return;
 	nr = pick_control(pl, domain);
 	if (nr == CATALOG_NONE)
@@ -216,14 +242,10 @@
 	for (size_t i = 0; i < n; i++) {
 		domain_index_t domain = (domain_index_t)i;
 		struct domain_upstreams du = review_domain(pl, domain);
-		bool doubtful =
-			domain_link_state(pl->links, domain) == LINK_DOUBTFUL;
 
 		set_domain_upstreams(pl->links, domain, du.accepting,
 				     du.suspect);
-		if (du.refusal_waits || (du.suspect && doubtful))
-			list_control_check(pl, domain, du.refusal_waits, now_ms,
-					   checks);
+		list_control_check(pl, domain, &du, now_ms, checks);
 	}
 	if (n)
 		update_domain_links(pl->links, now_ms);
--- a/t/check-domain-link.c
+++ b/t/check-domain-link.c
@@ -450,6 +450,10 @@
 	cut_other_domains(PATH_OPEN);
 	run_until(now_ms + 200, false);
 	ck_assert(!is.isolated);
+	/* those behind a link that was lost are good at once */
+	for (size_t i = 0; i < upstream_nr && cut_ms >= 600; i++)
+		ck_assert_int_eq(assessed_health(in.placer, upstreams[i].nr),
+				 HEALTH_GOOD);
 	run_until(now_ms + 1000, true);
 	ck_assert_uint_eq(dead_nr + reset_nr + refused_nr, 0);
 	ck_assert_uint_ge(open_flow_count(), open_flows + 45);
@@ -533,6 +537,26 @@
 }
 END_TEST
 
+/* The one live upstream of a domain without instances is found again. */
+START_TEST(live_upstream_among_dead_ones_is_found)
+{
+	make_large_site();
+	take_own_domain_out();
+	run_until(3000, true);
+	paths[1].members_dead = true;
+	kill_upstreams(&paths[1], 9);
+	for (size_t i = 0; i < flow_nr; i++)
+		flows[i].idle = !find_test_upstream(flows[i].upstream)->dead;
+	run_until(12000, false);
+	ck_assert_int_ne(domain_link_state(links, domain_of(&paths[1])),
+			 LINK_LOST);
+	for (size_t i = 0; i < upstream_nr; i++)
+		ck_assert(upstreams[i].dead ||
+			  assessed_health(in.placer, upstreams[i].nr) ==
+				  HEALTH_GOOD);
+}
+END_TEST
+
 /* Time from a crash of half of a domain's upstreams until all are dead. */
 static uint64_t measure_crash(bool with_links, uint64_t start_ms)
 {
@@ -696,13 +720,37 @@
 	ch = pop_link_change();
 	ck_assert_int_eq(ch.from, LINK_DOUBTFUL);
 	ck_assert_int_eq(ch.to, LINK_LOST);
-	note_domain_answer(links, south, 1630);
-	update_domain_links(links, 1640);
+	/* it stays so without a sign, although no upstream is suspect */
+	set_domain_upstreams(links, south, 3, 0);
+	for (now_ms = 1620; now_ms < 9000; now_ms += STEP_MS)
+		update_domain_links(links, now_ms);
+	ck_assert_int_eq(domain_link_state(links, south), LINK_LOST);
+	note_domain_answer(links, south, 9000);
+	update_domain_links(links, 9010);
 	ch = pop_link_change();
 	ck_assert_int_eq(ch.to, LINK_UP);
 }
 END_TEST
 
+/* Flows that go on outweigh failed checks and suspects. */
+START_TEST(link_with_progress_is_not_lost)
+{
+	domain_index_t south = intern_domain(in.catalog, "south");
+
+	note_domain_heard(links, south, 1000, 100);
+	set_domain_upstreams(links, south, 5, DOMAIN_LINK_SUSPECTS);
+	for (now_ms = 1000; now_ms < 3000; now_ms += STEP_MS) {
+		if (now_ms % 500 == 0)
+			note_domain_progress(links, south, now_ms);
+		note_domain_failed_check(links, south, 1);
+		note_domain_failed_check(links, south, 2);
+		update_domain_links(links, now_ms);
+		ck_assert_int_ne(domain_link_state(links, south), LINK_LOST);
+	}
+	ck_assert_int_eq(domain_link_state(links, south), LINK_DOUBTFUL);
+}
+END_TEST
+
 /* Suspects count only while the own domain is heard. */
 START_TEST(suspects_lose_no_link_if_own_domain_is_silent)
 {
@@ -738,6 +786,7 @@
 	tcase_add_loop_test(tc, flows_go_to_the_domain_that_is_reached, 0, 2);
 	tcase_add_test(tc, loss_of_all_instances_of_a_domain_is_no_cut);
 	tcase_add_test(tc, quiet_domain_without_instances_is_not_lost);
+	tcase_add_test(tc, live_upstream_among_dead_ones_is_found);
 	tcase_add_loop_test(tc, crash_is_found_as_fast_as_without_links, 0, 8);
 	tcase_add_test(tc, crash_of_all_upstreams_is_found);
 	tcase_add_loop_test(tc, cut_of_the_way_back_resets_no_flow, 0, 2);
@@ -746,6 +795,7 @@
 	tcase_add_test(tc, missing_heartbeats_alone_lose_no_link);
 	tcase_add_test(tc, pause_of_this_process_is_no_silence);
 	tcase_add_test(tc, link_changes_are_reported);
+	tcase_add_test(tc, link_with_progress_is_not_lost);
 	tcase_add_test(tc, suspects_lose_no_link_if_own_domain_is_silent);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_NORMAL);
