--- a/flow/cookie-state.h
+++ b/flow/cookie-state.h
@@ -60,6 +60,7 @@
 	GPtrArray *pending_flows;     /* struct cookie_flow that open or wait */
 	uint64_t weights_updated_ms;
 	struct syn_queue *syn_queue; /* owners: struct cookie_flow */
+	bool isolated;		     /* see set_cookie_isolated() */
 	uint64_t first_packet_ms;    /* 0: no packet was received yet */
 	uint64_t last_sweep_ms;
 	uint64_t last_tick_ms;
