flow: let callers repeat what waits behind a lost link

Requests on flows to upstreams behind a cut link wait until the caller's deadline; before links were known, each such upstream was found unreachable and its flows were reset one by one. The callers of a domain that is cut off from the others, but has upstreams of its own, are served at once if they repeat.

When a link is lost, flows with a pending request whose caller may repeat it are reset, and idle ones as soon as a request comes, unless no upstream at all can be reached. Requests that may not be repeated are left alone: the upstream answers callers directly, so the response may still arrive.

--- a/flow/cookie-state.h
+++ b/flow/cookie-state.h
@@ -95,6 +95,13 @@
 /* Removes the SYN of F from the queue, if it waits. */
 void cancel_held_syn(struct cookie_steering *cs, struct cookie_flow *f);
 
+/*
+ * True if the upstream NR of flow KEY is behind a lost link, and a request on
+ * the flow may be repeated and placed elsewhere.
+ */
+bool is_better_repeated(const struct cookie_steering *cs,
+			const struct flow_key *key, upstream_index_t nr);
+
 /* Longest handshake that does not make its upstream suspect. */
 uint64_t handshake_limit_ms(const struct cookie_steering *cs);
 
--- a/flow/cookie.c
+++ b/flow/cookie.c
@@ -435,13 +435,13 @@
 	f->phase = PHASE_CLOSING;
 }
 
-/* Ends F (which may be NULL), whose upstream NR is dead or cut off. */
-static struct cookie_decision reset_flow_of_dead(struct cookie_steering *cs,
-						 struct cookie_flow *f,
-						 const struct cookie_packet *p,
-						 upstream_index_t nr)
+/* Ends F (which may be NULL), whose upstream NR cannot be reached for REASON. */
+static struct cookie_decision
+reset_unreachable_flow(struct cookie_steering *cs, struct cookie_flow *f,
+		       const struct cookie_packet *p, upstream_index_t nr,
+		       enum cookie_reason reason)
 {
-	struct cookie_decision d = make_reset_decision(p, COOKIE_UPSTREAM_DEAD);
+	struct cookie_decision d = make_reset_decision(p, reason);
 
 	d.upstream = nr;
 	if (f)
@@ -484,7 +484,10 @@
 		return make_decision(relayed ? COOKIE_DROP : COOKIE_TO_PEER,
 				     COOKIE_UNKNOWN);
 	if (is_upstream_dead_or_cut_off(cs, nr))
-		return reset_flow_of_dead(cs, f, p, nr);
+		return reset_unreachable_flow(cs, f, p, nr,
+					      COOKIE_UPSTREAM_DEAD);
+	if (p->payload_len && is_better_repeated(cs, &p->key, nr))
+		return reset_unreachable_flow(cs, f, p, nr, COOKIE_LINK_LOST);
 	/* later packets of a relayed flow go to the instance that relays it */
 	moved_in = !f && !relayed;
 	if (!f) {
@@ -517,9 +520,9 @@
 const char *cookie_reason_name(enum cookie_reason r)
 {
 	static const char *const names[COOKIE_REASON_NR] = {
-		"opened",     "reopened",  "steered", "no-route",
-		"route-gone", "crowded",   "refused", "upstream-dead",
-		"unknown",    "not-ready", "isolated"
+		"opened",     "reopened", "steered",   "no-route",
+		"route-gone", "crowded",  "refused",   "upstream-dead",
+		"link-lost",  "unknown",  "not-ready", "isolated"
 	};
 
 	return names[r];
--- a/flow/cookie.h
+++ b/flow/cookie.h
@@ -68,6 +68,7 @@
 	COOKIE_CROWDED,	   /* all upstreams are crowded: it waits */
 	COOKIE_REFUSED,	   /* no upstream can take the flow */
 	COOKIE_UPSTREAM_DEAD, /* or cut off */
+	COOKIE_LINK_LOST,     /* the link to the upstream's domain is cut */
 	COOKIE_UNKNOWN,	      /* the cookie is of no upstream known here */
 	COOKIE_NOT_READY,     /* no configuration yet */
 	COOKIE_ISOLATED,      /* no upstream can be reached from here */
@@ -138,6 +139,15 @@
 void end_upstream_flows(struct cookie_steering *cs, upstream_index_t nr,
 			uint64_t now_ms, GArray *resets);
 
+/*
+ * Ends flows behind lost links on which a request waits that its caller may
+ * repeat, if it can be placed elsewhere; RESETS as above. A request that may
+ * not be repeated is left alone: the upstream answers callers directly, so the
+ * response may still arrive.
+ */
+void end_flows_behind_lost_links(struct cookie_steering *cs, uint64_t now_ms,
+				 GArray *resets);
+
 /* Ends flows whose route is no longer configured; RESETS as above. */
 void end_flows_without_route(struct cookie_steering *cs, uint64_t now_ms,
 			     GArray *resets);
--- a/flow/placement-state.h
+++ b/flow/placement-state.h
@@ -125,9 +125,6 @@
 
 /* placement-links.c: links between failure domains */
 
-/* True if NR is not reached because the link to its domain is lost. */
-bool is_behind_lost_link(const struct placer *pl, upstream_index_t nr);
-
 /* A flow to NR made progress. */
 void note_progress_on_link(struct placer *pl, upstream_index_t nr,
 			   uint64_t now_ms);
--- a/flow/placement.h
+++ b/flow/placement.h
@@ -248,6 +248,9 @@
  */
 bool reaches_no_upstream(const struct placer *pl);
 
+/* True if NR is not reached because the link to its domain is lost. */
+bool is_behind_lost_link(const struct placer *pl, upstream_index_t nr);
+
 /* Answer times of SERVICE, ms; NULL if none was observed. */
 const struct histogram *answer_times(const struct placer *pl,
 				     service_index_t service);
--- a/t/check-cookie.c
+++ b/t/check-cookie.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "flow/domain-link.h"
 #include "flow/syn-queue.h"
 #include "t/cookie-harness.h"
 
@@ -774,6 +775,86 @@
 }
 END_TEST
 
+/* Loses the link to "south", whose members and upstreams are silent. */
+static void lose_link(struct domain_links *dl, domain_index_t south,
+		      uint64_t now_ms)
+{
+	note_domain_heard(dl, south, now_ms - DOMAIN_LINK_SILENCE_MAX_MS, 10);
+	note_domain_failed_check(dl, south, 0);
+	note_domain_failed_check(dl, south, 1);
+	update_domain_links(dl, now_ms);
+	ck_assert_int_eq(domain_link_state(dl, south), LINK_LOST);
+}
+
+static void set_repeatable_route(bool repeatable)
+{
+	GArray *routes =
+		g_array_new(FALSE, FALSE, sizeof(struct catalog_route));
+	struct catalog_route r = { .ip = TEST_ROUTE_IP,
+				   .port = TEST_ROUTE_PORT,
+				   .deadline_ms = TEST_DEADLINE_MS,
+				   .repeatable = repeatable,
+				   .target_nr = 1 };
+
+	r.targets = g_new0(struct route_target, 1);
+	r.targets[0].service = intern_service(in.catalog, "board");
+	r.targets[0].weight = 1;
+	g_array_append_val(routes, r);
+	ck_assert(set_catalog_routes(in.catalog, 2, routes, TEST_IDLE_MS));
+}
+
+/*
+ * A caller whose request is stuck behind a cut link waits until its deadline,
+ * although another domain could answer. One who may not repeat is left alone.
+ */
+START_TEST(request_behind_lost_link_is_repeated_elsewhere)
+{
+	domain_index_t south = intern_domain(in.catalog, "south");
+	struct domain_links *dl =
+		create_domain_links(intern_domain(in.catalog, "north"));
+	struct upstream_report r = make_upstream_report("u-far", "south");
+	upstream_index_t far = put_test_upstream(&in, &r, 0);
+	uint32_t cookie = get_upstream(in.catalog, far)->cookie;
+	bool repeatable = _i;
+
+	set_repeatable_route(repeatable);
+	set_placer_links(in.placer, dl);
+	ck_assert_uint_eq(open_flow(5000, 9800), far);
+	ck_assert_uint_eq(open_flow(5001, 9800), far);
+	send_data(5001, cookie, 1101, 0, 900, 9850); /* was answered */
+	put_upstream("u-near", 9900);
+	lose_link(dl, south, 10000);
+	end_flows_behind_lost_links(in.steering, 10000, resets);
+	ck_assert_uint_eq(resets->len, repeatable);
+	ck_assert_uint_eq(cookie_flow_count(in.steering), 2 - repeatable);
+	/* an idle flow is kept until a request would be stuck on it */
+	ck_assert_int_eq(send_data(5001, cookie, 1101, 0, 900, 10010).verdict,
+			 COOKIE_TO_UPSTREAM);
+	ck_assert_int_eq(send_data(5001, cookie, 1101, 100, 900, 10020).verdict,
+			 repeatable ? COOKIE_RESET : COOKIE_TO_UPSTREAM);
+	destroy_domain_links(dl);
+}
+END_TEST
+
+/* Where nothing else can be reached, a reset only costs the caller a try. */
+START_TEST(request_behind_lost_link_waits_if_there_is_no_other_upstream)
+{
+	domain_index_t south = intern_domain(in.catalog, "south");
+	struct domain_links *dl =
+		create_domain_links(intern_domain(in.catalog, "north"));
+	struct upstream_report r = make_upstream_report("u-far", "south");
+
+	put_test_upstream(&in, &r, 0);
+	set_repeatable_route(true);
+	set_placer_links(in.placer, dl);
+	open_flow(5000, 9800);
+	lose_link(dl, south, 10000);
+	end_flows_behind_lost_links(in.steering, 10000, resets);
+	ck_assert_uint_eq(resets->len, 0);
+	destroy_domain_links(dl);
+}
+END_TEST
+
 START_TEST(ended_flows_are_removed)
 {
 	struct cookie_packet fin;
@@ -834,6 +915,11 @@
 	tcase_add_test(tc, weight_change_does_not_move_open_flows);
 	tcase_add_test(tc, older_configuration_is_ignored);
 	tcase_add_test(tc, instance_without_configuration_relays_syn);
+	tcase_add_loop_test(tc, request_behind_lost_link_is_repeated_elsewhere,
+			    0, 2);
+	tcase_add_test(
+		tc,
+		request_behind_lost_link_waits_if_there_is_no_other_upstream);
 	tcase_add_test(tc, ended_flows_are_removed);
 	tcase_add_test(tc, isolated_instance_refuses_only_the_last_copy);
 	tcase_add_test(tc, isolated_instance_places_what_it_can);
