flow: expect of idle flows what is usual on their route

The share was one for a whole service, so that idle flows of one route counted as busy as the short flows of another; flows whose end was seen elsewhere counted until the idle timeout.

Crowded and overdue upstreams are now told by the requests in flight alone (own weights, running mean of those of peers). Upstreams are compared by what to expect when the next request gets its turn: half of the running requests give way to the number that is usual for the open flows of each route. Both agree in the mean with arrivals times response time. A flow in its first request is no part of the share, and an idle flow of a route that opens a flow for each request counts nothing.

Heartbeat rows carry busy and expected flows in sixteenths, the latter instead of open flows (HEARTBEAT_FORMAT 12): only the sender knows the routes of its flows.

The limit therefore becomes 0.4 of the route's target instead of all of it, and the answer time without queueing that it is computed from a slower mean, since it is frozen during an overload.

upstream_is_crowded_if_answers_would_be_late has other targets, with the same number of requests on both sides of the limit. The simulation marks short flows as such.

--- a/fleet/heartbeat.c
+++ b/fleet/heartbeat.c
@@ -4,7 +4,7 @@
 
 #include "fleet/store-reader.h"
 
-#define HEARTBEAT_FORMAT 11 /* first element; differs for every wire layout */
+#define HEARTBEAT_FORMAT 12 /* first element; differs for every wire layout */
 #define LOAD_ROW_FIELDS 5
 
 struct peer {
@@ -61,7 +61,7 @@
 
 		write_uint(w, r->cookie);
 		write_uint(w, r->busy_flows);
-		write_uint(w, r->open_flows);
+		write_uint(w, r->expected_flows);
 		write_uint(w, r->silent_ms);
 		write_uint(w, r->health);
 	}
@@ -101,7 +101,7 @@
 
 		row.cookie = (uint32_t)read_uint(&r, UINT32_MAX);
 		row.busy_flows = (uint16_t)read_uint(&r, UINT16_MAX);
-		row.open_flows = (uint16_t)read_uint(&r, UINT16_MAX);
+		row.expected_flows = (uint16_t)read_uint(&r, UINT16_MAX);
 		row.silent_ms = (uint16_t)read_uint(&r, UINT16_MAX);
 		row.health = (uint8_t)read_uint(&r, HEALTH_DEAD);
 		g_array_append_val(hm->rows, row);
--- a/fleet/load.h
+++ b/fleet/load.h
@@ -15,10 +15,12 @@
 /* One upstream as one instance observes it. */
 struct upstream_load_row {
 	uint32_t cookie;     /* identifies the upstream */
-	uint16_t busy_flows; /* flows with a request in flight */
-	uint16_t open_flows; /* all flows, busy ones included */
-	uint16_t silent_ms;  /* since it last sent anything; at most 65535 */
-	uint8_t health;	     /* enum upstream_health */
+	uint16_t busy_flows; /* flows with a request in flight, sixteenths */
+	/* flows that will have one by the time a new request gets its turn,
+	 * sixteenths */
+	uint16_t expected_flows;
+	uint16_t silent_ms; /* since it last sent anything; at most 65535 */
+	uint8_t health;	    /* enum upstream_health */
 };
 
 /* Name of H, as shown in logs. */
--- a/flow/cookie-flows.c
+++ b/flow/cookie-flows.c
@@ -70,9 +70,7 @@
 	if (f->upstream_next)
 		f->upstream_next->upstream_prev = f;
 	g_ptr_array_index(cs->flows_by_upstream, nr) = f;
-	if (f->phase != PHASE_CLOSING)
-		note_flow_open(cs->placer, nr);
-	change_request_weight(cs->placer, nr, 0, f->load_weight);
+	add_flow_load(cs->placer, nr, &f->load);
 }
 
 void unassign_cookie_flow(struct cookie_steering *cs, struct cookie_flow *f)
@@ -86,9 +84,7 @@
 			f->upstream_next;
 	if (f->upstream_next)
 		f->upstream_next->upstream_prev = f->upstream_prev;
-	if (f->phase != PHASE_CLOSING)
-		note_flow_end(cs->placer, f->upstream);
-	change_request_weight(cs->placer, f->upstream, f->load_weight, 0);
+	remove_flow_load(cs->placer, f->upstream, &f->load);
 	f->upstream = CATALOG_NONE;
 }
 
@@ -145,6 +141,10 @@
 	f = g_new0(struct cookie_flow, 1);
 	f->key = p->key;
 	f->upstream = CATALOG_NONE;
+	f->load.counted = true;
+	if (route)
+		f->load.route =
+			get_placer_route(cs->placer, route->ip, route->port);
 	f->caller_next_seq = p->seq;
 	f->deadline_ms =
 		route ? route->deadline_ms : catalog_idle_ms(cs->catalog);
--- a/flow/cookie-load.c
+++ b/flow/cookie-load.c
@@ -28,18 +28,21 @@
 	g_ptr_array_remove_index_fast(cs->pending_flows, f->pending_at);
 }
 
-static void set_load_weight(struct cookie_steering *cs, struct cookie_flow *f,
-			    uint8_t weight)
+static void set_flow_load(struct cookie_steering *cs, struct cookie_flow *f,
+			  bool established, uint8_t weight)
 {
 	if (f->upstream != CATALOG_NONE)
-		change_request_weight(cs->placer, f->upstream, f->load_weight,
-				      weight);
-	f->load_weight = weight;
+		remove_flow_load(cs->placer, f->upstream, &f->load);
+	f->load.counted = f->phase != PHASE_CLOSING;
+	f->load.established = established;
+	f->load.weight = weight;
+	if (f->upstream != CATALOG_NONE)
+		add_flow_load(cs->placer, f->upstream, &f->load);
 }
 
 void start_flow_load(struct cookie_steering *cs, struct cookie_flow *f)
 {
-	set_load_weight(cs, f, IN_FLIGHT_WEIGHT_ONE);
+	set_flow_load(cs, f, false, IN_FLIGHT_WEIGHT_ONE);
 	list_flow(cs, f);
 }
 
@@ -47,14 +50,15 @@
 {
 	f->request_pending = false;
 	f->request_unseen = false;
-	set_load_weight(cs, f, 0);
+	set_flow_load(cs, f, f->phase == PHASE_OPEN, 0);
 	unlist_flow(cs, f);
 }
 
 void start_request(struct cookie_steering *cs, struct cookie_flow *f,
 		   uint64_t now_ms)
 {
-	start_flow_load(cs, f);
+	set_flow_load(cs, f, f->load.established, IN_FLIGHT_WEIGHT_ONE);
+	list_flow(cs, f);
 	f->request_pending = true;
 	f->request_unseen = false;
 	f->request_sent_ms = now_ms;
@@ -65,14 +69,18 @@
 {
 	uint64_t took_ms = now_ms - f->request_sent_ms;
 
+	/* one with data may come long after the response, by way of others */
+	bool late = f->request_unseen && !p->payload_len &&
+		    took_ms <= f->deadline_ms;
+
 	if (f->request_pending)
 		note_answer(cs->placer, f->upstream, took_ms, now_ms);
-	/* one with data may come long after the response, by way of others */
-	else if (f->request_unseen && !p->payload_len &&
-		 took_ms <= f->deadline_ms)
+	else if (late)
 		note_late_answer(cs->placer, f->upstream, took_ms, now_ms);
 	else
 		note_upstream_alive(cs->placer, f->upstream, now_ms);
+	if (f->request_pending || late)
+		note_response_on_route(cs->placer, f->load.route, now_ms);
 	end_flow_load(cs, f);
 }
 
@@ -97,7 +105,7 @@
 	if (p < IN_FLIGHT_ENDED || now_ms - f->request_sent_ms > f->deadline_ms)
 		end_unseen_request(cs, f, now_ms);
 	else
-		set_load_weight(cs, f, in_flight_weight(p));
+		set_flow_load(cs, f, f->load.established, in_flight_weight(p));
 }
 
 void update_flow_loads(struct cookie_steering *cs, uint64_t now_ms)
--- a/flow/cookie-state.h
+++ b/flow/cookie-state.h
@@ -32,7 +32,7 @@
 	enum flow_phase phase;
 	bool request_pending;	  /* a request was sent and not answered yet */
 	bool request_unseen;	  /* its end was not seen in time */
-	uint8_t load_weight;	  /* counted at the upstream, sixteenths */
+	struct flow_load load;	  /* counted at the upstream */
 	guint pending_at;	  /* index in pending_flows, if it is listed */
 	bool is_listed;		  /* in pending_flows */
 	uint32_t caller_next_seq; /* follows the last byte sent by the caller */
@@ -108,7 +108,7 @@
 void observe_answer(struct cookie_steering *cs, struct cookie_flow *f,
 		    const struct cookie_packet *p, uint64_t now_ms);
 
-/* F no longer counts at its upstream. */
+/* F is idle, or its caller has ended it. */
 void end_flow_load(struct cookie_steering *cs, struct cookie_flow *f);
 
 /* Updates the weights of all pending requests and of opening flows. */
--- a/flow/cookie.c
+++ b/flow/cookie.c
@@ -422,13 +422,13 @@
 /* Closes F if P has FIN or RST: its caller sends no more data. */
 static void observe_fin_or_rst(struct cookie_steering *cs,
 			       struct cookie_flow *f,
-			       const struct cookie_packet *p)
+			       const struct cookie_packet *p, uint64_t now_ms)
 {
 	if (f->phase == PHASE_CLOSING || !(p->flags & (TCP_FIN | TCP_RST)))
 		return;
-	end_flow_load(cs, f);
-	note_flow_end(cs->placer, f->upstream);
 	f->phase = PHASE_CLOSING;
+	end_flow_load(cs, f);
+	note_flow_end_on_route(cs->placer, f->load.route, now_ms);
 }
 
 /* Ends F (which may be NULL), whose upstream NR is dead or cut off. */
@@ -483,6 +483,7 @@
 		if (f) {
 			f->phase = PHASE_OPEN;
 			f->caller_ack = p->ack;
+			f->load.established = true;
 			if (p->payload_len)
 				note_moved_flow(cs->placer, nr, now_ms);
 		}
@@ -494,7 +495,7 @@
 		assign_cookie_flow(cs, f, nr);
 	}
 	observe_packet(cs, f, p, now_ms);
-	observe_fin_or_rst(cs, f, p);
+	observe_fin_or_rst(cs, f, p, now_ms);
 	f->last_packet_ms = now_ms;
 	return steer_to(cs, nr, COOKIE_STEERED);
 }
--- a/flow/in-flight.c
+++ b/flow/in-flight.c
@@ -121,3 +121,56 @@
 {
 	return (uint8_t)lround(IN_FLIGHT_WEIGHT_ONE * probability);
 }
+
+/* What remains of a running sum after AGE_MS. */
+static double decay_factor(uint64_t age_ms, uint64_t half_life_ms)
+{
+	return exp2(-(double)age_ms / (double)half_life_ms);
+}
+
+void sample_route_activity(struct route_activity *ra, double busy,
+			   uint32_t open, uint64_t now_ms)
+{
+	double kept = decay_factor(now_ms - MIN(now_ms, ra->sampled_ms),
+				   ROUTE_SHARE_HALF_LIFE_MS);
+
+	ra->sampled_ms = now_ms;
+	/* with no open flow there is nothing to learn, or to forget for */
+	if (!open)
+		return;
+	ra->busy = kept * ra->busy + MIN(busy, open);
+	ra->open = kept * ra->open + open;
+}
+
+double route_busy_share(const struct route_activity *ra)
+{
+	return (ra->busy + ROUTE_SHARE_INITIAL) / (ra->open + 1);
+}
+
+static void decay_route_counts(struct route_activity *ra, uint64_t now_ms)
+{
+	double kept = decay_factor(now_ms - MIN(now_ms, ra->counted_ms),
+				   ROUTE_ENDS_HALF_LIFE_MS);
+
+	ra->counted_ms = now_ms;
+	ra->responses *= kept;
+	ra->ends *= kept;
+}
+
+void note_route_response(struct route_activity *ra, uint64_t now_ms)
+{
+	decay_route_counts(ra, now_ms);
+	ra->responses++;
+}
+
+void note_route_flow_end(struct route_activity *ra, uint64_t now_ms)
+{
+	decay_route_counts(ra, now_ms);
+	ra->ends++;
+}
+
+bool has_flow_per_request(const struct route_activity *ra)
+{
+	return ra->ends >= ROUTE_ENDS_MIN &&
+	       ra->responses <= ROUTE_SHORT_RESPONSES * ra->ends;
+}
--- a/flow/in-flight.h
+++ b/flow/in-flight.h
@@ -12,6 +12,7 @@
  * taken to be alike; the placer has one for each service.
  */
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #define IN_FLIGHT_INITIAL_MS 50.0 /* mean response until one was observed */
@@ -52,4 +53,36 @@
 /* PROBABILITY in sixteenths, rounded. */
 uint8_t in_flight_weight(double probability);
 
+#define ROUTE_SHARE_INITIAL 0.5 /* busy share until flows were observed */
+#define ROUTE_SHARE_HALF_LIFE_MS 5000
+#define ROUTE_ENDS_HALF_LIFE_MS 10000
+/*
+ * A route opens a flow for each request, or for two, if no more responses than
+ * this come for each flow that ends, and at least ROUTE_ENDS_MIN ended lately.
+ */
+#define ROUTE_SHORT_RESPONSES 2.0
+#define ROUTE_ENDS_MIN 4.0
+
+/* How the flows of one route are used, in running sums. */
+struct route_activity {
+	double busy; /* flows with a request, over all samples */
+	double open; /* open flows, over all samples */
+	uint64_t sampled_ms;
+	double responses;
+	double ends;	     /* flows that their callers ended */
+	uint64_t counted_ms; /* when these two were updated */
+};
+
+/* Of the route's OPEN flows BUSY have a request at NOW_MS. */
+void sample_route_activity(struct route_activity *ra, double busy,
+			   uint32_t open, uint64_t now_ms);
+void note_route_response(struct route_activity *ra, uint64_t now_ms);
+void note_route_flow_end(struct route_activity *ra, uint64_t now_ms);
+
+/* Share of the time in which a flow of the route has a request. */
+double route_busy_share(const struct route_activity *ra);
+
+/* Whether the route's idle flows have served their purpose. */
+bool has_flow_per_request(const struct route_activity *ra);
+
 #endif
--- a/flow/placement-health.c
+++ b/flow/placement-health.c
@@ -46,7 +46,7 @@
 	if (!up)
 		return;
 	if (ul->upstream_id != up->report.id) {
-		pl->busy_weight -= ul->busy_weight;
+		clear_own_load(pl, nr);
 		memset(ul, 0, sizeof(*ul));
 		ul->upstream_id = up->report.id;
 		ul->starts = up->restart_count;
--- a/flow/placement-peers.c
+++ b/flow/placement-peers.c
@@ -4,8 +4,7 @@
 
 #include "flow/placement-state.h"
 
-/* Weights of the newest sample in running means. */
-#define BUSY_RATIO_MEAN_WEIGHT 0.1
+/* Weight of the newest sample in running means. */
 #define PEER_LOAD_MEAN_WEIGHT 0.1
 
 static struct peer_load *get_or_create_peer_load(struct placer *pl,
@@ -36,9 +35,10 @@
 		struct upstream_load *ul =
 			get_or_create_upstream_load(pl, pr->upstream);
 
-		ul->peer_busy_requests -=
-			MIN(ul->peer_busy_requests, pr->busy_requests);
-		ul->peer_open_flows -= MIN(ul->peer_open_flows, pr->open_flows);
+		ul->peer_busy_weight -=
+			MIN(ul->peer_busy_weight, pr->busy_weight);
+		ul->peer_expected_weight -=
+			MIN(ul->peer_expected_weight, pr->expected_weight);
 		ul->peers_dead -= MIN(ul->peers_dead, (uint32_t)pr->dead);
 		ul->peers_dead_or_cut_off -= MIN(ul->peers_dead_or_cut_off,
 						 (uint32_t)pr->dead_or_cut_off);
@@ -57,7 +57,7 @@
 	for (size_t i = 0; i < nr; i++) {
 		struct peer_upstream_load pr = {
 			find_upstream_by_cookie(pl->catalog, rows[i].cookie),
-			rows[i].busy_flows, rows[i].open_flows,
+			rows[i].busy_flows, rows[i].expected_flows,
 			rows[i].health == HEALTH_DEAD,
 			rows[i].health == HEALTH_DEAD ||
 				rows[i].health == HEALTH_UNREACHABLE
@@ -68,8 +68,8 @@
 		if (pr.upstream == CATALOG_NONE)
 			continue;
 		ul = get_or_create_upstream_load(pl, pr.upstream);
-		ul->peer_busy_requests += pr.busy_requests;
-		ul->peer_open_flows += pr.open_flows;
+		ul->peer_busy_weight += pr.busy_weight;
+		ul->peer_expected_weight += pr.expected_weight;
 		ul->peers_dead += pr.dead;
 		ul->peers_dead_or_cut_off += pr.dead_or_cut_off;
 		if (rows[i].silent_ms < UINT16_MAX)
@@ -108,15 +108,16 @@
 		const struct catalog_upstream *up =
 			get_upstream(pl->catalog, (upstream_index_t)i);
 		struct upstream_load_row lr;
+		double expected;
 
 		if (!ul || !up ||
 		    (!ul->open_flows && ul->health == HEALTH_GOOD))
 			continue;
 		lr.cookie = up->cookie;
-		lr.busy_flows = (uint16_t)MIN(
-			lround(weight_as_requests(ul->busy_weight)),
-			UINT16_MAX);
-		lr.open_flows = (uint16_t)MIN(ul->open_flows, UINT16_MAX);
+		lr.busy_flows = (uint16_t)MIN(ul->busy_weight, UINT16_MAX);
+		expected = own_expected_load(pl, (upstream_index_t)i);
+		lr.expected_flows = (uint16_t)MIN(
+			lround(expected * IN_FLIGHT_WEIGHT_ONE), UINT16_MAX);
 		lr.silent_ms =
 			ul->last_alive_ms
 				? (uint16_t)MIN(now_ms - ul->last_alive_ms,
@@ -127,28 +128,23 @@
 	}
 }
 
-static void update_busy_ratio(struct placer *pl, service_index_t service)
+static void update_mean_peer_loads(struct placer *pl)
 {
-	const struct catalog_service *sv = get_service(pl->catalog, service);
-	struct service_stats *stats = get_or_create_service_stats(pl, service);
-	uint32_t busy = 0;
-	uint32_t open = 0;
-
-	for (guint i = 0; i < sv->upstreams->len; i++) {
-		struct upstream_load *ul = get_or_create_upstream_load(
-			pl, g_array_index(sv->upstreams, upstream_index_t, i));
+	for (guint i = 0; i < pl->upstream_loads->len; i++) {
+		struct upstream_load *ul =
+			g_ptr_array_index(pl->upstream_loads, i);
 
+		if (!ul)
+			continue;
 		ul->mean_peer_busy +=
 			PEER_LOAD_MEAN_WEIGHT *
-			(ul->peer_busy_requests - ul->mean_peer_busy);
-		busy += (uint32_t)lround(weight_as_requests(ul->busy_weight)) +
-			ul->peer_busy_requests;
-		open += ul->open_flows + ul->peer_open_flows;
+			(weight_as_requests(ul->peer_busy_weight) -
+			 ul->mean_peer_busy);
+		ul->mean_peer_expected +=
+			PEER_LOAD_MEAN_WEIGHT *
+			(weight_as_requests(ul->peer_expected_weight) -
+			 ul->mean_peer_expected);
 	}
-	if (open)
-		stats->mean_busy_ratio += BUSY_RATIO_MEAN_WEIGHT *
-					  ((double)MIN(busy, open) / open -
-					   stats->mean_busy_ratio);
 }
 
 void tick_placer(struct placer *pl, uint64_t now_ms, GArray *checks)
@@ -165,8 +161,8 @@
 	}
 	if (now_ms - pl->means_updated_ms >= PLACEMENT_MEANS_INTERVAL_MS) {
 		pl->means_updated_ms = now_ms;
-		for (size_t i = 0; i < catalog_service_count(pl->catalog); i++)
-			update_busy_ratio(pl, (service_index_t)i);
+		update_mean_peer_loads(pl);
+		sample_routes(pl, now_ms);
 	}
 	if (pl->has_unhealthy)
 		list_due_checks(pl, now_ms, checks);
--- a/flow/placement-state.h
+++ b/flow/placement-state.h
@@ -15,8 +15,8 @@
 
 struct peer_upstream_load {
 	upstream_index_t upstream;
-	uint16_t busy_requests;
-	uint16_t open_flows;
+	uint16_t busy_weight;
+	uint16_t expected_weight;
 	bool dead;
 	bool dead_or_cut_off;
 };
@@ -27,11 +27,11 @@
 	uint32_t starts;      /* of its process; a new start clears suspicion */
 	uint32_t busy_weight; /* of own requests in flight, sixteenths */
 	uint32_t open_flows;
-	uint32_t peer_busy_requests;
-	uint32_t peer_open_flows;
-	/* running mean of peer_busy_requests, which is outdated after one
-	 * request */
+	uint32_t peer_busy_weight;     /* sixteenths */
+	uint32_t peer_expected_weight; /* sixteenths */
+	/* running means, in requests: the sums are outdated after one request */
 	double mean_peer_busy;
+	double mean_peer_expected;
 	uint32_t peers_dead;		/* number of peers that found it dead */
 	uint32_t peers_dead_or_cut_off; /* that found it dead or cut off */
 	uint64_t last_alive_ms;
@@ -51,12 +51,26 @@
 /* Running means over all upstreams of one service. */
 struct service_stats {
 	double mean_answer_ms;
-	double mean_unqueued_ms; /* of upstreams with a free slot */
-	double mean_busy_ratio;	 /* share of open flows with a request */
-	struct histogram answer_histogram;     /* ms */
+	double mean_unqueued_ms;	   /* of upstreams with a free slot */
+	struct histogram answer_histogram; /* ms */
 	struct in_flight_estimator *in_flight; /* NULL: no request yet */
 };
 
+/* Flows of one route at one upstream. */
+struct route_flows {
+	uint32_t open;
+	uint32_t request_weight; /* sixteenths */
+};
+
+/* What this instance knows of the flows of one route. */
+struct placer_route {
+	uint32_t ip;
+	uint16_t port;
+	struct route_activity activity;
+	struct route_flows total; /* of all upstreams */
+	GArray *flows;		  /* struct route_flows by upstream */
+};
+
 struct placer {
 	const struct catalog *catalog;
 	const struct view *view;
@@ -66,6 +80,7 @@
 	GRand *rand;
 	GPtrArray *upstream_loads; /* struct upstream_load by handle */
 	GArray *service_stats;	   /* struct service_stats by handle */
+	GPtrArray *routes;	   /* struct placer_route by index */
 	GArray *peer_loads;	   /* of struct peer_load */
 	uint64_t means_updated_ms;
 	bool has_unhealthy;	/* an upstream is not HEALTH_GOOD */
@@ -98,6 +113,19 @@
 void note_in_flight_answer(struct placer *pl, upstream_index_t nr,
 			   uint64_t took_ms, uint64_t now_ms);
 
+/*
+ * Requests in flight to expect at NR, of the own flows, when a request that is
+ * sent to it now gets its turn.
+ */
+double own_expected_load(const struct placer *pl, upstream_index_t nr);
+
+/* Forgets the own flows of NR. */
+void clear_own_load(struct placer *pl, upstream_index_t nr);
+
+/* Samples how busy the flows of each route are. */
+void sample_routes(struct placer *pl, uint64_t now_ms);
+void destroy_placer_route(gpointer data);
+
 /* Makes NR HEALTH_GOOD and ends its suspicion. */
 void clear_suspicion(struct placer *pl, upstream_index_t nr,
 		     struct upstream_load *ul, uint64_t now_ms);
--- a/flow/placement.c
+++ b/flow/placement.c
@@ -5,8 +5,12 @@
 #include "flow/placement-state.h"
 
 #define ANSWER_MEAN_WEIGHT 0.1 /* of the newest sample */
-#define ANSWER_MS_START 50.0   /* until answers were observed */
-#define BUSY_RATIO_START 0.5   /* until flows were observed */
+/*
+ * In an overload no samples come, and the mean stays as it is: a larger weight
+ * would leave it at a random value.
+ */
+#define UNQUEUED_MEAN_WEIGHT 0.02
+#define ANSWER_MS_START 50.0 /* until answers were observed */
 
 struct placer *create_placer(const struct catalog *cat, const struct view *view,
 			     struct quotas *quotas, const char *domain,
@@ -24,6 +28,8 @@
 	pl->upstream_loads = g_ptr_array_new_with_free_func(g_free);
 	pl->service_stats =
 		g_array_new(FALSE, TRUE, sizeof(struct service_stats));
+	pl->routes = g_ptr_array_new_with_free_func(destroy_placer_route);
+	get_placer_route(pl, 0, 0); /* the unknown one */
 	pl->peer_loads = g_array_new(FALSE, FALSE, sizeof(struct peer_load));
 	pl->health_changes =
 		g_array_new(FALSE, FALSE, sizeof(struct health_change));
@@ -58,6 +64,7 @@
 						    .in_flight);
 	g_array_free(pl->service_stats, TRUE);
 	g_ptr_array_free(pl->upstream_loads, TRUE);
+	g_ptr_array_free(pl->routes, TRUE);
 	g_rand_free(pl->rand);
 	g_free(pl->domain);
 	g_free(pl);
@@ -86,20 +93,24 @@
 						  service_index_t sv)
 {
 	struct service_stats start = { .mean_answer_ms = ANSWER_MS_START,
-				       .mean_unqueued_ms = ANSWER_MS_START,
-				       .mean_busy_ratio = BUSY_RATIO_START };
+				       .mean_unqueued_ms = ANSWER_MS_START };
 
 	while (pl->service_stats->len <= sv)
 		g_array_append_val(pl->service_stats, start);
 	return &g_array_index(pl->service_stats, struct service_stats, sv);
 }
 
-static double expected_load(const struct upstream_load *ul, double busy_ratio)
+/* Requests in flight, of which those of peers change between reports. */
+static double busy_load(const struct upstream_load *ul)
 {
-	double busy = weight_as_requests(ul->busy_weight) + ul->mean_peer_busy;
-	double idle = (double)ul->open_flows + ul->peer_open_flows - busy;
+	return weight_as_requests(ul->busy_weight) + ul->mean_peer_busy;
+}
 
-	return busy + (idle > 0 ? busy_ratio * idle : 0);
+/* Requests in flight in the time of the next one, to compare upstreams. */
+static double expected_load(const struct placer *pl, upstream_index_t nr)
+{
+	return own_expected_load(pl, nr) +
+	       find_upstream_load(pl, nr)->mean_peer_expected;
 }
 
 /* Flows that this instance placed on the cold upstream in the last window. */
@@ -164,7 +175,7 @@
 {
 	const struct upstream_load *ul = find_upstream_load(pl, nr);
 
-	return (weight_as_requests(ul->busy_weight) + ul->peer_busy_requests) /
+	return weight_as_requests(ul->busy_weight + ul->peer_busy_weight) /
 	       get_upstream(pl->catalog, nr)->report.slots;
 }
 
@@ -184,7 +195,8 @@
 {
 	if (!target_ms)
 		return PLACEMENT_FULL_LOAD;
-	return CLAMP(target_ms / stats->mean_unqueued_ms,
+	return CLAMP(PLACEMENT_CROWDED_TARGET_SHARE * target_ms /
+			     stats->mean_unqueued_ms,
 		     PLACEMENT_CROWDED_LOAD_MIN, PLACEMENT_FULL_LOAD);
 }
 
@@ -225,9 +237,9 @@
 				best.reason = PLACE_ALL_COLD;
 			continue;
 		}
-		load = expected_load(ul, stats->mean_busy_ratio) /
-		       up->report.slots;
-		score = load + remote_domain_cost(pl, up) +
+		load = busy_load(ul) / up->report.slots;
+		score = expected_load(pl, nr) / up->report.slots +
+			remote_domain_cost(pl, up) +
 			g_rand_double(pl->rand) * 0.01; /* breaks ties */
 		if (best.upstream != CATALOG_NONE &&
 		    (suspect > best_suspect ||
@@ -263,19 +275,6 @@
 	return best;
 }
 
-void note_flow_open(struct placer *pl, upstream_index_t nr)
-{
-	get_or_create_upstream_load(pl, nr)->open_flows++;
-}
-
-void note_flow_end(struct placer *pl, upstream_index_t nr)
-{
-	struct upstream_load *ul = get_or_create_upstream_load(pl, nr);
-
-	if (ul->open_flows)
-		ul->open_flows--;
-}
-
 void note_answer(struct placer *pl, upstream_index_t nr, uint64_t took_ms,
 		 uint64_t now_ms)
 {
@@ -291,7 +290,7 @@
 			((double)took_ms - stats->mean_answer_ms);
 		if (current_load(pl, nr) <= 1)
 			stats->mean_unqueued_ms +=
-				ANSWER_MEAN_WEIGHT *
+				UNQUEUED_MEAN_WEIGHT *
 				((double)took_ms - stats->mean_unqueued_ms);
 		note_in_flight_answer(pl, nr, took_ms, now_ms);
 	}
--- a/flow/placement.h
+++ b/flow/placement.h
@@ -43,10 +43,12 @@
 #define PLACEMENT_FULL_LOAD 4.0
 
 /*
- * An upstream counts as crowded if an answer is expected later than the route's
- * target: if requests in flight for each slot, times the usual answer time,
- * exceed it. Never below this load, which would leave slots idle.
+ * An upstream counts as crowded if requests in flight for each slot, times the
+ * usual answer time, exceed this share of the route's target. With the whole
+ * target every second answer would be late, as run times vary. Never below the
+ * least load, which would leave slots idle.
  */
+#define PLACEMENT_CROWDED_TARGET_SHARE 0.4
 #define PLACEMENT_CROWDED_LOAD_MIN 2.0
 
 /*
@@ -131,7 +133,7 @@
 struct placement {
 	upstream_index_t upstream; /* CATALOG_NONE: refuse the flow */
 	enum place_reason reason;
-	double load; /* expected requests in flight for each slot */
+	double load; /* requests in flight for each slot */
 };
 
 /* A flow for which place_new_flow() chooses an upstream. */
@@ -147,18 +149,36 @@
 				const struct placement_request *request,
 				uint64_t now_ms);
 
-/* Events of the flows that this instance forwards. */
+/* Events of flows of no known route that this instance forwards. */
 void note_flow_open(struct placer *pl, upstream_index_t nr);
 void note_flow_end(struct placer *pl, upstream_index_t nr);
 void note_request_start(struct placer *pl, upstream_index_t nr);
 void note_request_end(struct placer *pl, upstream_index_t nr);
 
-/*
- * Counts a request at NR with weight TO instead of FROM (sixteenths, see
- * flow/in-flight.h); 0: it is not counted.
- */
-void change_request_weight(struct placer *pl, upstream_index_t nr, uint8_t from,
-			   uint8_t to);
+/* A route of a placer, of which it learns how busy flows are; 0: unknown. */
+typedef uint16_t route_index_t;
+
+/* Index of the route to IP and PORT, added on first use. */
+route_index_t get_placer_route(struct placer *pl, uint32_t ip, uint16_t port);
+
+/* What one flow counts at its upstream. */
+struct flow_load {
+	route_index_t route;
+	bool counted;	  /* its caller has not ended it */
+	bool established; /* past its first request: it may pause for long */
+	uint8_t weight;	  /* of its opening or its request, sixteenths */
+};
+
+void add_flow_load(struct placer *pl, upstream_index_t nr,
+		   const struct flow_load *fl);
+void remove_flow_load(struct placer *pl, upstream_index_t nr,
+		      const struct flow_load *fl);
+
+/* A response was seen on a flow of ROUTE; the caller ended one. */
+void note_response_on_route(struct placer *pl, route_index_t route,
+			    uint64_t now_ms);
+void note_flow_end_on_route(struct placer *pl, route_index_t route,
+			    uint64_t now_ms);
 
 /*
  * Probability that a request sent to NR at SENT_MS, whose end was not seen,
--- a/t/check-cookie.c
+++ b/t/check-cookie.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "flow/in-flight.h"
 #include "flow/syn-queue.h"
 #include "t/cookie-harness.h"
 
@@ -167,7 +168,8 @@
 		g_snprintf(name, sizeof(name), "u-%c", 'b' + i);
 		busy[i] = (struct upstream_load_row){
 			get_upstream(in.catalog, put_upstream(name, 0))->cookie,
-			4, 20, 50, HEALTH_GOOD
+			4 * IN_FLIGHT_WEIGHT_ONE, 4 * IN_FLIGHT_WEIGHT_ONE, 50,
+			HEALTH_GOOD
 		};
 	}
 	handle_peer_loads(in.placer, 77, busy, 3, 1000);
@@ -396,18 +398,17 @@
 	return 1 + COOKIE_STARTUP_MS;
 }
 
-/* Has a flow from PORT answered TOOK_MS after its request of NOW_MS. */
-static void answer_moved_flow(uint16_t port, upstream_index_t nr,
-			      uint64_t took_ms, uint64_t now_ms)
+/* Acknowledges the response on a flow of receive_moved_flow(). */
+static void end_moved_flow(uint16_t port, upstream_index_t nr, uint8_t flags,
+			   uint64_t now_ms)
 {
-	uint32_t cookie = get_upstream(in.catalog, nr)->cookie;
-	struct cookie_packet fin =
-		make_cookie_packet(CALLER, port, TCP_ACK | TCP_FIN, cookie);
+	struct cookie_packet p =
+		make_cookie_packet(CALLER, port, TCP_ACK | flags,
+				   get_upstream(in.catalog, nr)->cookie);
 
-	receive_moved_flow(port, nr, now_ms);
-	fin.seq = 1101;
-	fin.ack = 900;
-	steer_cookie_packet(in.steering, &fin, false, now_ms + took_ms);
+	p.seq = 1101;
+	p.ack = 900;
+	steer_cookie_packet(in.steering, &p, false, now_ms);
 }
 
 /*
@@ -426,7 +427,8 @@
 	ck_assert_int_eq(send_syn(3999, 0, now_ms + 20).verdict, COOKIE_WAIT);
 	for (uint16_t i = 0; i < 60; i++) {
 		tick_cookie_steering(in.steering, now_ms + i * 10);
-		answer_moved_flow(5000 + i, nr, 9, now_ms + i * 10);
+		receive_moved_flow(5000 + i, nr, now_ms + i * 10);
+		end_moved_flow(5000 + i, nr, TCP_FIN, now_ms + i * 10 + 9);
 	}
 	now_ms += 600;
 	ck_assert_int_eq(send_syn(6000, 0, now_ms).placement.reason,
@@ -434,7 +436,66 @@
 	list_own_loads(in.placer, now_ms, rows);
 	ck_assert_uint_eq(rows->len, 1);
 	ck_assert_uint_le(
-		g_array_index(rows, struct upstream_load_row, 0).busy_flows, 1);
+		g_array_index(rows, struct upstream_load_row, 0).busy_flows,
+		IN_FLIGHT_WEIGHT_ONE);
+	g_array_free(rows, TRUE);
+}
+END_TEST
+
+/*
+ * Flows of one route end with their response, but the ends of some are seen by
+ * other instances; those of the other route pause. The former must not count
+ * while they are idle, and the latter only as often as they are busy.
+ */
+START_TEST(busy_share_of_idle_flows_is_learned_by_route)
+{
+	enum { LONG_FLOWS = 60, STEPS = 300, STEP_MS = 10, BUSY_STEPS = 6 };
+	const uint16_t ports[] = { TEST_ROUTE_PORT, TEST_ROUTE_PORT + 1 };
+	uint64_t now_ms = end_startup();
+	upstream_index_t nr = put_upstream("u-a", 0);
+	GArray *checks = g_array_new(FALSE, FALSE, sizeof(upstream_index_t));
+	GArray *rows =
+		g_array_new(FALSE, FALSE, sizeof(struct upstream_load_row));
+	struct cookie_packet p = make_cookie_packet(
+		CALLER + 1, 0, TCP_ACK, get_upstream(in.catalog, nr)->cookie);
+	double expected;
+
+	set_test_routes(in.catalog, 2, ports, 2, 20);
+	p.key.service_port = ports[1];
+	p.payload_len = 100;
+	for (uint16_t i = 0; i < STEPS + BUSY_STEPS; i++, now_ms += STEP_MS) {
+		uint16_t sent = i - BUSY_STEPS;
+
+		if (i < STEPS) {
+			receive_moved_flow(5000 + i, nr, now_ms);
+			p.key.caller_port = 7000 + i % LONG_FLOWS;
+			p.seq = 1001 + 100 * (i / LONG_FLOWS);
+			p.ack = 500 + 400 * (i / LONG_FLOWS);
+			steer_cookie_packet(in.steering, &p, false, now_ms);
+		}
+		if (i >= BUSY_STEPS) {
+			struct cookie_packet ack = p;
+
+			end_moved_flow(5000 + sent, nr, sent % 4 ? TCP_FIN : 0,
+				       now_ms);
+			ack.key.caller_port = 7000 + sent % LONG_FLOWS;
+			ack.payload_len = 0;
+			ack.seq = 1101 + 100 * (sent / LONG_FLOWS);
+			ack.ack = 900 + 400 * (sent / LONG_FLOWS);
+			steer_cookie_packet(in.steering, &ack, false, now_ms);
+		}
+		tick_cookie_steering(in.steering, now_ms);
+		tick_placer(in.placer, now_ms, checks);
+	}
+	list_own_loads(in.placer, now_ms, rows);
+	ck_assert_uint_eq(rows->len, 1);
+	expected = (double)g_array_index(rows, struct upstream_load_row, 0)
+			   .expected_flows /
+		   IN_FLIGHT_WEIGHT_ONE;
+	/* none runs now; usually BUSY_STEPS of the long flows are busy */
+	ck_assert_double_ge(expected, 0.4 * BUSY_STEPS);
+	ck_assert_double_le(expected, 0.6 * BUSY_STEPS);
+	g_array_free(checks, TRUE);
 	g_array_free(rows, TRUE);
 }
 END_TEST
@@ -787,6 +848,7 @@
 	tcase_add_test(tc, draining_and_out_upstreams_keep_flows_only);
 	tcase_add_test(tc, syn_without_upstream_or_route_is_reset);
 	tcase_add_test(tc, requests_that_end_elsewhere_do_not_fill_upstream);
+	tcase_add_test(tc, busy_share_of_idle_flows_is_learned_by_route);
 	tcase_add_test(tc,
 		       syn_waits_while_all_are_full_and_goes_to_new_upstream);
 	tcase_add_test(tc, waiting_syn_is_sent_on_as_it_was_received);
--- a/t/check-placement.c
+++ b/t/check-placement.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "flow/in-flight.h"
 #include "t/cookie-harness.h"
 #include "t/placement-simulation.h"
 
@@ -79,8 +80,10 @@
 {
 	upstream_index_t a = put_upstream("u-a", "north", 0);
 	upstream_index_t b = put_upstream("u-b", "north", 0);
-	struct upstream_load_row row = { get_upstream(in.catalog, a)->cookie, 9,
-					 30, 0, HEALTH_GOOD };
+	struct upstream_load_row row = { get_upstream(in.catalog, a)->cookie,
+					 9 * IN_FLIGHT_WEIGHT_ONE,
+					 12 * IN_FLIGHT_WEIGHT_ONE, 0,
+					 HEALTH_GOOD };
 
 	handle_peer_loads(in.placer, 42, &row, 1, 1000);
 	for (uint64_t t = 1000; t < 3000; t += PLACEMENT_MEANS_INTERVAL_MS)
@@ -94,6 +97,75 @@
 }
 END_TEST
 
+/* Expected flows of NR, sixteenths, as sent to peers. */
+static uint16_t expected_weight(upstream_index_t nr, uint64_t now_ms)
+{
+	GArray *rows =
+		g_array_new(FALSE, FALSE, sizeof(struct upstream_load_row));
+	uint32_t cookie = get_upstream(in.catalog, nr)->cookie;
+	uint16_t weight = 0;
+
+	list_own_loads(in.placer, now_ms, rows);
+	for (guint i = 0; i < rows->len; i++) {
+		const struct upstream_load_row *row =
+			&g_array_index(rows, struct upstream_load_row, i);
+
+		if (row->cookie == cookie)
+			weight = row->expected_flows;
+	}
+	g_array_free(rows, TRUE);
+	return weight;
+}
+
+/*
+ * Long flows that pause half of the time, or for more. Counting each busy flow
+ * fully and its idle neighbours with their usual share besides makes upstreams
+ * look crowded too early. By Little's law the load is arrivals times response
+ * time; the estimate must agree with it in the mean.
+ */
+START_TEST(idle_flows_are_not_counted_twice)
+{
+	enum { FLOWS = 24, LENGTH_MS = 60000, ANSWER_MS = 50 };
+	static const gint32 pauses_ms[] = { 50, 150, 450 };
+	upstream_index_t nr = put_upstream("u-a", "north", 0);
+	GRand *rand = g_rand_new_with_seed(20261204);
+	uint64_t end_ms[FLOWS] = { 0 };
+	uint32_t arrivals = 0;
+	uint32_t samples = 0;
+	double placed = 0;
+	double expected = 0;
+	double true_load;
+
+	for (int i = 0; i < FLOWS; i++)
+		note_flow_open(in.placer, nr);
+	for (uint64_t t = 1; t <= LENGTH_MS; t++) {
+		for (int i = 0; i < FLOWS; i++) {
+			if (end_ms[i] == t)
+				note_request_end(in.placer, nr);
+			if (end_ms[i] > t ||
+			    g_rand_int_range(rand, 0, pauses_ms[_i]))
+				continue;
+			end_ms[i] = t + ANSWER_MS;
+			note_request_start(in.placer, nr);
+			arrivals += t > LENGTH_MS / 2;
+		}
+		if (t % PLACEMENT_MEANS_INTERVAL_MS)
+			continue;
+		tick_placer(in.placer, t, checks);
+		if (t <= LENGTH_MS / 2)
+			continue;
+		placed += 3 * place_flow(t).load;
+		expected += expected_weight(nr, t);
+		samples++;
+	}
+	g_rand_free(rand);
+	true_load = (double)arrivals * ANSWER_MS / (LENGTH_MS / 2.0);
+	ck_assert_double_eq_tol(placed / samples, true_load, 0.3);
+	ck_assert_double_eq_tol(expected / samples / IN_FLIGHT_WEIGHT_ONE,
+				true_load, 0.3);
+}
+END_TEST
+
 START_TEST(flow_that_would_miss_deadline_is_refused)
 {
 	upstream_index_t a = put_upstream("u-a", "north", 0);
@@ -518,7 +590,7 @@
 	upstream_index_t a = put_upstream("u-a", "north", 0);
 	struct placement_request request = { .service = board,
 					     .deadline_ms = TEST_DEADLINE_MS,
-					     .target_ms = 150 };
+					     .target_ms = 375 };
 
 	for (int i = 0; i < 9; i++) {
 		ck_assert_int_eq(place_new_flow(in.placer, &request, 0).reason,
@@ -526,10 +598,10 @@
 		note_flow_open(in.placer, a);
 		note_request_start(in.placer, a);
 	}
-	/* three requests for each slot, of 50 ms each */
+	/* three requests for each slot, of 50 ms each: 0.4 of the target */
 	ck_assert_int_eq(place_new_flow(in.placer, &request, 0).reason,
 			 PLACE_CROWDED);
-	request.target_ms = 500;
+	request.target_ms = 400;
 	ck_assert_int_eq(place_new_flow(in.placer, &request, 0).reason,
 			 PLACE_LEAST_LOADED);
 }
@@ -546,6 +618,7 @@
 	tcase_set_timeout(tc, 120);
 	tcase_add_test(tc, own_domain_is_preferred_until_loaded);
 	tcase_add_test(tc, peer_load_counts_until_it_times_out);
+	tcase_add_loop_test(tc, idle_flows_are_not_counted_twice, 0, 3);
 	tcase_add_test(tc, flow_that_would_miss_deadline_is_refused);
 	tcase_add_test(tc, cold_upstream_stays_within_its_limit);
 	tcase_add_test(tc, cold_upstream_warms_up_after_reported_time);
--- a/t/placement-simulation.c
+++ b/t/placement-simulation.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "fleet/heartbeat.h"
+#include "flow/in-flight.h"
 #include "flow/syn-queue.h"
 #include "t/cookie-harness.h"
 
@@ -67,6 +68,9 @@
 	uint64_t now_ms;
 };
 
+static const struct flow_load short_flow = { .counted = true,
+					     .weight = IN_FLIGHT_WEIGHT_ONE };
+
 static unsigned int domain_of_instance(const struct placement_sim *sim,
 				       unsigned int i)
 {
@@ -182,9 +186,10 @@
 {
 	struct placer *pl = sim->instances[rq->instance].placer;
 
-	note_request_end(pl, sim->handles[upstream]);
-	if (!rq->flow)
-		note_flow_end(pl, sim->handles[upstream]);
+	if (rq->flow)
+		note_request_end(pl, sim->handles[upstream]);
+	else
+		remove_flow_load(pl, sim->handles[upstream], &short_flow);
 	g_free(rq);
 }
 
@@ -228,9 +233,10 @@
 	rq->instance = instance;
 	rq->started_ms = sim->now_ms;
 	rq->flow = syn->flow;
-	if (!syn->flow)
-		note_flow_open(pl, sim->handles[upstream]);
-	note_request_start(pl, sim->handles[upstream]);
+	if (syn->flow)
+		note_request_start(pl, sim->handles[upstream]);
+	else
+		add_flow_load(pl, sim->handles[upstream], &short_flow);
 	if (domain_of_instance(sim, instance) !=
 	    domain_of_upstream(sim, upstream))
 		sim->result->remote_domain++;
