t: restart all instances while callers come

The new property of prop-cookie restarts five instances at 0.55 of the slots in use; they return one after the other, so that flows move. No caller may be refused while less than 0.7 of the slots are in use.

New tests in check-cookie, each seen failing with the rule that it guards taken out: requests of a silent upstream keep their count, late responses keep slow requests counted, an opening flow counts until its handshake is overdue. The one of a paused instance was not seen failing.

--- a/t/check-cookie.c
+++ b/t/check-cookie.c
@@ -442,6 +442,77 @@
 }
 END_TEST
 
+/* An upstream that hangs sends no packets, and has no room either. */
+START_TEST(requests_of_silent_upstream_keep_their_count)
+{
+	uint64_t now_ms = end_startup();
+	upstream_index_t nr = put_upstream("u-a", 0);
+
+	for (uint16_t i = 0; i < 3 * PLACEMENT_FULL_LOAD; i++)
+		receive_moved_flow(4000 + i, nr, now_ms);
+	for (uint64_t t = 0; t < TEST_DEADLINE_MS; t += COOKIE_TICK_MS)
+		tick_cookie_steering(in.steering, now_ms + t);
+	ck_assert_uint_eq(busy_request_count(in.placer),
+			  3 * (uint32_t)PLACEMENT_FULL_LOAD);
+	tick_cookie_steering(in.steering,
+			     now_ms + TEST_DEADLINE_MS + IN_FLIGHT_UPDATE_MS);
+	ck_assert_uint_eq(busy_request_count(in.placer), 0);
+	ck_assert_uint_eq(in.counters.value[COUNT_FLOW_UNSEEN_ENDS],
+			  3 * (uint64_t)PLACEMENT_FULL_LOAD);
+}
+END_TEST
+
+/* Its first placements would be made with the loads of long ago. */
+START_TEST(paused_instance_ends_old_requests_on_its_first_tick)
+{
+	uint64_t now_ms = end_startup();
+	upstream_index_t nr = put_upstream("u-a", 0);
+
+	for (uint16_t i = 0; i < 3 * PLACEMENT_FULL_LOAD; i++)
+		receive_moved_flow(4000 + i, nr, now_ms);
+	tick_cookie_steering(in.steering, now_ms);
+	note_upstream_alive(in.placer, nr, now_ms + 2000);
+	tick_cookie_steering(in.steering, now_ms + 2000);
+	ck_assert_uint_eq(busy_request_count(in.placer), 0);
+}
+END_TEST
+
+/* Upstreams that turn slow look idle until their late responses are seen. */
+START_TEST(late_responses_keep_slow_requests_counted)
+{
+	enum { ANSWER_MS = 600, STEP_MS = 20, LATE = 100 };
+	uint64_t now_ms = end_startup();
+	upstream_index_t nr = put_upstream("u-a", 0);
+	uint16_t in_flight = ANSWER_MS / STEP_MS;
+
+	for (uint16_t i = 0; i < LATE + in_flight; i++, now_ms += STEP_MS) {
+		if (i >= in_flight)
+			end_moved_flow(4000 + i - in_flight, nr, 0, now_ms);
+		receive_moved_flow(4000 + i, nr, now_ms);
+		note_upstream_alive(in.placer, nr, now_ms);
+		tick_cookie_steering(in.steering, now_ms);
+	}
+	ck_assert_uint_gt(in.counters.value[COUNT_FLOW_UNSEEN_ENDS], 0);
+	ck_assert_uint_ge(busy_request_count(in.placer), in_flight * 8U / 10);
+	ck_assert_uint_le(busy_request_count(in.placer), in_flight);
+}
+END_TEST
+
+/*
+ * Callers that come at once must not all be placed on one upstream before its
+ * handshakes end, and an upstream without an answer runs nothing.
+ */
+START_TEST(opening_flow_counts_until_its_handshake_is_overdue)
+{
+	put_upstream("u-a", 0);
+	send_syn(4000, 0, 1000);
+	tick_cookie_steering(in.steering, 1020);
+	ck_assert_uint_eq(busy_request_count(in.placer), 1);
+	tick_cookie_steering(in.steering, 1000 + IN_FLIGHT_UPDATE_MS + 20);
+	ck_assert_uint_eq(busy_request_count(in.placer), 0);
+}
+END_TEST
+
 /*
  * Flows of one route end with their response, but the ends of some are seen by
  * other instances; those of the other route pause. The former must not count
@@ -848,6 +919,10 @@
 	tcase_add_test(tc, draining_and_out_upstreams_keep_flows_only);
 	tcase_add_test(tc, syn_without_upstream_or_route_is_reset);
 	tcase_add_test(tc, requests_that_end_elsewhere_do_not_fill_upstream);
+	tcase_add_test(tc, requests_of_silent_upstream_keep_their_count);
+	tcase_add_test(tc, paused_instance_ends_old_requests_on_its_first_tick);
+	tcase_add_test(tc, late_responses_keep_slow_requests_counted);
+	tcase_add_test(tc, opening_flow_counts_until_its_handshake_is_overdue);
 	tcase_add_test(tc, busy_share_of_idle_flows_is_learned_by_route);
 	tcase_add_test(tc,
 		       syn_waits_while_all_are_full_and_goes_to_new_upstream);
--- a/t/prop-cookie.cc
+++ b/t/prop-cookie.cc
@@ -6,6 +6,7 @@
 #include <glib.h>
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <rapidcheck.h>
 #include <vector>
@@ -367,6 +368,275 @@
 	g_rand_free(rand);
 }
 
+/* A caller's attempt in a simulated restart of all instances. */
+struct attempt {
+	uint16_t port;
+	int upstream; /* -1: its SYN was not forwarded */
+	int syn_copy;
+	uint64_t syn_ms;
+	uint64_t next_ms; /* of its next packet */
+	enum { SYN, REQUEST, RUNNING, END, GONE } phase;
+};
+
+#define SLOTS 3	     /* of each upstream */
+#define RUN_MS 55    /* mean run time of a request */
+#define ARRIVALS 120 /* a second: 0.55 of all slots */
+#define RETURN_MS 3000
+#define LOW_USE 0.7 /* of all slots */
+
+/* Callers, upstreams and rotation while all instances are restarted. */
+struct restart {
+	struct fleet f;
+	GRand *rand;
+	bool ready[INSTANCES];
+	uint64_t returns_ms[INSTANCES];
+	std::vector<struct attempt> attempts;
+	std::vector<std::pair<size_t, uint64_t>> running[UPSTREAMS];
+	std::vector<size_t> queued[UPSTREAMS];
+	uint64_t used_ms; /* when LOW_USE of the slots was last in use */
+	GArray *released;
+	GArray *checks;
+	int refused_in_vain;
+
+	explicit restart(GRand *r) : rand(r), used_ms(0), refused_in_vain(0)
+	{
+		released =
+			g_array_new(FALSE, FALSE, sizeof(struct released_syn));
+		checks = g_array_new(FALSE, FALSE, sizeof(upstream_index_t));
+		f.now_ms = 1;
+		for (int u = 0; u < UPSTREAMS; u++)
+			f.put_upstream(u, 0);
+		for (int i = 0; i < INSTANCES; i++) {
+			ready[i] = true;
+			returns_ms[i] =
+				RETURN_MS + (uint64_t)draw(rand, 0, 1500);
+		}
+	}
+
+	~restart()
+	{
+		g_array_free(released, TRUE);
+		g_array_free(checks, TRUE);
+	}
+
+	void start_again(int i)
+	{
+		char name[16];
+
+		g_snprintf(name, sizeof(name), "front-%d", i);
+		release_cookie_instance(&f.instances[i]);
+		init_cookie_instance(&f.instances[i], name, i % 2 ? "a" : "b");
+		for (int k = 0; k < INSTANCES; k++)
+			f.set_member(i, k, MEMBER_ALIVE);
+		for (int u = 0; u < UPSTREAMS; u++) {
+			struct upstream_report r = f.report(u);
+
+			f.upstreams[i][u] = put_test_upstream(&f.instances[i],
+							      &r, f.now_ms);
+		}
+		ready[i] = true;
+	}
+
+	/* The instance that gets packets of PORT now; -1: none is ready. */
+	int route(uint16_t port)
+	{
+		int ready_nr = (int)std::count(ready, ready + INSTANCES, true);
+		int n = ready_nr ? port * 31 / 7 % ready_nr : 0;
+
+		for (int i = 0; i < INSTANCES; i++)
+			if (ready[i] && n-- == 0)
+				return i;
+		return -1;
+	}
+
+	void decide(int i, struct attempt *a, const struct cookie_decision *d)
+	{
+		if (d->verdict == COOKIE_RESET) {
+			refused_in_vain += f.now_ms - used_ms > 300;
+			a->phase = attempt::GONE;
+		} else if (d->verdict == COOKIE_TO_UPSTREAM) {
+			for (int u = 0; u < UPSTREAMS; u++)
+				if (f.upstreams[i][u] == d->upstream)
+					a->upstream = u;
+			a->phase = attempt::REQUEST;
+			a->next_ms = f.now_ms + 6;
+		}
+	}
+
+	/* Sends a packet of A; false if no instance is ready. */
+	bool send(struct attempt *a, uint8_t flags, uint32_t seq, uint16_t len,
+		  uint32_t ack)
+	{
+		int i = route(a->port);
+		struct cookie_packet p = make_cookie_packet(
+			CALLER + a->port, a->port, flags,
+			a->upstream < 0
+				? 0
+				: make_cookie(f.report(a->upstream).id));
+		struct cookie_decision d;
+
+		if (i < 0)
+			return false;
+		p.seq = seq;
+		p.payload_len = len;
+		p.ack = ack;
+		update_quotas(f.instances[i].quotas, f.now_ms);
+		d = steer_cookie_packet(f.instances[i].steering, &p, false,
+					f.now_ms);
+		if (flags == TCP_SYN)
+			decide(i, a, &d);
+		return true;
+	}
+
+	void step_caller(size_t nr)
+	{
+		static const uint32_t copies_ms[] = { 200, 600, 1400 };
+		struct attempt *a = &attempts[nr];
+		int u = a->upstream;
+
+		if (a->next_ms > f.now_ms)
+			return;
+		switch (a->phase) {
+		case attempt::SYN:
+			if (a->syn_copy == 3) {
+				a->phase = attempt::GONE;
+				break;
+			}
+			send(a, TCP_SYN, 1000, 0, (uint32_t)a->syn_copy);
+			if (a->phase == attempt::SYN)
+				a->next_ms =
+					a->syn_ms + copies_ms[a->syn_copy++];
+			break;
+		case attempt::REQUEST:
+			a->next_ms += 200;
+			if (!send(a, TCP_ACK, 1001, 0, 500))
+				break;
+			send(a, TCP_ACK, 1001, 100, 500);
+			a->phase = attempt::RUNNING;
+			queued[u].push_back(nr);
+			break;
+		case attempt::RUNNING:
+			break;
+		case attempt::END:
+			a->next_ms += 200;
+			if (send(a, TCP_ACK | TCP_FIN, 1101, 0, 900))
+				a->phase = attempt::GONE;
+			break;
+		case attempt::GONE:
+			break;
+		}
+	}
+
+	void step_upstream(int u)
+	{
+		auto *run = &running[u];
+
+		for (size_t k = run->size(); k-- > 0;) {
+			if ((*run)[k].second > f.now_ms)
+				continue;
+			attempts[(*run)[k].first].phase = attempt::END;
+			attempts[(*run)[k].first].next_ms = f.now_ms + 3;
+			run->erase(run->begin() + (long)k);
+		}
+		while (run->size() < SLOTS && !queued[u].empty()) {
+			double x = g_rand_double_range(rand, 1e-6, 1);
+
+			run->push_back(
+				{ queued[u].front(),
+				  f.now_ms + 1 +
+					  (uint64_t)(-log(x) * RUN_MS) });
+			queued[u].erase(queued[u].begin());
+		}
+	}
+
+	void send_heartbeat(int i)
+	{
+		GArray *rows = g_array_new(FALSE, FALSE,
+					   sizeof(struct upstream_load_row));
+
+		list_own_loads(f.instances[i].placer, f.now_ms, rows);
+		for (int k = 0; k < INSTANCES; k++)
+			if (k != i && ready[k])
+				handle_peer_loads(
+					f.instances[k].placer, (uint64_t)i + 1,
+					(struct upstream_load_row *)rows->data,
+					rows->len, f.now_ms);
+		g_array_free(rows, TRUE);
+	}
+
+	void step_instance(int i)
+	{
+		struct cookie_instance *in = &f.instances[i];
+
+		if (!ready[i])
+			return;
+		if ((f.now_ms + 31 * (uint64_t)i) % 150 == 0)
+			send_heartbeat(i);
+		if (f.now_ms % COOKIE_TICK_MS)
+			return;
+		tick_cookie_steering(in->steering, f.now_ms);
+		tick_placer(in->placer, f.now_ms, checks);
+		g_array_set_size(released, 0);
+		release_waiting_syns(in->steering, f.now_ms, released);
+		for (guint k = 0; k < released->len; k++) {
+			struct released_syn *rs = &g_array_index(
+				released, struct released_syn, k);
+
+			for (auto &a : attempts)
+				if (a.port == rs->packet.key.caller_port &&
+				    a.phase == attempt::SYN)
+					decide(i, &a, &rs->decision);
+		}
+	}
+
+	void step()
+	{
+		size_t used = 0;
+
+		f.now_ms++;
+		for (int i = 0; i < INSTANCES; i++) {
+			if (f.now_ms == RETURN_MS - 1000)
+				ready[i] = false;
+			if (f.now_ms == returns_ms[i])
+				start_again(i);
+		}
+		if (draw(rand, 0, 1000) < ARRIVALS)
+			attempts.push_back({ (uint16_t)(1000 + attempts.size()),
+					     -1, 0, f.now_ms, f.now_ms,
+					     attempt::SYN });
+		for (size_t k = 0; k < attempts.size(); k++)
+			step_caller(k);
+		for (int u = 0; u < UPSTREAMS; u++) {
+			step_upstream(u);
+			used += running[u].size();
+		}
+		if (used >= LOW_USE * SLOTS * UPSTREAMS)
+			used_ms = f.now_ms;
+		for (int i = 0; i < INSTANCES; i++)
+			step_instance(i);
+	}
+};
+
+/*
+ * All instances are away for a second and return one after the other, so that
+ * packets of flows move between them. Requests whose end is seen elsewhere must
+ * not make instances refuse callers while upstreams have free slots.
+ */
+static void restart_refuses_no_caller_in_vain()
+{
+	GRand *rand = g_rand_new_with_seed(*rc::gen::arbitrary<uint32_t>());
+	int refused;
+	{
+		struct restart r(rand);
+
+		while (r.f.now_ms < RETURN_MS + 4000)
+			r.step();
+		refused = r.refused_in_vain;
+	}
+	g_rand_free(rand);
+	RC_ASSERT(refused == 0);
+}
+
 int main()
 {
 	bool ok = true;
@@ -377,5 +647,7 @@
 			cold_limit_holds_in_a_partition);
 	ok &= rc::check("open flows keep their upstream and are not reset",
 			open_flows_keep_their_upstream);
+	ok &= rc::check("restart refuses no caller in vain",
+			restart_refuses_no_caller_in_vain);
 	return !ok;
 }
