fleet, flow, net: share verdicts on upstreams by health notices

In a fleet of 62 or 295 instances an upstream that stops responding was found out by each instance on its own: verdicts came with heartbeats, up to 1.4 s later, and each receiver checked again.

Send a verdict at once as a datagram of its own. Receivers of the sender's failure domain adopt it without a check if the upstream has shown no sign of life since the check began. A refusal is adopted in other domains only if its sender is in the upstream's domain, as a link that is cut by resets refuses checks too; elsewhere it leads to a check, as unreachable does.

--- a/base/counter-list.h
+++ b/base/counter-list.h
@@ -95,6 +95,12 @@
 	"changes of an upstream's state as assessed here")
 COUNTER(HEALTH_SUDDEN_COLD, "health.sudden-cold",
 	"warm upstreams found to be cold")
+COUNTER(HEALTH_NOTICES_SENT, "health.notices-sent",
+	"health notices sent, one for each receiver")
+COUNTER(HEALTH_NOTICES_RECEIVED, "health.notices-received",
+	"health notices received from peers")
+COUNTER(HEALTH_VERDICTS_ADOPTED, "health.verdicts-adopted",
+	"verdicts of peers adopted without a check")
 COUNTER(HEALTH_PUBLISHED, "health.published",
 	"upstream states sent to the fleet")
 COUNTER(HEALTH_DOWN_HELD, "health.down-held",
--- a/flow/placement-health.c
+++ b/flow/placement-health.c
@@ -4,9 +4,9 @@
 
 #include "flow/placement-state.h"
 
-static void set_health(struct placer *pl, upstream_index_t nr,
-		       struct upstream_load *ul, enum upstream_health to,
-		       uint64_t now_ms)
+void set_upstream_health(struct placer *pl, upstream_index_t nr,
+			 struct upstream_load *ul, enum upstream_health to,
+			 uint64_t now_ms)
 {
 	struct health_change ch = { .upstream = nr,
 				    .from = ul->health,
@@ -31,10 +31,11 @@
 void clear_suspicion(struct placer *pl, upstream_index_t nr,
 		     struct upstream_load *ul, uint64_t now_ms)
 {
-	set_health(pl, nr, ul, HEALTH_GOOD, now_ms);
+	set_upstream_health(pl, nr, ul, HEALTH_GOOD, now_ms);
 	ul->suspect_since_ms = 0;
 	ul->silence_count = 0;
 	ul->unreachable_checks = 0;
+	ul->adopted = false;
 }
 
 void update_placer_upstream(struct placer *pl, upstream_index_t nr,
@@ -57,7 +58,7 @@
 	/* a new entry shows that it runs, not that it is reachable */
 	if (up->listed && ul->health == HEALTH_DEAD &&
 	    up->reported_at_ms == now_ms) {
-		set_health(pl, nr, ul, HEALTH_SUSPECTED, now_ms);
+		set_upstream_health(pl, nr, ul, HEALTH_SUSPECTED, now_ms);
 		ul->suspect_since_ms = now_ms;
 		ul->next_check_ms = now_ms;
 	}
@@ -101,7 +102,7 @@
 	ul->next_check_ms =
 		MAX(ul->next_check_ms, now_ms + PLACEMENT_CHECK_DELAY_MS);
 	if (ul->health == HEALTH_GOOD)
-		set_health(pl, nr, ul, HEALTH_SUSPECTED, now_ms);
+		set_upstream_health(pl, nr, ul, HEALTH_SUSPECTED, now_ms);
 	pl->has_unhealthy = true;
 }
 
@@ -133,6 +134,17 @@
 		schedule_check_for_peer(ul, now_ms);
 }
 
+void check_for_peer(struct placer *pl, upstream_index_t nr,
+		    struct upstream_load *ul, uint64_t now_ms)
+{
+	if (is_dead_or_cut_off(ul) ||
+	    (ul->peer_check_ms &&
+	     now_ms - ul->peer_check_ms < PLACEMENT_PEER_RECHECK_MS))
+		return;
+	note_upstream_silent(pl, nr, now_ms, now_ms);
+	schedule_check_for_peer(ul, now_ms);
+}
+
 void note_peer_assessment(struct placer *pl, upstream_index_t nr,
 			  struct upstream_load *ul, uint64_t now_ms)
 {
@@ -190,6 +202,7 @@
 		       enum check_result result, uint64_t now_ms)
 {
 	struct upstream_load *ul = get_or_create_upstream_load(pl, nr);
+	enum upstream_health before = ul->health;
 
 	pl->has_unhealthy = true;
 	ul->check_running = false;
@@ -204,13 +217,13 @@
 	case CHECK_BAD:
 	case CHECK_SILENT:
 		ul->unreachable_checks = 0;
-		set_health(pl, nr, ul, HEALTH_SUSPECTED, now_ms);
+		set_upstream_health(pl, nr, ul, HEALTH_SUSPECTED, now_ms);
 		if (!ul->suspect_since_ms)
 			ul->suspect_since_ms = now_ms;
 		break;
 	case CHECK_REFUSED:
 	case CHECK_REPLACED:
-		set_health(pl, nr, ul, HEALTH_DEAD, now_ms);
+		set_upstream_health(pl, nr, ul, HEALTH_DEAD, now_ms);
 		ul->next_check_ms = now_ms + PLACEMENT_DEAD_RECHECK_MS;
 		break;
 	case CHECK_UNREACHABLE:
@@ -221,12 +234,16 @@
 			ul->next_check_ms = now_ms;
 			break;
 		}
-		set_health(pl, nr, ul, HEALTH_UNREACHABLE, now_ms);
+		set_upstream_health(pl, nr, ul, HEALTH_UNREACHABLE, now_ms);
 		ul->next_check_ms = now_ms + PLACEMENT_DEAD_RECHECK_MS;
 		break;
 	case CHECK_RESULT_NR:
 		break;
 	}
+	/* a verdict, or the end of one */
+	if (is_dead_or_cut_off(ul) ||
+	    (before >= HEALTH_UNREACHABLE && ul->health == HEALTH_GOOD))
+		post_verdict(pl, nr, ul, now_ms);
 }
 
 bool reaches_no_upstream(const struct placer *pl)
--- a/flow/placement-peers.c
+++ b/flow/placement-peers.c
@@ -72,7 +72,7 @@
 		ul->peers_dead_or_cut_off += pr.dead_or_cut_off;
 		if (rows[i].silent_ms < UINT16_MAX)
 			ul->last_alive_ms = MAX(ul->last_alive_ms, alive_ms);
-		if (ul->health == HEALTH_SUSPECTED &&
+		if ((ul->health == HEALTH_SUSPECTED || ul->adopted) &&
 		    ul->last_alive_ms > ul->suspect_since_ms)
 			clear_suspicion(pl, pr.upstream, ul, now_ms);
 		if (pr.dead_or_cut_off)
@@ -162,6 +162,8 @@
 		for (size_t i = 0; i < catalog_service_count(pl->catalog); i++)
 			update_busy_ratio(pl, (service_index_t)i);
 	}
+	if (pl->notices)
+		tick_health_notices(pl->notices, now_ms);
 	if (pl->has_unhealthy)
 		list_due_checks(pl, now_ms, checks);
 }
--- a/flow/placement-state.h
+++ b/flow/placement-state.h
@@ -37,6 +37,7 @@
 	uint64_t suspect_since_ms; /* 0: it is not suspect */
 	uint32_t silence_count;	   /* silences noted since then */
 	enum upstream_health health;
+	bool adopted; /* HEALTH is a peer's verdict */
 	bool check_running;
 	uint32_t unreachable_checks; /* in a row */
 	uint64_t next_check_ms;	     /* earliest time of the next check */
@@ -69,7 +70,8 @@
 	bool has_unhealthy;	/* an upstream is not HEALTH_GOOD */
 	uint64_t last_alive_ms; /* when any upstream last showed life here */
 	uint32_t busy_requests; /* own, in flight at all upstreams */
-	uint32_t sent_busy_requests; /* when last sent to peers */
+	uint32_t sent_busy_requests;	/* when last sent to peers */
+	struct health_notices *notices; /* NULL: none are sent or handled */
 	GArray *health_changes; /* struct health_change, not retrieved yet */
 	double cold_factor;
 	double cold_slack;
@@ -90,6 +92,19 @@
 void clear_suspicion(struct placer *pl, upstream_index_t nr,
 		     struct upstream_load *ul, uint64_t now_ms);
 
+/* Sets the health of NR and notes the change. */
+void set_upstream_health(struct placer *pl, upstream_index_t nr,
+			 struct upstream_load *ul, enum upstream_health to,
+			 uint64_t now_ms);
+
+/* Sends peers the health of NR, which a check of this instance has shown. */
+void post_verdict(struct placer *pl, upstream_index_t nr,
+		  const struct upstream_load *ul, uint64_t now_ms);
+
+/* Checks NR at once, as a peer that cannot speak for this domain lost it. */
+void check_for_peer(struct placer *pl, upstream_index_t nr,
+		    struct upstream_load *ul, uint64_t now_ms);
+
 /* Notes that a peer found NR dead or cut off. */
 void note_peer_assessment(struct placer *pl, upstream_index_t nr,
 			  struct upstream_load *ul, uint64_t now_ms);
--- a/flow/placement.h
+++ b/flow/placement.h
@@ -19,6 +19,7 @@
 #include "base/counters.h"
 #include "base/histogram.h"
 #include "config/catalog.h"
+#include "fleet/health-notice.h"
 #include "fleet/load.h"
 #include "fleet/quota.h"
 #include "fleet/view.h"
@@ -80,6 +81,11 @@
 #define PLACEMENT_PEER_RECHECK_MS 2000 /* between checks after peer reports */
 #define PLACEMENT_RECHECK_MS 500       /* after a check without a verdict */
 #define PLACEMENT_DEAD_RECHECK_MS 2000 /* after finding it dead or cut off */
+/*
+ * After adopting a peer's verdict. The peer checks again sooner and tells; this
+ * is for the case that it is gone or its notice was lost.
+ */
+#define PLACEMENT_ADOPTED_RECHECK_MS 8000
 #define PLACEMENT_UNREACHABLE_CHECKS 2 /* in a row make it cut off */
 
 /* Result of a check of an upstream. */
@@ -107,6 +113,12 @@
  */
 void set_cold_bounds(struct placer *pl, double factor, double slack);
 
+/*
+ * Makes PL share its verdicts through HN, which outlives it. Without this each
+ * instance finds out alone, and through heartbeats.
+ */
+void set_placer_notices(struct placer *pl, struct health_notices *hn);
+
 /* Replaces PLACEMENT_REMOTE_DOMAIN_COST; for tests and benchmarks. */
 void set_remote_domain_cost(struct placer *pl, double cost);
 
@@ -181,6 +193,13 @@
 		       const struct upstream_load_row *rows, size_t nr,
 		       uint64_t now_ms);
 
+/*
+ * Handles a peer's notice. True if its verdict was adopted: the flows of its
+ * upstream have to be reset.
+ */
+bool handle_health_notice(struct placer *pl, const struct health_notice *n,
+			  uint64_t now_ms);
+
 /* Appends to ROWS the own loads (struct upstream_load_row) to send to peers. */
 void list_own_loads(struct placer *pl, uint64_t now_ms, GArray *rows);
 
--- a/net/edge-check.c
+++ b/net/edge-check.c
@@ -60,7 +60,7 @@
 	}
 }
 
-static void reset_flows_if_unusable(struct edge *e, upstream_index_t nr)
+void reset_flows_if_unusable(struct edge *e, upstream_index_t nr)
 {
 	enum upstream_health h = assessed_health(e->placement, nr);
 	GArray *resets;
@@ -95,6 +95,7 @@
 			  upstream_health_name(
 				  assessed_health(e->placement, hc->upstream)));
 		reset_flows_if_unusable(e, hc->upstream);
+		send_edge_notices(e);
 	}
 	g_hash_table_remove(e->health_checks, hc);
 	g_free(hc);
--- a/net/edge-packets.c
+++ b/net/edge-packets.c
@@ -353,6 +353,28 @@
 	g_array_free(b.rows, TRUE);
 }
 
+static void on_health_notice(struct edge *e, const uint8_t *data, size_t len)
+{
+	struct health_notice n;
+	upstream_index_t nr;
+
+	if (!read_health_notice(data, len, &n)) {
+		count(&e->counters, COUNT_PEER_MALFORMED);
+		return;
+	}
+	count(&e->counters, COUNT_PEER_RECEIVED);
+	count(&e->counters, COUNT_HEALTH_NOTICES_RECEIVED);
+	if (!handle_health_notice(e->placement, &n, e->now_ms))
+		return;
+	nr = find_upstream_by_cookie(e->catalog, n.cookie);
+	count(&e->counters, COUNT_HEALTH_VERDICTS_ADOPTED);
+	log_event(e->log, EVENT_VERDICT,
+		  "upstream=%s health=%s from=%s from_domain=%s check_ms=%u",
+		  upstream_label(e, nr), upstream_health_name(n.health),
+		  n.sender, n.domain, n.check_ms);
+	reset_flows_if_unusable(e, nr);
+}
+
 static void on_store_update(struct edge *e, const uint8_t *data, size_t len,
 			    const struct endpoint *from)
 {
@@ -378,6 +400,8 @@
 		flush_datagrams(e->packet_socket);
 	} else if (len && is_heartbeat(data, len)) {
 		on_heartbeat_datagram(e, data, len);
+	} else if (len && is_health_notice(data, len)) {
+		on_health_notice(e, data, len);
 	} else {
 		on_store_update(e, data, len, from);
 	}
@@ -426,6 +450,41 @@
 	g_array_free(b.rows, TRUE);
 }
 
+static void send_health_notice(struct edge *e, const struct outgoing_notice *on)
+{
+	GArray *to = g_array_new(FALSE, FALSE, sizeof(struct member *));
+	struct wire_writer w;
+
+	list_notice_receivers(e->health_notices, on, to);
+	init_wire_writer(&w);
+	write_health_notice(&w, &on->notice);
+	for (guint i = 0; i < to->len; i++) {
+		struct endpoint at = member_endpoint(
+			g_array_index(to, const struct member *, i));
+
+		queue_datagram(e->peer_socket, endpoint_ipv4(&at), at.port,
+			       NULL, 0, w.buf.data, w.buf.size);
+	}
+	flush_datagrams(e->peer_socket);
+	count_n(&e->counters, COUNT_PEER_SENT, to->len);
+	count_n(&e->counters, COUNT_PEER_SENT_BYTES, to->len * w.buf.size);
+	count_n(&e->counters, COUNT_HEALTH_NOTICES_SENT, to->len);
+	release_wire_writer(&w);
+	g_array_free(to, TRUE);
+}
+
+void send_edge_notices(struct edge *e)
+{
+	GArray *notices =
+		g_array_new(FALSE, FALSE, sizeof(struct outgoing_notice));
+
+	pop_health_notices(e->health_notices, notices);
+	for (guint i = 0; i < notices->len; i++)
+		send_health_notice(
+			e, &g_array_index(notices, struct outgoing_notice, i));
+	g_array_free(notices, TRUE);
+}
+
 void tick_edge_heartbeats(struct edge *e)
 {
 	GArray *to = g_array_new(FALSE, FALSE, sizeof(struct endpoint));
--- a/net/edge-state.h
+++ b/net/edge-state.h
@@ -10,6 +10,7 @@
 #include "config/catalog.h"
 #include "config/mirror.h"
 #include "config/restored-records.h"
+#include "fleet/health-notice.h"
 #include "fleet/heartbeat.h"
 #include "fleet/start-check.h"
 #include "fleet/store-update.h"
@@ -35,6 +36,7 @@
 	struct view *view;
 	struct quotas *upstream_quotas;
 	struct placer *placement;
+	struct health_notices *health_notices;
 	struct cookie_steering *steering;
 	struct isolation isolation;
 	struct heartbeat_tracker *instance_heartbeats;
@@ -107,6 +109,8 @@
 /* edge-packets.c: packets, heartbeats and store updates over UDP */
 bool open_edge_ports(struct edge *e, struct status *st);
 void tick_edge_heartbeats(struct edge *e);
+/* Sends the health notices that are queued. */
+void send_edge_notices(struct edge *e);
 /* Steers the packets queued before the first store read; drops old ones. */
 void steer_early_packets(struct edge *e);
 /* Sends on or refuses SYNs that waited for room. */
@@ -116,6 +120,8 @@
 /* edge-check.c: health checks of suspected upstreams */
 void start_health_checks(struct edge *e, const GArray *checks);
 void cancel_health_checks(struct edge *e);
+/* Resets the flows of NR if it is dead or cut off. */
+void reset_flows_if_unusable(struct edge *e, upstream_index_t nr);
 
 /* edge-status.c: what "baobabvalve status" shows, as JSON; free() the text */
 char *format_edge_status(const struct edge *e);
--- a/net/edge.c
+++ b/net/edge.c
@@ -198,6 +198,7 @@
 	tick_cookie_steering(e->steering, e->now_ms);
 	tick_placer(e->placement, e->now_ms, checks);
 	start_health_checks(e, checks);
+	send_edge_notices(e);
 	g_array_free(checks, TRUE);
 	log_health_changes(e);
 	tick_edge_waiting_syns(e);
@@ -282,6 +283,8 @@
 	e->upstream_quotas = create_quotas(e->view);
 	e->placement = create_placer(e->catalog, e->view, e->upstream_quotas,
 				     e->settings.domain, g_rand_int(e->rand));
+	e->health_notices = create_health_notices(e->view);
+	set_placer_notices(e->placement, e->health_notices);
 	set_cold_bounds(e->placement, e->settings.bounds.cold_factor,
 			e->settings.bounds.cold_slack);
 	e->steering =
@@ -292,6 +295,7 @@
 {
 	destroy_cookie_steering(e->steering);
 	destroy_placer(e->placement);
+	destroy_health_notices(e->health_notices);
 	destroy_quotas(e->upstream_quotas);
 	destroy_catalog(e->catalog);
 	destroy_heartbeat_tracker(e->instance_heartbeats);
