flow: heartbeats report only signs of life seen by their sender

Rows reported the latest sign of life that the sender knew of, also from rows of others. Each delay on the way made it younger, so in a fleet of 62 an upstream silent for 930 ms counted as alive 460 ms ago, which ended suspicions and adopted verdicts.

Rows now have the sender's own observations, as fleet/load.h says. sign_of_life_is_not_passed_on failed before (30 ms instead of 310).

--- a/flow/placement-health.c
+++ b/flow/placement-health.c
@@ -72,6 +72,7 @@
 	if (ul->suspect_since_ms || ul->health != HEALTH_GOOD)
 		clear_suspicion(pl, nr, ul, now_ms);
 	ul->last_alive_ms = now_ms;
+	ul->own_alive_ms = now_ms;
 	pl->last_alive_ms = now_ms;
 }
 
--- a/flow/placement-peers.c
+++ b/flow/placement-peers.c
@@ -112,9 +112,10 @@
 		lr.cookie = up->cookie;
 		lr.busy_flows = (uint16_t)MIN(ul->busy_requests, UINT16_MAX);
 		lr.open_flows = (uint16_t)MIN(ul->open_flows, UINT16_MAX);
+		/* what peers saw would become younger by each delay */
 		lr.silent_ms =
-			ul->last_alive_ms
-				? (uint16_t)MIN(now_ms - ul->last_alive_ms,
+			ul->own_alive_ms
+				? (uint16_t)MIN(now_ms - ul->own_alive_ms,
 						UINT16_MAX)
 				: UINT16_MAX;
 		lr.health = (uint8_t)ul->health;
--- a/flow/placement-state.h
+++ b/flow/placement-state.h
@@ -33,9 +33,10 @@
 	double mean_peer_busy;
 	uint32_t peers_dead;		/* number of peers that found it dead */
 	uint32_t peers_dead_or_cut_off; /* that found it dead or cut off */
-	uint64_t last_alive_ms;
-	uint64_t suspect_since_ms; /* 0: it is not suspect */
-	uint32_t silence_count;	   /* silences noted since then */
+	uint64_t last_alive_ms;		/* here or at a peer */
+	uint64_t own_alive_ms;		/* here */
+	uint64_t suspect_since_ms;	/* 0: it is not suspect */
+	uint32_t silence_count;		/* silences noted since then */
 	enum upstream_health health;
 	bool adopted; /* HEALTH is a peer's verdict */
 	bool check_running;
--- a/t/check-placement.c
+++ b/t/check-placement.c
@@ -187,6 +187,30 @@
 }
 END_TEST
 
+/*
+ * Guards against signs of life that are passed on from instance to instance and
+ * become younger by each delay: an upstream would never be silent for long.
+ */
+START_TEST(sign_of_life_is_not_passed_on)
+{
+	upstream_index_t a = put_upstream("u-a", "north", 0);
+	struct upstream_load_row row = { get_upstream(in.catalog, a)->cookie, 0,
+					 1, 20, HEALTH_GOOD };
+	GArray *rows =
+		g_array_new(FALSE, FALSE, sizeof(struct upstream_load_row));
+
+	note_flow_open(in.placer, a);
+	note_upstream_alive(in.placer, a, 1000);
+	handle_peer_loads(in.placer, 42, &row, 1, 1300);
+	list_own_loads(in.placer, 1310, rows);
+	ck_assert_uint_eq(rows->len, 1);
+	ck_assert_uint_eq(
+		g_array_index(rows, struct upstream_load_row, 0).silent_ms,
+		310);
+	g_array_free(rows, TRUE);
+}
+END_TEST
+
 START_TEST(persistent_suspicion_is_checked)
 {
 	upstream_index_t a = put_upstream("u-a", "north", 0);
@@ -553,6 +577,7 @@
 	tcase_add_test(tc, unsettled_view_grants_no_cold_quota);
 	tcase_add_test(tc, suspect_upstream_is_avoided_until_alive);
 	tcase_add_test(tc, sign_of_life_at_peer_clears_suspicion);
+	tcase_add_test(tc, sign_of_life_is_not_passed_on);
 	tcase_add_test(tc, persistent_suspicion_is_checked);
 	tcase_add_test(tc, health_changes_are_reported_once);
 	tcase_add_test(tc, several_silences_shorten_check_delay);
