--- a/fleet/peer-format.h
+++ b/fleet/peer-format.h
@@ -21,7 +21,8 @@
 	UPDATE_HELD = 12, /* records that the sender holds */
 	HEARTBEAT_FORMAT = 13,
 	UPDATE_HELD_REQUEST = 14, /* from an instance that has just started */
-	FLOWS_MOVED = 15	  /* flows whose packets the sender now gets */
+	FLOWS_MOVED = 15,	  /* flows whose packets the sender now gets */
+	HEALTH_NOTICE_FORMAT = 16
 };
 
 /* True if DATA, of LEN bytes, begins like a message of FORMAT. */
--- a/flow/placement-peers.c
+++ b/flow/placement-peers.c
@@ -74,7 +74,7 @@
 		ul->peers_dead_or_cut_off += pr.dead_or_cut_off;
 		if (rows[i].silent_ms < UINT16_MAX)
 			ul->last_alive_ms = MAX(ul->last_alive_ms, alive_ms);
-		if (ul->health == HEALTH_SUSPECTED &&
+		if ((ul->health == HEALTH_SUSPECTED || ul->adopted) &&
 		    ul->last_alive_ms > ul->suspect_since_ms)
 			clear_suspicion(pl, pr.upstream, ul, now_ms);
 		if (pr.dead_or_cut_off)
@@ -118,9 +118,10 @@
 		expected = own_expected_load(pl, (upstream_index_t)i);
 		lr.expected_flows = (uint16_t)MIN(
 			lround(expected * IN_FLIGHT_WEIGHT_ONE), UINT16_MAX);
+		/* what peers saw would become younger by each delay */
 		lr.silent_ms =
-			ul->last_alive_ms
-				? (uint16_t)MIN(now_ms - ul->last_alive_ms,
+			ul->own_alive_ms
+				? (uint16_t)MIN(now_ms - ul->own_alive_ms,
 						UINT16_MAX)
 				: UINT16_MAX;
 		lr.health = (uint8_t)ul->health;
@@ -165,6 +166,8 @@
 		sample_routes(pl, now_ms);
 	}
 	tick_placer_links(pl, now_ms, checks);
+	if (pl->notices)
+		tick_health_notices(pl->notices, now_ms);
 	if (pl->has_unhealthy)
 		list_due_checks(pl, now_ms, checks);
 }
--- a/flow/placement-state.h
+++ b/flow/placement-state.h
@@ -34,10 +34,12 @@
 	double mean_peer_expected;
 	uint32_t peers_dead;		/* number of peers that found it dead */
 	uint32_t peers_dead_or_cut_off; /* that found it dead or cut off */
-	uint64_t last_alive_ms;
-	uint64_t suspect_since_ms; /* 0: it is not suspect */
-	uint32_t silence_count;	   /* silences noted since then */
+	uint64_t last_alive_ms;		/* here or at a peer */
+	uint64_t own_alive_ms;		/* here */
+	uint64_t suspect_since_ms;	/* 0: it is not suspect */
+	uint32_t silence_count;		/* silences noted since then */
 	enum upstream_health health;
+	bool adopted; /* HEALTH is a peer's verdict */
 	bool check_running;
 	uint32_t unreachable_checks; /* in a row */
 	uint64_t next_check_ms;	     /* earliest time of the next check */
@@ -95,7 +97,8 @@
 	bool has_unhealthy;	/* an upstream is not HEALTH_GOOD */
 	uint64_t last_alive_ms; /* when any upstream last showed life here */
 	uint32_t busy_weight;	/* of own requests in flight, sixteenths */
-	uint32_t sent_busy_requests; /* when last sent to peers */
+	uint32_t sent_busy_requests;	/* when last sent to peers */
+	struct health_notices *notices; /* NULL: none are sent or handled */
 	GArray *health_changes; /* struct health_change, not retrieved yet */
 	struct domain_links *links; /* NULL: failure domains have none */
 	GArray *domain_controls;    /* struct domain_control by domain */
@@ -141,6 +144,19 @@
 void clear_suspicion(struct placer *pl, upstream_index_t nr,
 		     struct upstream_load *ul, uint64_t now_ms);
 
+/* Sets the health of NR and notes the change. */
+void set_upstream_health(struct placer *pl, upstream_index_t nr,
+			 struct upstream_load *ul, enum upstream_health to,
+			 uint64_t now_ms);
+
+/* Sends peers the health of NR, which a check of this instance has shown. */
+void post_verdict(struct placer *pl, upstream_index_t nr,
+		  const struct upstream_load *ul, uint64_t now_ms);
+
+/* Checks NR at once, as a peer that cannot speak for this domain lost it. */
+void check_for_peer(struct placer *pl, upstream_index_t nr,
+		    struct upstream_load *ul, uint64_t now_ms);
+
 /* Notes that a peer found NR dead or cut off. */
 void note_peer_assessment(struct placer *pl, upstream_index_t nr,
 			  struct upstream_load *ul, uint64_t now_ms);
--- a/net/edge-state.h
+++ b/net/edge-state.h
@@ -10,6 +10,7 @@
 #include "config/catalog.h"
 #include "config/mirror.h"
 #include "config/restored-records.h"
+#include "fleet/health-notice.h"
 #include "fleet/heartbeat.h"
 #include "fleet/moved-flows.h"
 #include "fleet/start-check.h"
@@ -37,6 +38,7 @@
 	struct quotas *upstream_quotas;
 	struct domain_links *domain_links;
 	struct placer *placement;
+	struct health_notices *health_notices;
 	struct cookie_steering *steering;
 	struct isolation isolation;
 	struct moved_flows *moved_flows;
@@ -110,6 +112,8 @@
 /* edge-packets.c: packets, heartbeats and store updates over UDP */
 bool open_edge_ports(struct edge *e, struct status *st);
 void tick_edge_heartbeats(struct edge *e);
+/* Sends the health notices that are queued. */
+void send_edge_notices(struct edge *e);
 /* Steers the packets queued before the first store read; drops old ones. */
 void steer_early_packets(struct edge *e);
 /* Tells peers of the domain which of their flows come here now. */
@@ -121,6 +125,8 @@
 /* edge-check.c: health checks of suspected upstreams */
 void start_health_checks(struct edge *e, const GArray *checks);
 void cancel_health_checks(struct edge *e);
+/* Resets the flows of NR if it is dead or cut off. */
+void reset_flows_if_unusable(struct edge *e, upstream_index_t nr);
 
 /* edge-status.c: what "baobabvalve status" shows, as JSON; free() the text */
 char *format_edge_status(const struct edge *e);
--- a/net/edge.c
+++ b/net/edge.c
@@ -248,6 +248,7 @@
 	note_heard_domains(e);
 	tick_placer(e->placement, e->now_ms, checks);
 	start_health_checks(e, checks);
+	send_edge_notices(e);
 	g_array_free(checks, TRUE);
 	update_isolation(&e->isolation, e->domain_links, e->placement,
 			 e->now_ms);
@@ -321,6 +322,15 @@
 	return self;
 }
 
+/* True if the link to DOMAIN is not known to be open. */
+static bool is_link_doubtful(const char *domain, void *user)
+{
+	const struct edge *e = user;
+
+	return domain_link_state(e->domain_links,
+				 intern_domain(e->catalog, domain)) != LINK_UP;
+}
+
 static void create_decision_logic(struct edge *e)
 {
 	struct member self = describe_self(e);
@@ -337,6 +347,9 @@
 	e->domain_links = create_domain_links(
 		intern_domain(e->catalog, e->settings.domain));
 	set_placer_links(e->placement, e->domain_links);
+	e->health_notices = create_health_notices(e->view);
+	set_notice_link_test(e->health_notices, is_link_doubtful, e);
+	set_placer_notices(e->placement, e->health_notices);
 	set_cold_bounds(e->placement, e->settings.bounds.cold_factor,
 			e->settings.bounds.cold_slack);
 	e->moved_flows = create_moved_flows();
@@ -350,6 +363,7 @@
 	destroy_moved_flows(e->moved_flows);
 	destroy_placer(e->placement);
 	destroy_domain_links(e->domain_links);
+	destroy_health_notices(e->health_notices);
 	destroy_quotas(e->upstream_quotas);
 	destroy_catalog(e->catalog);
 	destroy_heartbeat_tracker(e->instance_heartbeats);
--- a/net/event-list.h
+++ b/net/event-list.h
@@ -22,6 +22,7 @@
 EVENT(UPSTREAM_INVALID, "upstream-invalid", 5, "an upstream's entry is invalid")
 EVENT(HEALTH, "health", 20, "an upstream's health as assessed here changed")
 EVENT(CHECK, "check", 20, "a health check of an upstream ended")
+EVENT(VERDICT, "verdict", 20, "a peer's verdict on an upstream was adopted")
 EVENT(MEMBER, "member", 20, "another instance joined, left or fell silent")
 EVENT(DOMAIN_LINK, "domain-link", 10,
       "another failure domain was reached, or no longer")
