admission: order waiting SYNs by priority, derive limits from the target

In an overload of a large fleet urgent SYNs never waited: they were placed on full upstreams, which shed them or answered late. Upstreams counted as full at a fixed load, and the load of a single upstream is not known in a fleet whose peers report once in 0.2 to 1.4 s.

Let all SYNs of a service wait in one queue, the highest priority first. No SYN of a lower priority is placed while one waits, or within 100 ms of its refusal, and none is refused within 100 ms of a placement of a lower priority. Room is reserved in proportion to the urgent share of the last second. An upstream is full at one request for each slot above what the target allows; in large fleets the mean load of the service is limited as well. The limit takes a factor for the slowness of a single upstream, 1.0 for now.

check-cookie's syn_of_highest_priority_does_not_wait expected the fault; it is replaced by two tests of the new order, which failed before.

--- a/base/counter-list.h
+++ b/base/counter-list.h
@@ -59,6 +59,8 @@
 COUNTER(FLOW_GIVEN_UP, "flow.given-up",
 	"resets for dead or taken-out upstreams")
 COUNTER(FLOW_QUEUED, "flow.queued", "SYNs that waited for room at an upstream")
+COUNTER(FLOW_REFUSED_URGENT, "flow.refused-urgent",
+	"refused SYNs of routes that do not have the lowest priority")
 COUNTER(FLOW_CUT_OFF, "flow.cut-off", "packets for an unreachable domain")
 COUNTER(FLOW_TOO_YOUNG, "flow.too-young", "packets dropped in the first second")
 COUNTER(FLOW_SILENT, "flow.silent", "resets of flows without progress")
--- a/flow/cookie.c
+++ b/flow/cookie.c
@@ -130,8 +130,12 @@
 					     .target_ms = route->slo_ms,
 					     .excluded = avoided,
 					     .excluded_nr = avoided_nr };
-	struct placement best = place_new_flow(cs->placer, &request, now_ms);
+	struct placement best;
 
+	if (is_lowest_priority(cs->catalog, route, service))
+		request.reserved_share =
+			urgent_syn_share(cs->syn_queue, service, now_ms);
+	best = place_new_flow(cs->placer, &request, now_ms);
 	if (best.upstream == CATALOG_NONE && avoided_nr) {
 		request.excluded_nr = 0;
 		best = place_new_flow(cs->placer, &request, now_ms);
@@ -139,13 +143,26 @@
 	return best;
 }
 
-static struct cookie_decision refuse_syn(struct cookie_steering *cs,
-					 struct cookie_flow *f,
-					 const struct cookie_packet *p,
-					 const struct placement *best)
+/* Where SYNs of ROUTE stand among those of SERVICE. */
+static struct syn_rank get_syn_rank(const struct cookie_steering *cs,
+				    const struct catalog_route *route,
+				    service_index_t service)
+{
+	return (struct syn_rank){ .priority = route->priority,
+				  .is_lowest = is_lowest_priority(
+					  cs->catalog, route, service) };
+}
+
+static struct cookie_decision
+refuse_syn(struct cookie_steering *cs, struct cookie_flow *f,
+	   const struct cookie_packet *p, service_index_t service,
+	   struct syn_rank rank, const struct placement *best, uint64_t now_ms)
 {
 	struct cookie_decision d = make_reset_decision(p, COOKIE_REFUSED);
 
+	note_syn_refused(cs->syn_queue, service, rank.priority, now_ms);
+	if (!rank.is_lowest)
+		count(cs->counters, COUNT_FLOW_REFUSED_URGENT);
 	d.placement = *best;
 	remove_cookie_flow(cs, f);
 	return d;
@@ -154,7 +171,7 @@
 static struct cookie_decision
 send_syn_to(struct cookie_steering *cs, struct cookie_flow *f,
 	    const struct cookie_packet *p, service_index_t service,
-	    const struct placement *best, uint64_t now_ms)
+	    struct syn_rank rank, const struct placement *best, uint64_t now_ms)
 {
 	struct pending_handshake pending = { p->key, now_ms };
 	struct cookie_decision d =
@@ -162,7 +179,7 @@
 			 f->syn_upstream_nr ? COOKIE_REOPENED : COOKIE_OPENED);
 
 	d.placement = *best;
-	note_syn_placed(cs->syn_queue, service, now_ms);
+	note_syn_placed(cs->syn_queue, service, rank, now_ms);
 	unassign_cookie_flow(cs, f);
 	assign_cookie_flow(cs, f, best->upstream);
 	f->syn_upstreams[f->syn_upstream_nr++ % COOKIE_SYN_UPSTREAMS_MAX] =
@@ -180,6 +197,7 @@
 	 service_index_t service, const struct placement *best, uint64_t now_ms)
 {
 	bool just_started = has_just_started(cs, now_ms);
+	struct syn_rank rank = get_syn_rank(cs, route, service);
 	struct syn_limits limits =
 		get_syn_limits(route->slo_ms, p->ack, just_started);
 	struct cookie_decision d = make_decision(COOKIE_WAIT, COOKIE_CROWDED);
@@ -187,10 +205,13 @@
 	struct held_syn *held;
 
 	if (p->datagram_len <= COOKIE_SYN_DATAGRAM_MAX)
-		place = queue_syn(cs->syn_queue, service, limits, just_started,
-				  f, now_ms);
+		place = queue_syn(cs->syn_queue, service, rank, limits,
+				  just_started, f, now_ms);
+	if (!place && best->upstream != CATALOG_NONE &&
+	    !may_refuse_syn(cs->syn_queue, service, rank.priority, now_ms))
+		return send_syn_to(cs, f, p, service, rank, best, now_ms);
 	if (!place)
-		return refuse_syn(cs, f, p, best);
+		return refuse_syn(cs, f, p, service, rank, best, now_ms);
 	held = g_new0(struct held_syn, 1);
 	held->packet = *p;
 	held->packet.datagram = NULL;
@@ -211,26 +232,26 @@
 {
 	service_index_t service = pick_service(route, &p->key);
 	struct placement best = find_placement(cs, f, route, service, now_ms);
-	bool yields = is_lowest_priority(cs->catalog, route, service);
+	struct syn_rank rank = get_syn_rank(cs, route, service);
 	enum syn_verdict verdict =
-		decide_syn(&best, yields, has_just_started(cs, now_ms));
+		decide_ranked_syn(cs->syn_queue, service, rank, &best,
+				  has_just_started(cs, now_ms), now_ms);
 
-	if (yields)
-		note_syn_arrival(cs->syn_queue, service, verdict == SYN_WAIT,
-				 now_ms);
+	note_syn_arrival(cs->syn_queue, service, rank, verdict == SYN_WAIT,
+			 now_ms);
 	/* the upstream that got it before may still answer */
 	if (verdict == SYN_WAIT && f->syn_upstream_nr &&
 	    best.upstream != CATALOG_NONE)
 		verdict = SYN_PLACE;
 	switch (verdict) {
 	case SYN_PLACE:
-		return send_syn_to(cs, f, p, service, &best, now_ms);
+		return send_syn_to(cs, f, p, service, rank, &best, now_ms);
 	case SYN_WAIT:
 		return hold_syn(cs, f, p, route, service, &best, now_ms);
 	case SYN_REFUSE:
 		break;
 	}
-	return refuse_syn(cs, f, p, &best);
+	return refuse_syn(cs, f, p, service, rank, &best, now_ms);
 }
 
 /* Starts the decision about the SYN of F, which leaves the queue. */
@@ -256,8 +277,10 @@
 		next_overdue_syn(cs->syn_queue, service, now_ms);
 	struct waiting_syn *w =
 		overdue ? overdue : next_waiting_syn(cs->syn_queue, service);
+	bool just_started = has_just_started(cs, now_ms);
 	const struct catalog_route *route;
 	struct released_syn r;
+	struct syn_rank rank;
 	struct placement best;
 	struct cookie_flow *f;
 	enum syn_verdict verdict;
@@ -276,19 +299,21 @@
 	}
 	/* the route may have changed since */
 	service = pick_service(route, &f->key);
+	rank = get_syn_rank(cs, route, service);
 	best = find_placement(cs, f, route, service, now_ms);
-	verdict = decide_syn(&best,
-			     is_lowest_priority(cs->catalog, route, service),
-			     has_just_started(cs, now_ms));
-	if (verdict == SYN_WAIT && !overdue)
-		return false;
+	verdict = decide_ranked_syn(cs->syn_queue, service, rank, &best,
+				    just_started, now_ms);
+	if (verdict == SYN_WAIT && overdue &&
+	    !must_syn_yield(cs->syn_queue, service, rank.priority, now_ms))
+		verdict = decide_overdue_syn(&best, just_started);
 	if (verdict == SYN_WAIT)
-		verdict =
-			decide_overdue_syn(&best, has_just_started(cs, now_ms));
+		return false;
 	r = take_held_syn(cs, f, now_ms);
-	r.decision = verdict == SYN_PLACE ? send_syn_to(cs, f, &r.packet,
-							service, &best, now_ms)
-					  : refuse_syn(cs, f, &r.packet, &best);
+	r.decision = verdict == SYN_PLACE
+			     ? send_syn_to(cs, f, &r.packet, service, rank,
+					   &best, now_ms)
+			     : refuse_syn(cs, f, &r.packet, service, rank,
+					  &best, now_ms);
 	g_array_append_val(released, r);
 	return true;
 }
@@ -302,9 +327,12 @@
 	/* refusals first: after a delay the callers may be gone */
 	while ((w = next_syn_to_refuse(cs->syn_queue, now_ms))) {
 		struct cookie_flow *f = w->owner;
+		service_index_t service = w->service;
+		struct syn_rank rank = w->rank;
 		struct released_syn r = take_held_syn(cs, f, now_ms);
 
-		r.decision = refuse_syn(cs, f, &r.packet, &crowded);
+		r.decision = refuse_syn(cs, f, &r.packet, service, rank,
+					&crowded, now_ms);
 		g_array_append_val(released, r);
 	}
 	if (!waiting_syn_count(cs->syn_queue))
--- /dev/null
+++ b/flow/placement-limit.c
@@ -0,0 +1,61 @@
+#include "flow/placement-limit.h"
+
+/* Load that the target allows at an upstream with SLOWNESS. */
+static double target_load(const struct service_stats *stats, uint32_t target_ms,
+			  double slowness)
+{
+	if (!target_ms)
+		return PLACEMENT_FULL_LOAD;
+	return CLAMP(target_ms / (stats->mean_unqueued_ms * slowness),
+		     MAX(1, PLACEMENT_CROWDED_LOAD_MIN / slowness),
+		     PLACEMENT_FULL_LOAD);
+}
+
+/* What is left of LIMIT; reserving more would leave slots idle. */
+static double reserve_room(double limit, double reserved_share)
+{
+	return MAX(limit * (1 - reserved_share),
+		   MIN(limit, PLACEMENT_CROWDED_LOAD_MIN));
+}
+
+struct load_limits get_load_limits(const struct service_stats *stats,
+				   uint32_t target_ms, double slowness,
+				   double reserved_share)
+{
+	double limit = target_load(stats, target_ms, slowness);
+
+	return (struct load_limits){
+		.crowded = reserve_room(limit, reserved_share),
+		.full = MIN(limit + 1, PLACEMENT_FULL_LOAD),
+	};
+}
+
+struct load_limits get_mean_load_limits(const struct service_stats *stats,
+					uint32_t target_ms,
+					double reserved_share)
+{
+	double limit =
+		MIN(target_load(stats, target_ms, 1), PLACEMENT_MEAN_LOAD_MAX);
+
+	return (struct load_limits){
+		.crowded = reserve_room(limit, reserved_share),
+		.full = limit,
+	};
+}
+
+void add_service_load(struct service_load *sl, const struct upstream_load *ul,
+		      double busy_ratio, uint32_t slots)
+{
+	double idle = (double)ul->open_flows - ul->busy_requests;
+
+	sl->slots += slots;
+	sl->own += ul->busy_requests + (idle > 0 ? busy_ratio * idle : 0);
+	sl->all += expected_load(ul, busy_ratio);
+}
+
+double mean_service_load(const struct service_load *sl, size_t instance_nr)
+{
+	return sl->slots > 0
+		       ? MIN(sl->own * (double)instance_nr, sl->all) / sl->slots
+		       : 0;
+}
--- a/flow/placement-state.h
+++ b/flow/placement-state.h
@@ -83,6 +83,9 @@
 struct upstream_load *get_or_create_upstream_load(struct placer *pl,
 						  upstream_index_t nr);
 
+/* Expected requests in flight; BUSY_RATIO: share of idle flows that count. */
+double expected_load(const struct upstream_load *ul, double busy_ratio);
+
 struct service_stats *get_or_create_service_stats(struct placer *pl,
 						  service_index_t sv);
 
--- a/flow/placement.c
+++ b/flow/placement.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "fleet/heartbeat.h"
+#include "flow/placement-limit.h"
 #include "flow/placement-state.h"
 
 #define ANSWER_MEAN_WEIGHT 0.1 /* of the newest sample */
@@ -89,7 +91,7 @@
 	return &g_array_index(pl->service_stats, struct service_stats, sv);
 }
 
-static double expected_load(const struct upstream_load *ul, double busy_ratio)
+double expected_load(const struct upstream_load *ul, double busy_ratio)
 {
 	double busy = ul->busy_requests + ul->mean_peer_busy;
 	double idle = (double)ul->open_flows + ul->peer_open_flows - busy;
@@ -173,14 +175,28 @@
 	return load > 1 && (load - 1) * answer_ms > deadline_ms;
 }
 
-/* Requests for each slot above which answers are expected after TARGET_MS. */
-static double crowded_load(const struct service_stats *stats,
-			   uint32_t target_ms)
+/* Whether the chosen upstream, or all of its service, are crowded or full. */
+static enum place_reason assess_room(const struct placer *pl,
+				     const struct placement *best,
+				     const struct placement_request *request,
+				     const struct service_stats *stats,
+				     const struct service_load *sl)
 {
-	if (!target_ms)
-		return PLACEMENT_FULL_LOAD;
-	return CLAMP(target_ms / stats->mean_unqueued_ms,
-		     PLACEMENT_CROWDED_LOAD_MIN, PLACEMENT_FULL_LOAD);
+	struct load_limits limits = get_load_limits(
+		stats, request->target_ms, 1.0, request->reserved_share);
+	struct load_limits mean_limits = get_mean_load_limits(
+		stats, request->target_ms, request->reserved_share);
+	size_t instance_nr = pl->peer_loads->len + 1;
+	double mean = instance_nr > HEARTBEAT_REMOTE_FLEET_MEMBERS
+			      ? mean_service_load(sl, instance_nr)
+			      : 0;
+
+	if (current_load(pl, best->upstream) >= limits.full ||
+	    mean >= mean_limits.full)
+		return PLACE_FULL;
+	if (best->load >= limits.crowded || mean >= mean_limits.crowded)
+		return PLACE_CROWDED;
+	return best->reason;
 }
 
 struct placement place_new_flow(struct placer *pl,
@@ -192,6 +208,7 @@
 	struct placement best = { CATALOG_NONE, PLACE_NONE_LISTED, 0 };
 	const struct service_stats *stats =
 		get_or_create_service_stats(pl, request->service);
+	struct service_load sl = { 0 };
 	double best_score = 0;
 	bool best_suspect = false;
 
@@ -222,6 +239,8 @@
 		}
 		load = expected_load(ul, stats->mean_busy_ratio) /
 		       up->report.slots;
+		add_service_load(&sl, ul, stats->mean_busy_ratio,
+				 up->report.slots);
 		score = load + remote_domain_cost(pl, up) +
 			g_rand_double(pl->rand) * 0.01; /* breaks ties */
 		if (best.upstream != CATALOG_NONE &&
@@ -244,10 +263,7 @@
 		best.reason = PLACE_OVERLOADED;
 		return best;
 	}
-	if (current_load(pl, best.upstream) >= PLACEMENT_FULL_LOAD)
-		best.reason = PLACE_FULL;
-	else if (best.load >= crowded_load(stats, request->target_ms))
-		best.reason = PLACE_CROWDED;
+	best.reason = assess_room(pl, &best, request, stats, &sl);
 	if (is_cold_upstream(pl->catalog, best.upstream, now_ms)) {
 		struct upstream_load *ul =
 			find_upstream_load(pl, best.upstream);
--- a/flow/placement.h
+++ b/flow/placement.h
@@ -123,7 +123,7 @@
 	PLACE_ALL_DEAD,	   /* all are dead, cut off or excluded */
 	PLACE_ALL_COLD,	   /* all are cold and this instance's quota is used */
 	PLACE_CROWDED,	   /* answers after the target, and others are worse */
-	PLACE_FULL,	  /* at PLACEMENT_FULL_LOAD now; all others are worse */
+	PLACE_FULL, /* at the limit of its load now; all others are worse */
 	PLACE_OVERLOADED, /* none could answer before the deadline */
 	PLACE_REASON_NR
 };
@@ -139,6 +139,8 @@
 	service_index_t service;
 	uint32_t deadline_ms; /* by which a request must be answered */
 	uint32_t target_ms;   /* target for the answer; 0: none */
+	/* share of the room that is kept free for more urgent requests */
+	double reserved_share;
 	const upstream_index_t *excluded; /* upstreams not to choose */
 	size_t excluded_nr;
 };
--- a/flow/syn-queue.h
+++ b/flow/syn-queue.h
@@ -7,8 +7,12 @@
  * bear: after a loss of upstreams, while a failure domain is out, in a burst
  * of callers, and when all callers return at once after an outage. No I/O.
  *
- * The newest SYN goes first, since its request can still be answered in time.
- * While the service is overloaded, a SYN whose wait reaches its limit is
+ * SYNs of routes with a higher priority go first. While one of them waits, no
+ * SYN of a lower priority is placed, and after one was refused for lack of room
+ * none is placed for SYN_PRIORITY_SPAN_MS.
+ *
+ * Within a priority the newest goes first, since its request can still be
+ * answered in time. While the service is overloaded, a SYN whose wait reaches its limit is
  * refused, and so is the oldest one as soon as more wait than the observed rate
  * of placements lets through within the limit. Otherwise upstreams are crowded
  * only for a moment, and a SYN that reaches its limit is placed all the same,
@@ -39,6 +43,11 @@
  * abandons the attempt at 1400 ms, and the handshake takes time.
  */
 #define SYN_ABANDON_MS 1200
+/*
+ * No SYN is refused for lack of room if one of a lower priority was placed this
+ * recently; it waits until then.
+ */
+#define SYN_PRIORITY_SPAN_MS 100
 #define SYN_QUEUE_MIN 4	      /* SYNs of a service that may wait at any rate */
 #define SYN_QUEUE_MAX 1024    /* SYNs that may wait in all */
 #define SYN_RATE_SPAN_MS 1000 /* over which SYNs and placements are counted */
@@ -59,7 +68,8 @@
 
 /*
  * Decides about a SYN whose best placement is BEST. IS_LOWEST_PRIORITY: no
- * route to the service has a lower priority; only such SYNs wait for room.
+ * route to the service has a lower priority. Such SYNs wait while upstreams are
+ * crowded, all SYNs while upstreams are full.
  * JUST_STARTED: this instance has started so recently that all callers come at
  * once with what they could not send before.
  */
@@ -87,8 +97,15 @@
 struct syn_limits get_syn_limits(uint32_t target_ms, uint32_t syn_copy,
 				 bool just_started);
 
+/* Where a SYN stands among those of its service. */
+struct syn_rank {
+	uint32_t priority; /* of its route; lower values go first */
+	bool is_lowest;	   /* no route to the service has a lower priority */
+};
+
 struct waiting_syn {
 	service_index_t service;
+	struct syn_rank rank;
 	uint64_t queued_ms;
 	uint64_t due_ms;      /* end of its wait */
 	uint64_t abandon_ms;  /* its caller may have left then */
@@ -106,18 +123,48 @@
  * NULL if SYN_QUEUE_MAX wait already.
  */
 struct waiting_syn *queue_syn(struct syn_queue *q, service_index_t service,
-			      struct syn_limits limits, bool just_started,
-			      void *owner, uint64_t now_ms);
+			      struct syn_rank rank, struct syn_limits limits,
+			      bool just_started, void *owner, uint64_t now_ms);
 void remove_waiting_syn(struct syn_queue *q, struct waiting_syn *w);
 
-/* The SYN to place next, the newest of SERVICE; NULL: none waits. */
+/*
+ * The SYN to place next: of those of SERVICE with the highest priority the
+ * newest. NULL: none waits.
+ */
 struct waiting_syn *next_waiting_syn(const struct syn_queue *q,
 				     service_index_t service);
 
-/* The SYN of SERVICE that waits longest; NULL: none waits. */
+/*
+ * The SYN of SERVICE that has waited longest of those with the lowest priority.
+ * NULL: none waits.
+ */
 struct waiting_syn *oldest_waiting_syn(const struct syn_queue *q,
 				       service_index_t service);
 
+/*
+ * Whether a SYN of SERVICE with PRIORITY may not be placed yet: one with a
+ * higher priority waits, or was refused less than SYN_PRIORITY_SPAN_MS ago.
+ */
+bool must_syn_yield(const struct syn_queue *q, service_index_t service,
+		    uint32_t priority, uint64_t now_ms);
+
+/*
+ * Whether a SYN of SERVICE with PRIORITY may be refused for lack of room: none
+ * with a lower priority was placed within SYN_PRIORITY_SPAN_MS.
+ */
+bool may_refuse_syn(const struct syn_queue *q, service_index_t service,
+		    uint32_t priority, uint64_t now_ms);
+
+/*
+ * The same as decide_syn() for a SYN of SERVICE with RANK, which waits also if
+ * it must yield or may not be refused yet.
+ */
+enum syn_verdict decide_ranked_syn(const struct syn_queue *q,
+				   service_index_t service,
+				   struct syn_rank rank,
+				   const struct placement *best,
+				   bool just_started, uint64_t now_ms);
+
 /*
  * A SYN that is to be refused now: its caller may have left, or its service is
  * overloaded and its wait has ended or more wait than can be placed in time.
@@ -126,14 +173,21 @@
 struct waiting_syn *next_syn_to_refuse(const struct syn_queue *q,
 				       uint64_t now_ms);
 
+/* Notes the arrival of a SYN of SERVICE. CROWDED: it has to wait. */
+void note_syn_arrival(struct syn_queue *q, service_index_t service,
+		      struct syn_rank rank, bool crowded, uint64_t now_ms);
+
 /*
- * Notes the arrival of a SYN of SERVICE on a route that yields to others.
- * CROWDED: it has to wait.
+ * Share of the recent SYNs of SERVICE that do not have the lowest priority. As
+ * much of the room at upstreams is reserved for them.
  */
-void note_syn_arrival(struct syn_queue *q, service_index_t service,
-		      bool crowded, uint64_t now_ms);
+double urgent_syn_share(const struct syn_queue *q, service_index_t service,
+			uint64_t now_ms);
 
-/* Whether most recent SYNs of SERVICE found all upstreams crowded. */
+/*
+ * Whether most recent SYNs of SERVICE with the lowest priority found all
+ * upstreams crowded.
+ */
 bool is_service_overloaded(const struct syn_queue *q, service_index_t service,
 			   uint64_t now_ms);
 
@@ -146,7 +200,11 @@
 
 /* Notes that this instance placed a new flow of SERVICE. */
 void note_syn_placed(struct syn_queue *q, service_index_t service,
-		     uint64_t now_ms);
+		     struct syn_rank rank, uint64_t now_ms);
+
+/* Notes that a SYN of SERVICE was refused for lack of room. */
+void note_syn_refused(struct syn_queue *q, service_index_t service,
+		      uint32_t priority, uint64_t now_ms);
 
 /* Services that have waiting SYNs are below this index. */
 size_t syn_queue_service_count(const struct syn_queue *q);
--- a/t/bench-overload.c
+++ b/t/bench-overload.c
@@ -43,6 +43,57 @@
 	       r.urgent_failed, r.refusal_p95_ms, r.p99_ms);
 }
 
+static void print_outcome(const char *name, const struct sim_outcome *o)
+{
+	printf("  %-10s %6u %7.4f %6u %6u %7u %7.4f\n", name, o->requests,
+	       (double)o->in_time / o->requests, o->late, o->lost, o->refused,
+	       o->refused ? (double)o->refused_soon / o->refused : 1.0);
+}
+
+/* The outcomes of the fleet's overload, by route and by failure domain. */
+static void print_fleet(const char *name,
+			const struct placement_sim_options *opt)
+{
+	static const char *const domains[] = { "domain 0", "domain 1",
+					       "domain 2" };
+	struct placement_sim_result r;
+	const struct sim_outcome *usual = &r.by_route[SIM_USUAL];
+	const struct sim_outcome *urgent = &r.by_route[SIM_URGENT];
+	uint32_t in_time;
+	uint32_t late;
+
+	simulate_placement(opt, &r);
+	in_time = usual->in_time + urgent->in_time;
+	late = usual->late + urgent->late;
+	printf("%s: %.4f of the answers in aim, worth %.4f, shed %u, "
+	       "refused while idle %u, before less urgent ones %u, "
+	       "other domain %.3f\n",
+	       name, (double)in_time / (in_time + late),
+	       (usual->in_time + 0.1 * usual->late +
+		2 * (urgent->in_time + 0.1 * urgent->late)) /
+		       (usual->requests + 2.0 * urgent->requests),
+	       r.shed, r.refused_idle, r.refused_before_less_urgent,
+	       (double)r.remote_domain / r.requests);
+	print_outcome("usual", usual);
+	print_outcome("urgent", urgent);
+	for (size_t i = 0; i < sizeof(domains) / sizeof(domains[0]); i++)
+		print_outcome(domains[i], &r.by_domain[i]);
+}
+
+static void print_fleet_rows(void)
+{
+	struct placement_sim_options opt;
+
+	printf("\n  route       asked  in aim   late   lost refused  told "
+	       "within a quarter of the target\n");
+	init_fleet_options(&opt);
+	print_fleet("fleet, x 2.5, some slow", &opt);
+	opt.slow_upstream_share = 0;
+	print_fleet("fleet, x 2.5", &opt);
+	opt.burst = 1;
+	print_fleet("fleet, usual demand", &opt);
+}
+
 int main(void)
 {
 	static const struct bench_load loads[] = {
@@ -67,5 +118,6 @@
 				  wait_limits_ms[k]);
 		}
 	}
+	print_fleet_rows();
 	return 0;
 }
--- a/t/check-cookie.c
+++ b/t/check-cookie.c
@@ -376,6 +376,15 @@
 	}
 }
 
+/* Ends the load that fill_upstream() put on NR. */
+static void empty_upstream(upstream_index_t nr)
+{
+	for (int i = 0; i < 3 * PLACEMENT_FULL_LOAD; i++) {
+		note_request_end(in.placer, nr);
+		note_flow_end(in.placer, nr);
+	}
+}
+
 /* Releases waiting SYNs; returns how many were decided about. */
 static guint release_syns(uint64_t now_ms)
 {
@@ -560,13 +569,18 @@
 }
 END_TEST
 
-START_TEST(syn_of_highest_priority_does_not_wait)
+/*
+ * Puts two routes to one service in force: TEST_ROUTE_PORT with priority 1 and
+ * the next port with priority 2.
+ */
+static void set_two_priorities(uint32_t slo_ms)
 {
 	GArray *routes =
 		g_array_new(FALSE, FALSE, sizeof(struct catalog_route));
 	struct catalog_route r = { .ip = TEST_ROUTE_IP,
 				   .port = TEST_ROUTE_PORT,
 				   .deadline_ms = TEST_DEADLINE_MS,
+				   .slo_ms = slo_ms,
 				   .target_nr = 1 };
 	struct route_target share = { intern_service(in.catalog, "board"), 1 };
 
@@ -577,8 +591,54 @@
 		g_array_append_val(routes, r);
 	}
 	set_catalog_routes(in.catalog, 9, routes, TEST_IDLE_MS);
-	fill_upstream(put_upstream("u-a", 0));
-	ck_assert_int_eq(send_syn(4000, 0, 1000).verdict, COOKIE_TO_UPSTREAM);
+}
+
+/* Sends a SYN of the route with PRIORITY, see set_two_priorities(). */
+static struct cookie_decision send_syn_of(uint32_t priority, uint16_t port,
+					  uint64_t now_ms)
+{
+	struct cookie_packet p = make_cookie_packet(CALLER, port, TCP_SYN, 0);
+
+	p.key.service_port = (uint16_t)(TEST_ROUTE_PORT + priority - 1);
+	return steer_cookie_packet(in.steering, &p, false, now_ms);
+}
+
+/* Guards against urgent requests that full upstreams shed or answer late. */
+START_TEST(urgent_syn_waits_while_all_are_full_and_goes_first)
+{
+	uint64_t now_ms = end_startup();
+	upstream_index_t up = put_upstream("u-a", 0);
+
+	set_two_priorities(0);
+	fill_upstream(up);
+	ck_assert_int_eq(send_syn_of(1, 4000, now_ms).verdict, COOKIE_WAIT);
+	ck_assert_int_eq(send_syn_of(2, 4001, now_ms + 1).verdict, COOKIE_WAIT);
+	ck_assert_int_eq(send_syn_of(2, 4002, now_ms + 2).verdict, COOKIE_WAIT);
+	empty_upstream(up);
+	ck_assert_uint_eq(release_syns(now_ms + 20), 3);
+	ck_assert_uint_eq(released_syn(0)->packet.key.caller_port, 4000);
+	ck_assert_uint_eq(released_syn(1)->packet.key.caller_port, 4002);
+	for (guint i = 0; i < 3; i++)
+		ck_assert_int_eq(released_syn(i)->decision.verdict,
+				 COOKIE_TO_UPSTREAM);
+}
+END_TEST
+
+/* Guards against a less urgent SYN that takes the room of a waiting one. */
+START_TEST(less_urgent_syn_does_not_pass_a_waiting_one)
+{
+	uint64_t now_ms = end_startup();
+	upstream_index_t up = put_upstream("u-a", 0);
+
+	set_two_priorities(0);
+	fill_upstream(up);
+	ck_assert_int_eq(send_syn_of(1, 4000, now_ms).verdict, COOKIE_WAIT);
+	empty_upstream(up);
+	ck_assert_int_eq(send_syn_of(2, 4001, now_ms + 2).verdict, COOKIE_WAIT);
+	ck_assert_int_eq(send_syn_of(1, 4002, now_ms + 3).verdict,
+			 COOKIE_TO_UPSTREAM);
+	ck_assert_uint_eq(release_syns(now_ms + 10), 2);
+	ck_assert_uint_eq(released_syn(0)->packet.key.caller_port, 4000);
 }
 END_TEST
 
@@ -753,7 +813,8 @@
 	tcase_add_test(tc, waiting_syn_obeys_changes_made_meanwhile);
 	tcase_add_test(tc, syn_leaves_the_queue_if_its_flow_opens_elsewhere);
 	tcase_add_test(tc, route_gives_way_only_within_its_service);
-	tcase_add_test(tc, syn_of_highest_priority_does_not_wait);
+	tcase_add_test(tc, urgent_syn_waits_while_all_are_full_and_goes_first);
+	tcase_add_test(tc, less_urgent_syn_does_not_pass_a_waiting_one);
 	tcase_add_test(tc, only_flows_of_removed_route_are_reset);
 	tcase_add_test(tc, split_route_divides_flows_by_weight);
 	tcase_add_test(tc, weight_change_does_not_move_open_flows);
--- a/t/check-placement.c
+++ b/t/check-placement.c
@@ -504,7 +504,7 @@
 		simulate_placement(&opt, &left_to_copies);
 		ck_assert_uint_gt(r.failed, 0);
 		ck_assert_uint_le(r.refusal_p95_ms,
-				  SIM_TARGET_MS / 4 + COOKIE_TICK_MS);
+				  opt.target_ms / 4 + COOKIE_TICK_MS);
 		ck_assert_uint_le(r.urgent_failed, r.urgent_requests / 1000);
 		ck_assert_uint_gt(r.in_time, left_to_copies.in_time);
 		ck_assert_double_gt(placement_score(&r, 0.3),
--- a/t/placement-simulation.c
+++ b/t/placement-simulation.c
@@ -9,8 +9,9 @@
 #include "t/cookie-harness.h"
 
 #define DEADLINE_MS 3000
-#define ATTEMPTS_MAX 3	  /* of one request */
-#define RETRY_DELAY_MS 15 /* until the caller's next attempt */
+#define ATTEMPTS_MAX 3 /* of one request */
+#define IDLE_SHARE 0.7 /* of slots in use, below which none is refused */
+#define PRIORITY_SPAN_MS 100
 
 /* When a SYN and its copies are sent, and when the caller gives up, ms. */
 static const uint32_t syn_copy_at_ms[] = { 0, 200, 600, 1400 };
@@ -30,6 +31,7 @@
 	unsigned int attempts;
 	struct long_flow *flow; /* opened by the SYN; NULL: a short flow */
 	bool urgent;		/* does not yield to others */
+	unsigned int domain;	/* of its caller */
 	unsigned int instance;	/* where it waits */
 	struct waiting_syn *waiting;
 };
@@ -41,6 +43,7 @@
 	uint64_t started_ms;
 	unsigned int instance;
 	unsigned int attempts;
+	unsigned int domain; /* of its caller */
 	bool urgent;
 	struct long_flow *flow; /* NULL: a flow for this request only */
 };
@@ -50,6 +53,12 @@
 	GQueue waiting;
 };
 
+/* When an instance last decided about SYNs, 0: never. */
+struct last_decisions {
+	uint64_t usual_placed_ms;
+	uint64_t urgent_refused_ms;
+};
+
 struct placement_sim {
 	const struct placement_sim_options *opt;
 	struct placement_sim_result *result;
@@ -57,8 +66,11 @@
 	unsigned int instance_nr;
 	unsigned int upstream_nr;
 	struct cookie_instance *instances;
-	struct syn_queue **syn_queues; /* by instance */
-	GArray *refusal_times_ms;      /* of uint32_t */
+	struct syn_queue **syn_queues;	/* by instance */
+	struct last_decisions *last;	/* by instance */
+	unsigned int *heartbeat_rounds; /* by instance */
+	unsigned int running;		/* requests at all upstreams */
+	GArray *refusal_times_ms;	/* of uint32_t */
 	upstream_index_t *handles; /* of upstreams, the same at all instances */
 	struct sim_upstream *upstreams;
 	struct long_flow *long_flows;
@@ -143,13 +155,13 @@
 }
 
 static struct placement choose_upstream(struct placement_sim *sim,
-					unsigned int instance)
+					unsigned int instance, bool urgent)
 {
 	struct cookie_instance *in = &sim->instances[instance];
 	struct placement_request request = { .service = intern_service(
 						     in->catalog, "board"),
 					     .deadline_ms = DEADLINE_MS,
-					     .target_ms = SIM_TARGET_MS };
+					     .target_ms = sim->opt->target_ms };
 	upstream_index_t *excluded = g_new(upstream_index_t, sim->upstream_nr);
 	struct placement best;
 	size_t n = 0;
@@ -158,6 +170,10 @@
 		n = list_excluded(sim, false, excluded);
 	else if (sim->opt->strategy == PICK_BEST_OF_TWO)
 		n = list_excluded(sim, true, excluded);
+	if (!urgent)
+		request.reserved_share =
+			urgent_syn_share(sim->syn_queues[instance],
+					 request.service, sim->now_ms);
 	request.excluded = excluded;
 	request.excluded_nr = n;
 	best = place_new_flow(in->placer, &request, sim->now_ms);
@@ -165,16 +181,38 @@
 	return best;
 }
 
+/*
+ * Whether requests of REQUESTED_MS count in the outcomes: not those that may
+ * have no outcome yet when the simulation ends.
+ */
+static bool is_counted(const struct placement_sim *sim, uint64_t requested_ms)
+{
+	return requested_ms >= sim->opt->length_ms / 2 &&
+	       requested_ms + DEADLINE_MS < sim->opt->length_ms;
+}
+
+/* Adds 1 to FIELD of the outcomes of the request's route and domain. */
+#define COUNT_OUTCOME(sim, rq, field)                                          \
+	do {                                                                   \
+		if (!is_counted(sim, (rq)->requested_ms))                      \
+			break;                                                 \
+		(sim)->result->by_route[(rq)->urgent].field++;                 \
+		(sim)->result->by_domain[(rq)->domain].field++;                \
+	} while (0)
+
 static void count_answer(struct placement_sim *sim,
 			 const struct sim_request *rq)
 {
 	uint32_t took_ms = (uint32_t)(sim->now_ms - rq->requested_ms);
 
 	g_array_append_val(sim->answer_times_ms, took_ms);
-	if (took_ms <= SIM_TARGET_MS)
+	if (took_ms <= sim->opt->target_ms) {
 		sim->result->in_time++;
-	else
+		COUNT_OUTCOME(sim, rq, in_time);
+	} else {
 		sim->result->late++;
+		COUNT_OUTCOME(sim, rq, late);
+	}
 }
 
 static void end_request(struct placement_sim *sim, unsigned int upstream,
@@ -188,31 +226,44 @@
 	g_free(rq);
 }
 
-/* Schedules the next attempt of a request, if any is left. */
-static void schedule_retry(struct placement_sim *sim, uint64_t requested_ms,
-			   unsigned int attempts, bool urgent,
+/* Schedules the attempt that follows LAST, if any is left. */
+static void schedule_retry(struct placement_sim *sim,
+			   const struct pending_syn *last,
 			   struct long_flow *flow)
 {
-	struct pending_syn syn = { .requested_ms = requested_ms,
-				   .syn_ms = sim->now_ms + RETRY_DELAY_MS,
-				   .next_syn_ms = sim->now_ms + RETRY_DELAY_MS,
-				   .attempts = attempts + 1,
-				   .urgent = urgent,
+	uint64_t at_ms = sim->now_ms + sim->opt->retry_delay_ms;
+	struct pending_syn syn = { .requested_ms = last->requested_ms,
+				   .syn_ms = at_ms,
+				   .next_syn_ms = at_ms,
+				   .attempts = last->attempts + 1,
+				   .domain = last->domain,
+				   .urgent = last->urgent,
 				   .flow = flow };
 
 	if (syn.attempts < ATTEMPTS_MAX &&
-	    sim->now_ms - requested_ms < DEADLINE_MS) {
+	    sim->now_ms - last->requested_ms < DEADLINE_MS) {
 		if (flow)
 			flow->opening = true;
 		g_array_append_val(sim->pending_syns, syn);
 		return;
 	}
 	sim->result->failed++;
-	sim->result->urgent_failed += urgent;
+	sim->result->urgent_failed += last->urgent;
+	COUNT_OUTCOME(sim, last, lost);
 	if (flow)
 		flow->opening = false;
 }
 
+/* Whether upstream S is one of the slow ones now. */
+static bool is_slow(const struct placement_sim *sim, unsigned int s)
+{
+	double share = sim->opt->slow_upstream_share;
+
+	/* spread evenly, so that each domain has its share */
+	return sim->now_ms >= sim->opt->length_ms / 2 &&
+	       (unsigned int)((s + 1) * share) > (unsigned int)(s * share);
+}
+
 static void send_request(struct placement_sim *sim, unsigned int upstream,
 			 unsigned int instance, const struct pending_syn *syn)
 {
@@ -220,11 +271,16 @@
 	struct placer *pl = sim->instances[instance].placer;
 	struct sim_request *rq = g_new0(struct sim_request, 1);
 	double u = g_rand_double_range(sim->rand, 1e-6, 1);
+	double mean_ms = syn->urgent ? sim->opt->urgent_request_ms
+				     : sim->opt->request_ms;
 
+	if (is_slow(sim, upstream))
+		mean_ms *= sim->opt->slow_factor;
 	rq->requested_ms = syn->requested_ms;
 	rq->attempts = syn->attempts;
 	rq->urgent = syn->urgent;
-	rq->remaining_ms = 1 + (uint32_t)(-log(u) * SIM_REQUEST_MS);
+	rq->domain = syn->domain;
+	rq->remaining_ms = 1 + (uint32_t)(-log(u) * mean_ms);
 	rq->instance = instance;
 	rq->started_ms = sim->now_ms;
 	rq->flow = syn->flow;
@@ -241,13 +297,13 @@
 	} else {
 		sim->result->shed++;
 		end_request(sim, upstream, rq);
-		schedule_retry(sim, syn->requested_ms, syn->attempts,
-			       syn->urgent, NULL);
+		schedule_retry(sim, syn, NULL);
 	}
 }
 
 static void run_upstreams(struct placement_sim *sim)
 {
+	sim->running = 0;
 	for (unsigned int s = 0; s < sim->upstream_nr; s++) {
 		struct sim_upstream *up = &sim->upstreams[s];
 		guint n = up->running.length;
@@ -269,9 +325,18 @@
 		       up->waiting.length)
 			g_queue_push_tail(&up->running,
 					  g_queue_pop_head(&up->waiting));
+		sim->running += up->running.length;
 	}
 }
 
+static unsigned int pick_instance_of(struct placement_sim *sim,
+				     unsigned int domain)
+{
+	return domain * sim->opt->instances_per_domain +
+	       (unsigned int)g_rand_int_range(
+		       sim->rand, 0, (gint32)sim->opt->instances_per_domain);
+}
+
 /* A random instance; first_domain_load weights those of the first domain. */
 static unsigned int pick_instance(struct placement_sim *sim)
 {
@@ -282,9 +347,7 @@
 
 	if (domain && g_rand_double(sim->rand) < extra)
 		domain = 0;
-	return domain * sim->opt->instances_per_domain +
-	       (unsigned int)g_rand_int_range(
-		       sim->rand, 0, (gint32)sim->opt->instances_per_domain);
+	return pick_instance_of(sim, domain);
 }
 
 static void place_long_flow(struct placement_sim *sim, struct long_flow *f,
@@ -314,6 +377,12 @@
 	       (best->reason == PLACE_CROWDED && !just_started);
 }
 
+static struct syn_rank get_rank(const struct pending_syn *syn)
+{
+	return (struct syn_rank){ .priority = syn->urgent ? 1 : 2,
+				  .is_lowest = !syn->urgent };
+}
+
 static enum syn_verdict decide(const struct placement_sim *sim,
 			       const struct pending_syn *syn,
 			       const struct placement *best)
@@ -327,7 +396,11 @@
 	switch (sim->opt->overload) {
 	case OVERLOAD_QUEUE:
 	case OVERLOAD_QUEUE_OLDEST:
-		return decide_syn(best, !syn->urgent, just_started);
+		return decide_ranked_syn(
+			sim->syn_queues[syn->instance],
+			intern_service(sim->instances[syn->instance].catalog,
+				       "board"),
+			get_rank(syn), best, just_started, sim->now_ms);
 	case OVERLOAD_REFUSE:
 		return crowded ? SYN_REFUSE : SYN_PLACE;
 	case OVERLOAD_DEFER:
@@ -352,7 +425,16 @@
 	unsigned int upstream = upstream_index(sim, best->upstream);
 
 	note_syn_placed(sim->syn_queues[syn->instance],
-			intern_service(in->catalog, "board"), sim->now_ms);
+			intern_service(in->catalog, "board"), get_rank(syn),
+			sim->now_ms);
+	if (!syn->urgent) {
+		struct last_decisions *last = &sim->last[syn->instance];
+
+		last->usual_placed_ms = sim->now_ms;
+		if (last->urgent_refused_ms &&
+		    sim->now_ms - last->urgent_refused_ms < PRIORITY_SPAN_MS)
+			sim->result->refused_before_less_urgent++;
+	}
 	if (syn->flow)
 		place_long_flow(sim, syn->flow, syn->instance, upstream);
 	send_request(sim, upstream, syn->instance, syn);
@@ -362,10 +444,27 @@
 {
 	uint32_t held_ms = (uint32_t)(sim->now_ms - syn->syn_ms);
 
+	note_syn_refused(
+		sim->syn_queues[syn->instance],
+		intern_service(sim->instances[syn->instance].catalog, "board"),
+		get_rank(syn).priority, sim->now_ms);
 	sim->result->refused++;
 	g_array_append_val(sim->refusal_times_ms, held_ms);
-	schedule_retry(sim, syn->requested_ms, syn->attempts, syn->urgent,
-		       syn->flow);
+	COUNT_OUTCOME(sim, syn, refused);
+	/* one tick later is in time, too */
+	if (held_ms <= sim->opt->target_ms / 4 + COOKIE_TICK_MS)
+		COUNT_OUTCOME(sim, syn, refused_soon);
+	if (sim->running < IDLE_SHARE * sim->upstream_nr * sim->opt->slots)
+		sim->result->refused_idle++;
+	if (syn->urgent) {
+		struct last_decisions *last = &sim->last[syn->instance];
+
+		last->urgent_refused_ms = sim->now_ms;
+		if (last->usual_placed_ms &&
+		    sim->now_ms - last->usual_placed_ms < PRIORITY_SPAN_MS)
+			sim->result->refused_before_less_urgent++;
+	}
+	schedule_retry(sim, syn, syn->flow);
 }
 
 static void drop_syn(struct placement_sim *sim, struct pending_syn *syn)
@@ -381,14 +480,15 @@
 	struct cookie_instance *in = &sim->instances[syn->instance];
 	bool just_started = has_just_started(sim);
 	struct syn_limits limits =
-		get_syn_limits(SIM_TARGET_MS, 0, just_started);
+		get_syn_limits(sim->opt->target_ms, 0, just_started);
 	struct pending_syn *copy = g_memdup2(syn, sizeof(*syn));
 
 	if (sim->opt->wait_limit_ms && !just_started)
 		limits.wait_ms = sim->opt->wait_limit_ms;
-	copy->waiting = queue_syn(sim->syn_queues[syn->instance],
-				  intern_service(in->catalog, "board"), limits,
-				  just_started, copy, sim->now_ms);
+	copy->waiting =
+		queue_syn(sim->syn_queues[syn->instance],
+			  intern_service(in->catalog, "board"), get_rank(syn),
+			  limits, just_started, copy, sim->now_ms);
 	sim->result->waited++;
 	if (!copy->waiting) {
 		refuse_syn(sim, copy);
@@ -402,15 +502,19 @@
 	struct placement best;
 	enum syn_verdict verdict;
 
-	syn->instance = pick_instance(sim);
-	best = choose_upstream(sim, syn->instance);
+	if (sim->opt->callers_keep_domain && syn->attempts)
+		syn->instance = pick_instance_of(sim, syn->domain);
+	else
+		syn->instance = pick_instance(sim);
+	syn->domain = domain_of_instance(sim, syn->instance);
+	if (!syn->attempts && !syn->syn_copy)
+		COUNT_OUTCOME(sim, syn, requests);
+	best = choose_upstream(sim, syn->instance, syn->urgent);
 	verdict = decide(sim, syn, &best);
-	if (!syn->urgent)
-		note_syn_arrival(
-			sim->syn_queues[syn->instance],
-			intern_service(sim->instances[syn->instance].catalog,
-				       "board"),
-			verdict == SYN_WAIT, sim->now_ms);
+	note_syn_arrival(
+		sim->syn_queues[syn->instance],
+		intern_service(sim->instances[syn->instance].catalog, "board"),
+		get_rank(syn), verdict == SYN_WAIT, sim->now_ms);
 	switch (verdict) {
 	case SYN_WAIT:
 		if (sim->opt->overload == OVERLOAD_DEFER ||
@@ -459,14 +563,17 @@
 		struct waiting_syn *overdue =
 			next_overdue_syn(q, service, sim->now_ms);
 		struct pending_syn *syn = overdue ? overdue->owner : w->owner;
-		struct placement best = choose_upstream(sim, instance);
+		struct placement best =
+			choose_upstream(sim, instance, syn->urgent);
 		enum syn_verdict verdict = decide(sim, syn, &best);
 
-		if (verdict == SYN_WAIT && !overdue)
-			break;
-		if (verdict == SYN_WAIT)
+		if (verdict == SYN_WAIT && overdue &&
+		    !must_syn_yield(q, service, get_rank(syn).priority,
+				    sim->now_ms))
 			verdict = decide_overdue_syn(&best,
 						     has_just_started(sim));
+		if (verdict == SYN_WAIT)
+			break;
 		remove_waiting_syn(q, syn->waiting);
 		if (verdict == SYN_PLACE)
 			place_syn(sim, syn, &best);
@@ -512,8 +619,9 @@
 
 		place_long_flow(
 			sim, &sim->long_flows[i], instance,
-			upstream_index(
-				sim, choose_upstream(sim, instance).upstream));
+			upstream_index(sim,
+				       choose_upstream(sim, instance, false)
+					       .upstream));
 	}
 }
 
@@ -547,11 +655,13 @@
 	struct sim_request *rq;
 
 	while ((rq = g_queue_pop_head(requests))) {
-		struct sim_request lost = *rq;
+		struct pending_syn lost = { .requested_ms = rq->requested_ms,
+					    .attempts = rq->attempts,
+					    .domain = rq->domain,
+					    .urgent = rq->urgent };
 
 		end_request(sim, s, rq);
-		schedule_retry(sim, lost.requested_ms, lost.attempts,
-			       lost.urgent, NULL);
+		schedule_retry(sim, &lost, NULL);
 	}
 }
 
@@ -598,14 +708,25 @@
 	}
 }
 
+static bool is_heartbeat_sent(const struct placement_sim *sim,
+			      unsigned int from, unsigned int to)
+{
+	uint32_t factor = sim->opt->remote_heartbeat_factor;
+
+	return !factor ||
+	       domain_of_instance(sim, from) == domain_of_instance(sim, to) ||
+	       (sim->heartbeat_rounds[from] + to) % factor == 0;
+}
+
 static void send_heartbeat(struct placement_sim *sim, unsigned int from)
 {
 	GArray *rows =
 		g_array_new(FALSE, FALSE, sizeof(struct upstream_load_row));
 
+	sim->heartbeat_rounds[from]++;
 	list_own_loads(sim->instances[from].placer, sim->now_ms, rows);
 	for (unsigned int i = 0; i < sim->instance_nr; i++)
-		if (i != from)
+		if (i != from && is_heartbeat_sent(sim, from, i))
 			handle_peer_loads(
 				sim->instances[i].placer, from + 1,
 				(const struct upstream_load_row *)(void *)
@@ -703,6 +824,8 @@
 	}
 	g_array_free(sim->refusal_times_ms, TRUE);
 	g_free(sim->syn_queues);
+	g_free(sim->last);
+	g_free(sim->heartbeat_rounds);
 	g_free(sim->instances);
 	g_free(sim->upstreams);
 	g_free(sim->handles);
@@ -725,10 +848,39 @@
 		.queue_length = 12,
 		.first_domain_load = 1,
 		.heartbeat_ms = HEARTBEAT_INTERVAL_MS,
-		.length_ms = 15000
+		.length_ms = 15000,
+		.target_ms = 200,
+		.request_ms = 45,
+		.urgent_request_ms = 45,
+		.retry_delay_ms = 15
 	};
 }
 
+void init_fleet_options(struct placement_sim_options *opt)
+{
+	init_site_options(opt);
+	opt->domain_nr = 3;
+	opt->instances_per_domain = 21;
+	opt->upstreams_per_domain = 40;
+	opt->slots = 2;
+	opt->queue_length = 8;
+	opt->requests_per_s = 1687;
+	opt->urgent_share = 0.22;
+	opt->target_ms = 400;
+	opt->request_ms = 55;
+	opt->urgent_request_ms = 72;
+	opt->retry_delay_ms = 3;
+	opt->heartbeat_ms =
+		HEARTBEAT_INTERVAL_MS + 11 * HEARTBEAT_PER_MEMBER_MS;
+	opt->remote_heartbeat_factor = HEARTBEAT_REMOTE_FACTOR;
+	opt->callers_keep_domain = true;
+	opt->length_ms = 22000;
+	opt->lost_ms = 8000;
+	opt->burst = 2.5;
+	opt->slow_upstream_share = 0.3;
+	opt->slow_factor = 4;
+}
+
 double placement_score(const struct placement_sim_result *res, double late)
 {
 	return (res->in_time + late * res->late) / res->requests;
@@ -744,6 +896,8 @@
 	sim.upstream_nr = opt->domain_nr * opt->upstreams_per_domain;
 	sim.instances = g_new0(struct cookie_instance, sim.instance_nr);
 	sim.syn_queues = g_new0(struct syn_queue *, sim.instance_nr);
+	sim.last = g_new0(struct last_decisions, sim.instance_nr);
+	sim.heartbeat_rounds = g_new0(unsigned int, sim.instance_nr);
 	sim.refusal_times_ms = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	sim.upstreams = g_new0(struct sim_upstream, sim.upstream_nr);
 	sim.handles = g_new0(upstream_index_t, sim.upstream_nr);
--- a/t/placement-simulation.h
+++ b/t/placement-simulation.h
@@ -4,7 +4,8 @@
 /*
  * Simulates a load on the placement code of several instances. Callers open
  * flows at the instances of their failure domain; upstreams have slots and a
- * queue and shed requests beyond these. Counts the outcomes of requests.
+ * queue and shed requests beyond these. Counts the outcomes of requests, by
+ * route and by failure domain of the caller.
  */
 
 #include <stdbool.h>
@@ -30,6 +31,8 @@
 	OVERLOAD_STRATEGY_NR
 };
 
+#define SIM_DOMAINS_MAX 4
+
 struct placement_sim_options {
 	enum pick_strategy strategy;
 	enum overload_strategy overload;
@@ -53,11 +56,32 @@
 	uint32_t lost_ms;	     /* how long these are lost */
 	uint32_t outage_ms; /* of all instances, half-way; callers return at
 			     * once afterwards */
+	uint32_t target_ms;
+	uint32_t request_ms; /* mean run time, exponentially distributed */
+	uint32_t urgent_request_ms; /* the same, of the urgent route */
+	uint32_t retry_delay_ms;    /* from a refusal to the next attempt */
+	double slow_upstream_share; /* from half-way on */
+	double slow_factor;	    /* times their run times */
+	/* other domains get one in so many heartbeats of an instance */
+	uint32_t remote_heartbeat_factor;
+	bool callers_keep_domain; /* else each attempt goes to any domain */
 };
 
+/* What callers of a route or of a domain got,, from half-way on to DEADLINE_MS before the end. */
+struct sim_outcome {
+	uint32_t requests;
+	uint32_t in_time;
+	uint32_t late;
+	uint32_t lost;	       /* used up their attempts */
+	uint32_t refused;      /* attempts refused by an instance */
+	uint32_t refused_soon; /* of these, within a quarter of the target */
+};
+
+enum sim_route { SIM_USUAL, SIM_URGENT, SIM_ROUTE_NR };
+
 struct placement_sim_result {
 	uint32_t requests;
-	uint32_t in_time;	/* answered within SIM_TARGET_MS */
+	uint32_t in_time;	/* answered within the target */
 	uint32_t late;		/* answered after that */
 	uint32_t shed;		/* refused by an upstream, not run */
 	uint32_t refused;	/* refused by an instance */
@@ -68,14 +92,25 @@
 	uint32_t urgent_requests;
 	uint32_t urgent_failed;
 	uint32_t refusal_p95_ms; /* time from a refused SYN to its refusal */
+	struct sim_outcome by_route[SIM_ROUTE_NR];
+	struct sim_outcome by_domain[SIM_DOMAINS_MAX];
+	/* refused while fewer than 0.7 of the slots ran a request */
+	uint32_t refused_idle;
+	/* urgent ones refused within 100 ms of an admission of a less urgent
+	 * one at the same instance */
+	uint32_t refused_before_less_urgent;
 };
 
-#define SIM_TARGET_MS 200
-#define SIM_REQUEST_MS 45 /* mean run time, exponentially distributed */
-
 /* Eight instances and sixteen upstreams in four domains, as deployed. */
 void init_site_options(struct placement_sim_options *opt);
 
+/*
+ * 62 instances and 120 upstreams in three domains; an urgent route beside the
+ * usual one, each request in a flow of its own. Half-way the demand rises to
+ * 2.5 times for 8 s and 30 % of the upstreams get four times as slow.
+ */
+void init_fleet_options(struct placement_sim_options *opt);
+
 /* Share of requests answered in time; a late answer counts LATE, not 1. */
 double placement_score(const struct placement_sim_result *res, double late);
 
