admission: limit the mean load in large fleets, refuse in time

Limit the mean to 2.5 requests for each slot, reserve half of the urgent share, let SYNs that yield wait half as long, and refuse those that must still yield at the end of their wait. Tests of the limit, of the wait and of the fleet's overload; the last failed before with 38,809 sheds (7,761 allowed).

--- a/flow/cookie.c
+++ b/flow/cookie.c
@@ -133,7 +133,7 @@
 	struct placement best;
 
 	if (is_lowest_priority(cs->catalog, route, service))
-		request.reserved_share =
+		request.urgent_share =
 			urgent_syn_share(cs->syn_queue, service, now_ms);
 	best = place_new_flow(cs->placer, &request, now_ms);
 	if (best.upstream == CATALOG_NONE && avoided_nr) {
@@ -198,8 +198,9 @@
 {
 	bool just_started = has_just_started(cs, now_ms);
 	struct syn_rank rank = get_syn_rank(cs, route, service);
-	struct syn_limits limits =
-		get_syn_limits(route->slo_ms, p->ack, just_started);
+	struct syn_limits limits = get_ranked_syn_limits(
+		cs->syn_queue, service, rank, route->slo_ms, p->ack,
+		just_started, now_ms);
 	struct cookie_decision d = make_decision(COOKIE_WAIT, COOKIE_CROWDED);
 	struct waiting_syn *place = NULL;
 	struct held_syn *held;
--- a/flow/placement-limit.c
+++ b/flow/placement-limit.c
@@ -12,33 +12,32 @@
 }
 
 /* What is left of LIMIT; reserving more would leave slots idle. */
-static double reserve_room(double limit, double reserved_share)
+static double reserve_room(double limit, double urgent_share)
 {
-	return MAX(limit * (1 - reserved_share),
+	return MAX(limit * (1 - PLACEMENT_RESERVED_FACTOR * urgent_share),
 		   MIN(limit, PLACEMENT_CROWDED_LOAD_MIN));
 }
 
 struct load_limits get_load_limits(const struct service_stats *stats,
 				   uint32_t target_ms, double slowness,
-				   double reserved_share)
+				   double urgent_share)
 {
 	double limit = target_load(stats, target_ms, slowness);
 
 	return (struct load_limits){
-		.crowded = reserve_room(limit, reserved_share),
+		.crowded = reserve_room(limit, urgent_share),
 		.full = MIN(limit + 1, PLACEMENT_FULL_LOAD),
 	};
 }
 
 struct load_limits get_mean_load_limits(const struct service_stats *stats,
-					uint32_t target_ms,
-					double reserved_share)
+					uint32_t target_ms, double urgent_share)
 {
 	double limit =
 		MIN(target_load(stats, target_ms, 1), PLACEMENT_MEAN_LOAD_MAX);
 
 	return (struct load_limits){
-		.crowded = reserve_room(limit, reserved_share),
+		.crowded = reserve_room(limit, urgent_share),
 		.full = limit,
 	};
 }
--- a/flow/placement-limit.h
+++ b/flow/placement-limit.h
@@ -14,11 +14,17 @@
 #include "flow/placement-state.h"
 
 /*
- * Limits of the mean load of all upstreams in large fleets. Around a mean of
- * three requests for each slot, single upstreams have up to twice as many and
- * begin to shed.
+ * Limit of the mean load of all upstreams in large fleets. Around a mean of 2.5
+ * requests for each slot single upstreams have up to twice as many and begin to
+ * shed; at 2, slots are idle at others. See docs/design/hard-load.md.
  */
-#define PLACEMENT_MEAN_LOAD_MAX 3.0
+#define PLACEMENT_MEAN_LOAD_MAX 2.5
+
+/*
+ * Room that is reserved for urgent requests, relative to their share of all.
+ * They use free room like others, so half of it is enough.
+ */
+#define PLACEMENT_RESERVED_FACTOR 0.5
 
 /* Requests in flight for each slot. */
 struct load_limits {
@@ -28,17 +34,17 @@
 
 /*
  * The limits of an upstream. SLOWNESS: its response time relative to the
- * typical one of its service. RESERVED_SHARE: share of the room that is kept
- * free for more urgent requests.
+ * typical one of its service. URGENT_SHARE: share of more urgent requests, for
+ * which room is reserved.
  */
 struct load_limits get_load_limits(const struct service_stats *stats,
 				   uint32_t target_ms, double slowness,
-				   double reserved_share);
+				   double urgent_share);
 
 /* The limits of the mean over all upstreams of a service. */
 struct load_limits get_mean_load_limits(const struct service_stats *stats,
 					uint32_t target_ms,
-					double reserved_share);
+					double urgent_share);
 
 /* Sums over the upstreams of a service that may get a flow. */
 struct service_load {
--- a/flow/placement.c
+++ b/flow/placement.c
@@ -182,10 +182,10 @@
 				     const struct service_stats *stats,
 				     const struct service_load *sl)
 {
-	struct load_limits limits = get_load_limits(
-		stats, request->target_ms, 1.0, request->reserved_share);
+	struct load_limits limits = get_load_limits(stats, request->target_ms,
+						    1.0, request->urgent_share);
 	struct load_limits mean_limits = get_mean_load_limits(
-		stats, request->target_ms, request->reserved_share);
+		stats, request->target_ms, request->urgent_share);
 	size_t instance_nr = pl->peer_loads->len + 1;
 	double mean = instance_nr > HEARTBEAT_REMOTE_FLEET_MEMBERS
 			      ? mean_service_load(sl, instance_nr)
--- a/flow/placement.h
+++ b/flow/placement.h
@@ -139,8 +139,7 @@
 	service_index_t service;
 	uint32_t deadline_ms; /* by which a request must be answered */
 	uint32_t target_ms;   /* target for the answer; 0: none */
-	/* share of the room that is kept free for more urgent requests */
-	double reserved_share;
+	double urgent_share;  /* of requests that go before this one */
 	const upstream_index_t *excluded; /* upstreams not to choose */
 	size_t excluded_nr;
 };
--- a/flow/syn-queue.c
+++ b/flow/syn-queue.c
@@ -295,21 +295,7 @@
 		       : w->due_ms;
 }
 
-/* The SYN of SQ whose wait ends first. */
-static struct waiting_syn *first_due_syn(const struct service_queue *sq)
-{
-	struct waiting_syn *first = sq->waiting.head->data;
-
-	for (GList *l = sq->waiting.head->next; l; l = l->next) {
-		struct waiting_syn *w = l->data;
-
-		if (wait_end_ms(sq, w) < wait_end_ms(sq, first))
-			first = w;
-	}
-	return first;
-}
-
-/* The same, among those with the priority of W. */
+/* The SYN whose wait ends first of those with the priority of W. */
 static struct waiting_syn *first_due_like(const struct service_queue *sq,
 					  const struct waiting_syn *w)
 {
@@ -333,18 +319,43 @@
 	       sum.crowded >= SYN_OVERLOAD_SHARE * sum.arrived;
 }
 
+static bool must_yield(const struct service_queue *sq, uint32_t priority,
+		       uint64_t now_ms)
+{
+	const struct queued_syn *next =
+		sq->waiting.tail ? sq->waiting.tail->data : NULL;
+
+	if (next && next->syn.rank.priority < priority)
+		return true;
+	for (guint i = 0; i < sq->times->len; i++) {
+		const struct priority_times *t =
+			&g_array_index(sq->times, struct priority_times, i);
+
+		if (t->priority < priority && t->refused_ms &&
+		    now_ms - t->refused_ms < SYN_PRIORITY_SPAN_MS)
+			return true;
+	}
+	return false;
+}
+
 /* The SYN of SQ, which is not empty, that is to be refused; NULL: none. */
 static struct waiting_syn *find_syn_to_refuse(const struct service_queue *sq,
 					      uint64_t now_ms)
 {
-	struct waiting_syn *w = first_due_syn(sq);
+	bool overloaded = is_overloaded(sq, now_ms);
+	struct waiting_syn *w;
 
-	if (now_ms >= w->abandon_ms)
-		return w;
-	if (!is_overloaded(sq, now_ms))
+	for (GList *l = sq->waiting.head; l; l = l->next) {
+		w = l->data;
+		if (now_ms >= w->abandon_ms)
+			return w;
+		/* one that must yield would otherwise be told too late */
+		if (now_ms >= wait_end_ms(sq, w) &&
+		    (overloaded || must_yield(sq, w->rank.priority, now_ms)))
+			return w;
+	}
+	if (!overloaded)
 		return NULL;
-	if (now_ms >= wait_end_ms(sq, w))
-		return w;
 	w = first_due_like(sq, sq->waiting.head->data);
 	return w->limited_by_rate &&
 			       sq->limited_nr >
@@ -420,23 +431,7 @@
 {
 	const struct service_queue *sq = find_service_queue(q, service);
 
-	if (!sq)
-		return false;
-	if (sq->waiting.tail) {
-		const struct waiting_syn *w = sq->waiting.tail->data;
-
-		if (w->rank.priority < priority)
-			return true;
-	}
-	for (guint i = 0; i < sq->times->len; i++) {
-		const struct priority_times *t =
-			&g_array_index(sq->times, struct priority_times, i);
-
-		if (t->priority < priority && t->refused_ms &&
-		    now_ms - t->refused_ms < SYN_PRIORITY_SPAN_MS)
-			return true;
-	}
-	return false;
+	return sq && must_yield(sq, priority, now_ms);
 }
 
 void note_syn_arrival(struct syn_queue *q, service_index_t service,
@@ -485,6 +480,22 @@
 	return wait_end_ms(sq, w) <= now_ms ? w : NULL;
 }
 
+struct syn_limits get_ranked_syn_limits(const struct syn_queue *q,
+					service_index_t service,
+					struct syn_rank rank,
+					uint32_t target_ms, uint32_t syn_copy,
+					bool just_started, uint64_t now_ms)
+{
+	struct syn_limits limits =
+		get_syn_limits(target_ms, syn_copy, just_started);
+
+	if (rank.is_lowest && !just_started &&
+	    urgent_syn_share(q, service, now_ms) > 0)
+		limits.wait_ms =
+			(uint32_t)(SYN_YIELDING_WAIT_FACTOR * limits.wait_ms);
+	return limits;
+}
+
 size_t syn_queue_service_count(const struct syn_queue *q)
 {
 	return q->services->len;
--- a/flow/syn-queue.h
+++ b/flow/syn-queue.h
@@ -16,7 +16,7 @@
  * refused, and so is the oldest one as soon as more wait than the observed rate
  * of placements lets through within the limit. Otherwise upstreams are crowded
  * only for a moment, and a SYN that reaches its limit is placed all the same,
- * unless upstreams would shed it.
+ * unless upstreams would shed it or it must yield.
  */
 
 #include <glib.h>
@@ -43,6 +43,12 @@
  * abandons the attempt at 1400 ms, and the handshake takes time.
  */
 #define SYN_ABANDON_MS 1200
+/*
+ * Longest wait of SYNs that yield to recent ones of a higher priority, as a
+ * share of that of others. Refused early, their callers find room at another
+ * instance more often than they would get it here.
+ */
+#define SYN_YIELDING_WAIT_FACTOR 0.5
 /*
  * No SYN is refused for lack of room if one of a lower priority was placed this
  * recently; it waits until then.
@@ -115,6 +121,13 @@
 
 struct syn_queue;
 
+/* The limits of a SYN of SERVICE with RANK; the rest as for get_syn_limits(). */
+struct syn_limits get_ranked_syn_limits(const struct syn_queue *q,
+					service_index_t service,
+					struct syn_rank rank,
+					uint32_t target_ms, uint32_t syn_copy,
+					bool just_started, uint64_t now_ms);
+
 struct syn_queue *create_syn_queue(void);
 void destroy_syn_queue(struct syn_queue *q);
 
--- a/t/check-placement.c
+++ b/t/check-placement.c
@@ -8,6 +8,9 @@
 #include "t/cookie-harness.h"
 #include "t/placement-simulation.h"
 
+/* Sheds by upstreams in the fleet's overload before SYNs waited by priority. */
+#define FLEET_SHED_BEFORE 38809
+
 static struct cookie_instance in;
 static service_index_t board;
 static GArray *checks;
@@ -443,6 +446,53 @@
 }
 END_TEST
 
+/*
+ * A fleet's callers compete for too little capacity: 2.5 times the usual demand
+ * while some upstreams are slow. Guards against answers that come too late to
+ * count, urgent requests that are shed by full upstreams or refused in favour
+ * of others, refusals while slots are free, and callers who are told late.
+ */
+START_TEST(overloaded_fleet_answers_in_time_and_urgent_first)
+{
+	struct placement_sim_options opt;
+	struct placement_sim_result r;
+	const struct sim_outcome *usual = &r.by_route[SIM_USUAL];
+	const struct sim_outcome *urgent = &r.by_route[SIM_URGENT];
+	double least = 1;
+	double most = 0;
+
+	init_fleet_options(&opt);
+	simulate_placement(&opt, &r);
+	ck_assert_uint_eq(r.refused_before_less_urgent, 0);
+	ck_assert_uint_eq(r.refused_idle, 0);
+	ck_assert_uint_le(r.shed, FLEET_SHED_BEFORE / 5);
+	ck_assert_double_ge(urgent->in_time, 0.85 * urgent->requests);
+	ck_assert_double_le(urgent->lost, 0.02 * urgent->requests);
+	ck_assert_double_ge(usual->in_time + urgent->in_time,
+			    0.85 * (usual->in_time + usual->late +
+				    urgent->in_time + urgent->late));
+	ck_assert_uint_eq(usual->refused_soon, usual->refused);
+	ck_assert_uint_eq(urgent->refused_soon, urgent->refused);
+	for (size_t i = 0; i < opt.domain_nr; i++) {
+		const struct sim_outcome *o = &r.by_domain[i];
+		double share = (double)o->in_time / o->requests;
+
+		least = MIN(least, share);
+		most = MAX(most, share);
+	}
+	ck_assert_double_le(most - least, 0.03);
+	/* without the slow upstreams */
+	opt.slow_upstream_share = 0;
+	simulate_placement(&opt, &r);
+	ck_assert_uint_eq(r.refused_before_less_urgent, 0);
+	ck_assert_uint_eq(r.refused_idle, 0);
+	ck_assert_double_ge(urgent->in_time, 0.94 * urgent->requests);
+	ck_assert_double_ge(usual->in_time + urgent->in_time,
+			    0.95 * (usual->in_time + usual->late +
+				    urgent->in_time + urgent->late));
+}
+END_TEST
+
 /*
  * Half of the upstreams are lost for six seconds, while the load is a third
  * above the capacity of the others. Admitting all SYNs, or the last copies,
@@ -535,6 +585,41 @@
 }
 END_TEST
 
+/*
+ * Guards against a large fleet that places more than its upstreams bear because
+ * reports are old, and against one whose instances all hold back at once.
+ */
+START_TEST(large_fleet_limits_mean_load)
+{
+	upstream_index_t up = put_upstream("u-a", "north", 0);
+	struct placement_request request = { .service = board,
+					     .deadline_ms = TEST_DEADLINE_MS };
+	struct upstream_load_row row = {
+		.cookie = get_upstream(in.catalog, up)->cookie,
+		.busy_flows = 1,
+		.open_flows = 1
+	};
+	uint64_t now_ms = 0;
+
+	put_upstream("u-b", "north", 0);
+	/* three requests for each of the six slots, in reports of 24 peers */
+	while (now_ms < 10000) {
+		now_ms += PLACEMENT_MEANS_INTERVAL_MS;
+		for (uint64_t member = 100; member < 124; member++)
+			handle_peer_loads(in.placer, member, &row, member < 118,
+					  now_ms);
+		tick_placer(in.placer, now_ms, checks);
+	}
+	/* this instance has none: less than its share */
+	ck_assert_int_eq(place_new_flow(in.placer, &request, now_ms).reason,
+			 PLACE_LEAST_LOADED);
+	note_flow_open(in.placer, up);
+	note_request_start(in.placer, up);
+	ck_assert_int_eq(place_new_flow(in.placer, &request, now_ms).reason,
+			 PLACE_FULL);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("placement");
@@ -568,8 +653,10 @@
 	tcase_add_test(tc, heaviest_load_is_answered_in_time);
 	tcase_add_test(tc, waiting_syns_lose_fewer_requests_after_outage);
 	tcase_add_test(tc, refused_callers_are_told_early_in_overload);
+	tcase_add_test(tc, overloaded_fleet_answers_in_time_and_urgent_first);
 	tcase_add_test(tc, admitted_requests_are_in_time_after_upstream_loss);
 	tcase_add_test(tc, upstream_is_crowded_if_answers_would_be_late);
+	tcase_add_test(tc, large_fleet_limits_mean_load);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_ENV);
 	failed = srunner_ntests_failed(sr);
--- a/t/check-syn-queue.c
+++ b/t/check-syn-queue.c
@@ -315,6 +315,32 @@
 }
 END_TEST
 
+/* Guards against callers who wait long for room that others will get. */
+START_TEST(syn_that_yields_waits_half_as_long_and_is_told_in_time)
+{
+	struct waiting_syn *w;
+
+	ck_assert_uint_eq(
+		get_ranked_syn_limits(q, SERVICE, usual, 400, 0, false, 1000)
+			.wait_ms,
+		100);
+	note_syn_arrival(q, SERVICE, urgent, true, 1000);
+	ck_assert_uint_eq(
+		get_ranked_syn_limits(q, SERVICE, usual, 400, 0, false, 1000)
+			.wait_ms,
+		50);
+	ck_assert_uint_eq(
+		get_ranked_syn_limits(q, SERVICE, urgent, 400, 0, false, 1000)
+			.wait_ms,
+		100);
+	/* the service is not overloaded, but the room is not for it */
+	w = add(1000);
+	add_urgent(1050);
+	ck_assert_ptr_null(next_syn_to_refuse(q, 1099));
+	ck_assert_ptr_eq(next_syn_to_refuse(q, 1100), w);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("syn-queue");
@@ -338,6 +364,8 @@
 	tcase_add_test(tc, lowest_priority_is_refused_first);
 	tcase_add_test(tc, urgent_syn_is_not_refused_while_others_are_placed);
 	tcase_add_test(tc, urgent_share_is_of_the_last_second);
+	tcase_add_test(tc,
+		       syn_that_yields_waits_half_as_long_and_is_told_in_time);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_NORMAL);
 	failed = srunner_ntests_failed(sr);
--- a/t/placement-simulation.c
+++ b/t/placement-simulation.c
@@ -171,7 +171,7 @@
 	else if (sim->opt->strategy == PICK_BEST_OF_TWO)
 		n = list_excluded(sim, true, excluded);
 	if (!urgent)
-		request.reserved_share =
+		request.urgent_share =
 			urgent_syn_share(sim->syn_queues[instance],
 					 request.service, sim->now_ms);
 	request.excluded = excluded;
@@ -479,8 +479,10 @@
 {
 	struct cookie_instance *in = &sim->instances[syn->instance];
 	bool just_started = has_just_started(sim);
-	struct syn_limits limits =
-		get_syn_limits(sim->opt->target_ms, 0, just_started);
+	struct syn_limits limits = get_ranked_syn_limits(
+		sim->syn_queues[syn->instance],
+		intern_service(in->catalog, "board"), get_rank(syn),
+		sim->opt->target_ms, 0, just_started, sim->now_ms);
 	struct pending_syn *copy = g_memdup2(syn, sizeof(*syn));
 
 	if (sim->opt->wait_limit_ms && !just_started)
