--- a/base/counter-list.h
+++ b/base/counter-list.h
@@ -63,6 +63,8 @@
 COUNTER(FLOW_QUEUED, "flow.queued", "SYNs that waited for room at an upstream")
 COUNTER(FLOW_DROPPED_ISOLATED, "flow.dropped-isolated",
 	"SYNs dropped, as no upstream can be reached from here")
+COUNTER(FLOW_REFUSED_URGENT, "flow.refused-urgent",
+	"refused SYNs of routes that do not have the lowest priority")
 COUNTER(FLOW_CUT_OFF, "flow.cut-off", "packets for an unreachable domain")
 COUNTER(FLOW_TOO_YOUNG, "flow.too-young", "packets dropped in the first second")
 COUNTER(FLOW_SILENT, "flow.silent", "resets of flows without progress")
--- a/flow/placement.h
+++ b/flow/placement.h
@@ -145,7 +145,7 @@
 	PLACE_ALL_DEAD,	   /* all are dead, cut off or excluded */
 	PLACE_ALL_COLD,	   /* all are cold and this instance's quota is used */
 	PLACE_CROWDED,	   /* answers after the target, and others are worse */
-	PLACE_FULL,	  /* at PLACEMENT_FULL_LOAD now; all others are worse */
+	PLACE_FULL, /* at the limit of its load now; all others are worse */
 	PLACE_OVERLOADED, /* none could answer before the deadline */
 	PLACE_REASON_NR
 };
@@ -161,6 +161,7 @@
 	service_index_t service;
 	uint32_t deadline_ms; /* by which a request must be answered */
 	uint32_t target_ms;   /* target for the answer; 0: none */
+	double urgent_share;  /* of requests that go before this one */
 	const upstream_index_t *excluded; /* upstreams not to choose */
 	size_t excluded_nr;
 };
