--- a/flow/placement-links.c
+++ b/flow/placement-links.c
@@ -34,6 +34,16 @@
 	       domain_link_state(pl->links, domain) == LINK_LOST;
 }
 
+enum upstream_health reached_health(const struct placer *pl,
+				    upstream_index_t nr)
+{
+	enum upstream_health h = assessed_health(pl, nr);
+
+	return h != HEALTH_DEAD && is_behind_lost_link(pl, nr)
+		       ? HEALTH_UNREACHABLE
+		       : h;
+}
+
 void note_progress_on_link(struct placer *pl, upstream_index_t nr,
 			   uint64_t now_ms)
 {
--- a/flow/placement.h
+++ b/flow/placement.h
@@ -232,6 +232,9 @@
 
 enum upstream_health assessed_health(const struct placer *pl,
 				     upstream_index_t nr);
+/* As above, but HEALTH_UNREACHABLE if the link to NR's domain is lost. */
+enum upstream_health reached_health(const struct placer *pl,
+				    upstream_index_t nr);
 const char *place_reason_name(enum place_reason r);
 const char *check_result_name(enum check_result r);
 
--- a/net/edge-http.c
+++ b/net/edge-http.c
@@ -99,7 +99,7 @@
 		if (!get_upstream(e->catalog, up) ||
 		    !get_upstream(e->catalog, up)->listed)
 			continue;
-		by_health[assessed_health(e->placement, up)]++;
+		by_health[reached_health(e->placement, up)]++;
 		taking += accepts_flows(e->catalog, up);
 	}
 	g_string_append(text, "# HELP baobabvalve_upstreams upstreams listed, "
--- a/net/edge-status.c
+++ b/net/edge-status.c
@@ -9,7 +9,7 @@
 					upstream_index_t nr)
 {
 	const struct catalog_upstream *up = get_upstream(e->catalog, nr);
-	enum upstream_health h = assessed_health(e->placement, nr);
+	enum upstream_health h = reached_health(e->placement, nr);
 
 	if (!up->listed)
 		return "gone";
--- a/t/check-domain-link.c
+++ b/t/check-domain-link.c
@@ -38,8 +38,8 @@
 };
 
 struct test_upstream {
-	upstream_index_t nr;
 	struct path *path;
+	upstream_index_t nr;
 	bool dead;
 };
 
@@ -480,6 +480,10 @@
 			 LINK_LOST);
 	ck_assert_int_eq(domain_link_state(links, domain_of(&paths[2])),
 			 LINK_UP);
+	for (size_t i = 0; i < upstream_nr; i++)
+		ck_assert_int_eq(reached_health(in.placer, upstreams[i].nr) ==
+					 HEALTH_UNREACHABLE,
+				 upstreams[i].path == &paths[1]);
 	for (size_t first = flow_nr; now_ms < 6000;) {
 		run_until(now_ms + SYN_INTERVAL_MS, true);
 		ck_assert_ptr_eq(path_of(flows[flow_nr - 1].upstream),
@@ -720,13 +724,8 @@
 	ch = pop_link_change();
 	ck_assert_int_eq(ch.from, LINK_DOUBTFUL);
 	ck_assert_int_eq(ch.to, LINK_LOST);
-	/* it stays so without a sign, although no upstream is suspect */
-	set_domain_upstreams(links, south, 3, 0);
-	for (now_ms = 1620; now_ms < 9000; now_ms += STEP_MS)
-		update_domain_links(links, now_ms);
-	ck_assert_int_eq(domain_link_state(links, south), LINK_LOST);
-	note_domain_answer(links, south, 9000);
-	update_domain_links(links, 9010);
+	note_domain_answer(links, south, 1630);
+	update_domain_links(links, 1640);
 	ch = pop_link_change();
 	ck_assert_int_eq(ch.to, LINK_UP);
 }
@@ -766,6 +765,10 @@
 	note_domain_heard(links, north, 2000, 100);
 	update_domain_links(links, 2010);
 	ck_assert_int_eq(domain_link_state(links, south), LINK_LOST);
+	/* it stays so until there is a sign, even without suspects */
+	set_domain_upstreams(links, south, 5, 0);
+	update_domain_links(links, 2020);
+	ck_assert_int_eq(domain_link_state(links, south), LINK_LOST);
 }
 END_TEST
 
--- a/t/whole-edge.sh
+++ b/t/whole-edge.sh
@@ -130,6 +130,19 @@
 test "$(value lost "$report")" -eq 0 || fail "requests were lost"
 test "$(value answered "$report")" -gt 1000 || fail "too few answers"
 
+# link_is STATE: whether in-1 last logged STATE of its link to domain south.
+link_is () {
+	grep "event=domain-link domain=south" "$work/in-1.log" | tail -n 1 |
+		grep -q "link=$1"
+}
+
+# A domain whose only instance is gone is noticed, and so is its return.
+stop_process in-3 KILL
+wait_until 5 link_is doubtful || fail "the loss of a domain is not logged"
+start in-3 "$bin/baobabvalved" --config="$work/in-3.ini"
+wait_until 10 link_is up || fail "the return of a domain is not logged"
+wait_until 10 is_ready $net.71.3 || fail "in-3 is not ready"
+
 # A dropped route refuses new flows and ends open ones.
 write_config 2 8080
 sleep 1.5
