t: cut links between domains at random

Thirty seeds of twelve cuts and returns of either link, by resets or by packet loss, in domains of 1, 2, 3 and 20 instances: no upstream is found dead, no flow is reset, and all upstreams are good 1.5 s after the end.

--- a/t/check-domain-link.c
+++ b/t/check-domain-link.c
@@ -468,6 +468,37 @@
 }
 END_TEST
 
+/* Cuts and returns of both links in any order kill and reset nothing. */
+START_TEST(random_cuts_reset_no_flow)
+{
+	GRand *rand = g_rand_new_with_seed((guint32)_i);
+
+	if (_i % 2)
+		make_large_site();
+	else
+		make_site((size_t)_i / 2 % 3 + 1, 150, 4);
+	take_own_domain_out();
+	run_until(3000, true);
+	for (size_t i = 0; i < 12; i++) {
+		struct path *p = &paths[g_rand_int_range(rand, 1, 3)];
+
+		cut_path(p, (enum path_state)g_rand_int_range(rand, 0, 3));
+		run_until(now_ms + (uint64_t)g_rand_int_range(rand, 5, 120) *
+					   STEP_MS,
+			  true);
+		ck_assert_uint_eq(dead_nr + reset_nr, 0);
+	}
+	cut_other_domains(PATH_OPEN);
+	run_until(now_ms + 1500, true);
+	ck_assert(!is.isolated);
+	ck_assert_uint_eq(dead_nr + reset_nr, 0);
+	for (size_t i = 0; i < upstream_nr; i++)
+		ck_assert_int_eq(assessed_health(in.placer, upstreams[i].nr),
+				 HEALTH_GOOD);
+	g_rand_free(rand);
+}
+END_TEST
+
 /* One domain stays reached: it serves, and the instance is not isolated. */
 START_TEST(flows_go_to_the_domain_that_is_reached)
 {
@@ -786,6 +817,7 @@
 	tcase_add_loop_test(tc, small_domains_are_isolated_by_packet_loss, 0,
 			    3);
 	tcase_add_loop_test(tc, upstreams_are_used_when_link_returns, 0, 12);
+	tcase_add_loop_test(tc, random_cuts_reset_no_flow, 0, 30);
 	tcase_add_loop_test(tc, flows_go_to_the_domain_that_is_reached, 0, 2);
 	tcase_add_test(tc, loss_of_all_instances_of_a_domain_is_no_cut);
 	tcase_add_test(tc, quiet_domain_without_instances_is_not_lost);
