--- a/t/check-placement.c
+++ b/t/check-placement.c
@@ -692,8 +692,8 @@
 					     .deadline_ms = TEST_DEADLINE_MS };
 	struct upstream_load_row row = {
 		.cookie = get_upstream(in.catalog, up)->cookie,
-		.busy_flows = 1,
-		.open_flows = 1
+		.busy_flows = IN_FLIGHT_WEIGHT_ONE,
+		.expected_flows = IN_FLIGHT_WEIGHT_ONE
 	};
 	uint64_t now_ms = 0;
 
