t: test the estimate for rare slow responses and for routes

The other new test guards how routes with a flow for each request are told from those with long flows; it was not seen failing.

--- a/t/check-in-flight.c
+++ b/t/check-in-flight.c
@@ -107,6 +107,50 @@
 }
 END_TEST
 
+/*
+ * One response in forty takes six times as long. If the last one were forgotten
+ * within seconds, the next would be taken as ended while it runs.
+ */
+START_TEST(rare_slow_requests_are_not_taken_as_ended)
+{
+	uint64_t now_ms = 1000;
+
+	for (int i = 0; i < 800; i++, now_ms += 100)
+		note_answered(e, i % 40 ? 30 : 180, now_ms);
+	/* the last slow one was four seconds ago */
+	ck_assert_double_ge(pending_probability(e, 100, now_ms), 0.2);
+	ck_assert_double_le(pending_probability(e, 400, now_ms),
+			    IN_FLIGHT_ENDED);
+	for (int i = 0; i < 20; i++)
+		note_unseen_end(e, now_ms);
+	ck_assert_double_le(pending_probability(e, 100, now_ms),
+			    IN_FLIGHT_ENDED);
+}
+END_TEST
+
+START_TEST(route_with_a_flow_for_each_request_is_told_from_others)
+{
+	struct route_activity ra = { 0 };
+
+	ck_assert(!has_flow_per_request(&ra));
+	ck_assert_double_eq(route_busy_share(&ra), ROUTE_SHARE_INITIAL);
+	for (uint64_t t = 0; t < 5000; t += 100) {
+		note_route_response(&ra, t);
+		note_route_flow_end(&ra, t);
+		sample_route_activity(&ra, 2, 10, t);
+	}
+	ck_assert(has_flow_per_request(&ra));
+	ck_assert_double_eq_tol(route_busy_share(&ra), 0.2, 0.01);
+	/* the same callers keep their flows open from now on */
+	for (uint64_t t = 5000; t < 35000; t += 100) {
+		note_route_response(&ra, t);
+		sample_route_activity(&ra, 1, 10, t);
+	}
+	ck_assert(!has_flow_per_request(&ra));
+	ck_assert_double_eq_tol(route_busy_share(&ra), 0.1, 0.01);
+}
+END_TEST
+
 /* Instances run for months. */
 START_TEST(estimate_is_finite_at_any_time)
 {
@@ -137,6 +181,9 @@
 	tcase_add_test(tc, lost_ends_shorten_the_count_of_others);
 	tcase_add_test(tc, slower_responses_are_learned_within_seconds);
 	tcase_add_test(tc, mean_response_of_rarely_used_service_is_kept);
+	tcase_add_test(tc, rare_slow_requests_are_not_taken_as_ended);
+	tcase_add_test(tc,
+		       route_with_a_flow_for_each_request_is_told_from_others);
 	tcase_add_test(tc, estimate_is_finite_at_any_time);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_ENV);
