flow, fleet: reset flows only behind links whose cut is proved

A fifth of the upstreams had just stopped responding, no flow to that domain had made progress for 420 ms, and no heartbeat had come from there either: members that started together chose the same one of six rounds for a receiver, which heard nobody for 1.4 s in between and called the link doubtful 3,976 times in 18 s.

A lost link now takes away new flows as before, but flows are reset only after a control check there, of an upstream that nothing else speaks against, failed too. Senders choose different rounds for a receiver. Both have a test that failed before.

--- a/fleet/heartbeat.c
+++ b/fleet/heartbeat.c
@@ -289,13 +289,18 @@
 	return NULL;
 }
 
-/* True if this round's heartbeat is not sent to M, of another domain. */
+/*
+ * True if this round's heartbeat is not sent to M, of another domain. Members
+ * that started together have the same rounds; with the sender's id in the sum
+ * they do not all choose the same round for M.
+ */
 static bool skips_remote_member(const struct heartbeat_tracker *ht,
 				const struct member *m)
 {
 	return live_member_count(ht->view) > HEARTBEAT_REMOTE_FLEET_MEMBERS &&
 	       is_remote(ht, m) &&
-	       (ht->sent_rounds + m->id) % HEARTBEAT_REMOTE_FACTOR;
+	       (ht->sent_rounds + m->id + ht->self.id) %
+		       HEARTBEAT_REMOTE_FACTOR;
 }
 
 bool should_read_store(const struct heartbeat_tracker *ht, uint64_t now_ms)
--- a/flow/cookie-flows.c
+++ b/flow/cookie-flows.c
@@ -226,11 +226,12 @@
 }
 
 bool is_better_repeated(const struct cookie_steering *cs,
-			const struct flow_key *key, upstream_index_t nr)
+			const struct flow_key *key, upstream_index_t nr,
+			uint64_t now_ms)
 {
 	const struct catalog_route *route;
 
-	if (cs->isolated || !is_behind_lost_link(cs->placer, nr) ||
+	if (cs->isolated || !is_behind_cut_link(cs->placer, nr, now_ms) ||
 	    reaches_no_upstream(cs->placer))
 		return false;
 	route = find_catalog_route(cs->catalog, key->service_ip,
@@ -238,21 +239,23 @@
 	return route && route->repeatable;
 }
 
-void end_flows_behind_lost_links(struct cookie_steering *cs, uint64_t now_ms,
-				 GArray *resets)
+void end_flows_behind_cut_links(struct cookie_steering *cs, uint64_t now_ms,
+				GArray *resets)
 {
+	if (!has_lost_link(cs->placer))
+		return;
 	for (guint i = 0; i < cs->flows_by_upstream->len; i++) {
 		upstream_index_t nr = (upstream_index_t)i;
 		struct cookie_flow *f =
 			g_ptr_array_index(cs->flows_by_upstream, i);
 
-		if (!f || !is_behind_lost_link(cs->placer, nr))
+		if (!f || !is_behind_cut_link(cs->placer, nr, now_ms))
 			continue;
 		while (f) {
 			struct cookie_flow *next = f->upstream_next;
 
 			if (f->request_pending &&
-			    is_better_repeated(cs, &f->key, nr)) {
+			    is_better_repeated(cs, &f->key, nr, now_ms)) {
 				add_reset(f, COOKIE_LINK_LOST, now_ms, resets);
 				remove_cookie_flow(cs, f);
 			}
--- a/flow/cookie-state.h
+++ b/flow/cookie-state.h
@@ -96,11 +96,12 @@
 void cancel_held_syn(struct cookie_steering *cs, struct cookie_flow *f);
 
 /*
- * True if the upstream NR of flow KEY is behind a lost link, and a request on
+ * True if the upstream NR of flow KEY is behind a cut link, and a request on
  * the flow may be repeated and placed elsewhere.
  */
 bool is_better_repeated(const struct cookie_steering *cs,
-			const struct flow_key *key, upstream_index_t nr);
+			const struct flow_key *key, upstream_index_t nr,
+			uint64_t now_ms);
 
 /* Longest handshake that does not make its upstream suspect. */
 uint64_t handshake_limit_ms(const struct cookie_steering *cs);
--- a/flow/cookie.c
+++ b/flow/cookie.c
@@ -516,7 +516,7 @@
 	if (is_upstream_dead_or_cut_off(cs, nr))
 		return reset_unreachable_flow(cs, f, p, nr,
 					      COOKIE_UPSTREAM_DEAD);
-	if (p->payload_len && is_better_repeated(cs, &p->key, nr))
+	if (p->payload_len && is_better_repeated(cs, &p->key, nr, now_ms))
 		return reset_unreachable_flow(cs, f, p, nr, COOKIE_LINK_LOST);
 	/* later packets of a relayed flow go to the instance that relays it */
 	moved_in = !f && !relayed;
--- a/flow/cookie.h
+++ b/flow/cookie.h
@@ -140,13 +140,13 @@
 			uint64_t now_ms, GArray *resets);
 
 /*
- * Ends flows behind lost links on which a request waits that its caller may
+ * Ends flows behind cut links on which a request waits that its caller may
  * repeat, if it can be placed elsewhere; RESETS as above. A request that may
  * not be repeated is left alone: the upstream answers callers directly, so the
  * response may still arrive.
  */
-void end_flows_behind_lost_links(struct cookie_steering *cs, uint64_t now_ms,
-				 GArray *resets);
+void end_flows_behind_cut_links(struct cookie_steering *cs, uint64_t now_ms,
+				GArray *resets);
 
 /* Ends flows whose route is no longer configured; RESETS as above. */
 void end_flows_without_route(struct cookie_steering *cs, uint64_t now_ms,
--- a/flow/domain-link.c
+++ b/flow/domain-link.c
@@ -15,6 +15,7 @@
 	/* failed checks of different upstreams since the last sign */
 	uint32_t failed_checks;
 	upstream_index_t failed_upstream;
+	bool control_failed; /* one of an upstream that was not suspect */
 };
 
 struct domain_links {
@@ -59,6 +60,7 @@
 {
 	l->sign_since_lost = true;
 	l->failed_checks = 0;
+	l->control_failed = false;
 	l->failed_upstream = CATALOG_NONE;
 }
 
@@ -109,10 +111,12 @@
 }
 
 void note_domain_failed_check(struct domain_links *dl, domain_index_t domain,
-			      upstream_index_t upstream)
+			      upstream_index_t upstream, bool is_control)
 {
 	struct domain_link *l = find_link(dl, domain);
 
+	if (l && is_control)
+		l->control_failed = true;
 	if (!l || (l->failed_checks && l->failed_upstream == upstream))
 		return;
 	l->failed_checks++;
@@ -218,6 +222,15 @@
 	return l ? l->state : LINK_UP;
 }
 
+bool is_domain_link_cut(const struct domain_links *dl, domain_index_t domain,
+			uint64_t now_ms)
+{
+	const struct domain_link *l = find_link(dl, domain);
+
+	return l && l->state == LINK_LOST && l->control_failed &&
+	       !is_own_domain_silent(dl, now_ms);
+}
+
 size_t domain_link_count(const struct domain_links *dl)
 {
 	return dl->links->len;
--- a/flow/domain-link.h
+++ b/flow/domain-link.h
@@ -78,10 +78,10 @@
 
 /*
  * A check of UPSTREAM of DOMAIN, which is not known to be dead, was refused or
- * found no connection.
+ * found no connection. IS_CONTROL: nothing else spoke against the upstream.
  */
 void note_domain_failed_check(struct domain_links *dl, domain_index_t domain,
-			      upstream_index_t upstream);
+			      upstream_index_t upstream, bool is_control);
 
 /*
  * Numbers of upstreams of DOMAIN that accept flows and are not dead, and of
@@ -96,6 +96,14 @@
 enum link_state domain_link_state(const struct domain_links *dl,
 				  domain_index_t domain);
 
+/*
+ * True if the link to DOMAIN is lost and a control check there failed as well.
+ * Only this may reset flows: suspects alone can be upstreams that crashed while
+ * heartbeats were late.
+ */
+bool is_domain_link_cut(const struct domain_links *dl, domain_index_t domain,
+			uint64_t now_ms);
+
 /* Number of domains that may have a link: their indexes are below it. */
 size_t domain_link_count(const struct domain_links *dl);
 
--- a/flow/placement-links.c
+++ b/flow/placement-links.c
@@ -44,6 +44,26 @@
 		       : h;
 }
 
+bool is_behind_cut_link(const struct placer *pl, upstream_index_t nr,
+			uint64_t now_ms)
+{
+	domain_index_t domain = linked_domain(pl, nr);
+
+	return domain != CATALOG_NONE &&
+	       is_domain_link_cut(pl->links, domain, now_ms);
+}
+
+bool has_lost_link(const struct placer *pl)
+{
+	size_t n = pl->links ? domain_link_count(pl->links) : 0;
+
+	for (size_t i = 0; i < n; i++)
+		if (domain_link_state(pl->links, (domain_index_t)i) ==
+		    LINK_LOST)
+			return true;
+	return false;
+}
+
 void note_progress_on_link(struct placer *pl, upstream_index_t nr,
 			   uint64_t now_ms)
 {
@@ -70,7 +90,9 @@
 	case CHECK_UNREACHABLE:
 		/* that a dead one does not answer says nothing of the link */
 		if (!is_dead_or_cut_off(find_upstream_load(pl, nr)))
-			note_domain_failed_check(pl->links, domain, nr);
+			note_domain_failed_check(
+				pl->links, domain, nr,
+				find_upstream_load(pl, nr)->is_control);
 		break;
 	case CHECK_SILENT:
 	case CHECK_RESULT_NR:
--- a/flow/placement-state.h
+++ b/flow/placement-state.h
@@ -114,7 +114,6 @@
 struct upstream_load *get_or_create_upstream_load(struct placer *pl,
 						  upstream_index_t nr);
 
-
 struct service_stats *get_or_create_service_stats(struct placer *pl,
 						  service_index_t sv);
 
--- a/flow/placement.h
+++ b/flow/placement.h
@@ -291,6 +291,13 @@
 /* True if NR is not reached because the link to its domain is lost. */
 bool is_behind_lost_link(const struct placer *pl, upstream_index_t nr);
 
+/* True if that is proved by a failed control check, see is_domain_link_cut(). */
+bool is_behind_cut_link(const struct placer *pl, upstream_index_t nr,
+			uint64_t now_ms);
+
+/* True if the link to any failure domain is lost. */
+bool has_lost_link(const struct placer *pl);
+
 /* Answer times of SERVICE, ms; NULL if none was observed. */
 const struct histogram *answer_times(const struct placer *pl,
 				     service_index_t service);
--- a/net/edge.c
+++ b/net/edge.c
@@ -205,27 +205,25 @@
 	g_array_free(heard, TRUE);
 }
 
-/* Lets callers repeat elsewhere what waits behind links that were just lost. */
-static void reset_flows_behind_lost_links(struct edge *e)
+/* Lets callers repeat elsewhere what waits behind cut links. */
+static void reset_flows_behind_cut_links(struct edge *e)
 {
 	GArray *resets = g_array_new(FALSE, FALSE, sizeof(struct cookie_reset));
 
-	end_flows_behind_lost_links(e->steering, e->now_ms, resets);
+	end_flows_behind_cut_links(e->steering, e->now_ms, resets);
 	send_edge_resets(e, resets);
 	g_array_free(resets, TRUE);
 }
 
-static void handle_link_changes(struct edge *e)
+static void log_link_changes(struct edge *e)
 {
 	GArray *changes = g_array_new(FALSE, FALSE, sizeof(struct link_change));
-	bool lost = false;
 
 	pop_link_changes(e->domain_links, changes);
 	for (guint i = 0; i < changes->len; i++) {
 		const struct link_change *ch =
 			&g_array_index(changes, struct link_change, i);
 
-		lost = lost || ch->to == LINK_LOST;
 		log_event(e->log, EVENT_DOMAIN_LINK,
 			  "domain=%s link=%s before=%s silent_ms=%llu",
 			  domain_name(e->catalog, ch->domain),
@@ -233,8 +231,6 @@
 			  (unsigned long long)ch->silent_ms);
 	}
 	g_array_free(changes, TRUE);
-	if (lost)
-		reset_flows_behind_lost_links(e);
 }
 
 /* Work that cannot wait for on_tick(): handshakes, health and load. */
@@ -253,7 +249,8 @@
 	update_isolation(&e->isolation, e->domain_links, e->placement,
 			 e->now_ms);
 	set_cookie_isolated(e->steering, e->isolation.isolated);
-	handle_link_changes(e);
+	log_link_changes(e);
+	reset_flows_behind_cut_links(e);
 	log_health_changes(e);
 	tick_edge_waiting_syns(e);
 	tick_edge_moved_flows(e);
--- a/t/check-cookie.c
+++ b/t/check-cookie.c
@@ -972,8 +972,8 @@
 		      uint64_t now_ms)
 {
 	note_domain_heard(dl, south, now_ms - DOMAIN_LINK_SILENCE_MAX_MS, 10);
-	note_domain_failed_check(dl, south, 0);
-	note_domain_failed_check(dl, south, 1);
+	note_domain_failed_check(dl, south, 0, true);
+	note_domain_failed_check(dl, south, 1, true);
 	update_domain_links(dl, now_ms);
 	ck_assert_int_eq(domain_link_state(dl, south), LINK_LOST);
 }
@@ -1016,7 +1016,7 @@
 	send_data(5001, cookie, 1101, 0, 900, 9850); /* was answered */
 	put_upstream("u-near", 9900);
 	lose_link(dl, south, 10000);
-	end_flows_behind_lost_links(in.steering, 10000, resets);
+	end_flows_behind_cut_links(in.steering, 10000, resets);
 	ck_assert_uint_eq(resets->len, repeatable);
 	ck_assert_uint_eq(cookie_flow_count(in.steering), 2 - repeatable);
 	/* an idle flow is kept until a request would be stuck on it */
@@ -1028,6 +1028,38 @@
 }
 END_TEST
 
+/*
+ * Upstreams that crash while heartbeats are late look like a lost link. Others
+ * there still serve their flows.
+ */
+START_TEST(link_lost_by_suspects_alone_resets_nothing)
+{
+	domain_index_t south = intern_domain(in.catalog, "south");
+	struct domain_links *dl =
+		create_domain_links(intern_domain(in.catalog, "north"));
+	struct upstream_report r = make_upstream_report("u-far", "south");
+
+	put_test_upstream(&in, &r, 0);
+	set_repeatable_route(true);
+	set_placer_links(in.placer, dl);
+	open_flow(5000, 9800);
+	put_upstream("u-near", 9900);
+	note_domain_heard(dl, south, 10000 - DOMAIN_LINK_SILENCE_MAX_MS, 10);
+	set_domain_upstreams(dl, south, 5, DOMAIN_LINK_SUSPECTS);
+	update_domain_links(dl, 10000);
+	ck_assert_int_eq(domain_link_state(dl, south), LINK_LOST);
+	end_flows_behind_cut_links(in.steering, 10000, resets);
+	ck_assert_uint_eq(resets->len, 0);
+	note_domain_failed_check(dl, south, 1, false);
+	end_flows_behind_cut_links(in.steering, 10000, resets);
+	ck_assert_uint_eq(resets->len, 0);
+	note_domain_failed_check(dl, south, 2, true);
+	end_flows_behind_cut_links(in.steering, 10000, resets);
+	ck_assert_uint_eq(resets->len, 1);
+	destroy_domain_links(dl);
+}
+END_TEST
+
 /* Where nothing else can be reached, a reset only costs the caller a try. */
 START_TEST(request_behind_lost_link_waits_if_there_is_no_other_upstream)
 {
@@ -1041,7 +1073,7 @@
 	set_placer_links(in.placer, dl);
 	open_flow(5000, 9800);
 	lose_link(dl, south, 10000);
-	end_flows_behind_lost_links(in.steering, 10000, resets);
+	end_flows_behind_cut_links(in.steering, 10000, resets);
 	ck_assert_uint_eq(resets->len, 0);
 	destroy_domain_links(dl);
 }
@@ -1115,6 +1147,7 @@
 	tcase_add_test(tc, instance_without_configuration_relays_syn);
 	tcase_add_loop_test(tc, request_behind_lost_link_is_repeated_elsewhere,
 			    0, 2);
+	tcase_add_test(tc, link_lost_by_suspects_alone_resets_nothing);
 	tcase_add_test(
 		tc,
 		request_behind_lost_link_waits_if_there_is_no_other_upstream);
--- a/t/check-domain-link.c
+++ b/t/check-domain-link.c
@@ -746,11 +746,11 @@
 	ck_assert_int_eq(ch.to, LINK_DOUBTFUL);
 	ck_assert_uint_eq(ch.silent_ms, 600);
 	/* two checks of one upstream are not enough */
-	note_domain_failed_check(links, south, 1);
-	note_domain_failed_check(links, south, 1);
+	note_domain_failed_check(links, south, 1, true);
+	note_domain_failed_check(links, south, 1, true);
 	update_domain_links(links, 1610);
 	ck_assert_int_eq(domain_link_state(links, south), LINK_DOUBTFUL);
-	note_domain_failed_check(links, south, 2);
+	note_domain_failed_check(links, south, 2, true);
 	update_domain_links(links, 1620);
 	ch = pop_link_change();
 	ck_assert_int_eq(ch.from, LINK_DOUBTFUL);
@@ -772,8 +772,8 @@
 	for (now_ms = 1000; now_ms < 3000; now_ms += STEP_MS) {
 		if (now_ms % 500 == 0)
 			note_domain_progress(links, south, now_ms);
-		note_domain_failed_check(links, south, 1);
-		note_domain_failed_check(links, south, 2);
+		note_domain_failed_check(links, south, 1, true);
+		note_domain_failed_check(links, south, 2, true);
 		update_domain_links(links, now_ms);
 		ck_assert_int_ne(domain_link_state(links, south), LINK_LOST);
 	}
--- a/t/check-heartbeat.c
+++ b/t/check-heartbeat.c
@@ -539,6 +539,51 @@
 }
 END_TEST
 
+/*
+ * Members that started together would all send to a member of another domain in
+ * the same round, and leave it without a heartbeat for the next five.
+ */
+START_TEST(heartbeats_of_a_domain_are_spread_over_rounds)
+{
+	struct member receiver = make_member("r", "south", 99);
+	struct endpoint at = member_endpoint(&receiver);
+	unsigned int by_round[HEARTBEAT_REMOTE_FACTOR] = { 0 };
+	const unsigned int members = 24;
+
+	for (unsigned int i = 0; i < members; i++) {
+		char name[16];
+		struct member self;
+		struct view *v;
+		struct heartbeat_tracker *sender;
+
+		g_snprintf(name, sizeof(name), "n%u", i);
+		self = make_member(name, "north", (uint16_t)(1 + i));
+		v = create_view(self.id);
+		sender = create_heartbeat_tracker(&self, v, 1000);
+		add_heartbeat_address(sender, &at);
+		set_view_member(v, &receiver);
+		for (unsigned int k = 0; k < members; k++) {
+			struct member m;
+
+			g_snprintf(name, sizeof(name), "n%u", k);
+			m = make_member(name, "north", (uint16_t)(1 + k));
+			set_view_member(v, &m);
+		}
+		for (unsigned int round = 0; round < HEARTBEAT_REMOTE_FACTOR;
+		     round++) {
+			g_array_set_size(to, 0);
+			ck_assert(tick_heartbeats(sender, 2000 + 1000 * round,
+						  false, to));
+			by_round[round] += to->len;
+		}
+		destroy_heartbeat_tracker(sender);
+		destroy_view(v);
+	}
+	for (unsigned int round = 0; round < HEARTBEAT_REMOTE_FACTOR; round++)
+		ck_assert_uint_ge(by_round[round], 1);
+}
+END_TEST
+
 START_TEST(no_update_message_is_taken_for_a_heartbeat)
 {
 	static const enum peer_format formats[] = { UPDATE_REQUEST,
@@ -694,6 +739,7 @@
 		       requests_go_to_members_ahead_in_the_own_domain_first);
 	tcase_add_test(tc, a_large_domain_delays_the_store_reader_role);
 	tcase_add_test(tc, differences_after_a_restore_lead_to_its_position);
+	tcase_add_test(tc, heartbeats_of_a_domain_are_spread_over_rounds);
 	tcase_add_test(tc, no_update_message_is_taken_for_a_heartbeat);
 	tcase_add_test(tc, held_records_are_told_with_what_is_left);
 	tcase_add_test(tc, each_domain_has_its_expected_interval);
