--- a/t/check-cookie.c
+++ b/t/check-cookie.c
@@ -642,6 +642,32 @@
 }
 END_TEST
 
+/*
+ * Guards against callers of a full service who are not told, and against less
+ * urgent SYNs that get the room right after an urgent one was refused.
+ */
+START_TEST(refused_urgent_syn_is_told_and_counted)
+{
+	uint64_t now_ms = end_startup();
+	upstream_index_t up = put_upstream("u-a", 0);
+
+	set_two_priorities(400);
+	fill_upstream(up);
+	ck_assert_int_eq(send_syn_of(1, 4000, now_ms).verdict, COOKIE_WAIT);
+	ck_assert_uint_eq(release_syns(now_ms + 99), 0);
+	ck_assert_uint_eq(release_syns(now_ms + 100), 1);
+	ck_assert_int_eq(released_syn(0)->decision.verdict, COOKIE_RESET);
+	ck_assert_uint_eq(in.counters.value[COUNT_FLOW_REFUSED_URGENT], 1);
+	empty_upstream(up);
+	ck_assert_int_eq(send_syn_of(2, 4001, now_ms + 160).verdict,
+			 COOKIE_WAIT);
+	ck_assert_uint_eq(release_syns(now_ms + 199), 0);
+	ck_assert_uint_eq(release_syns(now_ms + 200), 1);
+	ck_assert_int_eq(released_syn(0)->decision.verdict, COOKIE_TO_UPSTREAM);
+	ck_assert_uint_eq(in.counters.value[COUNT_FLOW_REFUSED_URGENT], 1);
+}
+END_TEST
+
 START_TEST(only_flows_of_removed_route_are_reset)
 {
 	const uint16_t ports[] = { 1, TEST_ROUTE_PORT };
@@ -815,6 +841,7 @@
 	tcase_add_test(tc, route_gives_way_only_within_its_service);
 	tcase_add_test(tc, urgent_syn_waits_while_all_are_full_and_goes_first);
 	tcase_add_test(tc, less_urgent_syn_does_not_pass_a_waiting_one);
+	tcase_add_test(tc, refused_urgent_syn_is_told_and_counted);
 	tcase_add_test(tc, only_flows_of_removed_route_are_reset);
 	tcase_add_test(tc, split_route_divides_flows_by_weight);
 	tcase_add_test(tc, weight_change_does_not_move_open_flows);
--- a/t/check-placement.c
+++ b/t/check-placement.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "t/cookie-harness.h"
+#include "flow/placement-limit.h"
 #include "t/placement-simulation.h"
 
 /* Sheds by upstreams in the fleet's overload before SYNs waited by priority. */
@@ -585,6 +586,30 @@
 }
 END_TEST
 
+/* Guards against slow upstreams that are filled like others, and idle slots. */
+START_TEST(limit_of_load_follows_target_and_slowness)
+{
+	struct service_stats stats = { .mean_unqueued_ms = 50 };
+	struct load_limits limits = get_load_limits(&stats, 150, 1, 0);
+
+	ck_assert_double_eq(limits.crowded, 3);
+	ck_assert_double_eq(limits.full, PLACEMENT_FULL_LOAD);
+	limits = get_load_limits(&stats, 150, 2, 0);
+	ck_assert_double_eq(limits.crowded, 1.5);
+	ck_assert_double_eq(limits.full, 2.5);
+	limits = get_load_limits(&stats, 150, 16, 0);
+	ck_assert_double_eq(limits.crowded, 1);
+	ck_assert_double_eq(limits.full, 2);
+	/* room for urgent requests, but never so much that slots are idle */
+	limits = get_load_limits(&stats, 150, 1, 0.5);
+	ck_assert_double_eq(limits.crowded, 2.25);
+	ck_assert_double_eq(limits.full, PLACEMENT_FULL_LOAD);
+	limits = get_mean_load_limits(&stats, 150, 0.9);
+	ck_assert_double_eq(limits.crowded, PLACEMENT_CROWDED_LOAD_MIN);
+	ck_assert_double_eq(limits.full, PLACEMENT_MEAN_LOAD_MAX);
+}
+END_TEST
+
 /*
  * Guards against a large fleet that places more than its upstreams bear because
  * reports are old, and against one whose instances all hold back at once.
@@ -656,6 +681,7 @@
 	tcase_add_test(tc, overloaded_fleet_answers_in_time_and_urgent_first);
 	tcase_add_test(tc, admitted_requests_are_in_time_after_upstream_loss);
 	tcase_add_test(tc, upstream_is_crowded_if_answers_would_be_late);
+	tcase_add_test(tc, limit_of_load_follows_target_and_slowness);
 	tcase_add_test(tc, large_fleet_limits_mean_load);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_ENV);
