--- a/flow/syn-queue.c
+++ b/flow/syn-queue.c
@@ -44,8 +44,7 @@
 			    bool is_lowest_priority, bool just_started)
 {
 	switch (best->reason) {
-	case PLACE_ALL_COLD:
-		return SYN_WAIT; /* the quotas are renewed within a second */
+	case PLACE_ALL_COLD: /* the quotas are renewed within a second */
 	case PLACE_FULL:
 		return SYN_WAIT;
 	case PLACE_CROWDED:
@@ -338,7 +337,7 @@
 	return false;
 }
 
-/* The SYN of SQ, which is not empty, that is to be refused; NULL: none. */
+/* The SYN of SQ that is to be refused; NULL: none. */
 static struct waiting_syn *find_syn_to_refuse(const struct service_queue *sq,
 					      uint64_t now_ms)
 {
@@ -354,7 +353,7 @@
 		    (overloaded || must_yield(sq, w->rank.priority, now_ms)))
 			return w;
 	}
-	if (!overloaded)
+	if (!overloaded || !sq->waiting.head)
 		return NULL;
 	w = first_due_like(sq, sq->waiting.head->data);
 	return w->limited_by_rate &&
@@ -376,7 +375,7 @@
 			g_ptr_array_index(q->services, i);
 		struct waiting_syn *w;
 
-		w = sq->waiting.length ? find_syn_to_refuse(sq, now_ms) : NULL;
+		w = find_syn_to_refuse(sq, now_ms);
 		if (w)
 			return w;
 	}
--- a/t/check-placement.c
+++ b/t/check-placement.c
@@ -5,8 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "t/cookie-harness.h"
 #include "flow/placement-limit.h"
+#include "t/cookie-harness.h"
 #include "t/placement-simulation.h"
 
 /* Sheds by upstreams in the fleet's overload before SYNs waited by priority. */
