flow: let single upstreams use the whole target where the mean is limited

In large fleets the mean of the service is limited too, and that of one upstream refused callers while slots were idle. Full is again derived from the whole target.

--- a/flow/placement-limit.c
+++ b/flow/placement-limit.c
@@ -1,13 +1,12 @@
 #include "flow/placement-limit.h"
 
-/* Load that the target allows at an upstream with SLOWNESS. */
+/* Load that SHARE of the target allows at an upstream with SLOWNESS. */
 static double target_load(const struct service_stats *stats, uint32_t target_ms,
-			  double slowness)
+			  double slowness, double share)
 {
 	if (!target_ms)
 		return PLACEMENT_FULL_LOAD;
-	return CLAMP(PLACEMENT_CROWDED_TARGET_SHARE * target_ms /
-			     (stats->mean_unqueued_ms * slowness),
+	return CLAMP(share * target_ms / (stats->mean_unqueued_ms * slowness),
 		     MAX(1, PLACEMENT_CROWDED_LOAD_MIN / slowness),
 		     PLACEMENT_FULL_LOAD);
 }
@@ -21,21 +20,23 @@
 
 struct load_limits get_load_limits(const struct service_stats *stats,
 				   uint32_t target_ms, double slowness,
-				   double urgent_share)
+				   double urgent_share, bool limits_mean)
 {
-	double limit = target_load(stats, target_ms, slowness);
+	double whole = target_load(stats, target_ms, slowness, 1);
+	double share = limits_mean ? 1 : PLACEMENT_CROWDED_TARGET_SHARE;
+	double limit = target_load(stats, target_ms, slowness, share);
 
 	return (struct load_limits){
 		.crowded = reserve_room(limit, urgent_share),
-		.full = MIN(limit + 1, PLACEMENT_FULL_LOAD),
+		.full = MIN(whole + 1, PLACEMENT_FULL_LOAD),
 	};
 }
 
 struct load_limits get_mean_load_limits(const struct service_stats *stats,
 					uint32_t target_ms, double urgent_share)
 {
-	double limit =
-		MIN(target_load(stats, target_ms, 1), PLACEMENT_MEAN_LOAD_MAX);
+	double limit = MIN(target_load(stats, target_ms, 1, 1),
+			   PLACEMENT_MEAN_LOAD_MAX);
 
 	return (struct load_limits){
 		.crowded = reserve_room(limit, urgent_share),
--- a/flow/placement-limit.h
+++ b/flow/placement-limit.h
@@ -35,11 +35,13 @@
 /*
  * The limits of an upstream. SLOWNESS: its response time relative to the
  * typical one of its service. URGENT_SHARE: share of more urgent requests, for
- * which room is reserved.
+ * which room is reserved. LIMITS_MEAN: the mean of the service is limited as
+ * well, so that a single upstream may use the whole target; otherwise half of
+ * the responses would be late at the limit.
  */
 struct load_limits get_load_limits(const struct service_stats *stats,
 				   uint32_t target_ms, double slowness,
-				   double urgent_share);
+				   double urgent_share, bool limits_mean);
 
 /* The limits of the mean over all upstreams of a service. */
 struct load_limits get_mean_load_limits(const struct service_stats *stats,
--- a/flow/placement.c
+++ b/flow/placement.c
@@ -201,14 +201,14 @@
 				     const struct service_stats *stats,
 				     const struct service_load *sl)
 {
-	struct load_limits limits = get_load_limits(stats, request->target_ms,
-						    1.0, request->urgent_share);
+	size_t instance_nr = pl->peer_loads->len + 1;
+	bool limits_mean = instance_nr > HEARTBEAT_REMOTE_FLEET_MEMBERS;
+	struct load_limits limits =
+		get_load_limits(stats, request->target_ms, 1.0,
+				request->urgent_share, limits_mean);
 	struct load_limits mean_limits = get_mean_load_limits(
 		stats, request->target_ms, request->urgent_share);
-	size_t instance_nr = pl->peer_loads->len + 1;
-	double mean = instance_nr > HEARTBEAT_REMOTE_FLEET_MEMBERS
-			      ? mean_service_load(sl, instance_nr)
-			      : 0;
+	double mean = limits_mean ? mean_service_load(sl, instance_nr) : 0;
 
 	if (current_load(pl, best->upstream) >= limits.full ||
 	    mean >= mean_limits.full)
--- a/t/check-placement.c
+++ b/t/check-placement.c
@@ -686,18 +686,18 @@
 START_TEST(limit_of_load_follows_target_and_slowness)
 {
 	struct service_stats stats = { .mean_unqueued_ms = 50 };
-	struct load_limits limits = get_load_limits(&stats, 150, 1, 0);
+	struct load_limits limits = get_load_limits(&stats, 150, 1, 0, true);
 
 	ck_assert_double_eq(limits.crowded, 3);
 	ck_assert_double_eq(limits.full, PLACEMENT_FULL_LOAD);
-	limits = get_load_limits(&stats, 150, 2, 0);
+	limits = get_load_limits(&stats, 150, 2, 0, true);
 	ck_assert_double_eq(limits.crowded, 1.5);
 	ck_assert_double_eq(limits.full, 2.5);
-	limits = get_load_limits(&stats, 150, 16, 0);
+	limits = get_load_limits(&stats, 150, 16, 0, true);
 	ck_assert_double_eq(limits.crowded, 1);
 	ck_assert_double_eq(limits.full, 2);
 	/* room for urgent requests, but never so much that slots are idle */
-	limits = get_load_limits(&stats, 150, 1, 0.5);
+	limits = get_load_limits(&stats, 150, 1, 0.5, true);
 	ck_assert_double_eq(limits.crowded, 2.25);
 	ck_assert_double_eq(limits.full, PLACEMENT_FULL_LOAD);
 	limits = get_mean_load_limits(&stats, 150, 0.9);
