--- a/flow/placement-links.c
+++ b/flow/placement-links.c
@@ -132,32 +132,33 @@
 		ul->next_check_ms = MIN(ul->next_check_ms, now_ms);
 }
 
-/* What the upstreams of one domain show about its link. */
-struct domain_upstreams {
-	size_t accepting;
-	size_t suspect;
-	bool refusal_waits;
-};
-
-static struct domain_upstreams review_domain(const struct placer *pl,
-					     domain_index_t domain)
+/* Updates what the upstreams of each domain show about its link. */
+static void review_domains(struct placer *pl)
 {
-	struct domain_upstreams du = { 0 };
+	GArray *dcs = pl->domain_controls;
 
+	for (guint i = 0; i < dcs->len; i++)
+		g_array_index(dcs, struct domain_control, i).upstreams =
+			(struct domain_upstreams){ 0 };
+	/* without suspects nothing here counts */
+	if (!pl->has_unhealthy)
+		return;
 	for (size_t i = 0; i < catalog_upstream_count(pl->catalog); i++) {
 		upstream_index_t nr = (upstream_index_t)i;
 		const struct catalog_upstream *up =
 			get_upstream(pl->catalog, nr);
 		const struct upstream_load *ul = find_upstream_load(pl, nr);
+		struct domain_upstreams *du;
 
-		if (!up || up->domain != domain || !up->listed)
+		if (!up || !up->listed || up->domain >= dcs->len)
 			continue;
-		du.accepting += accepts_flows(pl->catalog, nr) &&
-				!(ul && is_dead_or_cut_off(ul));
-		du.suspect += ul && ul->health == HEALTH_SUSPECTED;
-		du.refusal_waits |= ul && ul->refused_ms;
+		du = &g_array_index(dcs, struct domain_control, up->domain)
+			      .upstreams;
+		du->accepting += accepts_flows(pl->catalog, nr) &&
+				 !(ul && is_dead_or_cut_off(ul));
+		du->suspect += ul && ul->health == HEALTH_SUSPECTED;
+		du->refusal_waits |= ul && ul->refused_ms;
 	}
-	return du;
 }
 
 /*
@@ -271,13 +272,17 @@
 
 	if (pl->domain_controls->len < n)
 		g_array_set_size(pl->domain_controls, (guint)n);
+	review_domains(pl);
 	for (size_t i = 0; i < n; i++) {
 		domain_index_t domain = (domain_index_t)i;
-		struct domain_upstreams du = review_domain(pl, domain);
-
-		set_domain_upstreams(pl->links, domain, du.accepting,
-				     du.suspect);
-		list_control_check(pl, domain, &du, now_ms, checks);
+		const struct domain_upstreams *du =
+			&g_array_index(pl->domain_controls,
+				       struct domain_control, i)
+				 .upstreams;
+
+		set_domain_upstreams(pl->links, domain, du->accepting,
+				     du->suspect);
+		list_control_check(pl, domain, du, now_ms, checks);
 	}
 	if (n)
 		update_domain_links(pl->links, now_ms);
--- a/flow/placement-state.h
+++ b/flow/placement-state.h
@@ -63,10 +63,18 @@
 	struct in_flight_estimator *in_flight; /* NULL: no request yet */
 };
 
+/* What the upstreams of one domain show about its link. */
+struct domain_upstreams {
+	size_t accepting; /* that are not known to be dead */
+	size_t suspect;
+	bool refusal_waits; /* for confirmation */
+};
+
 /* Control checks of the upstreams of one domain. */
 struct domain_control {
-	uint64_t checked_ms; /* when the last one started */
-	bool lost;	     /* the link, after the last tick */
+	struct domain_upstreams upstreams; /* as of the last tick */
+	uint64_t checked_ms;		   /* when the last one started */
+	bool lost;			   /* the link, after the last tick */
 };
 
 /* Flows of one route at one upstream. */
