--- a/flow/cookie.h
+++ b/flow/cookie.h
@@ -154,7 +154,7 @@
 
 /*
  * The flow KEY now sends its packets to another instance, see
- * fleet/moved-flows.h: it is not tracked here any more. False if it was not.
+ * flow/moved-flows.h: it is not tracked here any more. False if it was not.
  */
 bool release_moved_flow(struct cookie_steering *cs, const struct flow_key *key);
 
--- a/fleet/moved-flows.c
+++ b/flow/moved-flows.c
@@ -1,4 +1,4 @@
-#include "fleet/moved-flows.h"
+#include "flow/moved-flows.h"
 
 #include "fleet/peer-format.h"
 
--- a/fleet/moved-flows.h
+++ b/flow/moved-flows.h
@@ -1,5 +1,5 @@
-#ifndef FLEET_MOVED_FLOWS_H
-#define FLEET_MOVED_FLOWS_H
+#ifndef FLOW_MOVED_FLOWS_H
+#define FLOW_MOVED_FLOWS_H
 
 /*
  * Notices of flows whose packets routers hand to another instance than before,
--- a/net/edge-state.h
+++ b/net/edge-state.h
@@ -12,7 +12,7 @@
 #include "config/restored-records.h"
 #include "fleet/health-notice.h"
 #include "fleet/heartbeat.h"
-#include "fleet/moved-flows.h"
+#include "flow/moved-flows.h"
 #include "fleet/start-check.h"
 #include "fleet/store-update.h"
 #include "flow/cookie.h"
--- a/t/check-moved-flows.c
+++ b/t/check-moved-flows.c
@@ -8,7 +8,7 @@
 #include <stdlib.h>
 
 #include "fleet/heartbeat.h"
-#include "fleet/moved-flows.h"
+#include "flow/moved-flows.h"
 #include "fleet/peer-format.h"
 #include "t/cookie-harness.h"
 
