placement: judge peers' load in large fleets by a recent rise, too

Since the merge of the in-flight estimate, upstreams were compared by the running mean of peers' loads alone, which follows a rise about a second late. Before, latest reports above that mean counted as idle flows, so that the greater of both decided.

Use the greater of running mean and latest reports there.

--- a/flow/placement-limit.c
+++ b/flow/placement-limit.c
@@ -44,14 +44,15 @@
 	};
 }
 
-void add_service_load(struct service_load *sl, const struct upstream_load *ul,
-		      uint32_t slots)
+void add_service_load(struct service_load *sl, const struct placer *pl,
+		      const struct upstream_load *ul, uint32_t slots)
 {
 	double own = weight_as_requests(ul->busy_weight);
 
 	sl->slots += slots;
 	sl->own += own;
-	sl->all += own + ul->mean_peer_busy;
+	sl->all += own + estimate_peer_load(pl, ul->mean_peer_busy,
+					    ul->peer_busy_weight);
 }
 
 double mean_service_load(const struct service_load *sl, size_t instance_nr)
--- a/flow/placement-limit.h
+++ b/flow/placement-limit.h
@@ -55,8 +55,8 @@
 	double own; /* of these, of flows that this instance forwards */
 };
 
-void add_service_load(struct service_load *sl, const struct upstream_load *ul,
-		      uint32_t slots);
+void add_service_load(struct service_load *sl, const struct placer *pl,
+		      const struct upstream_load *ul, uint32_t slots);
 
 /*
  * Requests for each slot, seen from one of INSTANCE_NR instances. Its own
--- a/flow/placement-state.h
+++ b/flow/placement-state.h
@@ -3,6 +3,7 @@
 
 /* Private to flow/placement*.c. */
 
+#include "fleet/heartbeat.h"
 #include "flow/in-flight.h"
 #include "flow/placement.h"
 
@@ -125,6 +126,24 @@
 	return (double)weight / IN_FLIGHT_WEIGHT_ONE;
 }
 
+/* Whether peers report less often than an upstream's load changes. */
+static inline bool is_large_fleet(const struct placer *pl)
+{
+	return pl->peer_loads->len + 1 > HEARTBEAT_REMOTE_FLEET_MEMBERS;
+}
+
+/*
+ * Requests of peers, whose running mean is MEAN and whose last reports add up
+ * to WEIGHT. The mean follows a rise a second late; in a large fleet many
+ * instances choose an upstream that filled up in that time.
+ */
+static inline double estimate_peer_load(const struct placer *pl, double mean,
+					uint32_t weight)
+{
+	return is_large_fleet(pl) ? MAX(mean, weight_as_requests(weight))
+				  : mean;
+}
+
 /* Notes a response for the probabilities of NR's other requests. */
 void note_in_flight_answer(struct placer *pl, upstream_index_t nr,
 			   uint64_t took_ms, uint64_t now_ms);
--- a/flow/placement.c
+++ b/flow/placement.c
@@ -2,7 +2,6 @@
 
 #include <string.h>
 
-#include "fleet/heartbeat.h"
 #include "flow/placement-limit.h"
 #include "flow/placement-state.h"
 
@@ -106,16 +105,20 @@
 }
 
 /* Requests in flight, of which those of peers change between reports. */
-static double busy_load(const struct upstream_load *ul)
+static double busy_load(const struct placer *pl, const struct upstream_load *ul)
 {
-	return weight_as_requests(ul->busy_weight) + ul->mean_peer_busy;
+	return weight_as_requests(ul->busy_weight) +
+	       estimate_peer_load(pl, ul->mean_peer_busy, ul->peer_busy_weight);
 }
 
 /* Requests in flight in the time of the next one, to compare upstreams. */
 static double expected_load(const struct placer *pl, upstream_index_t nr)
 {
+	const struct upstream_load *ul = find_upstream_load(pl, nr);
+
 	return own_expected_load(pl, nr) +
-	       find_upstream_load(pl, nr)->mean_peer_expected;
+	       estimate_peer_load(pl, ul->mean_peer_expected,
+				  ul->peer_expected_weight);
 }
 
 /* Flows that this instance placed on the cold upstream in the last window. */
@@ -202,7 +205,7 @@
 				     const struct service_load *sl)
 {
 	size_t instance_nr = pl->peer_loads->len + 1;
-	bool limits_mean = instance_nr > HEARTBEAT_REMOTE_FLEET_MEMBERS;
+	bool limits_mean = is_large_fleet(pl);
 	struct load_limits limits =
 		get_load_limits(stats, request->target_ms, 1.0,
 				request->urgent_share, limits_mean);
@@ -256,8 +259,8 @@
 				best.reason = PLACE_ALL_COLD;
 			continue;
 		}
-		load = busy_load(ul) / up->report.slots;
-		add_service_load(&sl, ul, up->report.slots);
+		load = busy_load(pl, ul) / up->report.slots;
+		add_service_load(&sl, pl, ul, up->report.slots);
 		score = expected_load(pl, nr) / up->report.slots +
 			remote_domain_cost(pl, up) +
 			g_rand_double(pl->rand) * 0.01; /* breaks ties */
