--- a/t/check-placement.c
+++ b/t/check-placement.c
@@ -741,6 +741,31 @@
 }
 END_TEST
 
+/*
+ * Guards against a choice by the running mean alone, which does not show for a
+ * second that peers have filled an upstream.
+ */
+START_TEST(large_fleet_avoids_upstream_that_filled_up)
+{
+	upstream_index_t full = put_upstream("u-a", "north", 0);
+	upstream_index_t idle = put_upstream("u-b", "north", 0);
+	struct placement_request request = { .service = board,
+					     .deadline_ms = TEST_DEADLINE_MS };
+	struct upstream_load_row row = {
+		.cookie = get_upstream(in.catalog, full)->cookie,
+		.busy_flows = IN_FLIGHT_WEIGHT_ONE,
+		.expected_flows = IN_FLIGHT_WEIGHT_ONE
+	};
+
+	for (uint64_t member = 100; member < 124; member++)
+		handle_peer_loads(in.placer, member, &row, 1, 1000);
+	for (int i = 0; i < 20; i++)
+		ck_assert_uint_eq(
+			place_new_flow(in.placer, &request, 1000).upstream,
+			idle);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("placement");
@@ -781,6 +806,7 @@
 	tcase_add_test(tc, upstream_is_crowded_if_answers_would_be_late);
 	tcase_add_test(tc, limit_of_load_follows_target_and_slowness);
 	tcase_add_test(tc, large_fleet_limits_mean_load);
+	tcase_add_test(tc, large_fleet_avoids_upstream_that_filled_up);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_ENV);
 	failed = srunner_ntests_failed(sr);
