--- a/config/settings.c
+++ b/config/settings.c
@@ -205,6 +205,21 @@
 			  "operator-rewrite");
 }
 
+/*
+ * Parses the list of what the platform's upstreams and callers can do, which
+ * may have words for other programs.
+ */
+static enum status_kind parse_capabilities(const char *value,
+					   struct settings *s)
+{
+	char **words = g_strsplit_set(value, ", \t[]\"'", -1);
+
+	s->compare_upstreams =
+		g_strv_contains((const gchar *const *)words, "health");
+	g_strfreev(words);
+	return STATUS_OK;
+}
+
 static enum status_kind
 parse_setting(struct settings *s, const struct ini_entry *e, struct status *st)
 {
@@ -222,10 +237,13 @@
 		return parse_directory(e->value, s, st);
 	if (!strcmp(e->section, "peers") && !strcmp(e->key, "seeds"))
 		return parse_endpoint_list(e->value, &s->seeds, st);
+	if (!strcmp(e->section, "upstreams") && !strcmp(e->key, "capabilities"))
+		return parse_capabilities(e->value, s);
 	return set_status(st, STATUS_NOT_FOUND,
 			  "unknown; known are [instance], [listen], [bounds], "
 			  "[flows] steering, [store] endpoints, "
-			  "[source] directory and [peers] seeds");
+			  "[source] directory, [peers] seeds and "
+			  "[upstreams] capabilities");
 }
 
 static void handle_settings_entry(const struct ini_entry *e, void *data)
--- a/config/settings.h
+++ b/config/settings.h
@@ -58,7 +58,8 @@
 	struct endpoint ready;	 /* HTTP; readiness for packets */
 	struct endpoint metrics; /* HTTP; counters as text */
 	struct steering_bounds bounds;
-	uint32_t link_mbps; /* bandwidth of the instance; 0: unknown */
+	bool compare_upstreams; /* [upstreams] capabilities has "health" */
+	uint32_t link_mbps;	/* bandwidth of the instance; 0: unknown */
 	struct endpoint_list store;
 	struct endpoint_list seeds; /* peers to contact at start */
 	char directory[256];	    /* of local service files; "" if none */
--- a/fleet/heartbeat.c
+++ b/fleet/heartbeat.c
@@ -4,8 +4,8 @@
 
 #include "fleet/store-reader.h"
 
-#define HEARTBEAT_FORMAT 11 /* first element; differs for every wire layout */
-#define LOAD_ROW_FIELDS 5
+#define HEARTBEAT_FORMAT 12 /* first element; differs for every wire layout */
+#define LOAD_ROW_FIELDS 6
 
 struct peer {
 	uint64_t id;
@@ -64,6 +64,7 @@
 		write_uint(w, r->open_flows);
 		write_uint(w, r->silent_ms);
 		write_uint(w, r->health);
+		write_uint(w, r->quality);
 	}
 }
 
@@ -97,13 +98,14 @@
 		hm->store_digest = read_uint(&r, UINT64_MAX);
 	}
 	while (ok && !r.malformed && r.remaining >= LOAD_ROW_FIELDS) {
-		struct upstream_load_row row;
+		struct upstream_load_row row = { 0 };
 
 		row.cookie = (uint32_t)read_uint(&r, UINT32_MAX);
 		row.busy_flows = (uint16_t)read_uint(&r, UINT16_MAX);
 		row.open_flows = (uint16_t)read_uint(&r, UINT16_MAX);
 		row.silent_ms = (uint16_t)read_uint(&r, UINT16_MAX);
 		row.health = (uint8_t)read_uint(&r, HEALTH_DEAD);
+		row.quality = (uint32_t)read_uint(&r, UPSTREAM_QUALITY_MAX);
 		g_array_append_val(hm->rows, row);
 	}
 	ok = ok && !r.malformed && !r.remaining && hm->member.name[0];
--- a/fleet/load.h
+++ b/fleet/load.h
@@ -12,6 +12,9 @@
 	HEALTH_DEAD	    /* no listener, or another one, at its address */
 };
 
+/* Largest report of flow/upstream-quality.h, which has 12 bits. */
+#define UPSTREAM_QUALITY_MAX 0xfff
+
 /* One upstream as one instance observes it. */
 struct upstream_load_row {
 	uint32_t cookie;     /* identifies the upstream */
@@ -19,6 +22,8 @@
 	uint16_t open_flows; /* all flows, busy ones included */
 	uint16_t silent_ms;  /* since it last sent anything; at most 65535 */
 	uint8_t health;	     /* enum upstream_health */
+	/* report of flow/upstream-quality.h; 0: none */
+	uint32_t quality;
 };
 
 /* Name of H, as shown in logs. */
--- a/flow/cookie-state.h
+++ b/flow/cookie-state.h
@@ -36,6 +36,7 @@
 	uint32_t deadline_ms;	  /* longest time that a request may take */
 	uint64_t syn_ms;	  /* when the SYN was sent to the upstream */
 	uint64_t request_sent_ms; /* of its first transmission */
+	double request_load;	  /* of its upstream then, for each slot */
 	uint64_t last_packet_ms;
 };
 
--- a/flow/cookie.c
+++ b/flow/cookie.c
@@ -381,6 +381,12 @@
 	return by_cookie;
 }
 
+/* Identifies the route of a flow for comparing responses. */
+static uint64_t route_key(const struct flow_key *key)
+{
+	return (uint64_t)key->service_ip << 16 | key->service_port;
+}
+
 /* Updates F and its upstream's load and health from P. */
 static void observe_packet(struct cookie_steering *cs, struct cookie_flow *f,
 			   const struct cookie_packet *p, uint64_t now_ms)
@@ -405,6 +411,9 @@
 	if (is_seq_after(p->ack, f->caller_ack)) {
 		f->caller_ack = p->ack;
 		if (f->request_pending) {
+			note_response_time(cs->placer, f->upstream,
+					   route_key(&f->key), f->request_load,
+					   now_ms - f->request_sent_ms, now_ms);
 			note_answer(cs->placer, f->upstream,
 				    now_ms - f->request_sent_ms, now_ms);
 			end_pending_request(cs, f);
@@ -424,6 +433,7 @@
 		f->request_pending = true;
 		f->request_sent_ms = now_ms;
 		note_request_start(cs->placer, f->upstream);
+		f->request_load = current_load(cs->placer, f->upstream);
 	}
 }
 
--- a/flow/placement-health.c
+++ b/flow/placement-health.c
@@ -47,11 +47,15 @@
 		return;
 	if (ul->upstream_id != up->report.id) {
 		pl->busy_requests -= ul->busy_requests;
+		if (pl->quality)
+			reset_upstream_quality(pl->quality, nr);
 		memset(ul, 0, sizeof(*ul));
 		ul->upstream_id = up->report.id;
 		ul->starts = up->restart_count;
 	} else if (ul->starts != up->restart_count) {
 		ul->starts = up->restart_count;
+		if (pl->quality)
+			reset_upstream_quality(pl->quality, nr);
 		clear_suspicion(pl, nr, ul, now_ms);
 	}
 	/* a new entry shows that it runs, not that it is reachable */
--- a/flow/placement-peers.c
+++ b/flow/placement-peers.c
@@ -52,6 +52,8 @@
 
 	retract_peer_load(pl, p);
 	p->received_ms = now_ms;
+	if (pl->quality)
+		begin_peer_reports(pl->quality, member, now_ms);
 	for (size_t i = 0; i < nr; i++) {
 		struct peer_upstream_load pr = {
 			find_upstream_by_cookie(pl->catalog, rows[i].cookie),
@@ -65,6 +67,9 @@
 
 		if (pr.upstream == CATALOG_NONE)
 			continue;
+		if (pl->quality)
+			add_peer_report(pl->quality, pr.upstream,
+					rows[i].quality);
 		ul = get_or_create_upstream_load(pl, pr.upstream);
 		ul->peer_busy_requests += pr.busy_requests;
 		ul->peer_open_flows += pr.open_flows;
@@ -98,16 +103,25 @@
 
 void list_own_loads(struct placer *pl, uint64_t now_ms, GArray *rows)
 {
+	/* last, since a heartbeat has room for HEARTBEAT_ROWS_MAX rows */
+	GArray *idle_rows =
+		g_array_new(FALSE, FALSE, sizeof(struct upstream_load_row));
+
 	pl->sent_busy_requests = pl->busy_requests;
 	for (guint i = 0; i < pl->upstream_loads->len; i++) {
 		const struct upstream_load *ul =
 			g_ptr_array_index(pl->upstream_loads, i);
 		const struct catalog_upstream *up =
 			get_upstream(pl->catalog, (upstream_index_t)i);
-		struct upstream_load_row lr;
+		struct upstream_load_row lr = { 0 };
+		bool idle = ul && !ul->open_flows && ul->health == HEALTH_GOOD;
 
-		if (!ul || !up ||
-		    (!ul->open_flows && ul->health == HEALTH_GOOD))
+		if (!ul || !up)
+			continue;
+		if (pl->quality)
+			lr.quality = own_quality_report(
+				pl->quality, (upstream_index_t)i, now_ms);
+		if (idle && !lr.quality)
 			continue;
 		lr.cookie = up->cookie;
 		lr.busy_flows = (uint16_t)MIN(ul->busy_requests, UINT16_MAX);
@@ -118,8 +132,10 @@
 						UINT16_MAX)
 				: UINT16_MAX;
 		lr.health = (uint8_t)ul->health;
-		g_array_append_val(rows, lr);
+		g_array_append_val(idle ? idle_rows : rows, lr);
 	}
+	g_array_append_vals(rows, idle_rows->data, idle_rows->len);
+	g_array_free(idle_rows, TRUE);
 }
 
 static void update_busy_ratio(struct placer *pl, service_index_t service)
@@ -161,6 +177,7 @@
 		pl->means_updated_ms = now_ms;
 		for (size_t i = 0; i < catalog_service_count(pl->catalog); i++)
 			update_busy_ratio(pl, (service_index_t)i);
+		assess_upstreams(pl, now_ms);
 	}
 	if (pl->has_unhealthy)
 		list_due_checks(pl, now_ms, checks);
--- a/flow/placement-state.h
+++ b/flow/placement-state.h
@@ -4,6 +4,7 @@
 /* Private to flow/placement*.c. */
 
 #include "flow/placement.h"
+#include "flow/upstream-quality.h"
 
 /* The loads that one peer sent last. */
 struct peer_load {
@@ -73,6 +74,7 @@
 	GArray *health_changes; /* struct health_change, not retrieved yet */
 	double cold_factor;
 	double cold_slack;
+	struct upstream_quality *quality; /* NULL: not enabled */
 };
 
 /* The load of NR; NULL if there is none yet. */
@@ -86,6 +88,12 @@
 struct service_stats *get_or_create_service_stats(struct placer *pl,
 						  service_index_t sv);
 
+/* LOAD of NR, or what it is worth if NR does not respond as usual. */
+double completion_score(struct placer *pl, upstream_index_t nr, double load);
+
+/* Updates the assessed quality of all upstreams. */
+void assess_upstreams(struct placer *pl, uint64_t now_ms);
+
 /* Makes NR HEALTH_GOOD and ends its suspicion. */
 void clear_suspicion(struct placer *pl, upstream_index_t nr,
 		     struct upstream_load *ul, uint64_t now_ms);
--- a/flow/placement.c
+++ b/flow/placement.c
@@ -50,6 +50,7 @@
 				     .loads,
 			     TRUE);
 	g_array_free(pl->peer_loads, TRUE);
+	destroy_upstream_quality(pl->quality);
 	g_array_free(pl->health_changes, TRUE);
 	g_array_free(pl->service_stats, TRUE);
 	g_ptr_array_free(pl->upstream_loads, TRUE);
@@ -154,8 +155,7 @@
 		       : 0;
 }
 
-/* Requests in flight for each slot of NR, by the last reports of peers. */
-static double current_load(const struct placer *pl, upstream_index_t nr)
+double current_load(const struct placer *pl, upstream_index_t nr)
 {
 	const struct upstream_load *ul = find_upstream_load(pl, nr);
 
@@ -222,7 +222,8 @@
 		}
 		load = expected_load(ul, stats->mean_busy_ratio) /
 		       up->report.slots;
-		score = load + remote_domain_cost(pl, up) +
+		score = completion_score(pl, nr, load) +
+			remote_domain_cost(pl, up) +
 			g_rand_double(pl->rand) * 0.01; /* breaks ties */
 		if (best.upstream != CATALOG_NONE &&
 		    (suspect > best_suspect ||
--- a/flow/placement.h
+++ b/flow/placement.h
@@ -107,6 +107,12 @@
  */
 void set_cold_bounds(struct placer *pl, double factor, double slack);
 
+/*
+ * Whether upstreams are compared by the responses that instances observe. A
+ * slow upstream then counts as more loaded than it is. Off at first.
+ */
+void set_placer_quality(struct placer *pl, bool enabled);
+
 /* Replaces PLACEMENT_REMOTE_DOMAIN_COST; for tests and benchmarks. */
 void set_remote_domain_cost(struct placer *pl, double cost);
 
@@ -159,6 +165,23 @@
 void note_upstream_alive(struct placer *pl, upstream_index_t nr,
 			 uint64_t now_ms);
 
+/* Requests in flight for each slot of NR, by the last reports of peers. */
+double current_load(const struct placer *pl, upstream_index_t nr);
+
+/*
+ * NR began a response TOOK_MS after the request was sent, when current_load()
+ * was LOAD. ROUTE is a key of the request's route. The request still counts as
+ * in flight.
+ */
+void note_response_time(struct placer *pl, upstream_index_t nr, uint64_t route,
+			double load, uint64_t took_ms, uint64_t now_ms);
+
+/* Response times of NR in relation to typical ones; 1: typical. */
+double upstream_slowness(const struct placer *pl, upstream_index_t nr);
+
+/* Moves the changes since the last call (struct quality_change) to CHANGES. */
+void pop_placer_quality_changes(struct placer *pl, GArray *changes);
+
 /*
  * The answer to a packet sent to NR at SENT_MS is overdue. Ignored if NR showed
  * life since then.
--- /dev/null
+++ b/flow/upstream-quality.c
@@ -0,0 +1,441 @@
+#include "flow/upstream-quality.h"
+
+#include <math.h>
+#include <string.h>
+
+#define BUCKETS_PER_OCTAVE 4
+#define TIME_BUCKETS 64	      /* up to 2^16 ms */
+#define DECAY_INTERVAL_MS 500 /* between two decays of a route's buckets */
+#define DEVIATION_START 1.3   /* octaves, until observed; exponential: 1.2 */
+#define DEVIATION_MIN 0.5     /* octaves */
+#define DEVIATION_MEAN_WEIGHT 0.02 /* of the newest sample */
+#define RATIO_UNIT 16.0		   /* of the ratio in reports */
+
+/* What is typical of one route. */
+struct route_quality {
+	float times[TIME_BUCKETS];
+	double time_count; /* the sum of TIMES */
+	uint64_t decayed_ms;
+};
+
+/* The sum of reports about one upstream. Ratios are added as octaves. */
+struct report_sum {
+	uint32_t responses;
+	double octaves; /* responses, each times its ratio's logarithm */
+	/* of the peers' report with the largest sum of octaves */
+	uint32_t worst_responses;
+	double worst_octaves;
+};
+
+struct quality_entry {
+	/* observed by this instance, decayed up to UPDATED_MS */
+	double responses;
+	double octaves;
+	uint64_t updated_ms;
+	struct report_sum sum;
+	double ratio; /* assessed; 1: usual */
+};
+
+struct quality_report {
+	upstream_index_t upstream;
+	uint32_t report;
+};
+
+struct peer_reports {
+	uint64_t member_id;
+	uint64_t received_ms;
+	GArray *reports; /* of struct quality_report */
+};
+
+struct upstream_quality {
+	GArray *entries;	      /* of struct quality_entry, by upstream */
+	GHashTable *routes;	      /* key -> struct route_quality */
+	GPtrArray *peers;	      /* of struct peer_reports */
+	struct peer_reports *current; /* of the last begin_peer_reports() */
+	GArray *changes;	      /* of struct quality_change */
+	double mean_square; /* of the deviation of response times, octaves */
+};
+
+static void free_peer_reports(gpointer data)
+{
+	struct peer_reports *p = data;
+
+	g_array_free(p->reports, TRUE);
+	g_free(p);
+}
+
+struct upstream_quality *create_upstream_quality(void)
+{
+	struct upstream_quality *uq = g_new0(struct upstream_quality, 1);
+
+	uq->entries = g_array_new(FALSE, TRUE, sizeof(struct quality_entry));
+	uq->routes = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					   g_free);
+	uq->peers = g_ptr_array_new_with_free_func(free_peer_reports);
+	uq->changes = g_array_new(FALSE, FALSE, sizeof(struct quality_change));
+	uq->mean_square = DEVIATION_START * DEVIATION_START;
+	return uq;
+}
+
+void destroy_upstream_quality(struct upstream_quality *uq)
+{
+	if (!uq)
+		return;
+	g_array_free(uq->entries, TRUE);
+	g_hash_table_destroy(uq->routes);
+	g_ptr_array_free(uq->peers, TRUE);
+	g_array_free(uq->changes, TRUE);
+	g_free(uq);
+}
+
+static struct quality_entry *get_entry(struct upstream_quality *uq,
+				       upstream_index_t nr)
+{
+	const struct quality_entry usual = { .ratio = 1 };
+
+	while (uq->entries->len <= nr)
+		g_array_append_val(uq->entries, usual);
+	return &g_array_index(uq->entries, struct quality_entry, nr);
+}
+
+void reset_upstream_quality(struct upstream_quality *uq, upstream_index_t nr)
+{
+	*get_entry(uq, nr) = (struct quality_entry){ .ratio = 1 };
+	for (guint i = 0; i < uq->peers->len; i++) {
+		struct peer_reports *p = g_ptr_array_index(uq->peers, i);
+
+		for (guint k = p->reports->len; k > 0; k--)
+			if (g_array_index(p->reports, struct quality_report,
+					  k - 1)
+				    .upstream == nr)
+				g_array_remove_index_fast(p->reports, k - 1);
+	}
+}
+
+static double decay_factor(uint64_t elapsed_ms, double half_life_ms)
+{
+	return exp2(-(double)elapsed_ms / half_life_ms);
+}
+
+static void decay_entry(struct quality_entry *e, uint64_t now_ms)
+{
+	double f = decay_factor(now_ms - MIN(now_ms, e->updated_ms),
+				QUALITY_HALF_LIFE_MS);
+
+	e->responses *= f;
+	e->octaves *= f;
+	e->updated_ms = now_ms;
+}
+
+/* Scales BUCKETS (NR of them) by F and returns their sum. */
+static double scale_buckets(float *buckets, size_t nr, double f)
+{
+	double sum = 0;
+
+	for (size_t i = 0; i < nr; i++) {
+		buckets[i] = (float)(buckets[i] * f);
+		sum += buckets[i];
+	}
+	return sum;
+}
+
+static struct route_quality *get_route(struct upstream_quality *uq,
+				       uint64_t key, uint64_t now_ms)
+{
+	struct route_quality *r = g_hash_table_lookup(uq->routes, &key);
+	uint64_t elapsed_ms;
+
+	if (!r) {
+		/* routes that are gone keep their entries until then */
+		if (g_hash_table_size(uq->routes) >= QUALITY_ROUTES_MAX)
+			g_hash_table_remove_all(uq->routes);
+		r = g_new0(struct route_quality, 1);
+		r->decayed_ms = now_ms;
+		g_hash_table_insert(uq->routes, g_memdup2(&key, sizeof(key)),
+				    r);
+	}
+	elapsed_ms = now_ms - r->decayed_ms;
+	if (elapsed_ms >= DECAY_INTERVAL_MS) {
+		double f = decay_factor(elapsed_ms, QUALITY_ROUTE_HALF_LIFE_MS);
+
+		r->time_count = scale_buckets(r->times, TIME_BUCKETS, f);
+		r->decayed_ms = now_ms;
+	}
+	return r;
+}
+
+static size_t find_bucket(double value, size_t nr)
+{
+	double at = BUCKETS_PER_OCTAVE * log2(MAX(value, 1));
+
+	return MIN((size_t)at, nr - 1);
+}
+
+/* The bucket that holds quantile Q of BUCKETS, whose sum is SUM. */
+static size_t find_quantile(const float *buckets, size_t nr, double sum,
+			    double q)
+{
+	double below = 0;
+
+	for (size_t i = 0; i < nr; i++) {
+		below += buckets[i];
+		if (below >= q * sum)
+			return i;
+	}
+	return nr - 1;
+}
+
+/* The median response time of R; 0 if too few responses are known. */
+static double typical_ms(const struct route_quality *r)
+{
+	size_t i;
+
+	if (r->time_count < QUALITY_ROUTE_SAMPLES_MIN)
+		return 0;
+	i = find_quantile(r->times, TIME_BUCKETS, r->time_count, 0.5);
+	return exp2(((double)i + 0.5) / BUCKETS_PER_OCTAVE);
+}
+
+void note_quality_time(struct upstream_quality *uq, upstream_index_t nr,
+		       uint64_t route, double took_ms, uint64_t now_ms)
+{
+	struct route_quality *r = get_route(uq, route, now_ms);
+	struct quality_entry *e = get_entry(uq, nr);
+	double typical = typical_ms(r);
+	double octaves = 0;
+	double deviation;
+
+	if (typical > 0) {
+		octaves =
+			CLAMP(log2(MAX(took_ms, 1) / typical),
+			      log2(QUALITY_RATIO_MIN), log2(QUALITY_RATIO_MAX));
+		/* slow upstreams differ in their means, not by chance */
+		deviation = octaves;
+		if (e->sum.responses)
+			deviation -= e->sum.octaves / e->sum.responses;
+		uq->mean_square += DEVIATION_MEAN_WEIGHT *
+				   (deviation * deviation - uq->mean_square);
+	}
+	decay_entry(e, now_ms);
+	e->responses++;
+	e->octaves += octaves;
+	r->times[find_bucket(took_ms, TIME_BUCKETS)]++;
+	r->time_count++;
+}
+
+uint32_t own_quality_report(const struct upstream_quality *uq,
+			    upstream_index_t nr, uint64_t now_ms)
+{
+	struct quality_entry e;
+	uint32_t responses;
+	uint32_t ratio;
+
+	if (nr >= uq->entries->len)
+		return 0;
+	e = g_array_index(uq->entries, struct quality_entry, nr);
+	decay_entry(&e, now_ms);
+	if (e.responses < 0.5)
+		return 0;
+	responses = (uint32_t)MIN(lround(e.responses),
+				  QUALITY_REPORT_RESPONSES_MAX);
+	ratio = (uint32_t)MIN(
+		lround(RATIO_UNIT * exp2(e.octaves / e.responses)), UINT8_MAX);
+	return ratio | responses << 8;
+}
+
+static struct peer_reports *get_peer(struct upstream_quality *uq,
+				     uint64_t member)
+{
+	struct peer_reports *new;
+
+	for (guint i = 0; i < uq->peers->len; i++) {
+		struct peer_reports *p = g_ptr_array_index(uq->peers, i);
+
+		if (p->member_id == member)
+			return p;
+	}
+	new = g_new0(struct peer_reports, 1);
+	new->member_id = member;
+	new->reports = g_array_new(FALSE, FALSE, sizeof(struct quality_report));
+	g_ptr_array_add(uq->peers, new);
+	return new;
+}
+
+void begin_peer_reports(struct upstream_quality *uq, uint64_t member,
+			uint64_t now_ms)
+{
+	uq->current = get_peer(uq, member);
+	uq->current->received_ms = now_ms;
+	g_array_set_size(uq->current->reports, 0);
+}
+
+void add_peer_report(struct upstream_quality *uq, upstream_index_t nr,
+		     uint32_t report)
+{
+	struct quality_report q = { nr, report };
+
+	if (report && report <= UPSTREAM_QUALITY_MAX && uq->current)
+		g_array_append_val(uq->current->reports, q);
+}
+
+static void add_report(struct upstream_quality *uq, upstream_index_t nr,
+		       uint32_t report, bool own)
+{
+	struct report_sum *sum = &get_entry(uq, nr)->sum;
+	uint32_t responses = report >> 8 & QUALITY_REPORT_RESPONSES_MAX;
+	double ratio = CLAMP((report & UINT8_MAX) / RATIO_UNIT,
+			     QUALITY_RATIO_MIN, QUALITY_RATIO_MAX);
+	double octaves = responses * log2(ratio);
+
+	sum->responses += responses;
+	sum->octaves += octaves;
+	if (!own && octaves > sum->worst_octaves) {
+		sum->worst_octaves = octaves;
+		sum->worst_responses = responses;
+	}
+}
+
+static void drop_old_reports(struct upstream_quality *uq, uint64_t now_ms)
+{
+	for (guint i = uq->peers->len; i > 0; i--) {
+		const struct peer_reports *p =
+			g_ptr_array_index(uq->peers, i - 1);
+
+		if (now_ms - p->received_ms < QUALITY_REPORT_TIMEOUT_MS)
+			continue;
+		if (p == uq->current)
+			uq->current = NULL;
+		g_ptr_array_remove_index_fast(uq->peers, i - 1);
+	}
+}
+
+void sum_quality_reports(struct upstream_quality *uq, uint64_t now_ms)
+{
+	drop_old_reports(uq, now_ms);
+	for (guint i = 0; i < uq->entries->len; i++) {
+		struct quality_entry *e = get_entry(uq, (upstream_index_t)i);
+
+		memset(&e->sum, 0, sizeof(e->sum));
+		add_report(uq, (upstream_index_t)i,
+			   own_quality_report(uq, (upstream_index_t)i, now_ms),
+			   true);
+	}
+	for (guint i = 0; i < uq->peers->len; i++) {
+		const struct peer_reports *p = g_ptr_array_index(uq->peers, i);
+
+		for (guint k = 0; k < p->reports->len; k++) {
+			const struct quality_report *q = &g_array_index(
+				p->reports, struct quality_report, k);
+
+			add_report(uq, q->upstream, q->report, false);
+		}
+	}
+}
+
+static gint compare_doubles(gconstpointer a, gconstpointer b)
+{
+	double x = *(const double *)a;
+	double y = *(const double *)b;
+
+	return (x > y) - (x < y);
+}
+
+/* Mean of OCTAVES over RESPONSES and some typical ones. */
+static double shrunk_mean(double octaves, double responses)
+{
+	return octaves / (responses + QUALITY_PRIOR_SAMPLES);
+}
+
+/* Median of the upstreams' mean ratios, octaves; of two the lower one. */
+static double median_octaves(struct upstream_quality *uq,
+			     const upstream_index_t *upstreams, size_t nr)
+{
+	GArray *means = g_array_new(FALSE, FALSE, sizeof(double));
+	double median = 0;
+
+	for (size_t i = 0; i < nr; i++) {
+		const struct report_sum *sum =
+			&get_entry(uq, upstreams[i])->sum;
+		double mean = shrunk_mean(sum->octaves, sum->responses);
+
+		g_array_append_val(means, mean);
+	}
+	g_array_sort(means, compare_doubles);
+	if (means->len)
+		median = g_array_index(means, double, (means->len - 1) / 2);
+	g_array_free(means, TRUE);
+	return median;
+}
+
+/*
+ * Whether it is found slow without the peers' worst report as well. The own
+ * observations need no confirmation: most requests may come through this
+ * instance, if it has long flows of the upstream.
+ */
+static bool is_slow_for_others(const struct report_sum *sum, double median)
+{
+	double responses = sum->responses - sum->worst_responses;
+	double octaves = sum->octaves - sum->worst_octaves - median * responses;
+
+	return shrunk_mean(octaves, responses) >= log2(QUALITY_USUAL_RATIO);
+}
+
+/* The ratio of E, whose service has the median MEDIAN, octaves. */
+static double assess_ratio(const struct upstream_quality *uq,
+			   const struct quality_entry *e, double median,
+			   size_t instances)
+{
+	double responses = e->sum.responses;
+	double octaves =
+		shrunk_mean(e->sum.octaves - median * responses, responses);
+	double deviation = MAX(sqrt(uq->mean_square), DEVIATION_MIN);
+	double least;
+
+	if (responses < 1)
+		return 1;
+	least = MAX(log2(QUALITY_SLOW_RATIO),
+		    QUALITY_STANDARD_ERRORS * deviation / sqrt(responses));
+	/* one that is avoided has few responses: it stays slow with fewer */
+	if (e->ratio > 1)
+		least = log2(QUALITY_USUAL_RATIO);
+	else if (octaves > 0 && instances > QUALITY_SMALL_FLEET &&
+		 !is_slow_for_others(&e->sum, median))
+		return 1;
+	if (fabs(octaves) < least)
+		return 1;
+	return CLAMP(exp2(octaves), QUALITY_RATIO_MIN, QUALITY_RATIO_MAX);
+}
+
+void assess_service_quality(struct upstream_quality *uq,
+			    const upstream_index_t *upstreams, size_t nr,
+			    size_t instances)
+{
+	double median = median_octaves(uq, upstreams, nr);
+
+	for (size_t i = 0; i < nr; i++) {
+		struct quality_entry *e = get_entry(uq, upstreams[i]);
+		double before = e->ratio;
+		struct quality_change ch = { .upstream = upstreams[i] };
+
+		e->ratio = assess_ratio(uq, e, median, instances);
+		ch.slow = e->ratio > 1;
+		ch.ratio = e->ratio;
+		ch.responses = e->sum.responses;
+		if (ch.slow != (before > 1))
+			g_array_append_val(uq->changes, ch);
+	}
+}
+
+double quality_ratio(const struct upstream_quality *uq, upstream_index_t nr)
+{
+	return nr < uq->entries->len
+		       ? g_array_index(uq->entries, struct quality_entry, nr)
+				 .ratio
+		       : 1;
+}
+
+void pop_quality_changes(struct upstream_quality *uq, GArray *changes)
+{
+	g_array_append_vals(changes, uq->changes->data, uq->changes->len);
+	g_array_set_size(uq->changes, 0);
+}
--- /dev/null
+++ b/flow/upstream-quality.h
@@ -0,0 +1,116 @@
+#ifndef FLOW_UPSTREAM_QUALITY_H
+#define FLOW_UPSTREAM_QUALITY_H
+
+/*
+ * How fast upstreams respond, compared with the other upstreams of their
+ * service. Responses are observed by many instances, each of which sees few of
+ * one upstream; so every instance sends its peers a report of what it observed,
+ * and assesses the sum of all reports, its own included. No I/O.
+ *
+ * An upstream counts as slow if its response times exceed the typical ones by
+ * more than chance explains; otherwise its slowness is exactly 1.
+ */
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "config/catalog.h"
+#include "fleet/load.h"
+
+/*
+ * Half-life of the responses of one upstream. With 3 s, older responses hid for
+ * 4 s in the median that it had become slow.
+ */
+#define QUALITY_HALF_LIFE_MS 2000
+/*
+ * Half-life of what is typical of a route. Long, since an instance of a large
+ * fleet sees one response of some routes a second.
+ */
+#define QUALITY_ROUTE_HALF_LIFE_MS 30000
+#define QUALITY_ROUTE_SAMPLES_MIN 16 /* until these, nothing is typical */
+#define QUALITY_ROUTES_MAX 4096	     /* observed at once */
+
+/*
+ * Reports of a peer that sent none for this long are dropped. Members of other
+ * domains get a heartbeat every 2.7 s in fleets of 142.
+ */
+#define QUALITY_REPORT_TIMEOUT_MS 4000
+
+/*
+ * In fleets of more than this many instances, the reports without the one that
+ * speaks most against an upstream must confirm it: no instance decides alone.
+ */
+#define QUALITY_SMALL_FLEET 3
+
+/*
+ * Least ratio at which an upstream becomes slow. With 2.25, some usual one of
+ * 60 became slow by chance in 3 of 20 simulations of 24 s, with 2.5 in none.
+ */
+#define QUALITY_SLOW_RATIO 2.5
+#define QUALITY_USUAL_RATIO 1.5 /* below it a slow one is usual again */
+#define QUALITY_RATIO_MIN 0.5
+#define QUALITY_RATIO_MAX 16.0
+
+/* Standard errors of the mean by which a slow upstream differs as well. */
+#define QUALITY_STANDARD_ERRORS 3.0
+#define QUALITY_PRIOR_SAMPLES 2.0 /* of a typical upstream, added to each */
+
+/*
+ * A report: bits 0 to 7 the ratio of response times to the typical ones, in
+ * sixteenths; bits 8 to 11 the number of recent responses. 0: none.
+ */
+#define QUALITY_REPORT_RESPONSES_MAX 15
+
+struct upstream_quality;
+
+struct upstream_quality *create_upstream_quality(void);
+void destroy_upstream_quality(struct upstream_quality *uq);
+
+/* Forgets NR: another upstream got its handle, or its process restarted. */
+void reset_upstream_quality(struct upstream_quality *uq, upstream_index_t nr);
+
+/*
+ * NR began a response on ROUTE (a key of the caller's choice). TOOK_MS is its
+ * response time without the time in the upstream's queue.
+ */
+void note_quality_time(struct upstream_quality *uq, upstream_index_t nr,
+		       uint64_t route, double took_ms, uint64_t now_ms);
+
+/* What this instance tells its peers about NR; 0: nothing. */
+uint32_t own_quality_report(const struct upstream_quality *uq,
+			    upstream_index_t nr, uint64_t now_ms);
+
+/* Starts replacing the reports of instance MEMBER. */
+void begin_peer_reports(struct upstream_quality *uq, uint64_t member,
+			uint64_t now_ms);
+
+/* Adds a report of the instance of the last begin_peer_reports(). */
+void add_peer_report(struct upstream_quality *uq, upstream_index_t nr,
+		     uint32_t report);
+
+/* Sums up all reports, before assess_service_quality(). */
+void sum_quality_reports(struct upstream_quality *uq, uint64_t now_ms);
+
+/* Assesses UPSTREAMS (NR of them) of one service, in a fleet of INSTANCES. */
+void assess_service_quality(struct upstream_quality *uq,
+			    const upstream_index_t *upstreams, size_t nr,
+			    size_t instances);
+
+/* Response times of NR in relation to typical ones; 1 if these do not differ
+ * by more than chance explains. */
+double quality_ratio(const struct upstream_quality *uq, upstream_index_t nr);
+
+/* A change of an assessment. */
+struct quality_change {
+	upstream_index_t upstream;
+	bool slow;
+	double ratio;
+	uint32_t responses; /* that all instances observed recently */
+};
+
+/* Moves the changes since the last call to the end of CHANGES. */
+void pop_quality_changes(struct upstream_quality *uq, GArray *changes);
+
+#endif
--- a/net/edge-packets.c
+++ b/net/edge-packets.c
@@ -412,6 +412,13 @@
 	fill_own_heartbeat(e, &b);
 	init_wire_writer(&w);
 	write_heartbeat(&w, &b);
+	/* rows at the end matter least */
+	while (w.buf.size > DATAGRAM_MAX && b.rows->len) {
+		release_wire_writer(&w);
+		g_array_set_size(b.rows, b.rows->len * 3 / 4);
+		init_wire_writer(&w);
+		write_heartbeat(&w, &b);
+	}
 	for (guint i = 0; i < to->len; i++) {
 		const struct endpoint *ep =
 			&g_array_index(to, struct endpoint, i);
--- a/net/edge.c
+++ b/net/edge.c
@@ -5,6 +5,7 @@
 #include <sys/stat.h>
 #include <time.h>
 
+#include "flow/upstream-quality.h"
 #include "net/files.h"
 
 #define TICK_MS 50
@@ -127,6 +128,8 @@
 	set_edge_hold_times(e);
 	set_cold_bounds(e->placement, new->bounds.cold_factor,
 			new->bounds.cold_slack);
+	e->settings.compare_upstreams = new->compare_upstreams;
+	set_placer_quality(e->placement, new->compare_upstreams);
 	add_seeds(e, new);
 }
 
@@ -188,6 +191,27 @@
 	g_array_free(changes, TRUE);
 }
 
+static void log_quality_changes(struct edge *e)
+{
+	GArray *changes =
+		g_array_new(FALSE, FALSE, sizeof(struct quality_change));
+
+	pop_placer_quality_changes(e->placement, changes);
+	for (guint i = 0; i < changes->len; i++) {
+		const struct quality_change *ch =
+			&g_array_index(changes, struct quality_change, i);
+		const struct catalog_upstream *up =
+			get_upstream(e->catalog, ch->upstream);
+
+		log_event(e->log, EVENT_UPSTREAM_QUALITY,
+			  "upstream=%s state=%s ratio=%.2f answers=%u",
+			  up ? up->report.name : "none",
+			  ch->slow ? "slow" : "usual", ch->ratio,
+			  ch->responses);
+	}
+	g_array_free(changes, TRUE);
+}
+
 /* Work that cannot wait for on_tick(): handshakes, health and load. */
 static void on_fast_tick(uv_timer_t *timer)
 {
@@ -200,6 +224,7 @@
 	start_health_checks(e, checks);
 	g_array_free(checks, TRUE);
 	log_health_changes(e);
+	log_quality_changes(e);
 	tick_edge_waiting_syns(e);
 	if (has_load_changed(e->placement))
 		tick_edge_heartbeats(e);
@@ -284,6 +309,7 @@
 				     e->settings.domain, g_rand_int(e->rand));
 	set_cold_bounds(e->placement, e->settings.bounds.cold_factor,
 			e->settings.bounds.cold_slack);
+	set_placer_quality(e->placement, e->settings.compare_upstreams);
 	e->steering =
 		create_cookie_steering(e->catalog, e->placement, &e->counters);
 }
--- a/net/event-list.h
+++ b/net/event-list.h
@@ -21,6 +21,8 @@
 EVENT(UPSTREAM, "upstream", 30, "an upstream's entry changed")
 EVENT(UPSTREAM_INVALID, "upstream-invalid", 5, "an upstream's entry is invalid")
 EVENT(HEALTH, "health", 20, "an upstream's health as assessed here changed")
+EVENT(UPSTREAM_QUALITY, "upstream-quality", 20,
+      "an upstream responds slower than others, or as they do again")
 EVENT(CHECK, "check", 20, "a health check of an upstream ended")
 EVENT(MEMBER, "member", 20, "another instance joined, left or fell silent")
 EVENT(WOKEN, "woken", 5, "the process was paused for a while")
--- a/t/bench-placement.c
+++ b/t/bench-placement.c
@@ -45,6 +45,43 @@
 	       r.failed, (double)r.remote_domain / r.requests, r.p99_ms);
 }
 
+/* A fleet whose upstreams are partly slow or failing for eight seconds. */
+static void print_quality_row(const char *name, enum pick_strategy pick,
+			      enum quality_strategy quality, unsigned int slow,
+			      unsigned int failing)
+{
+	struct placement_sim_options opt;
+	struct placement_sim_result r;
+
+	init_fleet_options(&opt);
+	opt.strategy = pick;
+	opt.quality = quality;
+	opt.slow_upstreams = slow;
+	opt.slow_factor = 6;
+	opt.failing_upstreams = failing;
+	opt.failing_share = 0.5;
+	simulate_placement(&opt, &r);
+	printf("%-14s %-12s %-10s %7u %6u %6u %6u %6u %8u %7u\n", name,
+	       pick_strategy_name(pick), quality_strategy_name(quality),
+	       r.requests, r.late, r.late_new, r.errors, r.unsafe_failed,
+	       r.impaired_requests, r.p99_ms);
+}
+
+static void print_quality_rows(const char *name, unsigned int slow,
+			       unsigned int failing)
+{
+	print_quality_row(name, PICK_BEST_OF_ALL, QUALITY_IGNORED, slow,
+			  failing);
+	print_quality_row(name, PICK_BEST_OF_ALL, QUALITY_COMPLETION, slow,
+			  failing);
+	print_quality_row(name, PICK_BEST_OF_TWO, QUALITY_IGNORED, slow,
+			  failing);
+	print_quality_row(name, PICK_BEST_OF_TWO, QUALITY_COMPLETION, slow,
+			  failing);
+	print_quality_row(name, PICK_BEST_OF_ALL, QUALITY_EJECTION, slow,
+			  failing);
+}
+
 int main(void)
 {
 	static const struct bench_load loads[] = {
@@ -70,5 +107,9 @@
 				print_row(&loads[i], PICK_BEST_OF_ALL,
 					  remote_costs[k]);
 	}
+	printf("\nload           way          quality      asked   late  short "
+	       "errors   lost impaired  p99 ms\n");
+	print_quality_rows("all usual", 0, 0);
+	print_quality_rows("fifth slow", 12, 0);
 	return 0;
 }
--- a/t/check-config.c
+++ b/t/check-config.c
@@ -256,6 +256,33 @@
 }
 END_TEST
 
+/* The platform may list words that mean nothing here, in several forms. */
+START_TEST(upstreams_are_compared_only_if_health_is_listed)
+{
+	static const struct {
+		const char *list;
+		bool compared;
+	} cases[] = {
+		{ "", false },
+		{ "[upstreams]\ncapabilities =\n", false },
+		{ "[upstreams]\ncapabilities = healthy, retries\n", false },
+		{ "[upstreams]\ncapabilities = health\n", true },
+		{ "[upstreams]\ncapabilities = retries, health\n", true },
+		{ "[upstreams]\ncapabilities = [\"retries\",\"health\"]\n",
+		  true },
+	};
+	struct settings s;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *text = g_strconcat(EDGE_SETTINGS, cases[i].list, NULL);
+
+		ck_assert(parse_settings("s", text, strlen(text), &s, ps));
+		ck_assert_int_eq(s.compare_upstreams, cases[i].compared);
+		g_free(text);
+	}
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("config");
@@ -278,6 +305,7 @@
 	tcase_add_test(tc, snapshot_round_trips_and_truncation_fails);
 	tcase_add_test(tc, invalid_settings_are_refused);
 	tcase_add_test(tc, invalid_cookie_steering_settings_are_refused);
+	tcase_add_test(tc, upstreams_are_compared_only_if_health_is_listed);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_ENV);
 	failed = srunner_ntests_failed(sr);
--- a/t/check-cookie.c
+++ b/t/check-cookie.c
@@ -167,7 +167,11 @@
 		g_snprintf(name, sizeof(name), "u-%c", 'b' + i);
 		busy[i] = (struct upstream_load_row){
 			get_upstream(in.catalog, put_upstream(name, 0))->cookie,
-			4, 20, 50, HEALTH_GOOD
+			4,
+			20,
+			50,
+			HEALTH_GOOD,
+			0
 		};
 	}
 	handle_peer_loads(in.placer, 77, busy, 3, 1000);
@@ -719,6 +723,68 @@
 }
 END_TEST
 
+/* Sends a request that the flow's upstream answers after TOOK_MS. */
+static void send_answered_request(const struct cookie_decision *flow,
+				  uint16_t port, uint32_t *seq, uint32_t *ack,
+				  uint64_t took_ms, uint64_t now_ms)
+{
+	send_data(port, flow->cookie, *seq, 100, *ack, now_ms);
+	*seq += 100;
+	*ack += 900;
+	send_data(port, flow->cookie, *seq, 0, *ack, now_ms + took_ms);
+}
+
+/* Two upstreams, with one flow each; the second one is six times as slow. */
+static upstream_index_t slow_upstream_of_two(void)
+{
+	struct cookie_decision flows[2];
+	uint32_t seq[2] = { 1001, 1001 };
+	uint32_t ack[2] = { 500, 500 };
+
+	for (uint16_t i = 0; i < 2; i++) {
+		flows[i] = send_syn((uint16_t)(4000 + i), 0, 100);
+		send_data((uint16_t)(4000 + i), flows[i].cookie, 1001, 0, 500,
+			  101);
+	}
+	ck_assert_uint_ne(flows[0].upstream, flows[1].upstream);
+	for (uint64_t t = 200; t < 9200; t += 300)
+		for (uint16_t i = 0; i < 2; i++)
+			send_answered_request(&flows[i], (uint16_t)(4000 + i),
+					      &seq[i], &ack[i],
+					      i && t > 5000 ? 240 : 40, t);
+	return flows[1].upstream;
+}
+
+/*
+ * Both have a flow and no request in flight, so that they are equal by load.
+ * Guards against responses that are not observed, or observed while disabled.
+ */
+START_TEST(slow_upstream_is_known_by_its_responses)
+{
+	GArray *checks = g_array_new(FALSE, FALSE, sizeof(upstream_index_t));
+	bool enabled = _i;
+	upstream_index_t slow;
+	unsigned int placed = 0;
+
+	set_placer_quality(in.placer, enabled);
+	put_upstream("u-a", 0);
+	put_upstream("u-b", 0);
+	slow = slow_upstream_of_two();
+	tick_placer(in.placer, 9300, checks);
+	for (uint16_t i = 0; i < 40; i++)
+		placed += send_syn((uint16_t)(5000 + i), 0, 9300).upstream ==
+			  slow;
+	if (enabled) {
+		ck_assert_double_gt(upstream_slowness(in.placer, slow), 3);
+		ck_assert_uint_lt(placed, 14);
+	} else {
+		ck_assert_double_eq(upstream_slowness(in.placer, slow), 1);
+		ck_assert_uint_ge(placed, 16);
+	}
+	g_array_free(checks, TRUE);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("cookie");
@@ -727,6 +793,7 @@
 	int failed;
 
 	tcase_add_checked_fixture(tc, setup, teardown);
+	tcase_add_loop_test(tc, slow_upstream_is_known_by_its_responses, 0, 2);
 	tcase_add_test(tc, cookie_selects_upstream_without_flow_state);
 	tcase_add_test(tc, unknown_cookie_is_relayed_only_once);
 	tcase_add_test(tc, retransmitted_syn_goes_to_another_upstream);
--- a/t/check-heartbeat.c
+++ b/t/check-heartbeat.c
@@ -88,7 +88,8 @@
 					.config_version = 7,
 					.store_position = { 3, 99 } };
 	struct heartbeat_message got = { 0 };
-	struct upstream_load_row row = { 1, 2, 3, 4, HEALTH_DEAD };
+	struct upstream_load_row row = { 1, 2,		 3,
+					 4, HEALTH_DEAD, UPSTREAM_QUALITY_MAX };
 	struct wire_writer w;
 
 	hm.rows = g_array_new(FALSE, FALSE, sizeof(row));
--- a/t/check-placement.c
+++ b/t/check-placement.c
@@ -79,8 +79,9 @@
 {
 	upstream_index_t a = put_upstream("u-a", "north", 0);
 	upstream_index_t b = put_upstream("u-b", "north", 0);
-	struct upstream_load_row row = { get_upstream(in.catalog, a)->cookie, 9,
-					 30, 0, HEALTH_GOOD };
+	struct upstream_load_row row = {
+		get_upstream(in.catalog, a)->cookie, 9, 30, 0, HEALTH_GOOD, 0
+	};
 
 	handle_peer_loads(in.placer, 42, &row, 1, 1000);
 	for (uint64_t t = 1000; t < 3000; t += PLACEMENT_MEANS_INTERVAL_MS)
@@ -178,8 +179,9 @@
 START_TEST(sign_of_life_at_peer_clears_suspicion)
 {
 	upstream_index_t a = put_upstream("u-a", "north", 0);
-	struct upstream_load_row row = { get_upstream(in.catalog, a)->cookie, 0,
-					 1, 20, HEALTH_GOOD };
+	struct upstream_load_row row = {
+		get_upstream(in.catalog, a)->cookie, 0, 1, 20, HEALTH_GOOD, 0
+	};
 
 	note_upstream_silent(in.placer, a, 1000, 1200);
 	handle_peer_loads(in.placer, 42, &row, 1, 1300);
@@ -278,7 +280,11 @@
 				enum upstream_health health, uint64_t now_ms)
 {
 	struct upstream_load_row row = { get_upstream(in.catalog, nr)->cookie,
-					 0, 1, 2000, (uint8_t)health };
+					 0,
+					 1,
+					 2000,
+					 (uint8_t)health,
+					 0 };
 
 	handle_peer_loads(in.placer, 42, &row, 1, now_ms);
 }
@@ -535,6 +541,85 @@
 }
 END_TEST
 
+/*
+ * A fifth of the upstreams is six times as slow for eight seconds. They must
+ * get less work before their queues show it, and work again afterwards.
+ */
+START_TEST(slow_upstreams_get_less_work)
+{
+	struct placement_sim_result by_load = { 0 };
+	struct placement_sim_result sum = { 0 };
+
+	for (uint32_t seed = 1; seed <= 3; seed++) {
+		struct placement_sim_options opt;
+		struct placement_sim_result r;
+
+		init_fleet_options(&opt);
+		opt.seed = seed;
+		opt.slow_upstreams = 12;
+		opt.slow_factor = 6;
+		simulate_placement(&opt, &r);
+		by_load.impaired_requests += r.impaired_requests;
+		by_load.recovered_requests += r.recovered_requests;
+		by_load.late_new += r.late_new;
+		opt.quality = QUALITY_COMPLETION;
+		simulate_placement(&opt, &r);
+		sum.impaired_requests += r.impaired_requests;
+		sum.recovered_requests += r.recovered_requests;
+		sum.late_new += r.late_new;
+	}
+	ck_assert_uint_lt(5 * sum.impaired_requests,
+			  4 * by_load.impaired_requests);
+	ck_assert_uint_gt(sum.impaired_requests, 0);
+	ck_assert_uint_lt(sum.late_new, by_load.late_new);
+	ck_assert_uint_ge(3 * sum.recovered_requests,
+			  2 * by_load.recovered_requests);
+}
+END_TEST
+
+/* Without slow upstreams no choice may differ. */
+START_TEST(usual_upstreams_are_chosen_by_load_only)
+{
+	for (uint32_t seed = 1; seed <= 3; seed++) {
+		struct placement_sim_options opt;
+		struct placement_sim_result by_load;
+		struct placement_sim_result r;
+
+		init_fleet_options(&opt);
+		opt.seed = seed;
+		simulate_placement(&opt, &by_load);
+		opt.quality = QUALITY_COMPLETION;
+		simulate_placement(&opt, &r);
+		ck_assert_mem_eq(&r, &by_load, sizeof(r));
+	}
+}
+END_TEST
+
+/* One instance whose observations are wrong must not divert all others. */
+START_TEST(one_instance_alone_makes_no_upstream_slow)
+{
+	upstream_index_t a = put_upstream("u-a", "north", 0);
+	struct upstream_load_row row = {
+		get_upstream(in.catalog, a)->cookie, 0, 0, 0, HEALTH_GOOD, 0xfff
+	};
+
+	set_placer_quality(in.placer, true);
+	set_test_member(&in, "front-2", "north", MEMBER_ALIVE);
+	set_test_member(&in, "front-3", "south", MEMBER_ALIVE);
+	set_test_member(&in, "front-4", "south", MEMBER_ALIVE);
+	put_upstream("u-b", "north", 0);
+	handle_peer_loads(in.placer, 42, &row, 1, 1000);
+	tick_placer(in.placer, 1000, checks);
+	ck_assert_double_eq(upstream_slowness(in.placer, a), 1);
+	handle_peer_loads(in.placer, 43, &row, 1, 1100);
+	tick_placer(in.placer, 1100, checks);
+	ck_assert_double_gt(upstream_slowness(in.placer, a), 4);
+	/* what peers reported is forgotten with them */
+	tick_placer(in.placer, 9000, checks);
+	ck_assert_double_eq(upstream_slowness(in.placer, a), 1);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("placement");
@@ -557,6 +642,9 @@
 	tcase_add_test(tc, health_changes_are_reported_once);
 	tcase_add_test(tc, several_silences_shorten_check_delay);
 	tcase_add_test(tc, flow_progress_outweighs_refused_check);
+	tcase_add_test(tc, slow_upstreams_get_less_work);
+	tcase_add_test(tc, usual_upstreams_are_chosen_by_load_only);
+	tcase_add_test(tc, one_instance_alone_makes_no_upstream_slow);
 	tcase_add_test(tc, unreachable_upstream_is_cut_off_if_others_answer);
 	tcase_add_test(tc, upstream_lost_at_peer_is_checked_at_once);
 	tcase_add_test(tc, peer_report_causes_no_check_without_flows);
--- a/t/placement-simulation.c
+++ b/t/placement-simulation.c
@@ -9,7 +9,8 @@
 #include "t/cookie-harness.h"
 
 #define DEADLINE_MS 3000
-#define ATTEMPTS_MAX 3	  /* of one request */
+#define ATTEMPTS_MAX 3 /* of one request */
+#define SIM_ROUTE_KEY 1
 #define RETRY_DELAY_MS 15 /* until the caller's next attempt */
 
 /* When a SYN and its copies are sent, and when the caller gives up, ms. */
@@ -30,6 +31,7 @@
 	unsigned int attempts;
 	struct long_flow *flow; /* opened by the SYN; NULL: a short flow */
 	bool urgent;		/* does not yield to others */
+	bool unsafe;		/* its caller does not retry after an error */
 	unsigned int instance;	/* where it waits */
 	struct waiting_syn *waiting;
 };
@@ -39,15 +41,19 @@
 	uint64_t requested_ms; /* when the caller first sent it */
 	uint32_t remaining_ms;
 	uint64_t started_ms;
+	double started_load; /* of the upstream, as known to the instance */
 	unsigned int instance;
 	unsigned int attempts;
 	bool urgent;
+	bool unsafe;
+	bool error;		/* answered with an error, without a slot */
 	struct long_flow *flow; /* NULL: a flow for this request only */
 };
 
 struct sim_upstream {
 	GQueue running; /* of struct sim_request */
 	GQueue waiting;
+	GQueue errors; /* requests to be answered with an error */
 };
 
 struct placement_sim {
@@ -107,12 +113,31 @@
 		init_cookie_instance(&sim->instances[i], name, domain);
 		set_remote_domain_cost(sim->instances[i].placer,
 				       sim->opt->remote_domain_cost);
+		set_placer_quality(sim->instances[i].placer,
+				   sim->opt->quality != QUALITY_IGNORED);
 		sim->syn_queues[i] = create_syn_queue();
 	}
 	for (unsigned int s = 0; s < sim->upstream_nr; s++)
 		put_upstream(sim, s);
 }
 
+/* Makes all instances known to each other; their number decides of reports. */
+static void introduce_instances(struct placement_sim *sim)
+{
+	char domain[16];
+	char name[16];
+
+	for (unsigned int i = 0; i < sim->instance_nr; i++) {
+		g_snprintf(domain, sizeof(domain), "d%u",
+			   domain_of_instance(sim, i));
+		g_snprintf(name, sizeof(name), "i%u", i);
+		for (unsigned int k = 0; k < sim->instance_nr; k++)
+			if (k != i)
+				set_test_member(&sim->instances[k], name,
+						domain, MEMBER_ALIVE);
+	}
+}
+
 static unsigned int upstream_index(const struct placement_sim *sim,
 				   upstream_index_t nr)
 {
@@ -142,8 +167,21 @@
 	return n;
 }
 
+/* Lists the upstreams that INSTANCE finds twice as slow as usual. */
+static size_t list_ejected(const struct placement_sim *sim,
+			   unsigned int instance, upstream_index_t *out)
+{
+	size_t n = 0;
+
+	for (unsigned int s = 0; s < sim->upstream_nr; s++)
+		if (upstream_slowness(sim->instances[instance].placer,
+				      sim->handles[s]) >= 2)
+			out[n++] = sim->handles[s];
+	return n;
+}
+
 static struct placement choose_upstream(struct placement_sim *sim,
-					unsigned int instance)
+					unsigned int instance, bool unsafe)
 {
 	struct cookie_instance *in = &sim->instances[instance];
 	struct placement_request request = { .service = intern_service(
@@ -154,10 +192,13 @@
 	struct placement best;
 	size_t n = 0;
 
+	(void)unsafe;
 	if (sim->opt->strategy == PICK_RANDOM)
 		n = list_excluded(sim, false, excluded);
 	else if (sim->opt->strategy == PICK_BEST_OF_TWO)
 		n = list_excluded(sim, true, excluded);
+	else if (sim->opt->quality == QUALITY_EJECTION)
+		n = list_ejected(sim, instance, excluded);
 	request.excluded = excluded;
 	request.excluded_nr = n;
 	best = place_new_flow(in->placer, &request, sim->now_ms);
@@ -175,6 +216,50 @@
 		sim->result->in_time++;
 	else
 		sim->result->late++;
+	if (took_ms > SIM_TARGET_MS && !rq->flow)
+		sim->result->late_new++;
+}
+
+/* Whether slow upstreams are slow and failing ones fail now. */
+static bool is_impaired_time(const struct placement_sim *sim)
+{
+	uint64_t start_ms = sim->opt->length_ms / 2;
+
+	return sim->now_ms >= start_ms &&
+	       sim->now_ms < start_ms + sim->opt->lost_ms;
+}
+
+/* The last upstream of each domain is the first to be impaired. */
+static unsigned int impairment_rank(const struct placement_sim *sim,
+				    unsigned int s)
+{
+	unsigned int of_domain = sim->opt->upstreams_per_domain - 1 -
+				 s % sim->opt->upstreams_per_domain;
+
+	return of_domain * sim->opt->domain_nr + domain_of_upstream(sim, s);
+}
+
+static bool is_slow(const struct placement_sim *sim, unsigned int s)
+{
+	return impairment_rank(sim, s) < sim->opt->slow_upstreams;
+}
+
+static bool is_failing(const struct placement_sim *sim, unsigned int s)
+{
+	return impairment_rank(sim, s) < sim->opt->failing_upstreams;
+}
+
+static void count_impaired_request(struct placement_sim *sim, unsigned int s)
+{
+	uint64_t end_ms = sim->opt->length_ms / 2 + sim->opt->lost_ms;
+
+	if (!is_slow(sim, s) && !is_failing(sim, s))
+		return;
+	if (sim->now_ms >= sim->opt->length_ms / 2 + 2000 &&
+	    sim->now_ms < end_ms)
+		sim->result->impaired_requests++;
+	if (sim->now_ms >= end_ms + 2000 && sim->now_ms < end_ms + 4000)
+		sim->result->recovered_requests++;
 }
 
 static void end_request(struct placement_sim *sim, unsigned int upstream,
@@ -188,29 +273,41 @@
 	g_free(rq);
 }
 
-/* Schedules the next attempt of a request, if any is left. */
-static void schedule_retry(struct placement_sim *sim, uint64_t requested_ms,
-			   unsigned int attempts, bool urgent,
-			   struct long_flow *flow)
+/* Schedules the attempt after the one that FAILED opened, if any is left. */
+static void schedule_retry(struct placement_sim *sim,
+			   const struct pending_syn *failed)
 {
-	struct pending_syn syn = { .requested_ms = requested_ms,
+	struct pending_syn syn = { .requested_ms = failed->requested_ms,
 				   .syn_ms = sim->now_ms + RETRY_DELAY_MS,
 				   .next_syn_ms = sim->now_ms + RETRY_DELAY_MS,
-				   .attempts = attempts + 1,
-				   .urgent = urgent,
-				   .flow = flow };
+				   .attempts = failed->attempts + 1,
+				   .urgent = failed->urgent,
+				   .unsafe = failed->unsafe,
+				   .flow = failed->flow };
 
 	if (syn.attempts < ATTEMPTS_MAX &&
-	    sim->now_ms - requested_ms < DEADLINE_MS) {
-		if (flow)
-			flow->opening = true;
+	    sim->now_ms - syn.requested_ms < DEADLINE_MS) {
+		if (syn.flow)
+			syn.flow->opening = true;
 		g_array_append_val(sim->pending_syns, syn);
 		return;
 	}
 	sim->result->failed++;
-	sim->result->urgent_failed += urgent;
-	if (flow)
-		flow->opening = false;
+	sim->result->urgent_failed += syn.urgent;
+	if (syn.flow)
+		syn.flow->opening = false;
+}
+
+/* Schedules the next attempt of RQ, in a flow of its own. */
+static void retry_request(struct placement_sim *sim,
+			  const struct sim_request *rq)
+{
+	struct pending_syn failed = { .requested_ms = rq->requested_ms,
+				      .attempts = rq->attempts,
+				      .urgent = rq->urgent,
+				      .unsafe = rq->unsafe };
+
+	schedule_retry(sim, &failed);
 }
 
 static void send_request(struct placement_sim *sim, unsigned int upstream,
@@ -224,6 +321,7 @@
 	rq->requested_ms = syn->requested_ms;
 	rq->attempts = syn->attempts;
 	rq->urgent = syn->urgent;
+	rq->unsafe = syn->unsafe;
 	rq->remaining_ms = 1 + (uint32_t)(-log(u) * SIM_REQUEST_MS);
 	rq->instance = instance;
 	rq->started_ms = sim->now_ms;
@@ -231,18 +329,77 @@
 	if (!syn->flow)
 		note_flow_open(pl, sim->handles[upstream]);
 	note_request_start(pl, sim->handles[upstream]);
+	rq->started_load = current_load(pl, sim->handles[upstream]);
 	if (domain_of_instance(sim, instance) !=
 	    domain_of_upstream(sim, upstream))
 		sim->result->remote_domain++;
-	if (up->running.length < sim->opt->slots) {
+	if (!syn->flow)
+		count_impaired_request(sim, upstream);
+	if (is_impaired_time(sim) && is_slow(sim, upstream))
+		rq->remaining_ms =
+			(uint32_t)(rq->remaining_ms * sim->opt->slow_factor);
+	if (is_impaired_time(sim) && is_failing(sim, upstream) &&
+	    g_rand_double(sim->rand) < sim->opt->failing_share) {
+		rq->remaining_ms = SIM_ERROR_MS;
+		rq->error = true;
+		g_queue_push_tail(&up->errors, rq);
+	} else if (up->running.length < sim->opt->slots) {
 		g_queue_push_tail(&up->running, rq);
 	} else if (up->waiting.length < sim->opt->queue_length) {
 		g_queue_push_tail(&up->waiting, rq);
 	} else {
+		struct sim_request shed = *rq;
+
 		sim->result->shed++;
 		end_request(sim, upstream, rq);
-		schedule_retry(sim, syn->requested_ms, syn->attempts,
-			       syn->urgent, NULL);
+		retry_request(sim, &shed);
+	}
+}
+
+/* Differs between requests, without changing the sequence of sim->rand. */
+static uint32_t response_bytes(const struct sim_request *rq)
+{
+	uint64_t mixed = (rq->started_ms + rq->instance) * 2654435761U;
+
+	return SIM_RESPONSE_BYTES / 2 +
+	       (uint32_t)((mixed >> 8) % SIM_RESPONSE_BYTES);
+}
+
+static void note_response(struct placement_sim *sim, unsigned int s,
+			  const struct sim_request *rq, uint32_t bytes)
+{
+	struct placer *pl = sim->instances[rq->instance].placer;
+	uint32_t took_ms = (uint32_t)(sim->now_ms - rq->started_ms);
+
+	(void)bytes;
+	note_response_time(pl, sim->handles[s], SIM_ROUTE_KEY, rq->started_load,
+			   took_ms, sim->now_ms);
+	note_answer(pl, sim->handles[s], took_ms, sim->now_ms);
+}
+
+/* Answers the requests of S that fail. Callers retry those that are safe. */
+static void answer_with_errors(struct placement_sim *sim, unsigned int s)
+{
+	GQueue *errors = &sim->upstreams[s].errors;
+	guint n = errors->length;
+
+	for (guint i = 0; i < n; i++) {
+		struct sim_request *rq = g_queue_pop_head(errors);
+		struct sim_request failed = *rq;
+
+		if (--rq->remaining_ms) {
+			g_queue_push_tail(errors, rq);
+			continue;
+		}
+		sim->result->errors++;
+		note_response(sim, s, rq, SIM_ERROR_BYTES);
+		end_request(sim, s, rq);
+		if (failed.unsafe) {
+			sim->result->failed++;
+			sim->result->unsafe_failed++;
+		} else {
+			retry_request(sim, &failed);
+		}
 	}
 }
 
@@ -260,11 +417,10 @@
 				continue;
 			}
 			count_answer(sim, rq);
-			note_answer(sim->instances[rq->instance].placer,
-				    sim->handles[s],
-				    sim->now_ms - rq->started_ms, sim->now_ms);
+			note_response(sim, s, rq, response_bytes(rq));
 			end_request(sim, s, rq);
 		}
+		answer_with_errors(sim, s);
 		while (up->running.length < sim->opt->slots &&
 		       up->waiting.length)
 			g_queue_push_tail(&up->running,
@@ -364,8 +520,7 @@
 
 	sim->result->refused++;
 	g_array_append_val(sim->refusal_times_ms, held_ms);
-	schedule_retry(sim, syn->requested_ms, syn->attempts, syn->urgent,
-		       syn->flow);
+	schedule_retry(sim, syn);
 }
 
 static void drop_syn(struct placement_sim *sim, struct pending_syn *syn)
@@ -403,7 +558,7 @@
 	enum syn_verdict verdict;
 
 	syn->instance = pick_instance(sim);
-	best = choose_upstream(sim, syn->instance);
+	best = choose_upstream(sim, syn->instance, syn->unsafe);
 	verdict = decide(sim, syn, &best);
 	if (!syn->urgent)
 		note_syn_arrival(
@@ -459,7 +614,8 @@
 		struct waiting_syn *overdue =
 			next_overdue_syn(q, service, sim->now_ms);
 		struct pending_syn *syn = overdue ? overdue->owner : w->owner;
-		struct placement best = choose_upstream(sim, instance);
+		struct placement best =
+			choose_upstream(sim, instance, syn->unsafe);
 		enum syn_verdict verdict = decide(sim, syn, &best);
 
 		if (verdict == SYN_WAIT && !overdue)
@@ -483,6 +639,8 @@
 				   .next_syn_ms = sim->now_ms };
 
 	syn.urgent = g_rand_double(sim->rand) < sim->opt->urgent_share;
+	if (sim->opt->unsafe_share > 0)
+		syn.unsafe = g_rand_double(sim->rand) < sim->opt->unsafe_share;
 	sim->result->requests++;
 	sim->result->urgent_requests += syn.urgent;
 	handle_syn(sim, &syn);
@@ -512,8 +670,9 @@
 
 		place_long_flow(
 			sim, &sim->long_flows[i], instance,
-			upstream_index(
-				sim, choose_upstream(sim, instance).upstream));
+			upstream_index(sim,
+				       choose_upstream(sim, instance, false)
+					       .upstream));
 	}
 }
 
@@ -550,8 +709,7 @@
 		struct sim_request lost = *rq;
 
 		end_request(sim, s, rq);
-		schedule_retry(sim, lost.requested_ms, lost.attempts,
-			       lost.urgent, NULL);
+		retry_request(sim, &lost);
 	}
 }
 
@@ -598,6 +756,17 @@
 	}
 }
 
+/* In large fleets other domains get one heartbeat in several. */
+static bool gets_heartbeat(const struct placement_sim *sim, unsigned int from,
+			   unsigned int to)
+{
+	return sim->instance_nr <= HEARTBEAT_REMOTE_FLEET_MEMBERS ||
+	       domain_of_instance(sim, from) == domain_of_instance(sim, to) ||
+	       (sim->now_ms / sim->opt->heartbeat_ms + from + to) %
+			       HEARTBEAT_REMOTE_FACTOR ==
+		       0;
+}
+
 static void send_heartbeat(struct placement_sim *sim, unsigned int from)
 {
 	GArray *rows =
@@ -605,7 +774,7 @@
 
 	list_own_loads(sim->instances[from].placer, sim->now_ms, rows);
 	for (unsigned int i = 0; i < sim->instance_nr; i++)
-		if (i != from)
+		if (i != from && gets_heartbeat(sim, from, i))
 			handle_peer_loads(
 				sim->instances[i].placer, from + 1,
 				(const struct upstream_load_row *)(void *)
@@ -690,6 +859,7 @@
 	for (unsigned int s = 0; s < sim->upstream_nr; s++) {
 		g_queue_clear_full(&sim->upstreams[s].running, g_free);
 		g_queue_clear_full(&sim->upstreams[s].waiting, g_free);
+		g_queue_clear_full(&sim->upstreams[s].errors, g_free);
 	}
 	for (unsigned int i = 0; i < sim->instance_nr; i++) {
 		struct waiting_syn *w;
@@ -729,6 +899,22 @@
 	};
 }
 
+void init_fleet_options(struct placement_sim_options *opt)
+{
+	init_site_options(opt);
+	opt->domain_nr = 3;
+	opt->instances_per_domain = 15;
+	opt->upstreams_per_domain = 20;
+	opt->slots = 2;
+	opt->queue_length = 8;
+	opt->heartbeat_ms = 400;
+	opt->requests_per_s = 200;
+	opt->long_flows = 400;
+	opt->unsafe_share = 0.3;
+	opt->lost_ms = 8000;
+	opt->length_ms = 24000;
+}
+
 double placement_score(const struct placement_sim_result *res, double late)
 {
 	return (res->in_time + late * res->late) / res->requests;
@@ -752,6 +938,8 @@
 		g_array_new(FALSE, FALSE, sizeof(struct pending_syn));
 	sim.rand = g_rand_new_with_seed(opt->seed);
 	create_instances(&sim);
+	if (opt->quality != QUALITY_IGNORED)
+		introduce_instances(&sim);
 	open_long_flows(&sim);
 	run_simulation(&sim);
 	res->p99_ms = percentile(sim.answer_times_ms, 99);
@@ -768,6 +956,15 @@
 	return names[strategy];
 }
 
+const char *quality_strategy_name(enum quality_strategy strategy)
+{
+	static const char *const names[QUALITY_STRATEGY_NR] = { "load only",
+								"completion",
+								"ejection" };
+
+	return names[strategy];
+}
+
 const char *overload_strategy_name(enum overload_strategy strategy)
 {
 	static const char *const names[OVERLOAD_STRATEGY_NR] = {
--- a/t/placement-simulation.h
+++ b/t/placement-simulation.h
@@ -19,6 +19,14 @@
 	PICK_STRATEGY_NR
 };
 
+/* How an instance uses what it observes of responses. */
+enum quality_strategy {
+	QUALITY_IGNORED,    /* placement by load only */
+	QUALITY_COMPLETION, /* flow/upstream-quality.h: expected completion */
+	QUALITY_EJECTION,   /* the same; those twice as slow get no flows */
+	QUALITY_STRATEGY_NR
+};
+
 /* What an instance does with SYNs while all upstreams are crowded. */
 enum overload_strategy {
 	OVERLOAD_QUEUE,	       /* flow/syn-queue.h: newest first */
@@ -53,6 +61,13 @@
 	uint32_t lost_ms;	     /* how long these are lost */
 	uint32_t outage_ms; /* of all instances, half-way; callers return at
 			     * once afterwards */
+	enum quality_strategy quality;
+	/* these upstreams are slow, or fail, half-way for lost_ms */
+	unsigned int slow_upstreams;
+	double slow_factor; /* times the usual run time */
+	unsigned int failing_upstreams;
+	double failing_share; /* of their responses that are errors */
+	double unsafe_share;  /* of short flows whose callers do not retry */
 };
 
 struct placement_sim_result {
@@ -67,15 +82,32 @@
 	uint32_t p99_ms;
 	uint32_t urgent_requests;
 	uint32_t urgent_failed;
+	uint32_t errors;	/* responses that were errors */
+	uint32_t unsafe_failed; /* requests lost by an error, not retried */
+	uint32_t late_new;	/* answered late, on short flows */
+	/* short flows at slow or failing upstreams, without two seconds */
+	uint32_t impaired_requests;
+	/* the same, from two to four seconds after lost_ms */
+	uint32_t recovered_requests;
 	uint32_t refusal_p95_ms; /* time from a refused SYN to its refusal */
 };
 
 #define SIM_TARGET_MS 200
-#define SIM_REQUEST_MS 45 /* mean run time, exponentially distributed */
+#define SIM_ERROR_MS 3 /* until an upstream answers with an error */
+#define SIM_ERROR_BYTES 140
+#define SIM_RESPONSE_BYTES 900 /* mean; half to one and a half times */
+#define SIM_REQUEST_MS 45      /* mean run time, exponentially distributed */
 
 /* Eight instances and sixteen upstreams in four domains, as deployed. */
 void init_site_options(struct placement_sim_options *opt);
 
+/*
+ * 45 instances, most of which see no response of an upstream for seconds, and
+ * 60 upstreams. Two thirds of the requests use long flows, which stay where
+ * they are. Impaired upstreams are so for eight seconds.
+ */
+void init_fleet_options(struct placement_sim_options *opt);
+
 /* Share of requests answered in time; a late answer counts LATE, not 1. */
 double placement_score(const struct placement_sim_result *res, double late);
 
@@ -83,6 +115,7 @@
 			struct placement_sim_result *res);
 
 const char *pick_strategy_name(enum pick_strategy strategy);
+const char *quality_strategy_name(enum quality_strategy strategy);
 const char *overload_strategy_name(enum overload_strategy strategy);
 
 #endif
