--- a/flow/cookie.c
+++ b/flow/cookie.c
@@ -128,6 +128,7 @@
 	struct placement_request request = { .service = service,
 					     .deadline_ms = route->deadline_ms,
 					     .target_ms = route->slo_ms,
+					     .repeatable = route->repeatable,
 					     .excluded = avoided,
 					     .excluded_nr = avoided_nr };
 	struct placement best;
@@ -439,6 +440,12 @@
 	}
 	if (is_seq_after(p->ack, f->caller_ack)) {
 		f->caller_ack = p->ack;
+		if (f->request_pending) {
+			f->response_ms = MAX(now_ms - f->request_sent_ms, 1);
+			note_response_time(cs->placer, f->upstream,
+					   route_key(&f->key), f->request_load,
+					   now_ms - f->request_sent_ms, now_ms);
+		}
 		observe_answer(cs, f, p, now_ms);
 	}
 	if (!p->payload_len)
@@ -449,8 +456,12 @@
 		return;
 	}
 	f->caller_next_seq = next_seq;
-	if (!f->request_pending)
+	if (!f->request_pending) {
+		note_response_end(cs, f, now_ms);
+		f->request_ack = f->caller_ack;
 		start_request(cs, f, now_ms);
+		f->request_load = current_load(cs->placer, f->upstream);
+	}
 }
 
 /* Closes F if P has FIN or RST: its caller sends no more data. */
@@ -458,8 +469,11 @@
 			       struct cookie_flow *f,
 			       const struct cookie_packet *p, uint64_t now_ms)
 {
+	if (p->flags & TCP_RST)
+		f->response_ms = 0; /* it may have been cut short */
 	if (f->phase == PHASE_CLOSING || !(p->flags & (TCP_FIN | TCP_RST)))
 		return;
+	note_response_end(cs, f, now_ms);
 	f->phase = PHASE_CLOSING;
 	end_flow_load(cs, f);
 	note_flow_end_on_route(cs->placer, f->load.route, now_ms);
@@ -538,6 +552,7 @@
 		return steer_to(cs, nr, COOKIE_STEERED);
 	if (f->upstream != nr) {
 		unassign_cookie_flow(cs, f);
+		f->response_ms = 0;
 		assign_cookie_flow(cs, f, nr);
 	}
 	observe_packet(cs, f, p, now_ms);
