--- a/t/bench-placement.c
+++ b/t/bench-placement.c
@@ -1,7 +1,8 @@
 /*
  * Prints the table of docs/design/platform.md: the outcomes of each placement
  * strategy under each load, and of PICK_BEST_OF_ALL with other costs of an
- * upstream in a remote domain.
+ * upstream in a remote domain. A second table has slow and failing upstreams,
+ * see part 4 of docs/design/hard-load.md.
  */
 
 #include <stdio.h>
@@ -45,6 +46,46 @@
 	       r.failed, (double)r.remote_domain / r.requests, r.p99_ms);
 }
 
+/* A fleet whose upstreams are partly slow or failing for eight seconds. */
+static void print_quality_row(const char *name, enum pick_strategy pick,
+			      enum quality_strategy quality, double slow,
+			      double failing)
+{
+	struct placement_sim_options opt;
+	struct placement_sim_result r;
+
+	init_quality_options(&opt);
+	opt.strategy = pick;
+	opt.quality = quality;
+	opt.slow_upstream_share = slow;
+	opt.slow_factor = 6;
+	opt.failing_upstream_share = failing;
+	opt.error_share = 0.5;
+	simulate_placement(&opt, &r);
+	printf("%-14s %-12s %-10s %7u %6u %6u %6u %6u %8u %7u\n", name,
+	       pick_strategy_name(pick), quality_strategy_name(quality),
+	       r.requests, r.late, r.late_new, r.errors, r.unsafe_failed,
+	       r.impaired_requests, r.p99_ms);
+}
+
+static void print_quality_rows(const char *name, double slow, double failing)
+{
+	static const struct {
+		enum pick_strategy pick;
+		enum quality_strategy quality;
+	} ways[] = {
+		{ PICK_BEST_OF_ALL, QUALITY_IGNORED },
+		{ PICK_BEST_OF_ALL, QUALITY_COMPLETION },
+		{ PICK_BEST_OF_TWO, QUALITY_IGNORED },
+		{ PICK_BEST_OF_TWO, QUALITY_COMPLETION },
+		{ PICK_BEST_OF_ALL, QUALITY_EJECTION },
+	};
+
+	for (size_t i = 0; i < sizeof(ways) / sizeof(ways[0]); i++)
+		print_quality_row(name, ways[i].pick, ways[i].quality, slow,
+				  failing);
+}
+
 int main(void)
 {
 	static const struct bench_load loads[] = {
@@ -70,5 +111,10 @@
 				print_row(&loads[i], PICK_BEST_OF_ALL,
 					  remote_costs[k]);
 	}
+	printf("\nload           way          quality      asked   late  short "
+	       "errors   lost impaired  p99 ms\n");
+	print_quality_rows("all usual", 0, 0);
+	print_quality_rows("fifth slow", 0.2, 0);
+	print_quality_rows("fifth failing", 0, 0.2);
 	return 0;
 }
--- a/t/check-placement.c
+++ b/t/check-placement.c
@@ -86,8 +86,10 @@
 	upstream_index_t b = put_upstream("u-b", "north", 0);
 	struct upstream_load_row row = { get_upstream(in.catalog, a)->cookie,
 					 9 * IN_FLIGHT_WEIGHT_ONE,
-					 12 * IN_FLIGHT_WEIGHT_ONE, 0,
-					 HEALTH_GOOD };
+					 12 * IN_FLIGHT_WEIGHT_ONE,
+					 0,
+					 HEALTH_GOOD,
+					 0 };
 
 	handle_peer_loads(in.placer, 42, &row, 1, 1000);
 	for (uint64_t t = 1000; t < 3000; t += PLACEMENT_MEANS_INTERVAL_MS)
@@ -254,8 +256,9 @@
 START_TEST(sign_of_life_at_peer_clears_suspicion)
 {
 	upstream_index_t a = put_upstream("u-a", "north", 0);
-	struct upstream_load_row row = { get_upstream(in.catalog, a)->cookie, 0,
-					 1, 20, HEALTH_GOOD };
+	struct upstream_load_row row = {
+		get_upstream(in.catalog, a)->cookie, 0, 1, 20, HEALTH_GOOD, 0
+	};
 
 	note_upstream_silent(in.placer, a, 1000, 1200);
 	handle_peer_loads(in.placer, 42, &row, 1, 1300);
@@ -270,8 +273,9 @@
 START_TEST(sign_of_life_is_not_passed_on)
 {
 	upstream_index_t a = put_upstream("u-a", "north", 0);
-	struct upstream_load_row row = { get_upstream(in.catalog, a)->cookie, 0,
-					 1, 20, HEALTH_GOOD };
+	struct upstream_load_row row = {
+		get_upstream(in.catalog, a)->cookie, 0, 1, 20, HEALTH_GOOD, 0
+	};
 	GArray *rows =
 		g_array_new(FALSE, FALSE, sizeof(struct upstream_load_row));
 
@@ -378,7 +382,11 @@
 				enum upstream_health health, uint64_t now_ms)
 {
 	struct upstream_load_row row = { get_upstream(in.catalog, nr)->cookie,
-					 0, 1, 2000, (uint8_t)health };
+					 0,
+					 1,
+					 2000,
+					 (uint8_t)health,
+					 0 };
 
 	handle_peer_loads(in.placer, 42, &row, 1, now_ms);
 }
--- a/t/placement-simulation.c
+++ b/t/placement-simulation.c
@@ -13,6 +13,7 @@
 #define ATTEMPTS_MAX 3 /* of one request */
 #define IDLE_SHARE 0.7 /* of slots in use, below which none is refused */
 #define PRIORITY_SPAN_MS 100
+#define SIM_ROUTE_KEY 1 /* of the responses of all requests */
 
 /* When a SYN and its copies are sent, and when the caller gives up, ms. */
 static const uint32_t syn_copy_at_ms[] = { 0, 200, 600, 1400 };
@@ -32,6 +33,7 @@
 	unsigned int attempts;
 	struct long_flow *flow; /* opened by the SYN; NULL: a short flow */
 	bool urgent;		/* does not yield to others */
+	bool unsafe;		/* its caller does not retry after an error */
 	unsigned int domain;	/* of its caller */
 	unsigned int instance;	/* where it waits */
 	struct waiting_syn *waiting;
@@ -42,16 +44,19 @@
 	uint64_t requested_ms; /* when the caller first sent it */
 	uint32_t remaining_ms;
 	uint64_t started_ms;
+	double started_load; /* of the upstream, as known to the instance */
 	unsigned int instance;
 	unsigned int attempts;
 	unsigned int domain; /* of its caller */
 	bool urgent;
+	bool unsafe;
 	struct long_flow *flow; /* NULL: a flow for this request only */
 };
 
 struct sim_upstream {
 	GQueue running; /* of struct sim_request */
 	GQueue waiting;
+	GQueue errors; /* requests to be answered with an error, in no slot */
 };
 
 /* When an instance last decided about SYNs, 0: never. */
@@ -123,12 +128,31 @@
 		init_cookie_instance(&sim->instances[i], name, domain);
 		set_remote_domain_cost(sim->instances[i].placer,
 				       sim->opt->remote_domain_cost);
+		set_placer_quality(sim->instances[i].placer,
+				   sim->opt->quality != QUALITY_IGNORED);
 		sim->syn_queues[i] = create_syn_queue();
 	}
 	for (unsigned int s = 0; s < sim->upstream_nr; s++)
 		put_upstream(sim, s);
 }
 
+/* Makes all instances known to each other: their number decides on reports. */
+static void introduce_instances(struct placement_sim *sim)
+{
+	char domain[16];
+	char name[16];
+
+	for (unsigned int i = 0; i < sim->instance_nr; i++) {
+		g_snprintf(domain, sizeof(domain), "d%u",
+			   domain_of_instance(sim, i));
+		g_snprintf(name, sizeof(name), "i%u", i);
+		for (unsigned int k = 0; k < sim->instance_nr; k++)
+			if (k != i)
+				set_test_member(&sim->instances[k], name,
+						domain, MEMBER_ALIVE);
+	}
+}
+
 static unsigned int upstream_index(const struct placement_sim *sim,
 				   upstream_index_t nr)
 {
@@ -158,14 +182,31 @@
 	return n;
 }
 
+/* Lists the upstreams that INSTANCE finds twice as slow as usual. */
+static size_t list_ejected(const struct placement_sim *sim,
+			   unsigned int instance, upstream_index_t *out)
+{
+	size_t n = 0;
+
+	for (unsigned int s = 0; s < sim->upstream_nr; s++)
+		if (upstream_slowness(sim->instances[instance].placer,
+				      sim->handles[s]) >= 2)
+			out[n++] = sim->handles[s];
+	return n;
+}
+
+/* Chooses an upstream for SYN; NULL: for a long flow of usual requests. */
 static struct placement choose_upstream(struct placement_sim *sim,
-					unsigned int instance, bool urgent)
+					unsigned int instance,
+					const struct pending_syn *syn)
 {
 	struct cookie_instance *in = &sim->instances[instance];
-	struct placement_request request = { .service = intern_service(
-						     in->catalog, "board"),
-					     .deadline_ms = DEADLINE_MS,
-					     .target_ms = sim->opt->target_ms };
+	struct placement_request request = {
+		.service = intern_service(in->catalog, "board"),
+		.deadline_ms = DEADLINE_MS,
+		.target_ms = sim->opt->target_ms,
+		.repeatable = !syn || !syn->unsafe
+	};
 	upstream_index_t *excluded = g_new(upstream_index_t, sim->upstream_nr);
 	struct placement best;
 	size_t n = 0;
@@ -174,7 +215,9 @@
 		n = list_excluded(sim, false, excluded);
 	else if (sim->opt->strategy == PICK_BEST_OF_TWO)
 		n = list_excluded(sim, true, excluded);
-	if (!urgent)
+	else if (sim->opt->quality == QUALITY_EJECTION)
+		n = list_ejected(sim, instance, excluded);
+	if (!syn || !syn->urgent)
 		request.urgent_share =
 			urgent_syn_share(sim->syn_queues[instance],
 					 request.service, sim->now_ms);
@@ -204,6 +247,50 @@
 		(sim)->result->by_domain[(rq)->domain].field++;                \
 	} while (0)
 
+/* When slow upstreams are usual again and failing ones fail no more. */
+static uint64_t impaired_until_ms(const struct placement_sim *sim)
+{
+	return sim->opt->impaired_ms
+		       ? sim->opt->length_ms / 2 + sim->opt->impaired_ms
+		       : sim->opt->length_ms;
+}
+
+static bool is_impaired_time(const struct placement_sim *sim)
+{
+	return sim->now_ms >= sim->opt->length_ms / 2 &&
+	       sim->now_ms < impaired_until_ms(sim);
+}
+
+/* Whether upstream S is in SHARE, of which each domain has its part. */
+static bool is_in_share(unsigned int s, double share)
+{
+	return (unsigned int)((s + 1) * share) > (unsigned int)(s * share);
+}
+
+static bool is_slow(const struct placement_sim *sim, unsigned int s)
+{
+	return is_in_share(s, sim->opt->slow_upstream_share);
+}
+
+static bool is_failing(const struct placement_sim *sim, unsigned int s)
+{
+	return is_in_share(s, sim->opt->failing_upstream_share);
+}
+
+/* Counts a short flow to upstream S. */
+static void count_impaired_request(struct placement_sim *sim, unsigned int s)
+{
+	uint64_t end_ms = impaired_until_ms(sim);
+
+	if (!is_slow(sim, s) && !is_failing(sim, s))
+		return;
+	if (sim->now_ms >= sim->opt->length_ms / 2 + 2000 &&
+	    sim->now_ms < end_ms)
+		sim->result->impaired_requests++;
+	if (sim->now_ms >= end_ms + 2000 && sim->now_ms < end_ms + 4000)
+		sim->result->recovered_requests++;
+}
+
 static void count_answer(struct placement_sim *sim,
 			 const struct sim_request *rq)
 {
@@ -216,6 +303,7 @@
 	} else {
 		sim->result->late++;
 		COUNT_OUTCOME(sim, rq, late);
+		sim->result->late_new += !rq->flow;
 	}
 }
 
@@ -243,6 +331,7 @@
 				   .attempts = last->attempts + 1,
 				   .domain = last->domain,
 				   .urgent = last->urgent,
+				   .unsafe = last->unsafe,
 				   .flow = flow };
 
 	if (syn.attempts < ATTEMPTS_MAX &&
@@ -259,14 +348,18 @@
 		flow->opening = false;
 }
 
-/* Whether upstream S is one of the slow ones now. */
-static bool is_slow(const struct placement_sim *sim, unsigned int s)
+/* Ends RQ, which upstream S did not complete; its caller retries. */
+static void retry_request(struct placement_sim *sim, unsigned int s,
+			  struct sim_request *rq)
 {
-	double share = sim->opt->slow_upstream_share;
-
-	/* spread evenly, so that each domain has its share */
-	return sim->now_ms >= sim->opt->length_ms / 2 &&
-	       (unsigned int)((s + 1) * share) > (unsigned int)(s * share);
+	struct pending_syn last = { .requested_ms = rq->requested_ms,
+				    .attempts = rq->attempts,
+				    .domain = rq->domain,
+				    .urgent = rq->urgent,
+				    .unsafe = rq->unsafe };
+
+	end_request(sim, s, rq);
+	schedule_retry(sim, &last, NULL);
 }
 
 static void send_request(struct placement_sim *sim, unsigned int upstream,
@@ -279,11 +372,12 @@
 	double mean_ms = syn->urgent ? sim->opt->urgent_request_ms
 				     : sim->opt->request_ms;
 
-	if (is_slow(sim, upstream))
+	if (is_impaired_time(sim) && is_slow(sim, upstream))
 		mean_ms *= sim->opt->slow_factor;
 	rq->requested_ms = syn->requested_ms;
 	rq->attempts = syn->attempts;
 	rq->urgent = syn->urgent;
+	rq->unsafe = syn->unsafe;
 	rq->domain = syn->domain;
 	rq->remaining_ms = 1 + (uint32_t)(-log(u) * mean_ms);
 	rq->instance = instance;
@@ -296,14 +390,69 @@
 	if (domain_of_instance(sim, instance) !=
 	    domain_of_upstream(sim, upstream))
 		sim->result->remote_domain++;
-	if (up->running.length < sim->opt->slots) {
+	if (!syn->flow)
+		count_impaired_request(sim, upstream);
+	rq->started_load = current_load(pl, sim->handles[upstream]);
+	if (is_impaired_time(sim) && is_failing(sim, upstream) &&
+	    g_rand_double(sim->rand) < sim->opt->error_share) {
+		rq->remaining_ms = SIM_ERROR_MS;
+		g_queue_push_tail(&up->errors, rq);
+	} else if (up->running.length < sim->opt->slots) {
 		g_queue_push_tail(&up->running, rq);
 	} else if (up->waiting.length < sim->opt->queue_length) {
 		g_queue_push_tail(&up->waiting, rq);
 	} else {
 		sim->result->shed++;
-		end_request(sim, upstream, rq);
-		schedule_retry(sim, syn, NULL);
+		retry_request(sim, upstream, rq);
+	}
+}
+
+/* Differs between requests, without a number from sim->rand. */
+static uint32_t response_bytes(const struct sim_request *rq)
+{
+	uint64_t mixed = (rq->started_ms + rq->instance) * 2654435761U;
+
+	return SIM_RESPONSE_BYTES / 2 +
+	       (uint32_t)((mixed >> 8) % SIM_RESPONSE_BYTES);
+}
+
+static void note_response(struct placement_sim *sim, unsigned int s,
+			  const struct sim_request *rq, uint32_t bytes)
+{
+	struct placer *pl = sim->instances[rq->instance].placer;
+	uint64_t took_ms = sim->now_ms - rq->started_ms;
+
+	note_response_time(pl, sim->handles[s], SIM_ROUTE_KEY, rq->started_load,
+			   took_ms, sim->now_ms);
+	note_response_size(pl, sim->handles[s], SIM_ROUTE_KEY, took_ms, bytes,
+			   sim->now_ms);
+	note_answer(pl, sim->handles[s], took_ms, sim->now_ms);
+}
+
+/* Answers the requests of S that fail. Callers retry those that are safe. */
+static void answer_with_errors(struct placement_sim *sim, unsigned int s)
+{
+	GQueue *errors = &sim->upstreams[s].errors;
+	guint n = errors->length;
+
+	for (guint i = 0; i < n; i++) {
+		struct sim_request *rq = g_queue_pop_head(errors);
+
+		if (--rq->remaining_ms) {
+			g_queue_push_tail(errors, rq);
+			continue;
+		}
+		sim->result->errors++;
+		note_response(sim, s, rq, SIM_ERROR_BYTES);
+		if (!rq->unsafe) {
+			retry_request(sim, s, rq);
+			continue;
+		}
+		sim->result->failed++;
+		sim->result->unsafe_failed++;
+		sim->result->urgent_failed += rq->urgent;
+		COUNT_OUTCOME(sim, rq, lost);
+		end_request(sim, s, rq);
 	}
 }
 
@@ -322,11 +471,10 @@
 				continue;
 			}
 			count_answer(sim, rq);
-			note_answer(sim->instances[rq->instance].placer,
-				    sim->handles[s],
-				    sim->now_ms - rq->started_ms, sim->now_ms);
+			note_response(sim, s, rq, response_bytes(rq));
 			end_request(sim, s, rq);
 		}
+		answer_with_errors(sim, s);
 		while (up->running.length < sim->opt->slots &&
 		       up->waiting.length)
 			g_queue_push_tail(&up->running,
@@ -517,7 +665,7 @@
 	syn->domain = domain_of_instance(sim, syn->instance);
 	if (!syn->attempts && !syn->syn_copy)
 		COUNT_OUTCOME(sim, syn, requests);
-	best = choose_upstream(sim, syn->instance, syn->urgent);
+	best = choose_upstream(sim, syn->instance, syn);
 	verdict = decide(sim, syn, &best);
 	note_syn_arrival(
 		sim->syn_queues[syn->instance],
@@ -571,8 +719,7 @@
 		struct waiting_syn *overdue =
 			next_overdue_syn(q, service, sim->now_ms);
 		struct pending_syn *syn = overdue ? overdue->owner : w->owner;
-		struct placement best =
-			choose_upstream(sim, instance, syn->urgent);
+		struct placement best = choose_upstream(sim, instance, syn);
 		enum syn_verdict verdict = decide(sim, syn, &best);
 
 		if (verdict == SYN_WAIT && overdue &&
@@ -598,6 +745,8 @@
 				   .next_syn_ms = sim->now_ms };
 
 	syn.urgent = g_rand_double(sim->rand) < sim->opt->urgent_share;
+	if (sim->opt->unsafe_share > 0)
+		syn.unsafe = g_rand_double(sim->rand) < sim->opt->unsafe_share;
 	sim->result->requests++;
 	sim->result->urgent_requests += syn.urgent;
 	handle_syn(sim, &syn);
@@ -627,9 +776,9 @@
 
 		place_long_flow(
 			sim, &sim->long_flows[i], instance,
-			upstream_index(sim,
-				       choose_upstream(sim, instance, false)
-					       .upstream));
+			upstream_index(
+				sim,
+				choose_upstream(sim, instance, NULL).upstream));
 	}
 }
 
@@ -662,15 +811,8 @@
 {
 	struct sim_request *rq;
 
-	while ((rq = g_queue_pop_head(requests))) {
-		struct pending_syn lost = { .requested_ms = rq->requested_ms,
-					    .attempts = rq->attempts,
-					    .domain = rq->domain,
-					    .urgent = rq->urgent };
-
-		end_request(sim, s, rq);
-		schedule_retry(sim, &lost, NULL);
-	}
+	while ((rq = g_queue_pop_head(requests)))
+		retry_request(sim, s, rq);
 }
 
 static void lose_upstream(struct placement_sim *sim, unsigned int s)
@@ -679,6 +821,7 @@
 
 	lose_requests(sim, s, &sim->upstreams[s].running);
 	lose_requests(sim, s, &sim->upstreams[s].waiting);
+	lose_requests(sim, s, &sim->upstreams[s].errors);
 	for (unsigned int i = 0; i < (unsigned int)sim->opt->long_flows; i++) {
 		struct long_flow *f = &sim->long_flows[i];
 
@@ -819,6 +962,7 @@
 	for (unsigned int s = 0; s < sim->upstream_nr; s++) {
 		g_queue_clear_full(&sim->upstreams[s].running, g_free);
 		g_queue_clear_full(&sim->upstreams[s].waiting, g_free);
+		g_queue_clear_full(&sim->upstreams[s].errors, g_free);
 	}
 	for (unsigned int i = 0; i < sim->instance_nr; i++) {
 		struct waiting_syn *w;
@@ -889,6 +1033,23 @@
 	opt->slow_factor = 4;
 }
 
+void init_quality_options(struct placement_sim_options *opt)
+{
+	init_site_options(opt);
+	opt->domain_nr = 3;
+	opt->instances_per_domain = 15;
+	opt->upstreams_per_domain = 20;
+	opt->slots = 2;
+	opt->queue_length = 8;
+	opt->heartbeat_ms = 400;
+	opt->remote_heartbeat_factor = HEARTBEAT_REMOTE_FACTOR;
+	opt->requests_per_s = 200;
+	opt->long_flows = 400;
+	opt->unsafe_share = 0.3;
+	opt->impaired_ms = 8000;
+	opt->length_ms = 24000;
+}
+
 double placement_score(const struct placement_sim_result *res, double late)
 {
 	return (res->in_time + late * res->late) / res->requests;
@@ -914,6 +1075,8 @@
 		g_array_new(FALSE, FALSE, sizeof(struct pending_syn));
 	sim.rand = g_rand_new_with_seed(opt->seed);
 	create_instances(&sim);
+	if (opt->quality != QUALITY_IGNORED)
+		introduce_instances(&sim);
 	open_long_flows(&sim);
 	run_simulation(&sim);
 	res->p99_ms = percentile(sim.answer_times_ms, 99);
@@ -930,6 +1093,15 @@
 	return names[strategy];
 }
 
+const char *quality_strategy_name(enum quality_strategy strategy)
+{
+	static const char *const names[QUALITY_STRATEGY_NR] = { "load only",
+								"completion",
+								"ejection" };
+
+	return names[strategy];
+}
+
 const char *overload_strategy_name(enum overload_strategy strategy)
 {
 	static const char *const names[OVERLOAD_STRATEGY_NR] = {
--- a/t/placement-simulation.h
+++ b/t/placement-simulation.h
@@ -20,6 +20,14 @@
 	PICK_STRATEGY_NR
 };
 
+/* How an instance uses what it observes of responses. */
+enum quality_strategy {
+	QUALITY_IGNORED,    /* placement by load only */
+	QUALITY_COMPLETION, /* flow/upstream-quality.h: expected completion */
+	QUALITY_EJECTION,   /* the same; those twice as slow get no flows */
+	QUALITY_STRATEGY_NR
+};
+
 /* What an instance does with SYNs while all upstreams are crowded. */
 enum overload_strategy {
 	OVERLOAD_QUEUE,	       /* flow/syn-queue.h: newest first */
@@ -58,16 +66,24 @@
 			     * once afterwards */
 	uint32_t target_ms;
 	uint32_t request_ms; /* mean run time, exponentially distributed */
-	uint32_t urgent_request_ms; /* the same, of the urgent route */
-	uint32_t retry_delay_ms;    /* from a refusal to the next attempt */
-	double slow_upstream_share; /* from half-way on */
-	double slow_factor;	    /* times their run times */
+	uint32_t urgent_request_ms;    /* the same, of the urgent route */
+	uint32_t retry_delay_ms;       /* from a refusal to the next attempt */
+	double slow_upstream_share;    /* from half-way on, for impaired_ms */
+	double slow_factor;	       /* times their run times */
+	double failing_upstream_share; /* the same time */
+	double error_share;   /* of the responses of failing upstreams */
+	uint32_t impaired_ms; /* 0: until the end */
+	double unsafe_share;  /* of short flows whose callers do not retry */
+	enum quality_strategy quality;
 	/* other domains get one in so many heartbeats of an instance */
 	uint32_t remote_heartbeat_factor;
 	bool callers_keep_domain; /* else each attempt goes to any domain */
 };
 
-/* What callers of a route or of a domain got,, from half-way on to DEADLINE_MS before the end. */
+/*
+ * What callers of a route or of a domain got, from half-way on to DEADLINE_MS
+ * before the end.
+ */
 struct sim_outcome {
 	uint32_t requests;
 	uint32_t in_time;
@@ -99,8 +115,19 @@
 	/* urgent ones refused within 100 ms of an admission of a less urgent
 	 * one at the same instance */
 	uint32_t refused_before_less_urgent;
+	uint32_t errors;	/* responses that were errors */
+	uint32_t unsafe_failed; /* requests lost by an error, not retried */
+	uint32_t late_new;	/* answered late, on short flows */
+	/* short flows at impaired upstreams, from two seconds on */
+	uint32_t impaired_requests;
+	/* the same, from two to four seconds after impaired_ms */
+	uint32_t recovered_requests;
 };
 
+#define SIM_ERROR_MS 3 /* until an upstream answers with an error */
+#define SIM_ERROR_BYTES 140
+#define SIM_RESPONSE_BYTES 900 /* mean; half to one and a half times */
+
 /* Eight instances and sixteen upstreams in four domains, as deployed. */
 void init_site_options(struct placement_sim_options *opt);
 
@@ -111,6 +138,14 @@
  */
 void init_fleet_options(struct placement_sim_options *opt);
 
+/*
+ * 45 instances, most of which see no response of an upstream for seconds, and
+ * 60 upstreams in three domains. Two thirds of the requests use long flows,
+ * which stay where they are; 30 % of the others are not retried after an error.
+ * Impaired upstreams are so for eight seconds.
+ */
+void init_quality_options(struct placement_sim_options *opt);
+
 /* Share of requests answered in time; a late answer counts LATE, not 1. */
 double placement_score(const struct placement_sim_result *res, double late);
 
@@ -118,6 +153,7 @@
 			struct placement_sim_result *res);
 
 const char *pick_strategy_name(enum pick_strategy strategy);
+const char *quality_strategy_name(enum quality_strategy strategy);
 const char *overload_strategy_name(enum overload_strategy strategy);
 
 #endif
