upstream-quality: find failing upstreams with fewer errors

Most were lost before the verdict, which needed an eighth of the known responses, those from before the failure included.

A sixteenth is enough now, if it is more than chance explains at the share of the upstreams that are not failing. An upstream that fails again within the probation is avoided for 1,650 instead of 1,500 ms after its last error, with the age of reports still less than 2 s.

--- a/flow/upstream-quality.c
+++ b/flow/upstream-quality.c
@@ -55,6 +55,7 @@
 	struct report_sum sum;
 	double ratio; /* assessed; 1: usual */
 	bool failing;
+	bool failing_again;	  /* since less than the probation */
 	uint64_t last_failing_ms; /* 0: never */
 	bool avoided;		  /* as long as not too many are failing */
 };
@@ -525,9 +526,16 @@
 	return CLAMP(exp2(octaves), QUALITY_RATIO_MIN, QUALITY_RATIO_MAX);
 }
 
+/* Whether E was failing recently, or is. */
+static bool is_on_probation(const struct quality_entry *e, uint64_t now_ms)
+{
+	return e->last_failing_ms &&
+	       now_ms < e->last_failing_ms + QUALITY_PROBATION_MS;
+}
+
 /*
  * Whether the responses of E show that it is failing, while the share
- * SERVICE_SHARE of those of the service's other upstreams is suspicious.
+ * SERVICE_SHARE of those of the service's usual upstreams is suspicious.
  */
 static bool assess_failing(const struct quality_entry *e, double service_share,
 			   size_t instances, uint64_t now_ms)
@@ -537,15 +545,21 @@
 			   QUALITY_FAILING_FACTOR * service_share);
 	uint32_t others = sum->suspicious - sum->most_suspicious;
 
-	if (!sum->suspicious ||
-	    now_ms >= sum->last_suspicious_ms + QUALITY_FAILING_MS)
+	double expected = service_share * sum->responses;
+	uint64_t limit_ms = e->failing_again ? QUALITY_FAILING_AGAIN_MS
+					     : QUALITY_FAILING_MS;
+
+	if (!sum->suspicious || now_ms >= sum->last_suspicious_ms + limit_ms)
 		return false;
-	if (e->last_failing_ms &&
-	    now_ms < e->last_failing_ms + QUALITY_PROBATION_MS)
+	if (is_on_probation(e, now_ms))
 		return sum->suspicious >= QUALITY_USUAL_SHARE * sum->responses;
 	if (sum->responses < QUALITY_FAILING_RESPONSES ||
 	    sum->suspicious < least * sum->responses)
 		return false;
+	/* of widely spread sizes, some are suspicious by chance */
+	if (sum->suspicious <
+	    expected + QUALITY_FAILING_DEVIATIONS * sqrt(expected))
+		return false;
 	/* one instance that mistakes usual responses does not decide alone */
 	return instances <= QUALITY_SMALL_FLEET ||
 	       (others &&
@@ -564,17 +578,26 @@
 	for (size_t i = 0; i < nr; i++) {
 		const struct quality_entry *e = get_entry(uq, upstreams[i]);
 
+		if (e->failing)
+			continue;
 		responses += e->sum.responses;
 		suspicious += e->sum.suspicious;
 	}
 	for (size_t i = 0; i < nr; i++) {
 		struct quality_entry *e = get_entry(uq, upstreams[i]);
 
+		bool was_failing = e->failing;
+		/* those of failing ones are not in the sums */
+		double own_responses = was_failing ? 0 : e->sum.responses;
+		double own_suspicious = was_failing ? 0 : e->sum.suspicious;
+
 		e->failing = assess_failing(
 			e,
-			(suspicious - e->sum.suspicious) /
-				MAX(responses - e->sum.responses, 1),
+			(suspicious - own_suspicious) /
+				MAX(responses - own_responses, 1),
 			instances, now_ms);
+		if (e->failing && !was_failing)
+			e->failing_again = is_on_probation(e, now_ms);
 		failing += e->failing;
 		if (e->failing)
 			e->last_failing_ms = now_ms;
--- a/flow/upstream-quality.h
+++ b/flow/upstream-quality.h
@@ -68,18 +68,24 @@
 #define QUALITY_FAILING_RESPONSES 4
 /*
  * ... this share of them suspicious, ... Responses from before the failure
- * count as well: with 0.25, 267 instead of 208 unsafe requests were lost in the
- * simulation of a fleet.
+ * count as well: with 0.125, 58 instead of 39 unsafe requests were lost in
+ * three simulations of a fleet.
  */
-#define QUALITY_FAILING_SHARE 0.125
+#define QUALITY_FAILING_SHARE 0.0625
+/* ... more than expected of one like the others by so many deviations, ... */
+#define QUALITY_FAILING_DEVIATIONS 3.0
 /*
  * ... this many times that of the others, and the last one at most so old. Peers
  * learn of it half a second later; one that recovers is to be used within 2 s.
  */
 #define QUALITY_FAILING_FACTOR 1.5
 #define QUALITY_FAILING_MS 1500
-/* One that was failing so recently is failing again with any. */
+/*
+ * One that was failing so recently is failing again with any, and longer:
+ * with the age of reports and the next assessment it is 2 s at most.
+ */
 #define QUALITY_PROBATION_MS 8000
+#define QUALITY_FAILING_AGAIN_MS 1650
 #define QUALITY_USUAL_SHARE 0.06 /* below it a failing one is usual again */
 /*
  * If more than this share of a service's upstreams is failing, all are used
