check-upstream-quality: test the start and the length of verdicts

Two of 30 suspicious responses are a verdict if the others have none, and none if the others have two of 90; a second verdict lasts longer, but less than 2 s.

--- a/t/check-upstream-quality.c
+++ b/t/check-upstream-quality.c
@@ -179,6 +179,61 @@
 }
 END_TEST
 
+/* MEMBER reports about UP. */
+static void receive_reports(uint64_t member, const upstream_index_t up[4],
+			    const uint32_t reports[4], uint64_t now_ms)
+{
+	struct upstream_load_row rows[4] = { { 0 } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		rows[i].cookie = get_upstream(in.catalog, up[i])->cookie;
+		rows[i].quality = reports[i];
+	}
+	handle_peer_loads(in.placer, member, rows, 4, now_ms);
+	tick_placer(in.placer, now_ms, checks);
+}
+
+/*
+ * Two of 30 responses are many if the others have none, and few if these have
+ * two of 90. Guards against verdicts by chance on routes of various sizes.
+ */
+START_TEST(few_suspicious_responses_count_if_the_others_have_none)
+{
+	static const uint32_t one_of_first[4] = { 0x1f10, 0x0f10, 0x0f10,
+						  0x0f10 };
+	static const uint32_t one_of_three[4] = { 0x1f10, 0x1f10, 0x1f10,
+						  0x0f10 };
+	upstream_index_t up[4];
+
+	put_compared_upstreams(up);
+	receive_reports(42, up, one_of_three, 900);
+	receive_reports(43, up, one_of_first, 1000);
+	ck_assert_uint_gt(count_flows_to(up[0], false, 1000), 0);
+	receive_reports(42, up, one_of_first, 1100);
+	ck_assert_uint_eq(count_flows_to(up[0], false, 1100), 0);
+}
+END_TEST
+
+/* A second verdict lasts longer, but a recovered one is used within 2 s. */
+START_TEST(upstream_that_fails_again_is_avoided_longer)
+{
+	static const uint32_t fails[4] = { 0x4810, 0x0f10, 0x0f10, 0x0f10 };
+	upstream_index_t up[4];
+
+	put_compared_upstreams(up);
+	receive_reports(42, up, fails, 900);
+	receive_reports(43, up, fails, 1000);
+	tick_placer(in.placer, 2600, checks);
+	ck_assert_uint_gt(count_flows_to(up[0], false, 2600), 0);
+	receive_reports(42, up, fails, 2900);
+	receive_reports(43, up, fails, 3000);
+	tick_placer(in.placer, 4600, checks);
+	ck_assert_uint_eq(count_flows_to(up[0], false, 4600), 0);
+	tick_placer(in.placer, 4700, checks);
+	ck_assert_uint_gt(count_flows_to(up[0], false, 4700), 0);
+}
+END_TEST
+
 /* If half of the upstreams fail, the others cannot bear the load. */
 START_TEST(many_failing_upstreams_are_used_alike)
 {
@@ -260,6 +315,9 @@
 	tcase_add_test(tc, failing_upstreams_get_few_unsafe_requests);
 	tcase_add_test(tc, one_instance_alone_makes_no_upstream_failing);
 	tcase_add_test(tc, failing_upstream_is_used_again_without_errors);
+	tcase_add_test(tc,
+		       few_suspicious_responses_count_if_the_others_have_none);
+	tcase_add_test(tc, upstream_that_fails_again_is_avoided_longer);
 	tcase_add_test(tc, many_failing_upstreams_are_used_alike);
 	tcase_add_test(tc, usual_upstreams_are_chosen_by_load_only);
 	tcase_add_test(tc, one_instance_alone_makes_no_upstream_slow);
