check-cookie: test that unfinished responses are not taken for errors

A response of which 20 bytes arrived counts as suspicious after FIN, but not after RST, a move to another instance or a reset of the upstream's flows.

--- a/t/check-cookie.c
+++ b/t/check-cookie.c
@@ -1237,6 +1237,69 @@
 }
 END_TEST
 
+/* Suspicious responses of NR that this instance reports to peers. */
+static uint32_t reported_suspicious(upstream_index_t nr, uint64_t now_ms)
+{
+	GArray *rows =
+		g_array_new(FALSE, FALSE, sizeof(struct upstream_load_row));
+	uint32_t cookie = get_upstream(in.catalog, nr)->cookie;
+	uint32_t n = 0;
+
+	list_own_loads(in.placer, now_ms, rows);
+	for (guint i = 0; i < rows->len; i++) {
+		const struct upstream_load_row *row =
+			&g_array_index(rows, struct upstream_load_row, i);
+
+		if (row->cookie == cookie)
+			n = row->quality >> 12 & 15;
+	}
+	g_array_free(rows, TRUE);
+	return n;
+}
+
+/*
+ * 20 bytes of a response arrive before its flow ends by FIN, which counts, or
+ * by RST, by moving to another instance, or by a reset of the upstream's flows.
+ * Guards against unfinished responses that are taken for errors.
+ */
+START_TEST(unfinished_response_is_not_taken_for_an_error)
+{
+	struct cookie_decision flow;
+	struct cookie_packet p;
+	uint32_t seq = 1001;
+	uint32_t ack = 500;
+
+	set_placer_quality(in.placer, true);
+	put_upstream("u-a", 0);
+	flow = send_syn(4000, 0, 100);
+	send_data(4000, flow.cookie, 1001, 0, 500, 101);
+	for (uint64_t t = 200; t < 6200; t += 300)
+		send_answered_request(&flow, 4000, &seq, &ack, 900, 40, t);
+	send_answered_request(&flow, 4000, &seq, &ack, 20, 40, 6200);
+	p = make_cookie_packet(CALLER, 4000, TCP_ACK, flow.cookie);
+	p.seq = seq;
+	p.ack = ack;
+	switch (_i) {
+	case 0:
+		p.flags |= TCP_FIN;
+		steer_cookie_packet(in.steering, &p, false, 6260);
+		break;
+	case 1:
+		p.flags |= TCP_RST;
+		steer_cookie_packet(in.steering, &p, false, 6260);
+		break;
+	case 2:
+		ck_assert(release_moved_flow(in.steering, &p.key));
+		break;
+	default:
+		end_upstream_flows(in.steering, flow.upstream, 6260, resets);
+		break;
+	}
+	tick_cookie_steering(in.steering, 7000);
+	ck_assert_uint_eq(reported_suspicious(flow.upstream, 7000), _i == 0);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("cookie");
@@ -1246,6 +1309,8 @@
 
 	tcase_add_checked_fixture(tc, setup, teardown);
 	tcase_add_test(tc, failing_upstream_is_known_by_small_responses);
+	tcase_add_loop_test(tc, unfinished_response_is_not_taken_for_an_error,
+			    0, 4);
 	tcase_add_loop_test(tc, slow_upstream_is_known_by_its_responses, 0, 2);
 	tcase_add_test(tc, cookie_selects_upstream_without_flow_state);
 	tcase_add_test(tc, unknown_cookie_is_relayed_only_once);
