--- a/t/check-health-notice.c
+++ b/t/check-health-notice.c
@@ -251,7 +251,7 @@
 START_TEST(adopted_verdict_ends_with_recovery)
 {
 	struct health_notice n = make_verdict("north", HEALTH_DEAD, 20);
-	struct upstream_load_row row = { n.cookie, 0, 1, 20, HEALTH_GOOD };
+	struct upstream_load_row row = { n.cookie, 0, 1, 20, HEALTH_GOOD, 0 };
 	GArray *checks = g_array_new(FALSE, FALSE, sizeof(upstream_index_t));
 
 	ck_assert_int_eq(health_after(&n, 1000), HEALTH_DEAD);
