--- a/flow/cookie-state.h
+++ b/flow/cookie-state.h
@@ -40,6 +40,10 @@
 	uint32_t deadline_ms;	  /* longest time that a request may take */
 	uint64_t syn_ms;	  /* when the SYN was sent to the upstream */
 	uint64_t request_sent_ms; /* of its first transmission */
+	uint32_t request_ack;	  /* caller_ack then */
+	/* from the request to the response; 0: none, or its size is noted */
+	uint64_t response_ms;
+	double request_load; /* of its upstream then, for each slot */
 	uint64_t last_packet_ms;
 };
 
@@ -123,4 +127,14 @@
 /* Updates the weights of all pending requests and of opening flows. */
 void update_flow_loads(struct cookie_steering *cs, uint64_t now_ms);
 
+/* Identifies the route of a flow for comparing responses. */
+uint64_t route_key(const struct flow_key *key);
+
+/*
+ * Notes the size of the last response of F if it has ended: with the next
+ * request, the caller's FIN, or a pause.
+ */
+void note_response_end(struct cookie_steering *cs, struct cookie_flow *f,
+		       uint64_t now_ms);
+
 #endif
--- a/flow/placement-state.h
+++ b/flow/placement-state.h
@@ -6,6 +6,7 @@
 #include "fleet/heartbeat.h"
 #include "flow/in-flight.h"
 #include "flow/placement.h"
+#include "flow/upstream-quality.h"
 
 /* The loads that one peer sent last. */
 struct peer_load {
@@ -115,6 +116,7 @@
 	GArray *domain_controls;    /* struct domain_control by domain */
 	double cold_factor;
 	double cold_slack;
+	struct upstream_quality *quality; /* NULL: not enabled */
 };
 
 /* The load of NR; NULL if there is none yet. */
@@ -169,6 +171,18 @@
 void sample_routes(struct placer *pl, uint64_t now_ms);
 void destroy_placer_route(gpointer data);
 
+/*
+ * Whether a new flow should not be placed on NR because it is failing; of
+ * REPEATABLE flows a few are.
+ */
+bool avoids_failing(struct placer *pl, upstream_index_t nr, bool repeatable);
+
+/* LOAD of NR, or what it is worth if NR does not respond as usual. */
+double completion_score(struct placer *pl, upstream_index_t nr, double load);
+
+/* Updates the assessed quality of all upstreams. */
+void assess_upstreams(struct placer *pl, uint64_t now_ms);
+
 /* Makes NR HEALTH_GOOD and ends its suspicion. */
 void clear_suspicion(struct placer *pl, upstream_index_t nr,
 		     struct upstream_load *ul, uint64_t now_ms);
--- a/flow/placement.c
+++ b/flow/placement.c
@@ -59,6 +59,7 @@
 				     .loads,
 			     TRUE);
 	g_array_free(pl->peer_loads, TRUE);
+	destroy_upstream_quality(pl->quality);
 	g_array_free(pl->health_changes, TRUE);
 	for (guint i = 0; i < pl->service_stats->len; i++)
 		destroy_in_flight_estimator(g_array_index(pl->service_stats,
@@ -178,8 +179,7 @@
 		       : 0;
 }
 
-/* Requests in flight for each slot of NR, by the last reports of peers. */
-static double current_load(const struct placer *pl, upstream_index_t nr)
+double current_load(const struct placer *pl, upstream_index_t nr)
 {
 	const struct upstream_load *ul = find_upstream_load(pl, nr);
 
@@ -207,7 +207,8 @@
 	size_t instance_nr = pl->peer_loads->len + 1;
 	bool limits_mean = is_large_fleet(pl);
 	struct load_limits limits =
-		get_load_limits(stats, request->target_ms, 1.0,
+		get_load_limits(stats, request->target_ms,
+				upstream_slowness(pl, best->upstream),
 				request->urgent_share, limits_mean);
 	struct load_limits mean_limits = get_mean_load_limits(
 		stats, request->target_ms, request->urgent_share);
@@ -232,7 +233,7 @@
 		get_or_create_service_stats(pl, request->service);
 	struct service_load sl = { 0 };
 	double best_score = 0;
-	bool best_suspect = false;
+	bool best_avoided = false;
 
 	for (guint i = 0; sv && i < sv->upstreams->len; i++) {
 		upstream_index_t nr =
@@ -242,6 +243,7 @@
 		struct upstream_load *ul = get_or_create_upstream_load(pl, nr);
 		bool cold = is_cold_upstream(pl->catalog, nr, now_ms);
 		bool suspect = ul->health == HEALTH_SUSPECTED || ul->peers_dead;
+		bool avoided;
 		double load;
 		double score;
 
@@ -261,12 +263,16 @@
 		}
 		load = busy_load(pl, ul) / up->report.slots;
 		add_service_load(&sl, pl, ul, up->report.slots);
-		score = expected_load(pl, nr) / up->report.slots +
+		score = completion_score(pl, nr,
+					 expected_load(pl, nr) /
+						 up->report.slots) +
 			remote_domain_cost(pl, up) +
 			g_rand_double(pl->rand) * 0.01; /* breaks ties */
+		avoided =
+			suspect || avoids_failing(pl, nr, request->repeatable);
 		if (best.upstream != CATALOG_NONE &&
-		    (suspect > best_suspect ||
-		     (suspect == best_suspect && score >= best_score)))
+		    (avoided > best_avoided ||
+		     (avoided == best_avoided && score >= best_score)))
 			continue;
 		best.upstream = nr;
 		best.reason = suspect ? PLACE_SUSPECT
@@ -274,7 +280,7 @@
 				      : PLACE_LEAST_LOADED;
 		best.load = load;
 		best_score = score;
-		best_suspect = suspect;
+		best_avoided = avoided;
 	}
 	if (best.upstream == CATALOG_NONE)
 		return best;
--- a/flow/placement.h
+++ b/flow/placement.h
@@ -12,7 +12,8 @@
  *    nor cut off nor behind a lost link (flow/domain-link), and are not excluded
  *    by the caller of place_new_flow();
  *  - a cold upstream gets at most this instance's quota of its cold limit;
- *  - upstreams that are not suspect go before suspect ones;
+ *  - upstreams that are not suspect go before suspect ones, and those that are
+ *    not failing before failing ones, if upstreams are compared;
  *  - the least expected load for each slot, where an upstream of another
  *    failure domain counts PLACEMENT_REMOTE_DOMAIN_COST more.
  */
@@ -129,6 +130,12 @@
  */
 void set_placer_notices(struct placer *pl, struct health_notices *hn);
 
+/*
+ * Whether upstreams are compared by the responses that instances observe. A
+ * slow upstream then counts as more loaded than it is. Off at first.
+ */
+void set_placer_quality(struct placer *pl, bool enabled);
+
 /* Replaces PLACEMENT_REMOTE_DOMAIN_COST; for tests and benchmarks. */
 void set_remote_domain_cost(struct placer *pl, double cost);
 
@@ -162,6 +169,7 @@
 	uint32_t deadline_ms; /* by which a request must be answered */
 	uint32_t target_ms;   /* target for the answer; 0: none */
 	double urgent_share;  /* of requests that go before this one */
+	bool repeatable;      /* its caller resends requests that failed */
 	const upstream_index_t *excluded; /* upstreams not to choose */
 	size_t excluded_nr;
 };
@@ -222,6 +230,30 @@
 void note_upstream_alive(struct placer *pl, upstream_index_t nr,
 			 uint64_t now_ms);
 
+/* Requests in flight for each slot of NR, by the last reports of peers. */
+double current_load(const struct placer *pl, upstream_index_t nr);
+
+/*
+ * NR began a response TOOK_MS after the request was sent, when current_load()
+ * was LOAD. ROUTE is a key of the request's route. The request still counts as
+ * in flight.
+ */
+void note_response_time(struct placer *pl, upstream_index_t nr, uint64_t route,
+			double load, uint64_t took_ms, uint64_t now_ms);
+
+/*
+ * A response of NR, which began TOOK_MS after its request, has ended after
+ * BYTES. Of a response whose end was not seen here, this is not called.
+ */
+void note_response_size(struct placer *pl, upstream_index_t nr, uint64_t route,
+			uint64_t took_ms, uint32_t bytes, uint64_t now_ms);
+
+/* Response times of NR in relation to typical ones; 1: typical. */
+double upstream_slowness(const struct placer *pl, upstream_index_t nr);
+
+/* Moves the changes since the last call (struct quality_change) to CHANGES. */
+void pop_placer_quality_changes(struct placer *pl, GArray *changes);
+
 /*
  * The answer to a packet sent to NR at SENT_MS is overdue. Ignored if NR showed
  * life since then.
--- a/net/edge-packets.c
+++ b/net/edge-packets.c
@@ -472,6 +472,13 @@
 	fill_own_heartbeat(e, &b);
 	init_wire_writer(&w);
 	write_heartbeat(&w, &b);
+	/* rows at the end matter least */
+	while (w.buf.size > DATAGRAM_MAX && b.rows->len) {
+		release_wire_writer(&w);
+		g_array_set_size(b.rows, b.rows->len * 3 / 4);
+		init_wire_writer(&w);
+		write_heartbeat(&w, &b);
+	}
 	send_to_peers(e, &w, to);
 	release_wire_writer(&w);
 	g_array_free(b.rows, TRUE);
--- a/t/check-cookie.c
+++ b/t/check-cookie.c
@@ -169,8 +169,11 @@
 		g_snprintf(name, sizeof(name), "u-%c", 'b' + i);
 		busy[i] = (struct upstream_load_row){
 			get_upstream(in.catalog, put_upstream(name, 0))->cookie,
-			4 * IN_FLIGHT_WEIGHT_ONE, 4 * IN_FLIGHT_WEIGHT_ONE, 50,
-			HEALTH_GOOD
+			4 * IN_FLIGHT_WEIGHT_ONE,
+			4 * IN_FLIGHT_WEIGHT_ONE,
+			50,
+			HEALTH_GOOD,
+			0
 		};
 	}
 	handle_peer_loads(in.placer, 77, busy, 3, 1000);
@@ -1124,6 +1127,179 @@
 }
 END_TEST
 
+/* Sends a request that the flow's upstream answers after TOOK_MS. */
+static void send_answered_request(const struct cookie_decision *flow,
+				  uint16_t port, uint32_t *seq, uint32_t *ack,
+				  uint32_t bytes, uint64_t took_ms,
+				  uint64_t now_ms)
+{
+	send_data(port, flow->cookie, *seq, 100, *ack, now_ms);
+	*seq += 100;
+	*ack += bytes;
+	send_data(port, flow->cookie, *seq, 0, *ack, now_ms + took_ms);
+}
+
+/* Two upstreams, with one flow each; the second one is six times as slow. */
+static upstream_index_t slow_upstream_of_two(void)
+{
+	struct cookie_decision flows[2];
+	uint32_t seq[2] = { 1001, 1001 };
+	uint32_t ack[2] = { 500, 500 };
+
+	for (uint16_t i = 0; i < 2; i++) {
+		flows[i] = send_syn((uint16_t)(4000 + i), 0, 100);
+		send_data((uint16_t)(4000 + i), flows[i].cookie, 1001, 0, 500,
+			  101);
+	}
+	ck_assert_uint_ne(flows[0].upstream, flows[1].upstream);
+	for (uint64_t t = 200; t < 9200; t += 300)
+		for (uint16_t i = 0; i < 2; i++)
+			send_answered_request(&flows[i], (uint16_t)(4000 + i),
+					      &seq[i], &ack[i], 900,
+					      i && t > 5000 ? 240 : 40, t);
+	return flows[1].upstream;
+}
+
+/*
+ * Both have a flow and no request in flight, so that they are equal by load.
+ * Guards against responses that are not observed, or observed while disabled.
+ */
+START_TEST(slow_upstream_is_known_by_its_responses)
+{
+	GArray *checks = g_array_new(FALSE, FALSE, sizeof(upstream_index_t));
+	bool enabled = _i;
+	upstream_index_t slow;
+	unsigned int placed = 0;
+
+	set_placer_quality(in.placer, enabled);
+	put_upstream("u-a", 0);
+	put_upstream("u-b", 0);
+	slow = slow_upstream_of_two();
+	tick_placer(in.placer, 9300, checks);
+	/* few enough that none of them has to wait for room */
+	for (uint16_t i = 0; i < 12; i++) {
+		struct cookie_decision d =
+			send_syn((uint16_t)(5000 + i), 0, 9300);
+
+		ck_assert_int_eq(d.verdict, COOKIE_TO_UPSTREAM);
+		placed += d.upstream == slow;
+	}
+	if (enabled) {
+		ck_assert_double_gt(upstream_slowness(in.placer, slow), 3);
+		ck_assert_uint_le(placed, 4);
+	} else {
+		ck_assert_double_eq(upstream_slowness(in.placer, slow), 1);
+		ck_assert_uint_ge(placed, 5);
+	}
+	g_array_free(checks, TRUE);
+}
+END_TEST
+
+/*
+ * One of four upstreams answers every second request with 140 bytes within
+ * 3 ms. Guards against sizes that are not taken from acknowledgments, or not
+ * until the flow ends.
+ */
+START_TEST(failing_upstream_is_known_by_small_responses)
+{
+	static const char *const names[] = { "u-a", "u-b", "u-c", "u-d" };
+	GArray *checks = g_array_new(FALSE, FALSE, sizeof(upstream_index_t));
+	struct cookie_decision flows[4];
+	uint32_t seq[4] = { 1001, 1001, 1001, 1001 };
+	uint32_t ack[4] = { 500, 500, 500, 500 };
+	struct placement_request request = { .service = intern_service(
+						     in.catalog, "board"),
+					     .deadline_ms = TEST_DEADLINE_MS };
+	unsigned int requests = 0;
+
+	set_placer_quality(in.placer, true);
+	for (uint16_t i = 0; i < 4; i++)
+		put_upstream(names[i], 0);
+	for (uint16_t i = 0; i < 4; i++) {
+		flows[i] = send_syn((uint16_t)(4000 + i), 0, 100);
+		send_data((uint16_t)(4000 + i), flows[i].cookie, 1001, 0, 500,
+			  101);
+	}
+	for (uint64_t t = 200; t < 7000; t += 300, requests++)
+		for (uint16_t i = 0; i < 4; i++) {
+			bool error = !i && t > 5000 && requests % 2;
+
+			send_answered_request(
+				&flows[i], (uint16_t)(4000 + i), &seq[i],
+				&ack[i], error ? 140 : 900, error ? 3 : 40, t);
+		}
+	tick_placer(in.placer, 7000, checks);
+	for (int i = 0; i < 40; i++)
+		ck_assert_uint_ne(
+			place_new_flow(in.placer, &request, 7000).upstream,
+			flows[0].upstream);
+	g_array_free(checks, TRUE);
+}
+END_TEST
+
+/* Suspicious responses of NR that this instance reports to peers. */
+static uint32_t reported_suspicious(upstream_index_t nr, uint64_t now_ms)
+{
+	GArray *rows =
+		g_array_new(FALSE, FALSE, sizeof(struct upstream_load_row));
+	uint32_t cookie = get_upstream(in.catalog, nr)->cookie;
+	uint32_t n = 0;
+
+	list_own_loads(in.placer, now_ms, rows);
+	for (guint i = 0; i < rows->len; i++) {
+		const struct upstream_load_row *row =
+			&g_array_index(rows, struct upstream_load_row, i);
+
+		if (row->cookie == cookie)
+			n = row->quality >> 12 & 15;
+	}
+	g_array_free(rows, TRUE);
+	return n;
+}
+
+/*
+ * 20 bytes of a response arrive before its flow ends by FIN, which counts, or
+ * by RST, by moving to another instance, or by a reset of the upstream's flows.
+ * Guards against unfinished responses that are taken for errors.
+ */
+START_TEST(unfinished_response_is_not_taken_for_an_error)
+{
+	struct cookie_decision flow;
+	struct cookie_packet p;
+	uint32_t seq = 1001;
+	uint32_t ack = 500;
+
+	set_placer_quality(in.placer, true);
+	put_upstream("u-a", 0);
+	flow = send_syn(4000, 0, 100);
+	send_data(4000, flow.cookie, 1001, 0, 500, 101);
+	for (uint64_t t = 200; t < 6200; t += 300)
+		send_answered_request(&flow, 4000, &seq, &ack, 900, 40, t);
+	send_answered_request(&flow, 4000, &seq, &ack, 20, 40, 6200);
+	p = make_cookie_packet(CALLER, 4000, TCP_ACK, flow.cookie);
+	p.seq = seq;
+	p.ack = ack;
+	switch (_i) {
+	case 0:
+		p.flags |= TCP_FIN;
+		steer_cookie_packet(in.steering, &p, false, 6260);
+		break;
+	case 1:
+		p.flags |= TCP_RST;
+		steer_cookie_packet(in.steering, &p, false, 6260);
+		break;
+	case 2:
+		ck_assert(release_moved_flow(in.steering, &p.key));
+		break;
+	default:
+		end_upstream_flows(in.steering, flow.upstream, 6260, resets);
+		break;
+	}
+	tick_cookie_steering(in.steering, 7000);
+	ck_assert_uint_eq(reported_suspicious(flow.upstream, 7000), _i == 0);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("cookie");
@@ -1132,6 +1308,10 @@
 	int failed;
 
 	tcase_add_checked_fixture(tc, setup, teardown);
+	tcase_add_test(tc, failing_upstream_is_known_by_small_responses);
+	tcase_add_loop_test(tc, unfinished_response_is_not_taken_for_an_error,
+			    0, 4);
+	tcase_add_loop_test(tc, slow_upstream_is_known_by_its_responses, 0, 2);
 	tcase_add_test(tc, cookie_selects_upstream_without_flow_state);
 	tcase_add_test(tc, unknown_cookie_is_relayed_only_once);
 	tcase_add_test(tc, retransmitted_syn_goes_to_another_upstream);
