--- a/flow/upstream-quality.h
+++ b/flow/upstream-quality.h
@@ -67,9 +67,8 @@
 /* An upstream becomes failing with at least so many known responses, ... */
 #define QUALITY_FAILING_RESPONSES 4
 /*
- * ... this share of them suspicious, ... Responses from before the failure
- * count as well: with 0.125, 58 instead of 39 unsafe requests were lost in
- * three simulations of a fleet.
+ * ... this share of them suspicious, ... It is low since responses from before
+ * the failure count as well.
  */
 #define QUALITY_FAILING_SHARE 0.0625
 /* ... more than expected of one like the others by so many deviations, ... */
