placement: survey the upstreams behind a doubtful link

A flow behind a cut link is now reset only if a check of its own upstream failed since a member of that domain was heard last. So that this is known before flows move, the members of a domain share out the upstreams behind a link that has been doubtful for 100 ms, check each of them, and tell each other which checks failed (a new kind of health notice, which stays in the domain).

check-cookie: two cases expected a reset after checks of other upstreams alone, which is the fault. They now demand that nothing is reset until the flow's own upstream failed its check, and the reset after that. check-domain-link: a dark domain is known within 0.9 s without any flow; an upstream that outlives its domain keeps its flows; failed checks are shared in the domain only.

--- a/fleet/health-notice.c
+++ b/fleet/health-notice.c
@@ -142,6 +142,7 @@
 	case NOTICE_SUSPICION:
 		return HEALTH_SUSPICION_REPEAT_MS;
 	case NOTICE_VERDICT:
+	case NOTICE_LINK_CHECK:
 		return HEALTH_VERDICT_REPEAT_MS;
 	case NOTICE_KIND_NR:
 		break;
@@ -184,6 +185,11 @@
 	un->health[n->kind] = n->health;
 }
 
+bool concerns_link(enum health_notice_kind k)
+{
+	return k == NOTICE_LINK_CHECK;
+}
+
 void post_health_notice(struct health_notices *hn,
 			const struct health_notice *n, const char *domain,
 			uint64_t now_ms)
@@ -192,7 +198,8 @@
 	struct upstream_notices *un = get_or_create_notices(hn, n->upstream_id);
 	struct outgoing_notice on = { .notice = *n };
 
-	if (!self || is_notice_link_doubtful(hn, domain) ||
+	if (!self ||
+	    (!concerns_link(n->kind) && is_notice_link_doubtful(hn, domain)) ||
 	    was_sent(un, n, now_ms))
 		return;
 	note_sent(un, n, now_ms);
@@ -350,7 +357,7 @@
 	const struct member *ms;
 	size_t nr;
 
-	if (!on->to_all)
+	if (!on->to_all && !concerns_link(n->kind))
 		list_assessors(hn, n->upstream_id, to);
 	for (guint i = to->len; i > first; i--) {
 		const struct member *m =
--- a/fleet/health-notice.h
+++ b/fleet/health-notice.h
@@ -65,6 +65,8 @@
 enum health_notice_kind {
 	NOTICE_SUSPICION, /* a packet was not answered in time */
 	NOTICE_VERDICT,	  /* checks proved HEALTH */
+	/* a check failed while the link to the upstream's domain was not up */
+	NOTICE_LINK_CHECK,
 	NOTICE_KIND_NR
 };
 
@@ -106,8 +108,8 @@
 
 /*
  * FN returns true while the link to DOMAIN, another failure domain, is doubtful
- * or lost. Notices about upstreams there are neither sent nor used: they may be
- * unreachable rather than dead. Without FN all links are taken to be up.
+ * or lost. Notices about upstreams there are neither sent nor used, but for
+ * those that concern the link: they may be unreachable rather than dead. Without FN all links are taken to be up.
  */
 typedef bool (*notice_link_fn)(const char *domain, void *user);
 void set_notice_link_test(struct health_notices *hn, notice_link_fn fn,
@@ -115,9 +117,13 @@
 bool is_notice_link_doubtful(const struct health_notices *hn,
 			     const char *domain);
 
+/* Whether notices of kind K are meant for times when a link is not up. */
+bool concerns_link(enum health_notice_kind k);
+
 /*
  * Queues a notice about an upstream of DOMAIN, unless this domain's members
- * were told the same recently or the link to DOMAIN is doubtful. The names of
+ * were told the same recently or the link to DOMAIN is doubtful, unless the
+ * notice concerns the link. The names of
  * the sender are filled in here.
  */
 void post_health_notice(struct health_notices *hn,
@@ -169,7 +175,8 @@
 /*
  * Appends the members that ON is sent to, to TO (of const struct member *,
  * valid until the view changes). Suspicions go to the assessors of all domains,
- * and verdicts that other domains do not adopt to the assessors there.
+ * and verdicts that other domains do not adopt to the assessors there. Notices
+ * that concern a link stay in this domain, since others have links of their own.
  */
 void list_notice_receivers(const struct health_notices *hn,
 			   const struct outgoing_notice *on, GArray *to);
--- a/flow/domain-link.c
+++ b/flow/domain-link.c
@@ -3,7 +3,9 @@
 struct domain_link {
 	bool known; /* a member there was heard */
 	enum link_state state;
-	uint64_t heard_ms; /* last heartbeat or answered check */
+	uint64_t heard_ms;	    /* last heartbeat or answered check */
+	uint64_t member_heard_ms;   /* last heartbeat */
+	uint64_t doubtful_since_ms; /* 0: the link is up */
 	/* as above, moved on by the time that this process was delayed */
 	uint64_t silent_since_ms;
 	uint64_t no_progress_since_ms; /* of flows, likewise */
@@ -87,6 +89,7 @@
 	l->has_live_members = expected_ms;
 	if (expected_ms)
 		l->expected_ms = expected_ms;
+	l->member_heard_ms = MAX(l->member_heard_ms, heard_ms);
 	note_heard(l, heard_ms);
 }
 
@@ -208,6 +211,8 @@
 			continue;
 		ch.silent_ms = now_ms - MIN(now_ms, l->heard_ms);
 		l->state = ch.to;
+		if (ch.to == LINK_UP || ch.from == LINK_UP)
+			l->doubtful_since_ms = ch.to == LINK_UP ? 0 : now_ms;
 		if (ch.to == LINK_LOST)
 			l->sign_since_lost = false;
 		g_array_append_val(dl->changes, ch);
@@ -236,6 +241,22 @@
 	return dl->links->len;
 }
 
+uint64_t domain_member_heard_ms(const struct domain_links *dl,
+				domain_index_t domain)
+{
+	const struct domain_link *l = find_link(dl, domain);
+
+	return l ? l->member_heard_ms : 0;
+}
+
+uint64_t domain_doubtful_ms(const struct domain_links *dl,
+			    domain_index_t domain, uint64_t now_ms)
+{
+	const struct domain_link *l = find_link(dl, domain);
+
+	return l && l->doubtful_since_ms ? now_ms - l->doubtful_since_ms : 0;
+}
+
 bool was_domain_heard_since(const struct domain_links *dl,
 			    domain_index_t domain, uint64_t since_ms)
 {
--- a/flow/domain-link.h
+++ b/flow/domain-link.h
@@ -107,6 +107,14 @@
 /* Number of domains that may have a link: their indexes are below it. */
 size_t domain_link_count(const struct domain_links *dl);
 
+/* When a member of DOMAIN was heard last; 0: never. */
+uint64_t domain_member_heard_ms(const struct domain_links *dl,
+				domain_index_t domain);
+
+/* How long the link to DOMAIN has been doubtful or lost; 0: it is up. */
+uint64_t domain_doubtful_ms(const struct domain_links *dl,
+			    domain_index_t domain, uint64_t now_ms);
+
 /*
  * True if the link to DOMAIN was open after SINCE_MS, or if that is not known
  * from anything: for the own domain, and for one that has no link.
--- a/flow/placement-health.c
+++ b/flow/placement-health.c
@@ -77,6 +77,7 @@
 
 	ul->last_alive_ms = now_ms;
 	ul->own_alive_ms = now_ms;
+	ul->link_failed_ms = 0;
 	pl->last_alive_ms = now_ms;
 	note_progress_on_link(pl, nr, now_ms);
 	if (ul->suspect_since_ms || ul->health != HEALTH_GOOD)
--- a/flow/placement-links.c
+++ b/flow/placement-links.c
@@ -12,6 +12,15 @@
 #define CONTROL_DOUBTFUL_MS 500
 #define CONTROL_LOST_MS PLACEMENT_DEAD_RECHECK_MS
 
+/*
+ * A link that is doubtful for longer than by a few late heartbeats is surveyed:
+ * the members of this domain share out the upstreams behind it and check each
+ * of them, so that the verdict is known before flows are moved here.
+ */
+#define SURVEY_DELAY_MS 100
+#define SURVEY_REPEAT_MS PLACEMENT_DEAD_RECHECK_MS
+#define SURVEY_CHECKS_MAX 8 /* that one tick starts */
+
 void set_placer_links(struct placer *pl, struct domain_links *links)
 {
 	pl->links = links;
@@ -48,8 +57,11 @@
 			uint64_t now_ms)
 {
 	domain_index_t domain = linked_domain(pl, nr);
+	const struct upstream_load *ul = find_upstream_load(pl, nr);
 
-	return domain != CATALOG_NONE &&
+	/* a single upstream may be reached although the others are not */
+	return domain != CATALOG_NONE && ul &&
+	       ul->link_failed_ms > domain_member_heard_ms(pl->links, domain) &&
 	       is_domain_link_cut(pl->links, domain, now_ms);
 }
 
@@ -73,10 +85,26 @@
 		note_domain_progress(pl->links, domain, now_ms);
 }
 
+void note_failed_link_check(struct placer *pl, upstream_index_t nr,
+			    struct upstream_load *ul, uint64_t now_ms)
+{
+	domain_index_t domain = linked_domain(pl, nr);
+
+	if (domain == CATALOG_NONE)
+		return;
+	ul->link_failed_ms = now_ms;
+	/* that a dead one does not answer says nothing of the link */
+	if (!is_dead_or_cut_off(ul))
+		note_domain_failed_check(pl->links, domain, nr,
+					 ul->is_control ||
+						 ul->health == HEALTH_GOOD);
+}
+
 void note_check_on_link(struct placer *pl, upstream_index_t nr,
 			enum check_result result, uint64_t now_ms)
 {
 	domain_index_t domain = linked_domain(pl, nr);
+	struct upstream_load *ul = find_upstream_load(pl, nr);
 
 	if (domain == CATALOG_NONE)
 		return;
@@ -88,11 +116,13 @@
 		break;
 	case CHECK_REFUSED:
 	case CHECK_UNREACHABLE:
-		/* that a dead one does not answer says nothing of the link */
-		if (!is_dead_or_cut_off(find_upstream_load(pl, nr)))
-			note_domain_failed_check(
-				pl->links, domain, nr,
-				find_upstream_load(pl, nr)->is_control);
+		if (domain_link_state(pl->links, domain) != LINK_UP) {
+			note_failed_link_check(pl, nr, ul, now_ms);
+			post_failed_link_check(pl, nr, ul, now_ms);
+		} else if (!is_dead_or_cut_off(ul)) {
+			note_domain_failed_check(pl->links, domain, nr,
+						 ul->is_control);
+		}
 		break;
 	case CHECK_SILENT:
 	case CHECK_RESULT_NR:
@@ -203,6 +233,18 @@
 	return only_control;
 }
 
+/* Starts a check of NR, which is a control check if nothing speaks against it. */
+static void start_link_check(struct placer *pl, upstream_index_t nr,
+			     uint64_t now_ms, GArray *checks)
+{
+	struct upstream_load *ul = get_or_create_upstream_load(pl, nr);
+
+	ul->check_running = true;
+	ul->is_control = ul->health == HEALTH_GOOD;
+	ul->check_started_ms = now_ms;
+	g_array_append_val(checks, nr);
+}
+
 /* Time between two control checks of DOMAIN; 0: none is needed. */
 static uint64_t control_interval_ms(const struct placer *pl,
 				    domain_index_t domain,
@@ -233,7 +275,6 @@
 		pl->domain_controls, struct domain_control, domain);
 	uint64_t interval_ms = control_interval_ms(pl, domain, du);
 	upstream_index_t nr;
-	struct upstream_load *ul;
 
 	if (!interval_ms || now_ms - dc->checked_ms < interval_ms)
 		return;
@@ -241,11 +282,38 @@
 	if (nr == CATALOG_NONE)
 		return;
 	dc->checked_ms = now_ms;
-	ul = get_or_create_upstream_load(pl, nr);
-	ul->check_running = true;
-	ul->is_control = true;
-	ul->check_started_ms = now_ms;
-	g_array_append_val(checks, nr);
+	start_link_check(pl, nr, now_ms, checks);
+}
+
+/* Lists checks of the upstreams of DOMAIN that this instance is to survey. */
+static void list_survey_checks(struct placer *pl, domain_index_t domain,
+			       uint64_t now_ms, GArray *checks)
+{
+	unsigned int started = 0;
+
+	if (domain_doubtful_ms(pl->links, domain, now_ms) < SURVEY_DELAY_MS)
+		return;
+	for (size_t i = 0; i < catalog_upstream_count(pl->catalog) &&
+			   started < SURVEY_CHECKS_MAX;
+	     i++) {
+		upstream_index_t nr = (upstream_index_t)i;
+		const struct catalog_upstream *up =
+			get_upstream(pl->catalog, nr);
+		struct upstream_load *ul;
+
+		if (!up || up->domain != domain || !up->listed)
+			continue;
+		ul = get_or_create_upstream_load(pl, nr);
+		if (ul->check_running || is_dead_or_cut_off(ul) ||
+		    (ul->surveyed_ms &&
+		     now_ms - ul->surveyed_ms < SURVEY_REPEAT_MS))
+			continue;
+		ul->surveyed_ms = now_ms;
+		if (!is_checked_here(pl, nr))
+			continue;
+		start_link_check(pl, nr, now_ms, checks);
+		started++;
+	}
 }
 
 /* Makes the upstreams of DOMAIN, whose link was lost, usable again. */
@@ -283,6 +351,7 @@
 		set_domain_upstreams(pl->links, domain, du->accepting,
 				     du->suspect);
 		list_control_check(pl, domain, du, now_ms, checks);
+		list_survey_checks(pl, domain, now_ms, checks);
 	}
 	if (n)
 		update_domain_links(pl->links, now_ms);
--- a/flow/placement-notices.c
+++ b/flow/placement-notices.c
@@ -40,6 +40,20 @@
 		    now_ms - ul->check_started_ms, now_ms);
 }
 
+void post_failed_link_check(struct placer *pl, upstream_index_t nr,
+			    const struct upstream_load *ul, uint64_t now_ms)
+{
+	post_notice(pl, nr, NOTICE_LINK_CHECK, HEALTH_UNREACHABLE,
+		    now_ms - ul->check_started_ms, now_ms);
+}
+
+bool is_checked_here(const struct placer *pl, upstream_index_t nr)
+{
+	const struct catalog_upstream *up = get_upstream(pl->catalog, nr);
+
+	return !pl->notices || is_upstream_assessor(pl->notices, up->report.id);
+}
+
 void note_unanswered_packet(struct placer *pl, upstream_index_t nr,
 			    struct upstream_load *ul, uint64_t sent_ms,
 			    uint64_t now_ms)
@@ -221,6 +235,17 @@
 		note_silence(pl, nr, sent_ms, now_ms);
 }
 
+static void handle_link_check(struct placer *pl, upstream_index_t nr,
+			      const struct health_notice *n, uint64_t now_ms)
+{
+	struct upstream_load *ul = get_or_create_upstream_load(pl, nr);
+
+	/* other domains have links of their own */
+	if (pl->links && !strcmp(n->domain, pl->domain) &&
+	    !was_alive_since(pl, nr, now_ms - MIN(now_ms, n->check_ms)))
+		note_failed_link_check(pl, nr, ul, now_ms);
+}
+
 bool handle_health_notice(struct placer *pl, const struct health_notice *n,
 			  uint64_t now_ms)
 {
@@ -232,8 +257,9 @@
 		return false;
 	up = get_upstream(pl->catalog, nr);
 	if (up->report.id != n->upstream_id ||
-	    is_notice_link_doubtful(pl->notices,
-				    domain_name(pl->catalog, up->domain)))
+	    (!concerns_link(n->kind) &&
+	     is_notice_link_doubtful(pl->notices,
+				     domain_name(pl->catalog, up->domain))))
 		return false;
 	note_received_notice(pl->notices, n, now_ms);
 	switch (n->kind) {
@@ -242,6 +268,9 @@
 		return false;
 	case NOTICE_VERDICT:
 		return handle_verdict(pl, nr, n, now_ms);
+	case NOTICE_LINK_CHECK:
+		handle_link_check(pl, nr, n, now_ms);
+		return false;
 	case NOTICE_KIND_NR:
 		break;
 	}
--- a/flow/placement-state.h
+++ b/flow/placement-state.h
@@ -50,6 +50,9 @@
 	uint64_t peer_check_ms; /* of the last check due to a peer's report */
 	uint64_t check_started_ms; /* start of the running check */
 	bool is_control; /* the running check is to probe the domain's link */
+	/* last failed check of this domain while the link was not up; 0: none */
+	uint64_t link_failed_ms;
+	uint64_t surveyed_ms; /* when a survey of its domain last came to it */
 	/* first refused check that waits for a confirming one; 0: none */
 	uint64_t refused_ms;
 	/* ring buffer: when it got flows while cold */
@@ -276,6 +279,17 @@
 bool was_link_open_since(const struct placer *pl, upstream_index_t nr,
 			 uint64_t since_ms);
 
+/* A member of this domain found no connection to NR while the link was not up. */
+void note_failed_link_check(struct placer *pl, upstream_index_t nr,
+			    struct upstream_load *ul, uint64_t now_ms);
+
+/* Tells the members of this domain of such a check of this instance. */
+void post_failed_link_check(struct placer *pl, upstream_index_t nr,
+			    const struct upstream_load *ul, uint64_t now_ms);
+
+/* True if this instance checks NR for its domain. */
+bool is_checked_here(const struct placer *pl, upstream_index_t nr);
+
 /* Makes the second check due, if it can confirm a refusal now. */
 void hasten_confirming_check(const struct placer *pl, upstream_index_t nr,
 			     struct upstream_load *ul, uint64_t now_ms);
--- a/t/check-cookie.c
+++ b/t/check-cookie.c
@@ -1007,23 +1007,6 @@
 	ck_assert_int_eq(domain_link_state(dl, south), LINK_LOST);
 }
 
-static void set_repeatable_route(bool repeatable)
-{
-	GArray *routes =
-		g_array_new(FALSE, FALSE, sizeof(struct catalog_route));
-	struct catalog_route r = { .ip = TEST_ROUTE_IP,
-				   .port = TEST_ROUTE_PORT,
-				   .deadline_ms = TEST_DEADLINE_MS,
-				   .repeatable = repeatable,
-				   .target_nr = 1 };
-
-	r.targets = g_new0(struct route_target, 1);
-	r.targets[0].service = intern_service(in.catalog, "board");
-	r.targets[0].weight = 1;
-	g_array_append_val(routes, r);
-	ck_assert(set_catalog_routes(in.catalog, 2, routes, TEST_IDLE_MS));
-}
-
 /*
  * A caller whose request is stuck behind a cut link waits until its deadline,
  * although another domain could answer. One who may not repeat is left alone.
@@ -1038,13 +1021,17 @@
 	uint32_t cookie = get_upstream(in.catalog, far)->cookie;
 	bool repeatable = _i;
 
-	set_repeatable_route(repeatable);
+	set_test_route_repeatable(in.catalog, 2, repeatable);
 	set_placer_links(in.placer, dl);
 	ck_assert_uint_eq(open_flow(5000, 9800), far);
 	ck_assert_uint_eq(open_flow(5001, 9800), far);
 	send_data(5001, cookie, 1101, 0, 900, 9850); /* was answered */
 	put_upstream("u-near", 9900);
 	lose_link(dl, south, 10000);
+	/* so far only other upstreams there were checked */
+	end_flows_behind_cut_links(in.steering, 10000, resets);
+	ck_assert_uint_eq(resets->len, 0);
+	note_check_result(in.placer, far, CHECK_UNREACHABLE, 10000);
 	end_flows_behind_cut_links(in.steering, 10000, resets);
 	ck_assert_uint_eq(resets->len, repeatable);
 	ck_assert_uint_eq(cookie_flow_count(in.steering), 2 - repeatable);
@@ -1067,9 +1054,9 @@
 	struct domain_links *dl =
 		create_domain_links(intern_domain(in.catalog, "north"));
 	struct upstream_report r = make_upstream_report("u-far", "south");
+	upstream_index_t far = put_test_upstream(&in, &r, 0);
 
-	put_test_upstream(&in, &r, 0);
-	set_repeatable_route(true);
+	set_test_route_repeatable(in.catalog, 2, true);
 	set_placer_links(in.placer, dl);
 	open_flow(5000, 9800);
 	put_upstream("u-near", 9900);
@@ -1084,6 +1071,9 @@
 	ck_assert_uint_eq(resets->len, 0);
 	note_domain_failed_check(dl, south, 2, true);
 	end_flows_behind_cut_links(in.steering, 10000, resets);
+	ck_assert_uint_eq(resets->len, 0);
+	note_check_result(in.placer, far, CHECK_UNREACHABLE, 10000);
+	end_flows_behind_cut_links(in.steering, 10000, resets);
 	ck_assert_uint_eq(resets->len, 1);
 	destroy_domain_links(dl);
 }
@@ -1096,12 +1086,13 @@
 	struct domain_links *dl =
 		create_domain_links(intern_domain(in.catalog, "north"));
 	struct upstream_report r = make_upstream_report("u-far", "south");
+	upstream_index_t far = put_test_upstream(&in, &r, 0);
 
-	put_test_upstream(&in, &r, 0);
-	set_repeatable_route(true);
+	set_test_route_repeatable(in.catalog, 2, true);
 	set_placer_links(in.placer, dl);
 	open_flow(5000, 9800);
 	lose_link(dl, south, 10000);
+	note_check_result(in.placer, far, CHECK_UNREACHABLE, 10000);
 	end_flows_behind_cut_links(in.steering, 10000, resets);
 	ck_assert_uint_eq(resets->len, 0);
 	destroy_domain_links(dl);
--- a/t/check-domain-link.c
+++ b/t/check-domain-link.c
@@ -41,6 +41,7 @@
 	struct path *path;
 	upstream_index_t nr;
 	bool dead;
+	bool dark; /* without power: nothing is answered, nor refused */
 	uint64_t refused_ms; /* first refused check; 0: none */
 	uint64_t found_dead_ms;
 };
@@ -205,7 +206,8 @@
 {
 	const struct path *p = path_of(c->nr);
 
-	if (p->there == PATH_SILENT || p->back == PATH_SILENT)
+	if (p->there == PATH_SILENT || p->back == PATH_SILENT ||
+	    find_test_upstream(c->nr)->dark)
 		return now_ms - c->started_ms >= CHECK_CONNECT_MS
 			       ? CHECK_UNREACHABLE
 			       : CHECK_RESULT_NR;
@@ -273,7 +275,7 @@
 {
 	const struct test_upstream *u = find_test_upstream(f->upstream);
 
-	return u->path->there == PATH_OPEN && !u->dead;
+	return u->path->there == PATH_OPEN && !u->dead && !u->dark;
 }
 
 static void send_syn(size_t flow, uint32_t copy)
@@ -676,6 +678,148 @@
 }
 END_TEST
 
+/* The instances of P and its upstreams, but for SPARED, lose power. */
+static void power_off(struct path *p, const struct test_upstream *spared)
+{
+	p->members_dead = true;
+	for (size_t i = 0; i < upstream_nr; i++)
+		upstreams[i].dark =
+			upstreams[i].path == p && &upstreams[i] != spared;
+}
+
+/* Data of a flow of upstream NR that another instance forwarded before. */
+static enum cookie_verdict send_moved_data(upstream_index_t nr)
+{
+	struct cookie_packet p =
+		make_cookie_packet(0x0b000000 + nr, 3000, TCP_ACK,
+				   get_upstream(in.catalog, nr)->cookie);
+
+	p.seq = 5000;
+	p.ack = 700;
+	p.payload_len = 100;
+	return steer_cookie_packet(in.steering, &p, false, now_ms).verdict;
+}
+
+/*
+ * A domain loses power while nothing is sent there. Routers move its callers'
+ * flows to this instance later: those whose request may be repeated are to be
+ * told at once then.
+ */
+START_TEST(upstreams_of_dark_domain_are_known_before_flows_move)
+{
+	make_large_site();
+	set_test_route_repeatable(in.catalog, 2, true);
+	run_until(3000, false);
+	power_off(&paths[1], NULL);
+	run_until(4000, false);
+	for (size_t i = 0; i < upstream_nr; i++)
+		ck_assert_int_eq(send_moved_data(upstreams[i].nr),
+				 upstreams[i].path == &paths[1]
+					 ? COOKIE_RESET
+					 : COOKIE_TO_UPSTREAM);
+}
+END_TEST
+
+/*
+ * Flows of dark upstreams move here and prove that the link is lost, before one
+ * of an upstream that still runs does.
+ */
+START_TEST(first_moved_flow_of_live_upstream_is_kept)
+{
+	struct test_upstream *survivor = &upstreams[19];
+
+	make_large_site();
+	ck_assert_ptr_eq(survivor->path, &paths[1]);
+	set_test_route_repeatable(in.catalog, 2, true);
+	run_until(3000, false);
+	power_off(&paths[1], survivor);
+	run_until(3900, false);
+	for (size_t i = 11; i < 19; i++)
+		send_moved_data(upstreams[i].nr);
+	while (now_ms < 6000 &&
+	       domain_link_state(links, domain_of(&paths[1])) != LINK_LOST)
+		run_until(now_ms + STEP_MS, false);
+	run_until(now_ms + CHECK_CONNECT_MS, false);
+	ck_assert_int_eq(send_moved_data(survivor->nr), COOKIE_TO_UPSTREAM);
+}
+END_TEST
+
+/*
+ * One upstream of a dark domain still runs. While others' checks fail, its link
+ * is found lost again and again; none of its flows may be reset.
+ */
+START_TEST(upstream_that_outlives_its_domain_keeps_its_flows)
+{
+	upstream_index_t survivor;
+
+	make_large_site();
+	set_test_route_repeatable(in.catalog, 2, true);
+	take_own_domain_out();
+	run_until(3000, true);
+	ck_assert_ptr_eq(upstreams[10].path, &paths[1]);
+	survivor = upstreams[10].nr;
+	power_off(&paths[1], &upstreams[10]);
+	for (; now_ms < 8000;) {
+		run_until(now_ms + 50, true);
+		ck_assert_int_eq(send_moved_data(survivor), COOKIE_TO_UPSTREAM);
+	}
+	for (size_t i = 0; i < flow_nr; i++)
+		ck_assert(flows[i].upstream != survivor || !flows[i].ended);
+	for (size_t i = 0; i < upstream_nr; i++)
+		if (upstreams[i].dark)
+			ck_assert_int_eq(send_moved_data(upstreams[i].nr),
+					 COOKIE_RESET);
+}
+END_TEST
+
+static struct health_notice make_link_check(upstream_index_t nr,
+					    const char *domain)
+{
+	const struct catalog_upstream *up = get_upstream(in.catalog, nr);
+	struct health_notice n = { .kind = NOTICE_LINK_CHECK,
+				   .sender = "front-2",
+				   .cookie = up->cookie,
+				   .upstream_id = up->report.id,
+				   .health = HEALTH_UNREACHABLE,
+				   .silent_ms = HEALTH_NEVER_MS,
+				   .check_ms = CHECK_CONNECT_MS };
+
+	g_strlcpy(n.domain, domain, sizeof(n.domain));
+	return n;
+}
+
+/* What a member of this domain found counts; other domains have own links. */
+START_TEST(failed_checks_are_shared_in_the_domain)
+{
+	struct health_notices *hn = create_health_notices(in.view);
+	const char *sender = _i ? "east" : "north";
+
+	make_large_site();
+	set_test_route_repeatable(in.catalog, 2, true);
+	set_placer_notices(in.placer, hn);
+	run_until(3000, false);
+	paths[1].members_dead = true;
+	for (; now_ms < 3000 + DOMAIN_LINK_SILENCE_MAX_MS; now_ms += STEP_MS) {
+		receive_heartbeats(&paths[0]);
+		tick_health_notices(hn, now_ms);
+		update_domain_links(links, now_ms);
+	}
+	for (size_t i = 0; i < upstream_nr; i++) {
+		struct health_notice n;
+
+		if (upstreams[i].path != &paths[1])
+			continue;
+		n = make_link_check(upstreams[i].nr, sender);
+		handle_health_notice(in.placer, &n, now_ms);
+	}
+	update_domain_links(links, now_ms);
+	ck_assert_int_eq(send_moved_data(upstreams[10].nr),
+			 _i ? COOKIE_TO_UPSTREAM : COOKIE_RESET);
+	set_placer_notices(in.placer, NULL);
+	destroy_health_notices(hn);
+}
+END_TEST
+
 /* This instance hears nobody, of its own domain either. */
 START_TEST(instance_that_is_cut_off_alone_is_isolated)
 {
@@ -829,6 +973,11 @@
 	tcase_add_loop_test(tc, cut_of_the_way_back_resets_no_flow, 0, 2);
 	tcase_add_test(tc, cut_of_the_way_there_looks_like_a_crash);
 	tcase_add_test(tc, instance_that_is_cut_off_alone_is_isolated);
+	tcase_add_test(tc,
+		       upstreams_of_dark_domain_are_known_before_flows_move);
+	tcase_add_test(tc, first_moved_flow_of_live_upstream_is_kept);
+	tcase_add_test(tc, upstream_that_outlives_its_domain_keeps_its_flows);
+	tcase_add_loop_test(tc, failed_checks_are_shared_in_the_domain, 0, 2);
 	tcase_add_test(tc, missing_heartbeats_alone_lose_no_link);
 	tcase_add_test(tc, pause_of_this_process_is_no_silence);
 	tcase_add_test(tc, link_changes_are_reported);
--- a/t/cookie-harness.c
+++ b/t/cookie-harness.c
@@ -41,6 +41,24 @@
 		set_catalog_service(c, nr, &sv);
 }
 
+void set_test_route_repeatable(struct catalog *c, uint64_t version,
+			       bool repeatable)
+{
+	GArray *routes =
+		g_array_new(FALSE, FALSE, sizeof(struct catalog_route));
+	struct catalog_route r = { .ip = TEST_ROUTE_IP,
+				   .port = TEST_ROUTE_PORT,
+				   .deadline_ms = TEST_DEADLINE_MS,
+				   .repeatable = repeatable,
+				   .target_nr = 1 };
+
+	r.targets = g_new0(struct route_target, 1);
+	r.targets[0].service = intern_service(c, "board");
+	r.targets[0].weight = 1;
+	g_array_append_val(routes, r);
+	set_catalog_routes(c, version, routes, TEST_IDLE_MS);
+}
+
 void set_test_member(struct cookie_instance *in, const char *name,
 		     const char *domain, enum member_state state)
 {
--- a/t/cookie-harness.h
+++ b/t/cookie-harness.h
@@ -20,6 +20,13 @@
 void set_test_routes(struct catalog *c, uint64_t version, const uint16_t *ports,
 		     size_t port_nr, double cold_per_s);
 
+/*
+ * Puts VERSION in force, with one route, whose requests callers may repeat if
+ * REPEATABLE.
+ */
+void set_test_route_repeatable(struct catalog *c, uint64_t version,
+			       bool repeatable);
+
 /* One instance: all state that decides about its packets. */
 struct cookie_instance {
 	struct catalog *catalog;
