--- a/flow/upstream-quality.h
+++ b/flow/upstream-quality.h
@@ -91,8 +91,11 @@
  * alike: the others could not bear the load, or the route has changed.
  */
 #define QUALITY_PANIC_SHARE (1.0 / 3)
-/* A failing upstream gets one in this many of its share, where it may. */
-#define QUALITY_TRIAL_FACTOR 10
+/*
+ * A failing upstream gets one in this many of its share of flows whose requests
+ * may be repeated: an error costs these an attempt, a crowd elsewhere more.
+ */
+#define QUALITY_TRIAL_FACTOR 4
 
 /*
  * A report: bits 0 to 7 the ratio of response times to the typical ones, in
