edge: take over the store entry that a restarted instance had

An instance registers under its name with a lease of ten minutes. After a restart it asked for a new lease and wrote the same entry again, two priced calls, although the old ones were still there; after a loss of power all instances do so at once. If the first read of the store has the entry with the present address, its lease is renewed instead (a tenth of a read); if that has expired since, the instance registers at once instead of 2 s later.

Store entries now carry their lease. whole-edge: the entry of an instance that was killed and started again keeps its revision.

--- a/config/store-call.h
+++ b/config/store-call.h
@@ -21,6 +21,7 @@
 	void *value;
 	size_t len;
 	uint64_t mod_revision; /* store revision of its last change */
+	uint64_t lease_id;     /* 0: it has none */
 	bool deleted;	       /* in watch answers only */
 };
 
--- a/net/edge-store.c
+++ b/net/edge-store.c
@@ -69,6 +69,44 @@
 		steer_early_packets(e);
 }
 
+/* Appends to W the value of this instance's own entry: where it is reached. */
+static void write_own_entry_value(const struct edge *e, struct wire_writer *w)
+{
+	struct endpoint at = e->settings.address;
+
+	at.port = e->settings.peer_port;
+	write_array(w, 1);
+	write_endpoint(w, &at);
+}
+
+/*
+ * Takes over the entry that this instance wrote before it was restarted, if A,
+ * the first read, has it: renewing a lease costs the store less than a new lease
+ * and entry, and after an outage all instances come back at once.
+ */
+static void adopt_own_entry(struct edge *e, const struct store_answer *a)
+{
+	char key[CATALOG_NAME_MAX];
+	struct wire_writer w;
+
+	if (e->synced || e->entry_lease)
+		return;
+	write_instance_key(e->settings.name, key, sizeof(key));
+	init_wire_writer(&w);
+	write_own_entry_value(e, &w);
+	for (size_t i = 0; i < a->entry_nr; i++) {
+		const struct store_entry *se = &a->entries[i];
+
+		if (strcmp(se->key, key) != 0 || !se->lease_id ||
+		    se->len != w.buf.size ||
+		    memcmp(se->value, w.buf.data, se->len) != 0)
+			continue;
+		e->entry_lease = se->lease_id;
+		e->entry_lease_era = a->era;
+	}
+	release_wire_writer(&w);
+}
+
 static void on_all_read(const struct store_answer *a, void *data)
 {
 	struct mirror_event ev = { .kind = MIRROR_READ_DONE, .answer = a };
@@ -77,6 +115,7 @@
 	step_edge_mirror(e, &ev);
 	if (a->status.kind != STATUS_OK)
 		return;
+	adopt_own_entry(e, a);
 	e->synced = true;
 	tick_start(e);
 }
@@ -442,15 +481,12 @@
 static void write_own_entry(struct edge *e)
 {
 	char key[CATALOG_NAME_MAX];
-	struct endpoint at = e->settings.address;
 	struct store_op op = { .kind = STORE_PUT, .key = key };
 	struct store_txn txn = { .ops = &op, .op_nr = 1 };
 	struct wire_writer w;
 
-	at.port = e->settings.peer_port;
 	init_wire_writer(&w);
-	write_array(&w, 1);
-	write_endpoint(&w, &at);
+	write_own_entry_value(e, &w);
 	write_instance_key(e->settings.name, key, sizeof(key));
 	op.value = w.buf.data;
 	op.len = w.buf.size;
@@ -473,7 +509,11 @@
 
 static void on_lease_renewed(const struct store_answer *a, void *data)
 {
-	finish_registration_call(data, a);
+	struct edge *e = data;
+
+	/* it has expired, and the entry with it: register again at once */
+	if (!finish_registration_call(e, a) && !e->entry_lease)
+		e->lease_call_due_ms = edge_clock_ms();
 }
 
 static void maintain_own_entry(struct edge *e)
--- a/store/etcd-json.c
+++ b/store/etcd-json.c
@@ -130,6 +130,7 @@
 	e->value = g_base64_decode(value ? value : "", &len);
 	e->len = len;
 	e->mod_revision = json_uint(json_object_get(j, "mod_revision"));
+	e->lease_id = json_uint(json_object_get(j, "lease"));
 	return true;
 }
 
--- a/t/whole-edge.sh
+++ b/t/whole-edge.sh
@@ -40,6 +40,13 @@
 		sort -rn | awk 'NR == 1 { print $2 }'
 }
 
+# entry_revision NAME: when the entry of the instance was written last.
+entry_revision () {
+	curl -sS --noproxy '*' \
+		"http://$store/kv-range?prefix=baobabvalve/instances/$1" |
+		sed -n 's/.*"rev": *\([0-9]*\).*/\1/p'
+}
+
 # what an instance loads delays its first packet
 ldd "$bin/baobabvalve-edge" | grep -e libcurl -e libzmq &&
 	fail "baobabvalve-edge loads libraries that it does not need"
@@ -86,9 +93,12 @@
 	$net.71.1,$net.71.2,$net.71.3 60 11 100
 caller=$(cat "$work/caller.pid")
 sleep 1
+before=$(entry_revision in-2)
 stop_process in-2 KILL
 start in-2 "$bin/baobabvalve-edge" --config="$work/in-2.ini"
 sleep 2
+test -n "$before" && test "$(entry_revision in-2)" = "$before" ||
+	fail "in-2 did not take over the entry that it had"
 kill -s TERM "$(cat "$work/up-1.pid")"
 fault forget
 sleep 1
