--- a/flow/upstream-quality.h
+++ b/flow/upstream-quality.h
@@ -26,9 +26,8 @@
 #include "fleet/load.h"
 
 /*
- * Half-life of the responses of one upstream. With 3 s, half of the slow ones of
- * a simulation were found within 5.5 s, with 2 s within 4.3 s; with 1.5 s, usual
- * ones became slow by chance.
+ * Half-life of the responses of one upstream: a longer one finds slow upstreams
+ * later, with a shorter one usual ones become slow by chance.
  */
 #define QUALITY_HALF_LIFE_MS 2000
 /*
@@ -51,10 +50,7 @@
  */
 #define QUALITY_SMALL_FLEET 3
 
-/*
- * Least ratio at which an upstream becomes slow. With 2.25, some usual one of
- * 60 became slow by chance in 3 of 20 simulations of 24 s, with 2.5 in none.
- */
+/* Least ratio at which an upstream becomes slow; usual ones stay below it. */
 #define QUALITY_SLOW_RATIO 2.5
 #define QUALITY_USUAL_RATIO 1.5 /* below it a slow one is usual again */
 #define QUALITY_RATIO_MIN 0.5
