--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 CFLAGS = -std=gnu11 -g $(WARN) -Wstrict-prototypes -Wmissing-prototypes \
 	$($(VARIANT)_FLAGS)
 CXXFLAGS = -std=c++17 -g $(WARN) $($(VARIANT)_FLAGS)
-# Programs load only the libraries that they use: that decides how soon they run.
+# Programs load only the libraries that they use, so that they start sooner.
 LDFLAGS = $($(VARIANT)_FLAGS) -Wl,--as-needed
 LDLIBS = $(shell pkg-config --libs $(PKGS)) -lhttp_parser -lm
 
--- a/fleet/health-notice.h
+++ b/fleet/health-notice.h
@@ -109,7 +109,8 @@
 /*
  * FN returns true while the link to DOMAIN, another failure domain, is doubtful
  * or lost. Notices about upstreams there are neither sent nor used, but for
- * those that concern the link: they may be unreachable rather than dead. Without FN all links are taken to be up.
+ * those that concern the link: the upstreams may be unreachable rather than
+ * dead. Without FN all links are taken to be up.
  */
 typedef bool (*notice_link_fn)(const char *domain, void *user);
 void set_notice_link_test(struct health_notices *hn, notice_link_fn fn,
@@ -122,9 +123,8 @@
 
 /*
  * Queues a notice about an upstream of DOMAIN, unless this domain's members
- * were told the same recently or the link to DOMAIN is doubtful, unless the
- * notice concerns the link. The names of
- * the sender are filled in here.
+ * were told the same recently, or the link to DOMAIN is doubtful and the notice
+ * does not concern it. The names of the sender are filled in here.
  */
 void post_health_notice(struct health_notices *hn,
 			const struct health_notice *n, const char *domain,
