mirror: read everything if a restarted watch brings nothing

A domain is cut off during a burst of changes of the configuration. When it is back, an instance there that gets no updates from peers watches the store from its old revision. That answer holds some eighty versions of the configuration, several megabytes, while its link carries 10 Mbit/s; as it lags behind its peers, the watch was restarted each second, which began the answer anew, for fifteen seconds.

A watch that was restarted and has brought no answer since is now replaced by a read, which has the present values only, and the watch by which an instance catches up is no longer restarted on the next tick.

check-mirror: both cases fail on the code before.

--- a/config/mirror.c
+++ b/config/mirror.c
@@ -522,12 +522,24 @@
 		enter_following_state(m, out);
 }
 
+/*
+ * Whether the watch has brought nothing since it was restarted because of its
+ * lag. It may have to tell of more changes than the link carries in that time,
+ * while a read brings only the present values.
+ */
+static bool was_restarted_in_vain(const struct mirror *m)
+{
+	return m->last_rewatch_ms && m->last_answer_ms < m->last_rewatch_ms;
+}
+
 static void restart_watch(struct mirror *m, uint64_t now_ms, GArray *out)
 {
+	bool in_vain = was_restarted_in_vain(m) && is_behind_peers(m);
+
 	m->last_rewatch_ms = now_ms;
 	add_mirror_action(out, MIRROR_DO_STOP_WATCH);
 	/* a watch does not lead from one era to the next */
-	if (m->peer_position.era > m->position.era)
+	if (in_vain || m->peer_position.era > m->position.era)
 		start_read(m, out);
 	else
 		start_watch(m, out);
@@ -548,6 +560,7 @@
 		start_read(m, out);
 	} else if (now_ms - m->behind_since_ms >= MIRROR_STORE_FALLBACK_MS) {
 		start_watch(m, out);
+		m->last_rewatch_ms = now_ms;
 		m->watching_to_catch_up = true;
 	} else if (now_ms - m->last_query_ms >= MIRROR_PEER_QUERY_MS) {
 		m->last_query_ms = now_ms;
--- a/t/check-mirror.c
+++ b/t/check-mirror.c
@@ -91,6 +91,14 @@
 	return NULL;
 }
 
+static void send_role(bool reader, uint64_t now_ms)
+{
+	struct mirror_event ev = { .kind = MIRROR_ROLE_CHANGED,
+				   .is_store_reader = reader };
+
+	step_mirror(m, &ev, now_ms, out);
+}
+
 /* Reads A and B at revision 10 and watches from there. */
 static void read_initial_entries(uint64_t now_ms)
 {
@@ -214,6 +222,45 @@
 }
 END_TEST
 
+/*
+ * Peers are ahead by more changes than arrive before the next restart: another
+ * watch would begin anew each time.
+ */
+START_TEST(watch_that_is_restarted_in_vain_ends_in_a_read)
+{
+	uint64_t restart_ms = 5000 + MIRROR_WATCH_LAG_MS;
+
+	read_initial_entries(1000);
+	send_peer_revision(900, 5000);
+	send_tick(restart_ms);
+	ck_assert(find_action(MIRROR_DO_WATCH, NULL));
+	send_tick(restart_ms + MIRROR_REWATCH_INTERVAL_MS - 1);
+	ck_assert_uint_eq(out->len, 0);
+	send_tick(restart_ms + MIRROR_REWATCH_INTERVAL_MS);
+	ck_assert(find_action(MIRROR_DO_STOP_WATCH, NULL));
+	ck_assert_ptr_null(find_action(MIRROR_DO_WATCH, NULL));
+	ck_assert(find_action(MIRROR_DO_READ, NULL));
+	ck_assert(!find_action(MIRROR_DO_READ, NULL)->may_be_stale);
+}
+END_TEST
+
+/* The same for the watch by which an instance catches up without peers. */
+START_TEST(catch_up_without_an_answer_ends_in_a_read)
+{
+	uint64_t watch_ms = 5000 + MIRROR_STORE_FALLBACK_MS;
+
+	read_initial_entries(1000);
+	send_role(false, 1100);
+	send_peer_revision(900, 5000);
+	send_tick(watch_ms);
+	ck_assert(find_action(MIRROR_DO_WATCH, NULL));
+	send_tick(watch_ms + MIRROR_TICK_MS);
+	ck_assert_uint_eq(out->len, 0);
+	send_tick(watch_ms + MIRROR_REWATCH_INTERVAL_MS);
+	ck_assert(find_action(MIRROR_DO_READ, NULL));
+}
+END_TEST
+
 START_TEST(bounds_the_retry_rate_of_a_failing_store)
 {
 	uint64_t now;
@@ -270,14 +317,6 @@
 }
 END_TEST
 
-static void send_role(bool reader, uint64_t now_ms)
-{
-	struct mirror_event ev = { .kind = MIRROR_ROLE_CHANGED,
-				   .is_store_reader = reader };
-
-	step_mirror(m, &ev, now_ms, out);
-}
-
 static void send_update(uint64_t from, uint64_t to, struct store_entry *es,
 			size_t nr, uint32_t hold_ms, uint64_t now_ms)
 {
@@ -864,6 +903,8 @@
 	tcase_add_test(tc, reads_everything_after_history_was_compacted);
 	tcase_add_test(tc, an_outdated_read_removes_nothing);
 	tcase_add_test(tc, restarts_a_watch_that_lags_behind_peers);
+	tcase_add_test(tc, watch_that_is_restarted_in_vain_ends_in_a_read);
+	tcase_add_test(tc, catch_up_without_an_answer_ends_in_a_read);
 	tcase_add_test(tc, bounds_the_retry_rate_of_a_failing_store);
 	tcase_add_test(tc, restarts_the_watch_after_a_suspend);
 	tcase_add_test(tc, store_reader_sends_only_new_changes);
