check-domain-link: send to the live upstream while the link is cut

first_moved_flow_of_live_upstream_is_kept waited one check too long: the answer of the live upstream had ended the cut by then, and the case could not fail. It now asserts the cut and sends at that moment; it passes.

--- a/t/check-domain-link.c
+++ b/t/check-domain-link.c
@@ -737,9 +737,9 @@
 	for (size_t i = 11; i < 19; i++)
 		send_moved_data(upstreams[i].nr);
 	while (now_ms < 6000 &&
-	       domain_link_state(links, domain_of(&paths[1])) != LINK_LOST)
+	       !is_domain_link_cut(links, domain_of(&paths[1]), now_ms))
 		run_until(now_ms + STEP_MS, false);
-	run_until(now_ms + CHECK_CONNECT_MS, false);
+	ck_assert(is_domain_link_cut(links, domain_of(&paths[1]), now_ms));
 	ck_assert_int_eq(send_moved_data(survivor->nr), COOKIE_TO_UPSTREAM);
 }
 END_TEST
