fleet start: find peers by the seeds, read long values from peers

Their own entries were retried by all every 2 s at the same moment, so for ten seconds nobody knew its peers; each took itself for the only instance of its domain, watched the store, got 500 events an answer and paused half a second after each; watches beyond the limit were refused. Some had their first configuration 18 s after the start. Ruled out: links, processor, the value of the change itself.

- A starting instance asks the seeds of its settings which members they know (fleet/introduction).
Of two that ask the same seed the later one learns the earlier one's address and greets it.
- Members take the place of silent store readers by and by: their number doubles with each heartbeat interval, instead of all at once.
- A value too long for an update is asked from a peer, in compressed parts (fleet/value-transfer), twice before the store.
- Values of updates apply although changes before them are missing; removals wait for their turn.
- Own entries are retried at random, growing times.

--- a/base/counter-list.h
+++ b/base/counter-list.h
@@ -84,6 +84,8 @@
 COUNTER(PEER_RECEIVED_BYTES, "peer.received-bytes", "bytes from peers")
 COUNTER(PEER_MALFORMED, "peer.malformed", "peer messages dropped")
 COUNTER(PEER_DROPPED, "peer.dropped", "messages dropped on a full link")
+COUNTER(PEER_INTRODUCED, "peer.introduced",
+	"starting instances told of the members known here")
 COUNTER(PEER_LINKS, "peer.links", "connections opened to peers")
 COUNTER(FLEET_SUSPECTED, "fleet.suspected", "members suspected here")
 COUNTER(FLEET_DIED, "fleet.died", "members declared dead here")
--- a/config/mirror-state.h
+++ b/config/mirror-state.h
@@ -50,6 +50,8 @@
 	uint64_t missing_key_revision;
 	uint64_t key_read_allowed_ms; /* earliest time to read MISSING_KEY */
 	bool reading_key;
+	unsigned int key_tries;	    /* to get the value of MISSING_KEY */
+	uint64_t key_peer_until_ms; /* a peer may answer; 0: none was asked */
 };
 
 /* Appends an action of KIND; the caller fills in the rest. */
--- a/config/mirror-update.c
+++ b/config/mirror-update.c
@@ -35,6 +35,9 @@
 		if (!last)
 			continue;
 		*b = find_mirror_entry(m, e->key);
+		/* a later value that was applied ahead is no base */
+		if (b->revision >= e->mod_revision)
+			*b = (struct mirror_entry){ 0 };
 		if (!b->value)
 			continue;
 		b->value = g_memdup2(b->value, b->len);
@@ -85,6 +88,7 @@
 		     uint64_t now_ms, GArray *out)
 {
 	m->reading_key = false;
+	m->key_peer_until_ms = 0;
 	m->key_read_allowed_ms = now_ms + MIRROR_KEY_READ_INTERVAL_MS;
 	if (a->status.kind != STATUS_OK)
 		return;
@@ -106,6 +110,7 @@
 
 	if (it && it->revision >= revision)
 		return;
+	m->key_tries = 0;
 	if (m->missing_key && !strcmp(m->missing_key, key)) {
 		m->missing_key_revision = revision;
 		return;
@@ -162,16 +167,38 @@
 	}
 }
 
+/*
+ * Applies the values of N although changes before it are missing. The position
+ * stays, so that the missing ones are still fetched; those of them that are
+ * older than their item are then ignored. Removals wait: a missing older value
+ * would bring their item back. A store reader does not do this, as the patches
+ * that it sends start from the values of its own position.
+ */
+static void apply_ahead(struct mirror *m, const struct mirror_update *n,
+			GArray *out)
+{
+	if (m->is_store_reader || !m->position.revision || n->restored ||
+	    n->from.era != m->position.era)
+		return;
+	for (size_t i = 0; i < n->entry_nr; i++)
+		if (n->entries[i].value && !n->entries[i].deleted)
+			apply_value(m, &n->entries[i], out);
+}
+
 void handle_update(struct mirror *m, const struct mirror_update *n,
 		   uint64_t now_ms, GArray *out)
 {
 	uint64_t hold_until_ms =
 		n->removal_hold_ms ? now_ms + n->removal_hold_ms : 0;
 
-	if (m->state != MIRROR_STATE_PEER_UPDATES ||
-	    compare_store_positions(n->to, m->position) <= 0)
+	if (compare_store_positions(n->to, m->position) <= 0)
 		return;
+	if (m->state != MIRROR_STATE_PEER_UPDATES) {
+		apply_ahead(m, n, out);
+		return;
+	}
 	if (!continues_at(n, m->position)) {
+		apply_ahead(m, n, out);
 		note_peer_position(m, n->to, now_ms);
 		return;
 	}
--- a/config/mirror.c
+++ b/config/mirror.c
@@ -569,15 +569,30 @@
 	}
 }
 
+static void read_missing_key(struct mirror *m, uint64_t now_ms, GArray *out)
+{
+	struct mirror_action *a;
+
+	if (m->key_peer_until_ms && now_ms >= m->key_peer_until_ms)
+		m->reading_key = false;
+	if (m->reading_key || now_ms < m->key_read_allowed_ms)
+		return;
+	m->reading_key = true;
+	m->key_tries++;
+	a = add_mirror_action(out, MIRROR_DO_READ_KEY);
+	a->key = m->missing_key;
+	a->revision = m->missing_key_revision;
+	a->position.era = m->position.era;
+	a->position.revision = m->missing_key_revision;
+	a->from_peer = m->key_tries <= MIRROR_KEY_PEER_TRIES;
+	m->key_peer_until_ms = a->from_peer ? now_ms + MIRROR_PEER_QUERY_MS : 0;
+}
+
 static void tick(struct mirror *m, uint64_t now_ms, GArray *out)
 {
 	apply_due_removals(m, now_ms, out);
-	if (m->missing_key && !m->reading_key &&
-	    now_ms >= m->key_read_allowed_ms) {
-		m->reading_key = true;
-		add_mirror_action(out, MIRROR_DO_READ_KEY)->key =
-			m->missing_key;
-	}
+	if (m->missing_key)
+		read_missing_key(m, now_ms, out);
 	if (m->state == MIRROR_STATE_PEER_UPDATES)
 		catch_up(m, now_ms, out);
 	else if (m->state == MIRROR_STATE_INITIAL)
--- a/config/mirror.h
+++ b/config/mirror.h
@@ -58,6 +58,12 @@
  */
 #define MIRROR_KEY_READ_INTERVAL_MS 600
 
+/*
+ * How often a peer is asked for such a value, each MIRROR_PEER_QUERY_MS, before
+ * it is read from the store: all instances miss it at the same time.
+ */
+#define MIRROR_KEY_PEER_TRIES 2
+
 enum mirror_event_kind {
 	MIRROR_TICK,	       /* every MIRROR_TICK_MS */
 	MIRROR_READ_DONE,      /* ANSWER to the last MIRROR_DO_READ */
@@ -133,7 +139,7 @@
 
 enum mirror_action_kind {
 	MIRROR_DO_READ,		/* read all entries; see MAY_BE_STALE */
-	MIRROR_DO_READ_KEY,	/* read KEY */
+	MIRROR_DO_READ_KEY,	/* read KEY; see FROM_PEER */
 	MIRROR_DO_QUERY_PEER,	/* ask a peer for the updates after REVISION */
 	MIRROR_DO_SEND_UPDATE,	/* send UPDATE to all other instances */
 	MIRROR_DO_KEEP_UPDATE,	/* keep UPDATE for peers that ask */
@@ -158,6 +164,10 @@
 	struct store_position position;
 	enum mirror_source source; /* of KEY_CHANGED and KEY_REMOVED */
 	bool may_be_stale;	   /* of MIRROR_DO_READ: a cheap read will do */
+	/* of MIRROR_DO_READ_KEY: ask a peer that has REVISION of KEY or a later
+	 * one; without MIRROR_KEY_READ_DONE soon another peer or the store
+	 * follows */
+	bool from_peer;
 	struct mirror_update update;
 };
 
--- a/config/store-call.h
+++ b/config/store-call.h
@@ -46,6 +46,9 @@
 	uint32_t pause_ms; /* after an answer with changes, to collect more */
 };
 
+/* An answer with so many events is followed by more: it needs no pause. */
+#define WATCH_BACKLOG_EVENTS 100
+
 /* Keys from KEY up to but without END; KEY alone if END is NULL. */
 struct store_range {
 	const char *key;
--- a/fleet/heartbeat.c
+++ b/fleet/heartbeat.c
@@ -309,9 +309,12 @@
 {
 	uint64_t interval = heartbeat_interval_ms(ht);
 	uint64_t limit = (HEARTBEAT_DEAD_MISSES - 1) * interval;
+	uint64_t delay_ms = MAX(STORE_READER_DELAY_MS,
+				STORE_READER_DELAY_INTERVALS * interval);
+	/* when a reader was heard last, or could have been the first time */
+	uint64_t heard_ms = ht->started_at_ms + delay_ms;
 
-	if (now_ms - ht->started_at_ms <
-	    MAX(STORE_READER_DELAY_MS, STORE_READER_DELAY_INTERVALS * interval))
+	if (now_ms < heard_ms)
 		return false;
 	if (is_store_reader(ht->view))
 		return true;
@@ -320,11 +323,14 @@
 			&g_array_index(ht->peers, struct peer, i);
 		const struct member *m = find_member(ht->view, p->id);
 
-		if (m && !is_remote(ht, m) && p->last_reader_ms &&
-		    now_ms - p->last_reader_ms < limit)
-			return false;
+		if (m && !is_remote(ht, m))
+			heard_ms = MAX(heard_ms, p->last_reader_ms);
 	}
-	return true;
+	return now_ms - heard_ms >= limit &&
+	       is_store_reader_after(
+		       ht->view,
+		       1 + (unsigned int)((now_ms - heard_ms - limit) /
+					  interval));
 }
 
 uint64_t highest_ready_config_version(const struct heartbeat_tracker *ht)
--- a/fleet/heartbeat.h
+++ b/fleet/heartbeat.h
@@ -111,7 +111,8 @@
 
 /*
  * True if this instance is to read and watch the store: it is one of its
- * domain's store readers, or no reader there reports an answering store.
+ * domain's store readers, or none there reports an answering store. In that
+ * case the number of readers doubles with each heartbeat interval.
  */
 bool should_read_store(const struct heartbeat_tracker *ht, uint64_t now_ms);
 
--- a/fleet/peer-format.h
+++ b/fleet/peer-format.h
@@ -22,7 +22,11 @@
 	HEARTBEAT_FORMAT = 13,
 	UPDATE_HELD_REQUEST = 14, /* from an instance that has just started */
 	FLOWS_MOVED = 15,	  /* flows whose packets the sender now gets */
-	HEALTH_NOTICE_FORMAT = 16
+	HEALTH_NOTICE_FORMAT = 16,
+	INTRODUCTION_REQUEST = 17, /* for the members that the receiver knows */
+	INTRODUCTION = 18,	   /* addresses of members */
+	VALUE_REQUEST = 19,	   /* for a value that updates leave out */
+	VALUE_PART = 20
 };
 
 /* True if DATA, of LEN bytes, begins like a message of FORMAT. */
--- a/fleet/store-reader.c
+++ b/fleet/store-reader.c
@@ -23,9 +23,15 @@
 }
 
 bool is_store_reader(const struct view *v)
+{
+	return is_store_reader_after(v, 0);
+}
+
+bool is_store_reader_after(const struct view *v, unsigned int doublings)
 {
 	const struct member *self = find_member(v, view_self(v));
 	const struct member *ms;
+	unsigned int readers;
 	unsigned int above = 0;
 	unsigned int members = 1;
 	bool alone = true;
@@ -44,7 +50,10 @@
 		members++;
 		above += is_ranked_higher(&ms[i], self);
 	}
-	return above < (members < SECOND_READER_DOMAIN_MEMBERS && !alone
-				? 1
-				: STORE_READERS_PER_DOMAIN);
+	readers = members < SECOND_READER_DOMAIN_MEMBERS && !alone
+			  ? 1
+			  : STORE_READERS_PER_DOMAIN;
+	for (; doublings && readers < members; doublings--)
+		readers *= 2;
+	return above < readers;
 }
--- a/fleet/store-reader.h
+++ b/fleet/store-reader.h
@@ -26,4 +26,11 @@
 /* True if the view's own instance is a store reader of its domain. */
 bool is_store_reader(const struct view *v);
 
+/*
+ * The same with the number of readers doubled DOUBLINGS times, since those that
+ * are chosen do not report an answering store. If all members took their place
+ * at once, a store that refuses calls beyond its limit would answer none.
+ */
+bool is_store_reader_after(const struct view *v, unsigned int doublings);
+
 #endif
--- a/net/edge-packets.c
+++ b/net/edge-packets.c
@@ -390,6 +390,17 @@
 	release_wire_message(&msg);
 }
 
+static void on_value_request(struct edge *e, const uint8_t *data, size_t len,
+			     const struct endpoint *from)
+{
+	struct value_request r;
+
+	if (read_value_request(data, len, &r))
+		answer_value_request(e, &r, from);
+	else
+		count(&e->counters, COUNT_PEER_MALFORMED);
+}
+
 static void on_flows_moved(struct edge *e, const uint8_t *data, size_t len)
 {
 	GArray *keys = g_array_new(FALSE, FALSE, sizeof(struct flow_key));
@@ -422,6 +433,14 @@
 		on_flows_moved(e, data, len);
 	} else if (has_peer_format(data, len, HEALTH_NOTICE_FORMAT)) {
 		on_health_notice(e, data, len);
+	} else if (has_peer_format(data, len, INTRODUCTION_REQUEST)) {
+		answer_introduction_request(e, from);
+	} else if (has_peer_format(data, len, VALUE_REQUEST)) {
+		on_value_request(e, data, len, from);
+	} else if (has_peer_format(data, len, VALUE_PART)) {
+		handle_value_part(e, data, len);
+	} else if (has_peer_format(data, len, INTRODUCTION)) {
+		handle_introduction(e, data, len, from);
 	} else {
 		on_store_update(e, data, len, from);
 	}
@@ -549,6 +568,7 @@
 			    has_load_changed(e->placement), to))
 		send_own_heartbeat(e, to);
 	g_array_free(to, TRUE);
+	tick_edge_introduction(e);
 }
 
 bool open_edge_ports(struct edge *e, struct status *st)
--- a/net/edge-state.h
+++ b/net/edge-state.h
@@ -12,6 +12,8 @@
 #include "config/restored-records.h"
 #include "fleet/health-notice.h"
 #include "fleet/heartbeat.h"
+#include "fleet/introduction.h"
+#include "fleet/value-transfer.h"
 #include "flow/moved-flows.h"
 #include "fleet/start-check.h"
 #include "fleet/store-update.h"
@@ -43,10 +45,13 @@
 	struct isolation isolation;
 	struct moved_flows *moved_flows;
 	struct heartbeat_tracker *instance_heartbeats;
+	struct introduction *introduction;
 	struct mirror *mirror;
 	struct restored_records *restored_records;
 	struct start_check start_check;
 	struct update_log *recent_updates;
+	struct endpoint update_sender; /* of the last update; port 0: none */
+	struct value_receiver *value_receiver;
 	struct store *store;
 	struct store_watch *watch;
 	/* receives from callers, sends to callers and upstreams */
@@ -71,9 +76,10 @@
 	uint64_t entry_lease_era; /* of the store, when it was granted */
 	uint64_t lease_call_due_ms; /* next grant or renewal of ENTRY_LEASE */
 	bool registration_pending;  /* a call for that entry runs */
-	bool synced;		    /* all store entries have been read once */
-	bool logged_ready;	    /* readiness as last logged */
-	char incarnation[17];	    /* random id of this process, for logs */
+	unsigned int registration_failures; /* of such calls, in a row */
+	bool synced;	      /* all store entries have been read once */
+	bool logged_ready;    /* readiness as last logged */
+	char incarnation[17]; /* random id of this process, for logs */
 };
 
 /* Milliseconds since boot, including time the machine was suspended. */
@@ -101,6 +107,10 @@
 			const void *data, size_t len,
 			const struct endpoint *from);
 
+void answer_value_request(struct edge *e, const struct value_request *r,
+			  const struct endpoint *from);
+void handle_value_part(struct edge *e, const uint8_t *data, size_t len);
+
 /* edge-records.c: applies the store's records */
 void apply_edge_change(struct edge *e, const struct mirror_action *a);
 /* Lets what the store has of records that are no longer held go into force. */
@@ -109,6 +119,12 @@
 void adopt_edge_records(struct edge *e, const struct store_update *n);
 void set_edge_hold_times(struct edge *e); /* from the settings */
 
+/* edge-introduction.c: finds peers by the seeds */
+void tick_edge_introduction(struct edge *e);
+void answer_introduction_request(struct edge *e, const struct endpoint *from);
+void handle_introduction(struct edge *e, const uint8_t *data, size_t len,
+			 const struct endpoint *from);
+
 /* edge-packets.c: packets, heartbeats and store updates over UDP */
 bool open_edge_ports(struct edge *e, struct status *st);
 void tick_edge_heartbeats(struct edge *e);
--- a/net/edge-store.c
+++ b/net/edge-store.c
@@ -5,6 +5,7 @@
 
 #include <string.h>
 
+#include "base/backoff.h"
 #include "base/patch.h"
 #include "base/wire.h"
 #include "net/edge-state.h"
@@ -16,7 +17,12 @@
  */
 #define OWN_ENTRY_LEASE_S 600
 #define OWN_ENTRY_RENEW_MS 200000 /* a third of the lease */
-#define OWN_ENTRY_RETRY_MS 2000	  /* after a call that failed */
+/*
+ * Wait after a call that failed, random and growing: the store refuses calls of
+ * a whole fleet that starts, and would again if all came back at once.
+ */
+#define OWN_ENTRY_RETRY_MIN_MS 400
+#define OWN_ENTRY_RETRY_MAX_MS 4000
 /*
  * After a restore all instances register again within this time. Those that
  * know each other do not need the entries.
@@ -251,6 +257,64 @@
 	return se;
 }
 
+/* Asks a peer for the value that A reads; false if none is known to have it. */
+static bool request_value(struct edge *e, const struct mirror_action *a)
+{
+	struct store_position before = { a->position.era,
+					 a->position.revision - 1 };
+	struct value_request r = { .at = a->position };
+	struct endpoint to;
+	struct wire_writer w;
+
+	if (!pick_member_ahead(e->instance_heartbeats, before, e->rand, &to))
+		to = e->update_sender;
+	if (!to.port)
+		return false;
+	g_strlcpy(r.key, a->key, sizeof(r.key));
+	init_wire_writer(&w);
+	write_value_request(&w, &r);
+	send_to_peer(e, &to, w.buf.data, w.buf.size);
+	flush_datagrams(e->peer_socket);
+	release_wire_writer(&w);
+	return true;
+}
+
+void answer_value_request(struct edge *e, const struct value_request *r,
+			  const struct endpoint *from)
+{
+	struct store_position at = mirror_position(e->mirror);
+	struct mirror_entry entry = find_mirror_entry(e->mirror, r->key);
+	struct resend_target rs = { e, from };
+
+	at.revision = entry.revision;
+	if (!entry.value || at.era != r->at.era ||
+	    compare_store_positions(at, r->at) < 0)
+		return;
+	send_value(r->key, at, entry.value, entry.len, resend_datagram, &rs);
+	flush_datagrams(e->peer_socket);
+}
+
+void handle_value_part(struct edge *e, const uint8_t *data, size_t len)
+{
+	struct received_value rv;
+	struct store_entry entry = { 0 };
+	struct store_answer a = { .entries = &entry, .entry_nr = 1 };
+
+	if (!add_value_part(e->value_receiver, data, len, &rv)) {
+		count(&e->counters, COUNT_PEER_MALFORMED);
+		return;
+	}
+	if (!rv.value)
+		return;
+	entry.key = (char *)rv.key;
+	entry.value = (void *)g_bytes_get_data(rv.value, &entry.len);
+	entry.mod_revision = rv.at.revision;
+	a.revision = rv.at.revision;
+	a.era = rv.at.era;
+	on_key_read(&a, e);
+	g_bytes_unref(rv.value);
+}
+
 static void apply_edge_update(struct edge *e, const struct store_update *n,
 			      const void *data, size_t len)
 {
@@ -312,6 +376,7 @@
 	switch (n->format) {
 	case UPDATE_CHANGES:
 	case UPDATE_RESTORED:
+		e->update_sender = *from;
 		apply_edge_update(e, n, data, len);
 		break;
 	case UPDATE_REQUEST:
@@ -373,7 +438,8 @@
 		query_store_range(e->store, &all, on_all_read, e);
 		break;
 	case MIRROR_DO_READ_KEY:
-		query_store_range(e->store, &one, on_key_read, e);
+		if (!a->from_peer || !request_value(e, a))
+			query_store_range(e->store, &one, on_key_read, e);
 		break;
 	case MIRROR_DO_QUERY_PEER:
 		request_missing_updates(e, a->position);
@@ -451,6 +517,8 @@
 				     const struct store_answer *a)
 {
 	e->registration_pending = false;
+	e->registration_failures =
+		a->status.kind == STATUS_OK ? 0 : e->registration_failures + 1;
 	if (a->status.kind == STATUS_OK && e->entry_lease &&
 	    a->era != e->entry_lease_era) {
 		/* the lease was of a store that has been restored since */
@@ -464,7 +532,10 @@
 	}
 	if (a->status.kind == STATUS_NOT_FOUND)
 		e->entry_lease = 0;
-	e->lease_call_due_ms = edge_clock_ms() + OWN_ENTRY_RETRY_MS;
+	e->lease_call_due_ms =
+		edge_clock_ms() + backoff_ms(e->registration_failures,
+					     OWN_ENTRY_RETRY_MIN_MS,
+					     OWN_ENTRY_RETRY_MAX_MS, e->rand);
 	log_event(e->log, EVENT_PROBLEM, "what=own-entry why=\"%s\"",
 		  a->status.message);
 	return false;
@@ -549,6 +620,7 @@
 	e->mirror = create_mirror(seed);
 	set_mirror_watch_pace(e->mirror, edge_watch_pace(e));
 	e->recent_updates = create_update_log();
+	e->value_receiver = create_value_receiver();
 	e->restored_records = create_restored_records();
 	set_edge_hold_times(e);
 	e->store = create_platform_store(&e->loop, &e->settings.store,
@@ -563,6 +635,8 @@
 	e->store = NULL;
 	destroy_mirror(e->mirror);
 	e->mirror = NULL;
+	destroy_value_receiver(e->value_receiver);
+	e->value_receiver = NULL;
 	destroy_update_log(e->recent_updates);
 	e->recent_updates = NULL;
 	destroy_restored_records(e->restored_records);
--- a/net/edge.c
+++ b/net/edge.c
@@ -105,12 +105,17 @@
 
 static void add_seeds(struct edge *e, const struct settings *s)
 {
+	struct endpoint self = s->address;
+
+	self.port = s->peer_port;
 	for (size_t i = 0; i < s->seeds.nr; i++) {
 		struct endpoint at = s->seeds.at[i];
 
 		/* the ports of seeds are ignored: all instances use the same */
 		at.port = e->settings.peer_port;
 		add_heartbeat_address(e->instance_heartbeats, &at);
+		if (!same_endpoint(&at, &self))
+			add_introduction_seed(e->introduction, &at);
 	}
 }
 
@@ -366,6 +371,7 @@
 	e->view = create_view(self.id);
 	e->instance_heartbeats =
 		create_heartbeat_tracker(&self, e->view, e->now_ms);
+	e->introduction = create_introduction(e->now_ms);
 	add_seeds(e, &e->settings);
 	e->catalog = create_catalog(e->settings.bounds.flow_lifetime_ms);
 	e->upstream_quotas = create_quotas(e->view);
@@ -394,6 +400,7 @@
 	destroy_health_notices(e->health_notices);
 	destroy_quotas(e->upstream_quotas);
 	destroy_catalog(e->catalog);
+	destroy_introduction(e->introduction);
 	destroy_heartbeat_tracker(e->instance_heartbeats);
 	destroy_view(e->view);
 }
--- a/t/check-heartbeat.c
+++ b/t/check-heartbeat.c
@@ -223,6 +223,35 @@
 }
 END_TEST
 
+/*
+ * Guards against a domain whose members all read the store at once: a store
+ * that refuses calls beyond its limit would then answer none of them.
+ */
+START_TEST(members_take_the_place_of_store_readers_by_and_by)
+{
+	struct heartbeat_message hm = { .flags = 0 };
+	uint64_t start = 1000 + STORE_READER_DELAY_MS;
+	uint64_t limit = (HEARTBEAT_DEAD_MISSES - 1) * HEARTBEAT_INTERVAL_MS;
+
+	/* eight members with faster links rank higher */
+	for (unsigned int i = 0; i < 8; i++) {
+		char name[8];
+
+		g_snprintf(name, sizeof(name), "m%u", i);
+		hm.member = make_member(name, "north", (uint16_t)(10 + i));
+		hm.member.link_mbps = 100;
+		handle_heartbeat(ht, &hm, 1000);
+	}
+	/* 2 readers, 4 after the limit, 8 and 16 with each further interval */
+	ck_assert(!should_read_store(ht, start + limit - 1));
+	ck_assert(!should_read_store(ht, start + limit));
+	ck_assert(
+		!should_read_store(ht, start + limit + HEARTBEAT_INTERVAL_MS));
+	ck_assert(should_read_store(ht,
+				    start + limit + 2 * HEARTBEAT_INTERVAL_MS));
+}
+END_TEST
+
 START_TEST(a_silent_store_reader_is_replaced)
 {
 	receive_higher_ranked(HEARTBEAT_READS_STORE, 5000);
@@ -728,6 +757,7 @@
 	tcase_add_test(tc, a_domain_with_a_working_store_reader_needs_no_other);
 	tcase_add_test(tc, a_lone_domain_has_two_store_readers);
 	tcase_add_test(tc, a_store_reader_without_the_store_is_replaced);
+	tcase_add_test(tc, members_take_the_place_of_store_readers_by_and_by);
 	tcase_add_test(tc, a_silent_store_reader_is_replaced);
 	tcase_add_test(tc, a_pause_unsettles_the_view);
 	tcase_add_test(tc, relays_are_ready_and_not_leaving);
--- a/t/check-mirror.c
+++ b/t/check-mirror.c
@@ -541,6 +541,90 @@
 }
 END_TEST
 
+START_TEST(asks_peers_for_a_long_value_before_the_store)
+{
+	struct store_entry left_out = { .key = (char *)"config",
+					.mod_revision = 11 };
+	uint64_t ms = 2050;
+
+	start_with_peer_updates(1000);
+	send_update(10, 11, &left_out, 1, 0, 2000);
+	for (unsigned int i = 0; i < MIRROR_KEY_PEER_TRIES; i++) {
+		send_tick(ms);
+		ck_assert(find_action(MIRROR_DO_READ_KEY, NULL)->from_peer);
+		ck_assert_uint_eq(
+			find_action(MIRROR_DO_READ_KEY, NULL)->revision, 11);
+		send_tick(ms + MIRROR_PEER_QUERY_MS - 1);
+		ck_assert_ptr_null(find_action(MIRROR_DO_READ_KEY, NULL));
+		ms += MIRROR_PEER_QUERY_MS;
+	}
+	send_tick(ms);
+	ck_assert(!find_action(MIRROR_DO_READ_KEY, NULL)->from_peer);
+	/* the store is not asked again while it may answer */
+	send_tick(ms + 1000);
+	ck_assert_ptr_null(find_action(MIRROR_DO_READ_KEY, NULL));
+}
+END_TEST
+
+START_TEST(applies_values_ahead_of_missing_changes)
+{
+	struct store_entry es[] = { make_entry("config", "new", 20),
+				    make_entry("b", NULL, 21) };
+	struct store_entry older[] = { make_entry("config", "old", 15),
+				       make_entry("b", NULL, 18),
+				       make_entry("config", "new", 20),
+				       make_entry("b", "3", 21) };
+
+	start_with_peer_updates(1000);
+	/* changes 11 to 19 are missing: values apply, removals wait */
+	send_update(19, 21, es, 2, 0, 2000);
+	ck_assert_uint_eq(find_action(MIRROR_KEY_CHANGED, "config")->revision,
+			  20);
+	ck_assert_ptr_null(find_action(MIRROR_KEY_REMOVED, NULL));
+	ck_assert_uint_eq(mirror_revision(m), 10);
+	/* an older value that comes later does not replace it */
+	send_update(10, 21, older, 4, 0, 2100);
+	ck_assert_ptr_null(find_action(MIRROR_KEY_CHANGED, "config"));
+	ck_assert(find_action(MIRROR_KEY_REMOVED, "b"));
+	ck_assert(find_action(MIRROR_KEY_CHANGED, "b"));
+	ck_assert_uint_eq(mirror_revision(m), 21);
+}
+END_TEST
+
+START_TEST(a_store_reader_applies_nothing_ahead)
+{
+	struct store_entry change = make_entry("config", "new", 20);
+
+	read_initial_entries(1000);
+	send_update(19, 20, &change, 1, 0, 2000);
+	ck_assert_ptr_null(find_action(MIRROR_KEY_CHANGED, NULL));
+}
+END_TEST
+
+START_TEST(a_value_applied_ahead_is_no_base_of_an_older_one)
+{
+	char *first = g_strnfill(MIRROR_INLINE_VALUE_MAX + 1, 'a');
+	char *second = g_strnfill(MIRROR_INLINE_VALUE_MAX + 1, 'b');
+	struct store_entry ahead = make_entry("config", second, 20);
+	struct store_entry es[] = { make_entry("config", first, 15),
+				    make_entry("config", second, 20) };
+	const struct mirror_action *a;
+
+	send_role(false, 1000);
+	read_initial_entries(1000);
+	ck_assert(find_action(MIRROR_DO_WATCH, NULL));
+	send_update(19, 20, &ahead, 1, 0, 1005);
+	ck_assert(find_action(MIRROR_KEY_CHANGED, "config"));
+	send_answer(MIRROR_WATCH_ANSWER, STATUS_OK, 20, es, 2, 1010);
+	a = find_action(MIRROR_DO_KEEP_UPDATE, NULL);
+	ck_assert_uint_eq(a->update.entry_nr, 2);
+	ck_assert_ptr_null(a->update.bases[0].value);
+	ck_assert_ptr_null(a->update.bases[1].value);
+	g_free(first);
+	g_free(second);
+}
+END_TEST
+
 START_TEST(rereads_a_long_value_changed_during_its_read)
 {
 	struct store_entry first = { .key = (char *)"config",
@@ -916,6 +1000,10 @@
 	tcase_add_test(tc, applies_updates_in_order_and_queries_gaps);
 	tcase_add_test(tc, watches_the_store_if_no_peer_answers);
 	tcase_add_test(tc, rereads_a_long_value_changed_during_its_read);
+	tcase_add_test(tc, asks_peers_for_a_long_value_before_the_store);
+	tcase_add_test(tc, applies_values_ahead_of_missing_changes);
+	tcase_add_test(tc, a_store_reader_applies_nothing_ahead);
+	tcase_add_test(tc, a_value_applied_ahead_is_no_base_of_an_older_one);
 	tcase_add_test(tc, reads_everything_after_a_lasting_digest_mismatch);
 	tcase_add_test(tc, digest_depends_only_on_the_entries);
 	tcase_add_test(tc, reads_everything_if_no_peer_has_the_updates);
