health checks: a connection proves that an upstream is reachable

An upstream with both slots busy and a full queue answered no SYN for 450 ms; two instances told so, and a check that had run for 150 ms counted as the proof that it was cut off. But the check was connected: it waited for a slot, like a request, and ended with "silent". All flows of a living upstream were reset. The same holds without overload for any upstream that is busy with long requests.

The placer is told when a check has its connection, and then unanswered packets of others do not confirm it.

--- a/flow/placement-health.c
+++ b/flow/placement-health.c
@@ -239,6 +239,14 @@
 		clear_suspicion(pl, nr, ul, now_ms);
 }
 
+void note_check_connected(struct placer *pl, upstream_index_t nr)
+{
+	struct upstream_load *ul = get_or_create_upstream_load(pl, nr);
+
+	ul->check_connected = ul->check_running;
+	ul->unreachable_checks = 0;
+}
+
 void note_check_result(struct placer *pl, upstream_index_t nr,
 		       enum check_result result, uint64_t now_ms)
 {
@@ -247,6 +255,7 @@
 
 	pl->has_unhealthy = true;
 	ul->check_running = false;
+	ul->check_connected = false;
 	note_check_on_link(pl, nr, result, now_ms);
 	if (end_control_check(pl, nr, ul, result, now_ms))
 		return;
--- a/flow/placement-notices.c
+++ b/flow/placement-notices.c
@@ -139,7 +139,7 @@
 	if (ul->unanswered_since_ms && unanswered_ms >= HEALTH_UNANSWERED_MS)
 		post_notice(pl, nr, NOTICE_SUSPICION, HEALTH_SUSPECTED,
 			    unanswered_ms, now_ms);
-	if (!ul->check_running ||
+	if (!ul->check_running || ul->check_connected ||
 	    now_ms - ul->check_started_ms < HEALTH_CONFIRMED_CHECK_MS ||
 	    !is_proved_unreachable(pl, nr, ul, now_ms))
 		return;
--- a/flow/placement.h
+++ b/flow/placement.h
@@ -310,6 +310,13 @@
 /* Moves the changes since the last call to the end of CHANGES. */
 void pop_health_changes(struct placer *pl, GArray *changes);
 
+/*
+ * The running check of NR has a connection. NR is reachable then, though it may
+ * answer late: a check waits for a slot like any request, and an upstream that
+ * is full does not answer SYNs.
+ */
+void note_check_connected(struct placer *pl, upstream_index_t nr);
+
 /* Notes the result of a check that tick_placer() requested. */
 void note_check_result(struct placer *pl, upstream_index_t nr,
 		       enum check_result result, uint64_t now_ms);
--- a/net/edge-check.c
+++ b/net/edge-check.c
@@ -101,6 +101,17 @@
 	g_free(hc);
 }
 
+static void on_check_connected(void *data)
+{
+	const struct health_check *hc = data;
+	struct edge *e = hc->e;
+	const struct catalog_upstream *up =
+		get_upstream(e->catalog, hc->upstream);
+
+	if (up && up->report.id == hc->upstream_id)
+		note_check_connected(e->placement, hc->upstream);
+}
+
 static void start_health_check(struct edge *e, upstream_index_t nr)
 {
 	const struct catalog_upstream *up = get_upstream(e->catalog, nr);
@@ -120,6 +131,7 @@
 				   CHECK_TIMEOUT_MS, CHECK_ANSWER_MAX_BYTES,
 				   on_check_done, hc);
 	set_http_connect_timeout(hc->call, CHECK_CONNECT_MS);
+	set_http_connect_callback(hc->call, on_check_connected);
 	destroy_http_message(m);
 }
 
--- a/net/http-client.c
+++ b/net/http-client.c
@@ -19,6 +19,7 @@
 	bool closing;
 	int open_handles;
 	void (*on_done)(const struct http_call_result *r, void *data);
+	void (*on_connect)(void *data); /* may be NULL */
 	void *data;
 	char buffer[READ_BUFFER_BYTES];
 };
@@ -127,6 +128,8 @@
 	}
 	c->maybe_sent = true;
 	c->timeout_deferred = false;
+	if (c->on_connect)
+		c->on_connect(c->data);
 	uv_timer_start(&c->timer, on_timeout, c->timeout_ms, 0);
 	buf = uv_buf_init((char *)c->request_bytes->data,
 			  c->request_bytes->len);
@@ -174,6 +177,11 @@
 	return c;
 }
 
+void set_http_connect_callback(struct http_call *c, void (*fn)(void *data))
+{
+	c->on_connect = fn;
+}
+
 void set_http_connect_timeout(struct http_call *c, uint64_t ms)
 {
 	if (!c->maybe_sent && !c->closing)
--- a/net/http-client.h
+++ b/net/http-client.h
@@ -39,6 +39,9 @@
 /* Fails the call if it is not connected within MS from now. */
 void set_http_connect_timeout(struct http_call *c, uint64_t ms);
 
+/* Calls FN when the call is connected. */
+void set_http_connect_callback(struct http_call *c, void (*fn)(void *data));
+
 /* Closes the connection; FN is not called. */
 void cancel_http_call(struct http_call *c);
 
--- a/t/check-health-notice.c
+++ b/t/check-health-notice.c
@@ -374,9 +374,10 @@
 }
 END_TEST
 
-/* Health 150 ms after a check began that has not found a connection yet. */
+/* Health 150 ms after a check began that has no answer yet. */
 static enum upstream_health health_during_check(const uint32_t *unanswered_ms,
-						int nr, bool others_answer)
+						int nr, bool others_answer,
+						bool connected)
 {
 	struct upstream_report r = make_upstream_report("u-b", "north");
 	upstream_index_t other = put_test_upstream(&in, &r, 0);
@@ -393,6 +394,8 @@
 		n = make_suspicion(i, unanswered_ms[i]);
 		handle_health_notice(in.placer, &n, t + 20);
 	}
+	if (connected)
+		note_check_connected(in.placer, board_a);
 	for (uint64_t end = t + HEALTH_CONFIRMED_CHECK_MS; t <= end; t += 10)
 		tick_placer(in.placer, t, checks);
 	g_array_free(checks, TRUE);
@@ -407,17 +410,30 @@
 {
 	static const uint32_t ages_ms[][2] = { { 300, 300 }, { 300, 290 } };
 
-	ck_assert_int_eq(health_during_check(ages_ms[_i], 2, true),
+	ck_assert_int_eq(health_during_check(ages_ms[_i], 2, true, false),
 			 _i ? HEALTH_SUSPECTED : HEALTH_UNREACHABLE);
 }
 END_TEST
 
+/*
+ * Guards against resets of the flows of an upstream that is full: it answers no
+ * SYN, and a check only when a slot is free, but it accepts the connection.
+ */
+START_TEST(a_connected_check_proves_that_nothing_is_cut_off)
+{
+	static const uint32_t ages_ms[] = { 300, 300, 400 };
+
+	ck_assert_int_eq(health_during_check(ages_ms, 3, true, true),
+			 HEALTH_SUSPECTED);
+}
+END_TEST
+
 /* Guards against verdicts of an instance that is cut off itself. */
 START_TEST(instance_that_hears_no_upstream_confirms_none)
 {
 	static const uint32_t ages_ms[] = { 300, 300, 400 };
 
-	ck_assert_int_eq(health_during_check(ages_ms, 3, false),
+	ck_assert_int_eq(health_during_check(ages_ms, 3, false, false),
 			 HEALTH_SUSPECTED);
 }
 END_TEST
@@ -497,6 +513,8 @@
 	tcase_add_test(tc, suspicion_ends_with_sign_of_life);
 	tcase_add_loop_test(tc, unanswered_packets_of_others_confirm_a_check, 0,
 			    2);
+	tcase_add_test(tc,
+		       a_connected_check_proves_that_nothing_is_cut_off);
 	tcase_add_test(tc, instance_that_hears_no_upstream_confirms_none);
 	tcase_add_test(tc, pause_makes_no_witness);
 	tcase_add_test(tc, other_domains_get_only_what_they_use);
