--- a/fleet/introduction.c
+++ b/fleet/introduction.c
@@ -127,6 +127,7 @@
 	struct wire_message msg;
 	struct wire_reader r;
 	bool ok = open_wire_message(&msg, &r, data, len);
+	guint before = addresses->len;
 
 	if (ok && read_uint(&r, UINT8_MAX) != INTRODUCTION)
 		ok = false;
@@ -138,6 +139,8 @@
 			g_array_append_val(addresses, ep);
 	}
 	ok = ok && !r.malformed;
+	if (!ok)
+		g_array_set_size(addresses, before);
 	release_wire_message(&msg);
 	return ok;
 }
--- a/fleet/introduction.h
+++ b/fleet/introduction.h
@@ -56,7 +56,7 @@
 void write_introduction(const struct view *v, const struct endpoint *to,
 			send_introduction_fn send, void *user);
 
-/* Appends the addresses in DATA to ADDRESSES. False if it is malformed. */
+/* Appends the addresses in DATA to ADDRESSES; none and false if malformed. */
 bool read_introduction(const void *data, size_t len, GArray *addresses);
 
 #endif
--- a/flow/placement-state.h
+++ b/flow/placement-state.h
@@ -45,7 +45,7 @@
 	uint64_t unanswered_since_ms;
 	bool adopted; /* HEALTH is a peer's verdict */
 	bool check_running;
-	bool check_connected; /* the running check */
+	bool check_connected;	     /* the running check */
 	uint32_t unreachable_checks; /* in a row */
 	uint64_t next_check_ms;	     /* earliest time of the next check */
 	uint64_t peer_check_ms; /* of the last check due to a peer's report */
--- a/net/edge-packets.c
+++ b/net/edge-packets.c
@@ -464,6 +464,22 @@
 		g_array_set_size(b->rows, HEARTBEAT_ROWS_MAX);
 }
 
+void send_to_peer(struct edge *e, const struct endpoint *to, const void *data,
+		  size_t len)
+{
+	queue_datagram(e->peer_socket, endpoint_ipv4(to), to->port, NULL, 0,
+		       data, len);
+	count(&e->counters, COUNT_PEER_SENT);
+	count_n(&e->counters, COUNT_PEER_SENT_BYTES, len);
+}
+
+void send_to_target(const void *data, size_t len, void *user)
+{
+	const struct peer_target *t = user;
+
+	send_to_peer(t->e, t->to, data, len);
+}
+
 /* Sends the datagram in W to all of TO (of struct endpoint). */
 static void send_to_peers(struct edge *e, const struct wire_writer *w,
 			  const GArray *to)
@@ -568,7 +584,6 @@
 			    has_load_changed(e->placement), to))
 		send_own_heartbeat(e, to);
 	g_array_free(to, TRUE);
-	tick_edge_introduction(e);
 }
 
 bool open_edge_ports(struct edge *e, struct status *st)
--- a/net/edge-state.h
+++ b/net/edge-state.h
@@ -125,9 +125,20 @@
 void handle_introduction(struct edge *e, const uint8_t *data, size_t len,
 			 const struct endpoint *from);
 
+/* A peer that gets datagrams from functions that take a callback. */
+struct peer_target {
+	struct edge *e;
+	const struct endpoint *to;
+};
+
 /* edge-packets.c: packets, heartbeats and store updates over UDP */
 bool open_edge_ports(struct edge *e, struct status *st);
 void tick_edge_heartbeats(struct edge *e);
+/* Queues a datagram for the peer TO; flush_datagrams() sends it. */
+void send_to_peer(struct edge *e, const struct endpoint *to, const void *data,
+		  size_t len);
+/* The same for USER, a struct peer_target. */
+void send_to_target(const void *data, size_t len, void *user);
 /* Sends the health notices that are queued. */
 void send_edge_notices(struct edge *e);
 /* Steers the packets queued before the first store read; drops old ones. */
--- a/net/edge-store.c
+++ b/net/edge-store.c
@@ -29,15 +29,6 @@
  */
 #define OWN_ENTRY_SPREAD_MS 2000
 
-static void send_to_peer(struct edge *e, const struct endpoint *to,
-			 const void *data, size_t len)
-{
-	queue_datagram(e->peer_socket, endpoint_ipv4(to), to->port, NULL, 0,
-		       data, len);
-	count(&e->counters, COUNT_PEER_SENT);
-	count_n(&e->counters, COUNT_PEER_SENT_BYTES, len);
-}
-
 /* Asks a ready peer which records of the store it holds. */
 static void request_held_records(struct edge *e)
 {
@@ -193,25 +184,13 @@
 	release_wire_writer(&w);
 }
 
-struct resend_target {
-	struct edge *e;
-	const struct endpoint *to;
-};
-
-static void resend_datagram(const void *data, size_t len, void *user)
-{
-	const struct resend_target *rs = user;
-
-	send_to_peer(rs->e, rs->to, data, len);
-}
-
 static void answer_update_request(struct edge *e, struct store_position since,
 				  const struct endpoint *from)
 {
-	struct resend_target rs = { e, from };
+	struct peer_target to = { e, from };
 	struct wire_writer w;
 
-	if (!resend_updates(e->recent_updates, since, resend_datagram, &rs) &&
+	if (!resend_updates(e->recent_updates, since, send_to_target, &to) &&
 	    mirror_is_watching(e->mirror, e->now_ms)) {
 		init_wire_writer(&w);
 		write_update_control(&w, UPDATE_NOT_KEPT, since);
@@ -284,13 +263,13 @@
 {
 	struct store_position at = mirror_position(e->mirror);
 	struct mirror_entry entry = find_mirror_entry(e->mirror, r->key);
-	struct resend_target rs = { e, from };
+	struct peer_target to = { e, from };
 
 	at.revision = entry.revision;
 	if (!entry.value || at.era != r->at.era ||
 	    compare_store_positions(at, r->at) < 0)
 		return;
-	send_value(r->key, at, entry.value, entry.len, resend_datagram, &rs);
+	send_value(r->key, at, entry.value, entry.len, send_to_target, &to);
 	flush_datagrams(e->peer_socket);
 }
 
@@ -345,12 +324,12 @@
 static void answer_held_request(struct edge *e, const struct endpoint *from)
 {
 	GArray *held = g_array_new(FALSE, FALSE, sizeof(struct held_record));
-	struct resend_target rs = { e, from };
+	struct peer_target to = { e, from };
 
 	if (may_place_flows(e)) {
 		list_held_records(e->restored_records, e->now_ms, held);
 		write_held_records(mirror_position(e->mirror), held,
-				   resend_datagram, &rs);
+				   send_to_target, &to);
 	}
 	g_array_free(held, TRUE);
 	flush_datagrams(e->peer_socket);
--- a/net/edge.c
+++ b/net/edge.c
@@ -303,6 +303,7 @@
 	update_quotas(e->upstream_quotas, e->now_ms);
 	expire_catalog(e->catalog, e->now_ms);
 	tick_edge_heartbeats(e);
+	tick_edge_introduction(e);
 	check_settings_file(e);
 	log_readiness(e);
 	flush_event_log(e->log, e->now_ms);
--- a/t/check-health-notice.c
+++ b/t/check-health-notice.c
@@ -513,8 +513,7 @@
 	tcase_add_test(tc, suspicion_ends_with_sign_of_life);
 	tcase_add_loop_test(tc, unanswered_packets_of_others_confirm_a_check, 0,
 			    2);
-	tcase_add_test(tc,
-		       a_connected_check_proves_that_nothing_is_cut_off);
+	tcase_add_test(tc, a_connected_check_proves_that_nothing_is_cut_off);
 	tcase_add_test(tc, instance_that_hears_no_upstream_confirms_none);
 	tcase_add_test(tc, pause_makes_no_witness);
 	tcase_add_test(tc, other_domains_get_only_what_they_use);
