build: tell by an id which sources a program was built from

Operators that replace instances one after the other could not tell from the logs which build an instance ran: event=start had name, domain and incarnation only, and the version is the same for all commits.

The Makefile digests names and contents of the product's C files and headers (not of t/ and stand-in/).

--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,7 @@
 # make bench      print the benchmark tables
 # make capacity   print the slopes behind docs/CAPACITY.md
 # make install    install into $(DESTDIR)$(PREFIX)
+# make build-id   print the id of builds of these sources
 
 PREFIX = /usr/local
 ifndef V
@@ -53,6 +54,11 @@
 	$(wildcard stand-in/*.c) $(wildcard t/*.c)
 HEADERS = $(wildcard */*.h)
 
+# Depends on names and contents only, so that it is the same for all builds.
+PRODUCT_SRC = $(sort $(wildcard *.c $(foreach d,\
+	$(LIB_DIRS) $(NET_DIRS) builtin,$(d)/*.c $(d)/*.h)))
+BUILD_ID := $(shell sha256sum $(PRODUCT_SRC) | sha256sum | cut -c1-12)
+
 obj = $(patsubst %.c,$(B)/%.o,$(1))
 LIB = $(B)/libbaobabvalve.a
 NETLIB = $(B)/libbaobabvalvenet.a
@@ -88,6 +94,15 @@
 $(B)/prop-%: $(B)/t/prop-%.o $(LIBS)
 	$(QUIET)$(CXX) $(LDFLAGS) -o $@ $^ -lrapidcheck $(LDLIBS)
 
+# Written only if it changes, so that nothing else is built again.
+$(B)/build-id: FORCE
+	@mkdir -p $(B)
+	@echo $(BUILD_ID) | cmp -s - $@ || echo $(BUILD_ID) >$@
+$(B)/base/version.o: $(B)/build-id
+$(B)/base/version.o: CPPFLAGS += -DBUILD_ID='"$(BUILD_ID)"'
+build-id:
+	@echo $(BUILD_ID)
+
 $(B)/%.o: %.c
 	@mkdir -p $(dir $@)
 	$(QUIET)$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c -o $@ $<
@@ -149,6 +164,6 @@
 
 -include $(shell find $(B) -name '*.d' 2>/dev/null)
 
-.PHONY: all docs tests test bench capacity demo format lint lint-format \
-	lint-tidy lint-cppcheck install clean
+.PHONY: FORCE all build-id docs tests test bench capacity demo format lint \
+	lint-format lint-tidy lint-cppcheck install clean
 .SECONDARY:
--- a/builtin/version.c
+++ b/builtin/version.c
@@ -4,13 +4,13 @@
 
 #include <stdio.h>
 
-#define VERSION "0.1.0"
+#include "base/version.h"
 
 int cmd_version(int argc, char **argv)
 {
 	argc = parse_command(argc, argv, NULL, "", "Prints the version.");
 	if (argc != 1)
 		return EXIT_USAGE;
-	printf("baobabvalve %s\n", VERSION);
+	printf("baobabvalve %s build=%s\n", VERSION, build_id());
 	return 0;
 }
--- a/net/edge.c
+++ b/net/edge.c
@@ -5,6 +5,7 @@
 #include <sys/stat.h>
 #include <time.h>
 
+#include "base/version.h"
 #include "flow/upstream-quality.h"
 #include "net/files.h"
 
@@ -444,8 +445,9 @@
 	g_snprintf(e->incarnation, sizeof(e->incarnation), "%08x", seed);
 	uv_loop_init(&e->loop);
 	create_decision_logic(e);
-	log_event(e->log, EVENT_START, "instance=%s domain=%s incarnation=%s",
-		  settings->name, settings->domain, e->incarnation);
+	log_event(e->log, EVENT_START,
+		  "instance=%s domain=%s incarnation=%s build=%s",
+		  settings->name, settings->domain, e->incarnation, build_id());
 	if (!start_edge(e)) {
 		close_edge(e);
 		code = 1;
--- a/net/program.c
+++ b/net/program.c
@@ -4,6 +4,7 @@
 #include <signal.h>
 #include <stdio.h>
 
+#include "base/version.h"
 #include "net/files.h"
 #include "net/log.h"
 
@@ -19,13 +20,17 @@
 	return ok;
 }
 
+/* SHOW_VERSION: the version is to be printed, and no instance to be run. */
 static enum status_kind parse_options(int argc, char **argv, const char *name,
-				      char **path)
+				      char **path, gboolean *show_version)
 {
-	GOptionEntry entries[] = { { "config", 'c', 0, G_OPTION_ARG_FILENAME,
-				     path, "Settings file of this instance",
-				     "FILE" },
-				   G_OPTION_ENTRY_NULL };
+	GOptionEntry entries[] = {
+		{ "config", 'c', 0, G_OPTION_ARG_FILENAME, path,
+		  "Settings file of this instance", "FILE" },
+		{ "version", 0, 0, G_OPTION_ARG_NONE, show_version,
+		  "Print the version and exit", NULL },
+		G_OPTION_ENTRY_NULL
+	};
 	GOptionContext *ctx =
 		g_option_context_new("- one instance of the load balancer");
 	GError *err = NULL;
@@ -39,7 +44,7 @@
 		g_error_free(err);
 		return STATUS_USAGE;
 	}
-	if (argc > 1 || !*path) {
+	if (argc > 1 || (!*path && !*show_version)) {
 		fprintf(stderr, "usage: %s --config=FILE\n", name);
 		return STATUS_USAGE;
 	}
@@ -50,10 +55,17 @@
 			 run_instance_fn run)
 {
 	static struct settings settings;
+	gboolean show_version = FALSE;
 	char *path = NULL;
 	int code = find_status_row(STATUS_USAGE)->exit_code;
 
-	if (parse_options(argc, argv, name, &path) == STATUS_OK) {
+	if (parse_options(argc, argv, name, &path, &show_version) !=
+	    STATUS_OK) {
+		/* the reason has been printed */
+	} else if (show_version) {
+		printf("%s %s build=%s\n", name, VERSION, build_id());
+		code = 0;
+	} else {
 		code = 1;
 		if (read_settings(name, path, &settings)) {
 			signal(SIGPIPE, SIG_IGN);
--- a/t/whole-edge.sh
+++ b/t/whole-edge.sh
@@ -87,6 +87,11 @@
 done
 sleep 1
 
+# The log tells which build runs.
+build=$("$bin/baobabvalve-edge" --version | sed -n 's/.* build=//p')
+grep -q "event=start instance=in-1 .* build=$build\$" "$work/in-1.log" ||
+	fail "event=start does not tell the build"
+
 # No flow is reset by a drain, a killed or stopped instance, or a store that
 # loses its history and then does not answer.
 start caller "$bin/cookie-caller-stand-in" "$net.73.1:$port" $service \
