net: tell in event=check which error ended a health check

"result=refused" is also what a check becomes whose connect fails at once on this side, for lack of descriptors for instance, and "unreachable" or "silent" whatever ends it later. So the logs of an instance that found an upstream dead could not tell a refusal by the upstream's machine from a fault of its own.

struct http_call_result carries the error of libuv, and event=check its name. How a result is classified does not change.

--- a/net/edge-check.c
+++ b/net/edge-check.c
@@ -89,8 +89,10 @@
 		if (result != CHECK_GOOD)
 			count(&e->counters, COUNT_HEALTH_PROBE_FAILURES);
 		log_event(e->log, EVENT_CHECK,
-			  "upstream=%s result=%s took_ms=%llu health=%s",
+			  "upstream=%s result=%s error=%s took_ms=%llu "
+			  "health=%s",
 			  up->report.name, check_result_name(result),
+			  r->error ? uv_err_name(r->error) : "none",
 			  (unsigned long long)(e->now_ms - hc->started_ms),
 			  upstream_health_name(
 				  assessed_health(e->placement, hc->upstream)));
--- a/net/http-client.c
+++ b/net/http-client.c
@@ -16,6 +16,7 @@
 	bool maybe_sent; /* connected, so that bytes may have been sent */
 	uint64_t timeout_ms;
 	bool timeout_deferred; /* it has expired once; see on_timeout() */
+	int connect_error;     /* of a connect that failed at once; 0: none */
 	bool closing;
 	int open_handles;
 	void (*on_done)(const struct http_call_result *r, void *data);
@@ -45,14 +46,17 @@
 	uv_close((uv_handle_t *)&c->timer, on_closed);
 }
 
-static void finish_call(struct http_call *c)
+/* ERROR: of libuv, why the call ends unless it has an answer. */
+static void finish_call(struct http_call *c, int error)
 {
-	struct http_call_result r = { STATUS_OK, c->answer };
+	struct http_call_result r = { STATUS_OK, c->answer, 0 };
 
 	if (c->closing)
 		return;
-	if (!c->answer)
+	if (!c->answer) {
 		r.kind = c->maybe_sent ? STATUS_UNKNOWN : STATUS_UNAVAILABLE;
+		r.error = error;
+	}
 	cancel_http_call(c);
 	c->on_done(&r, c->data);
 }
@@ -81,7 +85,7 @@
 		error = feed_http(c->reader, buf->base, (size_t)n, on_message,
 				  c);
 	if (c->answer || error || n < 0)
-		finish_call(c);
+		finish_call(c, n < 0 ? (int)n : UV_EPROTO);
 }
 
 static void alloc_buffer(uv_handle_t *handle, size_t size, uv_buf_t *buf)
@@ -95,7 +99,7 @@
 static void on_written(uv_write_t *req, int status)
 {
 	if (status < 0)
-		finish_call(req->data);
+		finish_call(req->data, status);
 }
 
 /*
@@ -108,7 +112,8 @@
 	struct http_call *c = timer->data;
 
 	if (c->timeout_deferred) {
-		finish_call(c);
+		finish_call(c,
+			    c->connect_error ? c->connect_error : UV_ETIMEDOUT);
 		return;
 	}
 	c->timeout_deferred = true;
@@ -119,11 +124,12 @@
 {
 	struct http_call *c = req->data;
 	uv_buf_t buf;
+	int err;
 
 	if (c->closing)
 		return;
 	if (status < 0) {
-		finish_call(c);
+		finish_call(c, status);
 		return;
 	}
 	c->maybe_sent = true;
@@ -135,10 +141,12 @@
 			  c->request_bytes->len);
 	uv_tcp_nodelay(&c->tcp, 1);
 	c->write.data = c;
-	if (uv_write(&c->write, (uv_stream_t *)&c->tcp, &buf, 1, on_written) <
-		    0 ||
-	    uv_read_start((uv_stream_t *)&c->tcp, alloc_buffer, on_read) < 0)
-		finish_call(c);
+	err = uv_write(&c->write, (uv_stream_t *)&c->tcp, &buf, 1, on_written);
+	if (!err)
+		err = uv_read_start((uv_stream_t *)&c->tcp, alloc_buffer,
+				    on_read);
+	if (err)
+		finish_call(c, err);
 }
 
 /* Reports a connect that failed at once from the loop, not from the caller. */
@@ -169,8 +177,9 @@
 	c->connect.data = c;
 	endpoint_to_sockaddr(ep, &ss);
 	c->timeout_ms = timeout_ms;
-	if (uv_tcp_connect(&c->connect, &c->tcp, (struct sockaddr *)&ss,
-			   on_connected) < 0)
+	c->connect_error = uv_tcp_connect(&c->connect, &c->tcp,
+					  (struct sockaddr *)&ss, on_connected);
+	if (c->connect_error)
 		schedule_failure(c);
 	else
 		uv_timer_start(&c->timer, on_timeout, timeout_ms, 0);
--- a/net/http-client.h
+++ b/net/http-client.h
@@ -23,6 +23,12 @@
  */
 	enum status_kind kind;
 	const struct http_message *answer;
+	/*
+	 * 0 if KIND is STATUS_OK, else the error of libuv that ended the call:
+	 * UV_ECONNREFUSED, UV_EMFILE, UV_ETIMEDOUT after the timeout, UV_EOF
+	 * or UV_EPROTO if the connection had no complete answer or no HTTP.
+	 */
+	int error;
 };
 
 /*
