flow, net: tell in the log what a verdict and a reset rest on

event=flow-reset had a reason and no evidence: "upstream-dead" is written alike for an upstream whose machine refused a check a moment ago, for one that a peer found dead, and for one that was given up seconds before and has shown life to others since. So no record could tell a right reset from a wrong one.

The placer keeps with each upstream what its last verdict rests on: the kind of check, when it began and ended, how many checks found no connection, how many instances had packets without an answer, or whose verdict was adopted; and the last signs of life here and at peers. describe_health() and describe_upstream_link() give it as ages at a time. flow-reset carries it in short, with how late the loop ran lately; upstream-lost in full, once a verdict; verdict-ignored says why a peer's verdict was not adopted.

--- a/flow/domain-link.c
+++ b/flow/domain-link.c
@@ -3,6 +3,7 @@
 struct domain_link {
 	bool known; /* a member there was heard */
 	enum link_state state;
+	uint64_t state_since_ms;    /* 0: it never changed */
 	uint64_t heard_ms;	    /* last heartbeat or answered check */
 	uint64_t member_heard_ms;   /* last heartbeat */
 	uint64_t doubtful_since_ms; /* 0: the link is up */
@@ -211,6 +212,7 @@
 			continue;
 		ch.silent_ms = now_ms - MIN(now_ms, l->heard_ms);
 		l->state = ch.to;
+		l->state_since_ms = now_ms;
 		if (ch.to == LINK_UP || ch.from == LINK_UP)
 			l->doubtful_since_ms = ch.to == LINK_UP ? 0 : now_ms;
 		if (ch.to == LINK_LOST)
@@ -236,6 +238,24 @@
 	       !is_own_domain_silent(dl, now_ms);
 }
 
+struct link_evidence describe_domain_link(const struct domain_links *dl,
+					  domain_index_t domain,
+					  uint64_t now_ms)
+{
+	const struct domain_link *l = find_link(dl, domain);
+
+	if (!l)
+		return (struct link_evidence){ 0 };
+	return (struct link_evidence){
+		.state = l->state,
+		.state_ms = l->state_since_ms ? now_ms - l->state_since_ms : 0,
+		.heard_ms = now_ms - MIN(now_ms, l->heard_ms),
+		.member_heard_ms = now_ms - MIN(now_ms, l->member_heard_ms),
+		.failed_checks = l->failed_checks,
+		.control_failed = l->control_failed
+	};
+}
+
 size_t domain_link_count(const struct domain_links *dl)
 {
 	return dl->links->len;
--- a/flow/domain-link.h
+++ b/flow/domain-link.h
@@ -54,6 +54,16 @@
 	uint64_t silent_ms; /* since a member there was heard */
 };
 
+/* What the state of a link rests on. All times are ages in ms. */
+struct link_evidence {
+	enum link_state state;
+	uint64_t state_ms;	  /* since it changed to STATE; 0: never */
+	uint64_t heard_ms;	  /* since a heartbeat or an answered check */
+	uint64_t member_heard_ms; /* since a heartbeat */
+	uint32_t failed_checks;	  /* since then */
+	bool control_failed;	  /* one of an upstream that was not suspect */
+};
+
 struct domain_links;
 
 /* OWN: the domain of this instance. */
@@ -104,6 +114,11 @@
 bool is_domain_link_cut(const struct domain_links *dl, domain_index_t domain,
 			uint64_t now_ms);
 
+/* Evidence for the state of the link to DOMAIN; all 0 if it has none. */
+struct link_evidence describe_domain_link(const struct domain_links *dl,
+					  domain_index_t domain,
+					  uint64_t now_ms);
+
 /* Number of domains that may have a link: their indexes are below it. */
 size_t domain_link_count(const struct domain_links *dl);
 
--- a/flow/placement-health.c
+++ b/flow/placement-health.c
@@ -18,9 +18,76 @@
 	if (ul->last_alive_ms)
 		ch.silent_ms = now_ms - MIN(now_ms, ul->last_alive_ms);
 	ul->health = to;
+	ch.evidence = describe_health(pl, nr, now_ms);
 	g_array_append_val(pl->health_changes, ch);
 }
 
+void note_verdict(struct upstream_load *ul, struct verdict v, uint64_t now_ms)
+{
+	v.lost_since_ms =
+		is_dead_or_cut_off(ul) ? ul->verdict.lost_since_ms : now_ms;
+	ul->verdict = v;
+}
+
+/* Notes a verdict of this instance about the check that ended or still runs. */
+static void note_own_verdict(struct upstream_load *ul, enum evidence_kind kind,
+			     uint64_t now_ms)
+{
+	struct verdict v = { .kind = kind,
+			     .check_began_ms = ul->check_started_ms,
+			     .check_ended_ms = ul->check_running ? 0 : now_ms };
+
+	note_verdict(ul, v, now_ms);
+}
+
+/* Time since T_MS; 0 as T_MS: never. */
+static uint64_t age_ms(uint64_t t_ms, uint64_t now_ms)
+{
+	return t_ms ? now_ms - MIN(now_ms, t_ms) : EVIDENCE_NEVER_MS;
+}
+
+struct health_evidence describe_health(const struct placer *pl,
+				       upstream_index_t nr, uint64_t now_ms)
+{
+	const struct upstream_load *ul = find_upstream_load(pl, nr);
+	struct health_evidence he = { .check_age_ms = EVIDENCE_NEVER_MS,
+				      .verdict_age_ms = EVIDENCE_NEVER_MS,
+				      .own_alive_ms = EVIDENCE_NEVER_MS,
+				      .peer_alive_ms = EVIDENCE_NEVER_MS,
+				      .link_check_ms = EVIDENCE_NEVER_MS };
+	const struct verdict *v;
+
+	if (!ul)
+		return he;
+	he.health = ul->health;
+	he.own_alive_ms = age_ms(ul->own_alive_ms, now_ms);
+	he.peer_alive_ms = age_ms(ul->peer_alive_ms, now_ms);
+	he.link_check_ms = age_ms(ul->link_failed_ms, now_ms);
+	if (!is_dead_or_cut_off(ul))
+		return he;
+	v = &ul->verdict;
+	he.kind = v->kind;
+	he.verdict_age_ms = age_ms(v->lost_since_ms, now_ms);
+	he.check_age_ms = age_ms(v->check_began_ms, now_ms);
+	switch (v->kind) {
+	case EVIDENCE_ADOPTED:
+		he.peer.member_id = v->member_id;
+		break;
+	case EVIDENCE_REFUSED:
+	case EVIDENCE_REPLACED:
+	case EVIDENCE_UNREACHABLE:
+	case EVIDENCE_UNANSWERED:
+		he.own.check_ended_ms = age_ms(v->check_ended_ms, now_ms);
+		he.own.unreachable_checks = v->unreachable_checks;
+		he.own.unanswered = v->unanswered;
+		break;
+	case EVIDENCE_NONE:
+	case EVIDENCE_KIND_NR:
+		break;
+	}
+	return he;
+}
+
 void pop_health_changes(struct placer *pl, GArray *changes)
 {
 	g_array_append_vals(changes, pl->health_changes->data,
@@ -220,9 +287,29 @@
 	}
 }
 
+/* Notes what proves that NR is unreachable, before it counts as such. */
+static void note_unreachable_verdict(const struct placer *pl,
+				     upstream_index_t nr,
+				     struct upstream_load *ul, uint64_t now_ms)
+{
+	/* once this instance has cut it off, that is no count any more */
+	uint32_t checks = ul->health == HEALTH_UNREACHABLE && !ul->adopted
+				  ? ul->verdict.unreachable_checks + 1
+				  : ul->unreachable_checks;
+
+	note_own_verdict(ul,
+			 checks >= PLACEMENT_UNREACHABLE_CHECKS
+				 ? EVIDENCE_UNREACHABLE
+				 : EVIDENCE_UNANSWERED,
+			 now_ms);
+	ul->verdict.unreachable_checks = checks;
+	ul->verdict.unanswered = unanswered_attempts(pl, nr, ul, now_ms);
+}
+
 void note_unreachable(struct placer *pl, upstream_index_t nr,
 		      struct upstream_load *ul, uint64_t now_ms)
 {
+	note_unreachable_verdict(pl, nr, ul, now_ms);
 	set_upstream_health(pl, nr, ul, HEALTH_UNREACHABLE, now_ms);
 	ul->adopted = false;
 	ul->unreachable_checks = PLACEMENT_UNREACHABLE_CHECKS;
@@ -234,6 +321,7 @@
 			    uint64_t now_ms)
 {
 	ul->last_alive_ms = MAX(ul->last_alive_ms, alive_ms);
+	ul->peer_alive_ms = MAX(ul->peer_alive_ms, alive_ms);
 	if ((ul->health == HEALTH_SUSPECTED || ul->adopted) &&
 	    ul->last_alive_ms > ul->suspect_since_ms)
 		clear_suspicion(pl, nr, ul, now_ms);
@@ -281,6 +369,10 @@
 			break;
 		/* fall through */
 	case CHECK_REPLACED:
+		note_own_verdict(ul,
+				 result == CHECK_REFUSED ? EVIDENCE_REFUSED
+							 : EVIDENCE_REPLACED,
+				 now_ms);
 		set_upstream_health(pl, nr, ul, HEALTH_DEAD, now_ms);
 		ul->adopted = false;
 		ul->next_check_ms = now_ms + PLACEMENT_DEAD_RECHECK_MS;
@@ -332,6 +424,16 @@
 	return ul ? ul->health : HEALTH_GOOD;
 }
 
+const char *evidence_kind_name(enum evidence_kind k)
+{
+	static const char *const names[EVIDENCE_KIND_NR] = {
+		"none",	       "refused-check", "replaced",
+		"unreachable", "unanswered",	"peer-verdict"
+	};
+
+	return names[k];
+}
+
 const char *check_result_name(enum check_result r)
 {
 	static const char *const names[CHECK_RESULT_NR] = {
--- a/flow/placement-links.c
+++ b/flow/placement-links.c
@@ -65,6 +65,17 @@
 	       is_domain_link_cut(pl->links, domain, now_ms);
 }
 
+struct link_evidence describe_upstream_link(const struct placer *pl,
+					    upstream_index_t nr,
+					    uint64_t now_ms)
+{
+	domain_index_t domain = linked_domain(pl, nr);
+
+	if (domain == CATALOG_NONE)
+		return (struct link_evidence){ 0 };
+	return describe_domain_link(pl->links, domain, now_ms);
+}
+
 bool has_lost_link(const struct placer *pl)
 {
 	size_t n = pl->links ? domain_link_count(pl->links) : 0;
--- a/flow/placement-notices.c
+++ b/flow/placement-notices.c
@@ -96,11 +96,9 @@
 	}
 }
 
-/* Attempts of others, and with them those of this instance, that failed. */
-static unsigned int unanswered_attempts(const struct placer *pl,
-					upstream_index_t nr,
-					const struct upstream_load *ul,
-					uint64_t now_ms)
+unsigned int unanswered_attempts(const struct placer *pl, upstream_index_t nr,
+				 const struct upstream_load *ul,
+				 uint64_t now_ms)
 {
 	const struct catalog_upstream *up = get_upstream(pl->catalog, nr);
 	unsigned int n;
@@ -168,36 +166,46 @@
 				    domain_name(pl->catalog, up->domain));
 }
 
-static bool adopt_verdict(struct placer *pl, upstream_index_t nr,
-			  const struct health_notice *n, uint64_t now_ms)
+static enum verdict_outcome adopt_verdict(struct placer *pl,
+					  upstream_index_t nr,
+					  const struct health_notice *n,
+					  uint64_t now_ms)
 {
 	const struct catalog_upstream *up = get_upstream(pl->catalog, nr);
 	struct upstream_load *ul = get_or_create_upstream_load(pl, nr);
-
-	if (was_alive_since(pl, nr, now_ms - MIN(now_ms, n->check_ms)))
-		return false;
+	uint64_t check_began_ms = now_ms - MIN(now_ms, n->check_ms);
+	struct verdict v = { .kind = EVIDENCE_ADOPTED,
+			     .check_began_ms = check_began_ms,
+			     .member_id = service_id(n->sender) };
+	bool holds = holds_here(pl, up, n);
+
+	if (was_alive_since(pl, nr, check_began_ms))
+		return VERDICT_DISPROVED;
 	/* after a pause signs of life may be unread */
-	if (!holds_here(pl, up, n) || notice_held_ms(pl->notices, now_ms)) {
+	if (!holds || notice_held_ms(pl->notices, now_ms)) {
 		/* this domain's assessor checks; others wait for it */
 		note_witness(pl->notices, up->report.id, service_id(n->sender),
 			     MAX(n->check_ms, HEALTH_UNANSWERED_MS), now_ms);
 		if (ul->open_flows ||
 		    is_upstream_assessor(pl->notices, up->report.id))
 			check_for_peer(pl, nr, ul, now_ms);
-		return false;
+		return holds ? VERDICT_PAUSED : VERDICT_OTHER_DOMAIN;
 	}
 	if (is_dead_or_cut_off(ul))
-		return false;
+		return VERDICT_KNOWN;
+	note_verdict(ul, v, now_ms);
 	set_upstream_health(pl, nr, ul, n->health, now_ms);
 	pl->has_unhealthy = true;
 	ul->adopted = true;
 	ul->suspect_since_ms = now_ms;
 	ul->next_check_ms = now_ms + PLACEMENT_ADOPTED_RECHECK_MS;
-	return true;
+	return VERDICT_ADOPTED;
 }
 
-static bool handle_verdict(struct placer *pl, upstream_index_t nr,
-			   const struct health_notice *n, uint64_t now_ms)
+static enum verdict_outcome handle_verdict(struct placer *pl,
+					   upstream_index_t nr,
+					   const struct health_notice *n,
+					   uint64_t now_ms)
 {
 	struct upstream_load *ul = get_or_create_upstream_load(pl, nr);
 
@@ -205,14 +213,14 @@
 	case HEALTH_GOOD:
 		if (ul->adopted)
 			clear_suspicion(pl, nr, ul, now_ms);
-		return false;
+		return VERDICT_NONE;
 	case HEALTH_UNREACHABLE:
 	case HEALTH_DEAD:
 		return adopt_verdict(pl, nr, n, now_ms);
 	case HEALTH_SUSPECTED:
 		break;
 	}
-	return false;
+	return VERDICT_NONE;
 }
 
 static void handle_suspicion(struct placer *pl, upstream_index_t nr,
@@ -246,33 +254,55 @@
 		note_failed_link_check(pl, nr, ul, now_ms);
 }
 
-bool handle_health_notice(struct placer *pl, const struct health_notice *n,
-			  uint64_t now_ms)
+/* OUTCOME, if N has a verdict that an upstream is dead or cut off. */
+static enum verdict_outcome ignore_verdict(const struct health_notice *n,
+					   enum verdict_outcome outcome)
+{
+	return n->kind == NOTICE_VERDICT && n->health != HEALTH_GOOD
+		       ? outcome
+		       : VERDICT_NONE;
+}
+
+enum verdict_outcome handle_health_notice(struct placer *pl,
+					  const struct health_notice *n,
+					  uint64_t now_ms)
 {
 	upstream_index_t nr = find_upstream_by_cookie(pl->catalog, n->cookie);
-	const struct catalog_upstream *up;
+	const struct catalog_upstream *up = get_upstream(pl->catalog, nr);
 
-	if (nr == CATALOG_NONE || !pl->notices ||
-	    is_stale_notice(n, notice_held_ms(pl->notices, now_ms)))
-		return false;
-	up = get_upstream(pl->catalog, nr);
-	if (up->report.id != n->upstream_id ||
-	    (!concerns_link(n->kind) &&
-	     is_notice_link_doubtful(pl->notices,
-				     domain_name(pl->catalog, up->domain))))
-		return false;
+	if (!pl->notices)
+		return VERDICT_NONE;
+	if (!up || up->report.id != n->upstream_id)
+		return ignore_verdict(n, VERDICT_NO_UPSTREAM);
+	if (is_stale_notice(n, notice_held_ms(pl->notices, now_ms)))
+		return ignore_verdict(n, VERDICT_STALE);
+	if (!concerns_link(n->kind) &&
+	    is_notice_link_doubtful(pl->notices,
+				    domain_name(pl->catalog, up->domain)))
+		return ignore_verdict(n, VERDICT_LINK_DOUBTFUL);
 	note_received_notice(pl->notices, n, now_ms);
 	switch (n->kind) {
 	case NOTICE_SUSPICION:
 		handle_suspicion(pl, nr, n, now_ms);
-		return false;
+		break;
 	case NOTICE_VERDICT:
 		return handle_verdict(pl, nr, n, now_ms);
 	case NOTICE_LINK_CHECK:
 		handle_link_check(pl, nr, n, now_ms);
-		return false;
+		break;
 	case NOTICE_KIND_NR:
 		break;
 	}
-	return false;
+	return VERDICT_NONE;
+}
+
+const char *verdict_outcome_name(enum verdict_outcome o)
+{
+	static const char *const names[VERDICT_OUTCOME_NR] = {
+		"none",	       "adopted",      "known",
+		"no-upstream", "stale",	       "link-doubtful",
+		"alive-since", "other-domain", "paused"
+	};
+
+	return names[o];
 }
--- a/flow/placement-state.h
+++ b/flow/placement-state.h
@@ -23,6 +23,17 @@
 	bool dead_or_cut_off;
 };
 
+/* What a verdict rests on; see struct health_evidence. */
+struct verdict {
+	enum evidence_kind kind;
+	uint64_t lost_since_ms;	 /* when the upstream became dead or cut off */
+	uint64_t check_began_ms; /* of this instance's or the peer's check */
+	uint64_t check_ended_ms; /* 0: it had not */
+	uint32_t unreachable_checks;
+	uint32_t unanswered;
+	uint64_t member_id; /* whose verdict was adopted */
+};
+
 /* Load and health of one upstream, seen here and by peers. */
 struct upstream_load {
 	uint64_t upstream_id; /* of the upstream that has this handle */
@@ -38,12 +49,14 @@
 	uint32_t peers_dead_or_cut_off; /* that found it dead or cut off */
 	uint64_t last_alive_ms;		/* here or at a peer */
 	uint64_t own_alive_ms;		/* here */
+	uint64_t peer_alive_ms;		/* at a peer */
 	uint64_t suspect_since_ms;	/* 0: it is not suspect */
 	uint32_t silence_count;		/* silences noted since then */
 	enum upstream_health health;
 	/* when the oldest packet that it did not answer here was sent; 0 */
 	uint64_t unanswered_since_ms;
-	bool adopted; /* HEALTH is a peer's verdict */
+	bool adopted;		/* HEALTH is a peer's verdict */
+	struct verdict verdict; /* the last one that it is dead or cut off */
 	bool check_running;
 	bool check_connected;	     /* the running check */
 	uint32_t unreachable_checks; /* in a row */
@@ -196,6 +209,17 @@
 			 struct upstream_load *ul, enum upstream_health to,
 			 uint64_t now_ms);
 
+/*
+ * Notes what the verdict rests on that an upstream is dead or cut off, before
+ * its health is set, or that confirms the one in force.
+ */
+void note_verdict(struct upstream_load *ul, struct verdict v, uint64_t now_ms);
+
+/* Attempts of others, and with them those of this instance, that failed. */
+unsigned int unanswered_attempts(const struct placer *pl, upstream_index_t nr,
+				 const struct upstream_load *ul,
+				 uint64_t now_ms);
+
 /* Sends peers the health of NR, which a check of this instance has shown. */
 void post_verdict(struct placer *pl, upstream_index_t nr,
 		  const struct upstream_load *ul, uint64_t now_ms);
--- a/flow/placement.h
+++ b/flow/placement.h
@@ -276,12 +276,25 @@
 		       const struct upstream_load_row *rows, size_t nr,
 		       uint64_t now_ms);
 
-/*
- * Handles a peer's notice. True if its verdict was adopted: the flows of its
- * upstream have to be reset.
- */
-bool handle_health_notice(struct placer *pl, const struct health_notice *n,
-			  uint64_t now_ms);
+/* What became of a peer's notice. */
+enum verdict_outcome {
+	VERDICT_NONE,	 /* it had no verdict that an upstream is lost */
+	VERDICT_ADOPTED, /* the flows of its upstream have to be reset */
+	/* not adopted: */
+	VERDICT_KNOWN,	     /* the upstream is dead or cut off here already */
+	VERDICT_NO_UPSTREAM, /* no upstream here has its id and cookie */
+	VERDICT_STALE,	     /* it is too old, or waited unread */
+	VERDICT_LINK_DOUBTFUL, /* the link to the upstream's domain is */
+	VERDICT_DISPROVED,     /* there is a later sign of life */
+	VERDICT_OTHER_DOMAIN,  /* it holds only in the sender's domain */
+	VERDICT_PAUSED, /* signs of life may be unread, since a pause here */
+	VERDICT_OUTCOME_NR
+};
+
+enum verdict_outcome handle_health_notice(struct placer *pl,
+					  const struct health_notice *n,
+					  uint64_t now_ms);
+const char *verdict_outcome_name(enum verdict_outcome o);
 
 /* Appends to ROWS the own loads (struct upstream_load_row) to send to peers. */
 void list_own_loads(struct placer *pl, uint64_t now_ms, GArray *rows);
@@ -298,6 +311,59 @@
  */
 void tick_placer(struct placer *pl, uint64_t now_ms, GArray *checks);
 
+/* What the verdict that an upstream is dead or cut off rests on. */
+enum evidence_kind {
+	EVIDENCE_NONE,	      /* there is no such verdict */
+	EVIDENCE_REFUSED,     /* a check of this instance was refused */
+	EVIDENCE_REPLACED,    /* another upstream answered a check */
+	EVIDENCE_UNREACHABLE, /* checks found no connection */
+	EVIDENCE_UNANSWERED,  /* a check, and packets without an answer */
+	EVIDENCE_ADOPTED,     /* the verdict of a peer */
+	EVIDENCE_KIND_NR
+};
+
+/* All times are ages in ms. */
+struct health_evidence {
+	enum evidence_kind kind;
+	enum upstream_health health;
+	uint64_t verdict_age_ms; /* since it became dead or cut off */
+	/* since the check began that led to the verdict, or last to the same */
+	uint64_t check_age_ms;
+	uint64_t own_alive_ms;	/* since its last sign of life here */
+	uint64_t peer_alive_ms; /* since the last one that peers reported */
+	/*
+	 * since a check of it by a member of this domain failed while the link
+	 * to its own was not up
+	 */
+	uint64_t link_check_ms;
+	union {
+		/* all other kinds: */
+		struct {
+			/* since the check ended; it may run on */
+			uint64_t check_ended_ms;
+			uint32_t unreachable_checks; /* in a row */
+			/* instances with a packet that was not answered */
+			uint32_t unanswered;
+		} own;
+		/* EVIDENCE_ADOPTED: */
+		struct {
+			uint64_t member_id; /* whose verdict it is */
+		} peer;
+	};
+};
+
+#define EVIDENCE_NEVER_MS UINT64_MAX /* as an age: it has not happened */
+
+/* Evidence of the present health of NR. */
+struct health_evidence describe_health(const struct placer *pl,
+				       upstream_index_t nr, uint64_t now_ms);
+const char *evidence_kind_name(enum evidence_kind k);
+
+/* Evidence that the link to NR's domain is cut, see is_behind_cut_link(). */
+struct link_evidence describe_upstream_link(const struct placer *pl,
+					    upstream_index_t nr,
+					    uint64_t now_ms);
+
 /* A change of an upstream's health as assessed by this instance. */
 struct health_change {
 	upstream_index_t upstream;
@@ -305,6 +371,7 @@
 	enum upstream_health to;
 	uint32_t silence_count; /* silences noted since its last sign of life */
 	uint64_t silent_ms; /* since its last sign of life; 0: none was seen */
+	struct health_evidence evidence; /* as of the change */
 };
 
 /* Moves the changes since the last call to the end of CHANGES. */
--- a/net/edge-packets.c
+++ b/net/edge-packets.c
@@ -63,6 +63,7 @@
 void send_edge_resets(struct edge *e, const GArray *resets)
 {
 	char flow[FLOW_TEXT_MAX_BYTES];
+	char evidence[EVIDENCE_TEXT_BYTES];
 
 	for (guint i = 0; i < resets->len; i++) {
 		const struct cookie_reset *r =
@@ -72,12 +73,14 @@
 		count(&e->counters, COUNT_FLOW_GIVEN_UP);
 		log_event(e->log, EVENT_FLOW_RESET,
 			  "flow=%s upstream=%s reason=%s waited_ms=%llu "
-			  "version=%llu",
+			  "version=%llu %s",
 			  format_flow(&r->key, flow),
 			  upstream_label(e, r->upstream),
 			  cookie_reason_name(r->reason),
 			  (unsigned long long)r->waited_ms,
-			  (unsigned long long)catalog_version(e->catalog));
+			  (unsigned long long)catalog_version(e->catalog),
+			  format_reset_evidence(e, r->reason, r->upstream,
+						evidence));
 	}
 	flush_datagrams(e->packet_socket);
 }
@@ -116,15 +119,35 @@
 	return n;
 }
 
+/* A packet of an open flow was answered with a reset. */
+static void log_packet_reset(struct edge *e, const struct cookie_packet *p,
+			     const struct cookie_decision *d)
+{
+	char flow[FLOW_TEXT_MAX_BYTES];
+	char evidence[EVIDENCE_TEXT_BYTES];
+
+	log_event(e->log, EVENT_FLOW_RESET,
+		  "flow=%s upstream=%s reason=%s waited_ms=0 version=%llu "
+		  "cookie=%08x store_revision=%llu store_age_ms=%llu %s",
+		  format_flow(&p->key, flow), upstream_label(e, d->upstream),
+		  cookie_reason_name(d->reason),
+		  (unsigned long long)catalog_version(e->catalog), p->cookie,
+		  (unsigned long long)mirror_revision(e->mirror),
+		  (unsigned long long)edge_store_age_ms(e),
+		  format_reset_evidence(e, d->reason, d->upstream, evidence));
+}
+
 /* WAITED_MS: how long a SYN waited for room before. */
 static void log_refusal(struct edge *e, const struct cookie_packet *p,
 			const struct cookie_decision *d, uint64_t waited_ms)
 {
 	char flow[FLOW_TEXT_MAX_BYTES];
-	enum event_kind kind =
-		is_cookie_syn(p) ? EVENT_FLOW_REFUSED : EVENT_FLOW_RESET;
 
-	log_event(e->log, kind,
+	if (!is_cookie_syn(p)) {
+		log_packet_reset(e, p, d);
+		return;
+	}
+	log_event(e->log, EVENT_FLOW_REFUSED,
 		  "flow=%s upstream=%s reason=%s placing=%s waited_ms=%llu "
 		  "version=%llu store_revision=%llu store_age_ms=%llu",
 		  format_flow(&p->key, flow), upstream_label(e, d->upstream),
@@ -358,6 +381,7 @@
 static void on_health_notice(struct edge *e, const uint8_t *data, size_t len)
 {
 	struct health_notice n;
+	enum verdict_outcome outcome;
 	upstream_index_t nr;
 
 	if (!read_health_notice(data, len, &n)) {
@@ -366,14 +390,14 @@
 	}
 	count(&e->counters, COUNT_PEER_RECEIVED);
 	count(&e->counters, COUNT_HEALTH_NOTICES_RECEIVED);
-	if (!handle_health_notice(e->placement, &n, e->now_ms))
+	outcome = handle_health_notice(e->placement, &n, e->now_ms);
+	if (outcome == VERDICT_NONE || outcome == VERDICT_KNOWN)
 		return;
 	nr = find_upstream_by_cookie(e->catalog, n.cookie);
+	log_peer_verdict(e, &n, nr, outcome);
+	if (outcome != VERDICT_ADOPTED)
+		return;
 	count(&e->counters, COUNT_HEALTH_VERDICTS_ADOPTED);
-	log_event(e->log, EVENT_VERDICT,
-		  "upstream=%s health=%s from=%s from_domain=%s check_ms=%u",
-		  upstream_label(e, nr), upstream_health_name(n.health),
-		  n.sender, n.domain, n.check_ms);
 	reset_flows_if_unusable(e, nr);
 }
 
--- a/net/edge-state.h
+++ b/net/edge-state.h
@@ -7,6 +7,7 @@
 #include <time.h>
 #include <uv.h>
 
+#include "base/loop-lag.h"
 #include "config/catalog.h"
 #include "config/mirror.h"
 #include "config/restored-records.h"
@@ -70,6 +71,7 @@
 	uv_signal_t sigint;
 	uint64_t now_ms; /* edge_clock_ms() when the current callback began */
 	uint64_t last_tick_ms;
+	struct loop_lag loop_lag; /* of on_fast_tick() */
 	uint64_t stop_began_ms;	  /* 0: not stopping */
 	uint64_t last_packet_ms;  /* last packet from a caller */
 	uint64_t entry_lease;	  /* of this instance's store entry; 0: none */
@@ -155,6 +157,26 @@
 /* Resets the flows of NR if it is dead or cut off. */
 void reset_flows_if_unusable(struct edge *e, upstream_index_t nr);
 
+/* edge-evidence.c: what verdicts and resets rest on */
+
+#define EVIDENCE_TEXT_BYTES 320
+
+/*
+ * Fields of a log line about the reset of an open flow of upstream NR for
+ * REASON: what is known of NR, or of its link, now. Returns TEXT.
+ */
+const char *format_reset_evidence(const struct edge *e,
+				  enum cookie_reason reason,
+				  upstream_index_t nr,
+				  char text[EVIDENCE_TEXT_BYTES]);
+/* CH: an upstream was found dead or cut off. */
+void log_lost_upstream(struct edge *e, const struct health_change *ch);
+/* What became of the verdict N of a peer on upstream NR (CATALOG_NONE: unknown). */
+void log_peer_verdict(struct edge *e, const struct health_notice *n,
+		      upstream_index_t nr, enum verdict_outcome outcome);
+/* How late the loop ran lately; see recent_loop_lag_ms(). */
+uint64_t edge_loop_lag_ms(const struct edge *e);
+
 /* edge-status.c: what "baobabvalve status" shows, as JSON; free() the text */
 char *format_edge_status(const struct edge *e);
 
--- a/net/edge.c
+++ b/net/edge.c
@@ -194,6 +194,8 @@
 			  upstream_health_name(ch->to),
 			  upstream_health_name(ch->from), ch->silence_count,
 			  (unsigned long long)ch->silent_ms);
+		if (ch->to == HEALTH_DEAD || ch->to == HEALTH_UNREACHABLE)
+			log_lost_upstream(e, ch);
 		reset_flows_if_unusable(e, ch->upstream);
 	}
 	g_array_free(changes, TRUE);
@@ -275,6 +277,7 @@
 	GArray *checks = g_array_new(FALSE, FALSE, sizeof(upstream_index_t));
 
 	e->now_ms = edge_clock_ms();
+	note_loop_tick(&e->loop_lag, COOKIE_TICK_MS, e->now_ms);
 	tick_cookie_steering(e->steering, e->now_ms);
 	note_heard_domains(e);
 	tick_placer(e->placement, e->now_ms, checks);
--- a/net/event-list.h
+++ b/net/event-list.h
@@ -21,11 +21,15 @@
 EVENT(UPSTREAM, "upstream", 30, "an upstream's entry changed")
 EVENT(UPSTREAM_INVALID, "upstream-invalid", 5, "an upstream's entry is invalid")
 EVENT(HEALTH, "health", 20, "an upstream's health as assessed here changed")
+EVENT(UPSTREAM_LOST, "upstream-lost", 30,
+      "an upstream was found dead or cut off")
 EVENT(UPSTREAM_QUALITY, "upstream-quality", 20,
       "an upstream responds slower than others, or fails requests, or does "
       "neither any more")
 EVENT(CHECK, "check", 20, "a health check of an upstream ended")
 EVENT(VERDICT, "verdict", 20, "a peer's verdict on an upstream was adopted")
+EVENT(VERDICT_IGNORED, "verdict-ignored", 10,
+      "a peer's verdict on an upstream was not adopted")
 EVENT(MEMBER, "member", 20, "another instance joined, left or fell silent")
 EVENT(DOMAIN_LINK, "domain-link", 10,
       "another failure domain was reached, or no longer")
--- a/t/check-base.c
+++ b/t/check-base.c
@@ -9,6 +9,7 @@
 #include "base/counters.h"
 #include "base/endpoint.h"
 #include "base/handles.h"
+#include "base/loop-lag.h"
 #include "base/wire.h"
 
 START_TEST(patch_fails_on_another_base_or_damage)
@@ -47,6 +48,30 @@
 }
 END_TEST
 
+START_TEST(loop_lag_is_the_longest_delay_of_late)
+{
+	struct loop_lag lag = { 0 };
+	uint64_t t = 5000;
+
+	ck_assert_uint_eq(recent_loop_lag_ms(&lag, 10, 5000), 0);
+	for (; t < 8000; t += 10)
+		note_loop_tick(&lag, 10, t);
+	ck_assert_uint_eq(recent_loop_lag_ms(&lag, 10, 8000), 0);
+	/* before the late tick runs */
+	ck_assert_uint_eq(recent_loop_lag_ms(&lag, 10, 8140), 140);
+	for (t = 8140; t < 9140; t += 10) {
+		note_loop_tick(&lag, 10, t);
+		ck_assert_uint_eq(recent_loop_lag_ms(&lag, 10, t), 140);
+	}
+	for (; t < 8140 + 2 * LOOP_LAG_PERIOD_MS + 10; t += 10)
+		note_loop_tick(&lag, 10, t);
+	ck_assert_uint_eq(recent_loop_lag_ms(&lag, 10, t), 0);
+	/* a long pause counts in the period that it ends */
+	note_loop_tick(&lag, 10, t + 60000);
+	ck_assert_uint_eq(recent_loop_lag_ms(&lag, 10, t + 60000), 60000);
+}
+END_TEST
+
 START_TEST(every_status_kind_has_a_row)
 {
 	for (int k = 0; k < STATUS_KIND_NR; k++) {
@@ -185,6 +210,7 @@
 	int failed;
 
 	tcase_add_test(tc, patch_fails_on_another_base_or_damage);
+	tcase_add_test(tc, loop_lag_is_the_longest_delay_of_late);
 	tcase_add_test(tc, every_status_kind_has_a_row);
 	tcase_add_test(tc, counter_names_are_unique);
 	tcase_add_test(tc, endpoints_round_trip);
--- a/t/check-cookie.c
+++ b/t/check-cookie.c
@@ -1044,6 +1044,42 @@
 }
 END_TEST
 
+/* Guards against resets behind a cut link without what tells that it is cut. */
+START_TEST(reset_behind_cut_link_has_evidence)
+{
+	domain_index_t south = intern_domain(in.catalog, "south");
+	struct domain_links *dl =
+		create_domain_links(intern_domain(in.catalog, "north"));
+	struct upstream_report r = make_upstream_report("u-far", "south");
+	upstream_index_t far = put_test_upstream(&in, &r, 0);
+	struct link_evidence le;
+	struct health_evidence he;
+
+	set_test_route_repeatable(in.catalog, 2, true);
+	set_placer_links(in.placer, dl);
+	open_flow(5000, 9800);
+	put_upstream("u-near", 9900);
+	lose_link(dl, south, 10000);
+	note_check_result(in.placer, far, CHECK_UNREACHABLE, 10040);
+	end_flows_behind_cut_links(in.steering, 10100, resets);
+	ck_assert_uint_eq(resets->len, 1);
+	ck_assert_int_eq(g_array_index(resets, struct cookie_reset, 0).reason,
+			 COOKIE_LINK_LOST);
+	le = describe_upstream_link(in.placer, far, 10100);
+	ck_assert_int_eq(le.state, LINK_LOST);
+	ck_assert_uint_eq(le.state_ms, 100);
+	ck_assert_uint_eq(le.heard_ms, 100 + DOMAIN_LINK_SILENCE_MAX_MS);
+	ck_assert_uint_eq(le.member_heard_ms, 100 + DOMAIN_LINK_SILENCE_MAX_MS);
+	ck_assert_uint_ge(le.failed_checks, 2);
+	ck_assert(le.control_failed);
+	he = describe_health(in.placer, far, 10100);
+	ck_assert_uint_eq(he.link_check_ms, 60);
+	ck_assert_uint_ge(he.own_alive_ms, 100);
+	ck_assert_int_eq(he.kind, EVIDENCE_NONE);
+	destroy_domain_links(dl);
+}
+END_TEST
+
 /*
  * Upstreams that crash while heartbeats are late look like a lost link. Others
  * there still serve their flows.
@@ -1345,6 +1381,7 @@
 	tcase_add_test(tc, instance_without_configuration_relays_syn);
 	tcase_add_loop_test(tc, request_behind_lost_link_is_repeated_elsewhere,
 			    0, 2);
+	tcase_add_test(tc, reset_behind_cut_link_has_evidence);
 	tcase_add_test(tc, link_lost_by_suspects_alone_resets_nothing);
 	tcase_add_test(
 		tc,
--- a/t/check-health-notice.c
+++ b/t/check-health-notice.c
@@ -189,6 +189,64 @@
 }
 END_TEST
 
+/* Guards against adopted verdicts that logs cannot tell from own ones. */
+START_TEST(adopted_verdict_tells_its_sender_and_check)
+{
+	struct health_notice n = make_verdict("north", HEALTH_DEAD, 300);
+	struct health_evidence he;
+
+	note_upstream_alive(in.placer, board_a, 900);
+	ck_assert_int_eq(handle_health_notice(in.placer, &n, 1300),
+			 VERDICT_ADOPTED);
+	he = describe_health(in.placer, board_a, 1400);
+	ck_assert_int_eq(he.kind, EVIDENCE_ADOPTED);
+	ck_assert_int_eq(he.health, HEALTH_DEAD);
+	ck_assert_uint_eq(he.peer.member_id, service_id("front-1"));
+	ck_assert_uint_eq(he.verdict_age_ms, 100);
+	ck_assert_uint_eq(he.check_age_ms, 400);
+	ck_assert_uint_eq(he.own_alive_ms, 500);
+	ck_assert_int_eq(handle_health_notice(in.placer, &n, 1400),
+			 VERDICT_KNOWN);
+}
+END_TEST
+
+static bool is_north(const char *domain, void *user);
+
+START_TEST(verdict_that_is_not_adopted_has_a_reason)
+{
+	struct health_notice n = make_verdict("north", HEALTH_DEAD, 300);
+	GArray *checks = g_array_new(FALSE, FALSE, sizeof(upstream_index_t));
+
+	note_upstream_alive(in.placer, board_a, 1000);
+	ck_assert_int_eq(handle_health_notice(in.placer, &n, 1300),
+			 VERDICT_DISPROVED);
+	n.check_ms = HEALTH_NOTICE_MAX_AGE_MS + 1;
+	ck_assert_int_eq(handle_health_notice(in.placer, &n, 1300),
+			 VERDICT_STALE);
+	n = make_verdict("south", HEALTH_DEAD, 100);
+	ck_assert_int_eq(handle_health_notice(in.placer, &n, 1300),
+			 VERDICT_OTHER_DOMAIN);
+	n = make_verdict("north", HEALTH_DEAD, 100);
+	n.upstream_id++;
+	ck_assert_int_eq(handle_health_notice(in.placer, &n, 1300),
+			 VERDICT_NO_UPSTREAM);
+	n = make_verdict("north", HEALTH_DEAD, 100);
+	tick_placer(in.placer, 1300, checks);
+	tick_placer(in.placer, 1800, checks);
+	ck_assert_int_eq(handle_health_notice(in.placer, &n, 1800),
+			 VERDICT_PAUSED);
+	set_notice_link_test(notices, is_north, NULL);
+	ck_assert_int_eq(handle_health_notice(in.placer, &n, 1800),
+			 VERDICT_LINK_DOUBTFUL);
+	n.health = HEALTH_GOOD;
+	ck_assert_int_eq(handle_health_notice(in.placer, &n, 1800),
+			 VERDICT_NONE);
+	ck_assert_int_eq(describe_health(in.placer, board_a, 1800).kind,
+			 EVIDENCE_NONE);
+	g_array_free(checks, TRUE);
+}
+END_TEST
+
 /*
  * Guards against resets due to a link that only the sender's domain has lost:
  * only instances that share the sender's or the upstream's links believe it.
@@ -415,6 +473,23 @@
 }
 END_TEST
 
+START_TEST(verdict_confirmed_by_others_tells_their_number)
+{
+	static const uint32_t ages_ms[] = { 300, 300, 400 };
+	struct health_evidence he;
+
+	health_during_check(ages_ms, 3, true, false);
+	he = describe_health(in.placer, board_a, 2000);
+	ck_assert_int_eq(he.kind, EVIDENCE_UNANSWERED);
+	ck_assert_uint_eq(he.own.unanswered, 3);
+	ck_assert_uint_eq(he.own.unreachable_checks, 0);
+	/* the check still ran */
+	ck_assert_uint_eq(he.own.check_ended_ms, EVIDENCE_NEVER_MS);
+	ck_assert_uint_eq(he.check_age_ms,
+			  he.verdict_age_ms + HEALTH_CONFIRMED_CHECK_MS);
+}
+END_TEST
+
 /*
  * Guards against resets of the flows of an upstream that is full: it answers no
  * SYN, and a check only when a slot is free, but it accepts the connection.
@@ -502,6 +577,9 @@
 	tcase_add_checked_fixture(tc, setup, teardown);
 	tcase_add_test(tc, notice_is_read_as_written_and_strictly);
 	tcase_add_test(tc, verdict_is_not_adopted_after_sign_of_life);
+	tcase_add_test(tc, adopted_verdict_tells_its_sender_and_check);
+	tcase_add_test(tc, verdict_that_is_not_adopted_has_a_reason);
+	tcase_add_test(tc, verdict_confirmed_by_others_tells_their_number);
 	tcase_add_test(tc, verdict_over_a_link_between_domains_is_not_adopted);
 	tcase_add_test(
 		tc, verdict_behind_doubtful_link_is_neither_sent_nor_adopted);
--- a/t/check-placement.c
+++ b/t/check-placement.c
@@ -391,6 +391,114 @@
 	handle_peer_loads(in.placer, 42, &row, 1, now_ms);
 }
 
+/* The change to a verdict that is dead or cut off; CHANGES are freed. */
+static struct health_evidence pop_verdict_evidence(void)
+{
+	GArray *changes =
+		g_array_new(FALSE, FALSE, sizeof(struct health_change));
+	struct health_evidence he = { 0 };
+
+	pop_health_changes(in.placer, changes);
+	for (guint i = 0; i < changes->len; i++) {
+		const struct health_change *ch =
+			&g_array_index(changes, struct health_change, i);
+
+		if (ch->to == HEALTH_DEAD || ch->to == HEALTH_UNREACHABLE)
+			he = ch->evidence;
+		else
+			ck_assert_int_eq(ch->evidence.kind, EVIDENCE_NONE);
+	}
+	g_array_free(changes, TRUE);
+	return he;
+}
+
+START_TEST(verdict_of_one_check_tells_its_evidence)
+{
+	static const enum evidence_kind kinds[] = { EVIDENCE_REFUSED,
+						    EVIDENCE_REPLACED };
+	upstream_index_t a = put_upstream("u-a", "north", 0);
+	struct health_evidence he;
+
+	note_upstream_alive(in.placer, a, 900);
+	note_upstream_silent(in.placer, a, 1000, 1200);
+	ck_assert(is_check_requested(a, 1400));
+	ck_assert_int_eq(describe_health(in.placer, a, 1450).kind,
+			 EVIDENCE_NONE);
+	note_check_result(in.placer, a, _i ? CHECK_REPLACED : CHECK_REFUSED,
+			  1500);
+	he = pop_verdict_evidence();
+	ck_assert_int_eq(he.kind, kinds[_i]);
+	ck_assert_uint_eq(he.verdict_age_ms, 0);
+	ck_assert_uint_eq(he.own.check_ended_ms, 0);
+	he = describe_health(in.placer, a, 1600);
+	ck_assert_int_eq(he.kind, kinds[_i]);
+	ck_assert_int_eq(he.health, HEALTH_DEAD);
+	ck_assert_uint_eq(he.verdict_age_ms, 100);
+	ck_assert_uint_eq(he.check_age_ms, 200);
+	ck_assert_uint_eq(he.own.check_ended_ms, 100);
+	ck_assert_uint_eq(he.own_alive_ms, 700);
+	ck_assert_uint_eq(he.peer_alive_ms, EVIDENCE_NEVER_MS);
+	/* a later check confirms it */
+	ck_assert(is_check_requested(a, 3500));
+	note_check_result(in.placer, a, CHECK_REFUSED, 3510);
+	he = describe_health(in.placer, a, 3600);
+	ck_assert_int_eq(he.kind, EVIDENCE_REFUSED);
+	ck_assert_uint_eq(he.verdict_age_ms, 2100);
+	ck_assert_uint_eq(he.check_age_ms, 100);
+	note_upstream_alive(in.placer, a, 3700);
+	he = describe_health(in.placer, a, 3710);
+	ck_assert_int_eq(he.kind, EVIDENCE_NONE);
+	ck_assert_uint_eq(he.own_alive_ms, 10);
+}
+END_TEST
+
+START_TEST(verdict_of_several_checks_tells_their_number)
+{
+	upstream_index_t a = put_upstream("u-a", "north", 0);
+	upstream_index_t b = put_upstream("u-b", "north", 0);
+	struct health_evidence he;
+
+	note_upstream_silent(in.placer, a, 1000, 1200);
+	for (uint64_t t = 1400; t < 2100; t += 351) {
+		note_upstream_alive(in.placer, b, t + 100);
+		fail_check_as_unreachable(a, t);
+	}
+	he = describe_health(in.placer, a, 2201);
+	ck_assert_int_eq(he.kind, EVIDENCE_UNREACHABLE);
+	ck_assert_uint_eq(he.own.unreachable_checks, 2);
+	ck_assert_uint_eq(he.own.unanswered, 0);
+	ck_assert_uint_eq(he.verdict_age_ms, 100);
+	ck_assert_uint_eq(he.check_age_ms, 450);
+	ck_assert_uint_eq(he.own_alive_ms, EVIDENCE_NEVER_MS);
+	note_upstream_alive(in.placer, b, 4200);
+	fail_check_as_unreachable(a, 4150);
+	he = describe_health(in.placer, a, 4500);
+	ck_assert_uint_eq(he.own.unreachable_checks, 3);
+	ck_assert_uint_eq(he.verdict_age_ms, 2399);
+}
+END_TEST
+
+/* Guards against resets of flows that peers see make progress, untold by logs. */
+START_TEST(sign_of_life_at_peer_after_verdict_is_told)
+{
+	upstream_index_t a = put_upstream("u-a", "north", 0);
+	struct upstream_load_row row = {
+		get_upstream(in.catalog, a)->cookie, 0, 1, 30, HEALTH_GOOD, 0
+	};
+	struct health_evidence he;
+
+	note_upstream_silent(in.placer, a, 1000, 1200);
+	ck_assert(is_check_requested(a, 1400));
+	note_check_result(in.placer, a, CHECK_REFUSED, 1500);
+	handle_peer_loads(in.placer, 42, &row, 1, 2000);
+	he = describe_health(in.placer, a, 2000);
+	ck_assert_int_eq(he.kind, EVIDENCE_REFUSED);
+	ck_assert_uint_eq(he.verdict_age_ms, 500);
+	ck_assert_uint_eq(he.peer_alive_ms, 30);
+	ck_assert_uint_eq(he.own_alive_ms, EVIDENCE_NEVER_MS);
+}
+END_TEST
+
 START_TEST(upstream_lost_at_peer_is_checked_at_once)
 {
 	static const enum upstream_health verdicts[] = { HEALTH_DEAD,
@@ -797,6 +905,9 @@
 	tcase_add_test(tc, several_silences_shorten_check_delay);
 	tcase_add_test(tc, flow_progress_outweighs_refused_check);
 	tcase_add_test(tc, unreachable_upstream_is_cut_off_if_others_answer);
+	tcase_add_loop_test(tc, verdict_of_one_check_tells_its_evidence, 0, 2);
+	tcase_add_test(tc, verdict_of_several_checks_tells_their_number);
+	tcase_add_test(tc, sign_of_life_at_peer_after_verdict_is_told);
 	tcase_add_test(tc, upstream_lost_at_peer_is_checked_at_once);
 	tcase_add_test(tc, peer_report_causes_no_check_without_flows);
 	tcase_add_test(tc, flow_progress_outweighs_peer_report);
