--- a/net/edge.c
+++ b/net/edge.c
@@ -5,6 +5,7 @@
 #include <sys/stat.h>
 #include <time.h>
 
+#include "base/version.h"
 #include "flow/upstream-quality.h"
 #include "net/files.h"
 
@@ -193,6 +194,8 @@
 			  upstream_health_name(ch->to),
 			  upstream_health_name(ch->from), ch->silence_count,
 			  (unsigned long long)ch->silent_ms);
+		if (ch->to == HEALTH_DEAD || ch->to == HEALTH_UNREACHABLE)
+			log_lost_upstream(e, ch);
 		reset_flows_if_unusable(e, ch->upstream);
 	}
 	g_array_free(changes, TRUE);
@@ -274,6 +277,7 @@
 	GArray *checks = g_array_new(FALSE, FALSE, sizeof(upstream_index_t));
 
 	e->now_ms = edge_clock_ms();
+	note_loop_tick(&e->loop_lag, COOKIE_TICK_MS, e->now_ms);
 	tick_cookie_steering(e->steering, e->now_ms);
 	note_heard_domains(e);
 	tick_placer(e->placement, e->now_ms, checks);
@@ -444,8 +448,9 @@
 	g_snprintf(e->incarnation, sizeof(e->incarnation), "%08x", seed);
 	uv_loop_init(&e->loop);
 	create_decision_logic(e);
-	log_event(e->log, EVENT_START, "instance=%s domain=%s incarnation=%s",
-		  settings->name, settings->domain, e->incarnation);
+	log_event(e->log, EVENT_START,
+		  "instance=%s domain=%s incarnation=%s build=%s",
+		  settings->name, settings->domain, e->incarnation, build_id());
 	if (!start_edge(e)) {
 		close_edge(e);
 		code = 1;
