t: hold the fields of log lines against docs/LOGS.md

Only the kinds of events were; a field that nobody described went unnoticed. check-event-log takes the keys from the formats in net/edge*.c. It failed when a row of the page was renamed ("lacks the field `check_ended_ms` of net/edge-evidence.c").

--- a/t/check-event-log.c
+++ b/t/check-event-log.c
@@ -1,4 +1,4 @@
-/* Tests of net/event-log: budgets, a stalled reader, documented events. */
+/* Tests of net/event-log: budgets, a stalled reader, the page of events. */
 
 #include <check.h>
 #include <fcntl.h>
@@ -104,6 +104,58 @@
 }
 END_TEST
 
+/* Asserts that PAGE describes each field KEY=... in the source file PATH. */
+static void check_fields_documented(const char *path, const char *page)
+{
+	GRegex *field =
+		g_regex_new("\\b([a-z_]+)=(%|[a-z0-9]+[ \"\\\\])", 0, 0, NULL);
+	GMatchInfo *match;
+	char *code;
+
+	ck_assert(g_file_get_contents(path, &code, NULL, NULL));
+	for (g_regex_match(field, code, 0, &match); g_match_info_matches(match);
+	     g_match_info_next(match, NULL)) {
+		char *name = g_match_info_fetch(match, 1);
+		char *cell = g_strdup_printf("`%s`", name);
+
+		ck_assert_msg(strstr(page, cell),
+			      "docs/LOGS.md lacks the field %s of %s", cell,
+			      path);
+		g_free(cell);
+		g_free(name);
+	}
+	g_match_info_free(match);
+	g_regex_unref(field);
+	g_free(code);
+}
+
+START_TEST(docs_page_describes_every_field)
+{
+	GDir *dir = g_dir_open("net", 0, NULL);
+	const char *name;
+	unsigned int files = 0;
+	char *page;
+	char *fields;
+
+	ck_assert(g_file_get_contents("docs/LOGS.md", &page, NULL, NULL));
+	fields = strstr(page, "| Field |");
+	ck_assert_ptr_nonnull(fields);
+	while ((name = g_dir_read_name(dir))) {
+		char *path = g_build_filename("net", name, NULL);
+
+		if (g_str_has_prefix(name, "edge") &&
+		    g_str_has_suffix(name, ".c")) {
+			check_fields_documented(path, fields);
+			files++;
+		}
+		g_free(path);
+	}
+	ck_assert_uint_gt(files, 0);
+	g_dir_close(dir);
+	g_free(page);
+}
+END_TEST
+
 START_TEST(docs_page_lists_every_event)
 {
 	char *page;
@@ -134,6 +186,7 @@
 	tcase_add_test(tc, lines_over_budget_are_dropped_and_reported);
 	tcase_add_test(tc, stalled_reader_loses_lines_without_blocking);
 	tcase_add_test(tc, docs_page_lists_every_event);
+	tcase_add_test(tc, docs_page_describes_every_field);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_ENV);
 	failed = srunner_ntests_failed(sr);
