flow/cookie: tell a later flow of the same key from the known one

A packet whose addresses and ports were those of a tracked flow was taken for a packet of that flow, whatever its sequence number. A caller that uses a port again while its SYN went through another instance, or an old record whose flow has moved away, got its packets counted as the earlier flow's. A SYN was taken for a copy of the earlier flow's SYN. A reset for the flow carried an acknowledgment number of the earlier one, which the caller ignores.

Packets of one flow are less than 76,800 bytes apart. One further away now ends the record and is treated like the first packet of a flow.

The tests packet_far_from_the_known_flow_belongs_to_another and syn_far_from_the_known_flow_opens_another in check-cookie failed before.

--- a/flow/cookie.c
+++ b/flow/cookie.c
@@ -13,6 +13,15 @@
 	return (int32_t)(a - b) > 0;
 }
 
+/* True if P, by its sequence number, belongs to the flow F of its key. */
+static bool is_packet_of_flow(const struct cookie_flow *f,
+			      const struct cookie_packet *p)
+{
+	int32_t distance = (int32_t)(p->seq - f->caller_next_seq);
+
+	return distance <= COOKIE_SEQ_WINDOW && distance >= -COOKIE_SEQ_WINDOW;
+}
+
 static struct cookie_decision make_decision(enum cookie_verdict verdict,
 					    enum cookie_reason reason)
 {
@@ -362,7 +371,7 @@
 		return make_decision(COOKIE_TO_PEER, COOKIE_NOT_READY);
 	if (!route)
 		return make_reset_decision(p, COOKIE_NO_ROUTE);
-	if (f && f->phase != PHASE_OPENING) {
+	if (f && (f->phase != PHASE_OPENING || !is_packet_of_flow(f, p))) {
 		remove_cookie_flow(cs, f);
 		f = NULL;
 	}
@@ -521,6 +530,10 @@
 	if (is_cookie_syn(p))
 		return handle_syn(cs, p, now_ms);
 	f = find_cookie_flow(cs, &p->key);
+	if (f && !is_packet_of_flow(f, p)) {
+		remove_cookie_flow(cs, f);
+		f = NULL;
+	}
 	if (f)
 		cancel_held_syn(cs, f); /* opened through another instance */
 	nr = find_packet_upstream(cs, p, f);
--- a/flow/cookie.h
+++ b/flow/cookie.h
@@ -21,8 +21,13 @@
 #define COOKIE_LATE_TICK_MS 100
 #define COOKIE_TICK_MS 10	   /* short, to detect dead upstreams early */
 #define COOKIE_SYN_UPSTREAMS_MAX 3 /* for a SYN and its two copies */
-#define COOKIE_SYN_LAST_COPY 2	   /* callers send no further copy */
-#define COOKIE_FLOWS_MAX 200000	   /* tracked at once */
+/*
+ * Packets of one flow have sequence numbers that differ by less than this, in
+ * bytes; a packet further away belongs to a later flow of the same key.
+ */
+#define COOKIE_SEQ_WINDOW 76800
+#define COOKIE_SYN_LAST_COPY 2	       /* callers send no further copy */
+#define COOKIE_FLOWS_MAX 200000	       /* tracked at once */
 #define COOKIE_CLOSING_TIMEOUT_MS 3000 /* packets may follow the last FIN */
 #define COOKIE_OPENING_TIMEOUT_MS 1400 /* callers abandon their SYN then */
 
--- a/t/check-cookie.c
+++ b/t/check-cookie.c
@@ -71,6 +71,13 @@
 	return d.upstream;
 }
 
+/* Opens a flow from PORT at UP, the only upstream, at 1000 ms; returns UP. */
+static upstream_index_t open_flow_at(upstream_index_t up, uint16_t port)
+{
+	ck_assert_uint_eq(open_flow(port, 1000), up);
+	return up;
+}
+
 START_TEST(cookie_selects_upstream_without_flow_state)
 {
 	struct cookie_instance other;
@@ -152,6 +159,34 @@
 }
 END_TEST
 
+START_TEST(packet_far_from_the_known_flow_belongs_to_another)
+{
+	upstream_index_t next;
+	struct cookie_decision d;
+
+	open_flow_at(put_upstream("u-a", 0), 4000);
+	next = put_upstream("u-b", 1020);
+	d = send_data(4000, get_upstream(in.catalog, next)->cookie,
+		      1101 + COOKIE_SEQ_WINDOW + 1, 0, 70000, 1050);
+	ck_assert_uint_eq(d.upstream, next);
+	ck_assert(d.moved_in);
+	ck_assert_uint_eq(cookie_flow_count(in.steering), 1);
+}
+END_TEST
+
+START_TEST(syn_far_from_the_known_flow_opens_another)
+{
+	struct cookie_packet p = make_cookie_packet(CALLER, 4000, TCP_SYN, 0);
+
+	put_upstream("u-a", 0);
+	send_syn(4000, 0, 1000);
+	p.seq += COOKIE_SEQ_WINDOW + 2;
+	ck_assert_int_eq(
+		steer_cookie_packet(in.steering, &p, false, 1010).reason,
+		COOKIE_OPENED);
+}
+END_TEST
+
 /*
  * A dead upstream resets SYNs at once and has no load, so that placement by
  * load alone would choose it for each retry, within milliseconds, until the
@@ -1308,6 +1343,8 @@
 	tcase_add_test(tc, retransmitted_syn_goes_to_another_upstream);
 	tcase_add_test(tc, retransmitted_syn_stays_with_answering_upstream);
 	tcase_add_test(tc, late_answer_to_a_syn_copy_does_not_move_flow);
+	tcase_add_test(tc, packet_far_from_the_known_flow_belongs_to_another);
+	tcase_add_test(tc, syn_far_from_the_known_flow_opens_another);
 	tcase_add_test(tc, immediate_retry_avoids_dead_upstream);
 	tcase_add_test(tc, overdue_handshake_makes_upstream_suspect);
 	tcase_add_test(tc, delayed_tick_makes_no_upstream_suspect);
