flow/cookie: ignore late answers once a flow's upstream is known

A caller's SYN and its copies reach several upstreams if routers hand them to different instances, or if an instance that stood still sends an old SYN on after the caller has opened the flow through another one. Each upstream answers. The answer that comes late changes the cookie that the caller puts into its packets until the flow's own upstream sends something.

An instance ignored such cookies only if it had itself sent the SYN to several upstreams. Otherwise it followed them: packets of an open flow went to an upstream that does not hold it, and that upstream reset the caller, while the flow's own upstream was sound. A late cookie of a dead upstream made the instance itself reset the flow, and one of an upstream unknown here had the packets relayed.

An instance that has seen the end of the handshake, or that the caller acknowledged data which brought the upstream's cookie, knows where the flow is open, and now ignores other cookies on that flow. Where neither was seen the cookie still decides.

The four late_answer tests in check-cookie that are new failed before, one of them in two variants.

--- a/flow/cookie-state.h
+++ b/flow/cookie-state.h
@@ -30,6 +30,7 @@
 	upstream_index_t syn_upstreams[COOKIE_SYN_UPSTREAMS_MAX];
 	uint8_t syn_upstream_nr; /* upstreams that the SYN was sent to */
 	enum flow_phase phase;
+	bool upstream_known;	  /* the flow is open at its upstream */
 	bool request_pending;	  /* a request was sent and not answered yet */
 	bool request_unseen;	  /* its end was not seen in time */
 	struct flow_load load;	  /* counted at the upstream */
--- a/flow/cookie.c
+++ b/flow/cookie.c
@@ -403,14 +403,16 @@
 }
 
 /*
- * The upstream of a packet that is no SYN. If the SYN was sent to several
- * upstreams, the cookie of the first packet after it decides which of them has
- * the flow. Later cookies of the others come from late answers to copies of
- * the SYN and are ignored.
+ * The upstream of P, a packet of F that is no SYN. The cookie of the first
+ * packet after the SYN decides which of the upstreams that got the SYN has the
+ * flow. The SYN may have gone to some of them through other instances, and
+ * their late answers change the caller's cookie again until the flow's own
+ * upstream sends something. So once the upstream is known, other cookies are
+ * ignored. Without F all that there is to go by is the cookie.
  */
 static upstream_index_t find_packet_upstream(struct cookie_steering *cs,
 					     const struct cookie_packet *p,
-					     struct cookie_flow *f)
+					     const struct cookie_flow *f)
 {
 	upstream_index_t by_cookie =
 		p->cookie ? find_upstream_by_cookie(cs->catalog, p->cookie)
@@ -418,14 +420,28 @@
 
 	if (!f || f->upstream == CATALOG_NONE)
 		return by_cookie;
-	if (by_cookie == CATALOG_NONE)
-		return p->cookie ? CATALOG_NONE : f->upstream;
-	if (f->phase != PHASE_OPENING && f->syn_upstream_nr > 1 &&
-	    was_syn_sent_to(f, by_cookie))
+	if (f->upstream_known || !p->cookie)
+		return f->upstream;
+	if (f->phase != PHASE_OPENING && was_syn_sent_to(f, by_cookie))
 		return f->upstream;
 	return by_cookie;
 }
 
+/*
+ * Whether P shows at which upstream F is open: it completes the handshake, or
+ * acknowledges data that brought the cookie of the upstream that F has already.
+ */
+static bool proves_upstream(const struct cookie_steering *cs,
+			    const struct cookie_flow *f,
+			    const struct cookie_packet *p)
+{
+	if (f->phase == PHASE_OPENING)
+		return p->cookie && p->seq == f->caller_next_seq;
+	return f->upstream != CATALOG_NONE &&
+	       p->cookie == get_upstream(cs->catalog, f->upstream)->cookie &&
+	       is_seq_after(p->ack, f->caller_ack);
+}
+
 /* Updates F and its upstream's load and health from P. */
 static void observe_packet(struct cookie_steering *cs, struct cookie_flow *f,
 			   const struct cookie_packet *p, uint64_t now_ms)
@@ -563,6 +579,7 @@
 	}
 	if (!f)
 		return steer_to(cs, nr, COOKIE_STEERED);
+	f->upstream_known |= proves_upstream(cs, f, p);
 	if (f->upstream != nr) {
 		unassign_cookie_flow(cs, f);
 		f->response_ms = 0;
--- a/t/check-cookie.c
+++ b/t/check-cookie.c
@@ -159,6 +159,71 @@
 }
 END_TEST
 
+/* Routers sent a copy of the SYN to another instance, which chose u-a. */
+START_TEST(late_answer_to_a_syn_of_another_instance_does_not_move_flow)
+{
+	upstream_index_t here = put_upstream("u-b", 0);
+	upstream_index_t there;
+	upstream_index_t open;
+	upstream_index_t late;
+	struct cookie_decision d;
+
+	ck_assert_uint_eq(send_syn(4000, 1, 1200).upstream, here);
+	there = put_upstream("u-a", 1201);
+	open = _i ? there : here;
+	late = _i ? here : there;
+	d = send_data(4000, get_upstream(in.catalog, open)->cookie, 1001, 0,
+		      500, 1210);
+	ck_assert_uint_eq(d.upstream, open);
+	d = send_data(4000, get_upstream(in.catalog, late)->cookie, 1001, 100,
+		      500, 1212);
+	ck_assert_uint_eq(d.upstream, open);
+	ck_assert_uint_eq(d.cookie, get_upstream(in.catalog, open)->cookie);
+}
+END_TEST
+
+START_TEST(late_answer_does_not_move_a_flow_that_made_progress)
+{
+	upstream_index_t open = put_upstream("u-a", 0);
+	upstream_index_t late = put_upstream("u-b", 0);
+	uint32_t cookie = get_upstream(in.catalog, open)->cookie;
+
+	send_data(4000, cookie, 2001, 100, 9000, 1000);
+	send_data(4000, cookie, 2101, 0, 10200, 1060);
+	ck_assert_uint_eq(send_data(4000,
+				    get_upstream(in.catalog, late)->cookie,
+				    2101, 100, 10200, 1100)
+				  .upstream,
+			  open);
+}
+END_TEST
+
+START_TEST(late_answer_of_a_dead_upstream_resets_no_flow)
+{
+	upstream_index_t open = open_flow_at(put_upstream("u-a", 0), 4000);
+	upstream_index_t late = put_upstream("u-b", 1020);
+	struct cookie_decision d;
+
+	note_upstream_silent(in.placer, late, 1020, 1030);
+	note_check_result(in.placer, late, CHECK_REFUSED, 1040);
+	ck_assert_int_eq(assessed_health(in.placer, late), HEALTH_DEAD);
+	d = send_data(4000, get_upstream(in.catalog, late)->cookie, 1101, 0,
+		      500, 1050);
+	ck_assert_int_eq(d.verdict, COOKIE_TO_UPSTREAM);
+	ck_assert_uint_eq(d.upstream, open);
+}
+END_TEST
+
+START_TEST(late_answer_of_an_unknown_upstream_does_not_move_flow)
+{
+	upstream_index_t open = open_flow_at(put_upstream("u-a", 0), 4000);
+	struct cookie_decision d = send_data(4000, 99, 1101, 0, 500, 1050);
+
+	ck_assert_int_eq(d.verdict, COOKIE_TO_UPSTREAM);
+	ck_assert_uint_eq(d.upstream, open);
+}
+END_TEST
+
 START_TEST(packet_far_from_the_known_flow_belongs_to_another)
 {
 	upstream_index_t next;
@@ -1343,6 +1408,13 @@
 	tcase_add_test(tc, retransmitted_syn_goes_to_another_upstream);
 	tcase_add_test(tc, retransmitted_syn_stays_with_answering_upstream);
 	tcase_add_test(tc, late_answer_to_a_syn_copy_does_not_move_flow);
+	tcase_add_loop_test(
+		tc, late_answer_to_a_syn_of_another_instance_does_not_move_flow,
+		0, 2);
+	tcase_add_test(tc, late_answer_does_not_move_a_flow_that_made_progress);
+	tcase_add_test(tc, late_answer_of_a_dead_upstream_resets_no_flow);
+	tcase_add_test(tc,
+		       late_answer_of_an_unknown_upstream_does_not_move_flow);
 	tcase_add_test(tc, packet_far_from_the_known_flow_belongs_to_another);
 	tcase_add_test(tc, syn_far_from_the_known_flow_opens_another);
 	tcase_add_test(tc, immediate_retry_avoids_dead_upstream);
