flow/cookie: drop late copies of the SYN of an open flow

A copy of a SYN that was read after the acknowledgment of the SYN+ACK ended the record of the flow and was placed like the SYN of a new one. Another upstream answered it, its cookie reached the caller, and the instance, which no longer knew where the flow was open, sent packets of the flow there: a reset of an open flow.

The sequence number tells that the SYN is of the flow that is open, so it is dropped.

late_copy_of_the_syn_of_an_open_flow_is_not_placed in check-cookie failed before.

--- a/flow/cookie.c
+++ b/flow/cookie.c
@@ -371,10 +371,12 @@
 		return make_decision(COOKIE_TO_PEER, COOKIE_NOT_READY);
 	if (!route)
 		return make_reset_decision(p, COOKIE_NO_ROUTE);
-	if (f && (f->phase != PHASE_OPENING || !is_packet_of_flow(f, p))) {
+	if (f && !is_packet_of_flow(f, p)) {
 		remove_cookie_flow(cs, f);
 		f = NULL;
 	}
+	if (f && f->phase != PHASE_OPENING)
+		return make_decision(COOKIE_DROP, COOKIE_LATE_COPY);
 	if (f && f->held_syn)
 		return make_decision(COOKIE_DROP, COOKIE_CROWDED);
 	if (!f)
@@ -598,7 +600,8 @@
 	static const char *const names[COOKIE_REASON_NR] = {
 		"opened",     "reopened", "steered",   "no-route",
 		"route-gone", "crowded",  "refused",   "upstream-dead",
-		"link-lost",  "unknown",  "not-ready", "isolated"
+		"link-lost",  "unknown",  "not-ready", "isolated",
+		"late-copy"
 	};
 
 	return names[r];
--- a/flow/cookie.h
+++ b/flow/cookie.h
@@ -77,6 +77,7 @@
 	COOKIE_UNKNOWN,	      /* the cookie is of no upstream known here */
 	COOKIE_NOT_READY,     /* no configuration yet */
 	COOKIE_ISOLATED,      /* no upstream can be reached from here */
+	COOKIE_LATE_COPY,     /* of the SYN of a flow that is open */
 	COOKIE_REASON_NR
 };
 
--- a/net/edge-packets.c
+++ b/net/edge-packets.c
@@ -204,8 +204,10 @@
 		log_waiting_syn(e, p, d);
 		break;
 	case COOKIE_DROP:
-		/* a copy of a SYN that waits here, or a counted drop */
-		if (d->reason != COOKIE_CROWDED && d->reason != COOKIE_ISOLATED)
+		/* a needless copy of a SYN, or a counted drop */
+		if (d->reason != COOKIE_CROWDED &&
+		    d->reason != COOKIE_LATE_COPY &&
+		    d->reason != COOKIE_ISOLATED)
 			log_unknown_flow(e, p, d);
 		break;
 	}
--- a/t/check-cookie.c
+++ b/t/check-cookie.c
@@ -252,6 +252,18 @@
 }
 END_TEST
 
+/* Such a copy arrived after the acknowledgment of the SYN+ACK. */
+START_TEST(late_copy_of_the_syn_of_an_open_flow_is_not_placed)
+{
+	upstream_index_t open = open_flow_at(put_upstream("u-a", 0), 4000);
+
+	put_upstream("u-b", 0);
+	ck_assert_int_eq(send_syn(4000, 1, 1020).verdict, COOKIE_DROP);
+	ck_assert_uint_eq(send_data(4000, 0, 1101, 0, 500, 1030).upstream,
+			  open);
+}
+END_TEST
+
 /*
  * A dead upstream resets SYNs at once and has no load, so that placement by
  * load alone would choose it for each retry, within milliseconds, until the
@@ -1417,6 +1429,7 @@
 		       late_answer_of_an_unknown_upstream_does_not_move_flow);
 	tcase_add_test(tc, packet_far_from_the_known_flow_belongs_to_another);
 	tcase_add_test(tc, syn_far_from_the_known_flow_opens_another);
+	tcase_add_test(tc, late_copy_of_the_syn_of_an_open_flow_is_not_placed);
 	tcase_add_test(tc, immediate_retry_avoids_dead_upstream);
 	tcase_add_test(tc, overdue_handshake_makes_upstream_suspect);
 	tcase_add_test(tc, delayed_tick_makes_no_upstream_suspect);
--- a/t/prop-cookie.cc
+++ b/t/prop-cookie.cc
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <map>
 #include <rapidcheck.h>
 #include <vector>
@@ -93,6 +94,24 @@
 				put_test_upstream(&instances[i], &r, now_ms);
 		}
 	}
+
+	/* Replaces instance I by one that knows all members and upstreams. */
+	void restart_instance(int i)
+	{
+		char name[16];
+
+		g_snprintf(name, sizeof(name), "front-%d", i);
+		release_cookie_instance(&instances[i]);
+		init_cookie_instance(&instances[i], name, i % 2 ? "a" : "b");
+		for (int k = 0; k < INSTANCES; k++)
+			set_member(i, k, MEMBER_ALIVE);
+		for (int u = 0; u < UPSTREAMS; u++) {
+			struct upstream_report r = report(u);
+
+			upstreams[i][u] =
+				put_test_upstream(&instances[i], &r, now_ms);
+		}
+	}
 };
 
 /*
@@ -419,24 +438,6 @@
 		g_array_free(checks, TRUE);
 	}
 
-	void start_again(int i)
-	{
-		char name[16];
-
-		g_snprintf(name, sizeof(name), "front-%d", i);
-		release_cookie_instance(&f.instances[i]);
-		init_cookie_instance(&f.instances[i], name, i % 2 ? "a" : "b");
-		for (int k = 0; k < INSTANCES; k++)
-			f.set_member(i, k, MEMBER_ALIVE);
-		for (int u = 0; u < UPSTREAMS; u++) {
-			struct upstream_report r = f.report(u);
-
-			f.upstreams[i][u] = put_test_upstream(&f.instances[i],
-							      &r, f.now_ms);
-		}
-		ready[i] = true;
-	}
-
 	/* The instance that gets packets of PORT now; -1: none is ready. */
 	int route(uint16_t port)
 	{
@@ -597,8 +598,10 @@
 		for (int i = 0; i < INSTANCES; i++) {
 			if (f.now_ms == RETURN_MS - 1000)
 				ready[i] = false;
-			if (f.now_ms == returns_ms[i])
-				start_again(i);
+			if (f.now_ms != returns_ms[i])
+				continue;
+			f.restart_instance(i);
+			ready[i] = true;
 		}
 		if (draw(rand, 0, 1000) < ARRIVALS)
 			attempts.push_back({ (uint16_t)(1000 + attempts.size()),
@@ -637,6 +640,404 @@
 	RC_ASSERT(refused == 0);
 }
 
+#define PORTS 24 /* of callers; a port is used again after its flow ended */
+#define PACKET_BYTES 300
+#define REQUESTS 6 /* on a flow */
+#define MOVES_RUN_MS 6000
+
+/* A flow as its caller and the upstreams that got its SYN see it. */
+struct steered_flow {
+	int nr;
+	uint16_t port;
+	uint32_t initial_seq;
+	uint32_t seq;
+	uint32_t ack;
+	uint32_t echo;			  /* last cookie that the caller got */
+	uint32_t upstream_seq[UPSTREAMS]; /* 0: got no SYN */
+	int answered;			  /* whose SYN+ACK it took; -1 */
+	int open;			  /* upstream that holds it; -1 */
+	int requests;
+	bool ended;
+};
+
+/* What one instance has seen of the flow that it last saw on a port. */
+struct flow_record {
+	int nr;
+	bool syn;	  /* its SYN, before any other packet */
+	bool other;	  /* a packet that is no SYN */
+	bool known;	  /* enough to know its upstream */
+	bool has_own_ack; /* OWN_ACK is set */
+	uint32_t own_ack; /* of a packet with the cookie of its upstream */
+};
+
+struct steered_packet {
+	int nr; /* of its flow */
+	struct cookie_packet p;
+};
+
+/*
+ * Callers, upstreams and routers while the rotation changes. Instances freeze
+ * and read what arrived meanwhile when they wake; upstreams answer some SYNs
+ * late or more than once.
+ */
+struct moves {
+	struct fleet f;
+	GRand *rand;
+	std::multimap<uint64_t, std::function<void()>> events;
+	std::vector<struct steered_flow> flows;
+	struct flow_record records[INSTANCES][PORTS];
+	bool in_rotation[INSTANCES];
+	uint64_t frozen_until_ms[INSTANCES];
+	GArray *released;
+	int packets;
+	int strayed;	   /* to another upstream than the open flow's */
+	int strayed_known; /* from an instance that could know better */
+
+	explicit moves(GRand *r)
+		: rand(r), records(), frozen_until_ms(), packets(0), strayed(0),
+		  strayed_known(0)
+	{
+		released =
+			g_array_new(FALSE, FALSE, sizeof(struct released_syn));
+		f.now_ms = 1000;
+		for (int u = 0; u < UPSTREAMS; u++)
+			f.put_upstream(u, 0);
+		for (int i = 0; i < INSTANCES; i++)
+			in_rotation[i] = true;
+	}
+
+	~moves()
+	{
+		g_array_free(released, TRUE);
+	}
+
+	void after(int ms, std::function<void()> run)
+	{
+		events.insert({ f.now_ms + (uint64_t)ms, run });
+	}
+
+	uint32_t cookie_of(int u)
+	{
+		return make_cookie(f.report(u).id);
+	}
+
+	/* By highest random weight: a change moves only the flows it must. */
+	int route(uint16_t port)
+	{
+		uint32_t highest = 0;
+		int best = -1;
+
+		for (int i = 0; i < INSTANCES; i++) {
+			uint32_t weight =
+				(port * 31U + (uint32_t)i * 977U) * 2654435761U;
+
+			if (!in_rotation[i] || (best >= 0 && weight < highest))
+				continue;
+			best = i;
+			highest = weight;
+		}
+		return best;
+	}
+
+	void send(int nr, uint8_t flags, uint16_t len, uint32_t copy)
+	{
+		struct steered_flow *fl = &flows[(size_t)nr];
+		int i = route(fl->port);
+		struct steered_packet sp = { nr, make_cookie_packet(
+							 CALLER, fl->port,
+							 flags, fl->echo) };
+
+		sp.p.seq = fl->seq;
+		sp.p.payload_len = len;
+		sp.p.ack = flags & TCP_SYN ? copy : fl->ack;
+		if (flags & TCP_SYN)
+			sp.p.seq = fl->initial_seq;
+		fl->seq += len;
+		/* a lost acknowledgment is made up for by the next one */
+		if (!(flags & TCP_SYN) && !len && draw(rand, 0, 30) == 0)
+			return;
+		after(draw(rand, 1, 3), [=] { arrive(i, sp); });
+	}
+
+	void arrive(int i, const struct steered_packet &sp)
+	{
+		if (frozen_until_ms[i] > f.now_ms) {
+			after((int)(frozen_until_ms[i] - f.now_ms),
+			      [=] { arrive(i, sp); });
+			return;
+		}
+		struct cookie_decision d = steer_cookie_packet(
+			f.instances[i].steering, &sp.p, false, f.now_ms);
+		if (d.moved_in)
+			tell_moved(i, sp.p.key);
+		execute(i, sp, &d);
+	}
+
+	/* Tells the others, later and not always, that I has the flow KEY. */
+	void tell_moved(int i, struct flow_key key)
+	{
+		for (int k = 0; k < INSTANCES; k++) {
+			if (k == i || draw(rand, 0, 4) == 0)
+				continue;
+			after(draw(rand, 5, 60), [=] {
+				if (release_moved_flow(f.instances[k].steering,
+						       &key))
+					records[k][key.caller_port - 1000] = {};
+			});
+		}
+	}
+
+	void execute(int i, const struct steered_packet &sp,
+		     const struct cookie_decision *d)
+	{
+		bool is_syn = is_cookie_syn(&sp.p);
+
+		/* no upstream is dead, and all cookies are known */
+		RC_ASSERT(is_syn || d->verdict == COOKIE_TO_UPSTREAM);
+		if (d->verdict != COOKIE_TO_UPSTREAM)
+			return;
+		for (int u = 0; u < UPSTREAMS; u++) {
+			if (f.upstreams[i][u] != d->upstream)
+				continue;
+			RC_ASSERT(d->cookie == cookie_of(u));
+			note_forwarded(i, sp, u);
+			after(draw(rand, 1, 3), [=] { reach(u, sp); });
+		}
+	}
+
+	void note_forwarded(int i, const struct steered_packet &sp, int u)
+	{
+		const struct steered_flow *fl = &flows[(size_t)sp.nr];
+		struct flow_record *r = &records[i][fl->port - 1000];
+
+		if (r->nr != sp.nr + 1)
+			*r = { sp.nr + 1, false, false, false, false, 0 };
+		if (is_cookie_syn(&sp.p)) {
+			r->syn = r->syn || !r->other;
+			return;
+		}
+		if (fl->open >= 0 && !fl->ended) {
+			packets++;
+			strayed += u != fl->open;
+			strayed_known += u != fl->open && r->known;
+		}
+		if (u == fl->answered && sp.p.cookie == cookie_of(u)) {
+			r->known |= r->syn && !r->other &&
+				    sp.p.seq == fl->initial_seq + 1;
+			r->known |= r->has_own_ack && sp.p.ack > r->own_ack;
+			r->own_ack = sp.p.ack;
+			r->has_own_ack = true;
+		}
+		r->other = true;
+	}
+
+	/* Upstream U gets a packet. */
+	void reach(int u, const struct steered_packet &sp)
+	{
+		struct steered_flow *fl = &flows[(size_t)sp.nr];
+		uint32_t *seq = &fl->upstream_seq[u];
+
+		if (is_cookie_syn(&sp.p)) {
+			if (!*seq)
+				*seq = (uint32_t)draw(rand, 1, 1 << 30);
+			for (int copies = draw(rand, 1, 4); copies; copies--)
+				answer_syn(u, sp.nr);
+			return;
+		}
+		if (fl->open < 0 && *seq && sp.p.ack == *seq + 1)
+			fl->open = u;
+		if (fl->open != u) {
+			/* its reset ends the flow */
+			fl->ended = fl->ended || fl->open >= 0;
+			return;
+		}
+		if (sp.p.payload_len && sp.p.seq + sp.p.payload_len == fl->seq)
+			respond(u, sp.nr);
+	}
+
+	void answer_syn(int u, int nr)
+	{
+		bool late = draw(rand, 0, 3) == 0;
+
+		after(late ? draw(rand, 100, 900) : draw(rand, 1, 5), [=] {
+			struct steered_flow *fl = &flows[(size_t)nr];
+
+			if (fl->ended)
+				return;
+			fl->echo = cookie_of(u);
+			if (fl->answered >= 0)
+				return;
+			fl->answered = u;
+			fl->ack = fl->upstream_seq[u] + 1;
+			send(nr, TCP_ACK, 0, 0);
+			send_request(nr);
+		});
+	}
+
+	void send_request(int nr)
+	{
+		flows[(size_t)nr].requests++;
+		for (int n = draw(rand, 1, 4); n; n--)
+			send(nr, TCP_ACK, PACKET_BYTES, 0);
+	}
+
+	void respond(int u, int nr)
+	{
+		int parts = draw(rand, 1, 4);
+		int ms = draw(rand, 5, 80);
+
+		for (int n = 1; n <= parts; n++)
+			after(ms + n, [=] { receive(u, nr, n == parts); });
+	}
+
+	/* The caller gets data of a response from upstream U. */
+	void receive(int u, int nr, bool last)
+	{
+		struct steered_flow *fl = &flows[(size_t)nr];
+
+		if (fl->ended)
+			return;
+		fl->echo = cookie_of(u);
+		fl->ack += PACKET_BYTES;
+		send(nr, TCP_ACK, 0, 0);
+		if (!last)
+			return;
+		if (fl->requests < REQUESTS) {
+			after(draw(rand, 0, 400), [=] {
+				if (!flows[(size_t)nr].ended)
+					send_request(nr);
+			});
+			return;
+		}
+		send(nr, TCP_ACK | TCP_FIN, 0, 0);
+		fl->ended = true;
+	}
+
+	void open_flow(uint16_t port)
+	{
+		static const int copies_ms[] = { 0, 200, 600 };
+		struct steered_flow fl = {};
+		int nr = (int)flows.size();
+
+		fl.nr = nr;
+		fl.port = port;
+		fl.initial_seq = (uint32_t)draw(rand, 0, INT32_MAX);
+		fl.seq = fl.initial_seq + 1;
+		fl.answered = fl.open = -1;
+		flows.push_back(fl);
+		for (uint32_t k = 0; k < 3; k++)
+			after(copies_ms[k], [=] {
+				if (flows[(size_t)nr].answered < 0)
+					send(nr, TCP_SYN, 0, k);
+			});
+		after(1400, [=] {
+			struct steered_flow *x = &flows[(size_t)nr];
+
+			x->ended |= x->answered < 0;
+		});
+	}
+
+	void keep_port_in_use(uint16_t port)
+	{
+		bool in_use = false;
+
+		for (const struct steered_flow &fl : flows)
+			in_use |= fl.port == port && !fl.ended;
+		if (!in_use)
+			open_flow(port);
+		after(draw(rand, 20, 400), [=] { keep_port_in_use(port); });
+	}
+
+	void disturb()
+	{
+		int i = draw(rand, 0, INSTANCES);
+
+		switch (draw(rand, 0, 8)) {
+		case 0:
+			f.restart_instance(i);
+			for (int k = 0; k < PORTS; k++)
+				records[i][k] = {};
+			break;
+		case 1:
+		case 2:
+			frozen_until_ms[i] =
+				f.now_ms + (uint64_t)draw(rand, 100, 1500);
+			break;
+		default:
+			in_rotation[i] = !in_rotation[i];
+			if (!std::count(in_rotation, in_rotation + INSTANCES,
+					true))
+				in_rotation[i] = true;
+		}
+		after(draw(rand, 20, 200), [=] { disturb(); });
+	}
+
+	void tick(int i)
+	{
+		struct cookie_instance *in = &f.instances[i];
+
+		if (frozen_until_ms[i] <= f.now_ms) {
+			tick_cookie_steering(in->steering, f.now_ms);
+			g_array_set_size(released, 0);
+			release_waiting_syns(in->steering, f.now_ms, released);
+			for (guint k = 0; k < released->len; k++) {
+				struct released_syn *rs = &g_array_index(
+					released, struct released_syn, k);
+
+				execute(i, { flow_of(&rs->packet), rs->packet },
+					&rs->decision);
+			}
+		}
+		after(COOKIE_TICK_MS, [=] { tick(i); });
+	}
+
+	int flow_of(const struct cookie_packet *p)
+	{
+		for (const struct steered_flow &fl : flows)
+			if (fl.port == p->key.caller_port &&
+			    fl.initial_seq == p->seq)
+				return fl.nr;
+		return -1;
+	}
+
+	void run()
+	{
+		for (int k = 0; k < PORTS; k++)
+			keep_port_in_use((uint16_t)(1000 + k));
+		for (int i = 0; i < INSTANCES; i++)
+			tick(i);
+		disturb();
+		while (events.begin()->first < 1000 + MOVES_RUN_MS) {
+			auto next = events.extract(events.begin());
+
+			f.now_ms = next.key();
+			next.mapped()();
+		}
+	}
+};
+
+/*
+ * The rotation changes between a SYN, its copies and the later packets of the
+ * flow. An instance that saw the handshake or progress of a flow sends the
+ * flow's packets to no other upstream, whatever cookies late answers brought.
+ */
+static void late_answers_move_no_known_flow()
+{
+	GRand *rand = g_rand_new_with_seed(*rc::gen::arbitrary<uint32_t>());
+	int packets;
+	int strayed_known;
+	{
+		struct moves m(rand);
+
+		m.run();
+		packets = m.packets;
+		strayed_known = m.strayed_known;
+	}
+	g_rand_free(rand);
+	RC_ASSERT(packets > 0);
+	RC_ASSERT(strayed_known == 0);
+}
+
 int main()
 {
 	bool ok = true;
@@ -649,5 +1050,7 @@
 			open_flows_keep_their_upstream);
 	ok &= rc::check("restart refuses no caller in vain",
 			restart_refuses_no_caller_in_vain);
+	ok &= rc::check("late answers move no known flow",
+			late_answers_move_no_known_flow);
 	return !ok;
 }
