flow/cookie: forget the flows of an upstream that was dropped

The catalog drops an upstream a minute after its entry was removed, and another upstream may get its index. Flows that were tracked until then still named the index: a packet of theirs without a cookie, or, once the upstream is known, with any, crashed the instance (null pointer) or went to the other upstream, and the flows were reset as soon as that one was found dead.

The records end together with the upstream. Their flows are older than any flow may become.

flow_of_an_expired_upstream_goes_to_no_other in check-cookie failed in both variants with a forget_expired_upstreams() that does nothing: a null pointer, and a packet forwarded to the other upstream.

--- a/flow/cookie-flows.c
+++ b/flow/cookie-flows.c
@@ -242,6 +242,18 @@
 	}
 }
 
+void forget_expired_upstreams(struct cookie_steering *cs)
+{
+	for (guint i = 0; i < cs->flows_by_upstream->len; i++) {
+		struct cookie_flow *f;
+
+		if (get_upstream(cs->catalog, (upstream_index_t)i))
+			continue;
+		while ((f = g_ptr_array_index(cs->flows_by_upstream, i)))
+			remove_cookie_flow(cs, f);
+	}
+}
+
 bool is_better_repeated(const struct cookie_steering *cs,
 			const struct flow_key *key, upstream_index_t nr,
 			uint64_t now_ms)
--- a/flow/cookie.h
+++ b/flow/cookie.h
@@ -154,6 +154,12 @@
 void end_flows_behind_cut_links(struct cookie_steering *cs, uint64_t now_ms,
 				GArray *resets);
 
+/*
+ * Ends the record of flows whose upstreams expire_catalog() has dropped. To be
+ * called before an upstream is added, which may get the index of a dropped one.
+ */
+void forget_expired_upstreams(struct cookie_steering *cs);
+
 /* Ends flows whose route is no longer configured; RESETS as above. */
 void end_flows_without_route(struct cookie_steering *cs, uint64_t now_ms,
 			     GArray *resets);
--- a/net/edge.c
+++ b/net/edge.c
@@ -302,6 +302,7 @@
 	tick_edge_store(e);
 	update_quotas(e->upstream_quotas, e->now_ms);
 	expire_catalog(e->catalog, e->now_ms);
+	forget_expired_upstreams(e->steering);
 	tick_edge_heartbeats(e);
 	tick_edge_introduction(e);
 	check_settings_file(e);
--- a/t/check-cookie.c
+++ b/t/check-cookie.c
@@ -447,6 +447,29 @@
 }
 END_TEST
 
+START_TEST(flow_of_an_expired_upstream_goes_to_no_other)
+{
+	upstream_index_t expired = open_flow_at(put_upstream("u-a", 0), 4000);
+	uint32_t cookie = get_upstream(in.catalog, expired)->cookie;
+	uint64_t now_ms = 1100;
+
+	remove_catalog_upstream(in.catalog, "u-a", now_ms);
+	for (; now_ms < 1100 + TEST_ENTRY_TTL_MS; now_ms += 10000)
+		send_data(4000, cookie, 1101, 0, 500, now_ms);
+	now_ms += 10;
+	expire_catalog(in.catalog, now_ms);
+	forget_expired_upstreams(in.steering);
+	if (_i)
+		ck_assert_uint_eq(put_upstream("u-b", now_ms), expired);
+	ck_assert_int_eq(send_data(4000, 0, 1101, 0, 500, now_ms).verdict,
+			 COOKIE_TO_PEER);
+	ck_assert_int_eq(send_data(4000, cookie, 1101, 0, 500, now_ms).verdict,
+			 COOKIE_TO_PEER);
+	end_upstream_flows(in.steering, expired, now_ms, resets);
+	ck_assert_uint_eq(resets->len, 0);
+}
+END_TEST
+
 START_TEST(draining_and_out_upstreams_keep_flows_only)
 {
 	struct upstream_report r = make_upstream_report("u-a", "south");
@@ -1439,6 +1462,8 @@
 	tcase_add_test(tc, all_flows_of_dead_upstream_are_reset);
 	tcase_add_test(tc, no_flow_of_suspect_upstream_is_reset);
 	tcase_add_test(tc, unlisted_upstream_keeps_flows_until_expiry);
+	tcase_add_loop_test(tc, flow_of_an_expired_upstream_goes_to_no_other, 0,
+			    2);
 	tcase_add_test(tc, draining_and_out_upstreams_keep_flows_only);
 	tcase_add_test(tc, syn_without_upstream_or_route_is_reset);
 	tcase_add_test(tc, requests_that_end_elsewhere_do_not_fill_upstream);
