--- a/flow/cookie.c
+++ b/flow/cookie.c
@@ -13,6 +13,15 @@
 	return (int32_t)(a - b) > 0;
 }
 
+/* True if P, by its sequence number, belongs to the flow F of its key. */
+static bool is_packet_of_flow(const struct cookie_flow *f,
+			      const struct cookie_packet *p)
+{
+	int32_t distance = (int32_t)(p->seq - f->caller_next_seq);
+
+	return distance <= COOKIE_SEQ_WINDOW && distance >= -COOKIE_SEQ_WINDOW;
+}
+
 static struct cookie_decision make_decision(enum cookie_verdict verdict,
 					    enum cookie_reason reason)
 {
@@ -362,10 +371,12 @@
 		return make_decision(COOKIE_TO_PEER, COOKIE_NOT_READY);
 	if (!route)
 		return make_reset_decision(p, COOKIE_NO_ROUTE);
-	if (f && f->phase != PHASE_OPENING) {
+	if (f && !is_packet_of_flow(f, p)) {
 		remove_cookie_flow(cs, f);
 		f = NULL;
 	}
+	if (f && f->phase != PHASE_OPENING)
+		return make_decision(COOKIE_DROP, COOKIE_LATE_COPY);
 	if (f && f->held_syn)
 		return make_decision(COOKIE_DROP, COOKIE_CROWDED);
 	if (!f)
@@ -394,14 +405,16 @@
 }
 
 /*
- * The upstream of a packet that is no SYN. If the SYN was sent to several
- * upstreams, the cookie of the first packet after it decides which of them has
- * the flow. Later cookies of the others come from late answers to copies of
- * the SYN and are ignored.
+ * The upstream of P, a packet of F that is no SYN. The cookie of the first
+ * packet after the SYN decides which of the upstreams that got the SYN has the
+ * flow. The SYN may have gone to some of them through other instances, and
+ * their late answers change the caller's cookie again until the flow's own
+ * upstream sends something. So once the upstream is known, other cookies are
+ * ignored. Without F all that there is to go by is the cookie.
  */
 static upstream_index_t find_packet_upstream(struct cookie_steering *cs,
 					     const struct cookie_packet *p,
-					     struct cookie_flow *f)
+					     const struct cookie_flow *f)
 {
 	upstream_index_t by_cookie =
 		p->cookie ? find_upstream_by_cookie(cs->catalog, p->cookie)
@@ -409,14 +422,28 @@
 
 	if (!f || f->upstream == CATALOG_NONE)
 		return by_cookie;
-	if (by_cookie == CATALOG_NONE)
-		return p->cookie ? CATALOG_NONE : f->upstream;
-	if (f->phase != PHASE_OPENING && f->syn_upstream_nr > 1 &&
-	    was_syn_sent_to(f, by_cookie))
+	if (f->upstream_known || !p->cookie)
+		return f->upstream;
+	if (f->phase != PHASE_OPENING && was_syn_sent_to(f, by_cookie))
 		return f->upstream;
 	return by_cookie;
 }
 
+/*
+ * Whether P shows at which upstream F is open: it completes the handshake, or
+ * acknowledges data that brought the cookie of the upstream that F has already.
+ */
+static bool proves_upstream(const struct cookie_steering *cs,
+			    const struct cookie_flow *f,
+			    const struct cookie_packet *p)
+{
+	if (f->phase == PHASE_OPENING)
+		return p->cookie && p->seq == f->caller_next_seq;
+	return f->upstream != CATALOG_NONE &&
+	       p->cookie == get_upstream(cs->catalog, f->upstream)->cookie &&
+	       is_seq_after(p->ack, f->caller_ack);
+}
+
 /* Updates F and its upstream's load and health from P. */
 static void observe_packet(struct cookie_steering *cs, struct cookie_flow *f,
 			   const struct cookie_packet *p, uint64_t now_ms)
@@ -521,6 +548,10 @@
 	if (is_cookie_syn(p))
 		return handle_syn(cs, p, now_ms);
 	f = find_cookie_flow(cs, &p->key);
+	if (f && !is_packet_of_flow(f, p)) {
+		remove_cookie_flow(cs, f);
+		f = NULL;
+	}
 	if (f)
 		cancel_held_syn(cs, f); /* opened through another instance */
 	nr = find_packet_upstream(cs, p, f);
@@ -550,6 +581,7 @@
 	}
 	if (!f)
 		return steer_to(cs, nr, COOKIE_STEERED);
+	f->upstream_known |= proves_upstream(cs, f, p);
 	if (f->upstream != nr) {
 		unassign_cookie_flow(cs, f);
 		f->response_ms = 0;
@@ -568,7 +600,8 @@
 	static const char *const names[COOKIE_REASON_NR] = {
 		"opened",     "reopened", "steered",   "no-route",
 		"route-gone", "crowded",  "refused",   "upstream-dead",
-		"link-lost",  "unknown",  "not-ready", "isolated"
+		"link-lost",  "unknown",  "not-ready", "isolated",
+		"late-copy"
 	};
 
 	return names[r];
--- a/flow/cookie.h
+++ b/flow/cookie.h
@@ -21,8 +21,13 @@
 #define COOKIE_LATE_TICK_MS 100
 #define COOKIE_TICK_MS 10	   /* short, to detect dead upstreams early */
 #define COOKIE_SYN_UPSTREAMS_MAX 3 /* for a SYN and its two copies */
-#define COOKIE_SYN_LAST_COPY 2	   /* callers send no further copy */
-#define COOKIE_FLOWS_MAX 200000	   /* tracked at once */
+/*
+ * Packets of one flow have sequence numbers that differ by less than this, in
+ * bytes; a packet further away belongs to a later flow of the same key.
+ */
+#define COOKIE_SEQ_WINDOW 76800
+#define COOKIE_SYN_LAST_COPY 2	       /* callers send no further copy */
+#define COOKIE_FLOWS_MAX 200000	       /* tracked at once */
 #define COOKIE_CLOSING_TIMEOUT_MS 3000 /* packets may follow the last FIN */
 #define COOKIE_OPENING_TIMEOUT_MS 1400 /* callers abandon their SYN then */
 
@@ -72,6 +77,7 @@
 	COOKIE_UNKNOWN,	      /* the cookie is of no upstream known here */
 	COOKIE_NOT_READY,     /* no configuration yet */
 	COOKIE_ISOLATED,      /* no upstream can be reached from here */
+	COOKIE_LATE_COPY,     /* of the SYN of a flow that is open */
 	COOKIE_REASON_NR
 };
 
@@ -148,6 +154,12 @@
 void end_flows_behind_cut_links(struct cookie_steering *cs, uint64_t now_ms,
 				GArray *resets);
 
+/*
+ * Ends the record of flows whose upstreams expire_catalog() has dropped. To be
+ * called before an upstream is added, which may get the index of a dropped one.
+ */
+void forget_expired_upstreams(struct cookie_steering *cs);
+
 /* Ends flows whose route is no longer configured; RESETS as above. */
 void end_flows_without_route(struct cookie_steering *cs, uint64_t now_ms,
 			     GArray *resets);
--- a/t/check-cookie.c
+++ b/t/check-cookie.c
@@ -71,6 +71,13 @@
 	return d.upstream;
 }
 
+/* Opens a flow from PORT at UP, the only upstream, at 1000 ms; returns UP. */
+static upstream_index_t open_flow_at(upstream_index_t up, uint16_t port)
+{
+	ck_assert_uint_eq(open_flow(port, 1000), up);
+	return up;
+}
+
 START_TEST(cookie_selects_upstream_without_flow_state)
 {
 	struct cookie_instance other;
@@ -152,6 +159,111 @@
 }
 END_TEST
 
+/* Routers sent a copy of the SYN to another instance, which chose u-a. */
+START_TEST(late_answer_to_a_syn_of_another_instance_does_not_move_flow)
+{
+	upstream_index_t here = put_upstream("u-b", 0);
+	upstream_index_t there;
+	upstream_index_t open;
+	upstream_index_t late;
+	struct cookie_decision d;
+
+	ck_assert_uint_eq(send_syn(4000, 1, 1200).upstream, here);
+	there = put_upstream("u-a", 1201);
+	open = _i ? there : here;
+	late = _i ? here : there;
+	d = send_data(4000, get_upstream(in.catalog, open)->cookie, 1001, 0,
+		      500, 1210);
+	ck_assert_uint_eq(d.upstream, open);
+	d = send_data(4000, get_upstream(in.catalog, late)->cookie, 1001, 100,
+		      500, 1212);
+	ck_assert_uint_eq(d.upstream, open);
+	ck_assert_uint_eq(d.cookie, get_upstream(in.catalog, open)->cookie);
+}
+END_TEST
+
+START_TEST(late_answer_does_not_move_a_flow_that_made_progress)
+{
+	upstream_index_t open = put_upstream("u-a", 0);
+	upstream_index_t late = put_upstream("u-b", 0);
+	uint32_t cookie = get_upstream(in.catalog, open)->cookie;
+
+	send_data(4000, cookie, 2001, 100, 9000, 1000);
+	send_data(4000, cookie, 2101, 0, 10200, 1060);
+	ck_assert_uint_eq(send_data(4000,
+				    get_upstream(in.catalog, late)->cookie,
+				    2101, 100, 10200, 1100)
+				  .upstream,
+			  open);
+}
+END_TEST
+
+START_TEST(late_answer_of_a_dead_upstream_resets_no_flow)
+{
+	upstream_index_t open = open_flow_at(put_upstream("u-a", 0), 4000);
+	upstream_index_t late = put_upstream("u-b", 1020);
+	struct cookie_decision d;
+
+	note_upstream_silent(in.placer, late, 1020, 1030);
+	note_check_result(in.placer, late, CHECK_REFUSED, 1040);
+	ck_assert_int_eq(assessed_health(in.placer, late), HEALTH_DEAD);
+	d = send_data(4000, get_upstream(in.catalog, late)->cookie, 1101, 0,
+		      500, 1050);
+	ck_assert_int_eq(d.verdict, COOKIE_TO_UPSTREAM);
+	ck_assert_uint_eq(d.upstream, open);
+}
+END_TEST
+
+START_TEST(late_answer_of_an_unknown_upstream_does_not_move_flow)
+{
+	upstream_index_t open = open_flow_at(put_upstream("u-a", 0), 4000);
+	struct cookie_decision d = send_data(4000, 99, 1101, 0, 500, 1050);
+
+	ck_assert_int_eq(d.verdict, COOKIE_TO_UPSTREAM);
+	ck_assert_uint_eq(d.upstream, open);
+}
+END_TEST
+
+START_TEST(packet_far_from_the_known_flow_belongs_to_another)
+{
+	upstream_index_t next;
+	struct cookie_decision d;
+
+	open_flow_at(put_upstream("u-a", 0), 4000);
+	next = put_upstream("u-b", 1020);
+	d = send_data(4000, get_upstream(in.catalog, next)->cookie,
+		      1101 + COOKIE_SEQ_WINDOW + 1, 0, 70000, 1050);
+	ck_assert_uint_eq(d.upstream, next);
+	ck_assert(d.moved_in);
+	ck_assert_uint_eq(cookie_flow_count(in.steering), 1);
+}
+END_TEST
+
+START_TEST(syn_far_from_the_known_flow_opens_another)
+{
+	struct cookie_packet p = make_cookie_packet(CALLER, 4000, TCP_SYN, 0);
+
+	put_upstream("u-a", 0);
+	send_syn(4000, 0, 1000);
+	p.seq += COOKIE_SEQ_WINDOW + 2;
+	ck_assert_int_eq(
+		steer_cookie_packet(in.steering, &p, false, 1010).reason,
+		COOKIE_OPENED);
+}
+END_TEST
+
+/* Such a copy arrived after the acknowledgment of the SYN+ACK. */
+START_TEST(late_copy_of_the_syn_of_an_open_flow_is_not_placed)
+{
+	upstream_index_t open = open_flow_at(put_upstream("u-a", 0), 4000);
+
+	put_upstream("u-b", 0);
+	ck_assert_int_eq(send_syn(4000, 1, 1020).verdict, COOKIE_DROP);
+	ck_assert_uint_eq(send_data(4000, 0, 1101, 0, 500, 1030).upstream,
+			  open);
+}
+END_TEST
+
 /*
  * A dead upstream resets SYNs at once and has no load, so that placement by
  * load alone would choose it for each retry, within milliseconds, until the
@@ -335,6 +447,29 @@
 }
 END_TEST
 
+START_TEST(flow_of_an_expired_upstream_goes_to_no_other)
+{
+	upstream_index_t expired = open_flow_at(put_upstream("u-a", 0), 4000);
+	uint32_t cookie = get_upstream(in.catalog, expired)->cookie;
+	uint64_t now_ms = 1100;
+
+	remove_catalog_upstream(in.catalog, "u-a", now_ms);
+	for (; now_ms < 1100 + TEST_ENTRY_TTL_MS; now_ms += 10000)
+		send_data(4000, cookie, 1101, 0, 500, now_ms);
+	now_ms += 10;
+	expire_catalog(in.catalog, now_ms);
+	forget_expired_upstreams(in.steering);
+	if (_i)
+		ck_assert_uint_eq(put_upstream("u-b", now_ms), expired);
+	ck_assert_int_eq(send_data(4000, 0, 1101, 0, 500, now_ms).verdict,
+			 COOKIE_TO_PEER);
+	ck_assert_int_eq(send_data(4000, cookie, 1101, 0, 500, now_ms).verdict,
+			 COOKIE_TO_PEER);
+	end_upstream_flows(in.steering, expired, now_ms, resets);
+	ck_assert_uint_eq(resets->len, 0);
+}
+END_TEST
+
 START_TEST(draining_and_out_upstreams_keep_flows_only)
 {
 	struct upstream_report r = make_upstream_report("u-a", "south");
@@ -1344,6 +1479,16 @@
 	tcase_add_test(tc, retransmitted_syn_goes_to_another_upstream);
 	tcase_add_test(tc, retransmitted_syn_stays_with_answering_upstream);
 	tcase_add_test(tc, late_answer_to_a_syn_copy_does_not_move_flow);
+	tcase_add_loop_test(
+		tc, late_answer_to_a_syn_of_another_instance_does_not_move_flow,
+		0, 2);
+	tcase_add_test(tc, late_answer_does_not_move_a_flow_that_made_progress);
+	tcase_add_test(tc, late_answer_of_a_dead_upstream_resets_no_flow);
+	tcase_add_test(tc,
+		       late_answer_of_an_unknown_upstream_does_not_move_flow);
+	tcase_add_test(tc, packet_far_from_the_known_flow_belongs_to_another);
+	tcase_add_test(tc, syn_far_from_the_known_flow_opens_another);
+	tcase_add_test(tc, late_copy_of_the_syn_of_an_open_flow_is_not_placed);
 	tcase_add_test(tc, immediate_retry_avoids_dead_upstream);
 	tcase_add_test(tc, overdue_handshake_makes_upstream_suspect);
 	tcase_add_test(tc, delayed_tick_makes_no_upstream_suspect);
@@ -1353,6 +1498,8 @@
 	tcase_add_test(tc, all_flows_of_dead_upstream_are_reset);
 	tcase_add_test(tc, no_flow_of_suspect_upstream_is_reset);
 	tcase_add_test(tc, unlisted_upstream_keeps_flows_until_expiry);
+	tcase_add_loop_test(tc, flow_of_an_expired_upstream_goes_to_no_other, 0,
+			    2);
 	tcase_add_test(tc, draining_and_out_upstreams_keep_flows_only);
 	tcase_add_test(tc, syn_without_upstream_or_route_is_reset);
 	tcase_add_test(tc, requests_that_end_elsewhere_do_not_fill_upstream);
