health checks: an answer to an older packet does not prove the link free

Callers could see an open flow reset although its upstream was sound: the reason would be upstream-dead after two checks with the result unreachable.

A check that finds no connection within 350 ms counts if another upstream has shown life since it began; otherwise the fault is likely on this side. But that sign may be the answer to a packet that was sent before the check. If 350 ms or more of packets are queued on this instance's link (10 Mbit/s, transfers of long values, uploads, restarts nearby), answers to older packets keep arriving while the check still waits in the queue. Two such checks in a row, or one with unanswered packets of others, made the upstream unreachable, which the other instances of the domain adopted.

Remember when the latest packet or check that any upstream has answered was sent, and let a missing connection count only if that was after the check began. The queue is first in, first out, so such an answer shows that the check has left it. Where several SYNs of a flow were sent, the answered one is unknown and proves nothing.

--- a/flow/cookie.c
+++ b/flow/cookie.c
@@ -429,7 +429,11 @@
 		if (f->syn_ms) {
 			double took_ms = (double)(now_ms - f->syn_ms);
 
-			note_upstream_alive(cs->placer, f->upstream, now_ms);
+			/* of several SYNs the answered one is not known */
+			note_upstream_answer(cs->placer, f->upstream,
+					     f->syn_upstream_nr == 1 ? f->syn_ms
+								     : 0,
+					     now_ms);
 			add_duration(&cs->handshake_histogram,
 				     now_ms - f->syn_ms);
 			cs->mean_handshake_ms +=
--- a/flow/placement-health.c
+++ b/flow/placement-health.c
@@ -145,12 +145,23 @@
 	ul->last_alive_ms = now_ms;
 	ul->own_alive_ms = now_ms;
 	ul->link_failed_ms = 0;
-	pl->last_alive_ms = now_ms;
 	note_progress_on_link(pl, nr, now_ms);
 	if (ul->suspect_since_ms || ul->health != HEALTH_GOOD)
 		clear_suspicion(pl, nr, ul, now_ms);
 }
 
+void note_upstream_answer(struct placer *pl, upstream_index_t nr,
+			  uint64_t sent_ms, uint64_t now_ms)
+{
+	pl->answered_sent_ms = MAX(pl->answered_sent_ms, sent_ms);
+	note_upstream_alive(pl, nr, now_ms);
+}
+
+bool was_answered_since(const struct placer *pl, uint64_t since_ms)
+{
+	return pl->answered_sent_ms > since_ms;
+}
+
 bool was_alive_since(const struct placer *pl, upstream_index_t nr,
 		     uint64_t since_ms)
 {
@@ -332,6 +343,9 @@
 	struct upstream_load *ul = get_or_create_upstream_load(pl, nr);
 
 	ul->check_connected = ul->check_running;
+	if (ul->check_running)
+		pl->answered_sent_ms =
+			MAX(pl->answered_sent_ms, ul->check_started_ms);
 	ul->unreachable_checks = 0;
 }
 
@@ -355,7 +369,7 @@
 		return;
 	switch (result) {
 	case CHECK_GOOD:
-		note_upstream_alive(pl, nr, now_ms);
+		note_upstream_answer(pl, nr, ul->check_started_ms, now_ms);
 		break;
 	case CHECK_BAD:
 	case CHECK_SILENT:
@@ -378,8 +392,8 @@
 		ul->next_check_ms = now_ms + PLACEMENT_DEAD_RECHECK_MS;
 		break;
 	case CHECK_UNREACHABLE:
-		/* if no upstream answers, the fault is likely on this side */
-		if (pl->last_alive_ms <= ul->check_started_ms ||
+		/* else the fault, or a queue, is likely on this side */
+		if (!was_answered_since(pl, ul->check_started_ms) ||
 		    !was_link_open_since(pl, nr, ul->check_started_ms))
 			break;
 		ul->unreachable_checks++;
--- a/flow/placement-in-flight.c
+++ b/flow/placement-in-flight.c
@@ -235,5 +235,5 @@
 
 	if (e)
 		note_late_answered(e, took_ms, now_ms);
-	note_upstream_alive(pl, nr, now_ms);
+	note_upstream_answer(pl, nr, now_ms - MIN(now_ms, took_ms), now_ms);
 }
--- a/flow/placement-notices.c
+++ b/flow/placement-notices.c
@@ -118,8 +118,8 @@
 bool is_proved_unreachable(const struct placer *pl, upstream_index_t nr,
 			   const struct upstream_load *ul, uint64_t now_ms)
 {
-	/* if no upstream answers, the fault is likely on this side */
-	if (pl->last_alive_ms <= ul->check_started_ms ||
+	/* else the fault, or a queue, is likely on this side */
+	if (!was_answered_since(pl, ul->check_started_ms) ||
 	    !was_link_open_since(pl, nr, ul->check_started_ms))
 		return false;
 	return ul->unreachable_checks +
--- a/flow/placement-state.h
+++ b/flow/placement-state.h
@@ -123,10 +123,11 @@
 	GPtrArray *routes;	   /* struct placer_route by index */
 	GArray *peer_loads;	   /* of struct peer_load */
 	uint64_t means_updated_ms;
-	bool has_unhealthy;	/* an upstream is not HEALTH_GOOD */
-	uint64_t last_alive_ms; /* when any upstream last showed life here */
-	uint32_t busy_weight;	/* of own requests in flight, sixteenths */
-	uint32_t sent_busy_requests;	/* when last sent to peers */
+	bool has_unhealthy; /* an upstream is not HEALTH_GOOD */
+	/* when the latest packet or check that any upstream answered was sent */
+	uint64_t answered_sent_ms;
+	uint32_t busy_weight;	     /* of own requests in flight, sixteenths */
+	uint32_t sent_busy_requests; /* when last sent to peers */
 	struct health_notices *notices; /* NULL: none are sent or handled */
 	GArray *health_changes; /* struct health_change, not retrieved yet */
 	struct domain_links *links; /* NULL: failure domains have none */
@@ -246,6 +247,12 @@
 			    struct upstream_load *ul, uint64_t alive_ms,
 			    uint64_t now_ms);
 
+/*
+ * Whether an upstream answered what was sent after SINCE_MS: then packets of
+ * this instance leave its link, and answers arrive.
+ */
+bool was_answered_since(const struct placer *pl, uint64_t since_ms);
+
 /*
  * Whether enough attempts to reach NR failed: checks of this instance, and
  * packets that it and others have waited for.
--- a/flow/placement.c
+++ b/flow/placement.c
@@ -320,7 +320,7 @@
 				((double)took_ms - stats->mean_unqueued_ms);
 		note_in_flight_answer(pl, nr, took_ms, now_ms);
 	}
-	note_upstream_alive(pl, nr, now_ms);
+	note_upstream_answer(pl, nr, now_ms - MIN(now_ms, took_ms), now_ms);
 }
 
 const struct histogram *answer_times(const struct placer *pl,
--- a/flow/placement.h
+++ b/flow/placement.h
@@ -230,6 +230,10 @@
 void note_upstream_alive(struct placer *pl, upstream_index_t nr,
 			 uint64_t now_ms);
 
+/* As above; NR has answered a packet that was sent at SENT_MS. */
+void note_upstream_answer(struct placer *pl, upstream_index_t nr,
+			  uint64_t sent_ms, uint64_t now_ms);
+
 /* Requests in flight for each slot of NR, by the last reports of peers. */
 double current_load(const struct placer *pl, upstream_index_t nr);
 
--- a/t/check-cookie.c
+++ b/t/check-cookie.c
@@ -315,6 +315,49 @@
 }
 END_TEST
 
+/* Guards against verdicts on upstreams whose checks wait in the own link. */
+START_TEST(checks_queued_on_the_own_link_reset_no_flow)
+{
+	enum { QUEUED_MS = 410, CONNECT_MS = 350 };
+	GArray *checks = g_array_new(FALSE, FALSE, sizeof(upstream_index_t));
+	upstream_index_t idle;
+	upstream_index_t busy;
+	uint64_t started_ms = 0;
+	uint32_t requests = 0;
+
+	put_upstream("u-a", 0);
+	put_upstream("u-b", 0);
+	idle = open_flow(4000, 1000);
+	busy = open_flow(4001, 1000);
+	ck_assert_uint_ne(idle, busy);
+	send_data(4000, get_upstream(in.catalog, idle)->cookie, 1101, 0, 900,
+		  1060);
+	note_upstream_silent(in.placer, idle, 1975, 2000);
+	for (uint64_t t = 2000; t < 6000; t += 10) {
+		/* the answer to the request before, and the next one */
+		if (!((t - 2000) % QUEUED_MS)) {
+			send_data(4001, get_upstream(in.catalog, busy)->cookie,
+				  1101 + 100 * requests, 100,
+				  900 + 100 * requests, t);
+			requests++;
+		}
+		if (started_ms && t == started_ms + CONNECT_MS) {
+			started_ms = 0;
+			note_check_result(in.placer, idle, CHECK_UNREACHABLE,
+					  t);
+		}
+		g_array_set_size(checks, 0);
+		tick_placer(in.placer, t, checks);
+		if (checks->len)
+			started_ms = t;
+		ck_assert_int_eq(assessed_health(in.placer, idle),
+				 HEALTH_SUSPECTED);
+	}
+	ck_assert_uint_gt(requests, 0);
+	g_array_free(checks, TRUE);
+}
+END_TEST
+
 START_TEST(unlisted_upstream_keeps_flows_until_expiry)
 {
 	upstream_index_t nr;
@@ -1352,6 +1395,7 @@
 	tcase_add_test(tc, moved_flow_makes_only_quiet_upstream_suspect);
 	tcase_add_test(tc, all_flows_of_dead_upstream_are_reset);
 	tcase_add_test(tc, no_flow_of_suspect_upstream_is_reset);
+	tcase_add_test(tc, checks_queued_on_the_own_link_reset_no_flow);
 	tcase_add_test(tc, unlisted_upstream_keeps_flows_until_expiry);
 	tcase_add_test(tc, draining_and_out_upstreams_keep_flows_only);
 	tcase_add_test(tc, syn_without_upstream_or_route_is_reset);
--- a/t/check-health-notice.c
+++ b/t/check-health-notice.c
@@ -447,7 +447,7 @@
 	handle_health_notice(in.placer, &n, 1000);
 	t = next_check_ms(1000);
 	if (others_answer)
-		note_upstream_alive(in.placer, other, t + 10);
+		note_upstream_answer(in.placer, other, t + 5, t + 10);
 	for (int i = 0; i < nr; i++) {
 		n = make_suspicion(i, unanswered_ms[i]);
 		handle_health_notice(in.placer, &n, t + 20);
--- a/t/check-placement.c
+++ b/t/check-placement.c
@@ -371,7 +371,7 @@
 	for (uint64_t t = 1400; t < 2100; t += 351) {
 		ck_assert_int_eq(assessed_health(in.placer, a),
 				 HEALTH_SUSPECTED);
-		note_upstream_alive(in.placer, b, t + 100);
+		note_upstream_answer(in.placer, b, t + 90, t + 100);
 		fail_check_as_unreachable(a, t);
 	}
 	ck_assert_int_eq(assessed_health(in.placer, a), HEALTH_UNREACHABLE);
@@ -460,7 +460,7 @@
 
 	note_upstream_silent(in.placer, a, 1000, 1200);
 	for (uint64_t t = 1400; t < 2100; t += 351) {
-		note_upstream_alive(in.placer, b, t + 100);
+		note_upstream_answer(in.placer, b, t + 90, t + 100);
 		fail_check_as_unreachable(a, t);
 	}
 	he = describe_health(in.placer, a, 2201);
@@ -470,7 +470,7 @@
 	ck_assert_uint_eq(he.verdict_age_ms, 100);
 	ck_assert_uint_eq(he.check_age_ms, 450);
 	ck_assert_uint_eq(he.own_alive_ms, EVIDENCE_NEVER_MS);
-	note_upstream_alive(in.placer, b, 4200);
+	note_upstream_answer(in.placer, b, 4190, 4200);
 	fail_check_as_unreachable(a, 4150);
 	he = describe_health(in.placer, a, 4500);
 	ck_assert_uint_eq(he.own.unreachable_checks, 3);
--- a/t/notice-simulation.c
+++ b/t/notice-simulation.c
@@ -364,9 +364,9 @@
 		return;
 	si->last_tick_ms = s->now_ms;
 	if (s->now_ms % LIFE_EVERY_MS == i % 4 * STEP_MS)
-		note_upstream_alive(si->in.placer,
-				    s->handles[1 + i % (UPSTREAMS - 1)],
-				    s->now_ms);
+		note_upstream_answer(si->in.placer,
+				     s->handles[1 + i % (UPSTREAMS - 1)],
+				     s->now_ms - HANDSHAKE_MS, s->now_ms);
 	checks = g_array_new(FALSE, FALSE, sizeof(upstream_index_t));
 	tick_placer(si->in.placer, s->now_ms, checks);
 	for (guint k = 0; k < checks->len; k++)
@@ -404,7 +404,7 @@
 	case SIM_ALIVE:
 		if (ev->upstream == s->victim && !is_answering(s, ev->instance))
 			break;
-		note_upstream_alive(pl, ev->upstream, s->now_ms);
+		note_upstream_answer(pl, ev->upstream, ev->sent_ms, s->now_ms);
 		see_life(s, ev->instance, s->now_ms);
 		break;
 	case SIM_OVERDUE:
