health of upstreams: an old verdict ends no open flow

Callers could see an open flow reset, reason upstream-dead, long after its upstream had recovered, when the flow moved to another instance.

An instance that adopts a peer's verdict does not check the upstream for 8 s and relies on the peer, which checks every 2 s, to withdraw it. If the peer is restarted or its notice is lost, flows that were opened through other instances and move here in that time are reset. A verdict on an upstream whose entry lapses (the store is down or does not hear it) is never checked again, so that its flows are reset for as long as the catalog remembers it.

Note when a verdict was last proved: by a check of this instance that failed, or by a repeated notice. After 3 s, longer than the interval between checks of the instance that found it, it only keeps new flows away. A packet of an open flow is then sent on, and the upstream is checked, listed or not: a good answer ends the verdict, a bad one renews it and ends the flows. Callers of an upstream that is really lost hear of it as before, since verdicts are renewed every 2 s.

--- a/flow/cookie.c
+++ b/flow/cookie.c
@@ -531,9 +531,11 @@
 	if (nr == CATALOG_NONE)
 		return make_decision(relayed ? COOKIE_DROP : COOKIE_TO_PEER,
 				     COOKIE_UNKNOWN);
-	if (is_upstream_dead_or_cut_off(cs, nr))
+	if (may_end_flows(cs->placer, nr, now_ms))
 		return reset_unreachable_flow(cs, f, p, nr,
 					      COOKIE_UPSTREAM_DEAD);
+	if (is_upstream_dead_or_cut_off(cs, nr))
+		note_flow_in_doubt(cs->placer, nr, now_ms);
 	if (p->payload_len && is_better_repeated(cs, &p->key, nr, now_ms))
 		return reset_unreachable_flow(cs, f, p, nr, COOKIE_LINK_LOST);
 	/* later packets of a relayed flow go to the instance that relays it */
--- a/flow/placement-health.c
+++ b/flow/placement-health.c
@@ -104,6 +104,7 @@
 	ul->unreachable_checks = 0;
 	ul->refused_ms = 0;
 	ul->adopted = false;
+	ul->flow_in_doubt = false;
 	withdraw_suspicion(pl, nr, ul, now_ms);
 }
 
@@ -272,7 +273,7 @@
 	if (ul->health == HEALTH_GOOD)
 		return false;
 	if (is_dead_or_cut_off(ul))
-		return up->listed;
+		return up->listed || ul->flow_in_doubt;
 	return ul->suspect_since_ms &&
 	       !is_own_check_deferred(pl, nr, ul, now_ms);
 }
@@ -293,6 +294,7 @@
 		if (!is_check_due(pl, nr, ul, now_ms))
 			continue;
 		ul->check_running = true;
+		ul->flow_in_doubt = false;
 		ul->check_started_ms = now_ms;
 		g_array_append_val(checks, nr);
 	}
@@ -317,14 +319,41 @@
 	ul->verdict.unanswered = unanswered_attempts(pl, nr, ul, now_ms);
 }
 
+void set_verdict(struct placer *pl, upstream_index_t nr,
+		 struct upstream_load *ul, enum upstream_health health,
+		 bool adopted, uint64_t now_ms)
+{
+	set_upstream_health(pl, nr, ul, health, now_ms);
+	ul->adopted = adopted;
+	ul->proved_ms = now_ms;
+	ul->next_check_ms = now_ms + (adopted ? PLACEMENT_ADOPTED_RECHECK_MS
+					      : PLACEMENT_DEAD_RECHECK_MS);
+}
+
+bool may_end_flows(const struct placer *pl, upstream_index_t nr,
+		   uint64_t now_ms)
+{
+	const struct upstream_load *ul = find_upstream_load(pl, nr);
+
+	return ul && is_dead_or_cut_off(ul) &&
+	       now_ms - ul->proved_ms <= PLACEMENT_VERDICT_MAX_AGE_MS;
+}
+
+void note_flow_in_doubt(struct placer *pl, upstream_index_t nr, uint64_t now_ms)
+{
+	struct upstream_load *ul = get_or_create_upstream_load(pl, nr);
+
+	ul->flow_in_doubt = true;
+	pl->has_unhealthy = true;
+	schedule_check_for_peer(ul, now_ms);
+}
+
 void note_unreachable(struct placer *pl, upstream_index_t nr,
 		      struct upstream_load *ul, uint64_t now_ms)
 {
 	note_unreachable_verdict(pl, nr, ul, now_ms);
-	set_upstream_health(pl, nr, ul, HEALTH_UNREACHABLE, now_ms);
-	ul->adopted = false;
+	set_verdict(pl, nr, ul, HEALTH_UNREACHABLE, false, now_ms);
 	ul->unreachable_checks = PLACEMENT_UNREACHABLE_CHECKS;
-	ul->next_check_ms = now_ms + PLACEMENT_DEAD_RECHECK_MS;
 }
 
 void note_peer_sign_of_life(struct placer *pl, upstream_index_t nr,
@@ -349,6 +378,17 @@
 	ul->unreachable_checks = 0;
 }
 
+/* Keeps the verdict on NR as long as checks of it fail like before. */
+static void renew_verdict(const struct placer *pl, struct upstream_load *ul,
+			  enum check_result result, uint64_t now_ms)
+{
+	if (is_dead_or_cut_off(ul) &&
+	    (result == CHECK_REFUSED ||
+	     (result == CHECK_UNREACHABLE &&
+	      was_answered_since(pl, ul->check_started_ms))))
+		ul->proved_ms = now_ms;
+}
+
 void note_check_result(struct placer *pl, upstream_index_t nr,
 		       enum check_result result, uint64_t now_ms)
 {
@@ -367,6 +407,7 @@
 	/* progress of flows outweighs all but an answer of bad health */
 	if (ul->health == HEALTH_GOOD && result != CHECK_BAD)
 		return;
+	renew_verdict(pl, ul, result, now_ms);
 	switch (result) {
 	case CHECK_GOOD:
 		note_upstream_answer(pl, nr, ul->check_started_ms, now_ms);
@@ -387,9 +428,7 @@
 				 result == CHECK_REFUSED ? EVIDENCE_REFUSED
 							 : EVIDENCE_REPLACED,
 				 now_ms);
-		set_upstream_health(pl, nr, ul, HEALTH_DEAD, now_ms);
-		ul->adopted = false;
-		ul->next_check_ms = now_ms + PLACEMENT_DEAD_RECHECK_MS;
+		set_verdict(pl, nr, ul, HEALTH_DEAD, false, now_ms);
 		break;
 	case CHECK_UNREACHABLE:
 		/* else the fault, or a queue, is likely on this side */
--- a/flow/placement-notices.c
+++ b/flow/placement-notices.c
@@ -191,14 +191,14 @@
 			check_for_peer(pl, nr, ul, now_ms);
 		return holds ? VERDICT_PAUSED : VERDICT_OTHER_DOMAIN;
 	}
-	if (is_dead_or_cut_off(ul))
+	if (is_dead_or_cut_off(ul)) {
+		ul->proved_ms = now_ms;
 		return VERDICT_KNOWN;
+	}
 	note_verdict(ul, v, now_ms);
-	set_upstream_health(pl, nr, ul, n->health, now_ms);
+	set_verdict(pl, nr, ul, n->health, true, now_ms);
 	pl->has_unhealthy = true;
-	ul->adopted = true;
 	ul->suspect_since_ms = now_ms;
-	ul->next_check_ms = now_ms + PLACEMENT_ADOPTED_RECHECK_MS;
 	return VERDICT_ADOPTED;
 }
 
--- a/flow/placement-state.h
+++ b/flow/placement-state.h
@@ -57,6 +57,8 @@
 	uint64_t unanswered_since_ms;
 	bool adopted;		/* HEALTH is a peer's verdict */
 	struct verdict verdict; /* the last one that it is dead or cut off */
+	uint64_t proved_ms;	/* when HEALTH was last proved, here or there */
+	bool flow_in_doubt;	/* see note_flow_in_doubt() */
 	bool check_running;
 	bool check_connected;	     /* the running check */
 	uint32_t unreachable_checks; /* in a row */
@@ -281,6 +283,11 @@
 /* True if the upstream is dead or cut off: it gets no new flows. */
 bool is_dead_or_cut_off(const struct upstream_load *ul);
 
+/* Makes NR dead or cut off, as this instance has found or as it ADOPTED. */
+void set_verdict(struct placer *pl, upstream_index_t nr,
+		 struct upstream_load *ul, enum upstream_health health,
+		 bool adopted, uint64_t now_ms);
+
 /* Appends the upstreams whose check is due to CHECKS, marked as running. */
 void list_due_checks(struct placer *pl, uint64_t now_ms, GArray *checks);
 
--- a/flow/placement.h
+++ b/flow/placement.h
@@ -92,6 +92,11 @@
  */
 #define PLACEMENT_ADOPTED_RECHECK_MS 8000
 #define PLACEMENT_UNREACHABLE_CHECKS 2 /* in a row make it cut off */
+/*
+ * A verdict that was not proved again for this long ends no more open flows.
+ * Whoever found it checks every PLACEMENT_DEAD_RECHECK_MS.
+ */
+#define PLACEMENT_VERDICT_MAX_AGE_MS 3000
 
 /* Result of a check of an upstream. */
 enum check_result {
@@ -414,6 +419,20 @@
 
 enum upstream_health assessed_health(const struct placer *pl,
 				     upstream_index_t nr);
+
+/*
+ * True if NR is dead or cut off by a recent verdict, so that its open flows are
+ * to be reset. An older one only keeps new flows away.
+ */
+bool may_end_flows(const struct placer *pl, upstream_index_t nr,
+		   uint64_t now_ms);
+
+/*
+ * A packet was sent to NR, which an old verdict calls dead or cut off. It is
+ * checked soon, also if it is not listed any more.
+ */
+void note_flow_in_doubt(struct placer *pl, upstream_index_t nr,
+			uint64_t now_ms);
 /* As above, but HEALTH_UNREACHABLE if the link to NR's domain is lost. */
 enum upstream_health reached_health(const struct placer *pl,
 				    upstream_index_t nr);
--- a/net/edge-check.c
+++ b/net/edge-check.c
@@ -62,10 +62,9 @@
 
 void reset_flows_if_unusable(struct edge *e, upstream_index_t nr)
 {
-	enum upstream_health h = assessed_health(e->placement, nr);
 	GArray *resets;
 
-	if (h != HEALTH_DEAD && h != HEALTH_UNREACHABLE)
+	if (!may_end_flows(e->placement, nr, e->now_ms))
 		return;
 	resets = g_array_new(FALSE, FALSE, sizeof(struct cookie_reset));
 	end_upstream_flows(e->steering, nr, e->now_ms, resets);
--- a/t/check-cookie.c
+++ b/t/check-cookie.c
@@ -358,6 +358,33 @@
 }
 END_TEST
 
+/* Guards against verdicts that nobody renews, as the entry has lapsed. */
+START_TEST(old_verdict_on_unlisted_upstream_resets_no_flow)
+{
+	GArray *checks = g_array_new(FALSE, FALSE, sizeof(upstream_index_t));
+	upstream_index_t nr = put_upstream("u-a", 0);
+	uint32_t cookie = get_upstream(in.catalog, nr)->cookie;
+
+	open_flow(4000, 1000);
+	note_upstream_silent(in.placer, nr, 1100, 1200);
+	note_check_result(in.placer, nr, CHECK_REFUSED, 1500);
+	remove_catalog_upstream(in.catalog, "u-a", 2000);
+	ck_assert_int_eq(send_data(4001, cookie, 1001, 100, 500, 2000).verdict,
+			 COOKIE_RESET);
+	tick_placer(in.placer, 8000, checks);
+	ck_assert_uint_eq(checks->len, 0);
+	ck_assert_int_eq(send_data(4002, cookie, 1001, 100, 500, 8000).verdict,
+			 COOKIE_TO_UPSTREAM);
+	/* who is really gone is found at once */
+	tick_placer(in.placer, 8010, checks);
+	ck_assert_uint_eq(checks->len, 1);
+	note_check_result(in.placer, nr, CHECK_REFUSED, 8012);
+	ck_assert_int_eq(send_data(4002, cookie, 1001, 100, 500, 8200).verdict,
+			 COOKIE_RESET);
+	g_array_free(checks, TRUE);
+}
+END_TEST
+
 START_TEST(unlisted_upstream_keeps_flows_until_expiry)
 {
 	upstream_index_t nr;
@@ -1396,6 +1423,7 @@
 	tcase_add_test(tc, all_flows_of_dead_upstream_are_reset);
 	tcase_add_test(tc, no_flow_of_suspect_upstream_is_reset);
 	tcase_add_test(tc, checks_queued_on_the_own_link_reset_no_flow);
+	tcase_add_test(tc, old_verdict_on_unlisted_upstream_resets_no_flow);
 	tcase_add_test(tc, unlisted_upstream_keeps_flows_until_expiry);
 	tcase_add_test(tc, draining_and_out_upstreams_keep_flows_only);
 	tcase_add_test(tc, syn_without_upstream_or_route_is_reset);
--- a/t/check-health-notice.c
+++ b/t/check-health-notice.c
@@ -328,6 +328,37 @@
 }
 END_TEST
 
+/* Sends a request, or repeats it, on a flow of the upstream at SEQ. */
+static enum cookie_verdict send_request(uint32_t seq, uint64_t now_ms)
+{
+	struct cookie_packet p =
+		make_cookie_packet(0x64400007, 4000, TCP_ACK,
+				   get_upstream(in.catalog, board_a)->cookie);
+
+	p.seq = seq;
+	p.ack = 500;
+	p.payload_len = 100;
+	return steer_cookie_packet(in.steering, &p, false, now_ms).verdict;
+}
+
+/* Guards against resets by a verdict whose sender has left and renews nothing. */
+START_TEST(adopted_verdict_that_is_not_renewed_resets_no_flow)
+{
+	struct health_notice n = make_verdict("north", HEALTH_DEAD, 20);
+	GArray *checks = g_array_new(FALSE, FALSE, sizeof(upstream_index_t));
+
+	note_upstream_silent(in.placer, board_a, 900, 950);
+	ck_assert_int_eq(health_after(&n, 1000), HEALTH_DEAD);
+	if (_i) /* the sender has checked again */
+		ck_assert_int_eq(health_after(&n, 5000), HEALTH_DEAD);
+	ck_assert_int_eq(send_request(1001, 6500),
+			 _i ? COOKIE_RESET : COOKIE_TO_UPSTREAM);
+	tick_placer(in.placer, 6510, checks);
+	ck_assert_uint_eq(checks->len, !_i);
+	g_array_free(checks, TRUE);
+}
+END_TEST
+
 /* Guards against floods of notices about one upstream. */
 START_TEST(verdict_is_repeated_only_after_a_while)
 {
@@ -585,6 +616,8 @@
 		tc, verdict_behind_doubtful_link_is_neither_sent_nor_adopted);
 	tcase_add_test(tc, paused_instance_adopts_no_verdict);
 	tcase_add_test(tc, adopted_verdict_ends_with_recovery);
+	tcase_add_loop_test(
+		tc, adopted_verdict_that_is_not_renewed_resets_no_flow, 0, 2);
 	tcase_add_test(tc, verdict_is_repeated_only_after_a_while);
 	tcase_add_loop_test(tc, assessor_checks_first, 0, 2);
 	tcase_add_loop_test(tc, three_witnesses_shorten_the_delay, 0, 2);
