health notices: life after a peer's check began ends its verdict

Flows of an upstream that other instances hear could be reset for some hundred ms longer than needed, and new flows were kept away from it.

An adopted verdict ends with a sign of life that is later than the moment of adoption. But what it rests on is a check that began earlier: 350 ms for one without a connection. A heartbeat that was sent in between and arrives after the notice tells of life that disproves the verdict, as it would have if it had arrived first; it was ignored.

Compare with the time when the check began, as the adoption itself does.

The new test in check-health-notice failed before (23 of 24 of its rules passed).

--- a/flow/placement-notices.c
+++ b/flow/placement-notices.c
@@ -198,7 +198,7 @@
 	note_verdict(ul, v, now_ms);
 	set_verdict(pl, nr, ul, n->health, true, now_ms);
 	pl->has_unhealthy = true;
-	ul->suspect_since_ms = now_ms;
+	ul->suspect_since_ms = MAX(check_began_ms, 1);
 	return VERDICT_ADOPTED;
 }
 
--- a/t/check-health-notice.c
+++ b/t/check-health-notice.c
@@ -359,6 +359,23 @@
 }
 END_TEST
 
+/* Guards against verdicts that outlast life seen after their check began. */
+START_TEST(adopted_verdict_ends_with_life_after_its_check_began)
+{
+	struct health_notice n = make_verdict("north", HEALTH_UNREACHABLE, 300);
+	struct upstream_load_row row = { n.cookie, 0, 1, 310, HEALTH_GOOD, 0 };
+
+	ck_assert_int_eq(health_after(&n, 1300), HEALTH_UNREACHABLE);
+	/* a peer's heartbeat was sent before the notice, and arrives later */
+	handle_peer_loads(in.placer, 42, &row, 1, 1305);
+	ck_assert_int_eq(assessed_health(in.placer, board_a),
+			 HEALTH_UNREACHABLE);
+	row.silent_ms = 100;
+	handle_peer_loads(in.placer, 42, &row, 1, 1305);
+	ck_assert_int_eq(assessed_health(in.placer, board_a), HEALTH_GOOD);
+}
+END_TEST
+
 /* Guards against floods of notices about one upstream. */
 START_TEST(verdict_is_repeated_only_after_a_while)
 {
@@ -616,6 +633,8 @@
 		tc, verdict_behind_doubtful_link_is_neither_sent_nor_adopted);
 	tcase_add_test(tc, paused_instance_adopts_no_verdict);
 	tcase_add_test(tc, adopted_verdict_ends_with_recovery);
+	tcase_add_test(tc,
+		       adopted_verdict_ends_with_life_after_its_check_began);
 	tcase_add_loop_test(
 		tc, adopted_verdict_that_is_not_renewed_resets_no_flow, 0, 2);
 	tcase_add_test(tc, verdict_is_repeated_only_after_a_while);
