health checks: a fault of this process proves nothing about an upstream

An instance that has no descriptor, buffer or local address left for a check would find its upstreams cut off or dead and reset their callers, and other instances would adopt the verdict.

Any failed connect within 120 ms counted as a refusal, which alone proves an upstream dead, and any later one as unreachable. Such a fault came as the latter: the connect timeout of a check replaced the timer that reports a connect that failed at once. For 350 ms the check looked like one without a connection, which the packets of other instances could confirm after 150 ms.

Classify by the error. Only ECONNREFUSED says that nothing listens. A connect that is reset, times out or finds no route is one without a connection, of which it takes two. All else is "not-made": the upstream stays as it was and is checked again. A connect that fails at once is reported at once.

--- a/flow/placement-health.c
+++ b/flow/placement-health.c
@@ -442,6 +442,7 @@
 		}
 		note_unreachable(pl, nr, ul, now_ms);
 		break;
+	case CHECK_NOT_MADE:
 	case CHECK_RESULT_NR:
 		break;
 	}
@@ -490,7 +491,8 @@
 const char *check_result_name(enum check_result r)
 {
 	static const char *const names[CHECK_RESULT_NR] = {
-		"good", "bad", "silent", "refused", "replaced", "unreachable"
+		"good",	    "bad",	   "silent",  "refused",
+		"replaced", "unreachable", "not-made"
 	};
 
 	return names[r];
--- a/flow/placement-links.c
+++ b/flow/placement-links.c
@@ -136,6 +136,7 @@
 		}
 		break;
 	case CHECK_SILENT:
+	case CHECK_NOT_MADE:
 	case CHECK_RESULT_NR:
 		break;
 	}
--- a/flow/placement.h
+++ b/flow/placement.h
@@ -106,6 +106,7 @@
 	CHECK_REFUSED,	   /* nothing listens there */
 	CHECK_REPLACED,	   /* another upstream answered at its address */
 	CHECK_UNREACHABLE, /* no connection before the timeout */
+	CHECK_NOT_MADE,	   /* for a fault of this process or its machine */
 	CHECK_RESULT_NR
 };
 
--- a/net/edge-check.c
+++ b/net/edge-check.c
@@ -1,10 +1,8 @@
 /* Health checks of suspected upstreams: one HTTP request each. */
 
-#include <string.h>
-
+#include "net/check-result.h"
 #include "net/edge-state.h"
 #include "net/http-client.h"
-#include "platform/records.h"
 
 /*
  * An upstream whose slots are all busy answers a check only after the requests
@@ -18,11 +16,6 @@
  * queueing.
  */
 #define CHECK_CONNECT_MS 350
-/*
- * A refusal (RST) arrives within a round trip; a connect that fails later than
- * this counts as unreachable.
- */
-#define CHECK_REFUSED_MS 120
 #define CHECK_ANSWER_MAX_BYTES 4096
 
 struct health_check {
@@ -33,33 +26,6 @@
 	struct http_call *call;
 };
 
-static enum check_result classify_answer(const struct catalog_upstream *up,
-					 const struct http_message *m)
-{
-	const char *name = find_http_header(m, PLATFORM_UPSTREAM_HEADER);
-
-	if (name && strcmp(name, up->report.name) != 0)
-		return CHECK_REPLACED;
-	return m->code == 200 ? CHECK_GOOD : CHECK_BAD;
-}
-
-static enum check_result classify_result(const struct health_check *hc,
-					 const struct catalog_upstream *up,
-					 const struct http_call_result *r,
-					 uint64_t now_ms)
-{
-	switch (r->kind) {
-	case STATUS_OK:
-		return classify_answer(up, r->answer);
-	case STATUS_UNKNOWN:
-		return CHECK_SILENT;
-	default:
-		return now_ms - hc->started_ms <= CHECK_REFUSED_MS
-			       ? CHECK_REFUSED
-			       : CHECK_UNREACHABLE;
-	}
-}
-
 void reset_flows_if_unusable(struct edge *e, upstream_index_t nr)
 {
 	GArray *resets;
@@ -82,7 +48,8 @@
 
 	e->now_ms = edge_clock_ms();
 	if (up && up->report.id == hc->upstream_id) {
-		result = classify_result(hc, up, r, e->now_ms);
+		result = classify_check(r, up->report.name,
+					e->now_ms - hc->started_ms);
 		note_check_result(e->placement, hc->upstream, result,
 				  e->now_ms);
 		if (result != CHECK_GOOD)
--- a/net/http-client.c
+++ b/net/http-client.c
@@ -193,6 +193,6 @@
 
 void set_http_connect_timeout(struct http_call *c, uint64_t ms)
 {
-	if (!c->maybe_sent && !c->closing)
+	if (!c->maybe_sent && !c->connect_error && !c->closing)
 		uv_timer_start(&c->timer, on_timeout, ms, 0);
 }
--- a/t/check-http-client.c
+++ b/t/check-http-client.c
@@ -10,6 +10,7 @@
 #include <unistd.h>
 #include <uv.h>
 
+#include "net/check-result.h"
 #include "net/http-client.h"
 
 #define TIMEOUT_MS 100
@@ -53,16 +54,23 @@
 	ck_assert(!uv_loop_close(&loop));
 }
 
-/* Sends a request to the server until its call ends. */
-static void run_call(void)
+static struct http_call *start_call(void)
 {
 	struct http_message *m = create_http_message();
+	struct http_call *c;
 
 	m->method = HTTP_GET;
 	m->target = g_strdup("/health");
-	start_http_call(&loop, &server, m, TIMEOUT_MS, ANSWER_MAX_BYTES,
-			on_done, NULL);
+	c = start_http_call(&loop, &server, m, TIMEOUT_MS, ANSWER_MAX_BYTES,
+			    on_done, NULL);
 	destroy_http_message(m);
+	return c;
+}
+
+/* Sends a request to the server until its call ends. */
+static void run_call(void)
+{
+	start_call();
 	uv_run(&loop, UV_RUN_DEFAULT);
 }
 
@@ -98,8 +106,8 @@
 }
 END_TEST
 
-/* Guards against a lack of descriptors here that looks like a refusal. */
-START_TEST(lack_of_descriptors_is_told)
+/* Leaves no descriptor to this process; returns the limit before. */
+static struct rlimit take_descriptors(void)
 {
 	struct rlimit old;
 	struct rlimit none;
@@ -110,6 +118,28 @@
 	none = old;
 	none.rlim_cur = (rlim_t)next;
 	ck_assert(!setrlimit(RLIMIT_NOFILE, &none));
+	return old;
+}
+
+/* Guards against a local fault that looks like a connect that takes long. */
+START_TEST(call_that_cannot_connect_ends_before_its_connect_timeout)
+{
+	struct rlimit old = take_descriptors();
+	uint64_t start_ms = uv_now(&loop);
+
+	set_http_connect_timeout(start_call(), TIMEOUT_MS);
+	uv_run(&loop, UV_RUN_DEFAULT);
+	ck_assert(!setrlimit(RLIMIT_NOFILE, &old));
+	ck_assert_int_eq(result.error, UV_EMFILE);
+	ck_assert_uint_lt(uv_now(&loop) - start_ms, TIMEOUT_MS);
+}
+END_TEST
+
+/* Guards against a lack of descriptors here that looks like a refusal. */
+START_TEST(lack_of_descriptors_is_told)
+{
+	struct rlimit old = take_descriptors();
+
 	run_call();
 	ck_assert(!setrlimit(RLIMIT_NOFILE, &old));
 	ck_assert_int_eq(result.kind, STATUS_UNAVAILABLE);
@@ -117,6 +147,35 @@
 }
 END_TEST
 
+/* Guards against verdicts on upstreams for what this process lacks. */
+START_TEST(check_that_could_not_be_made_proves_nothing)
+{
+	static const int errors[] = { UV_EMFILE, UV_ENFILE, UV_ENOBUFS,
+				      UV_ENOMEM, UV_EACCES, UV_EADDRNOTAVAIL };
+	struct http_call_result r = { .kind = STATUS_UNAVAILABLE,
+				      .error = errors[_i] };
+
+	ck_assert_int_eq(classify_check(&r, "u-a", 2), CHECK_NOT_MADE);
+	ck_assert_int_eq(classify_check(&r, "u-a", 355), CHECK_NOT_MADE);
+}
+END_TEST
+
+/* Guards against a reset of the connect that is taken for a closed port. */
+START_TEST(only_a_refusal_says_that_nothing_listens)
+{
+	static const int errors[] = { UV_ECONNRESET, UV_EHOSTUNREACH,
+				      UV_ENETUNREACH, UV_ETIMEDOUT };
+	struct http_call_result r = { .kind = STATUS_UNAVAILABLE,
+				      .error = errors[_i] };
+
+	ck_assert_int_eq(classify_check(&r, "u-a", 2), CHECK_UNREACHABLE);
+	r.error = UV_ECONNREFUSED;
+	ck_assert_int_eq(classify_check(&r, "u-a", 2), CHECK_REFUSED);
+	ck_assert_int_eq(classify_check(&r, "u-a", CHECK_REFUSED_MS + 1),
+			 CHECK_UNREACHABLE);
+}
+END_TEST
+
 START_TEST(missing_answer_is_told)
 {
 	run_call();
@@ -160,6 +219,11 @@
 	tcase_add_checked_fixture(tc, setup, teardown);
 	tcase_add_test(tc, refused_connection_is_told);
 	tcase_add_test(tc, lack_of_descriptors_is_told);
+	tcase_add_test(
+		tc, call_that_cannot_connect_ends_before_its_connect_timeout);
+	tcase_add_loop_test(tc, check_that_could_not_be_made_proves_nothing, 0,
+			    6);
+	tcase_add_loop_test(tc, only_a_refusal_says_that_nothing_listens, 0, 4);
 	tcase_add_test(tc, missing_answer_is_told);
 	tcase_add_loop_test(tc, broken_connection_is_told, 0, 4);
 	tcase_add_test(tc, answered_call_has_no_error);
--- a/t/check-placement.c
+++ b/t/check-placement.c
@@ -572,6 +572,22 @@
 }
 END_TEST
 
+START_TEST(checks_that_could_not_be_made_cut_off_no_upstream)
+{
+	upstream_index_t a = put_upstream("u-a", "north", 0);
+	upstream_index_t b = put_upstream("u-b", "north", 0);
+
+	note_upstream_silent(in.placer, a, 1000, 1200);
+	for (uint64_t t = 1400; t < 4000; t += 600) {
+		ck_assert(is_check_requested(a, t));
+		note_upstream_answer(in.placer, b, t + 1, t + 2);
+		note_check_result(in.placer, a, CHECK_NOT_MADE, t + 5);
+		ck_assert_int_eq(assessed_health(in.placer, a),
+				 HEALTH_SUSPECTED);
+	}
+}
+END_TEST
+
 START_TEST(restarted_upstream_is_healthy_again)
 {
 	struct upstream_report r = make_upstream_report("u-a", "north");
@@ -913,6 +929,7 @@
 	tcase_add_test(tc, flow_progress_outweighs_peer_report);
 	tcase_add_test(tc, checks_after_peer_reports_are_rate_limited);
 	tcase_add_test(tc, instance_that_reaches_no_upstream_cuts_off_none);
+	tcase_add_test(tc, checks_that_could_not_be_made_cut_off_no_upstream);
 	tcase_add_test(tc, restarted_upstream_is_healthy_again);
 	tcase_add_test(tc, cookie_collision_gives_flows_to_one_upstream);
 	tcase_add_test(tc, heaviest_load_is_answered_in_time);
