health notices: check a verdict on an upstream that has just restarted

Callers could see an open flow reset although its upstream runs: the flow of a new start is ended by a verdict on the one before.

An upstream may start again under its id, at another address. An instance that has not heard of that, since it is cut off from the store or just was, checks the old address, where nothing listens or another upstream answers, and tells all instances that the upstream is dead. Notices carry its id and cookie, which are the same, but not its start, and nobody else checked for 8 s.

Do not adopt a verdict within 10 s of hearing of a new start. It is handled like one from another domain: the assessor, and instances with flows of the upstream, check it themselves, at the address that they know. verdict-ignored tells reason=restarted. The format of notices is unchanged.

--- a/fleet/health-notice.h
+++ b/fleet/health-notice.h
@@ -60,6 +60,13 @@
 #define HEALTH_PAUSE_MS 100
 #define HEALTH_HELD_MS 100
 
+/*
+ * Notices do not tell which start of an upstream they are about. For this long
+ * after a new one was heard of, an instance that is cut off from the store, or
+ * just was, may still know the one before.
+ */
+#define HEALTH_START_UNKNOWN_MS 10000
+
 #define HEALTH_NEVER_MS UINT32_MAX /* no sign of life was ever seen */
 
 enum health_notice_kind {
--- a/flow/placement-health.c
+++ b/flow/placement-health.c
@@ -125,6 +125,7 @@
 		ul->starts = up->restart_count;
 	} else if (ul->starts != up->restart_count) {
 		ul->starts = up->restart_count;
+		ul->restarted_ms = now_ms;
 		if (pl->quality)
 			reset_upstream_quality(pl->quality, nr);
 		clear_suspicion(pl, nr, ul, now_ms);
--- a/flow/placement-notices.c
+++ b/flow/placement-notices.c
@@ -166,6 +166,24 @@
 				    domain_name(pl->catalog, up->domain));
 }
 
+/* Why N, a verdict, is to be checked here first; VERDICT_ADOPTED if it is not. */
+static enum verdict_outcome doubt_verdict(const struct placer *pl,
+					  const struct catalog_upstream *up,
+					  const struct upstream_load *ul,
+					  const struct health_notice *n,
+					  uint64_t now_ms)
+{
+	if (!holds_here(pl, up, n))
+		return VERDICT_OTHER_DOMAIN;
+	/* after a pause signs of life may be unread */
+	if (notice_held_ms(pl->notices, now_ms))
+		return VERDICT_PAUSED;
+	if (ul->restarted_ms &&
+	    now_ms - ul->restarted_ms <= HEALTH_START_UNKNOWN_MS)
+		return VERDICT_RESTARTED;
+	return VERDICT_ADOPTED;
+}
+
 static enum verdict_outcome adopt_verdict(struct placer *pl,
 					  upstream_index_t nr,
 					  const struct health_notice *n,
@@ -177,19 +195,18 @@
 	struct verdict v = { .kind = EVIDENCE_ADOPTED,
 			     .check_began_ms = check_began_ms,
 			     .member_id = service_id(n->sender) };
-	bool holds = holds_here(pl, up, n);
+	enum verdict_outcome outcome = doubt_verdict(pl, up, ul, n, now_ms);
 
 	if (was_alive_since(pl, nr, check_began_ms))
 		return VERDICT_DISPROVED;
-	/* after a pause signs of life may be unread */
-	if (!holds || notice_held_ms(pl->notices, now_ms)) {
+	if (outcome != VERDICT_ADOPTED) {
 		/* this domain's assessor checks; others wait for it */
 		note_witness(pl->notices, up->report.id, service_id(n->sender),
 			     MAX(n->check_ms, HEALTH_UNANSWERED_MS), now_ms);
 		if (ul->open_flows ||
 		    is_upstream_assessor(pl->notices, up->report.id))
 			check_for_peer(pl, nr, ul, now_ms);
-		return holds ? VERDICT_PAUSED : VERDICT_OTHER_DOMAIN;
+		return outcome;
 	}
 	if (is_dead_or_cut_off(ul)) {
 		ul->proved_ms = now_ms;
@@ -199,7 +216,7 @@
 	set_verdict(pl, nr, ul, n->health, true, now_ms);
 	pl->has_unhealthy = true;
 	ul->suspect_since_ms = MAX(check_began_ms, 1);
-	return VERDICT_ADOPTED;
+	return outcome;
 }
 
 static enum verdict_outcome handle_verdict(struct placer *pl,
@@ -299,9 +316,9 @@
 const char *verdict_outcome_name(enum verdict_outcome o)
 {
 	static const char *const names[VERDICT_OUTCOME_NR] = {
-		"none",	       "adopted",      "known",
-		"no-upstream", "stale",	       "link-doubtful",
-		"alive-since", "other-domain", "paused"
+		"none",	  "adopted",	   "known",	  "no-upstream",
+		"stale",  "link-doubtful", "alive-since", "other-domain",
+		"paused", "restarted"
 	};
 
 	return names[o];
--- a/flow/placement-state.h
+++ b/flow/placement-state.h
@@ -38,7 +38,8 @@
 struct upstream_load {
 	uint64_t upstream_id; /* of the upstream that has this handle */
 	uint32_t starts;      /* of its process; a new start clears suspicion */
-	uint32_t busy_weight; /* of own requests in flight, sixteenths */
+	uint64_t restarted_ms; /* when the last one was heard of; 0: none */
+	uint32_t busy_weight;  /* of own requests in flight, sixteenths */
 	uint32_t open_flows;
 	uint32_t peer_busy_weight;     /* sixteenths */
 	uint32_t peer_expected_weight; /* sixteenths */
--- a/flow/placement.h
+++ b/flow/placement.h
@@ -297,7 +297,8 @@
 	VERDICT_LINK_DOUBTFUL, /* the link to the upstream's domain is */
 	VERDICT_DISPROVED,     /* there is a later sign of life */
 	VERDICT_OTHER_DOMAIN,  /* it holds only in the sender's domain */
-	VERDICT_PAUSED, /* signs of life may be unread, since a pause here */
+	VERDICT_PAUSED,	   /* signs of life may be unread, since a pause here */
+	VERDICT_RESTARTED, /* the sender may not know of the last start yet */
 	VERDICT_OUTCOME_NR
 };
 
--- a/t/check-health-notice.c
+++ b/t/check-health-notice.c
@@ -359,6 +359,28 @@
 }
 END_TEST
 
+/* Guards against verdicts on the start before, at its old address. */
+START_TEST(verdict_on_restarted_upstream_is_checked_first)
+{
+	struct upstream_report r = make_upstream_report("u-a", "north");
+	struct health_notice n = make_verdict("north", HEALTH_DEAD, 20);
+	GArray *checks = g_array_new(FALSE, FALSE, sizeof(upstream_index_t));
+
+	r.started_at_ms = 2;
+	put_test_upstream(&in, &r, 1000);
+	ck_assert_int_eq(health_after(&n, 7000), HEALTH_SUSPECTED);
+	tick_placer(in.placer, 7000 + HEALTH_ASSESSOR_WAIT_MS, checks);
+	ck_assert_uint_eq(checks->len, 1);
+	note_check_result(in.placer, board_a, CHECK_GOOD, 7700);
+	ck_assert_int_eq(assessed_health(in.placer, board_a), HEALTH_GOOD);
+	for (uint64_t t = 7700; t <= 1000 + HEALTH_START_UNKNOWN_MS; t += 10)
+		tick_placer(in.placer, t, checks);
+	ck_assert_int_eq(health_after(&n, 1001 + HEALTH_START_UNKNOWN_MS),
+			 HEALTH_DEAD);
+	g_array_free(checks, TRUE);
+}
+END_TEST
+
 /* Guards against verdicts that outlast life seen after their check began. */
 START_TEST(adopted_verdict_ends_with_life_after_its_check_began)
 {
@@ -633,6 +655,7 @@
 		tc, verdict_behind_doubtful_link_is_neither_sent_nor_adopted);
 	tcase_add_test(tc, paused_instance_adopts_no_verdict);
 	tcase_add_test(tc, adopted_verdict_ends_with_recovery);
+	tcase_add_test(tc, verdict_on_restarted_upstream_is_checked_first);
 	tcase_add_test(tc,
 		       adopted_verdict_ends_with_life_after_its_check_began);
 	tcase_add_loop_test(
