check-http-client: connections that are made in time and read late

A process that stands still while its check is answered must not take the connection for missing, nor if it stands still again before each poll of the loop.

--- a/t/check-http-client.c
+++ b/t/check-http-client.c
@@ -14,6 +14,7 @@
 #include "net/http-client.h"
 
 #define TIMEOUT_MS 100
+#define CONNECT_TIMEOUT_MS 20
 #define ACCEPT_DELAY_MS 20 /* the request has arrived by then */
 #define ANSWER_MAX_BYTES 4096
 
@@ -176,6 +177,33 @@
 }
 END_TEST
 
+static void stall(uv_prepare_t *p)
+{
+	(void)p;
+	uv_sleep(3 * CONNECT_TIMEOUT_MS);
+}
+
+/*
+ * Guards against a connection that is made in time and read late, once or
+ * before each time that the loop polls, and that counts as missing.
+ */
+START_TEST(connection_made_during_a_pause_is_seen)
+{
+	uv_prepare_t prepare;
+
+	uv_prepare_init(&loop, &prepare);
+	set_http_connect_timeout(start_call(), CONNECT_TIMEOUT_MS);
+	uv_sleep(3 * CONNECT_TIMEOUT_MS);
+	if (_i)
+		uv_prepare_start(&prepare, stall);
+	uv_unref((uv_handle_t *)&prepare);
+	uv_run(&loop, UV_RUN_DEFAULT);
+	ck_assert_int_eq(result.kind, STATUS_UNKNOWN);
+	uv_close((uv_handle_t *)&prepare, NULL);
+	uv_run(&loop, UV_RUN_DEFAULT);
+}
+END_TEST
+
 START_TEST(missing_answer_is_told)
 {
 	run_call();
@@ -224,6 +252,7 @@
 	tcase_add_loop_test(tc, check_that_could_not_be_made_proves_nothing, 0,
 			    6);
 	tcase_add_loop_test(tc, only_a_refusal_says_that_nothing_listens, 0, 4);
+	tcase_add_loop_test(tc, connection_made_during_a_pause_is_seen, 0, 2);
 	tcase_add_test(tc, missing_answer_is_told);
 	tcase_add_loop_test(tc, broken_connection_is_told, 0, 4);
 	tcase_add_test(tc, answered_call_has_no_error);
