health notices: a refusal at a peer does not outweigh recent life here

If a single instance of an upstream's domain could not reach it (its path to it is cut by resets, for instance), all instances reset their flows of that upstream, though they heard it.

A verdict is adopted unless the upstream has shown life since the check began. A refused check takes one round trip, so that compares with the last 2 ms or so: in a fleet where an instance sees an upstream a few times a second, nearly no sign of life is that young. For a check that finds no connection the same rule covers 300 ms.

An instance that has flows of the upstream and knows of a sign of life from the last 300 ms (PLACEMENT_QUIET_MS, as for the rows of heartbeats) checks for itself, at once, without waiting for the assessor. If the upstream is gone, that takes one more round trip.

--- a/flow/placement-health.c
+++ b/flow/placement-health.c
@@ -276,7 +276,8 @@
 	if (is_dead_or_cut_off(ul))
 		return up->listed || ul->flow_in_doubt;
 	return ul->suspect_since_ms &&
-	       !is_own_check_deferred(pl, nr, ul, now_ms);
+	       (ul->flow_in_doubt ||
+		!is_own_check_deferred(pl, nr, ul, now_ms));
 }
 
 void list_due_checks(struct placer *pl, uint64_t now_ms, GArray *checks)
--- a/flow/placement-notices.c
+++ b/flow/placement-notices.c
@@ -167,11 +167,10 @@
 }
 
 /* Why N, a verdict, is to be checked here first; VERDICT_ADOPTED if it is not. */
-static enum verdict_outcome doubt_verdict(const struct placer *pl,
-					  const struct catalog_upstream *up,
-					  const struct upstream_load *ul,
-					  const struct health_notice *n,
-					  uint64_t now_ms)
+static enum verdict_outcome
+doubt_verdict(const struct placer *pl, upstream_index_t nr,
+	      const struct catalog_upstream *up, const struct upstream_load *ul,
+	      const struct health_notice *n, uint64_t now_ms)
 {
 	if (!holds_here(pl, up, n))
 		return VERDICT_OTHER_DOMAIN;
@@ -181,6 +180,10 @@
 	if (ul->restarted_ms &&
 	    now_ms - ul->restarted_ms <= HEALTH_START_UNKNOWN_MS)
 		return VERDICT_RESTARTED;
+	/* a refusal takes one round trip, and the sender alone may be cut off */
+	if (ul->open_flows &&
+	    was_alive_since(pl, nr, now_ms - MIN(now_ms, PLACEMENT_QUIET_MS)))
+		return VERDICT_ALIVE_LATELY;
 	return VERDICT_ADOPTED;
 }
 
@@ -195,7 +198,7 @@
 	struct verdict v = { .kind = EVIDENCE_ADOPTED,
 			     .check_began_ms = check_began_ms,
 			     .member_id = service_id(n->sender) };
-	enum verdict_outcome outcome = doubt_verdict(pl, up, ul, n, now_ms);
+	enum verdict_outcome outcome = doubt_verdict(pl, nr, up, ul, n, now_ms);
 
 	if (was_alive_since(pl, nr, check_began_ms))
 		return VERDICT_DISPROVED;
@@ -206,6 +209,10 @@
 		if (ul->open_flows ||
 		    is_upstream_assessor(pl->notices, up->report.id))
 			check_for_peer(pl, nr, ul, now_ms);
+		/* unless they know more of it than the assessor */
+		if (outcome == VERDICT_ALIVE_LATELY &&
+		    ul->health == HEALTH_SUSPECTED)
+			ul->flow_in_doubt = true;
 		return outcome;
 	}
 	if (is_dead_or_cut_off(ul)) {
@@ -318,7 +325,7 @@
 	static const char *const names[VERDICT_OUTCOME_NR] = {
 		"none",	  "adopted",	   "known",	  "no-upstream",
 		"stale",  "link-doubtful", "alive-since", "other-domain",
-		"paused", "restarted"
+		"paused", "restarted",	   "alive-lately"
 	};
 
 	return names[o];
--- a/flow/placement-state.h
+++ b/flow/placement-state.h
@@ -59,7 +59,7 @@
 	bool adopted;		/* HEALTH is a peer's verdict */
 	struct verdict verdict; /* the last one that it is dead or cut off */
 	uint64_t proved_ms;	/* when HEALTH was last proved, here or there */
-	bool flow_in_doubt;	/* see note_flow_in_doubt() */
+	bool flow_in_doubt; /* check it at once, listed or not, assessor or not */
 	bool check_running;
 	bool check_connected;	     /* the running check */
 	uint32_t unreachable_checks; /* in a row */
--- a/flow/placement.h
+++ b/flow/placement.h
@@ -299,6 +299,7 @@
 	VERDICT_OTHER_DOMAIN,  /* it holds only in the sender's domain */
 	VERDICT_PAUSED,	   /* signs of life may be unread, since a pause here */
 	VERDICT_RESTARTED, /* the sender may not know of the last start yet */
+	VERDICT_ALIVE_LATELY, /* there was a sign of life shortly before */
 	VERDICT_OUTCOME_NR
 };
 
--- a/t/check-health-notice.c
+++ b/t/check-health-notice.c
@@ -359,6 +359,24 @@
 }
 END_TEST
 
+/* Guards against resets of flows that progress, if only the sender is cut off. */
+START_TEST(verdict_soon_after_sign_of_life_is_checked_first)
+{
+	struct health_notice n = make_verdict("north", HEALTH_DEAD, 2);
+	GArray *checks = g_array_new(FALSE, FALSE, sizeof(upstream_index_t));
+
+	note_upstream_alive(in.placer, board_a, 1000);
+	ck_assert_int_eq(health_after(&n, 1000 + PLACEMENT_QUIET_MS),
+			 HEALTH_SUSPECTED);
+	tick_placer(in.placer, 1000 + PLACEMENT_QUIET_MS, checks);
+	ck_assert_uint_eq(checks->len, 1);
+	note_check_result(in.placer, board_a, CHECK_REFUSED,
+			  1002 + PLACEMENT_QUIET_MS);
+	ck_assert_int_eq(assessed_health(in.placer, board_a), HEALTH_DEAD);
+	g_array_free(checks, TRUE);
+}
+END_TEST
+
 /* Guards against verdicts on the start before, at its old address. */
 START_TEST(verdict_on_restarted_upstream_is_checked_first)
 {
@@ -655,6 +673,7 @@
 		tc, verdict_behind_doubtful_link_is_neither_sent_nor_adopted);
 	tcase_add_test(tc, paused_instance_adopts_no_verdict);
 	tcase_add_test(tc, adopted_verdict_ends_with_recovery);
+	tcase_add_test(tc, verdict_soon_after_sign_of_life_is_checked_first);
 	tcase_add_test(tc, verdict_on_restarted_upstream_is_checked_first);
 	tcase_add_test(tc,
 		       adopted_verdict_ends_with_life_after_its_check_began);
