--- a/flow/cookie.c
+++ b/flow/cookie.c
@@ -456,7 +456,11 @@
 		if (f->syn_ms) {
 			double took_ms = (double)(now_ms - f->syn_ms);
 
-			note_upstream_alive(cs->placer, f->upstream, now_ms);
+			/* of several SYNs the answered one is not known */
+			note_upstream_answer(cs->placer, f->upstream,
+					     f->syn_upstream_nr == 1 ? f->syn_ms
+								     : 0,
+					     now_ms);
 			add_duration(&cs->handshake_histogram,
 				     now_ms - f->syn_ms);
 			cs->mean_handshake_ms +=
@@ -558,9 +562,11 @@
 	if (nr == CATALOG_NONE)
 		return make_decision(relayed ? COOKIE_DROP : COOKIE_TO_PEER,
 				     COOKIE_UNKNOWN);
-	if (is_upstream_dead_or_cut_off(cs, nr))
+	if (may_end_flows(cs->placer, nr, now_ms))
 		return reset_unreachable_flow(cs, f, p, nr,
 					      COOKIE_UPSTREAM_DEAD);
+	if (is_upstream_dead_or_cut_off(cs, nr))
+		note_flow_in_doubt(cs->placer, nr, now_ms);
 	if (p->payload_len && is_better_repeated(cs, &p->key, nr, now_ms))
 		return reset_unreachable_flow(cs, f, p, nr, COOKIE_LINK_LOST);
 	/* later packets of a relayed flow go to the instance that relays it */
--- a/flow/placement-health.c
+++ b/flow/placement-health.c
@@ -104,6 +104,7 @@
 	ul->unreachable_checks = 0;
 	ul->refused_ms = 0;
 	ul->adopted = false;
+	ul->flow_in_doubt = false;
 	withdraw_suspicion(pl, nr, ul, now_ms);
 }
 
@@ -124,6 +125,7 @@
 		ul->starts = up->restart_count;
 	} else if (ul->starts != up->restart_count) {
 		ul->starts = up->restart_count;
+		ul->restarted_ms = now_ms;
 		if (pl->quality)
 			reset_upstream_quality(pl->quality, nr);
 		clear_suspicion(pl, nr, ul, now_ms);
@@ -145,12 +147,23 @@
 	ul->last_alive_ms = now_ms;
 	ul->own_alive_ms = now_ms;
 	ul->link_failed_ms = 0;
-	pl->last_alive_ms = now_ms;
 	note_progress_on_link(pl, nr, now_ms);
 	if (ul->suspect_since_ms || ul->health != HEALTH_GOOD)
 		clear_suspicion(pl, nr, ul, now_ms);
 }
 
+void note_upstream_answer(struct placer *pl, upstream_index_t nr,
+			  uint64_t sent_ms, uint64_t now_ms)
+{
+	pl->answered_sent_ms = MAX(pl->answered_sent_ms, sent_ms);
+	note_upstream_alive(pl, nr, now_ms);
+}
+
+bool was_answered_since(const struct placer *pl, uint64_t since_ms)
+{
+	return pl->answered_sent_ms > since_ms;
+}
+
 bool was_alive_since(const struct placer *pl, upstream_index_t nr,
 		     uint64_t since_ms)
 {
@@ -261,9 +274,10 @@
 	if (ul->health == HEALTH_GOOD)
 		return false;
 	if (is_dead_or_cut_off(ul))
-		return up->listed;
+		return up->listed || ul->flow_in_doubt;
 	return ul->suspect_since_ms &&
-	       !is_own_check_deferred(pl, nr, ul, now_ms);
+	       (ul->flow_in_doubt ||
+		!is_own_check_deferred(pl, nr, ul, now_ms));
 }
 
 void list_due_checks(struct placer *pl, uint64_t now_ms, GArray *checks)
@@ -282,6 +296,7 @@
 		if (!is_check_due(pl, nr, ul, now_ms))
 			continue;
 		ul->check_running = true;
+		ul->flow_in_doubt = false;
 		ul->check_started_ms = now_ms;
 		g_array_append_val(checks, nr);
 	}
@@ -306,14 +321,41 @@
 	ul->verdict.unanswered = unanswered_attempts(pl, nr, ul, now_ms);
 }
 
+void set_verdict(struct placer *pl, upstream_index_t nr,
+		 struct upstream_load *ul, enum upstream_health health,
+		 bool adopted, uint64_t now_ms)
+{
+	set_upstream_health(pl, nr, ul, health, now_ms);
+	ul->adopted = adopted;
+	ul->proved_ms = now_ms;
+	ul->next_check_ms = now_ms + (adopted ? PLACEMENT_ADOPTED_RECHECK_MS
+					      : PLACEMENT_DEAD_RECHECK_MS);
+}
+
+bool may_end_flows(const struct placer *pl, upstream_index_t nr,
+		   uint64_t now_ms)
+{
+	const struct upstream_load *ul = find_upstream_load(pl, nr);
+
+	return ul && is_dead_or_cut_off(ul) &&
+	       now_ms - ul->proved_ms <= PLACEMENT_VERDICT_MAX_AGE_MS;
+}
+
+void note_flow_in_doubt(struct placer *pl, upstream_index_t nr, uint64_t now_ms)
+{
+	struct upstream_load *ul = get_or_create_upstream_load(pl, nr);
+
+	ul->flow_in_doubt = true;
+	pl->has_unhealthy = true;
+	schedule_check_for_peer(ul, now_ms);
+}
+
 void note_unreachable(struct placer *pl, upstream_index_t nr,
 		      struct upstream_load *ul, uint64_t now_ms)
 {
 	note_unreachable_verdict(pl, nr, ul, now_ms);
-	set_upstream_health(pl, nr, ul, HEALTH_UNREACHABLE, now_ms);
-	ul->adopted = false;
+	set_verdict(pl, nr, ul, HEALTH_UNREACHABLE, false, now_ms);
 	ul->unreachable_checks = PLACEMENT_UNREACHABLE_CHECKS;
-	ul->next_check_ms = now_ms + PLACEMENT_DEAD_RECHECK_MS;
 }
 
 void note_peer_sign_of_life(struct placer *pl, upstream_index_t nr,
@@ -332,9 +374,23 @@
 	struct upstream_load *ul = get_or_create_upstream_load(pl, nr);
 
 	ul->check_connected = ul->check_running;
+	if (ul->check_running)
+		pl->answered_sent_ms =
+			MAX(pl->answered_sent_ms, ul->check_started_ms);
 	ul->unreachable_checks = 0;
 }
 
+/* Keeps the verdict on NR as long as checks of it fail like before. */
+static void renew_verdict(const struct placer *pl, struct upstream_load *ul,
+			  enum check_result result, uint64_t now_ms)
+{
+	if (is_dead_or_cut_off(ul) &&
+	    (result == CHECK_REFUSED ||
+	     (result == CHECK_UNREACHABLE &&
+	      was_answered_since(pl, ul->check_started_ms))))
+		ul->proved_ms = now_ms;
+}
+
 void note_check_result(struct placer *pl, upstream_index_t nr,
 		       enum check_result result, uint64_t now_ms)
 {
@@ -353,9 +409,10 @@
 	/* progress of flows outweighs all but an answer of bad health */
 	if (ul->health == HEALTH_GOOD && result != CHECK_BAD)
 		return;
+	renew_verdict(pl, ul, result, now_ms);
 	switch (result) {
 	case CHECK_GOOD:
-		note_upstream_alive(pl, nr, now_ms);
+		note_upstream_answer(pl, nr, ul->check_started_ms, now_ms);
 		break;
 	case CHECK_BAD:
 	case CHECK_SILENT:
@@ -373,13 +430,11 @@
 				 result == CHECK_REFUSED ? EVIDENCE_REFUSED
 							 : EVIDENCE_REPLACED,
 				 now_ms);
-		set_upstream_health(pl, nr, ul, HEALTH_DEAD, now_ms);
-		ul->adopted = false;
-		ul->next_check_ms = now_ms + PLACEMENT_DEAD_RECHECK_MS;
+		set_verdict(pl, nr, ul, HEALTH_DEAD, false, now_ms);
 		break;
 	case CHECK_UNREACHABLE:
-		/* if no upstream answers, the fault is likely on this side */
-		if (pl->last_alive_ms <= ul->check_started_ms ||
+		/* else the fault, or a queue, is likely on this side */
+		if (!was_answered_since(pl, ul->check_started_ms) ||
 		    !was_link_open_since(pl, nr, ul->check_started_ms))
 			break;
 		ul->unreachable_checks++;
@@ -389,6 +444,7 @@
 		}
 		note_unreachable(pl, nr, ul, now_ms);
 		break;
+	case CHECK_NOT_MADE:
 	case CHECK_RESULT_NR:
 		break;
 	}
@@ -437,7 +493,8 @@
 const char *check_result_name(enum check_result r)
 {
 	static const char *const names[CHECK_RESULT_NR] = {
-		"good", "bad", "silent", "refused", "replaced", "unreachable"
+		"good",	    "bad",	   "silent",  "refused",
+		"replaced", "unreachable", "not-made"
 	};
 
 	return names[r];
--- a/flow/placement-notices.c
+++ b/flow/placement-notices.c
@@ -118,8 +118,8 @@
 bool is_proved_unreachable(const struct placer *pl, upstream_index_t nr,
 			   const struct upstream_load *ul, uint64_t now_ms)
 {
-	/* if no upstream answers, the fault is likely on this side */
-	if (pl->last_alive_ms <= ul->check_started_ms ||
+	/* else the fault, or a queue, is likely on this side */
+	if (!was_answered_since(pl, ul->check_started_ms) ||
 	    !was_link_open_since(pl, nr, ul->check_started_ms))
 		return false;
 	return ul->unreachable_checks +
@@ -166,6 +166,27 @@
 				    domain_name(pl->catalog, up->domain));
 }
 
+/* Why N, a verdict, is to be checked here first; VERDICT_ADOPTED if it is not. */
+static enum verdict_outcome
+doubt_verdict(const struct placer *pl, upstream_index_t nr,
+	      const struct catalog_upstream *up, const struct upstream_load *ul,
+	      const struct health_notice *n, uint64_t now_ms)
+{
+	if (!holds_here(pl, up, n))
+		return VERDICT_OTHER_DOMAIN;
+	/* after a pause signs of life may be unread */
+	if (notice_held_ms(pl->notices, now_ms))
+		return VERDICT_PAUSED;
+	if (ul->restarted_ms &&
+	    now_ms - ul->restarted_ms <= HEALTH_START_UNKNOWN_MS)
+		return VERDICT_RESTARTED;
+	/* a refusal takes one round trip, and the sender alone may be cut off */
+	if (ul->open_flows &&
+	    was_alive_since(pl, nr, now_ms - MIN(now_ms, PLACEMENT_QUIET_MS)))
+		return VERDICT_ALIVE_LATELY;
+	return VERDICT_ADOPTED;
+}
+
 static enum verdict_outcome adopt_verdict(struct placer *pl,
 					  upstream_index_t nr,
 					  const struct health_notice *n,
@@ -177,29 +198,32 @@
 	struct verdict v = { .kind = EVIDENCE_ADOPTED,
 			     .check_began_ms = check_began_ms,
 			     .member_id = service_id(n->sender) };
-	bool holds = holds_here(pl, up, n);
+	enum verdict_outcome outcome = doubt_verdict(pl, nr, up, ul, n, now_ms);
 
 	if (was_alive_since(pl, nr, check_began_ms))
 		return VERDICT_DISPROVED;
-	/* after a pause signs of life may be unread */
-	if (!holds || notice_held_ms(pl->notices, now_ms)) {
+	if (outcome != VERDICT_ADOPTED) {
 		/* this domain's assessor checks; others wait for it */
 		note_witness(pl->notices, up->report.id, service_id(n->sender),
 			     MAX(n->check_ms, HEALTH_UNANSWERED_MS), now_ms);
 		if (ul->open_flows ||
 		    is_upstream_assessor(pl->notices, up->report.id))
 			check_for_peer(pl, nr, ul, now_ms);
-		return holds ? VERDICT_PAUSED : VERDICT_OTHER_DOMAIN;
+		/* unless they know more of it than the assessor */
+		if (outcome == VERDICT_ALIVE_LATELY &&
+		    ul->health == HEALTH_SUSPECTED)
+			ul->flow_in_doubt = true;
+		return outcome;
 	}
-	if (is_dead_or_cut_off(ul))
+	if (is_dead_or_cut_off(ul)) {
+		ul->proved_ms = now_ms;
 		return VERDICT_KNOWN;
+	}
 	note_verdict(ul, v, now_ms);
-	set_upstream_health(pl, nr, ul, n->health, now_ms);
+	set_verdict(pl, nr, ul, n->health, true, now_ms);
 	pl->has_unhealthy = true;
-	ul->adopted = true;
-	ul->suspect_since_ms = now_ms;
-	ul->next_check_ms = now_ms + PLACEMENT_ADOPTED_RECHECK_MS;
-	return VERDICT_ADOPTED;
+	ul->suspect_since_ms = MAX(check_began_ms, 1);
+	return outcome;
 }
 
 static enum verdict_outcome handle_verdict(struct placer *pl,
@@ -299,9 +323,9 @@
 const char *verdict_outcome_name(enum verdict_outcome o)
 {
 	static const char *const names[VERDICT_OUTCOME_NR] = {
-		"none",	       "adopted",      "known",
-		"no-upstream", "stale",	       "link-doubtful",
-		"alive-since", "other-domain", "paused"
+		"none",	  "adopted",	   "known",	  "no-upstream",
+		"stale",  "link-doubtful", "alive-since", "other-domain",
+		"paused", "restarted",	   "alive-lately"
 	};
 
 	return names[o];
--- a/flow/placement-state.h
+++ b/flow/placement-state.h
@@ -38,7 +38,8 @@
 struct upstream_load {
 	uint64_t upstream_id; /* of the upstream that has this handle */
 	uint32_t starts;      /* of its process; a new start clears suspicion */
-	uint32_t busy_weight; /* of own requests in flight, sixteenths */
+	uint64_t restarted_ms; /* when the last one was heard of; 0: none */
+	uint32_t busy_weight;  /* of own requests in flight, sixteenths */
 	uint32_t open_flows;
 	uint32_t peer_busy_weight;     /* sixteenths */
 	uint32_t peer_expected_weight; /* sixteenths */
@@ -57,6 +58,8 @@
 	uint64_t unanswered_since_ms;
 	bool adopted;		/* HEALTH is a peer's verdict */
 	struct verdict verdict; /* the last one that it is dead or cut off */
+	uint64_t proved_ms;	/* when HEALTH was last proved, here or there */
+	bool flow_in_doubt; /* check it at once, listed or not, assessor or not */
 	bool check_running;
 	bool check_connected;	     /* the running check */
 	uint32_t unreachable_checks; /* in a row */
@@ -123,10 +126,11 @@
 	GPtrArray *routes;	   /* struct placer_route by index */
 	GArray *peer_loads;	   /* of struct peer_load */
 	uint64_t means_updated_ms;
-	bool has_unhealthy;	/* an upstream is not HEALTH_GOOD */
-	uint64_t last_alive_ms; /* when any upstream last showed life here */
-	uint32_t busy_weight;	/* of own requests in flight, sixteenths */
-	uint32_t sent_busy_requests;	/* when last sent to peers */
+	bool has_unhealthy; /* an upstream is not HEALTH_GOOD */
+	/* when the latest packet or check that any upstream answered was sent */
+	uint64_t answered_sent_ms;
+	uint32_t busy_weight;	     /* of own requests in flight, sixteenths */
+	uint32_t sent_busy_requests; /* when last sent to peers */
 	struct health_notices *notices; /* NULL: none are sent or handled */
 	GArray *health_changes; /* struct health_change, not retrieved yet */
 	struct domain_links *links; /* NULL: failure domains have none */
@@ -246,6 +250,12 @@
 			    struct upstream_load *ul, uint64_t alive_ms,
 			    uint64_t now_ms);
 
+/*
+ * Whether an upstream answered what was sent after SINCE_MS: then packets of
+ * this instance leave its link, and answers arrive.
+ */
+bool was_answered_since(const struct placer *pl, uint64_t since_ms);
+
 /*
  * Whether enough attempts to reach NR failed: checks of this instance, and
  * packets that it and others have waited for.
@@ -274,6 +284,11 @@
 /* True if the upstream is dead or cut off: it gets no new flows. */
 bool is_dead_or_cut_off(const struct upstream_load *ul);
 
+/* Makes NR dead or cut off, as this instance has found or as it ADOPTED. */
+void set_verdict(struct placer *pl, upstream_index_t nr,
+		 struct upstream_load *ul, enum upstream_health health,
+		 bool adopted, uint64_t now_ms);
+
 /* Appends the upstreams whose check is due to CHECKS, marked as running. */
 void list_due_checks(struct placer *pl, uint64_t now_ms, GArray *checks);
 
--- a/flow/placement.h
+++ b/flow/placement.h
@@ -92,6 +92,11 @@
  */
 #define PLACEMENT_ADOPTED_RECHECK_MS 8000
 #define PLACEMENT_UNREACHABLE_CHECKS 2 /* in a row make it cut off */
+/*
+ * A verdict that was not proved again for this long ends no more open flows.
+ * Whoever found it checks every PLACEMENT_DEAD_RECHECK_MS.
+ */
+#define PLACEMENT_VERDICT_MAX_AGE_MS 3000
 
 /* Result of a check of an upstream. */
 enum check_result {
@@ -101,6 +106,7 @@
 	CHECK_REFUSED,	   /* nothing listens there */
 	CHECK_REPLACED,	   /* another upstream answered at its address */
 	CHECK_UNREACHABLE, /* no connection before the timeout */
+	CHECK_NOT_MADE,	   /* for a fault of this process or its machine */
 	CHECK_RESULT_NR
 };
 
@@ -230,6 +236,10 @@
 void note_upstream_alive(struct placer *pl, upstream_index_t nr,
 			 uint64_t now_ms);
 
+/* As above; NR has answered a packet that was sent at SENT_MS. */
+void note_upstream_answer(struct placer *pl, upstream_index_t nr,
+			  uint64_t sent_ms, uint64_t now_ms);
+
 /* Requests in flight for each slot of NR, by the last reports of peers. */
 double current_load(const struct placer *pl, upstream_index_t nr);
 
@@ -287,7 +297,9 @@
 	VERDICT_LINK_DOUBTFUL, /* the link to the upstream's domain is */
 	VERDICT_DISPROVED,     /* there is a later sign of life */
 	VERDICT_OTHER_DOMAIN,  /* it holds only in the sender's domain */
-	VERDICT_PAUSED, /* signs of life may be unread, since a pause here */
+	VERDICT_PAUSED,	   /* signs of life may be unread, since a pause here */
+	VERDICT_RESTARTED, /* the sender may not know of the last start yet */
+	VERDICT_ALIVE_LATELY, /* there was a sign of life shortly before */
 	VERDICT_OUTCOME_NR
 };
 
@@ -410,6 +422,20 @@
 
 enum upstream_health assessed_health(const struct placer *pl,
 				     upstream_index_t nr);
+
+/*
+ * True if NR is dead or cut off by a recent verdict, so that its open flows are
+ * to be reset. An older one only keeps new flows away.
+ */
+bool may_end_flows(const struct placer *pl, upstream_index_t nr,
+		   uint64_t now_ms);
+
+/*
+ * A packet was sent to NR, which an old verdict calls dead or cut off. It is
+ * checked soon, also if it is not listed any more.
+ */
+void note_flow_in_doubt(struct placer *pl, upstream_index_t nr,
+			uint64_t now_ms);
 /* As above, but HEALTH_UNREACHABLE if the link to NR's domain is lost. */
 enum upstream_health reached_health(const struct placer *pl,
 				    upstream_index_t nr);
--- a/t/check-cookie.c
+++ b/t/check-cookie.c
@@ -427,6 +427,76 @@
 }
 END_TEST
 
+/* Guards against verdicts on upstreams whose checks wait in the own link. */
+START_TEST(checks_queued_on_the_own_link_reset_no_flow)
+{
+	enum { QUEUED_MS = 410, CONNECT_MS = 350 };
+	GArray *checks = g_array_new(FALSE, FALSE, sizeof(upstream_index_t));
+	upstream_index_t idle;
+	upstream_index_t busy;
+	uint64_t started_ms = 0;
+	uint32_t requests = 0;
+
+	put_upstream("u-a", 0);
+	put_upstream("u-b", 0);
+	idle = open_flow(4000, 1000);
+	busy = open_flow(4001, 1000);
+	ck_assert_uint_ne(idle, busy);
+	send_data(4000, get_upstream(in.catalog, idle)->cookie, 1101, 0, 900,
+		  1060);
+	note_upstream_silent(in.placer, idle, 1975, 2000);
+	for (uint64_t t = 2000; t < 6000; t += 10) {
+		/* the answer to the request before, and the next one */
+		if (!((t - 2000) % QUEUED_MS)) {
+			send_data(4001, get_upstream(in.catalog, busy)->cookie,
+				  1101 + 100 * requests, 100,
+				  900 + 100 * requests, t);
+			requests++;
+		}
+		if (started_ms && t == started_ms + CONNECT_MS) {
+			started_ms = 0;
+			note_check_result(in.placer, idle, CHECK_UNREACHABLE,
+					  t);
+		}
+		g_array_set_size(checks, 0);
+		tick_placer(in.placer, t, checks);
+		if (checks->len)
+			started_ms = t;
+		ck_assert_int_eq(assessed_health(in.placer, idle),
+				 HEALTH_SUSPECTED);
+	}
+	ck_assert_uint_gt(requests, 0);
+	g_array_free(checks, TRUE);
+}
+END_TEST
+
+/* Guards against verdicts that nobody renews, as the entry has lapsed. */
+START_TEST(old_verdict_on_unlisted_upstream_resets_no_flow)
+{
+	GArray *checks = g_array_new(FALSE, FALSE, sizeof(upstream_index_t));
+	upstream_index_t nr = put_upstream("u-a", 0);
+	uint32_t cookie = get_upstream(in.catalog, nr)->cookie;
+
+	open_flow(4000, 1000);
+	note_upstream_silent(in.placer, nr, 1100, 1200);
+	note_check_result(in.placer, nr, CHECK_REFUSED, 1500);
+	remove_catalog_upstream(in.catalog, "u-a", 2000);
+	ck_assert_int_eq(send_data(4001, cookie, 1001, 100, 500, 2000).verdict,
+			 COOKIE_RESET);
+	tick_placer(in.placer, 8000, checks);
+	ck_assert_uint_eq(checks->len, 0);
+	ck_assert_int_eq(send_data(4002, cookie, 1001, 100, 500, 8000).verdict,
+			 COOKIE_TO_UPSTREAM);
+	/* who is really gone is found at once */
+	tick_placer(in.placer, 8010, checks);
+	ck_assert_uint_eq(checks->len, 1);
+	note_check_result(in.placer, nr, CHECK_REFUSED, 8012);
+	ck_assert_int_eq(send_data(4002, cookie, 1001, 100, 500, 8200).verdict,
+			 COOKIE_RESET);
+	g_array_free(checks, TRUE);
+}
+END_TEST
+
 START_TEST(unlisted_upstream_keeps_flows_until_expiry)
 {
 	upstream_index_t nr;
@@ -1497,6 +1567,8 @@
 	tcase_add_test(tc, moved_flow_makes_only_quiet_upstream_suspect);
 	tcase_add_test(tc, all_flows_of_dead_upstream_are_reset);
 	tcase_add_test(tc, no_flow_of_suspect_upstream_is_reset);
+	tcase_add_test(tc, checks_queued_on_the_own_link_reset_no_flow);
+	tcase_add_test(tc, old_verdict_on_unlisted_upstream_resets_no_flow);
 	tcase_add_test(tc, unlisted_upstream_keeps_flows_until_expiry);
 	tcase_add_loop_test(tc, flow_of_an_expired_upstream_goes_to_no_other, 0,
 			    2);
--- a/t/check-health-notice.c
+++ b/t/check-health-notice.c
@@ -328,6 +328,94 @@
 }
 END_TEST
 
+/* Sends a request, or repeats it, on a flow of the upstream at SEQ. */
+static enum cookie_verdict send_request(uint32_t seq, uint64_t now_ms)
+{
+	struct cookie_packet p =
+		make_cookie_packet(0x64400007, 4000, TCP_ACK,
+				   get_upstream(in.catalog, board_a)->cookie);
+
+	p.seq = seq;
+	p.ack = 500;
+	p.payload_len = 100;
+	return steer_cookie_packet(in.steering, &p, false, now_ms).verdict;
+}
+
+/* Guards against resets by a verdict whose sender has left and renews nothing. */
+START_TEST(adopted_verdict_that_is_not_renewed_resets_no_flow)
+{
+	struct health_notice n = make_verdict("north", HEALTH_DEAD, 20);
+	GArray *checks = g_array_new(FALSE, FALSE, sizeof(upstream_index_t));
+
+	note_upstream_silent(in.placer, board_a, 900, 950);
+	ck_assert_int_eq(health_after(&n, 1000), HEALTH_DEAD);
+	if (_i) /* the sender has checked again */
+		ck_assert_int_eq(health_after(&n, 5000), HEALTH_DEAD);
+	ck_assert_int_eq(send_request(1001, 6500),
+			 _i ? COOKIE_RESET : COOKIE_TO_UPSTREAM);
+	tick_placer(in.placer, 6510, checks);
+	ck_assert_uint_eq(checks->len, !_i);
+	g_array_free(checks, TRUE);
+}
+END_TEST
+
+/* Guards against resets of flows that progress, if only the sender is cut off. */
+START_TEST(verdict_soon_after_sign_of_life_is_checked_first)
+{
+	struct health_notice n = make_verdict("north", HEALTH_DEAD, 2);
+	GArray *checks = g_array_new(FALSE, FALSE, sizeof(upstream_index_t));
+
+	note_upstream_alive(in.placer, board_a, 1000);
+	ck_assert_int_eq(health_after(&n, 1000 + PLACEMENT_QUIET_MS),
+			 HEALTH_SUSPECTED);
+	tick_placer(in.placer, 1000 + PLACEMENT_QUIET_MS, checks);
+	ck_assert_uint_eq(checks->len, 1);
+	note_check_result(in.placer, board_a, CHECK_REFUSED,
+			  1002 + PLACEMENT_QUIET_MS);
+	ck_assert_int_eq(assessed_health(in.placer, board_a), HEALTH_DEAD);
+	g_array_free(checks, TRUE);
+}
+END_TEST
+
+/* Guards against verdicts on the start before, at its old address. */
+START_TEST(verdict_on_restarted_upstream_is_checked_first)
+{
+	struct upstream_report r = make_upstream_report("u-a", "north");
+	struct health_notice n = make_verdict("north", HEALTH_DEAD, 20);
+	GArray *checks = g_array_new(FALSE, FALSE, sizeof(upstream_index_t));
+
+	r.started_at_ms = 2;
+	put_test_upstream(&in, &r, 1000);
+	ck_assert_int_eq(health_after(&n, 7000), HEALTH_SUSPECTED);
+	tick_placer(in.placer, 7000 + HEALTH_ASSESSOR_WAIT_MS, checks);
+	ck_assert_uint_eq(checks->len, 1);
+	note_check_result(in.placer, board_a, CHECK_GOOD, 7700);
+	ck_assert_int_eq(assessed_health(in.placer, board_a), HEALTH_GOOD);
+	for (uint64_t t = 7700; t <= 1000 + HEALTH_START_UNKNOWN_MS; t += 10)
+		tick_placer(in.placer, t, checks);
+	ck_assert_int_eq(health_after(&n, 1001 + HEALTH_START_UNKNOWN_MS),
+			 HEALTH_DEAD);
+	g_array_free(checks, TRUE);
+}
+END_TEST
+
+/* Guards against verdicts that outlast life seen after their check began. */
+START_TEST(adopted_verdict_ends_with_life_after_its_check_began)
+{
+	struct health_notice n = make_verdict("north", HEALTH_UNREACHABLE, 300);
+	struct upstream_load_row row = { n.cookie, 0, 1, 310, HEALTH_GOOD, 0 };
+
+	ck_assert_int_eq(health_after(&n, 1300), HEALTH_UNREACHABLE);
+	/* a peer's heartbeat was sent before the notice, and arrives later */
+	handle_peer_loads(in.placer, 42, &row, 1, 1305);
+	ck_assert_int_eq(assessed_health(in.placer, board_a),
+			 HEALTH_UNREACHABLE);
+	row.silent_ms = 100;
+	handle_peer_loads(in.placer, 42, &row, 1, 1305);
+	ck_assert_int_eq(assessed_health(in.placer, board_a), HEALTH_GOOD);
+}
+END_TEST
+
 /* Guards against floods of notices about one upstream. */
 START_TEST(verdict_is_repeated_only_after_a_while)
 {
@@ -447,7 +535,7 @@
 	handle_health_notice(in.placer, &n, 1000);
 	t = next_check_ms(1000);
 	if (others_answer)
-		note_upstream_alive(in.placer, other, t + 10);
+		note_upstream_answer(in.placer, other, t + 5, t + 10);
 	for (int i = 0; i < nr; i++) {
 		n = make_suspicion(i, unanswered_ms[i]);
 		handle_health_notice(in.placer, &n, t + 20);
@@ -585,6 +673,12 @@
 		tc, verdict_behind_doubtful_link_is_neither_sent_nor_adopted);
 	tcase_add_test(tc, paused_instance_adopts_no_verdict);
 	tcase_add_test(tc, adopted_verdict_ends_with_recovery);
+	tcase_add_test(tc, verdict_soon_after_sign_of_life_is_checked_first);
+	tcase_add_test(tc, verdict_on_restarted_upstream_is_checked_first);
+	tcase_add_test(tc,
+		       adopted_verdict_ends_with_life_after_its_check_began);
+	tcase_add_loop_test(
+		tc, adopted_verdict_that_is_not_renewed_resets_no_flow, 0, 2);
 	tcase_add_test(tc, verdict_is_repeated_only_after_a_while);
 	tcase_add_loop_test(tc, assessor_checks_first, 0, 2);
 	tcase_add_loop_test(tc, three_witnesses_shorten_the_delay, 0, 2);
--- a/t/check-placement.c
+++ b/t/check-placement.c
@@ -371,7 +371,7 @@
 	for (uint64_t t = 1400; t < 2100; t += 351) {
 		ck_assert_int_eq(assessed_health(in.placer, a),
 				 HEALTH_SUSPECTED);
-		note_upstream_alive(in.placer, b, t + 100);
+		note_upstream_answer(in.placer, b, t + 90, t + 100);
 		fail_check_as_unreachable(a, t);
 	}
 	ck_assert_int_eq(assessed_health(in.placer, a), HEALTH_UNREACHABLE);
@@ -460,7 +460,7 @@
 
 	note_upstream_silent(in.placer, a, 1000, 1200);
 	for (uint64_t t = 1400; t < 2100; t += 351) {
-		note_upstream_alive(in.placer, b, t + 100);
+		note_upstream_answer(in.placer, b, t + 90, t + 100);
 		fail_check_as_unreachable(a, t);
 	}
 	he = describe_health(in.placer, a, 2201);
@@ -470,7 +470,7 @@
 	ck_assert_uint_eq(he.verdict_age_ms, 100);
 	ck_assert_uint_eq(he.check_age_ms, 450);
 	ck_assert_uint_eq(he.own_alive_ms, EVIDENCE_NEVER_MS);
-	note_upstream_alive(in.placer, b, 4200);
+	note_upstream_answer(in.placer, b, 4190, 4200);
 	fail_check_as_unreachable(a, 4150);
 	he = describe_health(in.placer, a, 4500);
 	ck_assert_uint_eq(he.own.unreachable_checks, 3);
@@ -572,6 +572,22 @@
 }
 END_TEST
 
+START_TEST(checks_that_could_not_be_made_cut_off_no_upstream)
+{
+	upstream_index_t a = put_upstream("u-a", "north", 0);
+	upstream_index_t b = put_upstream("u-b", "north", 0);
+
+	note_upstream_silent(in.placer, a, 1000, 1200);
+	for (uint64_t t = 1400; t < 4000; t += 600) {
+		ck_assert(is_check_requested(a, t));
+		note_upstream_answer(in.placer, b, t + 1, t + 2);
+		note_check_result(in.placer, a, CHECK_NOT_MADE, t + 5);
+		ck_assert_int_eq(assessed_health(in.placer, a),
+				 HEALTH_SUSPECTED);
+	}
+}
+END_TEST
+
 START_TEST(restarted_upstream_is_healthy_again)
 {
 	struct upstream_report r = make_upstream_report("u-a", "north");
@@ -913,6 +929,7 @@
 	tcase_add_test(tc, flow_progress_outweighs_peer_report);
 	tcase_add_test(tc, checks_after_peer_reports_are_rate_limited);
 	tcase_add_test(tc, instance_that_reaches_no_upstream_cuts_off_none);
+	tcase_add_test(tc, checks_that_could_not_be_made_cut_off_no_upstream);
 	tcase_add_test(tc, restarted_upstream_is_healthy_again);
 	tcase_add_test(tc, cookie_collision_gives_flows_to_one_upstream);
 	tcase_add_test(tc, heaviest_load_is_answered_in_time);
