--- a/t/check-platform.c
+++ b/t/check-platform.c
@@ -152,6 +152,28 @@
 }
 END_TEST
 
+START_TEST(id_that_is_no_number_of_64_bits_names_no_upstream)
+{
+	static const char *const names[] = { "i-ffffffffffffffff0000000000",
+					     "i-10000000000000000",
+					     "i- 7f3a91c2",
+					     "i-+7f3a91c2",
+					     "i-0x7f3a91c2",
+					     "i-0",
+					     "i-00000000000000000" };
+	struct upstream_report r;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
+		ck_assert_msg(read_entry(names[i], VALID_ENTRY, &r) ==
+				      STATUS_CORRUPT,
+			      "%s is taken as %llx", names[i],
+			      (unsigned long long)r.id);
+	ck_assert_int_eq(read_entry("i-fFffffffffffffff", VALID_ENTRY, &r),
+			 STATUS_OK);
+	ck_assert_uint_eq(r.id, UINT64_MAX);
+}
+END_TEST
+
 #define VALID_CONFIG                                                           \
 	"{\"version\":7,\"routes\":["                                          \
 	"{\"name\":\"r-1\",\"host\":\"198.18.0.1\",\"prefix\":\"/8080/\","     \
@@ -254,6 +276,7 @@
 	tcase_add_test(tc, reset_has_the_service_as_source);
 	tcase_add_test(tc, upstream_entry_is_decoded);
 	tcase_add_test(tc, invalid_upstream_entry_is_refused);
+	tcase_add_test(tc, id_that_is_no_number_of_64_bits_names_no_upstream);
 	tcase_add_test(tc, operator_configuration_is_decoded);
 	tcase_add_test(tc, invalid_configuration_changes_nothing);
 	tcase_add_test(tc, key_determines_the_record_kind);
