--- a/t/check-platform.c
+++ b/t/check-platform.c
@@ -174,6 +174,32 @@
 }
 END_TEST
 
+START_TEST(start_that_is_no_time_names_no_upstream)
+{
+	static const char *const replacements[][2] = {
+		{ "1775020505058", "-1775020505058" },
+		{ "1775020505058", "9223372036854775807" },
+		{ "1775020505058", "9007199254740992" },
+		{ "1775020505058", "null" },
+		{ ",\"born\":1775020505058", "" },
+		{ "\"seq\":4", "\"seq\":-4" },
+		{ "\"seq\":4", "\"seq\":4.5" },
+		{ "\"seq\":4", "\"seq\":\"4\"" },
+		{ "\"seq\":4,", "" },
+	};
+	struct upstream_report r;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(replacements); i++) {
+		char *text = replace_in_entry(replacements[i][0],
+					      replacements[i][1]);
+
+		ck_assert_msg(read_entry("i-1", text, &r) == STATUS_CORRUPT,
+			      "%s is taken", text);
+		g_free(text);
+	}
+}
+END_TEST
+
 #define VALID_CONFIG                                                           \
 	"{\"version\":7,\"routes\":["                                          \
 	"{\"name\":\"r-1\",\"host\":\"198.18.0.1\",\"prefix\":\"/8080/\","     \
@@ -277,6 +303,7 @@
 	tcase_add_test(tc, upstream_entry_is_decoded);
 	tcase_add_test(tc, invalid_upstream_entry_is_refused);
 	tcase_add_test(tc, id_that_is_no_number_of_64_bits_names_no_upstream);
+	tcase_add_test(tc, start_that_is_no_time_names_no_upstream);
 	tcase_add_test(tc, operator_configuration_is_decoded);
 	tcase_add_test(tc, invalid_configuration_changes_nothing);
 	tcase_add_test(tc, key_determines_the_record_kind);
