--- a/t/check-platform.c
+++ b/t/check-platform.c
@@ -200,6 +200,27 @@
 }
 END_TEST
 
+START_TEST(address_that_gets_no_packets_names_no_upstream)
+{
+	static const char *const addresses[] = {
+		"[2001:db8::9]:8080", "[::ffff:10.128.0.9]:8080",
+		"0.0.0.0:8080",	      "255.255.255.255:8080",
+		"224.0.0.1:8080",     "10.128.0.9:0",
+		"10.128.0.9:65536",   "10.128.0.9:-1",
+		"host.example:8080",  "10.128.0.9"
+	};
+	struct upstream_report r;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(addresses); i++) {
+		char *text = replace_in_entry("10.128.0.9:8080", addresses[i]);
+
+		ck_assert_msg(read_entry("i-1", text, &r) == STATUS_CORRUPT,
+			      "%s is taken", addresses[i]);
+		g_free(text);
+	}
+}
+END_TEST
+
 #define VALID_CONFIG                                                           \
 	"{\"version\":7,\"routes\":["                                          \
 	"{\"name\":\"r-1\",\"host\":\"198.18.0.1\",\"prefix\":\"/8080/\","     \
@@ -304,6 +325,7 @@
 	tcase_add_test(tc, invalid_upstream_entry_is_refused);
 	tcase_add_test(tc, id_that_is_no_number_of_64_bits_names_no_upstream);
 	tcase_add_test(tc, start_that_is_no_time_names_no_upstream);
+	tcase_add_test(tc, address_that_gets_no_packets_names_no_upstream);
 	tcase_add_test(tc, operator_configuration_is_decoded);
 	tcase_add_test(tc, invalid_configuration_changes_nothing);
 	tcase_add_test(tc, key_determines_the_record_kind);
