--- a/t/check-platform.c
+++ b/t/check-platform.c
@@ -263,6 +263,38 @@
 }
 END_TEST
 
+START_TEST(numbers_out_of_range_in_a_configuration_are_limited)
+{
+	static const char config[] =
+		"{\"version\":8,\"routes\":[],\"services\":["
+		"{\"name\":\"low\",\"maxConns\":-1,\"warmupS\":-2.5,"
+		"\"warmupPerS\":-3},"
+		"{\"name\":\"high\",\"maxConns\":1e300,\"warmupS\":1e300,"
+		"\"warmupPerS\":1e300}]}";
+	static const char weight[] =
+		"{\"version\":9,\"services\":[],\"routes\":["
+		"{\"host\":\"198.18.0.1\",\"prefix\":\"/80/\",\"split\":["
+		"{\"service\":\"low\",\"weight\":1e300}]}]}";
+	struct catalog *c = create_catalog(60000);
+	const struct catalog_service *sv;
+	struct status st;
+
+	ck_assert_int_eq(read_operator_config(c, config, strlen(config), &st),
+			 STATUS_OK);
+	sv = get_service(c, intern_service(c, "low"));
+	ck_assert_uint_eq(sv->cold_ms, 0);
+	ck_assert(sv->cold_flows_per_s == 0);
+	ck_assert_uint_eq(sv->max_flows, UINT32_MAX);
+	sv = get_service(c, intern_service(c, "high"));
+	ck_assert_uint_eq(sv->cold_ms, UINT32_MAX);
+	ck_assert(sv->cold_flows_per_s == UINT32_MAX);
+	ck_assert_uint_eq(sv->max_flows, UINT32_MAX);
+	ck_assert_int_eq(read_operator_config(c, weight, strlen(weight), &st),
+			 STATUS_CORRUPT);
+	destroy_catalog(c);
+}
+END_TEST
+
 START_TEST(invalid_configuration_changes_nothing)
 {
 	static const char *const invalid_configs[] = {
@@ -327,6 +359,7 @@
 	tcase_add_test(tc, start_that_is_no_time_names_no_upstream);
 	tcase_add_test(tc, address_that_gets_no_packets_names_no_upstream);
 	tcase_add_test(tc, operator_configuration_is_decoded);
+	tcase_add_test(tc, numbers_out_of_range_in_a_configuration_are_limited);
 	tcase_add_test(tc, invalid_configuration_changes_nothing);
 	tcase_add_test(tc, key_determines_the_record_kind);
 	suite_add_tcase(s, tc);
