catalog: keep open flows where they are if an entry contradicts itself

If another writer replaced the entry of an upstream that runs by one that can be read but has another address, the report was taken whole. Packets of open flows, which name the upstream by its cookie, went to that address from then on, though the upstream was sound: callers saw their open flows end. An entry with another service or domain moved the upstream there.

An upstream stays where it started, and each start has its own time ("born"). A report that gives a known upstream another address, service or domain without a later start, or a service that is not configured in place of one that is, is now disputed: it is logged as upstream-invalid and names no target for new flows, while open ones go on. The owner's next entry puts the upstream back at once. If the entry stays for as long as one without an owner takes to lapse, its owner renews it, and it is used after all.

entry_without_a_new_start_moves_no_open_flow failed before in all its cases: packets went to 10.0.0.2:9000 instead of 10.0.0.1:9000, or the upstream took flows of a service that does not exist. Entries that can't be read left open flows alone already, and so did deeply_nested_entry_is_refused; these tests now hold that.

--- a/config/catalog.c
+++ b/config/catalog.c
@@ -314,6 +314,7 @@
 	up->domain = domain;
 	up->listed = true;
 	up->removed_at_ms = 0;
+	up->disputed_at_ms = 0;
 	up->revision = revision;
 	up->reported_at_ms = now_ms;
 	up->cold_until_ms = r->cold_left_ms ? now_ms + r->cold_left_ms : 0;
@@ -329,6 +330,7 @@
 	if (nr == CATALOG_NONE)
 		return nr;
 	up = upstream_by_index(c, nr);
+	up->disputed_at_ms = 0;
 	if (!up->listed)
 		return CATALOG_NONE;
 	up->listed = false;
@@ -336,6 +338,57 @@
 	return nr;
 }
 
+/* True if R is about another place or service than UP without a later start. */
+static bool contradicts_report(const struct catalog *c,
+			       const struct catalog_upstream *up,
+			       const struct upstream_report *r)
+{
+	const struct upstream_report *old = &up->report;
+	const struct catalog_service *known = get_service(c, up->service);
+	guint nr = GPOINTER_TO_UINT(
+		g_hash_table_lookup(c->service_nrs, r->service));
+
+	if (known->listed &&
+	    !(nr && get_service(c, (service_index_t)(nr - 1))->listed))
+		return true;
+	return r->started_at_ms <= old->started_at_ms &&
+	       (!same_endpoint(&r->address, &old->address) ||
+		strcmp(r->service, old->service) != 0 ||
+		strcmp(r->domain, old->domain) != 0);
+}
+
+bool dispute_upstream_report(struct catalog *c, const struct upstream_report *r,
+			     uint64_t hold_ms, uint64_t now_ms)
+{
+	upstream_index_t nr = find_upstream_by_name(c, r->name);
+	struct catalog_upstream *up = NULL;
+	uint64_t since_ms;
+
+	if (nr != CATALOG_NONE)
+		up = upstream_by_index(c, nr);
+	if (!up || !contradicts_report(c, up, r))
+		return false;
+	since_ms = up->disputed_at_ms ? up->disputed_at_ms : now_ms;
+	if (now_ms - since_ms >= hold_ms)
+		return false;
+	remove_catalog_upstream(c, r->name, now_ms);
+	up->disputed_at_ms = since_ms;
+	return true;
+}
+
+void list_settled_disputes(const struct catalog *c, uint64_t hold_ms,
+			   uint64_t now_ms, GPtrArray *names)
+{
+	for (guint i = 0; i < c->upstreams->len; i++) {
+		const struct catalog_upstream *up =
+			upstream_by_index(c, (upstream_index_t)i);
+
+		if (up && up->disputed_at_ms &&
+		    now_ms - up->disputed_at_ms >= hold_ms)
+			g_ptr_array_add(names, g_strdup(up->report.name));
+	}
+}
+
 void set_catalog_domain_out(struct catalog *c, const char *domain, bool out,
 			    uint64_t assume_cold_ms, uint64_t now_ms)
 {
--- a/config/catalog.h
+++ b/config/catalog.h
@@ -49,11 +49,12 @@
 	service_index_t service;
 	domain_index_t domain;
 	bool listed;		 /* its entry exists */
-	bool ambiguous;		 /* an upstream of lower id has its cookie */
+	bool ambiguous;		 /* another upstream has its cookie */
 	uint64_t revision;	 /* store revision of its entry */
 	uint64_t reported_at_ms; /* when REPORT was received */
 	uint64_t cold_until_ms;	 /* end of its cold start */
 	uint64_t removed_at_ms;	 /* when its entry was removed; 0: listed */
+	uint64_t disputed_at_ms; /* see dispute_upstream_report(); 0: is not */
 	uint32_t restart_count;	 /* restarts of its process that were seen */
 };
 
@@ -113,6 +114,20 @@
 					 const struct upstream_report *r,
 					 uint64_t revision, uint64_t now_ms);
 
+/*
+ * True if R gives a known upstream another address, service or domain although
+ * it did not start anew, or a service that is not configured: such a report may
+ * be from another writer, and open flows stay where they are. The upstream is
+ * then unlisted. A report that its owner has not replaced for HOLD_MS is no
+ * longer disputed.
+ */
+bool dispute_upstream_report(struct catalog *c, const struct upstream_report *r,
+			     uint64_t hold_ms, uint64_t now_ms);
+
+/* Appends the names (char *) of upstreams disputed for HOLD_MS to NAMES. */
+void list_settled_disputes(const struct catalog *c, uint64_t hold_ms,
+			   uint64_t now_ms, GPtrArray *names);
+
 /*
  * Unlists the upstream NAME, whose entry was removed or is malformed.
  * CATALOG_NONE if it was not listed.
--- a/net/edge-records.c
+++ b/net/edge-records.c
@@ -41,12 +41,19 @@
 
 static const struct record_order no_order;
 
+/* The time within which the entry of an upstream that left lapses. */
+static uint64_t entry_lapse_ms(const struct edge *e)
+{
+	return (uint64_t)LAPSE_HEARTBEATS * e->settings.bounds.heartbeat_ms +
+	       MIRROR_REMOVAL_HOLD_MS;
+}
+
 static void handle_upstream_entry(struct edge *e, const char *name,
 				  const struct mirror_action *a)
 {
 	struct upstream_report r;
 	struct status st;
-	upstream_index_t nr;
+	upstream_index_t nr = CATALOG_NONE;
 	char at[ENDPOINT_TEXT_MAX];
 	enum status_kind kind =
 		read_upstream_entry(name, a->value, a->len, &r, &st);
@@ -55,12 +62,21 @@
 	if (!is_believed(e, a, RECORD_CLASS_UPSTREAM,
 			 kind == STATUS_OK ? order : no_order))
 		return;
+	/* an upstream that runs replaces an entry of another writer in time */
+	if (kind == STATUS_OK &&
+	    dispute_upstream_report(e->catalog, &r, entry_lapse_ms(e),
+				    e->now_ms))
+		kind = set_status(&st, STATUS_CONFLICT,
+				  "another address, service or domain "
+				  "without a new start");
 	if (kind != STATUS_OK) {
 		log_event(e->log, EVENT_UPSTREAM_INVALID,
 			  "upstream=%.64s revision=%llu why=\"%s\"", name,
 			  (unsigned long long)a->revision, st.message);
 		count(&e->counters, COUNT_CONFIG_CORRUPT);
-		nr = remove_catalog_upstream(e->catalog, name, e->now_ms);
+		if (kind != STATUS_CONFLICT)
+			nr = remove_catalog_upstream(e->catalog, name,
+						     e->now_ms);
 	} else {
 		nr = update_catalog_upstream(e->catalog, &r, a->revision,
 					     e->now_ms);
@@ -219,6 +235,18 @@
 		handle_removed_entry(e, a);
 }
 
+/* Appends to KEYS the entries of upstreams whose reports are used after all. */
+static void list_settled_entries(struct edge *e, GPtrArray *keys)
+{
+	GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+
+	list_settled_disputes(e->catalog, entry_lapse_ms(e), e->now_ms, names);
+	for (guint i = 0; i < names->len; i++)
+		g_ptr_array_add(
+			keys, format_upstream_key(g_ptr_array_index(names, i)));
+	g_ptr_array_free(names, TRUE);
+}
+
 /* Lets what the store has of records that are no longer held go into force. */
 void tick_edge_records(struct edge *e)
 {
@@ -228,6 +256,7 @@
 		return;
 	keys = g_ptr_array_new_with_free_func(g_free);
 	end_record_holds(e->restored_records, e->now_ms, keys);
+	list_settled_entries(e, keys);
 	for (guint i = 0; i < keys->len; i++) {
 		const char *key = g_ptr_array_index(keys, i);
 		struct mirror_entry entry = find_mirror_entry(e->mirror, key);
@@ -247,12 +276,11 @@
 void set_edge_hold_times(struct edge *e)
 {
 	const struct steering_bounds *b = &e->settings.bounds;
-	struct record_hold_times times = {
-		.operator_ms = b->operator_rewrite_ms,
-		.upstream_ms = MIRROR_REMOVAL_HOLD_MS,
-		.lapse_ms = (uint64_t)LAPSE_HEARTBEATS * b->heartbeat_ms +
-			    MIRROR_REMOVAL_HOLD_MS
-	};
+	struct record_hold_times times = { .operator_ms =
+						   b->operator_rewrite_ms,
+					   .upstream_ms =
+						   MIRROR_REMOVAL_HOLD_MS,
+					   .lapse_ms = entry_lapse_ms(e) };
 
 	set_record_hold_times(e->restored_records, &times);
 }
