catalog: leave a shared cookie with the upstream that started first

If two upstreams had the same cookie, the one with the lower id got it, or with equal ids (the entries i-a1 and x-00A1) the one with the lower index in the table, and indexes are reused. An entry of another writer that shared the id of a sound upstream could so take over its cookie, and all packets of its open flows went to the address of that entry.

Now the upstream that started first has it, which is the one that may have flows. This depends on the entries alone, so all instances agree, also those that start later and read both at once. After a restart of the owner the cookie is assigned anew.

other_name_for_an_id_takes_no_flows_of_the_first failed before for three names: packets of open flows went to 10.0.0.2:9000 instead of 10.0.0.1:9000.

--- a/config/catalog.c
+++ b/config/catalog.c
@@ -187,9 +187,21 @@
 }
 
 /*
- * Updates by_cookie and AMBIGUOUS for all upstreams with COOKIE: the one with
- * the lowest id owns it.
+ * Whether A rather than B owns the cookie of both. Who started first does, as
+ * it may have open flows; all instances have to decide alike, whichever of the
+ * two they read first.
  */
+static bool owns_shared_cookie(const struct upstream_report *a,
+			       const struct upstream_report *b)
+{
+	if (a->started_at_ms != b->started_at_ms)
+		return a->started_at_ms < b->started_at_ms;
+	if (a->id != b->id)
+		return a->id < b->id;
+	return strcmp(a->name, b->name) < 0;
+}
+
+/* Updates by_cookie and AMBIGUOUS for all upstreams with COOKIE. */
 static void resolve_cookie(struct catalog *c, uint32_t cookie)
 {
 	struct catalog_upstream *first = NULL;
@@ -201,7 +213,7 @@
 
 		if (!up || up->cookie != cookie)
 			continue;
-		if (!first || up->report.id < first->report.id) {
+		if (!first || owns_shared_cookie(&up->report, &first->report)) {
 			if (first)
 				first->ambiguous = true;
 			first = up;
@@ -296,6 +308,7 @@
 	domain_index_t domain = intern_domain(c, r->domain);
 	upstream_index_t nr = find_upstream_by_name(c, r->name);
 	struct catalog_upstream *up;
+	bool restarted;
 
 	if (service == CATALOG_NONE || domain == CATALOG_NONE)
 		return CATALOG_NONE;
@@ -308,9 +321,11 @@
 		remove_from_service(c, nr);
 		add_to_service(c, nr, service);
 	}
-	if (is_new_start(&up->report, r))
-		up->restart_count++;
+	restarted = is_new_start(&up->report, r);
+	up->restart_count += restarted;
 	up->report = *r;
+	if (restarted)
+		resolve_cookie(c, up->cookie);
 	up->domain = domain;
 	up->listed = true;
 	up->removed_at_ms = 0;
--- a/t/check-odd-entries.c
+++ b/t/check-odd-entries.c
@@ -215,6 +215,34 @@
 }
 END_TEST
 
+START_TEST(other_name_for_an_id_takes_no_flows_of_the_first)
+{
+	static const char *const names[] = { "b-a1", "x-00A1", "a1" };
+	const char *other =
+		ENTRY("board", "10.0.0.2:9000", "north", "2000", "1");
+
+	/* the index of i-a9, before that of i-a1, becomes free */
+	write_entry("i-a1", NULL);
+	e->now_ms += TEST_ENTRY_TTL_MS + 1;
+	expire_catalog(e->catalog, e->now_ms);
+	write_entry("i-a9", GOOD);
+	write_entry("i-a1", GOOD);
+	write_entry("i-a9", NULL);
+	e->now_ms += TEST_ENTRY_TTL_MS + 1;
+	expire_catalog(e->catalog, e->now_ms);
+	write_entry(names[_i], other);
+	ck_assert_str_eq(open_flow_address(ID), "10.0.0.1:9000");
+	ck_assert(takes_new_flows(ID));
+	write_entry(names[_i], NULL);
+	ck_assert(takes_new_flows(ID));
+	/* what it had open ended with its former start */
+	write_entry(names[_i], other);
+	write_entry("i-a1",
+		    ENTRY("board", "10.0.0.3:9000", "north", "3000", "1"));
+	ck_assert_str_eq(open_flow_address(ID), "10.0.0.2:9000");
+}
+END_TEST
+
 START_TEST(entry_of_a_restored_store_follows_an_unreadable_one)
 {
 	char key[] = "servers/i-a1";
@@ -248,6 +276,8 @@
 			    G_N_ELEMENTS(elsewhere));
 	tcase_add_test(tc, entry_that_outlasts_a_lapse_is_used);
 	tcase_add_test(tc, restarted_upstream_is_used_at_its_new_address);
+	tcase_add_loop_test(
+		tc, other_name_for_an_id_takes_no_flows_of_the_first, 0, 3);
 	tcase_add_test(tc, entry_of_a_restored_store_follows_an_unreadable_one);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_ENV);
