platform: skip items of the store that can't be read

One item that could not be read failed its whole page or list of events: a key with a NUL, an unpaired surrogate or bytes that are not UTF-8, a number out of range, a missing field, or deep nesting. The JSON parser refuses the whole text for most of these. The watch then ended, began again at the same revision and got the same item, so that an instance took the store for lost and followed no change any more; one that started found no list at all and never became ready.

Pages are now decoded by platform/store-page.c. If the text is refused, entries that are not valid by themselves are blanked out and the rest is read. Entries that can't be read are counted as store.items-unreadable and logged as a problem. An entry with a valid key and revision and an unreadable value is passed on with an empty value, so that what was known of that key is not used any longer. The next page begins after the last key of the page, also if that entry was skipped; if no entry of a page has a key, the read fails as before instead of ending early.

--- a/base/counter-list.h
+++ b/base/counter-list.h
@@ -16,6 +16,8 @@
 	"answers from before a restore that came after it")
 COUNTER(STORE_ERA_MALFORMED, "store.era-malformed",
 	"answers whose era could not be read")
+COUNTER(STORE_ITEMS_UNREADABLE, "store.items-unreadable",
+	"items of the store that could not be read and were skipped")
 COUNTER(STORE_RECORDS_HELD, "store.records-held",
 	"records of a restored store that were not believed yet")
 
--- a/config/store-call.h
+++ b/config/store-call.h
@@ -38,6 +38,7 @@
 	uint64_t lease_id; /* id of a granted lease */
 	struct store_entry *entries;
 	size_t entry_nr;
+	size_t unreadable_nr; /* further entries, which can't be read */
 };
 
 /* How often a watch asks. */
--- a/net/edge-store.c
+++ b/net/edge-store.c
@@ -104,11 +104,22 @@
 	release_wire_writer(&w);
 }
 
+static void log_unreadable_items(const struct edge *e,
+				 const struct store_answer *a)
+{
+	if (a->unreadable_nr)
+		log_event(e->log, EVENT_PROBLEM,
+			  "what=store why=\"%zu items can't be read\" "
+			  "revision=%llu",
+			  a->unreadable_nr, (unsigned long long)a->revision);
+}
+
 static void on_all_read(const struct store_answer *a, void *data)
 {
 	struct mirror_event ev = { .kind = MIRROR_READ_DONE, .answer = a };
 	struct edge *e = data;
 
+	log_unreadable_items(e, a);
 	step_edge_mirror(e, &ev);
 	if (a->status.kind != STATUS_OK)
 		return;
@@ -129,6 +140,7 @@
 	struct mirror_event ev = { .kind = MIRROR_WATCH_ANSWER, .answer = a };
 	struct edge *e = data;
 
+	log_unreadable_items(e, a);
 	if (a->status.kind != STATUS_OK)
 		e->watch = NULL;
 	step_edge_mirror(e, &ev);
--- a/stand-in/platform-store.c
+++ b/stand-in/platform-store.c
@@ -11,7 +11,9 @@
  *                       restore (comes back from that copy, in the next era),
  *                       stale (calls are answered as before the restore, by
  *                       the era before, until "well"), bad-era (answers
- *                       have an era that is not a number)
+ *                       have an era that is not a number), odd (all
+ *                       further reads also have items that can't be read; the
+ *                       current fault stays)
  */
 
 #include <jansson.h>
@@ -70,6 +72,38 @@
 };
 
 static json_int_t answered_era; /* of the answers given now; -1: unreadable */
+static bool adds_odd_items;	/* to the answers given now */
+
+/* TEXT, an answer, with items that can't be read put before those of LIST. */
+static char *insert_odd_items(char *text, const char *list)
+{
+	static const char odd[] =
+		"{\"key\":\"servers/\\u0000\",\"value\":\"\",\"rev\":1},"
+		"{\"key\":\"servers/\\ud800\",\"value\":\"\",\"rev\":1},"
+		"{\"key\":\"servers/\xff\",\"value\":\"\",\"rev\":1},"
+		"{\"key\":\"servers/n\",\"value\":\"\",\"rev\":1e400},"
+		"{\"key\":\"servers/v\",\"value\":{},\"rev\":1},"
+		"{\"value\":\"\",\"rev\":1},{},null";
+	const char *at = strstr(text, list);
+	const char *rest;
+	char *deep;
+	char *whole;
+
+	if (!at)
+		return text;
+	rest = at + strlen(list);
+	deep = g_strnfill(100000, '[');
+	whole = g_strdup_printf("%.*s{\"key\":%s", (int)(rest - text), text,
+				deep);
+	g_free(deep);
+	deep = g_strnfill(100000, ']');
+	at = g_strconcat(whole, deep, "},", odd, *rest == ']' ? "" : ",", rest,
+			 NULL);
+	g_free(deep);
+	g_free(whole);
+	free(text);
+	return (char *)at;
+}
 
 static void reply(struct http_exchange *ex, unsigned int code, json_t *j)
 {
@@ -77,6 +111,10 @@
 	char *text = json_dumps(j, JSON_COMPACT);
 	char era[24];
 
+	if (adds_odd_items) {
+		text = insert_odd_items(text, "\"items\":[");
+		text = insert_odd_items(text, "\"events\":[");
+	}
 	m->code = code;
 	if (answered_era < 0)
 		g_strlcpy(era, "soon", sizeof(era));
@@ -475,6 +513,7 @@
 	}
 	if (!strcmp(word, "restore"))
 		restore_copy(s);
+	adds_odd_items |= !strcmp(word, "odd");
 	for (size_t i = 0; i < G_N_ELEMENTS(words); i++)
 		if (!strcmp(word, words[i]))
 			s->fault = (enum fault)i;
--- a/t/check-platform.c
+++ b/t/check-platform.c
@@ -1,5 +1,6 @@
 /*
- * Tests of platform/: packets, entries of upstreams and the configuration.
+ * Tests of platform/: packets, pages of the store, entries of upstreams and the
+ * configuration.
  * Guards against malformed input that is accepted or changes the state.
  */
 
@@ -10,6 +11,8 @@
 
 #include "platform/packet.h"
 #include "platform/records.h"
+#include "platform/store-page.h"
+#include "store/etcd-json.h"
 
 /* SYN from 100.64.0.7:40001 to 198.18.0.1:443. */
 static const uint8_t syn[] = { 0x80, 0x00, 0x00, 0x00, 0x00, 0x00, 0xa1, 0xb2,
@@ -325,6 +328,129 @@
 }
 END_TEST
 
+#define PAGE_END "],\"hasMore\":false,\"storeRevision\":9}"
+#define GOOD_ITEM(key, rev)                                                    \
+	"{\"key\":\"" key "\",\"value\":\"e30=\",\"rev\":" rev                 \
+	",\"createRev\":1,\"lease\":0}"
+
+/* Entries that can't be read, with a key or without one. */
+static const char *const odd_items[] = {
+	"null",
+	"7",
+	"\"\"",
+	"{}",
+	"[[[]]]",
+	"{\"key\":\"a\\u0000b\",\"value\":\"\",\"rev\":3}",
+	"{\"key\":\"a\\ud800b\",\"value\":\"\",\"rev\":3}",
+	"{\"key\":\"a\xff\",\"value\":\"\",\"rev\":3}",
+	"{\"key\":\"\",\"value\":\"\",\"rev\":3}",
+	"{\"key\":7,\"value\":\"\",\"rev\":3}",
+	"{\"key\":\"k\",\"value\":\"\",\"rev\":1e400}",
+	"{\"key\":\"k\",\"value\":\"\",\"rev\":99999999999999999999}",
+	"{\"key\":\"k\",\"value\":\"\",\"rev\":-3}",
+	"{\"key\":\"k\",\"value\":\"\",\"rev\":3.5}",
+	"{\"key\":\"k\",\"value\":\"\",\"rev\":\"3\"}",
+	"{\"key\":\"k\",\"value\":\"\"}",
+	"{\"key\":\"k]}\\\"\",\"value\":\"\",\"rev\":{]}",
+	"{\"key\":\"k\",\"removed\":true}",
+};
+
+static void check_page_with(const char *odd)
+{
+	char *text =
+		g_strconcat("{\"items\":[", GOOD_ITEM("a", "3"), ",", odd, ",",
+			    GOOD_ITEM("z", "4"), ",", odd, PAGE_END, NULL);
+	struct store_answer a = { 0 };
+	struct store_page p;
+
+	ck_assert_msg(read_store_page(text, strlen(text), "items", &a, &p),
+		      "the page with %.80s is refused", odd);
+	ck_assert_uint_eq(p.revision, 9);
+	ck_assert_uint_eq(a.entry_nr, 2);
+	ck_assert_uint_eq(a.unreadable_nr, 2);
+	ck_assert_str_eq(a.entries[0].key, "a");
+	ck_assert_str_eq(a.entries[1].key, "z");
+	ck_assert_mem_eq(a.entries[1].value, "{}", 2);
+	ck_assert_uint_eq(a.entries[1].mod_revision, 4);
+	ck_assert(!a.entries[1].deleted);
+	g_free(p.last_key);
+	release_store_answer(&a);
+	g_free(text);
+}
+
+START_TEST(unreadable_item_does_not_hide_the_rest_of_its_page)
+{
+	char *key = g_strnfill(201, 'k');
+	char *item = g_strdup_printf(
+		"{\"key\":\"%s\",\"value\":\"\",\"rev\":3}", key);
+	GString *deep = g_string_new("{\"key\":");
+
+	for (size_t i = 0; i < G_N_ELEMENTS(odd_items); i++)
+		check_page_with(odd_items[i]);
+	check_page_with(item);
+	for (int i = 0; i < 200000; i++)
+		g_string_insert_c(deep, -1, '[');
+	for (int i = 0; i < 200000; i++)
+		g_string_append_c(deep, ']');
+	g_string_append_c(deep, '}');
+	check_page_with(deep->str);
+	g_string_free(deep, TRUE);
+	g_free(item);
+	g_free(key);
+}
+END_TEST
+
+START_TEST(item_with_an_unreadable_value_is_present)
+{
+	static const char *const values[] = { "", ",\"value\":null",
+					      ",\"value\":[1]",
+					      ",\"value\":\"\\u0000\"" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(values); i++) {
+		char *text = g_strdup_printf("{\"events\":[{\"key\":\"k\","
+					     "\"rev\":3%s}%s",
+					     values[i], PAGE_END);
+		struct store_answer a = { 0 };
+		struct store_page p;
+
+		ck_assert(
+			read_store_page(text, strlen(text), "events", &a, &p));
+		ck_assert_uint_eq(a.entry_nr, 1);
+		ck_assert_uint_eq(a.entries[0].len, 0);
+		ck_assert_ptr_nonnull(a.entries[0].value);
+		ck_assert_str_eq(p.last_key, "k");
+		g_free(p.last_key);
+		release_store_answer(&a);
+		g_free(text);
+	}
+}
+END_TEST
+
+START_TEST(page_that_is_no_list_is_refused)
+{
+	static const char *const texts[] = {
+		"",
+		"[]",
+		"{}",
+		"{\"items\":{},\"storeRevision\":9}",
+		"{\"items\":[]}",
+		"{\"items\":[],\"storeRevision\":0}",
+		"{\"items\":[],\"storeRevision\":9",
+		"{\"items\":[{\"key\":\"",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		struct store_answer a = { 0 };
+		struct store_page p;
+
+		ck_assert(!read_store_page(texts[i], strlen(texts[i]), "items",
+					   &a, &p));
+		g_free(p.last_key);
+		release_store_answer(&a);
+	}
+}
+END_TEST
+
 START_TEST(key_determines_the_record_kind)
 {
 	const char *name;
@@ -361,6 +487,9 @@
 	tcase_add_test(tc, operator_configuration_is_decoded);
 	tcase_add_test(tc, numbers_out_of_range_in_a_configuration_are_limited);
 	tcase_add_test(tc, invalid_configuration_changes_nothing);
+	tcase_add_test(tc, unreadable_item_does_not_hide_the_rest_of_its_page);
+	tcase_add_test(tc, item_with_an_unreadable_value_is_present);
+	tcase_add_test(tc, page_that_is_no_list_is_refused);
 	tcase_add_test(tc, key_determines_the_record_kind);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_ENV);
