wire: check announced lengths before memory is reserved for them

The MessagePack library reserves memory for all elements of an array or map when it reads the head. A datagram of five bytes that announces 2^32 elements made it ask for 128 GiB; nested ones for several times that. Without a limit on virtual memory the reservation is never used and the message is refused after it, as the rest is missing. Under a sanitizer the process ends. No caller has seen this.

Now the announced lengths are compared with the length of the message first, in one pass and without memory. The layout of messages is as it was.

wire_reserves_no_memory_for_elements_that_are_missing failed before: "AddressSanitizer: allocator is out of memory trying to allocate 0x2000000008 bytes". wire_reads_values_of_all_lengths holds that valid messages are still read.

--- a/base/wire.c
+++ b/base/wire.c
@@ -56,6 +56,82 @@
 	write_bin(w, raw, ep->family ? n + 2 : 0);
 }
 
+/* The types 0xc0 to 0xdf: bytes of the length, and of what follows it. */
+static const struct {
+	uint8_t length;
+	uint8_t body;
+} long_types[] = { { 0, 0 },  { 0, 0 }, { 0, 0 }, { 0, 0 }, /* nil, booleans */
+		   { 1, 0 },  { 2, 0 }, { 4, 0 },	    /* binary data */
+		   { 1, 1 },  { 2, 1 }, { 4, 1 },	    /* extensions */
+		   { 0, 4 },  { 0, 8 },			    /* floats */
+		   { 0, 1 },  { 0, 2 }, { 0, 4 }, { 0, 8 }, /* unsigned */
+		   { 0, 1 },  { 0, 2 }, { 0, 4 }, { 0, 8 }, /* signed */
+		   { 0, 2 },  { 0, 3 }, { 0, 5 }, { 0, 9 },
+		   { 0, 17 }, { 1, 0 }, { 2, 0 }, { 4, 0 }, /* strings */
+		   { 2, 0 },  { 4, 0 },			    /* arrays */
+		   { 2, 0 },  { 4, 0 } };		    /* maps */
+
+static uint64_t read_big_endian(const uint8_t *p, size_t len)
+{
+	uint64_t v = 0;
+
+	for (size_t i = 0; i < len; i++)
+		v = v << 8 | p[i];
+	return v;
+}
+
+/*
+ * Reads the head of the value at P, of up to LEN bytes. Returns the bytes from
+ * P to the next value, or to the first element of an array or map; sets
+ * *ELEMENTS to the number of these.
+ */
+static uint64_t read_value_head(const uint8_t *p, size_t len,
+				uint64_t *elements)
+{
+	uint8_t type = *p;
+	uint64_t n;
+
+	*elements = 0;
+	if (type < 0x80 || type >= 0xe0)
+		return 1;
+	if (type < 0xa0) {
+		*elements = (type & 0x0f) * (type < 0x90 ? 2 : 1);
+		return 1;
+	}
+	if (type < 0xc0)
+		return 1 + (type & 0x1f);
+	if (long_types[type - 0xc0].length >= len)
+		return UINT64_MAX;
+	n = read_big_endian(p + 1, long_types[type - 0xc0].length);
+	if (type >= 0xdc) {
+		*elements = type < 0xde ? n : 2 * n;
+		n = 0;
+	}
+	return 1 + long_types[type - 0xc0].length + n +
+	       long_types[type - 0xc0].body;
+}
+
+/*
+ * Whether DATA is as long as the values that it announces. The library reserves
+ * memory for all elements of an array before it reads the first.
+ */
+static bool is_complete(const uint8_t *data, size_t len)
+{
+	uint64_t missing = 1;
+
+	while (missing && missing <= len) {
+		uint64_t elements;
+		uint64_t size = read_value_head(data, len, &elements);
+
+		if (size > len)
+			return false;
+		data += size;
+		len -= size;
+		missing += elements - 1;
+	}
+	return !missing;
+}
+
 bool open_wire_message(struct wire_message *msg, struct wire_reader *r,
 		       const void *data, size_t len)
 {
@@ -64,7 +140,9 @@
 
 	memset(r, 0, sizeof(*r));
 	msgpack_unpacked_init(&msg->unpacked);
-	ret = msgpack_unpack_next(&msg->unpacked, data, len, &off);
+	ret = is_complete(data, len)
+		      ? msgpack_unpack_next(&msg->unpacked, data, len, &off)
+		      : MSGPACK_UNPACK_PARSE_ERROR;
 	if (ret != MSGPACK_UNPACK_SUCCESS || off != len ||
 	    msg->unpacked.data.type != MSGPACK_OBJECT_ARRAY) {
 		r->malformed = true;
--- a/t/check-base.c
+++ b/t/check-base.c
@@ -177,6 +177,78 @@
 }
 END_TEST
 
+START_TEST(wire_reserves_no_memory_for_elements_that_are_missing)
+{
+	static const struct {
+		uint8_t data[8];
+		size_t len;
+	} messages[] = {
+		{ { 0xdd, 0xff, 0xff, 0xff, 0xff }, 5 },
+		{ { 0xdc, 0xff, 0xff, 0x01 }, 4 },
+		{ { 0x91, 0xdf, 0xff, 0xff, 0xff, 0xff }, 6 },
+		{ { 0x91, 0xc6, 0xff, 0xff, 0xff, 0xff, 0x01 }, 7 },
+		{ { 0x91, 0xdb, 0xff, 0xff }, 4 },
+		{ { 0x92, 0x01 }, 2 },
+		{ { 0x81 }, 1 },
+		{ { 0 }, 0 },
+	};
+	uint8_t deep[1400];
+	struct wire_message msg;
+	struct wire_reader r;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(messages); i++) {
+		ck_assert(!open_wire_message(&msg, &r, messages[i].data,
+					     messages[i].len));
+		release_wire_message(&msg);
+	}
+	memset(deep, 0x91, sizeof(deep));
+	deep[sizeof(deep) - 1] = 0x90;
+	ck_assert(!open_wire_message(&msg, &r, deep, sizeof(deep)));
+	release_wire_message(&msg);
+}
+END_TEST
+
+START_TEST(wire_reads_values_of_all_lengths)
+{
+	static const size_t lengths[] = { 0,  1,   15,	  16,	 31,
+					  32, 255, 65535, 65536, 70000 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(lengths); i++) {
+		char *text = g_strnfill(lengths[i], 'x');
+		char *copy = g_malloc(lengths[i] + 1);
+		struct wire_writer w;
+		struct wire_message msg;
+		struct wire_reader r;
+		struct wire_reader sub;
+		const void *data;
+
+		init_wire_writer(&w);
+		write_array(&w, 5);
+		write_str(&w, text);
+		write_bin(&w, text, lengths[i]);
+		write_array(&w, lengths[i]);
+		for (size_t k = 0; k < lengths[i]; k++)
+			write_uint(&w, k);
+		write_bool(&w, true);
+		write_uint(&w, UINT64_MAX);
+		ck_assert(open_wire_message(&msg, &r, w.buf.data, w.buf.size));
+		read_str(&r, copy, lengths[i] + 1);
+		ck_assert_str_eq(copy, text);
+		ck_assert_uint_eq(read_bin(&r, &data), lengths[i]);
+		ck_assert_uint_eq(read_array(&r, &sub), lengths[i]);
+		for (size_t k = 0; k < lengths[i]; k++)
+			ck_assert_uint_eq(read_uint(&sub, k), k);
+		ck_assert(read_bool(&r));
+		ck_assert_uint_eq(read_uint(&r, UINT64_MAX), UINT64_MAX);
+		ck_assert(!r.malformed && !r.remaining);
+		release_wire_message(&msg);
+		release_wire_writer(&w);
+		g_free(copy);
+		g_free(text);
+	}
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("base");
@@ -192,6 +264,9 @@
 	tcase_add_test(tc, released_handles_find_nothing);
 	tcase_add_test(tc, incomplete_charts_are_refused);
 	tcase_add_test(tc, wire_refuses_wrong_types_and_trailing_bytes);
+	tcase_add_test(tc,
+		       wire_reserves_no_memory_for_elements_that_are_missing);
+	tcase_add_test(tc, wire_reads_values_of_all_lengths);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_ENV);
 	failed = srunner_ntests_failed(sr);
