mirror: stop reading a long value that the store no longer has

An instance that follows by peers' updates reads values that are too long for an update by their key. If the entry was removed before it was read, the read brought nothing, and it was repeated every 600 ms for ever, after two tries from the store, where reads are limited for all instances together; the next long value that was missing then made the instance read the whole list each time. A long entry of another writer that is soon removed was enough.

A removal at the same or a later revision, and a whole read that is as new, now end the search for the value.

a_long_value_that_is_gone_is_not_read_for_ever failed before in both cases: MIRROR_DO_READ_KEY was still requested.

--- a/config/mirror.c
+++ b/config/mirror.c
@@ -189,6 +189,9 @@
 	struct mirror_item *it = g_hash_table_lookup(m->items, key);
 	gpointer owned;
 
+	if (m->missing_key && !strcmp(m->missing_key, key) &&
+	    revision >= m->missing_key_revision)
+		g_clear_pointer(&m->missing_key, g_free);
 	if (!it || revision < it->revision)
 		return;
 	if (!it->removal_due_ms)
@@ -409,6 +412,8 @@
 				MIRROR_FIRST_READ;
 	if (a->revision >= m->position.revision)
 		remove_items_not_read(m, a->revision, now_ms, out);
+	if (a->revision >= m->missing_key_revision)
+		g_clear_pointer(&m->missing_key, g_free);
 	m->position.revision = MAX(m->position.revision, a->revision);
 	add_mirror_action(out, MIRROR_DO_DROP_UPDATES);
 	if (first && !m->is_store_reader) {
--- a/t/check-mirror.c
+++ b/t/check-mirror.c
@@ -566,6 +566,29 @@
 }
 END_TEST
 
+START_TEST(a_long_value_that_is_gone_is_not_read_for_ever)
+{
+	struct store_entry omitted = { .key = (char *)"odd",
+				       .mod_revision = 11 };
+	struct store_entry gone = make_entry("odd", NULL, 12);
+	uint64_t ms = 2000 + MIRROR_KEY_READ_INTERVAL_MS;
+
+	start_with_peer_updates(1000);
+	send_update(10, 11, &omitted, 1, 0, 2000);
+	send_tick(2010);
+	ck_assert_str_eq(find_action(MIRROR_DO_READ_KEY, NULL)->key, "odd");
+	send_answer(MIRROR_KEY_READ_DONE, STATUS_OK, 12, NULL, 0, 2020);
+	if (_i)
+		send_answer(MIRROR_READ_DONE, STATUS_OK, 12, NULL, 0, 2030);
+	else
+		send_update(11, 12, &gone, 1, 0, 2030);
+	for (int i = 1; i <= 5; i++) {
+		send_tick(ms + 1000 * (uint64_t)i);
+		ck_assert_ptr_null(find_action(MIRROR_DO_READ_KEY, NULL));
+	}
+}
+END_TEST
+
 START_TEST(applies_values_ahead_of_missing_changes)
 {
 	struct store_entry es[] = { make_entry("config", "new", 20),
@@ -1001,6 +1024,8 @@
 	tcase_add_test(tc, watches_the_store_if_no_peer_answers);
 	tcase_add_test(tc, rereads_a_long_value_changed_during_its_read);
 	tcase_add_test(tc, asks_peers_for_a_long_value_before_the_store);
+	tcase_add_loop_test(tc, a_long_value_that_is_gone_is_not_read_for_ever,
+			    0, 2);
 	tcase_add_test(tc, applies_values_ahead_of_missing_changes);
 	tcase_add_test(tc, a_store_reader_applies_nothing_ahead);
 	tcase_add_test(tc, a_value_applied_ahead_is_no_base_of_an_older_one);
