mirror: keep entries with an empty value as present

The copy of an empty value was NULL, which stands for "no entry" in struct mirror_entry. An entry of the store with an empty value was announced as changed, but looked up as missing: when a hold after a restore of the store ended, it was applied as removed, and it had no base for the next long value.

an_empty_value_is_a_value failed before.

--- a/config/mirror.c
+++ b/config/mirror.c
@@ -10,6 +10,17 @@
 #define WATCH_WAIT_MAX_MS 10000
 #define WATCH_PAUSE_MAX_MS 1000
 
+/* A copy of the LEN bytes at VALUE, also of none; NULL stands for no value. */
+static void *copy_value(const void *value, size_t len)
+{
+	char *copy = g_malloc(len + 1);
+
+	if (len)
+		memcpy(copy, value, len);
+	copy[len] = '\0';
+	return copy;
+}
+
 /* Keeps VALUE, which actions of this step may point to, until the next one. */
 static void retire_value(struct mirror *m, void *value)
 {
@@ -160,7 +171,7 @@
 	}
 	m->digest ^= item_digest(e->key, e->mod_revision);
 	retire_value(m, it->value);
-	it->value = g_memdup2(e->value, e->len);
+	it->value = copy_value(e->value, e->len);
 	it->len = e->len;
 	it->revision = e->mod_revision;
 	it->removal_due_ms = 0;
@@ -258,7 +269,8 @@
 			 const struct store_entry *e)
 {
 	return it->revision == e->mod_revision && !it->removal_due_ms &&
-	       it->len == e->len && !memcmp(it->value, e->value, e->len);
+	       it->len == e->len &&
+	       (!e->len || !memcmp(it->value, e->value, e->len));
 }
 
 /* Replaces the item of E, whatever its revision, with E or nothing. */
--- a/t/check-mirror.c
+++ b/t/check-mirror.c
@@ -589,6 +589,20 @@
 }
 END_TEST
 
+START_TEST(an_empty_value_is_a_value)
+{
+	struct store_entry e = { .key = (char *)"odd",
+				 .value = (void *)"",
+				 .mod_revision = 11 };
+
+	start_with_peer_updates(1000);
+	send_update(10, 11, &e, 1, 0, 2000);
+	ck_assert_ptr_nonnull(find_action(MIRROR_KEY_CHANGED, "odd")->value);
+	ck_assert_ptr_nonnull(find_mirror_entry(m, "odd").value);
+	ck_assert_uint_eq(find_mirror_entry(m, "odd").len, 0);
+}
+END_TEST
+
 START_TEST(applies_values_ahead_of_missing_changes)
 {
 	struct store_entry es[] = { make_entry("config", "new", 20),
@@ -1026,6 +1040,7 @@
 	tcase_add_test(tc, asks_peers_for_a_long_value_before_the_store);
 	tcase_add_loop_test(tc, a_long_value_that_is_gone_is_not_read_for_ever,
 			    0, 2);
+	tcase_add_test(tc, an_empty_value_is_a_value);
 	tcase_add_test(tc, applies_values_ahead_of_missing_changes);
 	tcase_add_test(tc, a_store_reader_applies_nothing_ahead);
 	tcase_add_test(tc, a_value_applied_ahead_is_no_base_of_an_older_one);
