catalog: a second name for a start does not take over its cookie

Two entries with the same id and the same start (i-a1 and a copy of it as a-a1) were ordered by name, so that the copy could take over the cookie of the sound upstream, and packets of its open flows went to the copy's address. An entry under another name also got the cookie when the upstream restarted, as it had started earlier then, even if it was gone by that time; the upstream was left without new flows.

Now the first of two such entries keeps the cookie, and upstreams are ordered by the start in their first report, so that a restart changes nothing.

other_name_for_a_start_takes_no_flows_of_the_first, the end of other_name_for_an_id_takes_no_flows_of_the_first and the property "open flows stay where their upstream is" of t/prop-foreign-data failed before.

--- a/config/catalog.c
+++ b/config/catalog.c
@@ -187,48 +187,49 @@
 }
 
 /*
- * Whether A rather than B owns the cookie of both. Who started first does, as
- * it may have open flows; all instances have to decide alike, whichever of the
- * two they read first.
+ * Whether upstream A rather than B owns the cookie of both. Who started first
+ * does, as it may have open flows; all instances have to decide alike, whichever
+ * of the two they read first. A restart changes nothing, and neither does a
+ * second name for the same start.
  */
-static bool owns_shared_cookie(const struct upstream_report *a,
-			       const struct upstream_report *b)
+static bool owns_shared_cookie(const struct catalog *c, upstream_index_t a,
+			       upstream_index_t b)
 {
-	if (a->started_at_ms != b->started_at_ms)
-		return a->started_at_ms < b->started_at_ms;
-	if (a->id != b->id)
-		return a->id < b->id;
-	return strcmp(a->name, b->name) < 0;
+	const struct catalog_upstream *x = upstream_by_index(c, a);
+	const struct catalog_upstream *y = upstream_by_index(c, b);
+
+	if (x->first_start_ms != y->first_start_ms)
+		return x->first_start_ms < y->first_start_ms;
+	if (x->report.id != y->report.id)
+		return x->report.id < y->report.id;
+	if (find_upstream_by_cookie(c, x->cookie) == a)
+		return true;
+	return find_upstream_by_cookie(c, x->cookie) != b &&
+	       strcmp(x->report.name, y->report.name) < 0;
 }
 
 /* Updates by_cookie and AMBIGUOUS for all upstreams with COOKIE. */
 static void resolve_cookie(struct catalog *c, uint32_t cookie)
 {
-	struct catalog_upstream *first = NULL;
-	guint first_nr = 0;
+	upstream_index_t owner = CATALOG_NONE;
 
 	for (guint i = 0; i < c->upstreams->len; i++) {
-		struct catalog_upstream *up =
-			upstream_by_index(c, (upstream_index_t)i);
+		upstream_index_t nr = (upstream_index_t)i;
+		struct catalog_upstream *up = upstream_by_index(c, nr);
 
 		if (!up || up->cookie != cookie)
 			continue;
-		if (!first || owns_shared_cookie(&up->report, &first->report)) {
-			if (first)
-				first->ambiguous = true;
-			first = up;
-			first_nr = i;
-		} else {
-			up->ambiguous = true;
-		}
+		up->ambiguous = true;
+		if (owner == CATALOG_NONE || owns_shared_cookie(c, nr, owner))
+			owner = nr;
 	}
-	if (!first) {
+	if (owner == CATALOG_NONE) {
 		g_hash_table_remove(c->by_cookie, GUINT_TO_POINTER(cookie));
 		return;
 	}
-	first->ambiguous = false;
+	upstream_by_index(c, owner)->ambiguous = false;
 	g_hash_table_insert(c->by_cookie, GUINT_TO_POINTER(cookie),
-			    GUINT_TO_POINTER(first_nr + 1));
+			    GUINT_TO_POINTER(owner + 1));
 }
 
 static void remove_from_service(struct catalog *c, upstream_index_t nr)
@@ -275,6 +276,7 @@
 		return nr;
 	up = g_new0(struct catalog_upstream, 1);
 	up->report = *r;
+	up->first_start_ms = r->started_at_ms;
 	up->cookie = make_cookie(r->id);
 	g_ptr_array_index(c->upstreams, nr) = up;
 	g_hash_table_insert(c->by_name, g_strdup(r->name),
@@ -308,7 +310,6 @@
 	domain_index_t domain = intern_domain(c, r->domain);
 	upstream_index_t nr = find_upstream_by_name(c, r->name);
 	struct catalog_upstream *up;
-	bool restarted;
 
 	if (service == CATALOG_NONE || domain == CATALOG_NONE)
 		return CATALOG_NONE;
@@ -321,11 +322,9 @@
 		remove_from_service(c, nr);
 		add_to_service(c, nr, service);
 	}
-	restarted = is_new_start(&up->report, r);
-	up->restart_count += restarted;
+	if (is_new_start(&up->report, r))
+		up->restart_count++;
 	up->report = *r;
-	if (restarted)
-		resolve_cookie(c, up->cookie);
 	up->domain = domain;
 	up->listed = true;
 	up->removed_at_ms = 0;
--- a/config/catalog.h
+++ b/config/catalog.h
@@ -45,7 +45,8 @@
 
 struct catalog_upstream {
 	struct upstream_report report;
-	uint32_t cookie; /* identifies it in packets; never 0 */
+	uint64_t first_start_ms; /* started_at_ms of its first report */
+	uint32_t cookie;	 /* identifies it in packets; never 0 */
 	service_index_t service;
 	domain_index_t domain;
 	bool listed;		 /* its entry exists */
--- a/t/check-odd-entries.c
+++ b/t/check-odd-entries.c
@@ -235,11 +235,20 @@
 	ck_assert(takes_new_flows(ID));
 	write_entry(names[_i], NULL);
 	ck_assert(takes_new_flows(ID));
-	/* what it had open ended with its former start */
 	write_entry(names[_i], other);
 	write_entry("i-a1",
 		    ENTRY("board", "10.0.0.3:9000", "north", "3000", "1"));
-	ck_assert_str_eq(open_flow_address(ID), "10.0.0.2:9000");
+	ck_assert_str_eq(open_flow_address(ID), "10.0.0.3:9000");
+	ck_assert(takes_new_flows(ID));
+}
+END_TEST
+
+START_TEST(other_name_for_a_start_takes_no_flows_of_the_first)
+{
+	write_entry("a-a1",
+		    ENTRY("board", "10.0.0.2:9000", "north", "1000", "1"));
+	ck_assert_str_eq(open_flow_address(ID), "10.0.0.1:9000");
+	ck_assert(takes_new_flows(ID));
 }
 END_TEST
 
@@ -278,6 +287,7 @@
 	tcase_add_test(tc, restarted_upstream_is_used_at_its_new_address);
 	tcase_add_loop_test(
 		tc, other_name_for_an_id_takes_no_flows_of_the_first, 0, 3);
+	tcase_add_test(tc, other_name_for_a_start_takes_no_flows_of_the_first);
 	tcase_add_test(tc, entry_of_a_restored_store_follows_an_unreadable_one);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_ENV);
