--- a/config/restored-records.c
+++ b/config/restored-records.c
@@ -193,27 +193,27 @@
 }
 
 enum record_verdict admit_record(struct restored_records *rr, const char *key,
-				 enum record_class class, bool present,
+				 enum record_class cls, bool present,
 				 struct record_order order,
 				 enum mirror_source source, uint64_t now_ms)
 {
 	struct known_record *k = g_hash_table_lookup(rr->records, key);
 	bool restored = source == MIRROR_RESTORED;
 
-	if (class == RECORD_CLASS_OTHER || (!k && !present))
+	if (cls == RECORD_CLASS_OTHER || (!k && !present))
 		return RECORD_APPLY;
 	prune_removals(rr, now_ms);
 	k = g_hash_table_lookup(rr->records, key);
-	if (restored && !k && class == RECORD_CLASS_UPSTREAM) {
+	if (restored && !k && cls == RECORD_CLASS_UPSTREAM) {
 		/* one that was never seen is taken for one that left */
-		k = get_or_create_record(rr, key, class);
+		k = get_or_create_record(rr, key, cls);
 		set_present(rr, k, false, now_ms);
 		k->order = order;
 	}
 	if (restored && k &&
 	    admit_restored_record(rr, k, present, order, now_ms) == RECORD_HOLD)
 		return RECORD_HOLD;
-	k = get_or_create_record(rr, key, class);
+	k = get_or_create_record(rr, key, cls);
 	k->written |= source == MIRROR_WRITTEN;
 	if (present)
 		k->order = order;
@@ -272,17 +272,17 @@
 
 enum record_verdict adopt_held_record(struct restored_records *rr,
 				      const struct held_record *h,
-				      enum record_class class, uint64_t now_ms)
+				      enum record_class cls, uint64_t now_ms)
 {
 	struct known_record *k = g_hash_table_lookup(rr->records, h->key);
 
 	if (k && (k->written || k->held))
 		return RECORD_HOLD;
-	switch (class) {
+	switch (cls) {
 	case RECORD_CLASS_DOMAIN_OUT:
 		if (!h->present || (k && k->present))
 			return RECORD_HOLD;
-		k = get_or_create_record(rr, h->key, class);
+		k = get_or_create_record(rr, h->key, cls);
 		set_present(rr, k, true, now_ms);
 		begin_hold(rr, k, now_ms + h->left_ms);
 		return RECORD_APPLY;
@@ -291,7 +291,7 @@
 		if (h->present)
 			return RECORD_HOLD;
 		if (!k) {
-			k = get_or_create_record(rr, h->key, class);
+			k = get_or_create_record(rr, h->key, cls);
 			k->order.started_at_ms = UINT64_MAX; /* not known */
 		}
 		set_present(rr, k, false, now_ms);
--- a/config/restored-records.h
+++ b/config/restored-records.h
@@ -77,7 +77,7 @@
 
 /* Decides about KEY, which was written (PRESENT, with ORDER) or removed. */
 enum record_verdict admit_record(struct restored_records *rr, const char *key,
-				 enum record_class class, bool present,
+				 enum record_class cls, bool present,
 				 struct record_order order,
 				 enum mirror_source source, uint64_t now_ms);
 
@@ -108,12 +108,12 @@
 
 /*
  * Takes over H from a peer that knew the store before the restore, at an
- * instance that did not. CLASS is that of its key. RECORD_APPLY: what H says
+ * instance that did not. CLS is that of its key. RECORD_APPLY: what H says
  * goes into force now (a domain is out, an upstream left); RECORD_HOLD: it was
  * known already, or its owner has written since.
  */
 enum record_verdict adopt_held_record(struct restored_records *rr,
 				      const struct held_record *h,
-				      enum record_class class, uint64_t now_ms);
+				      enum record_class cls, uint64_t now_ms);
 
 #endif
