event-log: replace control characters in lines

Names of entries that other writers leave are logged. A name with a line feed ended the line, and what followed it read like a line of its own, for example event=flow-reset.

foreign_text_makes_no_line_of_its_own failed before: two lines for one event.

--- a/net/event-log.c
+++ b/net/event-log.c
@@ -111,6 +111,14 @@
 	return (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
 }
 
+/* Replaces control characters, which names of other writers may contain. */
+static void replace_control_characters(char *text)
+{
+	for (; *text; text++)
+		if (g_ascii_iscntrl(*text))
+			*text = '?';
+}
+
 void log_event(struct event_log *el, enum event_kind kind, const char *fmt, ...)
 {
 	char line[LINE_MAX_BYTES];
@@ -128,6 +136,7 @@
 	va_start(ap, fmt);
 	g_vsnprintf(line + n, (gulong)(sizeof(line) - n - 1), fmt, ap);
 	va_end(ap);
+	replace_control_characters(line);
 	n = strlen(line);
 	line[n] = '\n';
 	line[n + 1] = '\0';
--- a/t/check-event-log.c
+++ b/t/check-event-log.c
@@ -50,6 +50,21 @@
 	return g_string_free(text, FALSE);
 }
 
+START_TEST(foreign_text_makes_no_line_of_its_own)
+{
+	char *text;
+
+	log_event(el, EVENT_UPSTREAM_INVALID, "upstream=%s revision=%d",
+		  "x\nt=1 event=flow-reset\r\x1b[2J\x7f", 7);
+	flush_event_log(el, 1000);
+	text = read_all();
+	ck_assert_uint_eq(count_lines(text), 1);
+	ck_assert_ptr_nonnull(strstr(
+		text, "upstream=x?t=1 event=flow-reset??[2J? revision=7\n"));
+	g_free(text);
+}
+END_TEST
+
 START_TEST(log_line_has_time_event_and_fields)
 {
 	char *text;
@@ -131,6 +146,7 @@
 
 	tcase_add_checked_fixture(tc, setup, teardown);
 	tcase_add_test(tc, log_line_has_time_event_and_fields);
+	tcase_add_test(tc, foreign_text_makes_no_line_of_its_own);
 	tcase_add_test(tc, lines_over_budget_are_dropped_and_reported);
 	tcase_add_test(tc, stalled_reader_loses_lines_without_blocking);
 	tcase_add_test(tc, docs_page_lists_every_event);
