store: do not take an etcd key with a NUL for its first part

Keys of etcd are bytes. A key was read as text up to its first NUL, so that an entry of another writer at "KEY\0x" replaced the value of KEY in a range or a watch. Such entries are now left out and counted in unreadable_nr; they can't be ours.

key_with_a_nul_is_not_taken_for_its_first_part failed before: two entries were read. What malformed_answer_is_corrupt refuses is still refused.

--- a/store/etcd-json.c
+++ b/store/etcd-json.c
@@ -114,6 +114,7 @@
 	return json_is_integer(j) ? (uint64_t)json_integer_value(j) : 0;
 }
 
+/* False if J is malformed. E has no key if that has a NUL. */
 static bool read_entry(const json_t *j, struct store_entry *e)
 {
 	const char *key = json_string_value(json_object_get(j, "key"));
@@ -125,7 +126,9 @@
 	if (!key)
 		return false;
 	raw = g_base64_decode(key, &len);
-	e->key = g_strndup((const char *)raw, len);
+	/* its text ends at a NUL, where it may be the key of another entry */
+	if (!memchr(raw, '\0', len))
+		e->key = g_strndup((const char *)raw, len);
 	g_free(raw);
 	e->value = g_base64_decode(value ? value : "", &len);
 	e->len = len;
@@ -134,6 +137,17 @@
 	return true;
 }
 
+/* Counts E, which was read to the end of A's entries, unless it has no key. */
+static void add_read_entry(struct store_answer *a, const struct store_entry *e)
+{
+	if (e->key) {
+		a->entry_nr++;
+		return;
+	}
+	g_free(e->value);
+	a->unreadable_nr++;
+}
+
 /* Appends the entries in KVS to A; false if one is malformed. */
 static bool add_entries(const json_t *kvs, struct store_answer *a)
 {
@@ -145,7 +159,7 @@
 		if (!read_entry(json_array_get(kvs, i),
 				&a->entries[a->entry_nr]))
 			return false;
-		a->entry_nr++;
+		add_read_entry(a, &a->entries[a->entry_nr]);
 	}
 	return true;
 }
@@ -206,7 +220,7 @@
 	if (!read_entry(json_object_get(event, "kv"), e))
 		return false;
 	e->deleted = type && !strcmp(type, "DELETE");
-	a->entry_nr++;
+	add_read_entry(a, e);
 	return true;
 }
 
--- a/t/check-store.c
+++ b/t/check-store.c
@@ -101,6 +101,37 @@
 }
 END_TEST
 
+#define HEADER "\"header\":{\"revision\":\"9\"}"
+#define KV(key, value)                                                         \
+	"{\"key\":\"" key "\",\"value\":\"" value "\",\"mod_revision\":\"3\"}"
+
+START_TEST(key_with_a_nul_is_not_taken_for_its_first_part)
+{
+	/* "/a" and "/a\0x" */
+	static const char kvs[] =
+		"{" HEADER
+		",\"kvs\":[" KV("L2EAeA==", "Mg==") "," KV("L2E=", "MQ==") "]}";
+	static const char events[] =
+		"{\"result\":{" HEADER
+		",\"events\":[{\"kv\":" KV("L2EAeA==", "Mg==") "},{\"kv\":" KV(
+			"L2E=", "MQ==") "}]}}";
+	const read_fn read[] = { read_kv_json, read_watch_json };
+	const char *const texts[] = { kvs, events };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(read); i++) {
+		struct store_answer a;
+
+		ck_assert_int_eq(read[i](texts[i], strlen(texts[i]), &a),
+				 STATUS_OK);
+		ck_assert_uint_eq(a.entry_nr, 1);
+		ck_assert_uint_eq(a.unreadable_nr, 1);
+		ck_assert_str_eq(a.entries[0].key, "/a");
+		ck_assert_mem_eq(a.entries[0].value, "1", 1);
+		release_store_answer(&a);
+	}
+}
+END_TEST
+
 START_TEST(transaction_gets_keys_and_deletes_a_range)
 {
 	struct txn *t = create_txn();
@@ -297,6 +328,7 @@
 
 	tcase_add_checked_fixture(tc, setup, teardown);
 	tcase_add_test(tc, failed_comparison_prevents_the_transaction);
+	tcase_add_test(tc, key_with_a_nul_is_not_taken_for_its_first_part);
 	tcase_add_test(tc, transaction_gets_keys_and_deletes_a_range);
 	tcase_add_test(tc, range_returns_at_most_the_limit);
 	tcase_add_test(tc, watch_delivers_each_change_once);
