mirror: pass events that can't be read by a whole read

If the answer of a watch could not be read, or was longer than the 8 MB that the client reads, the watch began again at the same revision and the store gave the same answer: the instance followed no change until the store had dropped that part of its history. Some large values of another writer, written while an instance could not reach the store, are enough.

events_that_cannot_be_read_are_passed_by_a_whole_read failed before, and without the change in config/mirror.c t/whole-odd-entries.sh ends with "a change beside a huge event is not in force".

--- a/config/mirror.c
+++ b/config/mirror.c
@@ -485,6 +485,8 @@
 		return;
 	}
 	if (a->status.kind != STATUS_OK) {
+		/* the same watch again would bring the same events */
+		m->needs_full_read |= a->status.kind == STATUS_CORRUPT;
 		note_store_failure(m, now_ms, out);
 		return;
 	}
--- a/net/http-client.c
+++ b/net/http-client.c
@@ -14,6 +14,7 @@
 	struct http_message *answer;
 	GByteArray *request_bytes;
 	bool maybe_sent; /* connected, so that bytes may have been sent */
+	bool malformed;	 /* the answer, as far as it arrived */
 	uint64_t timeout_ms;
 	bool timeout_deferred; /* it has expired once; see on_timeout() */
 	bool closing;
@@ -47,7 +48,9 @@
 
 static void finish_call(struct http_call *c)
 {
-	struct http_call_result r = { STATUS_OK, c->answer };
+	struct http_call_result r = { .kind = STATUS_OK,
+				      .malformed = c->malformed,
+				      .answer = c->answer };
 
 	if (c->closing)
 		return;
@@ -80,6 +83,7 @@
 	else
 		error = feed_http(c->reader, buf->base, (size_t)n, on_message,
 				  c);
+	c->malformed = n > 0 && error && !c->answer;
 	if (c->answer || error || n < 0)
 		finish_call(c);
 }
--- a/net/http-client.h
+++ b/net/http-client.h
@@ -22,6 +22,8 @@
  * STATUS_UNKNOWN: bytes may have been sent, but no complete answer arrived.
  */
 	enum status_kind kind;
+	/* of STATUS_UNKNOWN: what arrived is no answer, or too long */
+	bool malformed;
 	const struct http_message *answer;
 };
 
--- a/stand-in/platform-store.c
+++ b/stand-in/platform-store.c
@@ -13,7 +13,8 @@
  *                       the era before, until "well"), bad-era (answers
  *                       have an era that is not a number), odd (all
  *                       further reads also have items that can't be read; the
- *                       current fault stays)
+ *                       current fault stays), huge (like odd, and all further
+ *                       events are longer than clients read)
  */
 
 #include <jansson.h>
@@ -73,9 +74,10 @@
 
 static json_int_t answered_era; /* of the answers given now; -1: unreadable */
 static bool adds_odd_items;	/* to the answers given now */
+static size_t odd_event_depth = 100000; /* nesting of such an event */
 
 /* TEXT, an answer, with items that can't be read put before those of LIST. */
-static char *insert_odd_items(char *text, const char *list)
+static char *insert_odd_items(char *text, const char *list, size_t depth)
 {
 	static const char odd[] =
 		"{\"key\":\"servers/\\u0000\",\"value\":\"\",\"rev\":1},"
@@ -92,11 +94,11 @@
 	if (!at)
 		return text;
 	rest = at + strlen(list);
-	deep = g_strnfill(100000, '[');
+	deep = g_strnfill(depth, '[');
 	whole = g_strdup_printf("%.*s{\"key\":%s", (int)(rest - text), text,
 				deep);
 	g_free(deep);
-	deep = g_strnfill(100000, ']');
+	deep = g_strnfill(depth, ']');
 	at = g_strconcat(whole, deep, "},", odd, *rest == ']' ? "" : ",", rest,
 			 NULL);
 	g_free(deep);
@@ -112,8 +114,8 @@
 	char era[24];
 
 	if (adds_odd_items) {
-		text = insert_odd_items(text, "\"items\":[");
-		text = insert_odd_items(text, "\"events\":[");
+		text = insert_odd_items(text, "\"items\":[", 100000);
+		text = insert_odd_items(text, "\"events\":[", odd_event_depth);
 	}
 	m->code = code;
 	if (answered_era < 0)
@@ -513,7 +515,9 @@
 	}
 	if (!strcmp(word, "restore"))
 		restore_copy(s);
-	adds_odd_items |= !strcmp(word, "odd");
+	if (!strcmp(word, "huge"))
+		odd_event_depth = 5000000;
+	adds_odd_items |= !strcmp(word, "odd") || !strcmp(word, "huge");
 	for (size_t i = 0; i < G_N_ELEMENTS(words); i++)
 		if (!strcmp(word, words[i]))
 			s->fault = (enum fault)i;
--- a/t/check-mirror.c
+++ b/t/check-mirror.c
@@ -566,6 +566,20 @@
 }
 END_TEST
 
+START_TEST(events_that_cannot_be_read_are_passed_by_a_whole_read)
+{
+	struct store_entry a = make_entry("a", "2", 12);
+
+	read_initial_entries(1000);
+	send_answer(MIRROR_WATCH_ANSWER, STATUS_CORRUPT, 0, NULL, 0, 2000);
+	send_tick(2000 + MIRROR_BACKOFF_MAX_MS);
+	ck_assert(find_action(MIRROR_DO_READ, NULL));
+	send_answer(MIRROR_READ_DONE, STATUS_OK, 13, &a, 1, 3100);
+	ck_assert(find_action(MIRROR_KEY_CHANGED, "a"));
+	ck_assert_uint_eq(find_action(MIRROR_DO_WATCH, NULL)->revision, 14);
+}
+END_TEST
+
 START_TEST(a_long_value_that_is_gone_is_not_read_for_ever)
 {
 	struct store_entry omitted = { .key = (char *)"odd",
@@ -1038,6 +1052,8 @@
 	tcase_add_test(tc, watches_the_store_if_no_peer_answers);
 	tcase_add_test(tc, rereads_a_long_value_changed_during_its_read);
 	tcase_add_test(tc, asks_peers_for_a_long_value_before_the_store);
+	tcase_add_test(tc,
+		       events_that_cannot_be_read_are_passed_by_a_whole_read);
 	tcase_add_loop_test(tc, a_long_value_that_is_gone_is_not_read_for_ever,
 			    0, 2);
 	tcase_add_test(tc, an_empty_value_is_a_value);
--- a/t/whole-odd-entries.sh
+++ b/t/whole-odd-entries.sh
@@ -106,6 +106,12 @@
 	fail "unreadable items were not counted"
 grep -q "event=problem what=store why=.* items can't be read" "$work/in-1.log" ||
 	fail "unreadable items were not logged"
+
+# Events that are longer than a client reads are passed by a whole read.
+fault huge
+write_config 3 8443 8081
+wait_until 5 has_logged 1 "event=routes version=3" ||
+	fail "a change beside a huge event is not in force"
 for n in 1 2
 do
 	kill -s TERM "$(cat "$work/in-$n.pid")"
