--- a/config/catalog.c
+++ b/config/catalog.c
@@ -187,36 +187,49 @@
 }
 
 /*
- * Updates by_cookie and AMBIGUOUS for all upstreams with COOKIE: the one with
- * the lowest id owns it.
+ * Whether upstream A rather than B owns the cookie of both. Who started first
+ * does, as it may have open flows; all instances have to decide alike, whichever
+ * of the two they read first. A restart changes nothing, and neither does a
+ * second name for the same start.
  */
+static bool owns_shared_cookie(const struct catalog *c, upstream_index_t a,
+			       upstream_index_t b)
+{
+	const struct catalog_upstream *x = upstream_by_index(c, a);
+	const struct catalog_upstream *y = upstream_by_index(c, b);
+
+	if (x->first_start_ms != y->first_start_ms)
+		return x->first_start_ms < y->first_start_ms;
+	if (x->report.id != y->report.id)
+		return x->report.id < y->report.id;
+	if (find_upstream_by_cookie(c, x->cookie) == a)
+		return true;
+	return find_upstream_by_cookie(c, x->cookie) != b &&
+	       strcmp(x->report.name, y->report.name) < 0;
+}
+
+/* Updates by_cookie and AMBIGUOUS for all upstreams with COOKIE. */
 static void resolve_cookie(struct catalog *c, uint32_t cookie)
 {
-	struct catalog_upstream *first = NULL;
-	guint first_nr = 0;
+	upstream_index_t owner = CATALOG_NONE;
 
 	for (guint i = 0; i < c->upstreams->len; i++) {
-		struct catalog_upstream *up =
-			upstream_by_index(c, (upstream_index_t)i);
+		upstream_index_t nr = (upstream_index_t)i;
+		struct catalog_upstream *up = upstream_by_index(c, nr);
 
 		if (!up || up->cookie != cookie)
 			continue;
-		if (!first || up->report.id < first->report.id) {
-			if (first)
-				first->ambiguous = true;
-			first = up;
-			first_nr = i;
-		} else {
-			up->ambiguous = true;
-		}
+		up->ambiguous = true;
+		if (owner == CATALOG_NONE || owns_shared_cookie(c, nr, owner))
+			owner = nr;
 	}
-	if (!first) {
+	if (owner == CATALOG_NONE) {
 		g_hash_table_remove(c->by_cookie, GUINT_TO_POINTER(cookie));
 		return;
 	}
-	first->ambiguous = false;
+	upstream_by_index(c, owner)->ambiguous = false;
 	g_hash_table_insert(c->by_cookie, GUINT_TO_POINTER(cookie),
-			    GUINT_TO_POINTER(first_nr + 1));
+			    GUINT_TO_POINTER(owner + 1));
 }
 
 static void remove_from_service(struct catalog *c, upstream_index_t nr)
@@ -263,6 +276,7 @@
 		return nr;
 	up = g_new0(struct catalog_upstream, 1);
 	up->report = *r;
+	up->first_start_ms = r->started_at_ms;
 	up->cookie = make_cookie(r->id);
 	g_ptr_array_index(c->upstreams, nr) = up;
 	g_hash_table_insert(c->by_name, g_strdup(r->name),
@@ -314,6 +328,7 @@
 	up->domain = domain;
 	up->listed = true;
 	up->removed_at_ms = 0;
+	up->disputed_at_ms = 0;
 	up->revision = revision;
 	up->reported_at_ms = now_ms;
 	up->cold_until_ms = r->cold_left_ms ? now_ms + r->cold_left_ms : 0;
@@ -329,6 +344,7 @@
 	if (nr == CATALOG_NONE)
 		return nr;
 	up = upstream_by_index(c, nr);
+	up->disputed_at_ms = 0;
 	if (!up->listed)
 		return CATALOG_NONE;
 	up->listed = false;
@@ -336,6 +352,57 @@
 	return nr;
 }
 
+/* True if R is about another place or service than UP without a later start. */
+static bool contradicts_report(const struct catalog *c,
+			       const struct catalog_upstream *up,
+			       const struct upstream_report *r)
+{
+	const struct upstream_report *old = &up->report;
+	const struct catalog_service *known = get_service(c, up->service);
+	guint nr = GPOINTER_TO_UINT(
+		g_hash_table_lookup(c->service_nrs, r->service));
+
+	if (known->listed &&
+	    !(nr && get_service(c, (service_index_t)(nr - 1))->listed))
+		return true;
+	return r->started_at_ms <= old->started_at_ms &&
+	       (!same_endpoint(&r->address, &old->address) ||
+		strcmp(r->service, old->service) != 0 ||
+		strcmp(r->domain, old->domain) != 0);
+}
+
+bool dispute_upstream_report(struct catalog *c, const struct upstream_report *r,
+			     uint64_t hold_ms, uint64_t now_ms)
+{
+	upstream_index_t nr = find_upstream_by_name(c, r->name);
+	struct catalog_upstream *up = NULL;
+	uint64_t since_ms;
+
+	if (nr != CATALOG_NONE)
+		up = upstream_by_index(c, nr);
+	if (!up || !contradicts_report(c, up, r))
+		return false;
+	since_ms = up->disputed_at_ms ? up->disputed_at_ms : now_ms;
+	if (now_ms - since_ms >= hold_ms)
+		return false;
+	remove_catalog_upstream(c, r->name, now_ms);
+	up->disputed_at_ms = since_ms;
+	return true;
+}
+
+void list_settled_disputes(const struct catalog *c, uint64_t hold_ms,
+			   uint64_t now_ms, GPtrArray *names)
+{
+	for (guint i = 0; i < c->upstreams->len; i++) {
+		const struct catalog_upstream *up =
+			upstream_by_index(c, (upstream_index_t)i);
+
+		if (up && up->disputed_at_ms &&
+		    now_ms - up->disputed_at_ms >= hold_ms)
+			g_ptr_array_add(names, g_strdup(up->report.name));
+	}
+}
+
 void set_catalog_domain_out(struct catalog *c, const char *domain, bool out,
 			    uint64_t assume_cold_ms, uint64_t now_ms)
 {
--- a/t/check-platform.c
+++ b/t/check-platform.c
@@ -1,5 +1,6 @@
 /*
- * Tests of platform/: packets, entries of upstreams and the configuration.
+ * Tests of platform/: packets, pages of the store, entries of upstreams and the
+ * configuration.
  * Guards against malformed input that is accepted or changes the state.
  */
 
@@ -10,6 +11,8 @@
 
 #include "platform/packet.h"
 #include "platform/records.h"
+#include "platform/store-page.h"
+#include "store/etcd-json.h"
 
 /* SYN from 100.64.0.7:40001 to 198.18.0.1:443. */
 static const uint8_t syn[] = { 0x80, 0x00, 0x00, 0x00, 0x00, 0x00, 0xa1, 0xb2,
@@ -152,6 +155,76 @@
 }
 END_TEST
 
+START_TEST(id_that_is_no_number_of_64_bits_names_no_upstream)
+{
+	static const char *const names[] = { "i-ffffffffffffffff0000000000",
+					     "i-10000000000000000",
+					     "i- 7f3a91c2",
+					     "i-+7f3a91c2",
+					     "i-0x7f3a91c2",
+					     "i-0",
+					     "i-00000000000000000" };
+	struct upstream_report r;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
+		ck_assert_msg(read_entry(names[i], VALID_ENTRY, &r) ==
+				      STATUS_CORRUPT,
+			      "%s is taken as %llx", names[i],
+			      (unsigned long long)r.id);
+	ck_assert_int_eq(read_entry("i-fFffffffffffffff", VALID_ENTRY, &r),
+			 STATUS_OK);
+	ck_assert_uint_eq(r.id, UINT64_MAX);
+}
+END_TEST
+
+START_TEST(start_that_is_no_time_names_no_upstream)
+{
+	static const char *const replacements[][2] = {
+		{ "1775020505058", "-1775020505058" },
+		{ "1775020505058", "9223372036854775807" },
+		{ "1775020505058", "9007199254740992" },
+		{ "1775020505058", "null" },
+		{ "1775020505058", "0" },
+		{ ",\"born\":1775020505058", "" },
+		{ "\"seq\":4", "\"seq\":-4" },
+		{ "\"seq\":4", "\"seq\":4.5" },
+		{ "\"seq\":4", "\"seq\":\"4\"" },
+		{ "\"seq\":4,", "" },
+	};
+	struct upstream_report r;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(replacements); i++) {
+		char *text = replace_in_entry(replacements[i][0],
+					      replacements[i][1]);
+
+		ck_assert_msg(read_entry("i-1", text, &r) == STATUS_CORRUPT,
+			      "%s is taken", text);
+		g_free(text);
+	}
+}
+END_TEST
+
+START_TEST(address_that_gets_no_packets_names_no_upstream)
+{
+	static const char *const addresses[] = {
+		"[2001:db8::9]:8080", "[::ffff:10.128.0.9]:8080",
+		"0.0.0.0:8080",	      "255.255.255.255:8080",
+		"224.0.0.1:8080",     "10.128.0.9:0",
+		"10.128.0.9:65536",   "10.128.0.9:-1",
+		"host.example:8080",  "10.128.0.9"
+	};
+	struct upstream_report r;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(addresses); i++) {
+		char *text = replace_in_entry("10.128.0.9:8080", addresses[i]);
+
+		ck_assert_msg(read_entry("i-1", text, &r) == STATUS_CORRUPT,
+			      "%s is taken", addresses[i]);
+		g_free(text);
+	}
+}
+END_TEST
+
 #define VALID_CONFIG                                                           \
 	"{\"version\":7,\"routes\":["                                          \
 	"{\"name\":\"r-1\",\"host\":\"198.18.0.1\",\"prefix\":\"/8080/\","     \
@@ -194,6 +267,38 @@
 }
 END_TEST
 
+START_TEST(numbers_out_of_range_in_a_configuration_are_limited)
+{
+	static const char config[] =
+		"{\"version\":8,\"routes\":[],\"services\":["
+		"{\"name\":\"low\",\"maxConns\":-1,\"warmupS\":-2.5,"
+		"\"warmupPerS\":-3},"
+		"{\"name\":\"high\",\"maxConns\":1e300,\"warmupS\":1e300,"
+		"\"warmupPerS\":1e300}]}";
+	static const char weight[] =
+		"{\"version\":9,\"services\":[],\"routes\":["
+		"{\"host\":\"198.18.0.1\",\"prefix\":\"/80/\",\"split\":["
+		"{\"service\":\"low\",\"weight\":1e300}]}]}";
+	struct catalog *c = create_catalog(60000);
+	const struct catalog_service *sv;
+	struct status st;
+
+	ck_assert_int_eq(read_operator_config(c, config, strlen(config), &st),
+			 STATUS_OK);
+	sv = get_service(c, intern_service(c, "low"));
+	ck_assert_uint_eq(sv->cold_ms, 0);
+	ck_assert(sv->cold_flows_per_s == 0);
+	ck_assert_uint_eq(sv->max_flows, UINT32_MAX);
+	sv = get_service(c, intern_service(c, "high"));
+	ck_assert_uint_eq(sv->cold_ms, UINT32_MAX);
+	ck_assert(sv->cold_flows_per_s == UINT32_MAX);
+	ck_assert_uint_eq(sv->max_flows, UINT32_MAX);
+	ck_assert_int_eq(read_operator_config(c, weight, strlen(weight), &st),
+			 STATUS_CORRUPT);
+	destroy_catalog(c);
+}
+END_TEST
+
 START_TEST(invalid_configuration_changes_nothing)
 {
 	static const char *const invalid_configs[] = {
@@ -224,6 +329,129 @@
 }
 END_TEST
 
+#define PAGE_END "],\"hasMore\":false,\"storeRevision\":9}"
+#define GOOD_ITEM(key, rev)                                                    \
+	"{\"key\":\"" key "\",\"value\":\"e30=\",\"rev\":" rev                 \
+	",\"createRev\":1,\"lease\":0}"
+
+/* Entries that can't be read, with a key or without one. */
+static const char *const odd_items[] = {
+	"null",
+	"7",
+	"\"\"",
+	"{}",
+	"[[[]]]",
+	"{\"key\":\"a\\u0000b\",\"value\":\"\",\"rev\":3}",
+	"{\"key\":\"a\\ud800b\",\"value\":\"\",\"rev\":3}",
+	"{\"key\":\"a\xff\",\"value\":\"\",\"rev\":3}",
+	"{\"key\":\"\",\"value\":\"\",\"rev\":3}",
+	"{\"key\":7,\"value\":\"\",\"rev\":3}",
+	"{\"key\":\"k\",\"value\":\"\",\"rev\":1e400}",
+	"{\"key\":\"k\",\"value\":\"\",\"rev\":99999999999999999999}",
+	"{\"key\":\"k\",\"value\":\"\",\"rev\":-3}",
+	"{\"key\":\"k\",\"value\":\"\",\"rev\":3.5}",
+	"{\"key\":\"k\",\"value\":\"\",\"rev\":\"3\"}",
+	"{\"key\":\"k\",\"value\":\"\"}",
+	"{\"key\":\"k]}\\\"\",\"value\":\"\",\"rev\":{]}",
+	"{\"key\":\"k\",\"removed\":true}",
+};
+
+static void check_page_with(const char *odd)
+{
+	char *text =
+		g_strconcat("{\"items\":[", GOOD_ITEM("a", "3"), ",", odd, ",",
+			    GOOD_ITEM("z", "4"), ",", odd, PAGE_END, NULL);
+	struct store_answer a = { 0 };
+	struct store_page p;
+
+	ck_assert_msg(read_store_page(text, strlen(text), "items", &a, &p),
+		      "the page with %.80s is refused", odd);
+	ck_assert_uint_eq(p.revision, 9);
+	ck_assert_uint_eq(a.entry_nr, 2);
+	ck_assert_uint_eq(a.unreadable_nr, 2);
+	ck_assert_str_eq(a.entries[0].key, "a");
+	ck_assert_str_eq(a.entries[1].key, "z");
+	ck_assert_mem_eq(a.entries[1].value, "{}", 2);
+	ck_assert_uint_eq(a.entries[1].mod_revision, 4);
+	ck_assert(!a.entries[1].deleted);
+	g_free(p.last_key);
+	release_store_answer(&a);
+	g_free(text);
+}
+
+START_TEST(unreadable_item_does_not_hide_the_rest_of_its_page)
+{
+	char *key = g_strnfill(201, 'k');
+	char *item = g_strdup_printf(
+		"{\"key\":\"%s\",\"value\":\"\",\"rev\":3}", key);
+	GString *deep = g_string_new("{\"key\":");
+
+	for (size_t i = 0; i < G_N_ELEMENTS(odd_items); i++)
+		check_page_with(odd_items[i]);
+	check_page_with(item);
+	for (int i = 0; i < 200000; i++)
+		g_string_insert_c(deep, -1, '[');
+	for (int i = 0; i < 200000; i++)
+		g_string_append_c(deep, ']');
+	g_string_append_c(deep, '}');
+	check_page_with(deep->str);
+	g_string_free(deep, TRUE);
+	g_free(item);
+	g_free(key);
+}
+END_TEST
+
+START_TEST(item_with_an_unreadable_value_is_present)
+{
+	static const char *const values[] = { "", ",\"value\":null",
+					      ",\"value\":[1]",
+					      ",\"value\":\"\\u0000\"" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(values); i++) {
+		char *text = g_strdup_printf("{\"events\":[{\"key\":\"k\","
+					     "\"rev\":3%s}%s",
+					     values[i], PAGE_END);
+		struct store_answer a = { 0 };
+		struct store_page p;
+
+		ck_assert(
+			read_store_page(text, strlen(text), "events", &a, &p));
+		ck_assert_uint_eq(a.entry_nr, 1);
+		ck_assert_uint_eq(a.entries[0].len, 0);
+		ck_assert_ptr_nonnull(a.entries[0].value);
+		ck_assert_str_eq(p.last_key, "k");
+		g_free(p.last_key);
+		release_store_answer(&a);
+		g_free(text);
+	}
+}
+END_TEST
+
+START_TEST(page_that_is_no_list_is_refused)
+{
+	static const char *const texts[] = {
+		"",
+		"[]",
+		"{}",
+		"{\"items\":{},\"storeRevision\":9}",
+		"{\"items\":[]}",
+		"{\"items\":[],\"storeRevision\":0}",
+		"{\"items\":[],\"storeRevision\":9",
+		"{\"items\":[{\"key\":\"",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		struct store_answer a = { 0 };
+		struct store_page p;
+
+		ck_assert(!read_store_page(texts[i], strlen(texts[i]), "items",
+					   &a, &p));
+		g_free(p.last_key);
+		release_store_answer(&a);
+	}
+}
+END_TEST
+
 START_TEST(key_determines_the_record_kind)
 {
 	const char *name;
@@ -254,8 +482,15 @@
 	tcase_add_test(tc, reset_has_the_service_as_source);
 	tcase_add_test(tc, upstream_entry_is_decoded);
 	tcase_add_test(tc, invalid_upstream_entry_is_refused);
+	tcase_add_test(tc, id_that_is_no_number_of_64_bits_names_no_upstream);
+	tcase_add_test(tc, start_that_is_no_time_names_no_upstream);
+	tcase_add_test(tc, address_that_gets_no_packets_names_no_upstream);
 	tcase_add_test(tc, operator_configuration_is_decoded);
+	tcase_add_test(tc, numbers_out_of_range_in_a_configuration_are_limited);
 	tcase_add_test(tc, invalid_configuration_changes_nothing);
+	tcase_add_test(tc, unreadable_item_does_not_hide_the_rest_of_its_page);
+	tcase_add_test(tc, item_with_an_unreadable_value_is_present);
+	tcase_add_test(tc, page_that_is_no_list_is_refused);
 	tcase_add_test(tc, key_determines_the_record_kind);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_ENV);
