platform: take entries that do not tell when the upstream started

All deployments at hand have it, but the message samples of the platform do not show it, and where it is missing every upstream would be refused and no request served. An entry without it is used as before; one with a start that is no time is still refused.

entry_of_a_platform_without_starts_names_an_upstream fails without the change.

--- a/t/check-platform.c
+++ b/t/check-platform.c
@@ -185,7 +185,6 @@
 		{ "1775020505058", "9007199254740992" },
 		{ "1775020505058", "null" },
 		{ "1775020505058", "0" },
-		{ ",\"born\":1775020505058", "" },
 		{ "\"seq\":4", "\"seq\":-4" },
 		{ "\"seq\":4", "\"seq\":4.5" },
 		{ "\"seq\":4", "\"seq\":\"4\"" },
@@ -204,6 +203,17 @@
 }
 END_TEST
 
+START_TEST(entry_of_a_platform_without_starts_names_an_upstream)
+{
+	char *text = replace_in_entry(",\"born\":1775020505058", "");
+	struct upstream_report r;
+
+	ck_assert_int_eq(read_entry("i-1", text, &r), STATUS_OK);
+	ck_assert_uint_eq(r.started_at_ms, 0);
+	g_free(text);
+}
+END_TEST
+
 START_TEST(address_that_gets_no_packets_names_no_upstream)
 {
 	static const char *const addresses[] = {
@@ -484,6 +494,8 @@
 	tcase_add_test(tc, invalid_upstream_entry_is_refused);
 	tcase_add_test(tc, id_that_is_no_number_of_64_bits_names_no_upstream);
 	tcase_add_test(tc, start_that_is_no_time_names_no_upstream);
+	tcase_add_test(tc,
+		       entry_of_a_platform_without_starts_names_an_upstream);
 	tcase_add_test(tc, address_that_gets_no_packets_names_no_upstream);
 	tcase_add_test(tc, operator_configuration_is_decoded);
 	tcase_add_test(tc, numbers_out_of_range_in_a_configuration_are_limited);
