stand-in: let a caller close flows and name those that ended early

Flows of cookie-caller-stand-in lasted as long as the caller, so that no test had short flows beside long ones, and its report counted resets and lost requests without telling whose they were.

REQUESTS, an optional argument, closes a flow after so many answers.

--- a/stand-in/cookie-caller.c
+++ b/stand-in/cookie-caller.c
@@ -1,17 +1,23 @@
 /*
  * cookie-caller-stand-in ADDRESS:PORT SERVICE INSTANCES FLOWS SECONDS PAUSE-MS
+ *			  [REQUESTS]
  * Simulates the callers of the users' platform, and the routers in front of
  * the instances, for tests. INSTANCES are addresses separated by commas;
  * packets go to PORT there, and readiness is checked at PORT + 1. Each of FLOWS
  * flows repeatedly sends a request, waits for its answer and pauses; a flow
- * that ends early is opened again. Ends after SECONDS or on SIGTERM, and closes
+ * that ends early is opened again. With REQUESTS, a flow is closed after so
+ * many answers, and opened again. Ends after SECONDS or on SIGTERM, and closes
  * its flows then.
  *
  * Prints "flow on UPSTREAM" when a flow gets its first answer, and "all flows
- * answered" once every flow had one. At the end, it prints: answered, opened, refused (resets of SYNs), reset (of
- * open flows), lost (no answer within the deadline), wrong (an answer to
- * something else), moved (answers of one flow by two upstreams), late_ms (the
- * longest wait for an answer). Exit code 1 if any was wrong or moved.
+ * answered" once every flow had one. Prints "reset on UPSTREAM T PORT" (T in ms
+ * since 1970, PORT of the caller) when an open flow is reset, and "lost on
+ * UPSTREAM T PORT" when a request or a SYN gets no answer within its deadline;
+ * UPSTREAM is "none" for flows that were never answered. At the end, it prints:
+ * answered, opened, refused (resets of SYNs), reset (of open flows), lost (no
+ * answer within the deadline), wrong (an answer to something else), moved
+ * (answers of one flow by two upstreams), late_ms (the longest wait for an
+ * answer). Exit code 1 if any was wrong or moved.
  */
 
 #include <glib.h>
@@ -19,6 +25,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/time.h>
 #include <unistd.h>
 
 #include "net/datagrams.h"
@@ -70,7 +77,8 @@
 	struct caller_flow *flows;
 	size_t flow_nr;
 	uint64_t pause_ms;
-	uint64_t end_ms; /* loop time */
+	unsigned int requests_per_flow; /* 0: no limit */
+	uint64_t end_ms;		/* loop time */
 	uint16_t next_port;
 	unsigned int answered, opened, refused, reset, lost, wrong, moved;
 	uint64_t longest_wait_ms;
@@ -147,6 +155,20 @@
 	send_flow(c, f, TCP_ACK, f->ack, text);
 }
 
+/* Reports that F ended early: WHAT is "reset" or "lost". */
+static void report_early_end(const struct caller_flow *f, const char *what)
+{
+	struct timeval tv;
+
+	gettimeofday(&tv, NULL);
+	printf("%s on %s %llu %u\n", what,
+	       f->upstream[0] ? f->upstream : "none",
+	       (unsigned long long)tv.tv_sec * 1000 +
+		       (unsigned long long)tv.tv_usec / 1000,
+	       f->port);
+	fflush(stdout);
+}
+
 static void close_flow(struct cookie_caller *c, struct caller_flow *f)
 {
 	f->phase = PHASE_CLOSED;
@@ -182,6 +204,7 @@
 {
 	if (now - f->phase_started_ms >= SYN_TIMEOUT_MS) {
 		c->lost++;
+		report_early_end(f, "lost");
 		close_flow(c, f);
 	} else if (f->syns_sent < 3 && now >= f->next_resend_ms) {
 		f->next_resend_ms += 2 * RESEND_MIN_MS;
@@ -194,6 +217,7 @@
 {
 	if (now - f->phase_started_ms >= DEADLINE_MS) {
 		c->lost++;
+		report_early_end(f, "lost");
 		send_flow(c, f, TCP_ACK | TCP_FIN, f->ack, NULL);
 		close_flow(c, f);
 	} else if (now >= f->next_resend_ms) {
@@ -291,7 +315,7 @@
 	f->ack += p->payload_len;
 	f->phase = PHASE_IDLE;
 	f->phase_started_ms = uv_now(c->loop);
-	if (p->flags & TCP_FIN) {
+	if (p->flags & TCP_FIN || f->request == c->requests_per_flow) {
 		send_flow(c, f, TCP_ACK | TCP_FIN, f->ack, NULL);
 		close_flow(c, f);
 		return;
@@ -303,8 +327,10 @@
 {
 	if (f->phase == PHASE_OPENING)
 		c->refused++;
-	else if (f->phase != PHASE_CLOSED)
+	if (f->phase == PHASE_IDLE || f->phase == PHASE_WAITING) {
 		c->reset++;
+		report_early_end(f, "reset");
+	}
 	close_flow(c, f);
 }
 
@@ -411,16 +437,19 @@
 	struct cookie_caller c = { 0 };
 	struct status st = { 0 };
 
-	if (argc != 7 || parse_endpoint(argv[1], &c.own, &st) != STATUS_OK ||
+	if ((argc != 7 && argc != 8) ||
+	    parse_endpoint(argv[1], &c.own, &st) != STATUS_OK ||
 	    parse_endpoint(argv[2], &c.service, &st) != STATUS_OK ||
 	    !read_instances(&c, argv[3])) {
 		fprintf(stderr, "usage: cookie-caller-stand-in ADDRESS:PORT "
-				"SERVICE INSTANCES FLOWS SECONDS PAUSE-MS\n");
+				"SERVICE INSTANCES FLOWS SECONDS PAUSE-MS "
+				"[REQUESTS]\n");
 		return 1;
 	}
 	c.loop = uv_default_loop();
 	c.flow_nr = (size_t)atoi(argv[4]);
 	c.pause_ms = (uint64_t)atoi(argv[6]);
+	c.requests_per_flow = argc == 8 ? (unsigned int)atoi(argv[7]) : 0;
 	c.dg = create_datagrams(c.loop, &c.own, on_datagram, &c, &st);
 	if (!c.dg) {
 		fprintf(stderr, "cookie-caller-stand-in: %s\n", st.message);
