stand-in: give each flow of a caller its own initial sequence number

All flows of all callers began with sequence number 5000, and ports begin at a number made of the process id: if the id of one caller is less than its number of ports above that of the one before, keys are used again while instances still track the earlier flows. Such a SYN could not be told from a late copy of the earlier one, and is dropped since "drop late copies of the SYN of an open flow".

Hosts choose initial sequence numbers at random (RFC 6528); so does the stand-in now.

--- a/stand-in/cookie-caller.c
+++ b/stand-in/cookie-caller.c
@@ -39,7 +39,6 @@
 #define RESEND_MAX_MS 1600
 #define DEADLINE_MS 3000
 #define REOPEN_DELAY_MS 20 /* before a flow that ended early is opened again */
-#define CALLER_SEQ 5000
 #define INSTANCES_MAX 64
 
 enum phase { PHASE_CLOSED, PHASE_OPENING, PHASE_IDLE, PHASE_WAITING };
@@ -183,7 +182,7 @@
 	f->ever_answered = ever_answered;
 	f->phase = PHASE_OPENING;
 	f->port = c->next_port++;
-	f->seq = CALLER_SEQ;
+	f->seq = g_random_int();
 	f->phase_started_ms = uv_now(c->loop);
 	f->next_resend_ms = f->phase_started_ms + RESEND_MIN_MS;
 	send_syn(c, f);
