--- a/t/whole-soak.sh
+++ b/t/whole-soak.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
 # A short soak run with a fixed series of faults.
 
-exec "$(dirname "$0")/soak" "$1" 20261204 8
+exec "$(dirname "$0")/soak" "$1" 20261204 60
