flow/cookie: send no copy of a SYN to an upstream found dead

A caller could lose a request although other upstreams had room: all three transmissions of its SYN went to an upstream that had just ended. An upstream that has shown life since the SYN was sent counts as one that lost only this SYN, and gets the copies, too. That held even when a check, or the verdict of a peer, had found it dead in between.

Seen in t/whole-upgrade.sh (lost=1 of 8,331 requests, run beside three other tests): an instance of the build opened the flow at i-a6 when that was killed, had the verdict "dead" 440 ms later and sent the second copy there 162 ms after it. The present code did the same: retransmitted_syn_leaves_an_upstream_found_dead failed before.

The old build cannot be changed, so that test now excuses a SYN that was lost if the logs show that only instances of the old build handled it and sent it to upstreams that were killed; in the run above it is that one.

--- a/flow/cookie.c
+++ b/flow/cookie.c
@@ -359,6 +359,14 @@
 			;
 }
 
+static bool is_upstream_dead_or_cut_off(const struct cookie_steering *cs,
+					upstream_index_t nr)
+{
+	enum upstream_health h = assessed_health(cs->placer, nr);
+
+	return h == HEALTH_DEAD || h == HEALTH_UNREACHABLE;
+}
+
 static struct cookie_decision handle_syn(struct cookie_steering *cs,
 					 const struct cookie_packet *p,
 					 uint64_t now_ms)
@@ -390,7 +398,8 @@
 				     now_ms);
 		/* an upstream that answered other flows lost only this SYN */
 		if (was_alive_since(cs->placer, f->upstream, f->syn_ms) &&
-		    accepts_flows(cs->catalog, f->upstream))
+		    accepts_flows(cs->catalog, f->upstream) &&
+		    !is_upstream_dead_or_cut_off(cs, f->upstream))
 			return steer_to(cs, f->upstream, COOKIE_REOPENED);
 	}
 	return place_syn(cs, f, p, route, now_ms);
@@ -524,14 +533,6 @@
 	return d;
 }
 
-static bool is_upstream_dead_or_cut_off(const struct cookie_steering *cs,
-					upstream_index_t nr)
-{
-	enum upstream_health h = assessed_health(cs->placer, nr);
-
-	return h == HEALTH_DEAD || h == HEALTH_UNREACHABLE;
-}
-
 void set_cookie_isolated(struct cookie_steering *cs, bool isolated)
 {
 	cs->isolated = isolated;
--- a/t/check-cookie.c
+++ b/t/check-cookie.c
@@ -138,6 +138,20 @@
 }
 END_TEST
 
+START_TEST(retransmitted_syn_leaves_an_upstream_found_dead)
+{
+	struct cookie_decision first;
+
+	put_upstream("u-a", 0);
+	put_upstream("u-b", 0);
+	first = send_syn(4000, 0, 1000);
+	note_upstream_alive(in.placer, first.upstream, 1010);
+	note_upstream_silent(in.placer, first.upstream, 1020, 1100);
+	note_check_result(in.placer, first.upstream, CHECK_REFUSED, 1150);
+	ck_assert_uint_ne(send_syn(4000, 1, 1200).upstream, first.upstream);
+}
+END_TEST
+
 START_TEST(late_answer_to_a_syn_copy_does_not_move_flow)
 {
 	struct cookie_decision first;
@@ -1548,6 +1562,7 @@
 	tcase_add_test(tc, unknown_cookie_is_relayed_only_once);
 	tcase_add_test(tc, retransmitted_syn_goes_to_another_upstream);
 	tcase_add_test(tc, retransmitted_syn_stays_with_answering_upstream);
+	tcase_add_test(tc, retransmitted_syn_leaves_an_upstream_found_dead);
 	tcase_add_test(tc, late_answer_to_a_syn_copy_does_not_move_flow);
 	tcase_add_loop_test(
 		tc, late_answer_to_a_syn_of_another_instance_does_not_move_flow,
--- a/t/whole-upgrade.sh
+++ b/t/whole-upgrade.sh
@@ -322,6 +322,22 @@
 store_config
 await_config
 
+# check_lost REPORT: no request was lost. The build abda355 sends copies of a SYN
+# to an upstream that it has found dead; such a flow does not count.
+check_lost () {
+	excused=0
+	for lost_port in $(sed -n 's/^lost on none [0-9]* //p' "$1")
+	do
+		grep -h ":$lost_port-$service " "$work"/in-*-new.log |
+			grep -q "event=flow-" && continue
+		grep -h "event=flow-.*:$lost_port-$service " \
+			"$work"/in-*-old.log >"$work/lost" || continue
+		grep -q -v -f "$work/killed" "$work/lost" ||
+			excused=$((excused + 1))
+	done
+	test "$(value lost "$1")" -eq "$excused" || fail "requests were lost"
+}
+
 for caller in long short
 do
 	report=$work/$caller.log
@@ -330,7 +346,7 @@
 		fail "answers of $caller flows went wrong: $(tail -n 1 "$report")"
 	echo "$caller: $(grep answered= "$report")"
 	test "$(value answered "$report")" -gt 5000 || fail "too few answers"
-	test "$(value lost "$report")" -eq 0 || fail "requests were lost"
+	check_lost "$report"
 done
 check_reset_flows long "$net.103.1"
 check_reset_flows short "$net.103.2"
