health checks: a check from before a restart proves nothing

Callers of an upstream that had just started again could be reset: a check of the start before, at its old address, ended after the new start was heard of. The new start counts as good at once, and then that result is ignored; but one SYN that it answered late was enough to make it suspect again, and the refusal of the old address then made it dead. The same holds for a running check that witnesses confirm after 150 ms.

--- a/flow/placement-health.c
+++ b/flow/placement-health.c
@@ -369,6 +369,11 @@
 		clear_suspicion(pl, nr, ul, now_ms);
 }
 
+bool is_check_outdated(const struct upstream_load *ul)
+{
+	return ul->restarted_ms && ul->check_started_ms <= ul->restarted_ms;
+}
+
 void note_check_connected(struct placer *pl, upstream_index_t nr)
 {
 	struct upstream_load *ul = get_or_create_upstream_load(pl, nr);
@@ -400,6 +405,8 @@
 	pl->has_unhealthy = true;
 	ul->check_running = false;
 	ul->check_connected = false;
+	if (is_check_outdated(ul))
+		result = CHECK_NOT_MADE;
 	note_check_on_link(pl, nr, result, now_ms);
 	if (end_control_check(pl, nr, ul, result, now_ms))
 		return;
--- a/flow/placement-notices.c
+++ b/flow/placement-notices.c
@@ -138,6 +138,7 @@
 		post_notice(pl, nr, NOTICE_SUSPICION, HEALTH_SUSPECTED,
 			    unanswered_ms, now_ms);
 	if (!ul->check_running || ul->check_connected ||
+	    is_check_outdated(ul) ||
 	    now_ms - ul->check_started_ms < HEALTH_CONFIRMED_CHECK_MS ||
 	    !is_proved_unreachable(pl, nr, ul, now_ms))
 		return;
--- a/flow/placement-state.h
+++ b/flow/placement-state.h
@@ -256,6 +256,12 @@
  */
 bool was_answered_since(const struct placer *pl, uint64_t since_ms);
 
+/*
+ * Whether the last check of an upstream, which may still run, began before its
+ * last start was heard of, so that it may be about the start before.
+ */
+bool is_check_outdated(const struct upstream_load *ul);
+
 /*
  * Whether enough attempts to reach NR failed: checks of this instance, and
  * packets that it and others have waited for.
--- a/t/check-placement.c
+++ b/t/check-placement.c
@@ -588,6 +588,32 @@
 }
 END_TEST
 
+/* Guards against verdicts by a check of the start before, at its old address. */
+START_TEST(check_that_began_before_a_restart_proves_nothing)
+{
+	upstream_index_t a = put_upstream("u-a", "north", 0);
+	upstream_index_t b = put_upstream("u-b", "north", 0);
+	struct upstream_report r = make_upstream_report("u-a", "north");
+
+	note_upstream_silent(in.placer, a, 1000, 1200);
+	note_upstream_silent(in.placer, a, 1010, 1210);
+	note_upstream_silent(in.placer, a, 1020, 1220);
+	ck_assert(is_check_requested(a, 1300));
+	r.started_at_ms = 2;
+	put_test_upstream(&in, &r, 1310);
+	ck_assert_int_eq(assessed_health(in.placer, a), HEALTH_GOOD);
+	/* the new start is busy and answers a SYN late */
+	note_upstream_silent(in.placer, a, 1312, 1340);
+	note_upstream_answer(in.placer, b, 1305, 1310);
+	note_check_result(in.placer, a, _i ? CHECK_REPLACED : CHECK_REFUSED,
+			  1350);
+	ck_assert_int_eq(assessed_health(in.placer, a), HEALTH_SUSPECTED);
+	ck_assert(is_check_requested(a, 1900));
+	note_check_result(in.placer, a, CHECK_REFUSED, 1902);
+	ck_assert_int_eq(assessed_health(in.placer, a), HEALTH_DEAD);
+}
+END_TEST
+
 START_TEST(restarted_upstream_is_healthy_again)
 {
 	struct upstream_report r = make_upstream_report("u-a", "north");
@@ -930,6 +956,8 @@
 	tcase_add_test(tc, checks_after_peer_reports_are_rate_limited);
 	tcase_add_test(tc, instance_that_reaches_no_upstream_cuts_off_none);
 	tcase_add_test(tc, checks_that_could_not_be_made_cut_off_no_upstream);
+	tcase_add_loop_test(
+		tc, check_that_began_before_a_restart_proves_nothing, 0, 2);
 	tcase_add_test(tc, restarted_upstream_is_healthy_again);
 	tcase_add_test(tc, cookie_collision_gives_flows_to_one_upstream);
 	tcase_add_test(tc, heaviest_load_is_answered_in_time);
