health notices: post no verdict after a check that proved nothing

Open flows of a sound upstream could be reset at peers of an instance that still had an old verdict on it. After every check the instance told them its verdict as that of this check, also if the check was not made for lack of descriptors, or timed out while nothing was answered. Peers without a sign of life since the check began, a moment before, adopted it.

A verdict is now posted only if the check proved it. Of check_that_proves_nothing_posts_no_verdict two of three variants failed before (one notice, not none): not-made and unreachable.

--- a/flow/placement-health.c
+++ b/flow/placement-health.c
@@ -455,8 +455,8 @@
 	case CHECK_RESULT_NR:
 		break;
 	}
-	/* a verdict, or the end of one */
-	if (is_dead_or_cut_off(ul) ||
+	/* a verdict that this check has proved, or the end of one */
+	if ((is_dead_or_cut_off(ul) && ul->proved_ms == now_ms) ||
 	    (before >= HEALTH_UNREACHABLE && ul->health == HEALTH_GOOD))
 		post_verdict(pl, nr, ul, now_ms);
 }
--- a/t/check-health-notice.c
+++ b/t/check-health-notice.c
@@ -416,6 +416,31 @@
 }
 END_TEST
 
+/* Guards against verdicts at peers for a check that proved nothing. */
+START_TEST(check_that_proves_nothing_posts_no_verdict)
+{
+	static const enum check_result results[] = { CHECK_REFUSED,
+						     CHECK_NOT_MADE,
+						     CHECK_UNREACHABLE };
+	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct outgoing_notice));
+	GArray *checks = g_array_new(FALSE, FALSE, sizeof(upstream_index_t));
+
+	note_upstream_silent(in.placer, board_a, 900, 950);
+	note_check_result(in.placer, board_a, CHECK_REFUSED, 1000);
+	pop_health_notices(notices, out);
+	g_array_set_size(out, 0);
+	for (uint64_t t = 1000; t <= 4000; t += 10)
+		tick_placer(in.placer, t, checks);
+	ck_assert_uint_ge(checks->len, 1);
+	note_check_result(in.placer, board_a, results[_i], 4010);
+	ck_assert_int_eq(assessed_health(in.placer, board_a), HEALTH_DEAD);
+	pop_health_notices(notices, out);
+	ck_assert_uint_eq(out->len, results[_i] == CHECK_REFUSED);
+	g_array_free(checks, TRUE);
+	g_array_free(out, TRUE);
+}
+END_TEST
+
 /* Guards against floods of notices about one upstream. */
 START_TEST(verdict_is_repeated_only_after_a_while)
 {
@@ -679,6 +704,8 @@
 		       adopted_verdict_ends_with_life_after_its_check_began);
 	tcase_add_loop_test(
 		tc, adopted_verdict_that_is_not_renewed_resets_no_flow, 0, 2);
+	tcase_add_loop_test(tc, check_that_proves_nothing_posts_no_verdict, 0,
+			    3);
 	tcase_add_test(tc, verdict_is_repeated_only_after_a_while);
 	tcase_add_loop_test(tc, assessor_checks_first, 0, 2);
 	tcase_add_loop_test(tc, three_witnesses_shorten_the_delay, 0, 2);
