catalog: an upstream's own entry ends one that was taken for its own

An entry of another writer that went into force (it told a later start, or outlasted the wait for the owner's own) moves the open flows of its upstream. The owner's next entry then looked like the one that contradicts: no later start, another address. It was disputed, and flows stayed moved for three heartbeats and the hold of removals instead of one heartbeat, with the upstream unlisted meanwhile.

A return to the start and place that were reported before is no longer disputed, once: the report that it replaces does not come back this way. entry_of_the_owner_ends_one_of_another_writer_that_is_used failed before in both variants (10.0.0.2:9000, not 10.0.0.1:9000).

--- a/config/catalog.c
+++ b/config/catalog.c
@@ -302,6 +302,32 @@
 	       old->started_at_ms != r->started_at_ms;
 }
 
+static bool is_same_place(const struct upstream_report *a,
+			  const struct upstream_report *b)
+{
+	return same_endpoint(&a->address, &b->address) &&
+	       !strcmp(a->service, b->service) && !strcmp(a->domain, b->domain);
+}
+
+/* True if R returns to the start and place that UP had before its report. */
+static bool is_return(const struct catalog_upstream *up,
+		      const struct upstream_report *r)
+{
+	return up->replaced.id &&
+	       up->replaced.started_at_ms == r->started_at_ms &&
+	       is_same_place(&up->replaced, r);
+}
+
+/* Keeps the report of UP that R replaces, unless R itself was replaced by it. */
+static void keep_replaced_report(struct catalog_upstream *up,
+				 const struct upstream_report *r)
+{
+	if (is_return(up, r))
+		up->replaced.id = 0;
+	else if (!is_same_place(&up->report, r))
+		up->replaced = up->report;
+}
+
 upstream_index_t update_catalog_upstream(struct catalog *c,
 					 const struct upstream_report *r,
 					 uint64_t revision, uint64_t now_ms)
@@ -324,6 +350,7 @@
 	}
 	if (is_new_start(&up->report, r))
 		up->restart_count++;
+	keep_replaced_report(up, r);
 	up->report = *r;
 	up->domain = domain;
 	up->listed = true;
@@ -366,9 +393,7 @@
 	    !(nr && get_service(c, (service_index_t)(nr - 1))->listed))
 		return true;
 	return r->started_at_ms <= old->started_at_ms &&
-	       (!same_endpoint(&r->address, &old->address) ||
-		strcmp(r->service, old->service) != 0 ||
-		strcmp(r->domain, old->domain) != 0);
+	       !is_same_place(r, old) && !is_return(up, r);
 }
 
 bool dispute_upstream_report(struct catalog *c, const struct upstream_report *r,
--- a/config/catalog.h
+++ b/config/catalog.h
@@ -45,6 +45,8 @@
 
 struct catalog_upstream {
 	struct upstream_report report;
+	/* the one before REPORT, of another start or place; id 0: none */
+	struct upstream_report replaced;
 	uint64_t first_start_ms; /* started_at_ms of its first report */
 	uint32_t cookie;	 /* identifies it in packets; never 0 */
 	service_index_t service;
@@ -120,7 +122,7 @@
  * it did not start anew, or a service that is not configured: such a report may
  * be from another writer, and open flows stay where they are. The upstream is
  * then unlisted. A report that its owner has not replaced for HOLD_MS is no
- * longer disputed.
+ * longer disputed, nor is a return to what was reported before.
  */
 bool dispute_upstream_report(struct catalog *c, const struct upstream_report *r,
 			     uint64_t hold_ms, uint64_t now_ms);
--- a/t/check-odd-entries.c
+++ b/t/check-odd-entries.c
@@ -215,6 +215,29 @@
 }
 END_TEST
 
+/* Guards against flows that stay moved after their upstream's own next entry. */
+START_TEST(entry_of_the_owner_ends_one_of_another_writer_that_is_used)
+{
+	if (_i) {
+		write_entry("i-a1", elsewhere[0]);
+		e->now_ms += LAPSE_MS;
+		tick_edge_records(e);
+	} else {
+		write_entry("i-a1", ENTRY("board", "10.0.0.2:9000", "north",
+					  "9000000", "1"));
+	}
+	ck_assert_str_eq(open_flow_address(ID), "10.0.0.2:9000");
+	e->now_ms += HEARTBEAT_MS;
+	write_entry("i-a1",
+		    ENTRY("board", "10.0.0.1:9000", "north", "1000", "3"));
+	ck_assert_str_eq(open_flow_address(ID), "10.0.0.1:9000");
+	ck_assert(takes_new_flows(ID));
+	/* the other writer does not get it back in the same way */
+	write_entry("i-a1", elsewhere[0]);
+	ck_assert_str_eq(open_flow_address(ID), "10.0.0.1:9000");
+}
+END_TEST
+
 START_TEST(other_name_for_an_id_takes_no_flows_of_the_first)
 {
 	static const char *const names[] = { "b-a1", "x-00A1", "a1" };
@@ -285,6 +308,9 @@
 			    G_N_ELEMENTS(elsewhere));
 	tcase_add_test(tc, entry_that_outlasts_a_lapse_is_used);
 	tcase_add_test(tc, restarted_upstream_is_used_at_its_new_address);
+	tcase_add_loop_test(
+		tc, entry_of_the_owner_ends_one_of_another_writer_that_is_used,
+		0, 2);
 	tcase_add_loop_test(
 		tc, other_name_for_an_id_takes_no_flows_of_the_first, 0, 3);
 	tcase_add_test(tc, other_name_for_a_start_takes_no_flows_of_the_first);
