catalog: give a cookie of two ids to the lower id again

Instances could disagree on which of two upstreams with one cookie has it, so that open flows of one went to the other's address: the owner depended on the first start that an instance had read of each, which is another one for an instance that starts after a restart of the owner.

Of two ids the lower one has the cookie again.

--- a/config/catalog.c
+++ b/config/catalog.c
@@ -187,10 +187,10 @@
 }
 
 /*
- * Whether upstream A rather than B owns the cookie of both. Who started first
- * does, as it may have open flows; all instances have to decide alike, whichever
- * of the two they read first. A restart changes nothing, and neither does a
- * second name for the same start.
+ * Whether upstream A rather than B owns the cookie of both. Of two ids the lower
+ * one does, so that all instances decide alike, whichever they read first. Of
+ * two names for one id, who started first does, as it may have open flows; a
+ * restart changes nothing, and neither does a second name for the same start.
  */
 static bool owns_shared_cookie(const struct catalog *c, upstream_index_t a,
 			       upstream_index_t b)
@@ -198,10 +198,10 @@
 	const struct catalog_upstream *x = upstream_by_index(c, a);
 	const struct catalog_upstream *y = upstream_by_index(c, b);
 
-	if (x->first_start_ms != y->first_start_ms)
-		return x->first_start_ms < y->first_start_ms;
 	if (x->report.id != y->report.id)
 		return x->report.id < y->report.id;
+	if (x->first_start_ms != y->first_start_ms)
+		return x->first_start_ms < y->first_start_ms;
 	if (find_upstream_by_cookie(c, x->cookie) == a)
 		return true;
 	return find_upstream_by_cookie(c, x->cookie) != b &&
