health checks: prove by a second check that packets leave the link

An upstream that no packet reaches stayed suspect for as long as the answers that an instance got took longer than a check: callers of its open flows were left to their deadlines. Since "an answer to an older packet does not prove the link free" a check without a connection counts only if something that was sent after it began was answered in its time, 350 ms. With requests that take 400 ms and no new flows nothing is.

After such a check, the next one is accompanied by a check of the upstream that answered last. Its connection takes one round trip, as that of the suspect would. It is one more check in this case only.

unreachable_upstream_is_cut_off_if_others_answer_slowly failed before (still suspect after ten seconds).

--- a/flow/placement-health.c
+++ b/flow/placement-health.c
@@ -105,6 +105,7 @@
 	ul->refused_ms = 0;
 	ul->adopted = false;
 	ul->flow_in_doubt = false;
+	ul->check_unproved = false;
 	withdraw_suspicion(pl, nr, ul, now_ms);
 }
 
@@ -280,6 +281,47 @@
 		!is_own_check_deferred(pl, nr, ul, now_ms));
 }
 
+/* The upstream that answered last, if it is neither suspect nor checked. */
+static upstream_index_t pick_answering_upstream(const struct placer *pl)
+{
+	upstream_index_t best = CATALOG_NONE;
+	uint64_t best_ms = 0;
+
+	for (guint i = 0; i < pl->upstream_loads->len; i++) {
+		const struct upstream_load *ul =
+			g_ptr_array_index(pl->upstream_loads, i);
+		upstream_index_t nr = (upstream_index_t)i;
+
+		if (!ul || ul->own_alive_ms <= best_ms ||
+		    ul->health != HEALTH_GOOD || ul->check_running ||
+		    !accepts_flows(pl->catalog, nr))
+			continue;
+		best = nr;
+		best_ms = ul->own_alive_ms;
+	}
+	return best;
+}
+
+/*
+ * Lists a check of another upstream beside the running one of UL, so that its
+ * connection shows whether packets leave this instance's link: where requests
+ * take longer than a check, their answers cannot.
+ */
+static void list_proving_check(struct placer *pl, struct upstream_load *ul,
+			       uint64_t now_ms, GArray *checks)
+{
+	upstream_index_t nr;
+
+	if (!ul->check_unproved || !ul->check_running ||
+	    now_ms <= ul->check_started_ms ||
+	    was_answered_since(pl, ul->check_started_ms))
+		return;
+	ul->check_unproved = false;
+	nr = pick_answering_upstream(pl);
+	if (nr != CATALOG_NONE)
+		start_control_check(pl, nr, now_ms, checks);
+}
+
 void list_due_checks(struct placer *pl, uint64_t now_ms, GArray *checks)
 {
 	pl->has_unhealthy = false;
@@ -293,6 +335,7 @@
 		pl->has_unhealthy = true;
 		hasten_confirming_check(pl, nr, ul, now_ms);
 		advance_suspicion(pl, nr, ul, now_ms);
+		list_proving_check(pl, ul, now_ms, checks);
 		if (!is_check_due(pl, nr, ul, now_ms))
 			continue;
 		ul->check_running = true;
@@ -441,7 +484,9 @@
 		break;
 	case CHECK_UNREACHABLE:
 		/* else the fault, or a queue, is likely on this side */
-		if (!was_answered_since(pl, ul->check_started_ms) ||
+		ul->check_unproved =
+			!was_answered_since(pl, ul->check_started_ms);
+		if (ul->check_unproved ||
 		    !was_link_open_since(pl, nr, ul->check_started_ms))
 			break;
 		ul->unreachable_checks++;
--- a/flow/placement-links.c
+++ b/flow/placement-links.c
@@ -245,9 +245,8 @@
 	return only_control;
 }
 
-/* Starts a check of NR, which is a control check if nothing speaks against it. */
-static void start_link_check(struct placer *pl, upstream_index_t nr,
-			     uint64_t now_ms, GArray *checks)
+void start_control_check(struct placer *pl, upstream_index_t nr,
+			 uint64_t now_ms, GArray *checks)
 {
 	struct upstream_load *ul = get_or_create_upstream_load(pl, nr);
 
@@ -294,7 +293,7 @@
 	if (nr == CATALOG_NONE)
 		return;
 	dc->checked_ms = now_ms;
-	start_link_check(pl, nr, now_ms, checks);
+	start_control_check(pl, nr, now_ms, checks);
 }
 
 /* Lists checks of the upstreams of DOMAIN that this instance is to survey. */
@@ -323,7 +322,7 @@
 		ul->surveyed_ms = now_ms;
 		if (!is_checked_here(pl, nr))
 			continue;
-		start_link_check(pl, nr, now_ms, checks);
+		start_control_check(pl, nr, now_ms, checks);
 		started++;
 	}
 }
--- a/flow/placement-state.h
+++ b/flow/placement-state.h
@@ -61,7 +61,8 @@
 	uint64_t proved_ms;	/* when HEALTH was last proved, here or there */
 	bool flow_in_doubt; /* check it at once, listed or not, assessor or not */
 	bool check_running;
-	bool check_connected;	     /* the running check */
+	bool check_connected; /* the running check */
+	bool check_unproved; /* the last one had no connection, proving nothing */
 	uint32_t unreachable_checks; /* in a row */
 	uint64_t next_check_ms;	     /* earliest time of the next check */
 	uint64_t peer_check_ms; /* of the last check due to a peer's report */
@@ -306,6 +307,12 @@
 void note_check_on_link(struct placer *pl, upstream_index_t nr,
 			enum check_result result, uint64_t now_ms);
 
+/*
+ * Lists a check of NR, which is a control check if nothing speaks against NR.
+ */
+void start_control_check(struct placer *pl, upstream_index_t nr,
+			 uint64_t now_ms, GArray *checks);
+
 /*
  * Ends a control check of NR, which was not suspect then and becomes so if the
  * check failed. False if the result is to be used like that of another check.
--- a/t/check-placement.c
+++ b/t/check-placement.c
@@ -56,16 +56,22 @@
 	return place_new_flow(in.placer, &request, now_ms);
 }
 
-static bool is_check_requested(upstream_index_t nr, uint64_t now_ms)
+/* Whether the last tick requested a check of NR. */
+static bool is_check_listed(upstream_index_t nr)
 {
-	g_array_set_size(checks, 0);
-	tick_placer(in.placer, now_ms, checks);
 	for (guint i = 0; i < checks->len; i++)
 		if (g_array_index(checks, upstream_index_t, i) == nr)
 			return true;
 	return false;
 }
 
+static bool is_check_requested(upstream_index_t nr, uint64_t now_ms)
+{
+	g_array_set_size(checks, 0);
+	tick_placer(in.placer, now_ms, checks);
+	return is_check_listed(nr);
+}
+
 START_TEST(own_domain_is_preferred_until_loaded)
 {
 	upstream_index_t near = put_upstream("u-a", "north", 0);
@@ -648,6 +654,65 @@
 }
 END_TEST
 
+/* Guards against instances that disagree on whose flows have a shared cookie. */
+START_TEST(shared_cookie_has_one_owner_at_all_instances)
+{
+	struct upstream_report r = make_upstream_report("u-a", "north");
+	struct upstream_report q = make_upstream_report("u-b", "north");
+	struct cookie_instance later;
+	uint32_t cookie;
+
+	r.id = 0x100000005;
+	q.id = 0x400000000;
+	cookie = make_cookie(r.id);
+	r.started_at_ms = 10;
+	q.started_at_ms = 20;
+	put_test_upstream(&in, &r, 0);
+	put_test_upstream(&in, &q, 0);
+	r.started_at_ms = 30;
+	put_test_upstream(&in, &r, 100);
+	/* this one starts now */
+	init_cookie_instance(&later, "front-2", "north");
+	put_test_upstream(&later, &r, 200);
+	put_test_upstream(&later, &q, 200);
+	ck_assert_str_eq(
+		get_upstream(in.catalog,
+			     find_upstream_by_cookie(in.catalog, cookie))
+			->report.name,
+		get_upstream(later.catalog,
+			     find_upstream_by_cookie(later.catalog, cookie))
+			->report.name);
+	release_cookie_instance(&later);
+}
+END_TEST
+
+/* Guards against cut-off upstreams that keep flows as all answers take long. */
+START_TEST(unreachable_upstream_is_cut_off_if_others_answer_slowly)
+{
+	upstream_index_t a = put_upstream("u-a", "north", 0);
+	upstream_index_t b = put_upstream("u-b", "north", 0);
+	uint64_t started_ms = 0;
+
+	note_upstream_silent(in.placer, a, 1000, 1200);
+	for (uint64_t t = 1400; t < 12000; t += 10) {
+		/* requests on open flows, each answered after 400 ms */
+		if (!(t % 50))
+			note_upstream_answer(in.placer, b, t - 400, t);
+		if (started_ms && t == started_ms + 350) {
+			started_ms = 0;
+			note_check_result(in.placer, a, CHECK_UNREACHABLE, t);
+		}
+		if (is_check_requested(a, t))
+			started_ms = t;
+		if (is_check_listed(b)) {
+			note_check_connected(in.placer, b);
+			note_check_result(in.placer, b, CHECK_GOOD, t + 2);
+		}
+	}
+	ck_assert_int_eq(assessed_health(in.placer, a), HEALTH_UNREACHABLE);
+}
+END_TEST
+
 /*
  * The heaviest load: half of the slots busy on average, and one domain with
  * nearly twice the callers of the others. At least 95 % of the requests must
@@ -960,6 +1025,9 @@
 		tc, check_that_began_before_a_restart_proves_nothing, 0, 2);
 	tcase_add_test(tc, restarted_upstream_is_healthy_again);
 	tcase_add_test(tc, cookie_collision_gives_flows_to_one_upstream);
+	tcase_add_test(tc, shared_cookie_has_one_owner_at_all_instances);
+	tcase_add_test(tc,
+		       unreachable_upstream_is_cut_off_if_others_answer_slowly);
 	tcase_add_test(tc, heaviest_load_is_answered_in_time);
 	tcase_add_test(tc, waiting_syns_lose_fewer_requests_after_outage);
 	tcase_add_test(tc, refused_callers_are_told_early_in_overload);
