stand-in: free the flows of an upstream that ends

LeakSanitizer reported the table of flows, 192 bytes, which main() left to the end of the process. The table is freed now.

--- a/stand-in/cookie-upstream.c
+++ b/stand-in/cookie-upstream.c
@@ -342,5 +342,6 @@
 	/* the last call to the store may still be in progress */
 	for (int i = 0; i < 20; i++)
 		uv_run(u.loop, UV_RUN_NOWAIT);
+	g_hash_table_destroy(u.flows);
 	return 0;
 }
