--- a/flow/cookie.h
+++ b/flow/cookie.h
@@ -22,8 +22,10 @@
 #define COOKIE_TICK_MS 10	   /* short, to detect dead upstreams early */
 #define COOKIE_SYN_UPSTREAMS_MAX 3 /* for a SYN and its two copies */
 /*
- * Packets of one flow have sequence numbers that differ by less than this, in
- * bytes; a packet further away belongs to a later flow of the same key.
+ * Consecutive packets of a flow at one instance differ by less than this in
+ * their sequence numbers, in bytes. One that is further away belongs to a later
+ * flow of the same key, or others had the packets between: it is treated like
+ * the first packet of a flow.
  */
 #define COOKIE_SEQ_WINDOW 76800
 #define COOKIE_SYN_LAST_COPY 2	       /* callers send no further copy */
