--- a/review/stand-in/lib.sh
+++ b/review/stand-in/lib.sh
@@ -114,6 +114,7 @@
 				>>"$work/$1.log" 2>&1 &
 			echo $! >"$work/$1.pid"
 			wait $!
+			echo $? >>"$work/$1.ends"
 			sleep 0.5
 		done
 	) &
--- a/review/stand-in/world.c
+++ b/review/stand-in/world.c
@@ -336,11 +336,22 @@
 	return 2 * in < all;
 }
 
+/* If none of the zone is in rotation, those of other zones are used. */
+static bool zone_has_any(const struct world *w, const char *zone)
+{
+	for (int i = 0; i < w->machine_nr; i++)
+		if (!strcmp(w->machines[i].zone, zone) &&
+		    w->machines[i].misses < 2)
+			return true;
+	return false;
+}
+
 /* Rendezvous hashing over the zone's machines in rotation: hash "steady". */
 static struct machine *pick_machine(struct world *w, const char *zone,
 				    uint32_t client_ip, uint16_t client_port)
 {
 	bool use_all = zone_uses_all(w, zone);
+	bool elsewhere = !zone_has_any(w, zone);
 	struct machine *best = NULL;
 	uint64_t best_weight = 0;
 
@@ -349,7 +360,9 @@
 		uint64_t h = ((uint64_t)client_ip << 16 | client_port) ^
 			     (uint64_t)m->ip * 0x9e3779b97f4a7c15ULL;
 
-		if (strcmp(m->zone, zone) != 0 || (m->misses >= 2 && !use_all))
+		if (elsewhere ? m->misses >= 2
+			      : strcmp(m->zone, zone) != 0 ||
+					(m->misses >= 2 && !use_all))
 			continue;
 		h ^= h >> 31;
 		h *= 0xbf58476d1ce4e5b9ULL;
