review: the cases on the final scripts

The stand-ins lie beside the cases, the configuration has loopback addresses only, the rolling restart goes on for four rounds.

--- a/review/build.sh
+++ b/review/build.sh
@@ -6,10 +6,10 @@
 cd "$(dirname "$0")/.."
 make -j4 NO_INSTALL=1 B=target/release target/release/platform-store-stand-in
 mkdir -p target/review
-for source in review/stand-in/*.c
+for source in review/*.c
 do
 	name=$(basename "$source" .c)
 	test "$name" = world && continue
 	gcc -std=gnu11 -O2 -g -Wall -Wextra -o "target/review/$name" \
-		"$source" $(test "$name" = call || echo review/stand-in/world.c)
+		"$source" $(test "$name" = call || echo review/world.c)
 done
--- a/review/stand-in/lib.sh
+++ b/review/lib.sh
@@ -1,6 +1,6 @@
-# Shell functions of the cases. Each case runs in loopback addresses of its own
-# (127.NET.x.y) and in a temporary folder; at exit exactly the processes that
-# were started here are ended.
+# Shell functions of the cases, which set trouble to 0 or 1 before. Each case
+# runs in loopback addresses of its own (127.NET.x.y) and in a temporary folder;
+# at exit exactly the processes that were started here are ended.
 
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
@@ -14,7 +14,6 @@
 record=$here/record.txt
 pids=
 machines=
-trouble=${TROUBLE:-1}
 
 end_all () {
 	for pid in $pids
@@ -55,6 +54,13 @@
 	"$stand_ins/call" "$store" "$@"
 }
 
+# Stores the first configuration: a route of unsafe requests. Its address is
+# only written in packets, nothing is sent there.
+put_config () {
+	store_call PUT '/entry?op/config' "{\"version\":1,\"routes\":[{\"name\":\"r-1\",\"host\":\"127.$net.1.1\",\"prefix\":\"/8443/\",\"kind\":\"unsafe\",\"timeoutMs\":4000,\"sloMs\":250,\"priority\":1,\"service\":\"permit-desk\",\"attempts\":2}],\"services\":[{\"name\":\"permit-desk\",\"healthPath\":\"/health\",\"maxConns\":2000,\"warmupS\":2.0,\"warmupPerS\":5.0}],\"limits\":{\"idleTimeoutMs\":15000}}" >/dev/null ||
+		exit 2
+}
+
 # settings NAME ZONE D: the settings of a machine, as deploy/settings.ini has
 # them with the figures of a small deployment.
 settings () {
@@ -122,6 +128,17 @@
 	machines="$machines $1:$2:$3:$work/$1.pid"
 }
 
+# start_fleet FUNCTION: starts the nine machines of the site with FUNCTION.
+start_fleet () {
+	d=1
+	for zone in kochi-b kochi-b kochi-b kochi-a kochi-a kochi-a kochi-c \
+		kochi-d kochi-d
+	do
+		$1 "front-$zone-$d" $zone $d
+		d=$((d + 1))
+	done
+}
+
 # run_case PROGRAM [ARG...]: runs the world and keeps its exit code.
 run_case () {
 	program=$1
--- a/review/stand-in/roll.c
+++ b/review/roll.c
@@ -62,8 +62,8 @@
 {
 	uint64_t at = now - run_began_ms;
 
-	/* two rounds over all machines */
-	if (trouble && stopped_nr < 2 * w->machine_nr &&
+	/* four rounds over all machines */
+	if (trouble && stopped_nr < 4 * w->machine_nr &&
 	    at >= (uint64_t)(ROLL_AT_MS + stopped_nr * ROLL_GAP_MS)) {
 		struct machine *m =
 			&w->machines[stopped_nr++ % w->machine_nr];
--- a/review/stand-in/world.c
+++ b/review/world.c
@@ -891,7 +891,7 @@
 
 	w->net = net;
 	w->start_ms = now_ms();
-	w->route_ip = 198U << 24 | 18U << 16 | 1;
+	w->route_ip = address(net, 1, 1);
 	w->route_port = 8443;
 	w->beat_ms = 1200;
 	w->flows = calloc(FLOWS_MAX, sizeof(*w->flows));
