--- a/review/foreign.c
+++ b/review/foreign.c
@@ -39,7 +39,8 @@
 
 	own += by == f->target;
 	broken += counts;
-	note(w, "%s: client %d:%u: flow that is open at %s since %.3f s got a "
+	note(w,
+	     "%s: client %d:%u: flow that is open at %s since %.3f s got a "
 	     "reset of %s; packets by way of %s, last packet of its target "
 	     "%llu ms before, request %s",
 	     counts ? "FLOW broken" : "not counted", f->client, f->port,
@@ -149,14 +150,16 @@
 	}
 	run_began_ms = now_ms();
 	run_world(w, CLIENTS_UNTIL_MS + 2 * PAUSE_MS + 4000, each);
-	note(w, "sent: %d flows; opened %u, answered %u, run %u, refused %u, "
+	note(w,
+	     "sent: %d flows; opened %u, answered %u, run %u, refused %u, "
 	     "no SYN+ACK %u, not answered %u",
 	     w->flow_nr, w->opened, w->answered, w->runs, w->refused,
 	     w->abandoned, w->unanswered);
 	if (trouble)
 		note(w, "after the foreign entries: opened %u, refused %u",
 		     w->opened - opened_before, w->refused - refused_before);
-	note(w, "FLOW: %u resets of open flows break the rule; %u by the "
+	note(w,
+	     "FLOW: %u resets of open flows break the rule; %u by the "
 	     "flow's own target",
 	     broken, own);
 	fclose(w->record);
--- a/review/freeze.c
+++ b/review/freeze.c
@@ -29,8 +29,8 @@
 
 static bool in_touch(const struct machine *m, uint64_t at_ms)
 {
-	return !m->frozen && (!m->disturbed_ms ||
-			      at_ms >= m->disturbed_ms + CONTACT_MS);
+	return !m->frozen &&
+	       (!m->disturbed_ms || at_ms >= m->disturbed_ms + CONTACT_MS);
 }
 
 static void on_reset(struct world *w, struct client_flow *f, struct target *by)
@@ -42,13 +42,14 @@
 		      f->last_sent_ms - f->last_packet_ms <= IDLE_TIMEOUT_MS;
 
 	if (by == f->target) {
-		note(w, "client %d:%u: reset by its own target %s",
-		     f->client, f->port, by->id);
+		note(w, "client %d:%u: reset by its own target %s", f->client,
+		     f->port, by->id);
 		return;
 	}
 	broken += counts;
 	excused += !counts;
-	note(w, "%s: client %d:%u: flow that is open at %s since %.3f s got a "
+	note(w,
+	     "%s: client %d:%u: flow that is open at %s since %.3f s got a "
 	     "reset of %s; packets by way of %s, idle for %llu ms before, "
 	     "request %s",
 	     counts ? "FLOW broken" : "not counted (not in touch)", f->client,
@@ -124,11 +125,13 @@
 	}
 	run_began_ms = now_ms();
 	run_world(w, CLIENTS_UNTIL_MS + PAUSE_MS + 3000, each);
-	note(w, "sent: %d flows; opened %u, answered %u, run %u, refused %u, "
+	note(w,
+	     "sent: %d flows; opened %u, answered %u, run %u, refused %u, "
 	     "no SYN+ACK %u, not answered %u",
 	     w->flow_nr, w->opened, w->answered, w->runs, w->refused,
 	     w->abandoned, w->unanswered);
-	note(w, "FLOW: %u resets of open flows break the rule, %u more were "
+	note(w,
+	     "FLOW: %u resets of open flows break the rule, %u more were "
 	     "not counted",
 	     broken, excused);
 	fclose(w->record);
--- a/review/roll.c
+++ b/review/roll.c
@@ -36,7 +36,8 @@
 
 	own += by == f->target;
 	broken += counts;
-	note(w, "%s: client %d:%u: flow that is open at %s since %.3f s got a "
+	note(w,
+	     "%s: client %d:%u: flow that is open at %s since %.3f s got a "
 	     "reset of %s; packets by way of %s, idle for %llu ms before, "
 	     "request %s",
 	     counts ? "FLOW broken" : "not counted", f->client, f->port,
@@ -65,8 +66,7 @@
 	/* four rounds over all machines */
 	if (trouble && stopped_nr < 4 * w->machine_nr &&
 	    at >= (uint64_t)(ROLL_AT_MS + stopped_nr * ROLL_GAP_MS)) {
-		struct machine *m =
-			&w->machines[stopped_nr++ % w->machine_nr];
+		struct machine *m = &w->machines[stopped_nr++ % w->machine_nr];
 		int pid = read_pid(m);
 
 		note(w, "roll_term %s", m->name);
@@ -126,11 +126,13 @@
 	}
 	run_began_ms = now_ms();
 	run_world(w, CLIENTS_UNTIL_MS + 2 * PAUSE_MS + 4000, each);
-	note(w, "sent: %d flows; opened %u, answered %u, run %u, refused %u, "
+	note(w,
+	     "sent: %d flows; opened %u, answered %u, run %u, refused %u, "
 	     "no SYN+ACK %u, not answered %u; datagrams lost %u",
 	     w->flow_nr, w->opened, w->answered, w->runs, w->refused,
 	     w->abandoned, w->unanswered, w->lost_datagrams);
-	note(w, "FLOW: %u resets of open flows break the rule; %u by the "
+	note(w,
+	     "FLOW: %u resets of open flows break the rule; %u by the "
 	     "flow's own target",
 	     broken, own);
 	fclose(w->record);
--- a/review/settings.c
+++ b/review/settings.c
@@ -161,7 +161,8 @@
 		const struct machine *m = &w->machines[i];
 		int ends = count_ends(m, false);
 
-		note(w, "%s: stopped %d times, ended by itself %d times, %s "
+		note(w,
+		     "%s: stopped %d times, ended by itself %d times, %s "
 		     "rotation",
 		     m->name, count_ends(m, true), ends,
 		     m->misses < 2 ? "in" : "out of");
@@ -170,11 +171,13 @@
 	limit = (w->machine_nr + 9) / 10;
 	if (limit < 2)
 		limit = 2;
-	note(w, "sent: %d flows; opened %u, answered %u, run %u, refused %u, "
+	note(w,
+	     "sent: %d flows; opened %u, answered %u, run %u, refused %u, "
 	     "no SYN+ACK %u, not answered %u",
 	     w->flow_nr, w->opened, w->answered, w->runs, w->refused,
 	     w->abandoned, w->unanswered);
-	note(w, "Fault: on %d of %d machines the process ended by itself %d "
+	note(w,
+	     "Fault: on %d of %d machines the process ended by itself %d "
 	     "times or more; %d break the rule",
 	     faulty, w->machine_nr, ENDS_MAX, limit);
 	fclose(w->record);
--- a/review/world.c
+++ b/review/world.c
@@ -23,9 +23,9 @@
 #define READY_INTERVAL_MS 500
 #define READY_TIMEOUT_MS 450
 #define CALL_TIMEOUT_MS 1000
-#define REPEAT_MIN_MS 200  /* before a missing packet is sent again; doubles */
+#define REPEAT_MIN_MS 200 /* before a missing packet is sent again; doubles */
 #define REPEAT_MAX_MS 1600
-#define REPEATS_MAX 8	   /* by a target, which gives up then */
+#define REPEATS_MAX 8 /* by a target, which gives up then */
 
 /* A packet, decoded. */
 struct packet {
@@ -210,8 +210,7 @@
 {
 	struct sockaddr_in sa = socket_address(ip, port);
 
-	sendto(fd, data, len, MSG_DONTWAIT, (struct sockaddr *)&sa,
-	       sizeof(sa));
+	sendto(fd, data, len, MSG_DONTWAIT, (struct sockaddr *)&sa, sizeof(sa));
 }
 
 /* ---- store and health connections ---- */
@@ -438,9 +437,8 @@
 			       uint8_t flags, uint32_t seq, uint32_t ack,
 			       const char *data)
 {
-	struct machine *m =
-		pick_machine(w, w->clients[f->client].zone,
-			     w->clients[f->client].ip, f->port);
+	struct machine *m = pick_machine(w, w->clients[f->client].zone,
+					 w->clients[f->client].ip, f->port);
 	struct packet p = { .flags = flags,
 			    .echo = flags & SYN ? 0 : f->echo,
 			    .src = w->clients[f->client].ip,
@@ -521,15 +519,16 @@
 	case FLOW_WAITING:
 		if (now - f->state_ms >= DEADLINE_MS) {
 			w->unanswered++;
-			note(w, "client %d:%u: request %s not answered", f->client,
-			     f->port, f->request);
+			note(w, "client %d:%u: request %s not answered",
+			     f->client, f->port, f->request);
 			send_client_packet(w, f, FIN | ACK, f->seq, f->ack,
 					   NULL);
 			set_state(f, FLOW_ENDED);
 		} else if (now >= f->resend_ms) {
-			f->resend_interval_ms = f->resend_interval_ms < 800
-							? 2 * f->resend_interval_ms
-							: 1600;
+			f->resend_interval_ms =
+				f->resend_interval_ms < 800
+					? 2 * f->resend_interval_ms
+					: 1600;
 			f->resend_ms = now + f->resend_interval_ms;
 			send_request(w, f);
 		}
@@ -580,9 +579,8 @@
 	return NULL;
 }
 
-static struct target *find_target_by_seq(struct world *w,
-					 const struct client_flow *f,
-					 uint32_t seq)
+static struct target *
+find_target_by_seq(struct world *w, const struct client_flow *f, uint32_t seq)
 {
 	for (int i = 0; i < w->target_nr; i++)
 		for (int k = 0; k < 4096; k++) {
@@ -639,9 +637,8 @@
 		w->lost_datagrams++;
 		return;
 	}
-	if (!decode(data, len, &p, &sum, &sum_ok) ||
-	    p.src != w->route_ip || p.sport != w->route_port ||
-	    p.dst != w->clients[client].ip)
+	if (!decode(data, len, &p, &sum, &sum_ok) || p.src != w->route_ip ||
+	    p.sport != w->route_port || p.dst != w->clients[client].ip)
 		return;
 	f = find_client_flow(w, client, p.dport);
 	if (!f || f->state == FLOW_ENDED || f->state == FLOW_FREE)
@@ -656,8 +653,10 @@
 	if (p.flags & SYN) {
 		f->last_echo_from = find_target_by_seq(w, f, p.seq);
 		if (f->state != FLOW_OPENING || p.ack != f->seq + 1) {
-			note(w, "client %d:%u: SYN+ACK of %s on a flow that is "
-			     "open at %s", f->client, f->port,
+			note(w,
+			     "client %d:%u: SYN+ACK of %s on a flow that is "
+			     "open at %s",
+			     f->client, f->port,
 			     f->last_echo_from ? f->last_echo_from->id : "?",
 			     f->target ? f->target->id : "?");
 			return;
@@ -981,11 +980,14 @@
 		int n = 0;
 
 		for (int i = 0; i < w->target_nr; i++) {
-			pf[n++] = (struct pollfd){ w->targets[i].udp, POLLIN, 0 };
-			pf[n++] = (struct pollfd){ w->targets[i].tcp, POLLIN, 0 };
+			pf[n++] =
+				(struct pollfd){ w->targets[i].udp, POLLIN, 0 };
+			pf[n++] =
+				(struct pollfd){ w->targets[i].tcp, POLLIN, 0 };
 		}
 		for (int i = 0; i < w->client_nr; i++)
-			pf[n++] = (struct pollfd){ w->clients[i].udp, POLLIN, 0 };
+			pf[n++] =
+				(struct pollfd){ w->clients[i].udp, POLLIN, 0 };
 		for (int i = 0; i < 256; i++)
 			if (connections[i].fd >= 0)
 				pf[n++] = (struct pollfd){ connections[i].fd,
--- a/review/world.h
+++ b/review/world.h
@@ -24,12 +24,12 @@
 	char name[NAME_MAX_BYTES];
 	char zone[NAME_MAX_BYTES];
 	uint32_t ip;
-	int pid;	      /* 0: not known */
-	char pid_file[128];   /* of a machine that is started again; or "" */
-	int misses;	      /* of GET /ready, in a row */
+	int pid;	    /* 0: not known */
+	char pid_file[128]; /* of a machine that is started again; or "" */
+	int misses;	    /* of GET /ready, in a row */
 	bool frozen;
 	uint64_t disturbed_ms; /* end of the last disruption; 0: none */
-	int ready_fd;	      /* of the poll that runs; -1: none */
+	int ready_fd;	       /* of the poll that runs; -1: none */
 	uint64_t ready_began_ms;
 	uint64_t ready_next_ms;
 };
@@ -46,9 +46,9 @@
 	bool open;
 	bool used;
 	uint64_t syn_ms;
-	unsigned int syn_acks;	   /* sent again */
-	uint64_t syn_ack_due_ms;   /* when the next one is sent again */
-	uint64_t answer_due_ms; /* 0: no request runs */
+	unsigned int syn_acks;	 /* sent again */
+	uint64_t syn_ack_due_ms; /* when the next one is sent again */
+	uint64_t answer_due_ms;	 /* 0: no request runs */
 	char request[32];
 	char last_answer[96];
 };
@@ -63,16 +63,22 @@
 	uint16_t port;
 	int udp;
 	int tcp;
-	bool registered;	 /* it writes its entry */
-	uint64_t cold_until_ms;	 /* 0: warm */
+	bool registered;	/* it writes its entry */
+	uint64_t cold_until_ms; /* 0: warm */
 	uint64_t next_beat_ms;
-	unsigned int seq;	 /* of its entry */
+	unsigned int seq; /* of its entry */
 	unsigned int work_ms;
-	unsigned int opened;	 /* SYNs of new flows that it took */
+	unsigned int opened; /* SYNs of new flows that it took */
 	struct target_flow flows[4096];
 };
 
-enum flow_state { FLOW_FREE, FLOW_OPENING, FLOW_WAITING, FLOW_IDLE, FLOW_ENDED };
+enum flow_state {
+	FLOW_FREE,
+	FLOW_OPENING,
+	FLOW_WAITING,
+	FLOW_IDLE,
+	FLOW_ENDED
+};
 
 struct client_flow {
 	enum flow_state state;
@@ -99,7 +105,7 @@
 	uint32_t route_ip;
 	uint16_t route_port;
 	unsigned int beat_ms;
-	unsigned int lost_per_1000;  /* datagrams to clients that get lost */
+	unsigned int lost_per_1000; /* datagrams to clients that get lost */
 	bool targets_repeat_syn_acks;
 	struct machine machines[MACHINES_MAX];
 	int machine_nr;
@@ -127,7 +133,7 @@
 			 const struct target_flow *f);
 };
 
-uint64_t now_ms(void);	/* steady clock */
+uint64_t now_ms(void); /* steady clock */
 uint64_t unix_ms(void);
 uint32_t address(int net, int c, int d);
 void note(struct world *w, const char *format, ...)
