catalog: let only entries of configured services name upstreams

Any entry that could be read became an upstream, whatever its service. Of two upstreams with one number the one whose first report had the earlier start owned the cookie, so the agent, a minute older, took it over, and the upstream was ambiguous and got no flows. Instances without a record of a flow sent its packets to the agent's port, found it refusing and reset the flows.

An entry names an upstream if its service is in the configuration now, or was so lately that flows may be open; else it is remembered by name and cookie only, so that it takes no index, domain or service and counts nowhere. What follows:

- Entries that were read before the configuration that names their service are applied with it, from the mirror, but for those that are held after a restore.
- Upstreams of a service that is left out keep their flows for the lifetime of a flow, get no new ones, and are not checked or counted by domain.
- Who owns a cookie depends on entries and configuration as they are now: one that may get flows before one that may not, then the lower id as before, the earlier start, the name.
Before, it was the first start that an instance had read, which is another one after a restart.
- Entries without `born` or `version` name no upstream: PROTOCOL.md says that each entry of an upstream has them.
- A verdict of a peer on a number that such an entry has too is checked first: the peer may run a build that uses the entry.

--- a/base/counter-list.h
+++ b/base/counter-list.h
@@ -7,6 +7,8 @@
 COUNTER(CONFIG_APPLIED, "config.applied", "snapshots put in force")
 COUNTER(CONFIG_STALE, "config.stale", "snapshots of a lower epoch ignored")
 COUNTER(CONFIG_CORRUPT, "config.corrupt", "values that failed to decode")
+COUNTER(CONFIG_OTHER_ENTRIES, "config.other-entries",
+	"entries of services that are not configured")
 
 /* store */
 COUNTER(STORE_CALLS, "store.calls", "calls made to the store")
--- a/builtin/check.c
+++ b/builtin/check.c
@@ -64,7 +64,7 @@
 		set_status(&st, STATUS_INVALID, "the file cannot be read");
 		g_error_free(err);
 	} else {
-		if (read_operator_config(c, text, len, &st) == STATUS_OK)
+		if (read_operator_config(c, text, len, 0, &st) == STATUS_OK)
 			set_status(&st, STATUS_OK,
 				   "version %llu, %zu routes: ok",
 				   (unsigned long long)catalog_version(c),
--- a/config/catalog.c
+++ b/config/catalog.c
@@ -2,7 +2,15 @@
 
 #include <string.h>
 
-#define INDEXES_MAX 65000 /* per table; indexes have 16 bits */
+#define INDEXES_MAX 65000	  /* per table; indexes have 16 bits */
+#define IGNORED_ENTRIES_MAX 10000 /* remembered for is_contested() */
+
+/*
+ * How long what peers say of an upstream is doubted after another writer
+ * replaced its entry. An instance that started meanwhile takes the entry for the
+ * upstream's own until the upstream writes again, at most three heartbeats.
+ */
+#define CONTESTED_MS 10000
 
 struct domain {
 	char *name;
@@ -12,11 +20,15 @@
 struct catalog {
 	uint64_t flow_ttl_ms;
 	uint64_t version;
+	uint64_t version_before;	/* the one that VERSION replaced */
+	uint64_t service_added_version; /* the last that added a service */
 	uint32_t idle_ms;
 	GArray *routes;		 /* of struct catalog_route, sorted */
 	GPtrArray *upstreams;	 /* of struct catalog_upstream */
 	GHashTable *by_name;	 /* name -> upstream's index + 1 */
-	GHashTable *by_cookie;	 /* cookie -> upstream's index + 1 */
+	GHashTable *by_cookie;	 /* cookie -> index + 1 of its owner */
+	GHashTable *ignored;	 /* name of an entry -> its cookie */
+	GHashTable *ignored_nrs; /* cookie -> number of entries in IGNORED */
 	GPtrArray *services;	 /* of struct catalog_service */
 	GHashTable *service_nrs; /* name -> service's index + 1 */
 	GArray *domains;	 /* of struct domain */
@@ -48,6 +60,9 @@
 	c->by_name =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	c->by_cookie = g_hash_table_new(NULL, NULL);
+	c->ignored =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	c->ignored_nrs = g_hash_table_new(NULL, NULL);
 	c->services = g_ptr_array_new_with_free_func(free_service);
 	c->service_nrs =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -63,6 +78,8 @@
 	g_ptr_array_free(c->upstreams, TRUE);
 	g_hash_table_destroy(c->by_name);
 	g_hash_table_destroy(c->by_cookie);
+	g_hash_table_destroy(c->ignored);
+	g_hash_table_destroy(c->ignored_nrs);
 	g_ptr_array_free(c->services, TRUE);
 	g_hash_table_destroy(c->service_nrs);
 	for (guint i = 0; i < c->domains->len; i++)
@@ -132,20 +149,176 @@
 	return compare_address(x->ip, x->port, y->ip, y->port);
 }
 
-/* Updates the lowest priority of the services that R goes to. */
-static void note_route_priority(struct catalog *c,
-				const struct catalog_route *r)
+static struct catalog_upstream *upstream_by_index(const struct catalog *c,
+						  upstream_index_t nr)
+{
+	return g_ptr_array_index(c->upstreams, nr);
+}
+
+/* Whether the configuration in force names SV. */
+static bool is_configured(const struct catalog *c,
+			  const struct catalog_service *sv)
+{
+	return sv->version && sv->version == c->version;
+}
+
+/* Whether flows may be open that were placed while SV was configured. */
+static bool may_have_flows(const struct catalog *c,
+			   const struct catalog_service *sv, uint64_t now_ms)
+{
+	return is_configured(c, sv) ||
+	       (sv->version && now_ms - sv->left_at_ms <= c->flow_ttl_ms);
+}
+
+/*
+ * Whether upstream A rather than B owns the cookie of both. One that can get new
+ * flows goes before one that has at most old ones. Of two names for one id, who
+ * started first does: the other one has no flows, as it never owned the cookie.
+ */
+static bool precedes_in_cookie(const struct catalog_upstream *a,
+			       const struct catalog_upstream *b, bool a_usable,
+			       bool b_usable)
+{
+	if (a_usable != b_usable)
+		return a_usable;
+	if (a->report.id != b->report.id)
+		return a->report.id < b->report.id;
+	if (a->report.started_at_ms != b->report.started_at_ms)
+		return a->report.started_at_ms < b->report.started_at_ms;
+	return strcmp(a->report.name, b->report.name) > 0;
+}
+
+/* Whether UP has an entry, or may have it again, and its service is configured. */
+static bool is_usable(const struct catalog *c,
+		      const struct catalog_upstream *up)
+{
+	return (up->has_entry || up->overwritten) &&
+	       is_configured(c, g_ptr_array_index(c->services, up->service));
+}
+
+/* The first upstream with COOKIE, in no particular order. */
+static upstream_index_t first_of_cookie(const struct catalog *c,
+					uint32_t cookie)
+{
+	guint known = GPOINTER_TO_UINT(
+		g_hash_table_lookup(c->by_cookie, GUINT_TO_POINTER(cookie)));
+
+	return known ? (upstream_index_t)(known - 1) : CATALOG_NONE;
+}
+
+static void set_first_of_cookie(struct catalog *c, uint32_t cookie,
+				upstream_index_t nr)
+{
+	if (nr == CATALOG_NONE)
+		g_hash_table_remove(c->by_cookie, GUINT_TO_POINTER(cookie));
+	else
+		g_hash_table_insert(c->by_cookie, GUINT_TO_POINTER(cookie),
+				    GUINT_TO_POINTER(nr + 1));
+}
+
+static void unlink_from_cookie(struct catalog *c, upstream_index_t nr)
+{
+	struct catalog_upstream *up = upstream_by_index(c, nr);
+	upstream_index_t at = first_of_cookie(c, up->cookie);
+
+	if (at == nr) {
+		set_first_of_cookie(c, up->cookie, up->next_of_cookie);
+		return;
+	}
+	while (upstream_by_index(c, at)->next_of_cookie != nr)
+		at = upstream_by_index(c, at)->next_of_cookie;
+	upstream_by_index(c, at)->next_of_cookie = up->next_of_cookie;
+}
+
+static void link_to_cookie(struct catalog *c, upstream_index_t nr)
+{
+	struct catalog_upstream *up = upstream_by_index(c, nr);
+
+	up->next_of_cookie = first_of_cookie(c, up->cookie);
+	set_first_of_cookie(c, up->cookie, nr);
+}
+
+/* Makes the owner of COOKIE the first, and updates what follows from that. */
+static void resolve_cookie(struct catalog *c, uint32_t cookie)
+{
+	upstream_index_t owner = first_of_cookie(c, cookie);
+
+	if (owner == CATALOG_NONE)
+		return;
+	for (upstream_index_t nr = owner; nr != CATALOG_NONE;
+	     nr = upstream_by_index(c, nr)->next_of_cookie) {
+		struct catalog_upstream *up = upstream_by_index(c, nr);
+		const struct catalog_upstream *o = upstream_by_index(c, owner);
+
+		up->ambiguous = true;
+		up->listed = false;
+		if (nr != owner && precedes_in_cookie(up, o, is_usable(c, up),
+						      is_usable(c, o)))
+			owner = nr;
+	}
+	unlink_from_cookie(c, owner);
+	link_to_cookie(c, owner);
+	upstream_by_index(c, owner)->ambiguous = false;
+	upstream_by_index(c, owner)->listed =
+		is_usable(c, upstream_by_index(c, owner)) &&
+		upstream_by_index(c, owner)->has_entry;
+}
+
+static void resolve_cookies_of_service(struct catalog *c,
+				       const struct catalog_service *sv)
+{
+	for (guint i = 0; i < sv->upstreams->len; i++)
+		resolve_cookie(c, upstream_by_index(
+					  c, g_array_index(sv->upstreams,
+							   upstream_index_t, i))
+					  ->cookie);
+}
+
+/* Notes that the configuration in force names SV. */
+static void note_configured(struct catalog *c, struct catalog_service *sv)
+{
+	if (is_configured(c, sv))
+		return;
+	if (!sv->version || sv->version != c->version_before) {
+		sv->since_version = c->version;
+		c->service_added_version = c->version;
+	}
+	sv->version = c->version;
+	sv->left_at_ms = 0;
+}
+
+/* Notes which services ROUTES and SERVICES name, and their lowest priority. */
+static void note_configured_services(struct catalog *c, const GArray *routes,
+				     const GArray *services)
 {
-	for (uint32_t i = 0; i < r->target_nr; i++) {
-		struct catalog_service *sv =
-			g_ptr_array_index(c->services, r->targets[i].service);
+	for (guint i = 0; i < c->services->len; i++) {
+		struct catalog_service *sv = g_ptr_array_index(c->services, i);
 
-		sv->lowest_priority = MAX(sv->lowest_priority, r->priority);
+		sv->lowest_priority = 0;
+	}
+	for (guint i = 0; i < routes->len; i++) {
+		const struct catalog_route *r =
+			&g_array_index(routes, struct catalog_route, i);
+
+		for (uint32_t k = 0; k < r->target_nr; k++) {
+			struct catalog_service *sv = g_ptr_array_index(
+				c->services, r->targets[k].service);
+
+			note_configured(c, sv);
+			sv->lowest_priority =
+				MAX(sv->lowest_priority, r->priority);
+		}
 	}
+	for (guint i = 0; services && i < services->len; i++)
+		note_configured(c, g_ptr_array_index(
+					   c->services,
+					   g_array_index(services,
+							 service_index_t, i)));
 }
 
 bool set_catalog_routes(struct catalog *c, uint64_t version, GArray *routes,
-			uint32_t idle_ms)
+			const GArray *services, uint32_t idle_ms,
+			uint64_t now_ms)
 {
 	if (version <= c->version) {
 		free_routes(routes);
@@ -154,17 +327,19 @@
 	g_array_sort(routes, compare_routes);
 	free_routes(c->routes);
 	c->routes = routes;
+	c->version_before = c->version;
 	c->version = version;
 	c->idle_ms = idle_ms;
+	note_configured_services(c, routes, services);
 	for (guint i = 0; i < c->services->len; i++) {
 		struct catalog_service *sv = g_ptr_array_index(c->services, i);
+		bool left = sv->version && sv->version == c->version_before;
 
-		sv->listed = false;
-		sv->lowest_priority = 0;
+		if (left)
+			sv->left_at_ms = now_ms;
+		if (left || sv->since_version == version)
+			resolve_cookies_of_service(c, sv);
 	}
-	for (guint i = 0; i < routes->len; i++)
-		note_route_priority(
-			c, &g_array_index(routes, struct catalog_route, i));
 	return true;
 }
 
@@ -177,59 +352,28 @@
 	sv->cold_ms = settings->cold_ms;
 	sv->cold_flows_per_s = settings->cold_flows_per_s;
 	sv->max_flows = settings->max_flows;
-	sv->listed = true;
 }
 
-static struct catalog_upstream *upstream_by_index(const struct catalog *c,
-						  upstream_index_t nr)
+static const struct catalog_service *find_service(const struct catalog *c,
+						  const char *name)
 {
-	return g_ptr_array_index(c->upstreams, nr);
+	guint known =
+		GPOINTER_TO_UINT(g_hash_table_lookup(c->service_nrs, name));
+
+	return known ? g_ptr_array_index(c->services, known - 1) : NULL;
 }
 
-/*
- * Whether upstream A rather than B owns the cookie of both. Of two ids the lower
- * one does, so that all instances decide alike, whichever they read first. Of
- * two names for one id, who started first does, as it may have open flows; a
- * restart changes nothing, and neither does a second name for the same start.
- */
-static bool owns_shared_cookie(const struct catalog *c, upstream_index_t a,
-			       upstream_index_t b)
+bool is_new_service(const struct catalog *c, const char *service,
+		    uint64_t version)
 {
-	const struct catalog_upstream *x = upstream_by_index(c, a);
-	const struct catalog_upstream *y = upstream_by_index(c, b);
+	const struct catalog_service *sv = find_service(c, service);
 
-	if (x->report.id != y->report.id)
-		return x->report.id < y->report.id;
-	if (x->first_start_ms != y->first_start_ms)
-		return x->first_start_ms < y->first_start_ms;
-	if (find_upstream_by_cookie(c, x->cookie) == a)
-		return true;
-	return find_upstream_by_cookie(c, x->cookie) != b &&
-	       strcmp(x->report.name, y->report.name) < 0;
+	return sv && is_configured(c, sv) && sv->since_version > version;
 }
 
-/* Updates by_cookie and AMBIGUOUS for all upstreams with COOKIE. */
-static void resolve_cookie(struct catalog *c, uint32_t cookie)
+bool has_new_services(const struct catalog *c, uint64_t version)
 {
-	upstream_index_t owner = CATALOG_NONE;
-
-	for (guint i = 0; i < c->upstreams->len; i++) {
-		upstream_index_t nr = (upstream_index_t)i;
-		struct catalog_upstream *up = upstream_by_index(c, nr);
-
-		if (!up || up->cookie != cookie)
-			continue;
-		up->ambiguous = true;
-		if (owner == CATALOG_NONE || owns_shared_cookie(c, nr, owner))
-			owner = nr;
-	}
-	if (owner == CATALOG_NONE) {
-		g_hash_table_remove(c->by_cookie, GUINT_TO_POINTER(cookie));
-		return;
-	}
-	upstream_by_index(c, owner)->ambiguous = false;
-	g_hash_table_insert(c->by_cookie, GUINT_TO_POINTER(cookie),
-			    GUINT_TO_POINTER(owner + 1));
+	return c->service_added_version > version;
 }
 
 static void remove_from_service(struct catalog *c, upstream_index_t nr)
@@ -276,13 +420,12 @@
 		return nr;
 	up = g_new0(struct catalog_upstream, 1);
 	up->report = *r;
-	up->first_start_ms = r->started_at_ms;
 	up->cookie = make_cookie(r->id);
 	g_ptr_array_index(c->upstreams, nr) = up;
 	g_hash_table_insert(c->by_name, g_strdup(r->name),
 			    GUINT_TO_POINTER(nr + 1));
 	add_to_service(c, nr, service);
-	resolve_cookie(c, up->cookie);
+	link_to_cookie(c, nr);
 	return nr;
 }
 
@@ -294,6 +437,110 @@
 	return known ? (upstream_index_t)(known - 1) : CATALOG_NONE;
 }
 
+/* Counts one entry with COOKIE more or, if STEP is -1, less in IGNORED. */
+static void count_ignored(struct catalog *c, uint32_t cookie, int step)
+{
+	gpointer key = GUINT_TO_POINTER(cookie);
+	int nr = GPOINTER_TO_INT(g_hash_table_lookup(c->ignored_nrs, key)) +
+		 step;
+
+	if (nr)
+		g_hash_table_insert(c->ignored_nrs, key, GINT_TO_POINTER(nr));
+	else
+		g_hash_table_remove(c->ignored_nrs, key);
+}
+
+/* Forgets that the entry NAME names no upstream. */
+static void forget_ignored_entry(struct catalog *c, const char *name)
+{
+	gpointer cookie = g_hash_table_lookup(c->ignored, name);
+
+	if (!cookie)
+		return;
+	count_ignored(c, GPOINTER_TO_UINT(cookie), -1);
+	g_hash_table_remove(c->ignored, name);
+}
+
+static void remember_ignored_entry(struct catalog *c, const char *name,
+				   uint32_t cookie)
+{
+	forget_ignored_entry(c, name);
+	if (g_hash_table_size(c->ignored) >= IGNORED_ENTRIES_MAX)
+		return;
+	g_hash_table_insert(c->ignored, g_strdup(name),
+			    GUINT_TO_POINTER(cookie));
+	count_ignored(c, cookie, 1);
+}
+
+bool names_upstream(const struct catalog *c, const struct upstream_report *r,
+		    uint64_t now_ms)
+{
+	const struct catalog_service *sv = find_service(c, r->service);
+	upstream_index_t nr = find_upstream_by_name(c, r->name);
+
+	if (!sv || !may_have_flows(c, sv, now_ms))
+		return false;
+	if (is_configured(c, sv) || nr == CATALOG_NONE)
+		return true;
+	return !is_configured(
+		c, get_service(c, upstream_by_index(c, nr)->service));
+}
+
+bool is_report_in_force(const struct catalog *c, const char *name,
+			uint64_t revision)
+{
+	upstream_index_t nr = find_upstream_by_name(c, name);
+
+	return nr != CATALOG_NONE && upstream_by_index(c, nr)->has_entry &&
+	       upstream_by_index(c, nr)->revision == revision;
+}
+
+/*
+ * Ends the entry of upstream NR, which was removed or OVERWRITTEN. False if it
+ * had none.
+ */
+static bool end_upstream_entry(struct catalog *c, upstream_index_t nr,
+			       bool overwritten, uint64_t now_ms)
+{
+	struct catalog_upstream *up = upstream_by_index(c, nr);
+	bool had_entry = up->has_entry;
+
+	up->disputed_at_ms = 0;
+	up->has_entry = false;
+	up->overwritten = overwritten && (had_entry || up->overwritten);
+	if (overwritten)
+		up->overwritten_ms = now_ms;
+	if (had_entry)
+		up->removed_at_ms = now_ms;
+	resolve_cookie(c, up->cookie);
+	return had_entry;
+}
+
+upstream_index_t ignore_upstream_entry(struct catalog *c, const char *name,
+				       uint64_t id, uint64_t now_ms)
+{
+	upstream_index_t nr = find_upstream_by_name(c, name);
+
+	if (nr == CATALOG_NONE) {
+		if (id)
+			remember_ignored_entry(c, name, make_cookie(id));
+		return nr;
+	}
+	return end_upstream_entry(c, nr, true, now_ms) ? nr : CATALOG_NONE;
+}
+
+bool is_contested(const struct catalog *c, upstream_index_t nr, uint64_t now_ms)
+{
+	const struct catalog_upstream *up = get_upstream(c, nr);
+
+	if (!up)
+		return false;
+	if (up->next_of_cookie != CATALOG_NONE ||
+	    g_hash_table_contains(c->ignored_nrs, GUINT_TO_POINTER(up->cookie)))
+		return true;
+	return up->overwritten_ms && now_ms - up->overwritten_ms < CONTESTED_MS;
+}
+
 /* True if the process restarted between the reports OLD and R. */
 static bool is_new_start(const struct upstream_report *old,
 			 const struct upstream_report *r)
@@ -353,12 +600,15 @@
 	keep_replaced_report(up, r);
 	up->report = *r;
 	up->domain = domain;
-	up->listed = true;
+	up->has_entry = true;
+	up->overwritten = false;
 	up->removed_at_ms = 0;
 	up->disputed_at_ms = 0;
 	up->revision = revision;
 	up->reported_at_ms = now_ms;
 	up->cold_until_ms = r->cold_left_ms ? now_ms + r->cold_left_ms : 0;
+	forget_ignored_entry(c, r->name);
+	resolve_cookie(c, up->cookie);
 	return nr;
 }
 
@@ -366,34 +616,19 @@
 					 uint64_t now_ms)
 {
 	upstream_index_t nr = find_upstream_by_name(c, name);
-	struct catalog_upstream *up;
 
-	if (nr == CATALOG_NONE)
-		return nr;
-	up = upstream_by_index(c, nr);
-	up->disputed_at_ms = 0;
-	if (!up->listed)
-		return CATALOG_NONE;
-	up->listed = false;
-	up->removed_at_ms = now_ms;
-	return nr;
+	forget_ignored_entry(c, name);
+	return nr != CATALOG_NONE && end_upstream_entry(c, nr, false, now_ms)
+		       ? nr
+		       : CATALOG_NONE;
 }
 
-/* True if R is about another place or service than UP without a later start. */
-static bool contradicts_report(const struct catalog *c,
-			       const struct catalog_upstream *up,
+/* True if R is about another place than UP without a later start. */
+static bool contradicts_report(const struct catalog_upstream *up,
 			       const struct upstream_report *r)
 {
-	const struct upstream_report *old = &up->report;
-	const struct catalog_service *known = get_service(c, up->service);
-	guint nr = GPOINTER_TO_UINT(
-		g_hash_table_lookup(c->service_nrs, r->service));
-
-	if (known->listed &&
-	    !(nr && get_service(c, (service_index_t)(nr - 1))->listed))
-		return true;
-	return r->started_at_ms <= old->started_at_ms &&
-	       !is_same_place(r, old) && !is_return(up, r);
+	return r->started_at_ms <= up->report.started_at_ms &&
+	       !is_same_place(r, &up->report) && !is_return(up, r);
 }
 
 bool dispute_upstream_report(struct catalog *c, const struct upstream_report *r,
@@ -405,12 +640,12 @@
 
 	if (nr != CATALOG_NONE)
 		up = upstream_by_index(c, nr);
-	if (!up || !contradicts_report(c, up, r))
+	if (!up || !contradicts_report(up, r))
 		return false;
 	since_ms = up->disputed_at_ms ? up->disputed_at_ms : now_ms;
 	if (now_ms - since_ms >= hold_ms)
 		return false;
-	remove_catalog_upstream(c, r->name, now_ms);
+	end_upstream_entry(c, nr, true, now_ms);
 	up->disputed_at_ms = since_ms;
 	return true;
 }
@@ -428,6 +663,17 @@
 	}
 }
 
+/* UP may have started without a report yet. */
+static void assume_cold_start(const struct catalog *c,
+			      struct catalog_upstream *up, uint64_t least_ms,
+			      uint64_t now_ms)
+{
+	uint64_t cold_ms = get_service(c, up->service)->cold_ms;
+
+	up->cold_until_ms =
+		MAX(up->cold_until_ms, now_ms + MAX(cold_ms, least_ms));
+}
+
 void set_catalog_domain_out(struct catalog *c, const char *domain, bool out,
 			    uint64_t assume_cold_ms, uint64_t now_ms)
 {
@@ -443,9 +689,8 @@
 				upstream_by_index(c, (upstream_index_t)i);
 
 			if (up && up->domain == nr)
-				up->cold_until_ms =
-					MAX(up->cold_until_ms,
-					    now_ms + assume_cold_ms);
+				assume_cold_start(c, up, assume_cold_ms,
+						  now_ms);
 		}
 	}
 	d->out = out;
@@ -457,20 +702,34 @@
 	uint32_t cookie = up->cookie;
 
 	remove_from_service(c, nr);
+	unlink_from_cookie(c, nr);
 	g_hash_table_remove(c->by_name, up->report.name);
 	g_free(up);
 	g_ptr_array_index(c->upstreams, nr) = NULL;
 	resolve_cookie(c, cookie);
 }
 
+void set_catalog_flow_ttl(struct catalog *c, uint64_t flow_ttl_ms)
+{
+	c->flow_ttl_ms = flow_ttl_ms;
+}
+
 void expire_catalog(struct catalog *c, uint64_t now_ms)
 {
 	for (guint i = 0; i < c->upstreams->len; i++) {
-		const struct catalog_upstream *up =
+		struct catalog_upstream *up =
 			upstream_by_index(c, (upstream_index_t)i);
 
-		if (up && up->removed_at_ms &&
-		    now_ms - up->removed_at_ms > c->flow_ttl_ms)
+		if (!up)
+			continue;
+		if (up->overwritten &&
+		    now_ms - up->removed_at_ms >= CONTESTED_MS) {
+			up->overwritten = false;
+			resolve_cookie(c, up->cookie);
+		}
+		if ((up->removed_at_ms &&
+		     now_ms - up->removed_at_ms > c->flow_ttl_ms) ||
+		    !may_have_flows(c, get_service(c, up->service), now_ms))
 			forget_upstream(c, (upstream_index_t)i);
 	}
 }
@@ -523,10 +782,7 @@
 upstream_index_t find_upstream_by_cookie(const struct catalog *c,
 					 uint32_t cookie)
 {
-	guint known = GPOINTER_TO_UINT(
-		g_hash_table_lookup(c->by_cookie, GUINT_TO_POINTER(cookie)));
-
-	return known ? (upstream_index_t)(known - 1) : CATALOG_NONE;
+	return first_of_cookie(c, cookie);
 }
 
 const struct catalog_upstream *get_upstream(const struct catalog *c,
@@ -571,7 +827,7 @@
 {
 	const struct catalog_upstream *up = get_upstream(c, nr);
 
-	return up && up->listed && !up->report.draining && !up->ambiguous &&
+	return up && up->listed && !up->report.draining &&
 	       !is_catalog_domain_out(c, up->domain);
 }
 
--- a/config/catalog.h
+++ b/config/catalog.h
@@ -6,8 +6,14 @@
  * registered in the platform's store, and the failure domains taken out of
  * service. Filled from the store (platform/records.h), read by flow/. No I/O.
  *
- * An upstream whose entry was removed is kept for as long as flows to it may
- * be open. Routes are replaced as a whole and never by an older version.
+ * An upstream whose entry was removed, or whose service is no longer configured,
+ * is kept for as long as flows to it may be open. Routes are replaced as a whole
+ * and never by an older version.
+ *
+ * An entry names an upstream only if the configuration names its service. What
+ * is decided about one depends on the configuration and the entries as they are
+ * now, not on the order in which they were read, so that all instances decide
+ * alike, also those that have just started.
  */
 
 #include <glib.h>
@@ -47,27 +53,33 @@
 	struct upstream_report report;
 	/* the one before REPORT, of another start or place; id 0: none */
 	struct upstream_report replaced;
-	uint64_t first_start_ms; /* started_at_ms of its first report */
-	uint32_t cookie;	 /* identifies it in packets; never 0 */
+	uint32_t cookie;		 /* identifies it in packets; never 0 */
+	upstream_index_t next_of_cookie; /* another one with COOKIE, or NONE */
 	service_index_t service;
 	domain_index_t domain;
-	bool listed;		 /* its entry exists */
-	bool ambiguous;		 /* another upstream has its cookie */
+	bool has_entry;	  /* its entry exists and names it */
+	bool overwritten; /* lately, by another writer: it may come back */
+	bool ambiguous;	  /* another upstream has its cookie */
+	/* has its entry and its cookie, and its service is configured */
+	bool listed;
 	uint64_t revision;	 /* store revision of its entry */
 	uint64_t reported_at_ms; /* when REPORT was received */
 	uint64_t cold_until_ms;	 /* end of its cold start */
 	uint64_t removed_at_ms;	 /* when its entry was removed; 0: listed */
 	uint64_t disputed_at_ms; /* see dispute_upstream_report(); 0: is not */
+	uint64_t overwritten_ms; /* last entry of another writer; 0: none */
 	uint32_t restart_count;	 /* restarts of its process that were seen */
 };
 
 struct catalog_service {
 	char name[CATALOG_NAME_MAX];
 	char health_path[CATALOG_NAME_MAX];
-	uint32_t cold_ms;	  /* length of an upstream's cold start */
-	double cold_flows_per_s;  /* limit of new flows/s to a cold upstream */
-	uint32_t max_flows;	  /* limit of open flows to one upstream */
-	bool listed;		  /* in the routes in force */
+	uint32_t cold_ms;	 /* length of an upstream's cold start */
+	double cold_flows_per_s; /* limit of new flows/s to a cold upstream */
+	uint32_t max_flows;	 /* limit of open flows to one upstream */
+	uint64_t version;	 /* the last configuration that names it */
+	uint64_t since_version; /* first of those without a gap up to VERSION */
+	uint64_t left_at_ms;	/* a configuration left it out; 0: did not */
 	uint32_t lowest_priority; /* of its routes: the largest number */
 	GArray *upstreams;	  /* of upstream_index_t */
 };
@@ -100,18 +112,55 @@
 domain_index_t intern_domain(struct catalog *c, const char *name);
 
 /*
- * Replaces the routes and unlists all services. Takes over ROUTES (of struct
- * catalog_route, whose targets are freed with g_free). A flow
- * without packets for IDLE_MS counts as ended. Returns false and changes
- * nothing if VERSION is not above the one in force.
+ * Replaces the routes. Configured from now on are the services that ROUTES lead
+ * to and SERVICES (of service_index_t, or NULL). Takes over ROUTES (of struct
+ * catalog_route, whose targets are freed with g_free). A flow without packets
+ * for IDLE_MS counts as ended. Returns false and changes nothing if VERSION is
+ * not above the one in force.
  */
 bool set_catalog_routes(struct catalog *c, uint64_t version, GArray *routes,
-			uint32_t idle_ms);
+			const GArray *services, uint32_t idle_ms,
+			uint64_t now_ms);
 
-/* Sets the settings of one service and lists it. Call after the routes. */
+/* Sets the settings of one service. */
 void set_catalog_service(struct catalog *c, service_index_t nr,
 			 const struct catalog_service *settings);
 
+/*
+ * True if SERVICE is configured, but was not in all versions from VERSION on.
+ * Entries of upstreams that named none before do so now.
+ */
+bool is_new_service(const struct catalog *c, const char *service,
+		    uint64_t version);
+
+/* True if there is such a service. */
+bool has_new_services(const struct catalog *c, uint64_t version);
+
+/*
+ * Whether R names an upstream: its service is configured, or was until so lately
+ * that flows to its upstreams may be open.
+ */
+bool names_upstream(const struct catalog *c, const struct upstream_report *r,
+		    uint64_t now_ms);
+
+/* True if the report in force of the upstream NAME is of REVISION. */
+bool is_report_in_force(const struct catalog *c, const char *name,
+			uint64_t revision);
+
+/*
+ * Notes that the entry NAME, with ID in its key, names no upstream (any more).
+ * Unlists the upstream that it named. CATALOG_NONE if that was not listed.
+ */
+upstream_index_t ignore_upstream_entry(struct catalog *c, const char *name,
+				       uint64_t id, uint64_t now_ms);
+
+/*
+ * True if another writer lately left an entry with the cookie of upstream NR:
+ * what a peer says of that cookie may be about the other one.
+ */
+bool is_contested(const struct catalog *c, upstream_index_t nr,
+		  uint64_t now_ms);
+
 /* Adds or updates an upstream; CATALOG_NONE if a table is full. */
 upstream_index_t update_catalog_upstream(struct catalog *c,
 					 const struct upstream_report *r,
@@ -119,10 +168,10 @@
 
 /*
  * True if R gives a known upstream another address, service or domain although
- * it did not start anew, or a service that is not configured: such a report may
- * be from another writer, and open flows stay where they are. The upstream is
- * then unlisted. A report that its owner has not replaced for HOLD_MS is no
- * longer disputed, nor is a return to what was reported before.
+ * it did not start anew: such a report may be from another writer, and open
+ * flows stay where they are. The upstream is then unlisted. A report that its
+ * owner has not replaced for HOLD_MS is no longer disputed, nor is a return to
+ * what was reported before.
  */
 bool dispute_upstream_report(struct catalog *c, const struct upstream_report *r,
 			     uint64_t hold_ms, uint64_t now_ms);
@@ -132,8 +181,8 @@
 			   uint64_t now_ms, GPtrArray *names);
 
 /*
- * Unlists the upstream NAME, whose entry was removed or is malformed.
- * CATALOG_NONE if it was not listed.
+ * Unlists the upstream NAME, whose entry was removed. CATALOG_NONE if it had
+ * none.
  */
 upstream_index_t remove_catalog_upstream(struct catalog *c, const char *name,
 					 uint64_t now_ms);
@@ -141,12 +190,19 @@
 /*
  * Takes DOMAIN out of service or back. Upstreams of a domain that comes back
  * may have restarted without a report yet: they count as cold for
- * ASSUME_COLD_MS or until their next report.
+ * ASSUME_COLD_MS, for as long as a cold start of their service lasts if that is
+ * longer, or until their next report.
  */
 void set_catalog_domain_out(struct catalog *c, const char *domain, bool out,
 			    uint64_t assume_cold_ms, uint64_t now_ms);
 
-/* Drops upstreams that were removed so long ago that no flow can be open. */
+/* The longest lifetime of a flow, ms. */
+void set_catalog_flow_ttl(struct catalog *c, uint64_t flow_ttl_ms);
+
+/*
+ * Drops upstreams that were removed, or whose service was left out of the
+ * configuration, so long ago that no flow can be open.
+ */
 void expire_catalog(struct catalog *c, uint64_t now_ms);
 
 /*
--- a/config/mirror-update.c
+++ b/config/mirror-update.c
@@ -17,6 +17,18 @@
 	return b;
 }
 
+GPtrArray *list_mirror_keys(const struct mirror *m)
+{
+	GPtrArray *keys = g_ptr_array_new_with_free_func(g_free);
+	GHashTableIter it;
+	gpointer key;
+
+	g_hash_table_iter_init(&it, m->items);
+	while (g_hash_table_iter_next(&it, &key, NULL))
+		g_ptr_array_add(keys, g_strdup(key));
+	return keys;
+}
+
 void record_bases(struct mirror *m, const struct store_entry *entries,
 		  size_t nr)
 {
--- a/config/mirror.h
+++ b/config/mirror.h
@@ -219,6 +219,9 @@
 /* The entry of KEY; valid until the next step. */
 struct mirror_entry find_mirror_entry(const struct mirror *m, const char *key);
 
+/* The keys of all entries (char *), in no order; the caller frees the array. */
+GPtrArray *list_mirror_keys(const struct mirror *m);
+
 /* When the store last answered; 0 if never. */
 uint64_t mirror_last_answer_ms(const struct mirror *m);
 
--- a/config/restored-records.c
+++ b/config/restored-records.c
@@ -241,6 +241,13 @@
 	}
 }
 
+bool is_record_held(const struct restored_records *rr, const char *key)
+{
+	const struct known_record *k = g_hash_table_lookup(rr->records, key);
+
+	return k && k->held;
+}
+
 size_t held_record_count(const struct restored_records *rr)
 {
 	return rr->held_nr;
--- a/config/restored-records.h
+++ b/config/restored-records.h
@@ -99,6 +99,9 @@
 	uint64_t left_ms; /* time until the hold ends; 0: none is set */
 };
 
+/* True if the record at KEY is held. */
+bool is_record_held(const struct restored_records *rr, const char *key);
+
 /* Number of records that are held. */
 size_t held_record_count(const struct restored_records *rr);
 
--- a/flow/placement-notices.c
+++ b/flow/placement-notices.c
@@ -181,6 +181,9 @@
 	if (ul->restarted_ms &&
 	    now_ms - ul->restarted_ms <= HEALTH_START_UNKNOWN_MS)
 		return VERDICT_RESTARTED;
+	/* builds that use such entries may have checked the other address */
+	if (is_contested(pl->catalog, nr, now_ms))
+		return VERDICT_CONTESTED;
 	/* a refusal takes one round trip, and the sender alone may be cut off */
 	if (ul->open_flows &&
 	    was_alive_since(pl, nr, now_ms - MIN(now_ms, PLACEMENT_QUIET_MS)))
@@ -324,9 +327,9 @@
 const char *verdict_outcome_name(enum verdict_outcome o)
 {
 	static const char *const names[VERDICT_OUTCOME_NR] = {
-		"none",	  "adopted",	   "known",	  "no-upstream",
-		"stale",  "link-doubtful", "alive-since", "other-domain",
-		"paused", "restarted",	   "alive-lately"
+		"none",	  "adopted",	   "known",	   "no-upstream",
+		"stale",  "link-doubtful", "alive-since",  "other-domain",
+		"paused", "restarted",	   "alive-lately", "contested"
 	};
 
 	return names[o];
--- a/flow/placement.h
+++ b/flow/placement.h
@@ -300,6 +300,7 @@
 	VERDICT_PAUSED,	   /* signs of life may be unread, since a pause here */
 	VERDICT_RESTARTED, /* the sender may not know of the last start yet */
 	VERDICT_ALIVE_LATELY, /* there was a sign of life shortly before */
+	VERDICT_CONTESTED, /* it may be about another entry with that cookie */
 	VERDICT_OUTCOME_NR
 };
 
--- a/net/edge-packets.c
+++ b/net/edge-packets.c
@@ -65,6 +65,8 @@
 	char flow[FLOW_TEXT_MAX_BYTES];
 	char evidence[EVIDENCE_TEXT_BYTES];
 
+	if (!resets->len)
+		return;
 	for (guint i = 0; i < resets->len; i++) {
 		const struct cookie_reset *r =
 			&g_array_index(resets, struct cookie_reset, i);
--- a/net/edge-records.c
+++ b/net/edge-records.c
@@ -48,57 +48,133 @@
 	       MIRROR_REMOVAL_HOLD_MS;
 }
 
-static void handle_upstream_entry(struct edge *e, const char *name,
-				  const struct mirror_action *a)
+/* Logs and counts that the entry NAME at REVISION is not used. */
+static void note_unused_entry(struct edge *e, const char *name,
+			      uint64_t revision, const struct status *st)
+{
+	log_event(e->log, EVENT_UPSTREAM_INVALID,
+		  "upstream=%.64s revision=%llu why=\"%s\"", name,
+		  (unsigned long long)revision, st->message);
+	count(&e->counters, st->kind == STATUS_NOT_FOUND
+				    ? COUNT_CONFIG_OTHER_ENTRIES
+				    : COUNT_CONFIG_CORRUPT);
+}
+
+static void log_upstream_report(const struct edge *e,
+				const struct upstream_report *r,
+				uint64_t revision)
 {
-	struct upstream_report r;
-	struct status st;
-	upstream_index_t nr = CATALOG_NONE;
 	char at[ENDPOINT_TEXT_MAX];
-	enum status_kind kind =
-		read_upstream_entry(name, a->value, a->len, &r, &st);
-	struct record_order order = { r.started_at_ms, r.write_count };
 
-	if (!is_believed(e, a, RECORD_CLASS_UPSTREAM,
-			 kind == STATUS_OK ? order : no_order))
-		return;
+	log_event(e->log, EVENT_UPSTREAM,
+		  "upstream=%s service=%s domain=%s address=%s "
+		  "state=%s cold_ms=%u start_ms=%llu revision=%llu",
+		  r->name, r->service, r->domain,
+		  format_endpoint(&r->address, at),
+		  r->draining ? "draining" : "ready", r->cold_left_ms,
+		  (unsigned long long)r->started_at_ms,
+		  (unsigned long long)revision);
+}
+
+/* Why R is not used, in ST; STATUS_OK if it is. */
+static enum status_kind
+check_report(struct edge *e, const struct upstream_report *r, struct status *st)
+{
+	if (!names_upstream(e->catalog, r, e->now_ms))
+		return set_status(st, STATUS_NOT_FOUND,
+				  "service '%.64s' is not configured",
+				  r->service);
 	/* an upstream that runs replaces an entry of another writer in time */
-	if (kind == STATUS_OK &&
-	    dispute_upstream_report(e->catalog, &r, entry_lapse_ms(e),
+	if (dispute_upstream_report(e->catalog, r, entry_lapse_ms(e),
 				    e->now_ms))
-		kind = set_status(&st, STATUS_CONFLICT,
+		return set_status(st, STATUS_CONFLICT,
 				  "another address, service or domain "
 				  "without a new start");
-	if (kind != STATUS_OK) {
-		log_event(e->log, EVENT_UPSTREAM_INVALID,
-			  "upstream=%.64s revision=%llu why=\"%s\"", name,
-			  (unsigned long long)a->revision, st.message);
-		count(&e->counters, COUNT_CONFIG_CORRUPT);
-		if (kind != STATUS_CONFLICT)
-			nr = remove_catalog_upstream(e->catalog, name,
-						     e->now_ms);
+	return STATUS_OK;
+}
+
+/*
+ * Applies the entry NAME at REVISION, of which R was read if READ->kind is
+ * STATUS_OK.
+ */
+static void apply_upstream_entry(struct edge *e, const char *name,
+				 const struct upstream_report *r,
+				 const struct status *read, uint64_t revision)
+{
+	struct status st = *read;
+	upstream_index_t nr = CATALOG_NONE;
+
+	if (st.kind == STATUS_OK)
+		check_report(e, r, &st);
+	if (st.kind != STATUS_OK) {
+		note_unused_entry(e, name, revision, &st);
+		if (st.kind != STATUS_CONFLICT)
+			nr = ignore_upstream_entry(e->catalog, name, r->id,
+						   e->now_ms);
 	} else {
-		nr = update_catalog_upstream(e->catalog, &r, a->revision,
+		nr = update_catalog_upstream(e->catalog, r, revision,
 					     e->now_ms);
-		log_event(e->log, EVENT_UPSTREAM,
-			  "upstream=%s service=%s domain=%s address=%s "
-			  "state=%s cold_ms=%u start_ms=%llu revision=%llu",
-			  name, r.service, r.domain,
-			  format_endpoint(&r.address, at),
-			  r.draining ? "draining" : "ready", r.cold_left_ms,
-			  (unsigned long long)r.started_at_ms,
-			  (unsigned long long)a->revision);
+		log_upstream_report(e, r, revision);
 	}
 	if (nr != CATALOG_NONE)
 		update_placer_upstream(e->placement, nr, e->now_ms);
 }
 
+static void handle_upstream_entry(struct edge *e, const char *name,
+				  const struct mirror_action *a)
+{
+	struct upstream_report r;
+	struct status st = { .kind = STATUS_OK };
+	struct record_order order = no_order;
+
+	if (read_upstream_entry(name, a->value, a->len, &r, &st) == STATUS_OK) {
+		order.started_at_ms = r.started_at_ms;
+		order.write_count = r.write_count;
+	}
+	/* without a configuration, apply_new_services() will read it again */
+	if (is_believed(e, a, RECORD_CLASS_UPSTREAM, order) &&
+	    catalog_version(e->catalog))
+		apply_upstream_entry(e, name, &r, &st, a->revision);
+}
+
+/* Applies the entry at KEY if it is of a service that is new. */
+static void apply_entry_of_new_service(struct edge *e, const char *key)
+{
+	struct mirror_entry entry = find_mirror_entry(e->mirror, key);
+	struct status st = { .kind = STATUS_OK };
+	struct upstream_report r;
+	const char *name;
+
+	if (platform_key_kind(key, &name) != RECORD_UPSTREAM || !entry.value ||
+	    is_record_held(e->restored_records, key) ||
+	    read_upstream_entry(name, entry.value, entry.len, &r, &st) !=
+		    STATUS_OK ||
+	    !is_new_service(e->catalog, r.service, e->services_version) ||
+	    is_report_in_force(e->catalog, name, entry.revision))
+		return;
+	apply_upstream_entry(e, name, &r, &st, entry.revision);
+}
+
+void apply_new_services(struct edge *e)
+{
+	GPtrArray *keys;
+
+	if (has_new_services(e->catalog, e->services_version)) {
+		keys = list_mirror_keys(e->mirror);
+		for (guint i = 0; i < keys->len; i++)
+			apply_entry_of_new_service(e,
+						   g_ptr_array_index(keys, i));
+		g_ptr_array_free(keys, TRUE);
+	}
+	e->services_version = catalog_version(e->catalog);
+}
+
 static void handle_routes_entry(struct edge *e, const struct mirror_action *a)
 {
 	GArray *resets;
 	struct status st;
-	enum status_kind kind =
-		read_operator_config(e->catalog, a->value, a->len, &st);
+	enum status_kind kind = read_operator_config(e->catalog, a->value,
+						     a->len, e->now_ms, &st);
 
 	if (kind != STATUS_OK) {
 		log_event(e->log, EVENT_ROUTES_REFUSED,
--- a/net/edge-state.h
+++ b/net/edge-state.h
@@ -79,6 +79,8 @@
 	uint64_t lease_call_due_ms; /* next grant or renewal of ENTRY_LEASE */
 	bool registration_pending;  /* a call for that entry runs */
 	unsigned int registration_failures; /* of such calls, in a row */
+	/* configuration up to which entries of new services were applied */
+	uint64_t services_version;
 	bool synced;	      /* all store entries have been read once */
 	bool logged_ready;    /* readiness as last logged */
 	char incarnation[17]; /* random id of this process, for logs */
@@ -115,6 +117,12 @@
 
 /* edge-records.c: applies the store's records */
 void apply_edge_change(struct edge *e, const struct mirror_action *a);
+/*
+ * Applies the entries of services that the configuration names and the one
+ * before did not. To be called when all changes that were learned at once have
+ * been applied.
+ */
+void apply_new_services(struct edge *e);
 /* Lets what the store has of records that are no longer held go into force. */
 void tick_edge_records(struct edge *e);
 /* Takes over the records that a peer holds, which N lists. */
--- a/net/edge-store.c
+++ b/net/edge-store.c
@@ -497,6 +497,7 @@
 	for (guint i = 0; i < actions->len; i++)
 		execute_action(
 			e, &g_array_index(actions, struct mirror_action, i));
+	apply_new_services(e);
 	g_array_free(actions, TRUE);
 }
 
--- a/t/check-cookie.c
+++ b/t/check-cookie.c
@@ -955,7 +955,8 @@
 		r.targets = g_memdup2(&share, sizeof(share));
 		g_array_append_val(routes, r);
 	}
-	ck_assert(set_catalog_routes(in.catalog, 9, routes, TEST_IDLE_MS));
+	ck_assert(set_catalog_routes(in.catalog, 9, routes, NULL, TEST_IDLE_MS,
+				     1));
 	for (uint16_t i = 0; i < 2; i++) {
 		const struct catalog_route *r = find_catalog_route(
 			in.catalog, TEST_ROUTE_IP, TEST_ROUTE_PORT + i);
@@ -988,7 +989,7 @@
 		r.port = (uint16_t)(TEST_ROUTE_PORT + priority - 1);
 		g_array_append_val(routes, r);
 	}
-	set_catalog_routes(in.catalog, 9, routes, TEST_IDLE_MS);
+	set_catalog_routes(in.catalog, 9, routes, NULL, TEST_IDLE_MS, 1);
 }
 
 /* Sends a SYN of the route with PRIORITY, see set_two_priorities(). */
@@ -1101,8 +1102,8 @@
 		r.targets[i].weight = weights[i];
 	}
 	g_array_append_val(routes, r);
-	ck_assert(
-		set_catalog_routes(in.catalog, version, routes, TEST_IDLE_MS));
+	ck_assert(set_catalog_routes(in.catalog, version, routes, NULL,
+				     TEST_IDLE_MS, 1));
 }
 
 static upstream_index_t put_upstream_of_service(const char *name,
--- a/t/check-platform.c
+++ b/t/check-platform.c
@@ -137,6 +137,8 @@
 		{ "1500", "-3" },
 		{ "1775020505058", "1.5" },
 		{ "\"zone\":\"kochi-a\",", "" },
+		{ "\"version\":\"v1\",", "" },
+		{ "\"version\":\"v1\"", "\"version\":1" },
 	};
 	struct upstream_report r;
 
@@ -185,6 +187,7 @@
 		{ "1775020505058", "9007199254740992" },
 		{ "1775020505058", "null" },
 		{ "1775020505058", "0" },
+		{ ",\"born\":1775020505058", "" },
 		{ "\"seq\":4", "\"seq\":-4" },
 		{ "\"seq\":4", "\"seq\":4.5" },
 		{ "\"seq\":4", "\"seq\":\"4\"" },
@@ -203,17 +206,6 @@
 }
 END_TEST
 
-START_TEST(entry_of_a_platform_without_starts_names_an_upstream)
-{
-	char *text = replace_in_entry(",\"born\":1775020505058", "");
-	struct upstream_report r;
-
-	ck_assert_int_eq(read_entry("i-1", text, &r), STATUS_OK);
-	ck_assert_uint_eq(r.started_at_ms, 0);
-	g_free(text);
-}
-END_TEST
-
 START_TEST(address_that_gets_no_packets_names_no_upstream)
 {
 	static const char *const addresses[] = {
@@ -256,7 +248,7 @@
 	struct status st;
 
 	ck_assert_int_eq(read_operator_config(c, VALID_CONFIG,
-					      strlen(VALID_CONFIG), &st),
+					      strlen(VALID_CONFIG), 1, &st),
 			 STATUS_OK);
 	ck_assert_uint_eq(catalog_version(c), 7);
 	ck_assert_uint_eq(catalog_idle_ms(c), 15000);
@@ -271,7 +263,7 @@
 	ck_assert_uint_eq(sv->cold_ms, 2000);
 	ck_assert(sv->cold_flows_per_s == 12.5);
 	ck_assert_int_eq(read_operator_config(c, VALID_CONFIG,
-					      strlen(VALID_CONFIG), &st),
+					      strlen(VALID_CONFIG), 1, &st),
 			 STATUS_CONFLICT);
 	destroy_catalog(c);
 }
@@ -293,8 +285,9 @@
 	const struct catalog_service *sv;
 	struct status st;
 
-	ck_assert_int_eq(read_operator_config(c, config, strlen(config), &st),
-			 STATUS_OK);
+	ck_assert_int_eq(
+		read_operator_config(c, config, strlen(config), 1, &st),
+		STATUS_OK);
 	sv = get_service(c, intern_service(c, "low"));
 	ck_assert_uint_eq(sv->cold_ms, 0);
 	ck_assert(sv->cold_flows_per_s == 0);
@@ -303,8 +296,9 @@
 	ck_assert_uint_eq(sv->cold_ms, UINT32_MAX);
 	ck_assert(sv->cold_flows_per_s == UINT32_MAX);
 	ck_assert_uint_eq(sv->max_flows, UINT32_MAX);
-	ck_assert_int_eq(read_operator_config(c, weight, strlen(weight), &st),
-			 STATUS_CORRUPT);
+	ck_assert_int_eq(
+		read_operator_config(c, weight, strlen(weight), 1, &st),
+		STATUS_CORRUPT);
 	destroy_catalog(c);
 }
 END_TEST
@@ -325,12 +319,12 @@
 	struct catalog *c = create_catalog(60000);
 	struct status st;
 
-	read_operator_config(c, VALID_CONFIG, strlen(VALID_CONFIG), &st);
+	read_operator_config(c, VALID_CONFIG, strlen(VALID_CONFIG), 1, &st);
 	for (size_t i = 0; i < G_N_ELEMENTS(invalid_configs); i++) {
-		ck_assert_int_eq(
-			read_operator_config(c, invalid_configs[i],
-					     strlen(invalid_configs[i]), &st),
-			STATUS_CORRUPT);
+		ck_assert_int_eq(read_operator_config(
+					 c, invalid_configs[i],
+					 strlen(invalid_configs[i]), 1, &st),
+				 STATUS_CORRUPT);
 		ck_assert_str_ne(st.message, "");
 		ck_assert_uint_eq(catalog_version(c), 7);
 		ck_assert_uint_eq(catalog_route_count(c), 2);
@@ -494,8 +488,6 @@
 	tcase_add_test(tc, invalid_upstream_entry_is_refused);
 	tcase_add_test(tc, id_that_is_no_number_of_64_bits_names_no_upstream);
 	tcase_add_test(tc, start_that_is_no_time_names_no_upstream);
-	tcase_add_test(tc,
-		       entry_of_a_platform_without_starts_names_an_upstream);
 	tcase_add_test(tc, address_that_gets_no_packets_names_no_upstream);
 	tcase_add_test(tc, operator_configuration_is_decoded);
 	tcase_add_test(tc, numbers_out_of_range_in_a_configuration_are_limited);
--- a/t/cookie-harness.c
+++ b/t/cookie-harness.c
@@ -37,7 +37,7 @@
 		r.targets[0].weight = 1;
 		g_array_append_val(routes, r);
 	}
-	if (set_catalog_routes(c, version, routes, TEST_IDLE_MS))
+	if (set_catalog_routes(c, version, routes, NULL, TEST_IDLE_MS, 1))
 		set_catalog_service(c, nr, &sv);
 }
 
@@ -56,7 +56,7 @@
 	r.targets[0].service = intern_service(c, "board");
 	r.targets[0].weight = 1;
 	g_array_append_val(routes, r);
-	set_catalog_routes(c, version, routes, TEST_IDLE_MS);
+	set_catalog_routes(c, version, routes, NULL, TEST_IDLE_MS, 1);
 }
 
 void set_test_member(struct cookie_instance *in, const char *name,
--- a/t/prop-foreign-data.cc
+++ b/t/prop-foreign-data.cc
@@ -293,8 +293,9 @@
 	struct status st;
 
 	if (read_upstream_entry(name.c_str(), text.data(), text.size(), &r,
-				&st) != STATUS_OK) {
-		remove_catalog_upstream(c, name.c_str(), now_ms);
+				&st) != STATUS_OK ||
+	    !names_upstream(c, &r, now_ms)) {
+		ignore_upstream_entry(c, name.c_str(), r.id, now_ms);
 		return false;
 	}
 	return !dispute_upstream_report(c, &r, HOLD_MS, now_ms) &&
@@ -312,11 +313,16 @@
 
 void open_flows_stay_where_their_upstream_is()
 {
+	const std::string config = "{\"version\":1,\"routes\":[],"
+				   "\"services\":[{\"name\":\"board\"}]}";
 	struct catalog *c = create_catalog(60000);
+	struct status st;
 	Owner owners[3];
 	int steps = *rc::gen::inRange(1, 30);
 	uint64_t now_ms = 1;
 
+	RC_ASSERT(read_operator_config(c, config.data(), config.size(), now_ms,
+				       &st) == STATUS_OK);
 	while (steps-- > 0) {
 		int nr = *rc::gen::inRange(0, 3);
 		Owner &o = owners[nr];
@@ -342,15 +348,25 @@
 				c, find_upstream_by_cookie(
 					   c, make_cookie(0xa1 + nr))));
 		} else {
-			/* another writer, which makes up no other start */
-			e.born = pick<std::string>({ "-5", "0", "null", "1e400",
-						     std::to_string(o.born) });
-			apply_entry(c,
-				    pick<std::string>(
-					    { o.name,
-					      "a-00A" + std::to_string(nr + 1),
-					      "i-" + std::string(28, 'f') }),
-				    e.text(), now_ms);
+			/*
+			 * another writer, which makes up no other start; a
+			 * second name for the number started later
+			 */
+			bool own_key = *rc::gen::arbitrary<bool>();
+
+			e.born = pick<std::string>(
+				{ "-5", "0", "null", "1e400",
+				  own_key ? std::to_string(o.born)
+					  : "1000000" });
+			apply_entry(
+				c,
+				own_key ? o.name
+					: pick<std::string>(
+						  { "a-00A" + std::to_string(
+								      nr + 1),
+						    "i-" + std::string(28,
+								       'f') }),
+				e.text(), now_ms);
 		}
 		for (int i = 0; i < 3; i++)
 			if (!owners[i].address.empty())
@@ -379,7 +395,8 @@
 	for_mutants(text, [](const char *data, size_t len) {
 		struct catalog *c = create_catalog(60000);
 		struct status st;
-		bool ok = read_operator_config(c, data, len, &st) == STATUS_OK;
+		bool ok =
+			read_operator_config(c, data, len, 1, &st) == STATUS_OK;
 
 		RC_ASSERT(ok == (catalog_version(c) > 0U));
 		RC_ASSERT(ok || !catalog_route_count(c));
