settings: take bounds with decimals, and tell those that mean nothing

Bounds were parsed like durations that people write: whole digits, above 0, one hour at most. Platforms fill in figures as whole numbers, fractions, or true or false. Times in [bounds] now may have decimals and an exponent, be 0 but for heartbeat, and be as long as 49 days; a longer one is limited and told. A time between two milliseconds is rounded to the side on which its promise is kept. A figure that can't mean anything (a truth value, no number, below 0) is told and the figure in force is used, or the default at a start; the rest of the file applies. The same goes for the factors, link-mbps, an empty peer-port and single seeds. Text of another form, as a number without a unit, is refused as before.

On a reload the lifetime of flows reaches the catalog now.

--- a/builtin/check.c
+++ b/builtin/check.c
@@ -41,7 +41,7 @@
 	struct settings s;
 	struct status st;
 
-	if (load_settings(path, &s, ps))
+	if (load_settings(path, NULL, &s, ps))
 		set_status(&st, STATUS_OK, "settings of instance %s: ok",
 			   s.name);
 	else
--- a/config/mirror.c
+++ b/config/mirror.c
@@ -53,8 +53,9 @@
 struct watch_pace choose_watch_pace(uint32_t bound_ms)
 {
 	struct watch_pace pace = {
-		.wait_ms = CLAMP(bound_ms * 2 / 3, WATCH_WAIT_MIN_MS,
-				 WATCH_WAIT_MAX_MS),
+		.wait_ms =
+			(uint32_t)CLAMP((uint64_t)bound_ms * 2 / 3,
+					WATCH_WAIT_MIN_MS, WATCH_WAIT_MAX_MS),
 		.pause_ms = MIN(bound_ms / 6, WATCH_PAUSE_MAX_MS)
 	};
 
--- a/config/settings.c
+++ b/config/settings.c
@@ -11,7 +11,6 @@
 #define FLOW_PORT_DEFAULT 6080 /* the port that IANA assigned to GUE */
 #define STOP_MS_DEFAULT 30000
 #define STOP_MS_MAX (30 * 60 * 1000)
-#define BOUND_MS_MAX (60 * 60 * 1000)
 #define HEARTBEAT_MS_DEFAULT 1200
 #define FLOW_TTL_MS_DEFAULT 60000
 #define BOUND_STOP_MS_DEFAULT 6000
@@ -20,12 +19,35 @@
 #define CHANGE_MS_DEFAULT 3000
 #define COLD_SLACK_DEFAULT 5
 
+static const struct steering_bounds default_bounds = {
+	.heartbeat_ms = HEARTBEAT_MS_DEFAULT,
+	.flow_lifetime_ms = FLOW_TTL_MS_DEFAULT,
+	.kill_after_ms = BOUND_STOP_MS_DEFAULT,
+	.cold_factor = COLD_FACTOR_DEFAULT,
+	.cold_slack = COLD_SLACK_DEFAULT,
+	.change_ms = CHANGE_MS_DEFAULT,
+	.drain_ms = CHANGE_MS_DEFAULT,
+	.operator_rewrite_ms = OPERATOR_REWRITE_MS_DEFAULT
+};
+
 struct settings_draft {
 	const char *file;
+	const struct steering_bounds *fallback;
 	struct settings *s;
 	struct problems *ps;
+	size_t warnings; /* problems that do not make the settings invalid */
+	int line;	 /* of the entry that is parsed */
 };
 
+/* Reports what is wrong with [SECTION] KEY, and what is used instead. */
+static void warn(struct settings_draft *d, const char *section, const char *key,
+		 const char *why, const char *instead)
+{
+	add_problem(d->ps, d->file, d->line, "[%s] %s: %s; %s", section, key,
+		    why, instead);
+	d->warnings++;
+}
+
 static enum status_kind parse_name_setting(const char *value, char *name,
 					   struct status *st)
 {
@@ -48,18 +70,36 @@
 	return kind;
 }
 
-/* Parses a number that may have decimals; rounds one below 1 up to 1. */
-static enum status_kind parse_mbps_setting(const char *value, uint32_t *mbps,
-					   struct status *st)
+/*
+ * Parses a number that may have decimals; one below 1 becomes 1, since 0 stands
+ * for a bandwidth that is not known.
+ */
+static enum status_kind parse_mbps_setting(struct settings_draft *d,
+					   const char *value, struct status *st)
 {
-	char *end;
-	double n = g_ascii_strtod(value, &end);
+	double n;
+	enum status_kind kind = parse_figure(value, &n, st);
 
-	if (end == value || *end || n <= 0 || n > UINT32_MAX)
-		return set_status(st, STATUS_INVALID,
-				  "'%s' is not a number of Mbit/s above 0",
-				  value);
-	*mbps = n < 1 ? 1 : (uint32_t)n;
+	d->s->link_mbps = 0;
+	if (kind == STATUS_INVALID)
+		return kind;
+	if (kind != STATUS_OK || n == 0)
+		warn(d, "instance", "link-mbps",
+		     "not a number of Mbit/s above 0",
+		     "the bandwidth counts as unknown");
+	else
+		d->s->link_mbps = (uint32_t)CLAMP(n, 1, UINT32_MAX);
+	return STATUS_OK;
+}
+
+/* Without a value the default port is used. */
+static enum status_kind parse_peer_port(struct settings_draft *d,
+					const char *value, struct status *st)
+{
+	if (*value)
+		return parse_port_setting(value, &d->s->peer_port, st);
+	warn(d, "instance", "peer-port", "no value",
+	     "the default port is used");
 	return STATUS_OK;
 }
 
@@ -84,6 +124,30 @@
 	return kind;
 }
 
+/* Parses the peers to contact at start; the others will do if one is wrong. */
+static void parse_seeds(struct settings_draft *d, const char *value)
+{
+	char **parts = g_strsplit_set(value, ", ", -1);
+	struct endpoint_list *l = &d->s->seeds;
+	struct status st;
+
+	for (char **p = parts; *p; p++) {
+		if (!**p)
+			continue;
+		if (l->nr == SETTINGS_LIST_MAX) {
+			warn(d, "peers", "seeds", "too many addresses",
+			     "the first 16 are used");
+			break;
+		}
+		if (parse_endpoint(*p, &l->at[l->nr], &st) == STATUS_OK)
+			l->nr++;
+		else
+			warn(d, "peers", "seeds", st.message,
+			     "the others are used");
+	}
+	g_strfreev(parts);
+}
+
 static enum status_kind parse_bind(const char *value, bool *bind_service,
 				   struct status *st)
 {
@@ -106,9 +170,12 @@
 	return STATUS_OK;
 }
 
-static enum status_kind parse_instance_key(struct settings *s, const char *key,
-					   const char *value, struct status *st)
+static enum status_kind parse_instance_key(struct settings_draft *d,
+					   const char *key, const char *value,
+					   struct status *st)
 {
+	struct settings *s = d->s;
+
 	if (!strcmp(key, "name"))
 		return parse_name_setting(value, s->name, st);
 	if (!strcmp(key, "domain"))
@@ -118,13 +185,13 @@
 	if (!strcmp(key, "admin-port"))
 		return parse_port_setting(value, &s->admin_port, st);
 	if (!strcmp(key, "peer-port"))
-		return parse_port_setting(value, &s->peer_port, st);
+		return parse_peer_port(d, value, st);
 	if (!strcmp(key, "flow-port"))
 		return parse_port_setting(value, &s->flow_port, st);
 	if (!strcmp(key, "bind"))
 		return parse_bind(value, &s->bind_service, st);
 	if (!strcmp(key, "link-mbps"))
-		return parse_mbps_setting(value, &s->link_mbps, st);
+		return parse_mbps_setting(d, value, st);
 	if (!strcmp(key, "stop-timeout"))
 		return parse_duration(value, STOP_MS_MAX, &s->stop_timeout_ms,
 				      st);
@@ -162,43 +229,97 @@
 			  "unknown key; known are packets, ready, metrics");
 }
 
-static enum status_kind parse_decimal(const char *value, double *out,
-				      struct status *st)
+/*
+ * Parses KEY of [bounds], a time, into MS; FALLBACK is used for one that means
+ * nothing, as one below LEAST does.
+ */
+static enum status_kind parse_time_bound(struct settings_draft *d,
+					 const char *key, const char *value,
+					 enum bound_rounding rounding,
+					 uint32_t least, uint32_t *ms,
+					 uint32_t fallback, struct status *st)
 {
-	char *end;
-	double n = g_ascii_strtod(value, &end);
+	enum status_kind kind = parse_bound(value, rounding, ms, st);
+	char instead[64];
 
-	if (end == value || *end || n < 0 || n > UINT32_MAX)
-		return set_status(st, STATUS_INVALID,
-				  "'%s' is not a number of 0 or more", value);
-	*out = n;
+	if (kind == STATUS_OK && *ms < least)
+		kind = set_status(st, STATUS_NOT_FOUND, "'%s' is below %u ms",
+				  value, least);
+	switch (kind) {
+	case STATUS_NOT_FOUND:
+		*ms = fallback;
+		g_snprintf(instead, sizeof(instead), "%u ms are used", *ms);
+		warn(d, "bounds", key, st->message, instead);
+		return STATUS_OK;
+	case STATUS_TOO_LARGE:
+		g_snprintf(instead, sizeof(instead), "%u ms are used", *ms);
+		warn(d, "bounds", key, st->message, instead);
+		return STATUS_OK;
+	default:
+		return kind;
+	}
+}
+
+/* The same for a number without a unit. */
+static enum status_kind parse_number_bound(struct settings_draft *d,
+					   const char *key, const char *value,
+					   double *n, double fallback,
+					   struct status *st)
+{
+	enum status_kind kind = parse_figure(value, n, st);
+	char instead[64];
+
+	if (kind == STATUS_OK) {
+		*n = MIN(*n, UINT32_MAX);
+		return kind;
+	}
+	*n = fallback;
+	if (kind != STATUS_NOT_FOUND)
+		return kind;
+	g_snprintf(instead, sizeof(instead), "%g is used", *n);
+	warn(d, "bounds", key, st->message, instead);
 	return STATUS_OK;
 }
 
-static enum status_kind parse_bound_key(struct steering_bounds *b,
+/*
+ * A time is rounded to the side on which what it promises is kept: what others
+ * do, and what is kept for open flows, lasts longer; what this instance does in
+ * time takes shorter.
+ */
+static enum status_kind parse_bound_key(struct settings_draft *d,
 					const char *key, const char *value,
 					struct status *st)
 {
+	struct steering_bounds *b = &d->s->bounds;
+	const struct steering_bounds *f = d->fallback;
+
 	if (!strcmp(key, "heartbeat"))
-		return parse_duration(value, BOUND_MS_MAX, &b->heartbeat_ms,
-				      st);
+		return parse_time_bound(d, key, value, BOUND_ROUND_UP, 1,
+					&b->heartbeat_ms, f->heartbeat_ms, st);
 	if (!strcmp(key, "flow-lifetime"))
-		return parse_duration(value, BOUND_MS_MAX, &b->flow_lifetime_ms,
-				      st);
+		return parse_time_bound(d, key, value, BOUND_ROUND_UP, 0,
+					&b->flow_lifetime_ms,
+					f->flow_lifetime_ms, st);
 	if (!strcmp(key, "stop"))
-		return parse_duration(value, BOUND_MS_MAX, &b->kill_after_ms,
-				      st);
+		return parse_time_bound(d, key, value, BOUND_ROUND_DOWN, 0,
+					&b->kill_after_ms, f->kill_after_ms,
+					st);
 	if (!strcmp(key, "cold-factor"))
-		return parse_decimal(value, &b->cold_factor, st);
+		return parse_number_bound(d, key, value, &b->cold_factor,
+					  f->cold_factor, st);
 	if (!strcmp(key, "cold-slack"))
-		return parse_decimal(value, &b->cold_slack, st);
+		return parse_number_bound(d, key, value, &b->cold_slack,
+					  f->cold_slack, st);
 	if (!strcmp(key, "change"))
-		return parse_duration(value, BOUND_MS_MAX, &b->change_ms, st);
+		return parse_time_bound(d, key, value, BOUND_ROUND_DOWN, 0,
+					&b->change_ms, f->change_ms, st);
 	if (!strcmp(key, "drain"))
-		return parse_duration(value, BOUND_MS_MAX, &b->drain_ms, st);
+		return parse_time_bound(d, key, value, BOUND_ROUND_DOWN, 0,
+					&b->drain_ms, f->drain_ms, st);
 	if (!strcmp(key, "operator-rewrite"))
-		return parse_duration(value, BOUND_MS_MAX,
-				      &b->operator_rewrite_ms, st);
+		return parse_time_bound(d, key, value, BOUND_ROUND_UP, 0,
+					&b->operator_rewrite_ms,
+					f->operator_rewrite_ms, st);
 	return set_status(st, STATUS_NOT_FOUND,
 			  "unknown key; known are heartbeat, flow-lifetime, "
 			  "stop, cold-factor, cold-slack, change, drain, "
@@ -220,23 +341,28 @@
 	return STATUS_OK;
 }
 
-static enum status_kind
-parse_setting(struct settings *s, const struct ini_entry *e, struct status *st)
+static enum status_kind parse_setting(struct settings_draft *d,
+				      const struct ini_entry *e,
+				      struct status *st)
 {
+	struct settings *s = d->s;
+
 	if (!strcmp(e->section, "listen"))
 		return parse_listen_key(s, e->key, e->value, st);
 	if (!strcmp(e->section, "bounds"))
-		return parse_bound_key(&s->bounds, e->key, e->value, st);
+		return parse_bound_key(d, e->key, e->value, st);
 	if (!strcmp(e->section, "flows") && !strcmp(e->key, "steering"))
 		return parse_steering(e->value, s, st);
 	if (!strcmp(e->section, "instance"))
-		return parse_instance_key(s, e->key, e->value, st);
+		return parse_instance_key(d, e->key, e->value, st);
 	if (!strcmp(e->section, "store") && !strcmp(e->key, "endpoints"))
 		return parse_endpoint_list(e->value, &s->store, st);
 	if (!strcmp(e->section, "source") && !strcmp(e->key, "directory"))
 		return parse_directory(e->value, s, st);
-	if (!strcmp(e->section, "peers") && !strcmp(e->key, "seeds"))
-		return parse_endpoint_list(e->value, &s->seeds, st);
+	if (!strcmp(e->section, "peers") && !strcmp(e->key, "seeds")) {
+		parse_seeds(d, e->value);
+		return STATUS_OK;
+	}
 	if (!strcmp(e->section, "upstreams") && !strcmp(e->key, "capabilities"))
 		return parse_capabilities(e->value, s);
 	return set_status(st, STATUS_NOT_FOUND,
@@ -251,7 +377,8 @@
 	struct settings_draft *d = data;
 	struct status st;
 
-	if (parse_setting(d->s, e, &st) != STATUS_OK)
+	d->line = e->line;
+	if (parse_setting(d, e, &st) != STATUS_OK)
 		add_problem(d->ps, d->file, e->line, "[%s] %s: %s", e->section,
 			    e->key, st.message);
 }
@@ -282,9 +409,14 @@
 }
 
 bool parse_settings(const char *file, const char *text, size_t len,
-		    struct settings *s, struct problems *ps)
+		    const struct steering_bounds *fallback, struct settings *s,
+		    struct problems *ps)
 {
-	struct settings_draft d = { file, s, ps };
+	struct settings_draft d = { .file = file,
+				    .fallback = fallback ? fallback
+							 : &default_bounds,
+				    .s = s,
+				    .ps = ps };
 	size_t before = problem_count(ps);
 
 	memset(s, 0, sizeof(*s));
@@ -292,16 +424,9 @@
 	s->peer_port = PEER_PORT_DEFAULT;
 	s->flow_port = FLOW_PORT_DEFAULT;
 	s->stop_timeout_ms = STOP_MS_DEFAULT;
-	s->bounds.heartbeat_ms = HEARTBEAT_MS_DEFAULT;
-	s->bounds.flow_lifetime_ms = FLOW_TTL_MS_DEFAULT;
-	s->bounds.kill_after_ms = BOUND_STOP_MS_DEFAULT;
-	s->bounds.cold_factor = COLD_FACTOR_DEFAULT;
-	s->bounds.cold_slack = COLD_SLACK_DEFAULT;
-	s->bounds.operator_rewrite_ms = OPERATOR_REWRITE_MS_DEFAULT;
-	s->bounds.change_ms = CHANGE_MS_DEFAULT;
-	s->bounds.drain_ms = CHANGE_MS_DEFAULT;
+	s->bounds = default_bounds;
 	read_ini(file, text, len, handle_settings_entry, &d, ps);
-	if (problem_count(ps) == before)
+	if (problem_count(ps) == before + d.warnings)
 		check_settings(&d);
-	return problem_count(ps) == before;
+	return problem_count(ps) == before + d.warnings;
 }
--- a/config/settings.h
+++ b/config/settings.h
@@ -67,9 +67,13 @@
 
 /*
  * Parses TEXT (LEN bytes) into S. Adds every error to PS under the name FILE
- * and returns false if there is one.
+ * and returns false if there is one. A figure of [bounds] that means nothing, as
+ * "true" for a time, is added to PS too, but no error: the figure of FALLBACK is
+ * used, or the default if that is NULL. The same goes for link-mbps, an empty
+ * peer-port and single seeds, see docs/OPERATORS.md.
  */
 bool parse_settings(const char *file, const char *text, size_t len,
-		    struct settings *s, struct problems *ps);
+		    const struct steering_bounds *fallback, struct settings *s,
+		    struct problems *ps);
 
 #endif
--- a/net/edge.c
+++ b/net/edge.c
@@ -132,6 +132,7 @@
 	e->settings.store = new->store;
 	set_store_endpoints(e->store, &new->store);
 	set_edge_hold_times(e);
+	set_catalog_flow_ttl(e->catalog, new->bounds.flow_lifetime_ms);
 	set_cold_bounds(e->placement, new->bounds.cold_factor,
 			new->bounds.cold_slack);
 	e->settings.compare_upstreams = new->compare_upstreams;
@@ -144,7 +145,7 @@
 	struct problems *ps = create_problems();
 	struct settings new;
 
-	if (load_settings(e->path, &new, ps)) {
+	if (load_settings(e->path, &e->settings.bounds, &new, ps)) {
 		apply_settings(e, &new);
 		log_event(e->log, EVENT_RELOAD, "path=%s cause=%s", e->path,
 			  cause);
--- a/net/files.c
+++ b/net/files.c
@@ -15,7 +15,8 @@
 	return false;
 }
 
-bool load_settings(const char *path, struct settings *s, struct problems *ps)
+bool load_settings(const char *path, const struct steering_bounds *fallback,
+		   struct settings *s, struct problems *ps)
 {
 	char *text;
 	size_t len;
@@ -23,7 +24,7 @@
 
 	if (!read_file(path, &text, &len, ps))
 		return false;
-	ok = parse_settings(path, text, len, s, ps);
+	ok = parse_settings(path, text, len, fallback, s, ps);
 	g_free(text);
 	return ok;
 }
--- a/net/files.h
+++ b/net/files.h
@@ -8,8 +8,9 @@
 #include "config/settings.h"
 #include "config/snapshot.h"
 
-/* Reads the settings file PATH; adds every error to PS. */
-bool load_settings(const char *path, struct settings *s, struct problems *ps);
+/* Reads the settings file PATH, see parse_settings(). */
+bool load_settings(const char *path, const struct steering_bounds *fallback,
+		   struct settings *s, struct problems *ps);
 
 /*
  * Reads the service files in PATHS, each a file or a directory whose "*.ini"
--- a/net/program.c
+++ b/net/program.c
@@ -12,7 +12,7 @@
 			  struct settings *s)
 {
 	struct problems *ps = create_problems();
-	bool ok = load_settings(path, s, ps);
+	bool ok = load_settings(path, NULL, s, ps);
 
 	for (size_t i = 0; problem_at(ps, i); i++)
 		fprintf(stderr, "%s: %s\n", name, problem_at(ps, i));
--- a/t/check-config.c
+++ b/t/check-config.c
@@ -209,9 +209,9 @@
 	const char *bad = "[instance]\nname = a\nadmin-port = 0\n";
 	struct settings s;
 
-	ck_assert(parse_settings("s", good, strlen(good), &s, ps));
+	ck_assert(parse_settings("s", good, strlen(good), NULL, &s, ps));
 	ck_assert_uint_eq(s.store.nr, 2);
-	ck_assert(!parse_settings("s", bad, strlen(bad), &s, ps));
+	ck_assert(!parse_settings("s", bad, strlen(bad), NULL, &s, ps));
 }
 END_TEST
 
@@ -229,14 +229,18 @@
 		{ "steering = cookie", "steering = cookies" },
 		{ "ready = 10.1.0.10:8167", "ready = here" },
 		{ "ready = 10.1.0.10:8167", "" },
-		{ "link-mbps = 1000.0", "link-mbps = -1" },
+		{ "link-mbps = 1000.0", "link-mbps = fast" },
 		{ "heartbeat = 1200ms", "heartbeat = 1200" },
+		{ "heartbeat = 1200ms", "heartbeat = 1200h" },
+		{ "heartbeat = 1200ms", "heartbeat = 0x10ms" },
+		{ "heartbeat = 1200ms", "heartbeat = 1.2.0ms" },
+		{ "heartbeat = 1200ms", "heartbeat = soon" },
 		{ "stop = 6s", "halt = 6s" },
 	};
 	struct settings s;
 
-	ck_assert(parse_settings("s", EDGE_SETTINGS, strlen(EDGE_SETTINGS), &s,
-				 ps));
+	ck_assert(parse_settings("s", EDGE_SETTINGS, strlen(EDGE_SETTINGS),
+				 NULL, &s, ps));
 	ck_assert_int_eq(s.steering, STEER_BY_COOKIE);
 	ck_assert_uint_eq(s.packets.port, 8172);
 	ck_assert_uint_eq(s.metrics.family, 0);
@@ -248,7 +252,8 @@
 		char *text = g_strjoinv(broken[i][1], parts);
 		size_t before = problem_count(ps);
 
-		ck_assert(!parse_settings("s", text, strlen(text), &s, ps));
+		ck_assert(
+			!parse_settings("s", text, strlen(text), NULL, &s, ps));
 		ck_assert_uint_gt(problem_count(ps), before);
 		g_strfreev(parts);
 		g_free(text);
@@ -256,6 +261,94 @@
 }
 END_TEST
 
+struct odd_figure {
+	const char *line;
+	const char *rendered;
+	bool meaningful;
+	struct steering_bounds expected; /* 0: as in EDGE_SETTINGS */
+};
+
+static const struct odd_figure odd_figures[] = {
+	{ "stop = 6s", "stop = 5.5s", true, { .kill_after_ms = 5500 } },
+	{ "stop = 6s", "stop = 6.0s", true, { .kill_after_ms = 6000 } },
+	{ "stop = 6s", "stop = 1.0059s", true, { .kill_after_ms = 1005 } },
+	{ "stop = 6s", "stop = 1.005s", true, { .kill_after_ms = 1005 } },
+	{ "stop = 6s", "stop = 2e1s", true, { .kill_after_ms = 20000 } },
+	{ "stop = 6s", "stop = 7200s", true, { .kill_after_ms = 7200000 } },
+	{ "stop = 6s", "stop = 1e30s", false, { .kill_after_ms = UINT32_MAX } },
+	{ "stop = 6s", "stop = trues", false, { .kill_after_ms = 7 } },
+	{ "stop = 6s", "stop = s", false, { .kill_after_ms = 7 } },
+	{ "stop = 6s", "stop = -3s", false, { .kill_after_ms = 7 } },
+	{ "flow-lifetime = 60s",
+	  "flow-lifetime = 1.0001s",
+	  true,
+	  { .flow_lifetime_ms = 1001 } },
+	{ "heartbeat = 1200ms",
+	  "heartbeat = 1e-05ms",
+	  true,
+	  { .heartbeat_ms = 1 } },
+	{ "heartbeat = 1200ms",
+	  "heartbeat = 0ms",
+	  false,
+	  { .heartbeat_ms = 8 } },
+	{ "heartbeat = 1200ms",
+	  "heartbeat = falsems",
+	  false,
+	  { .heartbeat_ms = 8 } },
+	{ "stop = 6s",
+	  "stop = 6s\ncold-factor = true",
+	  false,
+	  { .cold_factor = 2.5 } },
+	{ "stop = 6s",
+	  "stop = 6s\ncold-factor = 1.25e0",
+	  true,
+	  { .cold_factor = 1.25 } },
+	{ "stop = 6s",
+	  "stop = 6s\ncold-slack =",
+	  false,
+	  { .cold_slack = 3.5 } },
+	{ "link-mbps = 1000.0", "link-mbps = -1", false, { 0 } },
+	{ "link-mbps = 1000.0", "link-mbps = 0", false, { 0 } },
+	{ "link-mbps = 1000.0", "link-mbps =", false, { 0 } },
+	{ "peer-port = 7720", "peer-port =", false, { 0 } },
+	{ "seeds = ", "seeds = 10.1.0.11:8166,somewhere", false, { 0 } },
+};
+
+/* A machine never started again with a bound of 5.5 seconds (review/5). */
+START_TEST(odd_figure_is_used_or_told_and_the_rest_of_the_file_applies)
+{
+	static const struct steering_bounds running = { .kill_after_ms = 7,
+							.heartbeat_ms = 8,
+							.cold_factor = 2.5,
+							.cold_slack = 3.5 };
+	const struct odd_figure *f = &odd_figures[_i];
+	const struct steering_bounds *x = &f->expected;
+	char **parts = g_strsplit(EDGE_SETTINGS, f->line, 2);
+	char *text = g_strjoinv(f->rendered, parts);
+	struct settings s;
+
+	ck_assert_ptr_nonnull(parts[1]);
+	ck_assert(parse_settings("s", text, strlen(text), &running, &s, ps));
+	ck_assert_uint_eq(problem_count(ps), f->meaningful ? 0 : 1);
+	ck_assert_str_eq(s.name, "front-1");
+	ck_assert_uint_eq(s.packets.port, 8172);
+	ck_assert_uint_eq(s.bounds.kill_after_ms,
+			  x->kill_after_ms ? x->kill_after_ms : 6000);
+	ck_assert_uint_eq(s.bounds.flow_lifetime_ms,
+			  x->flow_lifetime_ms ? x->flow_lifetime_ms : 60000);
+	ck_assert_uint_eq(s.bounds.heartbeat_ms,
+			  x->heartbeat_ms ? x->heartbeat_ms : 1200);
+	ck_assert(s.bounds.cold_factor ==
+		  (x->cold_factor > 0 ? x->cold_factor : 1.5));
+	ck_assert(s.bounds.cold_slack ==
+		  (x->cold_slack > 0 ? x->cold_slack : 5));
+	/* without figures that are in force the defaults are used */
+	ck_assert(parse_settings("s", text, strlen(text), NULL, &s, ps));
+	g_strfreev(parts);
+	g_free(text);
+}
+END_TEST
+
 /* The platform may list words that mean nothing here, in several forms. */
 START_TEST(upstreams_are_compared_only_if_health_is_listed)
 {
@@ -276,7 +369,8 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		char *text = g_strconcat(EDGE_SETTINGS, cases[i].list, NULL);
 
-		ck_assert(parse_settings("s", text, strlen(text), &s, ps));
+		ck_assert(
+			parse_settings("s", text, strlen(text), NULL, &s, ps));
 		ck_assert_int_eq(s.compare_upstreams, cases[i].compared);
 		g_free(text);
 	}
@@ -305,6 +399,9 @@
 	tcase_add_test(tc, snapshot_round_trips_and_truncation_fails);
 	tcase_add_test(tc, invalid_settings_are_refused);
 	tcase_add_test(tc, invalid_cookie_steering_settings_are_refused);
+	tcase_add_loop_test(
+		tc, odd_figure_is_used_or_told_and_the_rest_of_the_file_applies,
+		0, G_N_ELEMENTS(odd_figures));
 	tcase_add_test(tc, upstreams_are_compared_only_if_health_is_listed);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_ENV);
