platform: keep the meaning of fractions and of large figures

- Weights of a split were cut to whole numbers: with shares of 0.9 and 0.1 none was left, and all flows of the route were refused.
One above 65,535 made the whole configuration invalid; without weights no service got anything.
Shares are scaled now, and count alike without weights.
Whole weights are unchanged.
- Times below 1 ms became 0, and those from 49 days on the default; they are rounded up and limited.
- An entry with more than 65,535 slots or a cold start of more than 49 days was refused, and its upstream lost; the figure is limited.
- `warmupS` was read and not used: upstreams of a domain that was taken back counted as cold for two heartbeats only.

Tests: shares_of_a_split_keep_their_proportion, large_and_broken_figures_keep_ their_meaning, domain_that_is_taken_back_counts_as_cold_for_a_whole_cold_start.

--- a/t/check-cookie.c
+++ b/t/check-cookie.c
@@ -575,6 +575,26 @@
 }
 END_TEST
 
+/* An upstream was taken for warm before its cold start could be over. */
+START_TEST(domain_that_is_taken_back_counts_as_cold_for_a_whole_cold_start)
+{
+	static const uint32_t cold_ms[] = { 500, 10000 };
+	struct upstream_report r = make_upstream_report("u-1", "south");
+	struct catalog_service sv = { .cold_ms = cold_ms[_i] };
+	upstream_index_t nr = put_test_upstream(&in, &r, 1000);
+	uint64_t until_ms = 50000 + MAX(cold_ms[_i], 2600);
+
+	set_catalog_service(in.catalog, intern_service(in.catalog, "board"),
+			    &sv);
+	set_catalog_domain_out(in.catalog, "south", true, 2600, 2000);
+	set_catalog_domain_out(in.catalog, "south", false, 2600, 50000);
+	ck_assert(is_cold_upstream(in.catalog, nr, until_ms - 1));
+	ck_assert(!is_cold_upstream(in.catalog, nr, until_ms));
+	put_test_upstream(&in, &r, 51000);
+	ck_assert(!is_cold_upstream(in.catalog, nr, 51000));
+}
+END_TEST
+
 START_TEST(syn_without_upstream_or_route_is_reset)
 {
 	struct cookie_packet p;
@@ -1589,6 +1609,10 @@
 	tcase_add_loop_test(tc, flow_of_an_expired_upstream_goes_to_no_other, 0,
 			    2);
 	tcase_add_test(tc, draining_and_out_upstreams_keep_flows_only);
+	tcase_add_loop_test(
+		tc,
+		domain_that_is_taken_back_counts_as_cold_for_a_whole_cold_start,
+		0, 2);
 	tcase_add_test(tc, syn_without_upstream_or_route_is_reset);
 	tcase_add_test(tc, requests_that_end_elsewhere_do_not_fill_upstream);
 	tcase_add_test(tc, requests_of_silent_upstream_keep_their_count);
--- a/t/check-platform.c
+++ b/t/check-platform.c
@@ -303,6 +303,82 @@
 }
 END_TEST
 
+struct split_case {
+	const char *first; /* field of the first share, with a comma */
+	const char *second;
+	uint32_t weights[2]; /* 0, 0: the configuration is refused */
+};
+
+static const struct split_case split_cases[] = {
+	{ "\"weight\":90,", "\"weight\":10,", { 90, 10 } },
+	{ "\"weight\":0.9,", "\"weight\":0.1,", { 65535, 7282 } },
+	{ "\"weight\":1e6,", "\"weight\":1,", { 65535, 1 } },
+	{ "", "", { 1, 1 } },
+	{ "\"weight\":1,", "\"weight\":0,", { 1, 0 } },
+	{ "\"weight\":-1,", "\"weight\":1,", { 0, 0 } },
+};
+
+/* Shares of 0.9 and 0.1 left a route without any service. */
+START_TEST(shares_of_a_split_keep_their_proportion)
+{
+	const struct split_case *sc = &split_cases[_i];
+	char *text = g_strdup_printf(
+		"{\"version\":2,\"services\":[],\"routes\":[{\"host\":"
+		"\"198.18.0.1\",\"prefix\":\"/80/\",\"split\":["
+		"{%s\"service\":\"a\"},{%s\"service\":\"b\"}]}]}",
+		sc->first, sc->second);
+	struct catalog *c = create_catalog(60000);
+	struct status st;
+	enum status_kind kind =
+		read_operator_config(c, text, strlen(text), 1, &st);
+	const struct catalog_route *r = find_catalog_route(c, 0xc6120001, 80);
+
+	ck_assert_int_eq(kind == STATUS_OK, sc->weights[0] > 0);
+	for (int i = 0; r && i < 2; i++)
+		ck_assert_uint_eq(r->targets[i].weight, sc->weights[i]);
+	destroy_catalog(c);
+	g_free(text);
+}
+END_TEST
+
+/* Figures above today's usual ones lost an upstream or fell back to a default */
+START_TEST(large_and_broken_figures_keep_their_meaning)
+{
+	static const char config[] =
+		"{\"version\":2,\"services\":[{\"name\":\"a\",\"warmupS\":"
+		"0.0005}],\"limits\":{\"idleTimeoutMs\":0.5},\"routes\":["
+		"{\"host\":\"198.18.0.1\",\"prefix\":\"/80/\",\"service\":"
+		"\"a\",\"timeoutMs\":1e12,\"sloMs\":249.5}]}";
+	static const char *const fields[][2] = {
+		{ "\"slots\":3", "\"slots\":100000" },
+		{ "\"warmupLeftMs\":1500", "\"warmupLeftMs\":1e12" },
+		{ "\"warmupLeftMs\":1500", "\"warmupLeftMs\":1499.5" },
+	};
+	struct catalog *c = create_catalog(60000);
+	const struct catalog_route *r;
+	struct upstream_report up;
+	struct status st;
+
+	ck_assert_int_eq(
+		read_operator_config(c, config, strlen(config), 1, &st),
+		STATUS_OK);
+	r = find_catalog_route(c, 0xc6120001, 80);
+	ck_assert_uint_eq(r->deadline_ms, UINT32_MAX);
+	ck_assert_uint_eq(r->slo_ms, 250);
+	ck_assert_uint_eq(catalog_idle_ms(c), 1);
+	ck_assert_uint_eq(get_service(c, intern_service(c, "a"))->cold_ms, 1);
+	destroy_catalog(c);
+	for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
+		char *text = replace_in_entry(fields[i][0], fields[i][1]);
+
+		ck_assert_int_eq(read_entry("i-1", text, &up), STATUS_OK);
+		ck_assert_uint_eq(up.slots, i ? 3 : UINT16_MAX);
+		ck_assert_uint_eq(up.cold_left_ms, i == 1 ? UINT32_MAX : 1500);
+		g_free(text);
+	}
+}
+END_TEST
+
 START_TEST(invalid_configuration_changes_nothing)
 {
 	static const char *const invalid_configs[] = {
@@ -492,6 +568,9 @@
 	tcase_add_test(tc, operator_configuration_is_decoded);
 	tcase_add_test(tc, numbers_out_of_range_in_a_configuration_are_limited);
 	tcase_add_test(tc, invalid_configuration_changes_nothing);
+	tcase_add_loop_test(tc, shares_of_a_split_keep_their_proportion, 0,
+			    G_N_ELEMENTS(split_cases));
+	tcase_add_test(tc, large_and_broken_figures_keep_their_meaning);
 	tcase_add_test(tc, unreadable_item_does_not_hide_the_rest_of_its_page);
 	tcase_add_test(tc, item_with_an_unreadable_value_is_present);
 	tcase_add_test(tc, page_that_is_no_list_is_refused);
