--- a/t/check-platform.c
+++ b/t/check-platform.c
@@ -507,6 +507,33 @@
 }
 END_TEST
 
+/* Values of another writer filled the memory of all instances. */
+START_TEST(long_value_is_kept_for_the_configuration_only)
+{
+	static const char *const keys[] = { "op/config", "servers/a-1", "x" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++) {
+		char *value = g_strnfill(400000, 'A');
+		char *text = g_strdup_printf(
+			"{\"items\":[{\"key\":\"%s\",\"value\":\"%s\",\"rev\":"
+			"7,"
+			"\"createRev\":1,\"lease\":0}],\"hasMore\":false,"
+			"\"storeRevision\":9}",
+			keys[i], value);
+		struct store_answer a = { 0 };
+		struct store_page p;
+
+		ck_assert(read_store_page(text, strlen(text), "items", &a, &p));
+		ck_assert_uint_eq(a.entry_nr, 1);
+		ck_assert_uint_eq(a.entries[0].len, i ? 0 : 300000);
+		g_free(p.last_key);
+		release_store_answer(&a);
+		g_free(text);
+		g_free(value);
+	}
+}
+END_TEST
+
 START_TEST(page_that_is_no_list_is_refused)
 {
 	static const char *const texts[] = {
@@ -573,6 +600,7 @@
 	tcase_add_test(tc, large_and_broken_figures_keep_their_meaning);
 	tcase_add_test(tc, unreadable_item_does_not_hide_the_rest_of_its_page);
 	tcase_add_test(tc, item_with_an_unreadable_value_is_present);
+	tcase_add_test(tc, long_value_is_kept_for_the_configuration_only);
 	tcase_add_test(tc, page_that_is_no_list_is_refused);
 	tcase_add_test(tc, key_determines_the_record_kind);
 	suite_add_tcase(s, tc);
