--- a/config/catalog.c
+++ b/config/catalog.c
@@ -24,7 +24,8 @@
 	uint64_t service_added_version; /* the last that added a service */
 	uint32_t idle_ms;
 	GArray *routes;		 /* of struct catalog_route, sorted */
-	GPtrArray *upstreams;	 /* of struct catalog_upstream */
+	GPtrArray *upstreams;	 /* of struct catalog_upstream, or NULL */
+	guint lowest_free;	 /* no index of UPSTREAMS below is free */
 	GHashTable *by_name;	 /* name -> upstream's index + 1 */
 	GHashTable *by_cookie;	 /* cookie -> index + 1 of its owner */
 	GHashTable *ignored;	 /* name of an entry -> its cookie */
@@ -400,9 +401,11 @@
 /* A free index for an upstream; CATALOG_NONE if there is none. */
 static upstream_index_t find_free_index(struct catalog *c)
 {
-	for (guint i = 0; i < c->upstreams->len; i++)
-		if (!g_ptr_array_index(c->upstreams, i))
-			return (upstream_index_t)i;
+	while (c->lowest_free < c->upstreams->len) {
+		if (!g_ptr_array_index(c->upstreams, c->lowest_free))
+			return (upstream_index_t)c->lowest_free;
+		c->lowest_free++;
+	}
 	if (c->upstreams->len >= INDEXES_MAX)
 		return CATALOG_NONE;
 	g_ptr_array_add(c->upstreams, NULL);
@@ -706,6 +709,7 @@
 	g_hash_table_remove(c->by_name, up->report.name);
 	g_free(up);
 	g_ptr_array_index(c->upstreams, nr) = NULL;
+	c->lowest_free = MIN(c->lowest_free, nr);
 	resolve_cookie(c, cookie);
 }
 
--- a/t/bench-capacity.c
+++ b/t/bench-capacity.c
@@ -15,6 +15,7 @@
 
 #include "config/delta.h"
 #include "fleet/limits.h"
+#include "t/edge-harness.h"
 
 #define TARGET_MEMBERS 5300
 #define TARGET_SERVICES 18000
@@ -60,7 +61,7 @@
 	       s->members, s->services, s->upstreams, value, unit);
 }
 
-static void domain_name(char *name, size_t i)
+static void write_domain_name(char *name, size_t i)
 {
 	snprintf(name, CONFIG_NAME_MAX, "region-%zu-domain-%zu",
 		 i % TARGET_DOMAINS / 3, i % TARGET_DOMAINS);
@@ -93,7 +94,7 @@
 				       .cold_connections = 100 };
 
 		snprintf(up.name, sizeof(up.name), "target-%zu", u);
-		domain_name(up.domain, u);
+		write_domain_name(up.domain, u);
 		up.address = make_endpoint((uint32_t)u, 8080);
 		add_upstream(sv, &up);
 	}
@@ -128,7 +129,7 @@
 
 	for (size_t i = 0; i < size->members; i++) {
 		snprintf(m.name, sizeof(m.name), "instance-%zu", i);
-		domain_name(m.domain, i);
+		write_domain_name(m.domain, i);
 		m.id = service_id(m.name);
 		m.address = make_endpoint((uint32_t)i, 0);
 		if (!v) {
@@ -395,6 +396,34 @@
 	destroy_view(v);
 }
 
+/* Entries in the store that were read before their service was configured. */
+static void measure_new_service(const struct sizes *size)
+{
+	struct edge_instance ei;
+	char text[512];
+	char name[32];
+	double start;
+
+	init_edge_instance(&ei);
+	for (size_t i = 0; i < size->upstreams; i++) {
+		snprintf(name, sizeof(name), "i-%zx", i + 1);
+		snprintf(text, sizeof(text),
+			 TEST_ENTRY("desk", "10.%zu.%zu.%zu:9000", "north",
+				    "1000", "1"),
+			 i >> 16, i >> 8 & 255, i & 255);
+		write_entry(&ei, name, text);
+	}
+	start = cpu_time_us();
+	write_configuration(&ei, 2, 8443, "desk");
+	print_row("apply a configuration that adds a service", size,
+		  (cpu_time_us() - start) / 1000, "ms");
+	start = cpu_time_us();
+	write_configuration(&ei, 3, 8443, "desk");
+	print_row("apply a configuration that adds none", size,
+		  (cpu_time_us() - start) / 1000, "ms");
+	release_edge_instance(&ei);
+}
+
 int main(void)
 {
 	printf("seed %d; sizes are members/services/upstreams\n", SEED);
@@ -408,6 +437,7 @@
 		measure_view(&all_sizes[i], sn);
 		measure_health(&all_sizes[i], sn);
 		measure_limits(&all_sizes[i], sn);
+		measure_new_service(&all_sizes[i]);
 		unref_snapshot(sn);
 	}
 	return 0;
