t: agents' entries and a bound with decimals with real processes

whole-odd-entries writes entries of agents, with the numbers of the upstreams and an earlier start, before an instance is killed and started again with a bound of 5.5 s.

--- a/t/whole-odd-entries.sh
+++ b/t/whole-odd-entries.sh
@@ -2,7 +2,8 @@
 # Odd entries in the store's list, left by another writer, with real processes:
 # two instances, three upstreams and the store stand-in. Guards against
 # instances that end or stop following the list, upstreams that stay unused, and
-# open flows that are reset or moved.
+# open flows that are reset or moved. One instance is started again, with a bound
+# that has decimals.
 
 bin=$1
 . "$(dirname "$0")/lib.sh"
@@ -21,9 +22,9 @@
 	put "$1" "$work/text"
 }
 
-# entry ADDRESS BORN: prints an entry of an upstream.
+# entry ADDRESS BORN [SERVICE]: prints an entry of an upstream.
 entry () {
-	echo "{\"service\":\"board\",\"addr\":\"$1\",\"zone\":\"north\",\"version\":\"v1\",\"slots\":3,\"state\":\"ready\",\"warmupLeftMs\":0,\"seq\":1,\"born\":$2}"
+	echo "{\"service\":\"${3:-board}\",\"addr\":\"$1\",\"zone\":\"north\",\"version\":\"v1\",\"slots\":3,\"state\":\"ready\",\"warmupLeftMs\":0,\"seq\":1,\"born\":$2}"
 }
 
 # has_logged N TEXT: true if both instances have logged TEXT N times or more.
@@ -75,10 +76,17 @@
 wait_until 5 has_logged 2 "event=upstream-invalid upstream=i-a2" ||
 	fail "the entry with another address was not refused"
 
+# Agents on the hosts, older than the upstreams, with their numbers.
+put_text servers/agent-a1 "$(entry "$net.72.1:9100" 1000 host-agent)"
+put_text servers/agent-a2 "$(entry "$net.72.2:9100" 1000 host-agent)"
+wait_until 5 has_logged 1 "event=upstream-invalid upstream=agent-a2 .*not conf" ||
+	fail "the entry of another service was not refused"
+
 # Later changes are still followed, also by an instance that starts now, and
 # after the history is lost.
 fault forget
 stop_process in-2 KILL
+sed -i "s/^stop = 6s/stop = 5.5s/" "$work/in-2.ini"
 start in-2 "$bin/baobabvalve-edge" --config="$work/in-2.ini"
 wait_until 10 is_ready $net.71.2 || fail "in-2 did not start again"
 start up-3 "$bin/cookie-upstream-stand-in" i-a3 board north \
--- a/t/whole-restore.sh
+++ b/t/whole-restore.sh
@@ -10,8 +10,16 @@
 store=$net.0.1:22781
 
 fail () {
-	echo "FAILED: $*"
-	tail -n 25 "$work"/*.log
+	for n in 1 2 3
+	do
+		curl -sS --noproxy '*' --max-time 1 -o "$work/metrics-$n" \
+			"http://$net.71.$n:$((port + 2))/metrics"
+	done
+	rm -rf build/whole-restore
+	mkdir -p build
+	cp -r "$work" build/whole-restore
+	tail -n 10 "$work"/*.log
+	echo "FAILED: $* (logs and metrics are in build/whole-restore)"
 	exit 1
 }
 
