edge: drop SYNs that were read after their callers sent a copy

What callers saw: an instance stood still for 3.5 s. The copies of the SYNs that waited in its socket went to other instances, and the flows opened there. On waking it placed the old SYNs on other upstreams.

Cause: nothing told how long a packet had waited before it was read.

Change: a datagram has an age, by the system's time of receipt where there is one (SO_TIMESTAMPNS), else the time since the socket was last found empty. A SYN that is as old as the interval to its next copy (200, 400, 800 ms) is dropped, counted (flow.stale-syn) and logged (syn-stale), also before the first read of the store and when it was relayed. The caller has sent the copy since, or has given up, so nobody loses an attempt unless that copy is lost, too.

--- a/base/counter-list.h
+++ b/base/counter-list.h
@@ -65,6 +65,8 @@
 COUNTER(FLOW_MOVED_AWAY, "flow.moved-away",
 	"flows that another instance gets packets of now")
 COUNTER(FLOW_QUEUED, "flow.queued", "SYNs that waited for room at an upstream")
+COUNTER(FLOW_STALE_SYN, "flow.stale-syn",
+	"SYNs dropped, as they were read after their callers sent a copy")
 COUNTER(FLOW_DROPPED_ISOLATED, "flow.dropped-isolated",
 	"SYNs dropped, as no upstream can be reached from here")
 COUNTER(FLOW_REFUSED_URGENT, "flow.refused-urgent",
--- a/flow/cookie-packet.h
+++ b/flow/cookie-packet.h
@@ -25,6 +25,8 @@
 	uint32_t seq;	      /* of the first byte of data */
 	uint32_t ack; /* next byte that the caller expects; in a SYN, the
 			   * number of times it was sent before */
+	/* longest time that it may have waited before it was read, ms */
+	uint32_t age_ms;
 	/* The packet as received, valid during the call; NULL if not kept. */
 	const uint8_t *datagram;
 	size_t datagram_len; /* bytes */
--- a/flow/cookie.c
+++ b/flow/cookie.c
@@ -126,6 +126,11 @@
 	return now_ms - cs->first_packet_ms < COOKIE_STARTUP_MS;
 }
 
+bool is_stale_syn(const struct cookie_packet *p)
+{
+	return p->age_ms >= COOKIE_SYN_INTERVAL_MS(p->ack);
+}
+
 /* The best upstream for F now, one of those to avoid if all others are worse. */
 static struct placement find_placement(struct cookie_steering *cs,
 				       const struct cookie_flow *f,
@@ -375,6 +380,10 @@
 		cs->catalog, p->key.service_ip, p->key.service_port);
 	struct cookie_flow *f = find_cookie_flow(cs, &p->key);
 
+	if (is_stale_syn(p)) {
+		count(cs->counters, COUNT_FLOW_STALE_SYN);
+		return make_decision(COOKIE_DROP, COOKIE_STALE_SYN);
+	}
 	if (!catalog_version(cs->catalog))
 		return make_decision(COOKIE_TO_PEER, COOKIE_NOT_READY);
 	if (!route)
@@ -608,7 +617,7 @@
 		"opened",     "reopened", "steered",   "no-route",
 		"route-gone", "crowded",  "refused",   "upstream-dead",
 		"link-lost",  "unknown",  "not-ready", "isolated",
-		"late-copy"
+		"late-copy",  "stale-syn"
 	};
 
 	return names[r];
--- a/flow/cookie.h
+++ b/flow/cookie.h
@@ -28,7 +28,13 @@
  * the first packet of a flow.
  */
 #define COOKIE_SEQ_WINDOW 76800
-#define COOKIE_SYN_LAST_COPY 2	       /* callers send no further copy */
+#define COOKIE_SYN_LAST_COPY 2 /* callers send no further copy */
+/*
+ * From a SYN that was sent N times before to its next copy, or for the last one
+ * to the end of the attempt.
+ */
+#define COOKIE_SYN_INTERVAL_MS(n)                                              \
+	(UINT64_C(200) << MIN(n, COOKIE_SYN_LAST_COPY))
 #define COOKIE_FLOWS_MAX 200000	       /* tracked at once */
 #define COOKIE_CLOSING_TIMEOUT_MS 3000 /* packets may follow the last FIN */
 #define COOKIE_OPENING_TIMEOUT_MS 1400 /* callers abandon their SYN then */
@@ -80,6 +86,7 @@
 	COOKIE_NOT_READY,     /* no configuration yet */
 	COOKIE_ISOLATED,      /* no upstream can be reached from here */
 	COOKIE_LATE_COPY,     /* of the SYN of a flow that is open */
+	COOKIE_STALE_SYN,     /* its caller has sent a copy since, or left */
 	COOKIE_REASON_NR
 };
 
@@ -125,6 +132,12 @@
  */
 void set_cookie_isolated(struct cookie_steering *cs, bool isolated);
 
+/*
+ * Whether P, a SYN, waited unread until its caller sent the next copy, or gave
+ * up. The copy may have come to another instance and opened the flow elsewhere.
+ */
+bool is_stale_syn(const struct cookie_packet *p);
+
 /* Decides about P. RELAYED: by an instance that does not know P's cookie. */
 struct cookie_decision steer_cookie_packet(struct cookie_steering *cs,
 					   const struct cookie_packet *p,
--- a/net/datagrams.c
+++ b/net/datagrams.c
@@ -5,19 +5,32 @@
 #include <netinet/in.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <time.h>
 #include <unistd.h>
 
+/* Room for the time of receipt of a datagram. */
+#define CONTROL_BYTES CMSG_SPACE(sizeof(struct timespec))
+
 struct datagrams {
 	uv_poll_t poll;
+	uv_prepare_t prepare;
 	int fd;
 	datagram_fn fn;
 	void *user;
 	bool closing;
+	bool receiving;		/* in receive_datagrams() */
+	bool was_read;		/* since the loop last began to wait */
+	uint64_t wait_began_ms; /* when the loop last began to wait */
+	uint64_t empty_ms;	/* when nothing was unread */
+	uint32_t age_ms;	/* of the datagram being delivered */
+	unsigned int open_handles;
 	uint64_t unsent_count;
 	unsigned int queued_count;
 	struct mmsghdr in[DATAGRAM_BATCH];
 	struct iovec in_vec[DATAGRAM_BATCH];
 	struct sockaddr_in in_addr[DATAGRAM_BATCH];
+	_Alignas(struct cmsghdr) uint8_t
+		in_control[DATAGRAM_BATCH][CONTROL_BYTES];
 	struct mmsghdr out[DATAGRAM_BATCH];
 	struct iovec out_vec[DATAGRAM_BATCH];
 	struct sockaddr_in out_addr[DATAGRAM_BATCH];
@@ -75,38 +88,112 @@
 	dg->out_vec[i].iov_len = header_len + len;
 }
 
-static void deliver_datagram(struct datagrams *dg, unsigned int i)
+static uint64_t read_clock_ms(clockid_t clock)
 {
-	struct endpoint from;
+	struct timespec ts;
 
-	endpoint_from_sockaddr(&from, (const struct sockaddr *)&dg->in_addr[i]);
-	dg->fn(dg->in_data[i], dg->in[i].msg_len, &from, dg->user);
+	clock_gettime(clock, &ts);
+	return (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
 }
 
-static void on_readable(uv_poll_t *poll, int status, int events)
+/* Time since datagram I was received, or LONGEST_MS if that is less or unknown. */
+static uint32_t find_age_ms(struct datagrams *dg, unsigned int i,
+			    uint64_t longest_ms, uint64_t real_ms)
+{
+	struct msghdr *hdr = &dg->in[i].msg_hdr;
+	struct cmsghdr *c;
+
+	for (c = CMSG_FIRSTHDR(hdr); c; c = CMSG_NXTHDR(hdr, c)) {
+		struct timespec ts;
+		uint64_t received_ms;
+
+		if (c->cmsg_level != SOL_SOCKET ||
+		    c->cmsg_type != SCM_TIMESTAMPNS)
+			continue;
+		memcpy(&ts, CMSG_DATA(c), sizeof(ts));
+		received_ms = (uint64_t)ts.tv_sec * 1000 +
+			      (uint64_t)ts.tv_nsec / 1000000;
+		/* the time of day may have been set back since */
+		if (received_ms <= real_ms)
+			longest_ms = MIN(longest_ms, real_ms - received_ms);
+	}
+	return (uint32_t)MIN(longest_ms, UINT32_MAX);
+}
+
+static void deliver_batch(struct datagrams *dg, unsigned int nr,
+			  uint64_t now_ms)
 {
-	struct datagrams *dg = poll->data;
+	uint64_t real_ms = read_clock_ms(CLOCK_REALTIME);
+
+	for (unsigned int i = 0; i < nr && !dg->closing; i++) {
+		struct endpoint from;
+
+		endpoint_from_sockaddr(
+			&from, (const struct sockaddr *)&dg->in_addr[i]);
+		dg->age_ms = find_age_ms(dg, i, now_ms - dg->empty_ms, real_ms);
+		dg->fn(dg->in_data[i], dg->in[i].msg_len, &from, dg->user);
+	}
+}
+
+static void reset_batch(struct datagrams *dg)
+{
+	for (int i = 0; i < DATAGRAM_BATCH; i++) {
+		struct msghdr *hdr = &dg->in[i].msg_hdr;
+
+		hdr->msg_namelen = sizeof(dg->in_addr[i]);
+		hdr->msg_control = dg->in_control[i];
+		hdr->msg_controllen = sizeof(dg->in_control[i]);
+	}
+}
 
-	if (status < 0 || !(events & UV_READABLE))
+void receive_datagrams(struct datagrams *dg)
+{
+	if (dg->receiving)
 		return;
+	dg->receiving = true;
+	dg->was_read = true;
 	for (int round = 0; round < DATAGRAM_BATCHES_MAX && !dg->closing;
 	     round++) {
+		uint64_t now_ms = read_clock_ms(CLOCK_BOOTTIME);
 		int n;
 
-		for (int i = 0; i < DATAGRAM_BATCH; i++)
-			dg->in[i].msg_hdr.msg_namelen = sizeof(dg->in_addr[i]);
+		reset_batch(dg);
 		n = recvmmsg(dg->fd, dg->in, DATAGRAM_BATCH, MSG_DONTWAIT,
 			     NULL);
-		if (n <= 0)
-			break;
-		for (int i = 0; i < n && !dg->closing; i++)
-			deliver_datagram(dg, (unsigned int)i);
-		if (n < DATAGRAM_BATCH)
+		if (n > 0)
+			deliver_batch(dg, (unsigned int)n, now_ms);
+		if (n < DATAGRAM_BATCH) {
+			if (n >= 0 || errno == EAGAIN)
+				dg->empty_ms = now_ms;
 			break;
+		}
 	}
+	dg->receiving = false;
 	flush_datagrams(dg);
 }
 
+uint32_t datagram_age_ms(const struct datagrams *dg)
+{
+	return dg->age_ms;
+}
+
+static void on_readable(uv_poll_t *poll, int status, int events)
+{
+	if (status >= 0 && events & UV_READABLE)
+		receive_datagrams(poll->data);
+}
+
+/* A socket that the loop did not find readable was empty when it began to wait. */
+static void on_wait(uv_prepare_t *prepare)
+{
+	struct datagrams *dg = prepare->data;
+
+	if (!dg->was_read)
+		dg->empty_ms = dg->wait_began_ms;
+	dg->was_read = false;
+	dg->wait_began_ms = read_clock_ms(CLOCK_BOOTTIME);
+}
+
 static void init_batches(struct datagrams *dg)
 {
 	for (int i = 0; i < DATAGRAM_BATCH; i++) {
@@ -125,6 +212,7 @@
 static int open_socket(const struct endpoint *at)
 {
 	int size = DATAGRAM_SOCKET_BYTES;
+	int on = 1;
 	struct sockaddr_storage ss;
 	int fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
@@ -134,6 +222,7 @@
 	/* the default buffer overflows in bursts while other handlers run */
 	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
 	setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &size, sizeof(size));
+	setsockopt(fd, SOL_SOCKET, SO_TIMESTAMPNS, &on, sizeof(on));
 	if (bind(fd, (struct sockaddr *)&ss, sizeof(struct sockaddr_in))) {
 		int err = -errno;
 
@@ -164,6 +253,11 @@
 	uv_poll_init_socket(loop, &dg->poll, fd);
 	dg->poll.data = dg;
 	uv_poll_start(&dg->poll, UV_READABLE, on_readable);
+	uv_prepare_init(loop, &dg->prepare);
+	dg->prepare.data = dg;
+	uv_prepare_start(&dg->prepare, on_wait);
+	dg->open_handles = 2;
+	dg->wait_began_ms = dg->empty_ms = read_clock_ms(CLOCK_BOOTTIME);
 	return dg;
 }
 
@@ -171,6 +265,8 @@
 {
 	struct datagrams *dg = handle->data;
 
+	if (--dg->open_handles)
+		return;
 	close(dg->fd);
 	g_free(dg);
 }
@@ -182,6 +278,7 @@
 	flush_datagrams(dg);
 	dg->closing = true;
 	uv_close((uv_handle_t *)&dg->poll, on_closed);
+	uv_close((uv_handle_t *)&dg->prepare, on_closed);
 }
 
 uint64_t unsent_datagram_count(const struct datagrams *dg)
--- a/net/datagrams.h
+++ b/net/datagrams.h
@@ -5,6 +5,10 @@
  * A UDP socket that receives and sends datagrams in batches, with one system
  * call for each batch. Queued datagrams are sent after each event that the
  * socket is readable, when the queue is full, and by flush_datagrams().
+ *
+ * Datagrams may have waited unread while this process did not run. Their age
+ * comes from the time of receipt that the system gives for each; where it gives
+ * none, it is taken to be the time since the socket was last found empty.
  */
 
 #include <uv.h>
@@ -40,6 +44,15 @@
 
 void flush_datagrams(struct datagrams *dg);
 
+/* Delivers what waits unread, before the loop finds the socket readable. */
+void receive_datagrams(struct datagrams *dg);
+
+/*
+ * The longest time, in ms, that the datagram now being delivered can have
+ * waited unread. Valid during a call of the datagram_fn only.
+ */
+uint32_t datagram_age_ms(const struct datagrams *dg);
+
 /* Number of datagrams that the kernel refused to send. */
 uint64_t unsent_datagram_count(const struct datagrams *dg);
 
--- a/net/edge-packets.c
+++ b/net/edge-packets.c
@@ -26,7 +26,7 @@
 #define EARLY_PACKET_MAX_AGE_MS 1000 /* older ones have been retransmitted */
 
 struct early_packet {
-	uint64_t received_ms;
+	uint64_t received_ms; /* the earliest that it may have been received */
 	size_t len;
 	uint8_t data[];
 };
@@ -195,6 +195,14 @@
 		(unsigned long long)catalog_version(e->catalog));
 }
 
+static void log_stale_syn(struct edge *e, const struct cookie_packet *p)
+{
+	char flow[FLOW_TEXT_MAX_BYTES];
+
+	log_event(e->log, EVENT_SYN_STALE, "flow=%s syn=%u unread_ms=%u",
+		  format_flow(&p->key, flow), p->ack, p->age_ms);
+}
+
 static void log_unknown_flow(struct edge *e, const struct cookie_packet *p,
 			     const struct cookie_decision *d)
 {
@@ -229,17 +237,20 @@
 		log_waiting_syn(e, p, d);
 		break;
 	case COOKIE_DROP:
+		if (d->reason == COOKIE_STALE_SYN)
+			log_stale_syn(e, p);
 		/* a needless copy of a SYN, or a counted drop */
-		if (d->reason != COOKIE_CROWDED &&
-		    d->reason != COOKIE_LATE_COPY &&
-		    d->reason != COOKIE_ISOLATED)
+		else if (d->reason != COOKIE_CROWDED &&
+			 d->reason != COOKIE_LATE_COPY &&
+			 d->reason != COOKIE_ISOLATED)
 			log_unknown_flow(e, p, d);
 		break;
 	}
 }
 
+/* AGE_MS: longest time that the packet may have waited here before. */
 static void handle_flow_packet(struct edge *e, uint8_t *data, size_t len,
-			       bool relayed)
+			       uint32_t age_ms, bool relayed)
 {
 	struct cookie_packet p;
 	struct cookie_decision d;
@@ -250,6 +261,7 @@
 	}
 	p.datagram = data;
 	p.datagram_len = len;
+	p.age_ms = age_ms;
 	d = steer_cookie_packet(e->steering, &p, relayed, e->now_ms);
 	if (relayed && d.verdict == COOKIE_TO_PEER)
 		d.verdict = COOKIE_DROP;
@@ -290,7 +302,7 @@
 	if (e->early_packets.length >= EARLY_PACKETS_MAX)
 		return;
 	ep = g_malloc(sizeof(*ep) + len);
-	ep->received_ms = e->now_ms;
+	ep->received_ms = e->now_ms - datagram_age_ms(e->packet_socket);
 	ep->len = len;
 	memcpy(ep->data, data, len);
 	g_queue_push_tail(&e->early_packets, ep);
@@ -301,8 +313,11 @@
 	struct early_packet *ep;
 
 	while ((ep = g_queue_pop_head(&e->early_packets))) {
-		if (e->now_ms - ep->received_ms <= EARLY_PACKET_MAX_AGE_MS)
-			handle_flow_packet(e, ep->data, ep->len, false);
+		uint64_t age_ms = e->now_ms - ep->received_ms;
+
+		if (age_ms <= EARLY_PACKET_MAX_AGE_MS)
+			handle_flow_packet(e, ep->data, ep->len,
+					   (uint32_t)age_ms, false);
 		g_free(ep);
 	}
 	flush_datagrams(e->packet_socket);
@@ -310,28 +325,34 @@
 
 /*
  * Packets of open flows go where their cookies say; SYNs need all that decides
- * about new flows.
+ * about new flows, but for stale ones, which go nowhere.
  */
-static bool may_steer(const struct edge *e, const uint8_t *data, size_t len)
+static bool may_steer(const struct edge *e, const uint8_t *data, size_t len,
+		      uint32_t age_ms)
 {
 	struct cookie_packet p;
 
 	if (may_place_flows(e))
 		return true;
-	return e->synced && catalog_version(e->catalog) &&
-	       read_platform_packet(data, len, &p) && !is_cookie_syn(&p);
+	if (!read_platform_packet(data, len, &p))
+		return false;
+	p.age_ms = age_ms;
+	if (is_cookie_syn(&p))
+		return is_stale_syn(&p);
+	return e->synced && catalog_version(e->catalog);
 }
 
 static void on_caller_packet(uint8_t *data, size_t len,
 			     const struct endpoint *from, void *user)
 {
 	struct edge *e = user;
+	uint32_t age_ms = datagram_age_ms(e->packet_socket);
 
 	(void)from;
 	e->now_ms = edge_clock_ms();
 	e->last_packet_ms = e->now_ms;
-	if (may_steer(e, data, len))
-		handle_flow_packet(e, data, len, false);
+	if (may_steer(e, data, len, age_ms))
+		handle_flow_packet(e, data, len, age_ms, false);
 	else if (!relay_early_packet(e, data, len))
 		queue_early_packet(e, data, len);
 }
@@ -453,7 +474,8 @@
 	e->now_ms = edge_clock_ms();
 	count_n(&e->counters, COUNT_PEER_RECEIVED_BYTES, len);
 	if (len && data[0] == RELAY_MARKER) {
-		handle_flow_packet(e, data + 1, len - 1, true);
+		handle_flow_packet(e, data + 1, len - 1,
+				   datagram_age_ms(e->peer_socket), true);
 		flush_datagrams(e->packet_socket);
 	} else if (len && is_heartbeat(data, len)) {
 		on_heartbeat_datagram(e, data, len);
--- a/t/check-cookie.c
+++ b/t/check-cookie.c
@@ -283,6 +283,33 @@
  * load alone would choose it for each retry, within milliseconds, until the
  * caller's attempts are used up.
  */
+/* Against two upstreams with one flow after a pause of the process. */
+START_TEST(syn_read_after_its_copy_was_sent_is_not_placed)
+{
+	static const uint32_t intervals_ms[] = { 200, 400, 800 };
+
+	put_upstream("u-a", 0);
+	for (uint32_t copy = 0; copy < G_N_ELEMENTS(intervals_ms); copy++) {
+		uint16_t port = (uint16_t)(4000 + copy);
+		struct cookie_packet p =
+			make_cookie_packet(CALLER, port, TCP_SYN, 0);
+		struct cookie_decision d;
+
+		p.ack = copy;
+		p.age_ms = intervals_ms[copy];
+		d = steer_cookie_packet(in.steering, &p, false, 9000);
+		ck_assert_int_eq(d.verdict, COOKIE_DROP);
+		ck_assert_int_eq(d.reason, COOKIE_STALE_SYN);
+		p.age_ms--;
+		d = steer_cookie_packet(in.steering, &p, false, 9000);
+		ck_assert_int_eq(d.verdict, COOKIE_TO_UPSTREAM);
+	}
+	ck_assert_uint_eq(in.counters.value[COUNT_FLOW_STALE_SYN],
+			  G_N_ELEMENTS(intervals_ms));
+	ck_assert_uint_eq(cookie_flow_count(in.steering), 3);
+}
+END_TEST
+
 START_TEST(immediate_retry_avoids_dead_upstream)
 {
 	struct upstream_load_row busy[3];
@@ -1595,6 +1622,7 @@
 	tcase_add_test(tc, packet_far_from_the_known_flow_belongs_to_another);
 	tcase_add_test(tc, syn_far_from_the_known_flow_opens_another);
 	tcase_add_test(tc, late_copy_of_the_syn_of_an_open_flow_is_not_placed);
+	tcase_add_test(tc, syn_read_after_its_copy_was_sent_is_not_placed);
 	tcase_add_test(tc, immediate_retry_avoids_dead_upstream);
 	tcase_add_test(tc, overdue_handshake_makes_upstream_suspect);
 	tcase_add_test(tc, delayed_tick_makes_no_upstream_suspect);
