cookie: send a copy read right after its SYN to the same upstream

Now the copy counts as unanswered only once the handshake is overdue; until then it goes where the SYN went, unless that upstream is dead, cut off or takes no flows. A dead upstream costs no further attempt: the next copy goes elsewhere.

--- a/flow/cookie.c
+++ b/flow/cookie.c
@@ -372,6 +372,25 @@
 	return h == HEALTH_DEAD || h == HEALTH_UNREACHABLE;
 }
 
+/* Whether a copy of the SYN of F goes where the SYN went. */
+static bool may_answer_syn(struct cookie_steering *cs,
+			   const struct cookie_flow *f, uint64_t now_ms)
+{
+	/* both waited unread: the upstream has had no time to answer */
+	bool is_early = now_ms - f->syn_ms < handshake_limit_ms(cs);
+
+	if (f->upstream == CATALOG_NONE)
+		return false;
+	if (!is_early)
+		note_upstream_silent(cs->placer, f->upstream, f->syn_ms,
+				     now_ms);
+	/* an upstream that answered other flows lost only this SYN */
+	return (is_early ||
+		was_alive_since(cs->placer, f->upstream, f->syn_ms)) &&
+	       accepts_flows(cs->catalog, f->upstream) &&
+	       !is_upstream_dead_or_cut_off(cs, f->upstream);
+}
+
 static struct cookie_decision handle_syn(struct cookie_steering *cs,
 					 const struct cookie_packet *p,
 					 uint64_t now_ms)
@@ -402,15 +421,8 @@
 		return make_decision(COOKIE_DROP, COOKIE_REFUSED);
 	f->last_packet_ms = now_ms;
 	f->caller_next_seq = p->seq + 1;
-	if (f->upstream != CATALOG_NONE) {
-		note_upstream_silent(cs->placer, f->upstream, f->syn_ms,
-				     now_ms);
-		/* an upstream that answered other flows lost only this SYN */
-		if (was_alive_since(cs->placer, f->upstream, f->syn_ms) &&
-		    accepts_flows(cs->catalog, f->upstream) &&
-		    !is_upstream_dead_or_cut_off(cs, f->upstream))
-			return steer_to(cs, f->upstream, COOKIE_REOPENED);
-	}
+	if (may_answer_syn(cs, f, now_ms))
+		return steer_to(cs, f->upstream, COOKIE_REOPENED);
 	return place_syn(cs, f, p, route, now_ms);
 }
 
--- a/t/check-cookie.c
+++ b/t/check-cookie.c
@@ -283,6 +283,26 @@
  * load alone would choose it for each retry, within milliseconds, until the
  * caller's attempts are used up.
  */
+/* Against two upstreams with one flow after a delay shorter than a copy's. */
+START_TEST(copy_read_right_after_its_syn_goes_to_no_other_upstream)
+{
+	struct cookie_decision first;
+	struct cookie_decision second;
+
+	put_upstream("u-a", 0);
+	put_upstream("u-b", 0);
+	first = send_syn(4001, 0, 1000);
+	second = send_syn(4001, 1, 1000);
+	ck_assert_int_eq(second.verdict, COOKIE_TO_UPSTREAM);
+	ck_assert_uint_eq(second.upstream, first.upstream);
+	second = send_syn(4001, 1, 1000 + COOKIE_HANDSHAKE_LIMIT_MIN_MS);
+	ck_assert_uint_eq(second.upstream, first.upstream);
+	/* the answer is overdue */
+	second = send_syn(4001, 2, 1200);
+	ck_assert_uint_ne(second.upstream, first.upstream);
+}
+END_TEST
+
 /* Against two upstreams with one flow after a pause of the process. */
 START_TEST(syn_read_after_its_copy_was_sent_is_not_placed)
 {
@@ -1623,6 +1643,8 @@
 	tcase_add_test(tc, syn_far_from_the_known_flow_opens_another);
 	tcase_add_test(tc, late_copy_of_the_syn_of_an_open_flow_is_not_placed);
 	tcase_add_test(tc, syn_read_after_its_copy_was_sent_is_not_placed);
+	tcase_add_test(
+		tc, copy_read_right_after_its_syn_goes_to_no_other_upstream);
 	tcase_add_test(tc, immediate_retry_avoids_dead_upstream);
 	tcase_add_test(tc, overdue_handshake_makes_upstream_suspect);
 	tcase_add_test(tc, delayed_tick_makes_no_upstream_suspect);
