--- a/base/counter-list.h
+++ b/base/counter-list.h
@@ -67,6 +67,8 @@
 COUNTER(FLOW_QUEUED, "flow.queued", "SYNs that waited for room at an upstream")
 COUNTER(FLOW_STALE_SYN, "flow.stale-syn",
 	"SYNs dropped, as they were read after their callers sent a copy")
+COUNTER(FLOW_SPLIT, "flow.split",
+	"flows told whose SYN may have gone to several upstreams")
 COUNTER(FLOW_DROPPED_ISOLATED, "flow.dropped-isolated",
 	"SYNs dropped, as no upstream can be reached from here")
 COUNTER(FLOW_REFUSED_URGENT, "flow.refused-urgent",
--- a/config/catalog.c
+++ b/config/catalog.c
@@ -751,6 +751,11 @@
 	return c->version;
 }
 
+uint64_t catalog_flow_ttl_ms(const struct catalog *c)
+{
+	return c->flow_ttl_ms;
+}
+
 uint32_t catalog_idle_ms(const struct catalog *c)
 {
 	return c->idle_ms;
--- a/config/catalog.h
+++ b/config/catalog.h
@@ -216,6 +216,8 @@
 /* Version of the routes in force; 0: none yet. */
 uint64_t catalog_version(const struct catalog *c);
 uint32_t catalog_idle_ms(const struct catalog *c);
+/* As set by set_catalog_flow_ttl(). */
+uint64_t catalog_flow_ttl_ms(const struct catalog *c);
 
 const struct catalog_route *find_catalog_route(const struct catalog *c,
 					       uint32_t ip, uint16_t port);
--- a/fleet/heartbeat.c
+++ b/fleet/heartbeat.c
@@ -400,6 +400,65 @@
 	}
 }
 
+/* Numbers of live members by domain, without this instance. */
+static GHashTable *count_live_members(const struct heartbeat_tracker *ht)
+{
+	GHashTable *counts = g_hash_table_new(g_str_hash, g_str_equal);
+	const struct member *ms;
+	size_t nr;
+
+	ms = view_members(ht->view, &nr);
+	for (size_t i = 0; i < nr; i++) {
+		guint before = GPOINTER_TO_UINT(
+			g_hash_table_lookup(counts, ms[i].domain));
+
+		if (ms[i].id != ht->self.id && is_live_member(&ms[i]))
+			g_hash_table_insert(counts, (char *)ms[i].domain,
+					    GUINT_TO_POINTER(before + 1));
+	}
+	return counts;
+}
+
+void list_takeover_endpoints(const struct heartbeat_tracker *ht, GArray *to)
+{
+	GHashTable *counts = count_live_members(ht);
+	bool to_all =
+		live_member_count(ht->view) <= HEARTBEAT_REMOTE_FLEET_MEMBERS ||
+		GPOINTER_TO_UINT(g_hash_table_lookup(counts, ht->self.domain)) <
+			TAKEOVER_DOMAIN_MIN;
+	const struct member *ms;
+	size_t nr;
+
+	ms = view_members(ht->view, &nr);
+	for (size_t i = 0; i < nr; i++) {
+		struct endpoint at = member_endpoint(&ms[i]);
+		guint in_domain = GPOINTER_TO_UINT(
+			g_hash_table_lookup(counts, ms[i].domain));
+
+		if (ms[i].id != ht->self.id && ms[i].state != MEMBER_DEAD &&
+		    (to_all || !is_remote(ht, &ms[i]) ||
+		     in_domain <= TAKEOVER_DOMAIN_MIN))
+			g_array_append_val(to, at);
+	}
+	g_hash_table_destroy(counts);
+}
+
+bool is_member_address(const struct heartbeat_tracker *ht,
+		       const struct endpoint *at)
+{
+	const struct member *ms;
+	size_t nr;
+
+	ms = view_members(ht->view, &nr);
+	for (size_t i = 0; i < nr; i++) {
+		struct endpoint ep = member_endpoint(&ms[i]);
+
+		if (same_endpoint(&ep, at))
+			return true;
+	}
+	return false;
+}
+
 bool pick_member_ahead(const struct heartbeat_tracker *ht,
 		       struct store_position position, GRand *rand,
 		       struct endpoint *at)
@@ -458,8 +517,9 @@
 	return true;
 }
 
-size_t pick_relays(const struct heartbeat_tracker *ht, GRand *rand,
-		   struct endpoint *to, size_t nr)
+static size_t pick_ready_members(const struct heartbeat_tracker *ht,
+				 bool in_own_domain, GRand *rand,
+				 struct endpoint *to, size_t nr)
 {
 	guint n = ht->peers->len;
 	guint at = n ? (guint)g_rand_int_range(rand, 0, (gint32)n) : 0;
@@ -470,9 +530,24 @@
 			&g_array_index(ht->peers, struct peer, (at + i) % n);
 		const struct member *m = find_member(ht->view, p->id);
 
-		if (!p->ready || !m || m->state != MEMBER_ALIVE)
+		if (!p->ready || !m || m->state != MEMBER_ALIVE ||
+		    (in_own_domain && is_remote(ht, m)))
 			continue;
 		to[found++] = member_endpoint(m);
 	}
 	return found;
 }
+
+size_t pick_relays(const struct heartbeat_tracker *ht, GRand *rand,
+		   struct endpoint *to, size_t nr)
+{
+	return pick_ready_members(ht, false, rand, to, nr);
+}
+
+size_t pick_neighbours(const struct heartbeat_tracker *ht, GRand *rand,
+		       struct endpoint *to, size_t nr)
+{
+	size_t found = pick_ready_members(ht, true, rand, to, nr);
+
+	return found ? found : pick_relays(ht, rand, to, nr);
+}
--- a/fleet/heartbeat.h
+++ b/fleet/heartbeat.h
@@ -40,6 +40,9 @@
 #define HEARTBEAT_REMOTE_FACTOR 6
 #define HEARTBEAT_REMOTE_FLEET_MEMBERS 20
 
+/* Routers use other domains only if all instances of a domain are away. */
+#define TAKEOVER_DOMAIN_MIN 3
+
 enum heartbeat_flag {
 	HEARTBEAT_LEAVING = 1,
 	HEARTBEAT_READY = 2,	  /* has a configuration and upstreams */
@@ -119,6 +122,17 @@
 /* Appends the addresses of the other live members of the own domain to TO. */
 void list_domain_endpoints(const struct heartbeat_tracker *ht, GArray *to);
 
+/*
+ * The same for the members that routers may choose instead of this instance:
+ * those of its domain, and of other domains where either side has less than
+ * TAKEOVER_DOMAIN_MIN other live members. All in a small fleet.
+ */
+void list_takeover_endpoints(const struct heartbeat_tracker *ht, GArray *to);
+
+/* Whether AT is the address of a member, also of one that fell silent lately. */
+bool is_member_address(const struct heartbeat_tracker *ht,
+		       const struct endpoint *at);
+
 /*
  * Picks a live member whose store position is later than POSITION, at random,
  * in the own domain if there is one. False if none is known.
@@ -134,4 +148,8 @@
 size_t pick_relays(const struct heartbeat_tracker *ht, GRand *rand,
 		   struct endpoint *to, size_t nr);
 
+/* The same, of the own domain if any is ready there. */
+size_t pick_neighbours(const struct heartbeat_tracker *ht, GRand *rand,
+		       struct endpoint *to, size_t nr);
+
 #endif
--- a/fleet/peer-format.h
+++ b/fleet/peer-format.h
@@ -26,7 +26,10 @@
 	INTRODUCTION_REQUEST = 17, /* for the members that the receiver knows */
 	INTRODUCTION = 18,	   /* addresses of members */
 	VALUE_REQUEST = 19,	   /* for a value that updates leave out */
-	VALUE_PART = 20
+	VALUE_PART = 20,
+	SPLIT_FLOWS =
+		21, /* flows whose SYN may have gone to several upstreams */
+	SPLIT_FLOWS_REQUEST = 22 /* for all that the receiver knows */
 };
 
 /* True if DATA, of LEN bytes, begins like a message of FORMAT. */
--- a/flow/cookie-flows.c
+++ b/flow/cookie-flows.c
@@ -43,6 +43,8 @@
 		g_array_new(FALSE, FALSE, sizeof(struct pending_handshake));
 	cs->pending_flows = g_ptr_array_new();
 	cs->syn_queue = create_syn_queue();
+	cs->split_flows = create_split_flows();
+	set_split_flow_lifetime(cs->split_flows, catalog_flow_ttl_ms(cat));
 	cs->mean_handshake_ms = COOKIE_HANDSHAKE_INITIAL_MS;
 	return cs;
 }
@@ -57,6 +59,7 @@
 	g_array_free(cs->pending_handshakes, TRUE);
 	g_ptr_array_free(cs->pending_flows, TRUE);
 	destroy_syn_queue(cs->syn_queue);
+	destroy_split_flows(cs->split_flows);
 	g_free(cs);
 }
 
@@ -147,6 +150,8 @@
 		f->load.route =
 			get_placer_route(cs->placer, route->ip, route->port);
 	f->caller_next_seq = p->seq;
+	f->saw_syn = is_cookie_syn(p);
+	f->first_seq = p->seq + f->saw_syn;
 	f->deadline_ms =
 		route ? route->deadline_ms : catalog_idle_ms(cs->catalog);
 	f->last_packet_ms = now_ms;
@@ -380,6 +385,9 @@
 	if (now_ms - cs->last_sweep_ms < SWEEP_INTERVAL_MS)
 		return;
 	cs->last_sweep_ms = now_ms;
+	set_split_flow_lifetime(cs->split_flows,
+				catalog_flow_ttl_ms(cs->catalog));
+	expire_split_flows(cs->split_flows, now_ms);
 	g_hash_table_iter_init(&it, cs->flows);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct cookie_flow *f = value;
@@ -403,6 +411,11 @@
 	return &cs->handshake_histogram;
 }
 
+struct split_flows *cookie_split_flows(struct cookie_steering *cs)
+{
+	return cs->split_flows;
+}
+
 size_t cookie_waiting_syn_count(const struct cookie_steering *cs)
 {
 	return waiting_syn_count(cs->syn_queue);
--- a/flow/cookie-state.h
+++ b/flow/cookie-state.h
@@ -4,6 +4,7 @@
 /* Private to flow/cookie.c and flow/cookie-flows.c. */
 
 #include "flow/cookie.h"
+#include "flow/split-flows.h"
 #include "flow/syn-queue.h"
 
 enum flow_phase {
@@ -17,6 +18,7 @@
 	struct cookie_packet packet;
 	uint8_t datagram[COOKIE_SYN_DATAGRAM_MAX];
 	struct waiting_syn *place; /* in the queue */
+	uint64_t sent_ms; /* the earliest that its caller may have sent it */
 };
 
 struct cookie_flow {
@@ -31,6 +33,10 @@
 	uint8_t syn_upstream_nr; /* upstreams that the SYN was sent to */
 	enum flow_phase phase;
 	bool upstream_known;	  /* the flow is open at its upstream */
+	bool may_be_split;	  /* others may have got its SYN */
+	bool saw_syn;		  /* FIRST_SEQ is that of the first byte */
+	uint32_t first_seq;	  /* of the first byte that was seen of it */
+	uint32_t first_cookie;	  /* of its first packet that is no SYN */
 	bool request_pending;	  /* a request was sent and not answered yet */
 	bool request_unseen;	  /* its end was not seen in time */
 	struct flow_load load;	  /* counted at the upstream */
@@ -65,8 +71,9 @@
 	GPtrArray *pending_flows;     /* struct cookie_flow that open or wait */
 	uint64_t weights_updated_ms;
 	struct syn_queue *syn_queue; /* owners: struct cookie_flow */
-	bool isolated;		     /* see set_cookie_isolated() */
-	uint64_t first_packet_ms;    /* 0: no packet was received yet */
+	struct split_flows *split_flows;
+	bool isolated;		  /* see set_cookie_isolated() */
+	uint64_t first_packet_ms; /* 0: no packet was received yet */
 	uint64_t last_sweep_ms;
 	uint64_t last_tick_ms;
 	/* from a forwarded SYN to the caller's next packet */
--- a/flow/cookie.c
+++ b/flow/cookie.c
@@ -188,6 +188,27 @@
 	return d;
 }
 
+static bool was_syn_sent_to(const struct cookie_flow *f, upstream_index_t nr)
+{
+	for (uint8_t i = 0; i < f->syn_upstream_nr; i++)
+		if (f->syn_upstreams[i] == nr)
+			return true;
+	return false;
+}
+
+/* Notes that F is split; COOKIE: of the upstream where it is open, 0: unknown. */
+static bool note_cookie_split_flow(struct cookie_steering *cs,
+				   const struct cookie_flow *f, uint32_t cookie,
+				   uint64_t now_ms)
+{
+	struct split_flow flow = { .key = f->key,
+				   .first_seq = f->first_seq,
+				   .saw_syn = f->saw_syn,
+				   .cookie = cookie };
+
+	return note_split_flow(cs->split_flows, &flow, now_ms);
+}
+
 static struct cookie_decision
 send_syn_to(struct cookie_steering *cs, struct cookie_flow *f,
 	    const struct cookie_packet *p, service_index_t service,
@@ -200,6 +221,10 @@
 
 	d.placement = *best;
 	note_syn_placed(cs->syn_queue, service, rank, now_ms);
+	f->may_be_split |=
+		f->syn_upstream_nr && !was_syn_sent_to(f, best->upstream);
+	if (f->may_be_split)
+		note_cookie_split_flow(cs, f, 0, now_ms);
 	unassign_cookie_flow(cs, f);
 	assign_cookie_flow(cs, f, best->upstream);
 	f->syn_upstreams[f->syn_upstream_nr++ % COOKIE_SYN_UPSTREAMS_MAX] =
@@ -211,6 +236,29 @@
 	return d;
 }
 
+/* Makes P the SYN that waits, or the newest copy of it that has come. */
+static void keep_held_syn(struct held_syn *held, const struct cookie_packet *p,
+			  uint64_t now_ms)
+{
+	held->packet = *p;
+	held->packet.datagram = NULL;
+	if (p->datagram_len)
+		memcpy(held->datagram, p->datagram, p->datagram_len);
+	held->sent_ms = now_ms - p->age_ms;
+}
+
+/*
+ * Whether the next copy of HELD was due and has not come: another instance may
+ * have it.
+ */
+static bool is_copy_elsewhere(const struct held_syn *held, uint64_t now_ms)
+{
+	return held->packet.ack < COOKIE_SYN_LAST_COPY &&
+	       now_ms - held->sent_ms >=
+		       COOKIE_SYN_INTERVAL_MS(held->packet.ack) +
+			       COOKIE_SYN_COPY_SLACK_MS;
+}
+
 /* Lets the SYN P of F wait until an upstream of SERVICE has room. */
 static struct cookie_decision
 hold_syn(struct cookie_steering *cs, struct cookie_flow *f,
@@ -235,10 +283,7 @@
 	if (!place)
 		return refuse_syn(cs, f, p, service, rank, best, now_ms);
 	held = g_new0(struct held_syn, 1);
-	held->packet = *p;
-	held->packet.datagram = NULL;
-	if (p->datagram_len)
-		memcpy(held->datagram, p->datagram, p->datagram_len);
+	keep_held_syn(held, p, now_ms);
 	held->place = place;
 	f->held_syn = held;
 	d.placement = *best;
@@ -283,6 +328,7 @@
 	struct released_syn r = { .packet = f->held_syn->packet };
 
 	r.waited_ms = now_ms - f->held_syn->place->queued_ms;
+	f->may_be_split |= is_copy_elsewhere(f->held_syn, now_ms);
 	memcpy(r.datagram, f->held_syn->datagram, sizeof(r.datagram));
 	cancel_held_syn(cs, f);
 	return r;
@@ -398,6 +444,7 @@
 	const struct catalog_route *route = find_catalog_route(
 		cs->catalog, p->key.service_ip, p->key.service_port);
 	struct cookie_flow *f = find_cookie_flow(cs, &p->key);
+	const struct split_flow *split;
 
 	if (is_stale_syn(p)) {
 		count(cs->counters, COUNT_FLOW_STALE_SYN);
@@ -411,14 +458,26 @@
 		remove_cookie_flow(cs, f);
 		f = NULL;
 	}
-	if (f && f->phase != PHASE_OPENING)
+	split = find_split_flow_of_syn(cs->split_flows, p, now_ms);
+	if ((f && f->phase != PHASE_OPENING) || (split && split->cookie))
 		return make_decision(COOKIE_DROP, COOKIE_LATE_COPY);
-	if (f && f->held_syn)
+	if (f && f->held_syn) {
+		if (p->datagram_len <= COOKIE_SYN_DATAGRAM_MAX)
+			keep_held_syn(f->held_syn, p, now_ms);
 		return make_decision(COOKIE_DROP, COOKIE_CROWDED);
-	if (!f)
+	}
+	if (!f) {
 		f = add_cookie_flow(cs, p, route, now_ms);
-	if (!f)
-		return make_decision(COOKIE_DROP, COOKIE_REFUSED);
+		if (!f)
+			return make_decision(COOKIE_DROP, COOKIE_REFUSED);
+		/*
+		 * The SYN itself may have gone through another instance, or
+		 * members may take the flow for an earlier one.
+		 */
+		f->may_be_split =
+			p->ack > 0 ||
+			forget_earlier_split_flow(cs->split_flows, p, now_ms);
+	}
 	f->last_packet_ms = now_ms;
 	f->caller_next_seq = p->seq + 1;
 	if (may_answer_syn(cs, f, now_ms))
@@ -426,54 +485,107 @@
 	return place_syn(cs, f, p, route, now_ms);
 }
 
-static bool was_syn_sent_to(const struct cookie_flow *f, upstream_index_t nr)
-{
-	for (uint8_t i = 0; i < f->syn_upstream_nr; i++)
-		if (f->syn_upstreams[i] == nr)
-			return true;
-	return false;
-}
-
 /*
  * The upstream of P, a packet of F that is no SYN. The cookie of the first
  * packet after the SYN decides which of the upstreams that got the SYN has the
  * flow. The SYN may have gone to some of them through other instances, and
  * their late answers change the caller's cookie again until the flow's own
- * upstream sends something. So once the upstream is known, other cookies are
- * ignored. Without F all that there is to go by is the cookie.
+ * upstream sends something. So once the upstream is known, here or to a member
+ * that told so in SPLIT, other cookies are ignored. Without F and SPLIT (each
+ * may be NULL) all that there is to go by is the cookie.
  */
 static upstream_index_t find_packet_upstream(struct cookie_steering *cs,
 					     const struct cookie_packet *p,
-					     const struct cookie_flow *f)
+					     const struct cookie_flow *f,
+					     const struct split_flow *split)
 {
+	bool has_upstream = f && f->upstream != CATALOG_NONE;
 	upstream_index_t by_cookie =
 		p->cookie ? find_upstream_by_cookie(cs->catalog, p->cookie)
 			  : CATALOG_NONE;
 
-	if (!f || f->upstream == CATALOG_NONE)
+	if (has_upstream && f->upstream_known)
+		return f->upstream;
+	if (split && split->cookie)
+		return find_upstream_by_cookie(cs->catalog, split->cookie);
+	if (!has_upstream)
 		return by_cookie;
-	if (f->upstream_known || !p->cookie)
+	if (!p->cookie)
 		return f->upstream;
 	if (f->phase != PHASE_OPENING && was_syn_sent_to(f, by_cookie))
 		return f->upstream;
 	return by_cookie;
 }
 
+/*
+ * Whether P, sent by the caller with the first byte of its data or before it,
+ * shows at which upstream F is open: no packet of F brought another cookie yet.
+ */
+static bool completes_handshake(const struct cookie_flow *f,
+				const struct cookie_packet *p,
+				const struct split_flow *split)
+{
+	bool is_first = (f->saw_syn && p->seq == f->first_seq) ||
+			(split && split->saw_syn && p->seq == split->first_seq);
+
+	return is_first && p->cookie && p->cookie == f->first_cookie;
+}
+
 /*
  * Whether P shows at which upstream F is open: it completes the handshake, or
- * acknowledges data that brought the cookie of the upstream that F has already.
+ * acknowledges data that brought the cookie of the upstream that F has already,
+ * or a member knows of SPLIT, the split flow (NULL: it is none).
  */
 static bool proves_upstream(const struct cookie_steering *cs,
 			    const struct cookie_flow *f,
-			    const struct cookie_packet *p)
+			    const struct cookie_packet *p,
+			    const struct split_flow *split)
 {
-	if (f->phase == PHASE_OPENING)
-		return p->cookie && p->seq == f->caller_next_seq;
-	return f->upstream != CATALOG_NONE &&
+	if ((split && split->cookie) || completes_handshake(f, p, split))
+		return true;
+	return f->phase != PHASE_OPENING && f->upstream != CATALOG_NONE &&
 	       p->cookie == get_upstream(cs->catalog, f->upstream)->cookie &&
 	       is_seq_after(p->ack, f->caller_ack);
 }
 
+/*
+ * Tells members where F is open if its packets may carry the cookies of other
+ * upstreams, as P does or as SPLIT tells (NULL: it does not). False if there is
+ * nothing to tell.
+ */
+static bool settle_split_flow(struct cookie_steering *cs, struct cookie_flow *f,
+			      const struct cookie_packet *p,
+			      const struct split_flow *split, uint64_t now_ms)
+{
+	uint32_t cookie = get_upstream(cs->catalog, f->upstream)->cookie;
+	bool is_split =
+		f->may_be_split || split || (p->cookie && p->cookie != cookie);
+
+	if (!f->upstream_known || !is_split || (split && split->cookie))
+		return false;
+	f->may_be_split = false;
+	return note_cookie_split_flow(cs, f, cookie, now_ms);
+}
+
+void learn_cookie_split_flow(struct cookie_steering *cs,
+			     const struct split_flow *flow, uint64_t now_ms)
+{
+	struct cookie_flow *f = find_cookie_flow(cs, &flow->key);
+
+	learn_split_flow(cs->split_flows, flow, now_ms);
+	if (!f || flow->cookie || f->phase == PHASE_OPENING ||
+	    f->upstream == CATALOG_NONE ||
+	    !find_split_flow(cs->split_flows, &f->key, f->first_seq, now_ms))
+		return;
+	if (f->upstream_known)
+		note_cookie_split_flow(
+			cs, f, get_upstream(cs->catalog, f->upstream)->cookie,
+			now_ms);
+	else if (f->first_cookie && f->first_seq == flow->first_seq)
+		/* it completed the handshake */
+		note_cookie_split_flow(cs, f, f->first_cookie, now_ms);
+}
+
 /* Updates F and its upstream's load and health from P. */
 static void observe_packet(struct cookie_steering *cs, struct cookie_flow *f,
 			   const struct cookie_packet *p, uint64_t now_ms)
@@ -564,9 +676,11 @@
 					   bool relayed, uint64_t now_ms)
 {
 	struct cookie_decision d;
+	const struct split_flow *split;
 	struct cookie_flow *f;
 	upstream_index_t nr;
 	bool moved_in;
+	bool settled;
 
 	count(cs->counters, COUNT_FLOW_PACKETS);
 	if (!cs->first_packet_ms)
@@ -580,7 +694,8 @@
 	}
 	if (f)
 		cancel_held_syn(cs, f); /* opened through another instance */
-	nr = find_packet_upstream(cs, p, f);
+	split = find_split_flow(cs->split_flows, &p->key, p->seq, now_ms);
+	nr = find_packet_upstream(cs, p, f, split);
 	if (nr == CATALOG_NONE)
 		return make_decision(relayed ? COOKIE_DROP : COOKIE_TO_PEER,
 				     COOKIE_UNKNOWN);
@@ -609,17 +724,21 @@
 	}
 	if (!f)
 		return steer_to(cs, nr, COOKIE_STEERED);
-	f->upstream_known |= proves_upstream(cs, f, p);
+	if (!f->first_cookie)
+		f->first_cookie = p->cookie;
+	f->upstream_known |= proves_upstream(cs, f, p, split);
 	if (f->upstream != nr) {
 		unassign_cookie_flow(cs, f);
 		f->response_ms = 0;
 		assign_cookie_flow(cs, f, nr);
 	}
+	settled = settle_split_flow(cs, f, p, split, now_ms);
 	observe_packet(cs, f, p, now_ms);
 	observe_fin_or_rst(cs, f, p, now_ms);
 	f->last_packet_ms = now_ms;
 	d = steer_to(cs, nr, COOKIE_STEERED);
 	d.moved_in = moved_in;
+	d.settled = settled;
 	return d;
 }
 
--- a/flow/cookie.h
+++ b/flow/cookie.h
@@ -16,6 +16,7 @@
 #include "config/catalog.h"
 #include "flow/cookie-packet.h"
 #include "flow/placement.h"
+#include "flow/split-flows.h"
 
 /* A longer gap between two ticks means that this process was delayed. */
 #define COOKIE_LATE_TICK_MS 100
@@ -64,6 +65,12 @@
 #define COOKIE_AVOIDED_MAX 8	   /* upstreams excluded for one flow */
 #define COOKIE_SYN_DATAGRAM_MAX 64 /* bytes; longer SYNs do not wait */
 
+/*
+ * A copy of a SYN that comes later than this after it was due went to another
+ * instance, or was lost.
+ */
+#define COOKIE_SYN_COPY_SLACK_MS 100
+
 enum cookie_verdict {
 	COOKIE_TO_UPSTREAM, /* send the packet, with COOKIE, to UPSTREAM */
 	COOKIE_TO_PEER, /* relay it to an instance that may know the upstream */
@@ -97,6 +104,7 @@
 	uint32_t cookie;
 	uint32_t reset_seq;
 	bool moved_in; /* the flow's earlier packets did not come here */
+	bool settled;  /* it became known where a split flow is open */
 	struct placement placement; /* of a SYN, by place_new_flow() */
 };
 
@@ -185,6 +193,16 @@
  */
 bool release_moved_flow(struct cookie_steering *cs, const struct flow_key *key);
 
+/* What is known of split flows, see flow/split-flows.h. */
+struct split_flows *cookie_split_flows(struct cookie_steering *cs);
+
+/*
+ * Another member has told FLOW. If this instance knows where it is open and the
+ * other one did not, members are told.
+ */
+void learn_cookie_split_flow(struct cookie_steering *cs,
+			     const struct split_flow *flow, uint64_t now_ms);
+
 /* Detects overdue handshakes and removes flows that have timed out. */
 void tick_cookie_steering(struct cookie_steering *cs, uint64_t now_ms);
 
--- /dev/null
+++ b/flow/split-flows.h
@@ -0,0 +1,159 @@
+#ifndef FLOW_SPLIT_FLOWS_H
+#define FLOW_SPLIT_FLOWS_H
+
+/*
+ * Split flows: those whose SYN may have gone to more than one upstream, since
+ * an answer was lost or late, or copies of the SYN came to several instances.
+ * Each of these upstreams answers the caller, whose packets then carry the
+ * cookie of the one that answered last. Only an instance that saw the end of
+ * the handshake, or progress, knows where the flow is open. It tells the
+ * members that routers may choose instead of it, so that the flow keeps its
+ * upstream when they do. An instance that starts asks others for what they
+ * know. No I/O.
+ *
+ * Notices are sent twice, as datagrams may be lost.
+ */
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/wire.h"
+#include "flow/cookie-packet.h"
+
+#define SPLIT_FLOWS_MAX 16384 /* known at once */
+/* Of these, how many may be open nowhere yet: a flood of SYNs makes such. */
+#define SPLIT_FLOWS_UNSETTLED_MAX 4096
+#define SPLIT_FLOWS_PENDING_MAX 1024 /* that wait to be told */
+#define SPLIT_FLOWS_PER_DATAGRAM 32
+#define SPLIT_FLOWS_ANSWER_DATAGRAMS                                           \
+	128			  /* in one answer; the rest is left out */
+#define SPLIT_FLOWS_REPEAT_MS 300 /* until a notice is sent again */
+
+/*
+ * Shortest time between the notices of one instance, and what each receiver
+ * adds to it, as in flow/moved-flows.h.
+ */
+#define SPLIT_FLOWS_INTERVAL_MS 20
+#define SPLIT_FLOWS_PER_MEMBER_MS 4
+
+/*
+ * How long a flow that is open nowhere yet is remembered. Upstreams repeat an
+ * answer that nobody acknowledges for 9.4 s.
+ */
+#define SPLIT_FLOW_UNSETTLED_MS 10000
+/*
+ * A packet that is further than this, in bytes, behind the first one of a flow
+ * is taken for one of a later flow with the same addresses and ports.
+ */
+#define SPLIT_FLOW_BYTES (1 << 20)
+
+/* Between two questions, and the end of the wait for an answer. */
+#define SPLIT_INQUIRY_ASK_MS 100
+#define SPLIT_INQUIRY_ALONE_MS 100 /* without a ready member */
+#define SPLIT_INQUIRY_MAX_MS 300
+#define SPLIT_INQUIRY_TARGETS 3 /* that are asked at once */
+
+struct split_flow {
+	struct flow_key key;
+	/* of the caller's first byte, or of a later one if that was not seen */
+	uint32_t first_seq;
+	bool saw_syn;	 /* FIRST_SEQ is that of the first byte */
+	uint32_t cookie; /* of the upstream where it is open; 0: not known */
+	uint32_t age_ms; /* since a member noted it */
+};
+
+struct split_flows;
+
+struct split_flows *create_split_flows(void);
+void destroy_split_flows(struct split_flows *sf);
+
+/*
+ * This instance has learned FLOW; members are to be told. False if it was known
+ * or cannot be kept. What became known first, of where a flow is open, stays.
+ */
+bool note_split_flow(struct split_flows *sf, const struct split_flow *flow,
+		     uint64_t now_ms);
+
+/*
+ * The same for what another member has told. Of two flows with the same
+ * addresses and ports the one that was noted later is kept.
+ */
+bool learn_split_flow(struct split_flows *sf, const struct split_flow *flow,
+		      uint64_t now_ms);
+
+/* Flows live no longer than LIFETIME_MS, and are forgotten then. */
+void set_split_flow_lifetime(struct split_flows *sf, uint64_t lifetime_ms);
+
+/* The split flow of KEY whose caller may send SEQ; NULL if there is none. */
+const struct split_flow *find_split_flow(const struct split_flows *sf,
+					 const struct flow_key *key,
+					 uint32_t seq, uint64_t now_ms);
+
+/* The split flow that SYN opens; NULL if there is none. */
+const struct split_flow *find_split_flow_of_syn(const struct split_flows *sf,
+						const struct cookie_packet *syn,
+						uint64_t now_ms);
+
+/*
+ * Forgets a flow of the addresses and ports of SYN that is not the one that SYN
+ * opens. True if there was one: other members may know it, too.
+ */
+bool forget_earlier_split_flow(struct split_flows *sf,
+			       const struct cookie_packet *syn,
+			       uint64_t now_ms);
+
+size_t split_flow_count(const struct split_flows *sf);
+
+/* Forgets flows whose time has ended. */
+void expire_split_flows(struct split_flows *sf, uint64_t now_ms);
+
+/* True if flows wait to be told, now or again. */
+bool has_untold_split_flows(const struct split_flows *sf);
+
+/*
+ * True if flows are to be told now to MEMBER_NR members; then appends up to
+ * SPLIT_FLOWS_PER_DATAGRAM of them to ROWS (of struct split_flow). AT_ONCE: the
+ * instance stops, all that waits is due.
+ */
+bool pop_split_flows(struct split_flows *sf, size_t member_nr, bool at_once,
+		     uint64_t now_ms, GArray *rows);
+
+/* Appends the flows that are known to ROWS (of struct split_flow). */
+void list_split_flows(const struct split_flows *sf, uint64_t now_ms,
+		      GArray *rows);
+
+enum split_flows_part {
+	SPLIT_FLOWS_NOTICE,
+	SPLIT_FLOWS_ANSWER_PART,
+	SPLIT_FLOWS_ANSWER_END
+};
+
+/* Writes the NR flows at ROWS. */
+void write_split_flows(struct wire_writer *w, enum split_flows_part part,
+		       const struct split_flow *rows, size_t nr);
+/* Appends the flows in DATA to ROWS; none and false if malformed. */
+bool read_split_flows(const void *data, size_t len, enum split_flows_part *part,
+		      GArray *rows);
+void write_split_flows_request(struct wire_writer *w);
+
+/*
+ * The questions of an instance that starts, or was paused. One that starts is
+ * not ready before they are done.
+ */
+struct split_inquiry {
+	uint64_t began_ms; /* 0: not yet */
+	uint64_t asked_ms; /* 0: not yet */
+	bool answered;	   /* by a member that knows all */
+	bool done;
+};
+
+/*
+ * Advances SI. HAS_READY_PEER: a member is known that may know all. True if
+ * others are to be asked now.
+ */
+bool tick_split_inquiry(struct split_inquiry *si, bool has_ready_peer,
+			uint64_t now_ms);
+
+#endif
--- a/net/edge-http.c
+++ b/net/edge-http.c
@@ -17,8 +17,8 @@
 
 bool is_edge_ready(const struct edge *e)
 {
-	return may_place_flows(e) && !e->stop_began_ms &&
-	       !e->isolation.isolated;
+	return may_place_flows(e) && e->has_known_split_flows &&
+	       !e->stop_began_ms && !e->isolation.isolated;
 }
 
 static void on_ready(struct http_exchange *ex, const struct http_message *m,
@@ -123,6 +123,9 @@
 			   counter_doc((enum counter)i), e->counters.value[i]);
 	add_metric(text, "flows", "gauge", "flows tracked",
 		   cookie_flow_count(e->steering));
+	add_metric(text, "split-flows", "gauge",
+		   "flows known whose SYN may have gone to several upstreams",
+		   split_flow_count(cookie_split_flows(e->steering)));
 	add_metric(text, "config-version", "gauge",
 		   "version of the routes in force",
 		   catalog_version(e->catalog));
--- a/net/edge-packets.c
+++ b/net/edge-packets.c
@@ -195,6 +195,18 @@
 		(unsigned long long)catalog_version(e->catalog));
 }
 
+/* It became known that the split flow of P is open at the upstream of D. */
+static void log_split_flow(struct edge *e, const struct cookie_packet *p,
+			   const struct cookie_decision *d)
+{
+	char flow[FLOW_TEXT_MAX_BYTES];
+
+	count(&e->counters, COUNT_FLOW_SPLIT);
+	log_event(e->log, EVENT_FLOW_SPLIT, "flow=%s upstream=%s cookie=%08x",
+		  format_flow(&p->key, flow), upstream_label(e, d->upstream),
+		  p->cookie);
+}
+
 static void log_stale_syn(struct edge *e, const struct cookie_packet *p)
 {
 	char flow[FLOW_TEXT_MAX_BYTES];
@@ -267,6 +279,8 @@
 		d.verdict = COOKIE_DROP;
 	if (d.moved_in)
 		note_moved_in(e->moved_flows, &p.key);
+	if (d.settled)
+		log_split_flow(e, &p, &d);
 	execute_decision(e, &p, &d, data, len, 0);
 }
 
@@ -342,6 +356,19 @@
 	return e->synced && catalog_version(e->catalog);
 }
 
+/*
+ * This process was delayed. What members have told meanwhile decides about the
+ * packets of callers that waited, too.
+ */
+static void read_peers_first(struct edge *e)
+{
+	if (e->now_ms - e->peers_read_ms < COOKIE_TICK_MS)
+		return;
+	e->peers_read_ms = e->now_ms;
+	receive_datagrams(e->peer_socket);
+	e->now_ms = edge_clock_ms();
+}
+
 static void on_caller_packet(uint8_t *data, size_t len,
 			     const struct endpoint *from, void *user)
 {
@@ -350,6 +377,8 @@
 
 	(void)from;
 	e->now_ms = edge_clock_ms();
+	if (age_ms > COOKIE_LATE_TICK_MS)
+		read_peers_first(e);
 	e->last_packet_ms = e->now_ms;
 	if (may_steer(e, data, len, age_ms))
 		handle_flow_packet(e, data, len, age_ms, false);
@@ -481,6 +510,10 @@
 		on_heartbeat_datagram(e, data, len);
 	} else if (has_peer_format(data, len, FLOWS_MOVED)) {
 		on_flows_moved(e, data, len);
+	} else if (has_peer_format(data, len, SPLIT_FLOWS)) {
+		handle_split_flows(e, data, len, from);
+	} else if (has_peer_format(data, len, SPLIT_FLOWS_REQUEST)) {
+		answer_split_flows_request(e, from);
 	} else if (has_peer_format(data, len, HEALTH_NOTICE_FORMAT)) {
 		on_health_notice(e, data, len);
 	} else if (has_peer_format(data, len, INTRODUCTION_REQUEST)) {
--- /dev/null
+++ b/net/edge-split-flows.c
@@ -0,0 +1,168 @@
+/*
+ * Tells members at which upstreams split flows are open, asks for that after a
+ * start or a pause, and answers members that ask.
+ */
+
+#include "net/edge-state.h"
+
+static void send_rows(struct edge *e, enum split_flows_part part,
+		      const struct split_flow *rows, size_t nr,
+		      const GArray *to)
+{
+	struct wire_writer w;
+
+	init_wire_writer(&w);
+	write_split_flows(&w, part, rows, nr);
+	for (guint i = 0; i < to->len; i++)
+		send_to_peer(e, &g_array_index(to, struct endpoint, i),
+			     w.buf.data, w.buf.size);
+	flush_datagrams(e->peer_socket);
+	release_wire_writer(&w);
+}
+
+static void tell_split_flows(struct edge *e)
+{
+	struct split_flows *sf = cookie_split_flows(e->steering);
+	GArray *rows;
+	GArray *to;
+
+	if (!has_untold_split_flows(sf))
+		return;
+	rows = g_array_new(FALSE, FALSE, sizeof(struct split_flow));
+	to = g_array_new(FALSE, FALSE, sizeof(struct endpoint));
+	list_takeover_endpoints(e->instance_heartbeats, to);
+	if (pop_split_flows(sf, to->len, e->stop_began_ms, e->now_ms, rows))
+		send_rows(e, SPLIT_FLOWS_NOTICE,
+			  (struct split_flow *)(void *)rows->data, rows->len,
+			  to);
+	g_array_free(to, TRUE);
+	g_array_free(rows, TRUE);
+}
+
+/* The address where the instance of SEED, from the settings, hears peers. */
+static struct endpoint seed_peer_address(const struct edge *e, size_t seed)
+{
+	struct endpoint at = e->settings.seeds.at[seed];
+
+	at.port = e->settings.peer_port;
+	return at;
+}
+
+/*
+ * Lists whom to ask: ready members, or as long as none is known the seeds.
+ * Returns their number.
+ */
+static size_t list_asked(struct edge *e,
+			 struct endpoint to[SPLIT_INQUIRY_TARGETS],
+			 bool *has_ready_peer)
+{
+	size_t nr = pick_neighbours(e->instance_heartbeats, e->rand, to,
+				    SPLIT_INQUIRY_TARGETS);
+
+	*has_ready_peer = nr;
+	if (nr)
+		return nr;
+	nr = MIN(e->settings.seeds.nr, SPLIT_INQUIRY_TARGETS);
+	for (size_t i = 0; i < nr; i++)
+		to[i] = seed_peer_address(e, i);
+	return nr;
+}
+
+static void ask_for_split_flows(struct edge *e)
+{
+	struct endpoint to[SPLIT_INQUIRY_TARGETS];
+	bool has_ready_peer;
+	size_t nr = list_asked(e, to, &has_ready_peer);
+	struct wire_writer w;
+
+	if (!tick_split_inquiry(&e->split_inquiry, has_ready_peer, e->now_ms))
+		return;
+	init_wire_writer(&w);
+	write_split_flows_request(&w);
+	for (size_t i = 0; i < nr; i++)
+		send_to_peer(e, &to[i], w.buf.data, w.buf.size);
+	flush_datagrams(e->peer_socket);
+	release_wire_writer(&w);
+}
+
+void tick_edge_split_flows(struct edge *e)
+{
+	tell_split_flows(e);
+	if (!e->split_inquiry.done)
+		ask_for_split_flows(e);
+	e->has_known_split_flows |= e->split_inquiry.done;
+}
+
+void restart_split_inquiry(struct edge *e)
+{
+	e->split_inquiry = (struct split_inquiry){ 0 };
+}
+
+/* Whether AT is a member, or a seed that was asked before members are known. */
+static bool is_trusted_address(const struct edge *e, const struct endpoint *at)
+{
+	for (size_t i = 0; i < e->settings.seeds.nr; i++) {
+		struct endpoint seed = seed_peer_address(e, i);
+
+		if (same_endpoint(&seed, at))
+			return true;
+	}
+	return is_member_address(e->instance_heartbeats, at);
+}
+
+void handle_split_flows(struct edge *e, const uint8_t *data, size_t len,
+			const struct endpoint *from)
+{
+	GArray *rows = g_array_new(FALSE, FALSE, sizeof(struct split_flow));
+	uint32_t unread_ms = datagram_age_ms(e->peer_socket);
+	enum split_flows_part part;
+
+	if (!is_trusted_address(e, from)) {
+		count(&e->counters, COUNT_FLOW_STRANGER);
+	} else if (!read_split_flows(data, len, &part, rows)) {
+		count(&e->counters, COUNT_PEER_MALFORMED);
+	} else {
+		count(&e->counters, COUNT_PEER_RECEIVED);
+		for (guint i = 0; i < rows->len; i++) {
+			struct split_flow *row =
+				&g_array_index(rows, struct split_flow, i);
+
+			row->age_ms += MIN(UINT32_MAX - row->age_ms, unread_ms);
+			learn_cookie_split_flow(e->steering, row, e->now_ms);
+		}
+		e->split_inquiry.answered |= part == SPLIT_FLOWS_ANSWER_END;
+	}
+	g_array_free(rows, TRUE);
+}
+
+void answer_split_flows_request(struct edge *e, const struct endpoint *from)
+{
+	GArray *rows;
+	GArray *to;
+	size_t max =
+		(size_t)SPLIT_FLOWS_PER_DATAGRAM * SPLIT_FLOWS_ANSWER_DATAGRAMS;
+	size_t at = 0;
+	bool is_last;
+
+	/* one that has just started knows too little itself */
+	if (!e->split_inquiry.done || !is_trusted_address(e, from))
+		return;
+	rows = g_array_new(FALSE, FALSE, sizeof(struct split_flow));
+	to = g_array_new(FALSE, FALSE, sizeof(struct endpoint));
+	g_array_append_val(to, *from);
+	list_split_flows(cookie_split_flows(e->steering), e->now_ms, rows);
+	if (rows->len > max)
+		g_array_set_size(rows, (guint)max);
+	do {
+		size_t nr = MIN(rows->len - at, SPLIT_FLOWS_PER_DATAGRAM);
+
+		is_last = at + nr == rows->len;
+		send_rows(e,
+			  is_last ? SPLIT_FLOWS_ANSWER_END
+				  : SPLIT_FLOWS_ANSWER_PART,
+			  (struct split_flow *)(void *)rows->data + at, nr, to);
+		at += nr;
+	} while (!is_last);
+	g_array_free(to, TRUE);
+	g_array_free(rows, TRUE);
+}
--- a/net/edge-state.h
+++ b/net/edge-state.h
@@ -20,6 +20,7 @@
 #include "fleet/store-update.h"
 #include "flow/cookie.h"
 #include "flow/isolation.h"
+#include "flow/split-flows.h"
 #include "net/datagrams.h"
 #include "net/edge.h"
 #include "net/event-log.h"
@@ -45,6 +46,8 @@
 	struct cookie_steering *steering;
 	struct isolation isolation;
 	struct moved_flows *moved_flows;
+	struct split_inquiry split_inquiry;
+	bool has_known_split_flows; /* that inquiry was done once */
 	struct heartbeat_tracker *instance_heartbeats;
 	struct introduction *introduction;
 	struct mirror *mirror;
@@ -74,6 +77,7 @@
 	struct loop_lag loop_lag; /* of on_fast_tick() */
 	uint64_t stop_began_ms;	  /* 0: not stopping */
 	uint64_t last_packet_ms;  /* last packet from a caller */
+	uint64_t peers_read_ms;	  /* last time that they went first */
 	uint64_t entry_lease;	  /* of this instance's store entry; 0: none */
 	uint64_t entry_lease_era; /* of the store, when it was granted */
 	uint64_t lease_call_due_ms; /* next grant or renewal of ENTRY_LEASE */
@@ -129,6 +133,14 @@
 void adopt_edge_records(struct edge *e, const struct store_update *n);
 void set_edge_hold_times(struct edge *e); /* from the settings */
 
+/* edge-split-flows.c: tells and asks members of split flows */
+void tick_edge_split_flows(struct edge *e);
+void handle_split_flows(struct edge *e, const uint8_t *data, size_t len,
+			const struct endpoint *from);
+void answer_split_flows_request(struct edge *e, const struct endpoint *from);
+/* After a pause: what members told meanwhile may be lost. */
+void restart_split_inquiry(struct edge *e);
+
 /* edge-introduction.c: finds peers by the seeds */
 void tick_edge_introduction(struct edge *e);
 void answer_introduction_request(struct edge *e, const struct endpoint *from);
--- a/net/edge.c
+++ b/net/edge.c
@@ -76,6 +76,7 @@
 		log_event(e->log, EVENT_WOKEN, "still_ms=%llu",
 			  (unsigned long long)paused_ms);
 		restart_heartbeats(e->instance_heartbeats, now_ms);
+		restart_split_inquiry(e);
 		step_edge_mirror(e, &resumed);
 	}
 	e->last_tick_ms = now_ms;
@@ -294,6 +295,7 @@
 	log_quality_changes(e);
 	tick_edge_waiting_syns(e);
 	tick_edge_moved_flows(e);
+	tick_edge_split_flows(e);
 	if (has_load_changed(e->placement))
 		tick_edge_heartbeats(e);
 }
--- a/net/event-list.h
+++ b/net/event-list.h
@@ -40,6 +40,8 @@
 EVENT(FLOW_QUEUED, "flow-queued", 20, "a SYN waits for room at an upstream")
 EVENT(SYN_STALE, "syn-stale", 10,
       "a SYN was read too late, after its caller sent a copy")
+EVENT(FLOW_SPLIT, "flow-split", 20,
+      "a flow is open whose SYN may have gone to several upstreams")
 EVENT(FLOW_REFUSED, "flow-refused", 60, "a flow was refused at its SYN")
 EVENT(FLOW_RESET, "flow-reset", 60, "an open flow was reset")
 EVENT(FLOW_UNKNOWN, "flow-unknown", 10, "a packet names no known upstream")
--- a/t/check-cookie.c
+++ b/t/check-cookie.c
@@ -1643,8 +1643,8 @@
 	tcase_add_test(tc, syn_far_from_the_known_flow_opens_another);
 	tcase_add_test(tc, late_copy_of_the_syn_of_an_open_flow_is_not_placed);
 	tcase_add_test(tc, syn_read_after_its_copy_was_sent_is_not_placed);
-	tcase_add_test(
-		tc, copy_read_right_after_its_syn_goes_to_no_other_upstream);
+	tcase_add_test(tc,
+		       copy_read_right_after_its_syn_goes_to_no_other_upstream);
 	tcase_add_test(tc, immediate_retry_avoids_dead_upstream);
 	tcase_add_test(tc, overdue_handshake_makes_upstream_suspect);
 	tcase_add_test(tc, delayed_tick_makes_no_upstream_suspect);
--- a/t/check-heartbeat.c
+++ b/t/check-heartbeat.c
@@ -326,6 +326,79 @@
 	return add_updates(ul, &n, NULL, NULL);
 }
 
+/* Receives a heartbeat of NR members of DOMAIN, named after it, at 2000 ms. */
+static void receive_domain(const char *domain, uint16_t port, int nr)
+{
+	for (int i = 0; i < nr; i++) {
+		char name[32];
+
+		g_snprintf(name, sizeof(name), "%s-%d", domain, i);
+		receive_heartbeat(name, domain, (uint16_t)(port + i),
+				  HEARTBEAT_READY, 2000);
+	}
+}
+
+static guint count_takeover_members(void)
+{
+	g_array_set_size(to, 0);
+	list_takeover_endpoints(ht, to);
+	return to->len;
+}
+
+/* Routers choose them for flows of this instance when it is stopped. */
+START_TEST(members_that_may_take_over_flows_are_told)
+{
+	/* all of a small fleet: a domain of one has no other */
+	receive_domain("south", 100, 8);
+	ck_assert_uint_eq(count_takeover_members(), 8);
+	/* of a large one the own domain, and domains of few members */
+	receive_domain("north", 200, TAKEOVER_DOMAIN_MIN);
+	receive_domain("west", 300, HEARTBEAT_REMOTE_FLEET_MEMBERS);
+	receive_domain("east", 400, TAKEOVER_DOMAIN_MIN);
+	ck_assert_uint_eq(count_takeover_members(), 2 * TAKEOVER_DOMAIN_MIN);
+	/* members that are dead are not told, but may have been heard before */
+	ck_assert(is_member_address(ht,
+				    &(struct endpoint){ .family = 4,
+							.ip = { 127, 0, 0, 1 },
+							.port = 200 }));
+	ck_assert(!is_member_address(ht,
+				     &(struct endpoint){ .family = 4,
+							 .ip = { 127, 0, 0, 1 },
+							 .port = 999 }));
+	tick(20000);
+	ck_assert_uint_eq(count_takeover_members(), 0);
+	ck_assert(is_member_address(ht,
+				    &(struct endpoint){ .family = 4,
+							.ip = { 127, 0, 0, 1 },
+							.port = 200 }));
+}
+END_TEST
+
+START_TEST(members_of_few_in_the_own_domain_tell_all)
+{
+	receive_domain("north", 200, TAKEOVER_DOMAIN_MIN - 1);
+	receive_domain("west", 300, 2 * HEARTBEAT_REMOTE_FLEET_MEMBERS);
+	ck_assert_uint_eq(count_takeover_members(),
+			  TAKEOVER_DOMAIN_MIN - 1 +
+				  2 * HEARTBEAT_REMOTE_FLEET_MEMBERS);
+}
+END_TEST
+
+START_TEST(neighbours_that_are_asked_are_of_the_own_domain)
+{
+	GRand *rand = g_rand_new_with_seed(7);
+	struct endpoint got[3];
+
+	receive_domain("west", 300, 8);
+	ck_assert_uint_eq(pick_neighbours(ht, rand, got, 3), 3);
+	receive_domain("north", 200, 2);
+	ck_assert_uint_eq(pick_neighbours(ht, rand, got, 3), 2);
+	ck_assert_uint_lt(got[0].port, 300);
+	ck_assert_uint_lt(got[1].port, 300);
+	g_rand_free(rand);
+}
+END_TEST
+
 START_TEST(kept_updates_are_sent_again_on_request)
 {
 	struct update_log *ul = create_update_log();
@@ -782,6 +855,9 @@
 	tcase_add_test(tc, held_records_are_told_with_what_is_left);
 	tcase_add_test(tc, each_domain_has_its_expected_interval);
 	tcase_add_test(tc, members_of_large_fleets_are_heard_less_often);
+	tcase_add_test(tc, members_that_may_take_over_flows_are_told);
+	tcase_add_test(tc, members_of_few_in_the_own_domain_tell_all);
+	tcase_add_test(tc, neighbours_that_are_asked_are_of_the_own_domain);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_ENV);
 	failed = srunner_ntests_failed(sr);
--- /dev/null
+++ b/t/check-split-flows.c
@@ -0,0 +1,492 @@
+/*
+ * Tests of flows whose SYN went to several upstreams. They guard against
+ * packets of an open flow that go to another upstream at an instance that has
+ * not seen its handshake, and against notices about it that are believed too
+ * long, or cost too much.
+ */
+
+#include <check.h>
+#include <stdlib.h>
+
+#include "fleet/heartbeat.h"
+#include "fleet/peer-format.h"
+#include "flow/split-flows.h"
+#include "t/cookie-harness.h"
+
+#define CALLER 0x64400007 /* 100.64.0.7 */
+#define LIFETIME_MS 60000
+#define DATAGRAM_BYTES 1400
+
+static struct cookie_instance first;
+static struct cookie_instance second;
+static struct split_flows *sf;
+static GArray *rows;
+static upstream_index_t a;
+static upstream_index_t b;
+
+static upstream_index_t put_upstream(struct cookie_instance *in,
+				     const char *name)
+{
+	struct upstream_report r = make_upstream_report(name, "north");
+
+	return put_test_upstream(in, &r, 0);
+}
+
+/* Both instances give the upstreams the same indexes. */
+static void setup(void)
+{
+	init_cookie_instance(&first, "front-1", "north");
+	init_cookie_instance(&second, "front-2", "north");
+	a = put_upstream(&first, "u-a");
+	b = put_upstream(&first, "u-b");
+	ck_assert_uint_eq(put_upstream(&second, "u-a"), a);
+	ck_assert_uint_eq(put_upstream(&second, "u-b"), b);
+	sf = create_split_flows();
+	set_split_flow_lifetime(sf, LIFETIME_MS);
+	rows = g_array_new(FALSE, FALSE, sizeof(struct split_flow));
+}
+
+static void teardown(void)
+{
+	release_cookie_instance(&first);
+	release_cookie_instance(&second);
+	destroy_split_flows(sf);
+	g_array_free(rows, TRUE);
+}
+
+static uint32_t cookie_of(upstream_index_t up)
+{
+	return get_upstream(first.catalog, up)->cookie;
+}
+
+static struct cookie_decision send_syn(struct cookie_instance *in,
+				       uint16_t port, uint32_t copy,
+				       uint64_t now_ms)
+{
+	struct cookie_packet p = make_cookie_packet(CALLER, port, TCP_SYN, 0);
+
+	p.ack = copy;
+	return steer_cookie_packet(in->steering, &p, false, now_ms);
+}
+
+static struct cookie_decision send_data(struct cookie_instance *in,
+					uint16_t port, uint32_t cookie,
+					uint32_t seq, uint32_t ack,
+					uint64_t now_ms)
+{
+	struct cookie_packet p =
+		make_cookie_packet(CALLER, port, TCP_ACK, cookie);
+
+	p.seq = seq;
+	p.payload_len = 100;
+	p.ack = ack;
+	return steer_cookie_packet(in->steering, &p, false, now_ms);
+}
+
+static void tell(struct cookie_instance *from, struct cookie_instance *to,
+		 uint64_t now_ms)
+{
+	g_array_set_size(rows, 0);
+	if (!pop_split_flows(cookie_split_flows(from->steering), 1, false,
+			     now_ms, rows))
+		return;
+	for (guint i = 0; i < rows->len; i++)
+		learn_cookie_split_flow(
+			to->steering,
+			&g_array_index(rows, struct split_flow, i), now_ms);
+}
+
+/*
+ * The first instance sends the SYN from PORT to one upstream and its copy to
+ * the other. Returns the one that gets the SYN.
+ */
+static upstream_index_t split_flow(uint16_t port)
+{
+	upstream_index_t got_syn = send_syn(&first, port, 0, 1000).upstream;
+	upstream_index_t got_copy = send_syn(&first, port, 1, 1200).upstream;
+
+	ck_assert_uint_ne(got_syn, got_copy);
+	return got_syn;
+}
+
+/* The SYN+ACK was lost, the flow opens, the other upstream answers late. */
+START_TEST(flow_that_moves_after_a_lost_answer_keeps_its_upstream)
+{
+	upstream_index_t opened_at = split_flow(4000);
+	upstream_index_t other = opened_at == a ? b : a;
+	struct cookie_decision d =
+		send_data(&first, 4000, cookie_of(opened_at), 1001, 500, 1210);
+
+	ck_assert(d.settled);
+	tell(&first, &second, 1220);
+	ck_assert_uint_eq(split_flow_count(cookie_split_flows(second.steering)),
+			  1);
+	d = send_data(&second, 4000, cookie_of(other), 1101, 900, 6000);
+	ck_assert_int_eq(d.verdict, COOKIE_TO_UPSTREAM);
+	ck_assert_uint_eq(d.upstream, opened_at);
+	ck_assert_uint_eq(d.cookie, cookie_of(opened_at));
+	/* its record at the second instance does, too */
+	d = send_data(&second, 4000, cookie_of(other), 1201, 1300, 9000);
+	ck_assert_uint_eq(d.upstream, opened_at);
+}
+END_TEST
+
+/* The SYN went through an instance that the copy's instance knows nothing of. */
+START_TEST(flow_opened_by_a_copy_that_moves_keeps_its_upstream)
+{
+	upstream_index_t got_copy = send_syn(&first, 4000, 1, 1200).upstream;
+	upstream_index_t other = got_copy == a ? b : a;
+	struct cookie_decision d;
+
+	ck_assert(send_data(&first, 4000, cookie_of(got_copy), 1001, 500, 1210)
+			  .settled);
+	tell(&first, &second, 1220);
+	d = send_data(&second, 4000, cookie_of(other), 1101, 900, 6000);
+	ck_assert_uint_eq(d.upstream, got_copy);
+}
+END_TEST
+
+/* Its packets came in another order than they were sent. */
+START_TEST(flow_whose_data_overtakes_the_handshake_is_settled)
+{
+	upstream_index_t opened_at = split_flow(4000);
+	uint32_t cookie = cookie_of(opened_at);
+
+	ck_assert(!send_data(&first, 4000, cookie, 1101, 500, 1210).settled);
+	ck_assert(send_data(&first, 4000, cookie, 1001, 500, 1211).settled);
+}
+END_TEST
+
+START_TEST(late_cookie_at_the_instance_that_knows_better_is_told)
+{
+	upstream_index_t opened_at = send_syn(&first, 4000, 0, 1000).upstream;
+	upstream_index_t other = opened_at == a ? b : a;
+
+	ck_assert(
+		!send_data(&first, 4000, cookie_of(opened_at), 1001, 500, 1010)
+			 .settled);
+	ck_assert(!has_untold_split_flows(cookie_split_flows(first.steering)));
+	ck_assert(send_data(&first, 4000, cookie_of(other), 1101, 900, 3000)
+			  .settled);
+	tell(&first, &second, 3010);
+	ck_assert_uint_eq(
+		send_data(&second, 4000, cookie_of(other), 1201, 1300, 6000)
+			.upstream,
+		opened_at);
+}
+END_TEST
+
+/* One instance sends on a copy, another one saw where the flow opened. */
+START_TEST(instance_that_knows_better_settles_what_another_told)
+{
+	upstream_index_t opened_at = send_syn(&first, 4000, 0, 1000).upstream;
+	upstream_index_t other = opened_at == a ? b : a;
+
+	send_data(&first, 4000, cookie_of(opened_at), 1001, 500, 1210);
+	send_syn(&second, 4000, 1, 1200);
+	tell(&second, &first, 1220);
+	tell(&first, &second, 1230);
+	ck_assert_uint_eq(
+		send_data(&second, 4000, cookie_of(other), 1101, 900, 6000)
+			.upstream,
+		opened_at);
+}
+END_TEST
+
+START_TEST(late_syn_of_an_open_split_flow_is_not_placed)
+{
+	struct cookie_decision d;
+
+	send_data(&first, 4000, cookie_of(split_flow(4000)), 1001, 500, 1210);
+	tell(&first, &second, 1220);
+	d = send_syn(&second, 4000, 2, 1300);
+	ck_assert_int_eq(d.verdict, COOKIE_DROP);
+	ck_assert_int_eq(d.reason, COOKIE_LATE_COPY);
+}
+END_TEST
+
+START_TEST(later_flow_of_the_same_ports_goes_by_its_own_cookie)
+{
+	upstream_index_t opened_at = split_flow(4000);
+	upstream_index_t other = opened_at == a ? b : a;
+	struct cookie_packet p =
+		make_cookie_packet(CALLER, 4000, TCP_ACK, cookie_of(other));
+
+	send_data(&first, 4000, cookie_of(opened_at), 1001, 500, 1210);
+	tell(&first, &second, 1220);
+	p.seq = 1001 + SPLIT_FLOW_BYTES;
+	ck_assert_uint_eq(
+		steer_cookie_packet(second.steering, &p, false, 6000).upstream,
+		other);
+	/* its SYN ends the earlier flow, here and at members */
+	p = make_cookie_packet(CALLER, 4000, TCP_SYN, 0);
+	p.seq = 900000;
+	ck_assert_int_eq(
+		steer_cookie_packet(first.steering, &p, false, 7000).verdict,
+		COOKIE_TO_UPSTREAM);
+	tell(&first, &second, 7010);
+	p = make_cookie_packet(CALLER, 4000, TCP_ACK, cookie_of(other));
+	p.seq = 900101;
+	ck_assert_uint_eq(
+		steer_cookie_packet(second.steering, &p, false, 7020).upstream,
+		other);
+}
+END_TEST
+
+START_TEST(packet_of_a_flow_at_an_upstream_unknown_here_goes_to_no_other)
+{
+	struct split_flow flow = { .key = { CALLER, TEST_ROUTE_IP, 4000,
+					    TEST_ROUTE_PORT },
+				   .first_seq = 1001,
+				   .saw_syn = true,
+				   .cookie = 99 };
+
+	learn_cookie_split_flow(first.steering, &flow, 1000);
+	ck_assert_int_eq(
+		send_data(&first, 4000, cookie_of(a), 1101, 900, 2000).verdict,
+		COOKIE_TO_PEER);
+}
+END_TEST
+
+static struct split_flow make_row(uint16_t port, uint32_t first_seq,
+				  uint32_t cookie)
+{
+	struct split_flow row = { .key = { CALLER, TEST_ROUTE_IP, port,
+					   TEST_ROUTE_PORT },
+				  .first_seq = first_seq,
+				  .saw_syn = true,
+				  .cookie = cookie };
+
+	return row;
+}
+
+START_TEST(what_became_known_first_stays)
+{
+	struct split_flow row = make_row(4000, 1001, 0);
+
+	ck_assert(learn_split_flow(sf, &row, 1000));
+	row.cookie = 7;
+	ck_assert(learn_split_flow(sf, &row, 1000));
+	row.cookie = 8;
+	ck_assert(!learn_split_flow(sf, &row, 1000));
+	row.cookie = 0;
+	ck_assert(!learn_split_flow(sf, &row, 1000));
+	ck_assert_uint_eq(find_split_flow(sf, &row.key, 1001, 1000)->cookie, 7);
+	/* a late report about an earlier flow */
+	row = make_row(4000, 900000000, 9);
+	row.age_ms = 500;
+	ck_assert(!learn_split_flow(sf, &row, 1000));
+	row.age_ms = 0;
+	ck_assert(learn_split_flow(sf, &row, 1001));
+	ck_assert_ptr_null(find_split_flow(sf, &row.key, 1001, 1001));
+}
+END_TEST
+
+START_TEST(flow_is_forgotten_after_the_lifetime_of_flows)
+{
+	struct split_flow open = make_row(4000, 1001, 7);
+	struct split_flow unsettled = make_row(4001, 1001, 0);
+
+	open.age_ms = 1000;
+	learn_split_flow(sf, &open, 1000);
+	learn_split_flow(sf, &unsettled, 1000);
+	ck_assert_ptr_nonnull(
+		find_split_flow(sf, &open.key, 1001, LIFETIME_MS - 1));
+	ck_assert_ptr_null(find_split_flow(sf, &open.key, 1001, LIFETIME_MS));
+	expire_split_flows(sf, 1000 + SPLIT_FLOW_UNSETTLED_MS - 1);
+	ck_assert_uint_eq(split_flow_count(sf), 2);
+	expire_split_flows(sf, 1000 + SPLIT_FLOW_UNSETTLED_MS);
+	ck_assert_uint_eq(split_flow_count(sf), 1);
+	expire_split_flows(sf, LIFETIME_MS);
+	ck_assert_uint_eq(split_flow_count(sf), 0);
+	/* one that is too old already */
+	open.age_ms = LIFETIME_MS;
+	ck_assert(!learn_split_flow(sf, &open, 100000));
+	ck_assert_uint_eq(split_flow_count(sf), 0);
+}
+END_TEST
+
+START_TEST(flood_of_syns_leaves_room_for_open_flows)
+{
+	size_t told = 0;
+
+	for (uint32_t i = 0; i < 2 * SPLIT_FLOWS_UNSETTLED_MAX; i++) {
+		struct split_flow row = make_row((uint16_t)i, 1001, 0);
+
+		row.key.caller_ip += i >> 16;
+		note_split_flow(sf, &row, 1000);
+	}
+	ck_assert_uint_eq(split_flow_count(sf), SPLIT_FLOWS_UNSETTLED_MAX);
+	for (uint32_t i = 0; i < 2 * SPLIT_FLOWS_MAX; i++) {
+		struct split_flow row = make_row((uint16_t)i, 1001, 7);
+
+		row.key.caller_ip += 100 + (i >> 16);
+		note_split_flow(sf, &row, 1000);
+	}
+	ck_assert_uint_eq(split_flow_count(sf), SPLIT_FLOWS_MAX);
+	for (uint64_t t = 2000; pop_split_flows(sf, 5, false, t, rows);
+	     t += SPLIT_FLOWS_INTERVAL_MS) {
+		ck_assert_uint_le(rows->len, SPLIT_FLOWS_PER_DATAGRAM);
+		told += rows->len;
+		g_array_set_size(rows, 0);
+	}
+	ck_assert_uint_ge(told, SPLIT_FLOWS_PENDING_MAX);
+	ck_assert_uint_le(told, 2 * SPLIT_FLOWS_PENDING_MAX);
+}
+END_TEST
+
+START_TEST(notice_is_sent_again_in_another_datagram)
+{
+	struct split_flow row = make_row(4000, 1001, 7);
+
+	note_split_flow(sf, &row, 1000);
+	ck_assert(pop_split_flows(sf, 5, false, 1000, rows));
+	ck_assert_uint_eq(rows->len, 1);
+	ck_assert(!pop_split_flows(sf, 5, false,
+				   1000 + SPLIT_FLOWS_REPEAT_MS - 1, rows));
+	ck_assert(pop_split_flows(sf, 5, false, 1000 + SPLIT_FLOWS_REPEAT_MS,
+				  rows));
+	ck_assert_uint_eq(rows->len, 2);
+	ck_assert(!has_untold_split_flows(sf));
+	/* an instance that stops has no time to wait */
+	row = make_row(4001, 1001, 7);
+	note_split_flow(sf, &row, 5000);
+	g_array_set_size(rows, 0);
+	ck_assert(pop_split_flows(sf, 5, true, 5000, rows));
+	ck_assert_uint_eq(rows->len, 1);
+	ck_assert(pop_split_flows(sf, 5, true, 5001, rows));
+	ck_assert_uint_eq(rows->len, 2);
+	ck_assert(!has_untold_split_flows(sf));
+}
+END_TEST
+
+START_TEST(notices_are_paced_by_the_number_of_members)
+{
+	struct split_flow row = make_row(4000, 1001, 7);
+
+	note_split_flow(sf, &row, 1000);
+	ck_assert(pop_split_flows(sf, 100, false, 1000, rows));
+	row.key.caller_port++;
+	note_split_flow(sf, &row, 1001);
+	ck_assert(!pop_split_flows(sf, 100, false,
+				   1000 + 100 * SPLIT_FLOWS_PER_MEMBER_MS - 1,
+				   rows));
+	ck_assert(pop_split_flows(
+		sf, 100, false, 1000 + 100 * SPLIT_FLOWS_PER_MEMBER_MS, rows));
+}
+END_TEST
+
+START_TEST(notice_is_read_as_written_and_malformed_ones_are_refused)
+{
+	struct split_flow sent[SPLIT_FLOWS_PER_DATAGRAM];
+	enum split_flows_part part;
+	const uint8_t *data;
+	struct wire_writer w;
+
+	for (uint32_t i = 0; i < SPLIT_FLOWS_PER_DATAGRAM; i++) {
+		sent[i] = make_row((uint16_t)(60000 + i), UINT32_MAX - i,
+				   UINT32_MAX - i);
+		sent[i].saw_syn = i % 2;
+		sent[i].age_ms = LIFETIME_MS + i;
+	}
+	init_wire_writer(&w);
+	write_split_flows(&w, SPLIT_FLOWS_ANSWER_END, sent,
+			  SPLIT_FLOWS_PER_DATAGRAM);
+	data = (const uint8_t *)w.buf.data;
+	ck_assert_uint_le(w.buf.size, DATAGRAM_BYTES);
+	ck_assert(has_peer_format(data, w.buf.size, SPLIT_FLOWS));
+	ck_assert(!is_heartbeat(data, w.buf.size));
+	ck_assert(read_split_flows(data, w.buf.size, &part, rows));
+	ck_assert_int_eq(part, SPLIT_FLOWS_ANSWER_END);
+	ck_assert_uint_eq(rows->len, SPLIT_FLOWS_PER_DATAGRAM);
+	for (guint i = 0; i < rows->len; i++) {
+		const struct split_flow *r =
+			&g_array_index(rows, struct split_flow, i);
+
+		ck_assert_mem_eq(&r->key, &sent[i].key, sizeof(r->key));
+		ck_assert_uint_eq(r->first_seq, sent[i].first_seq);
+		ck_assert_uint_eq(r->saw_syn, sent[i].saw_syn);
+		ck_assert_uint_eq(r->cookie, sent[i].cookie);
+		ck_assert_uint_eq(r->age_ms, sent[i].age_ms);
+	}
+	for (size_t len = 0; len < w.buf.size; len++)
+		ck_assert(!read_split_flows(data, len, &part, rows));
+	ck_assert_uint_eq(rows->len, SPLIT_FLOWS_PER_DATAGRAM);
+	release_wire_writer(&w);
+	/* a row that is cut short, and an unknown part */
+	for (uint64_t kind = 0; kind < 2; kind++) {
+		init_wire_writer(&w);
+		write_array(&w, kind ? 2 : 3);
+		write_uint(&w, SPLIT_FLOWS);
+		write_uint(&w, kind ? SPLIT_FLOWS_ANSWER_END + 1 : 0);
+		write_uint(&w, CALLER);
+		ck_assert(!read_split_flows(
+			w.buf.data, w.buf.size - (kind ? 5 : 0), &part, rows));
+		release_wire_writer(&w);
+	}
+	ck_assert_uint_eq(rows->len, SPLIT_FLOWS_PER_DATAGRAM);
+}
+END_TEST
+
+START_TEST(inquiry_ends_without_an_answer)
+{
+	struct split_inquiry si = { 0 };
+	int asked = 0;
+
+	for (uint64_t t = 1000; t < 1000 + SPLIT_INQUIRY_MAX_MS; t += 10) {
+		asked += tick_split_inquiry(&si, true, t);
+		ck_assert(!si.done);
+	}
+	ck_assert_int_eq(asked, SPLIT_INQUIRY_MAX_MS / SPLIT_INQUIRY_ASK_MS);
+	ck_assert(!tick_split_inquiry(&si, true, 1000 + SPLIT_INQUIRY_MAX_MS));
+	ck_assert(si.done);
+	/* an instance that is alone does not wait as long */
+	si = (struct split_inquiry){ 0 };
+	ck_assert(tick_split_inquiry(&si, false, 1000));
+	ck_assert(
+		!tick_split_inquiry(&si, false, 1000 + SPLIT_INQUIRY_ALONE_MS));
+	ck_assert(si.done);
+	si = (struct split_inquiry){ 0 };
+	ck_assert(tick_split_inquiry(&si, true, 1000));
+	si.answered = true;
+	ck_assert(!tick_split_inquiry(&si, true, 1001));
+	ck_assert(si.done);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("split-flows");
+	TCase *tc = tcase_create("split-flows");
+	SRunner *sr;
+	int failed;
+
+	tcase_add_checked_fixture(tc, setup, teardown);
+	tcase_add_test(tc,
+		       flow_that_moves_after_a_lost_answer_keeps_its_upstream);
+	tcase_add_test(tc, flow_opened_by_a_copy_that_moves_keeps_its_upstream);
+	tcase_add_test(tc, flow_whose_data_overtakes_the_handshake_is_settled);
+	tcase_add_test(tc,
+		       late_cookie_at_the_instance_that_knows_better_is_told);
+	tcase_add_test(tc,
+		       instance_that_knows_better_settles_what_another_told);
+	tcase_add_test(tc, late_syn_of_an_open_split_flow_is_not_placed);
+	tcase_add_test(tc, later_flow_of_the_same_ports_goes_by_its_own_cookie);
+	tcase_add_test(
+		tc,
+		packet_of_a_flow_at_an_upstream_unknown_here_goes_to_no_other);
+	tcase_add_test(tc, what_became_known_first_stays);
+	tcase_add_test(tc, flow_is_forgotten_after_the_lifetime_of_flows);
+	tcase_add_test(tc, flood_of_syns_leaves_room_for_open_flows);
+	tcase_add_test(tc, notice_is_sent_again_in_another_datagram);
+	tcase_add_test(tc, notices_are_paced_by_the_number_of_members);
+	tcase_add_test(
+		tc, notice_is_read_as_written_and_malformed_ones_are_refused);
+	tcase_add_test(tc, inquiry_ends_without_an_answer);
+	suite_add_tcase(s, tc);
+	sr = srunner_create(s);
+	srunner_run_all(sr, CK_NORMAL);
+	failed = srunner_ntests_failed(sr);
+	srunner_free(sr);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- a/t/prop-cookie.cc
+++ b/t/prop-cookie.cc
@@ -642,8 +642,19 @@
 
 #define PORTS 24 /* of callers; a port is used again after its flow ended */
 #define PACKET_BYTES 300
-#define REQUESTS 6 /* on a flow */
-#define MOVES_RUN_MS 6000
+#define LOST_1_IN 50 /* notices */
+#define REQUESTS 6   /* on a flow */
+#define MOVES_RUN_MS 8000
+
+/* Delays between a planned stop, leaving the rotation, the end and the return. */
+#define STOP_LEAVE_MS 800
+#define STOP_END_MS 1700
+#define STOP_RETURN_MS 600
+/*
+ * How long after an instance knew where a flow is open others may not know it
+ * yet, with one lost notice.
+ */
+#define TELL_MS (SPLIT_FLOWS_REPEAT_MS + 50)
 
 /* A flow as its caller and the upstreams that got its SYN see it. */
 struct steered_flow {
@@ -658,16 +669,21 @@
 	int open;			  /* upstream that holds it; -1 */
 	int requests;
 	bool ended;
+	/* when an instance knew it, of those that live or stopped as planned */
+	uint64_t known_ms; /* 0: none */
+	bool untold; /* one was killed or froze before it could tell of it */
 };
 
 /* What one instance has seen of the flow that it last saw on a port. */
 struct flow_record {
 	int nr;
-	bool syn;	  /* its SYN, before any other packet */
-	bool other;	  /* a packet that is no SYN */
-	bool known;	  /* enough to know its upstream */
-	bool has_own_ack; /* OWN_ACK is set */
-	uint32_t own_ack; /* of a packet with the cookie of its upstream */
+	bool syn;	   /* its SYN, before any other packet */
+	bool other;	   /* a packet that is no SYN */
+	bool known;	   /* enough to know its upstream */
+	uint64_t known_ms; /* since when */
+	uint64_t news_ms;  /* when its SYN was forwarded, or it became known */
+	bool has_own_ack;  /* OWN_ACK is set */
+	uint32_t own_ack;  /* of a packet with the cookie of its upstream */
 };
 
 struct steered_packet {
@@ -688,14 +704,19 @@
 	struct flow_record records[INSTANCES][PORTS];
 	bool in_rotation[INSTANCES];
 	uint64_t frozen_until_ms[INSTANCES];
+	enum { RUNNING, STOPPING, AWAY } stage[INSTANCES];
+	int starts[INSTANCES];
+	uint64_t lost_ms[INSTANCES][INSTANCES]; /* the last lost notice */
 	GArray *released;
 	int packets;
 	int strayed;	   /* to another upstream than the open flow's */
 	int strayed_known; /* from an instance that could know better */
+	int strayed_told;  /* while another one knew, or had before its stop */
 
 	explicit moves(GRand *r)
-		: rand(r), records(), frozen_until_ms(), packets(0), strayed(0),
-		  strayed_known(0)
+		: rand(r), records(), frozen_until_ms(), stage(), starts(),
+		  lost_ms(), packets(0), strayed(0), strayed_known(0),
+		  strayed_told(0)
 	{
 		released =
 			g_array_new(FALSE, FALSE, sizeof(struct released_syn));
@@ -762,10 +783,17 @@
 	void arrive(int i, const struct steered_packet &sp)
 	{
 		if (frozen_until_ms[i] > f.now_ms) {
-			after((int)(frozen_until_ms[i] - f.now_ms),
-			      [=] { arrive(i, sp); });
+			uint64_t wait_ms = frozen_until_ms[i] - f.now_ms;
+			struct steered_packet late = sp;
+
+			late.p.age_ms += (uint32_t)wait_ms;
+			/* notices that came meanwhile are read before */
+			when_awake(i, (int)wait_ms + 1,
+				   [=] { arrive(i, late); });
 			return;
 		}
+		if (stage[i] == AWAY)
+			return;
 		struct cookie_decision d = steer_cookie_packet(
 			f.instances[i].steering, &sp.p, false, f.now_ms);
 		if (d.moved_in)
@@ -773,6 +801,17 @@
 		execute(i, sp, &d);
 	}
 
+	/* Runs RUN after MS unless I has started again, with new sockets. */
+	void when_awake(int i, int ms, std::function<void()> run)
+	{
+		int start = starts[i];
+
+		after(ms, [=] {
+			if (starts[i] == start)
+				run();
+		});
+	}
+
 	/* Tells the others, later and not always, that I has the flow KEY. */
 	void tell_moved(int i, struct flow_key key)
 	{
@@ -811,15 +850,19 @@
 		struct flow_record *r = &records[i][fl->port - 1000];
 
 		if (r->nr != sp.nr + 1)
-			*r = { sp.nr + 1, false, false, false, false, 0 };
+			*r = { sp.nr + 1, false, false, false, 0, 0, false, 0 };
 		if (is_cookie_syn(&sp.p)) {
 			r->syn = r->syn || !r->other;
+			r->news_ms = f.now_ms;
 			return;
 		}
 		if (fl->open >= 0 && !fl->ended) {
 			packets++;
 			strayed += u != fl->open;
 			strayed_known += u != fl->open && r->known;
+			strayed_told += u != fl->open && !fl->untold &&
+					fl->known_ms &&
+					f.now_ms - fl->known_ms >= TELL_MS;
 		}
 		if (u == fl->answered && sp.p.cookie == cookie_of(u)) {
 			r->known |= r->syn && !r->other &&
@@ -828,9 +871,54 @@
 			r->own_ack = sp.p.ack;
 			r->has_own_ack = true;
 		}
+		if (r->known && !r->known_ms) {
+			r->known_ms = r->news_ms = f.now_ms;
+			note_known(sp.nr);
+		}
 		r->other = true;
 	}
 
+	/* Notes since when flow NR is known to any instance. */
+	void note_known(int nr)
+	{
+		struct steered_flow *fl = &flows[(size_t)nr];
+
+		fl->known_ms = 0;
+		for (int i = 0; i < INSTANCES; i++) {
+			const struct flow_record *r =
+				&records[i][fl->port - 1000];
+
+			if (r->nr == nr + 1 && r->known_ms &&
+			    (!fl->known_ms || r->known_ms < fl->known_ms))
+				fl->known_ms = r->known_ms;
+		}
+	}
+
+	/* Instance I ends; what it knew of flows is lost if not PLANNED. */
+	void lose_records(int i, bool planned)
+	{
+		for (int k = 0; k < PORTS; k++) {
+			struct flow_record r = records[i][k];
+
+			records[i][k] = {};
+			if (!r.nr || planned)
+				continue;
+			note_known(r.nr - 1);
+		}
+	}
+
+	/* I can't tell what it has learned lately, or tell it again. */
+	void silence(int i)
+	{
+		for (int k = 0; k < PORTS; k++) {
+			const struct flow_record *r = &records[i][k];
+
+			if (r->nr)
+				flows[(size_t)r->nr - 1].untold |=
+					f.now_ms - r->news_ms <= TELL_MS;
+		}
+	}
+
 	/* Upstream U gets a packet. */
 	void reach(int u, const struct steered_packet &sp)
 	{
@@ -842,6 +930,7 @@
 				*seq = (uint32_t)draw(rand, 1, 1 << 30);
 			for (int copies = draw(rand, 1, 4); copies; copies--)
 				answer_syn(u, sp.nr);
+			repeat_answer(u, sp.nr, 200);
 			return;
 		}
 		if (fl->open < 0 && *seq && sp.p.ack == *seq + 1)
@@ -855,10 +944,27 @@
 			respond(u, sp.nr);
 	}
 
+	/* U answers the SYN again until its answer is acknowledged. */
+	void repeat_answer(int u, int nr, int interval_ms)
+	{
+		after(interval_ms, [=] {
+			const struct steered_flow *fl = &flows[(size_t)nr];
+
+			if (fl->ended || fl->open == u)
+				return;
+			answer_syn(u, nr);
+			if (f.now_ms < MOVES_RUN_MS)
+				repeat_answer(u, nr,
+					      std::min(2 * interval_ms, 1600));
+		});
+	}
+
 	void answer_syn(int u, int nr)
 	{
 		bool late = draw(rand, 0, 3) == 0;
 
+		if (draw(rand, 0, 10) == 0)
+			return;
 		after(late ? draw(rand, 100, 900) : draw(rand, 1, 5), [=] {
 			struct steered_flow *fl = &flows[(size_t)nr];
 
@@ -903,7 +1009,9 @@
 		if (!last)
 			return;
 		if (fl->requests < REQUESTS) {
-			after(draw(rand, 0, 400), [=] {
+			bool pause = draw(rand, 0, 3) == 0;
+
+			after(draw(rand, 0, pause ? 3000 : 400), [=] {
 				if (!flows[(size_t)nr].ended)
 					send_request(nr);
 			});
@@ -952,31 +1060,146 @@
 	{
 		int i = draw(rand, 0, INSTANCES);
 
-		switch (draw(rand, 0, 8)) {
+		switch (draw(rand, 0, 9)) {
 		case 0:
-			f.restart_instance(i);
-			for (int k = 0; k < PORTS; k++)
-				records[i][k] = {};
+			if (stage[i] != RUNNING)
+				break;
+			silence(i);
+			lose_records(i, false);
+			start(i);
 			break;
 		case 1:
 		case 2:
+			silence(i);
 			frozen_until_ms[i] =
 				f.now_ms + (uint64_t)draw(rand, 100, 1500);
 			break;
+		case 3:
+			stop_as_planned(i);
+			break;
 		default:
+			if (stage[i] != RUNNING)
+				break;
 			in_rotation[i] = !in_rotation[i];
-			if (!std::count(in_rotation, in_rotation + INSTANCES,
-					true))
-				in_rotation[i] = true;
+			keep_one_in_rotation();
 		}
 		after(draw(rand, 20, 200), [=] { disturb(); });
 	}
 
+	void keep_one_in_rotation()
+	{
+		for (int i = 0; i < INSTANCES; i++)
+			if (in_rotation[i])
+				return;
+		for (int i = 0; i < INSTANCES; i++)
+			if (stage[i] == RUNNING)
+				in_rotation[i] = true;
+	}
+
+	/* One instance at a time, as operators do it. */
+	void stop_as_planned(int i)
+	{
+		for (int k = 0; k < INSTANCES; k++)
+			if (stage[k] != RUNNING ||
+			    frozen_until_ms[i] > f.now_ms)
+				return;
+		stage[i] = STOPPING;
+		after(STOP_LEAVE_MS, [=] {
+			in_rotation[i] = false;
+			keep_one_in_rotation();
+		});
+		after(STOP_END_MS, [=] {
+			stage[i] = AWAY;
+			lose_records(i, true);
+		});
+		after(STOP_END_MS + STOP_RETURN_MS, [=] {
+			stage[i] = RUNNING;
+			start(i);
+			in_rotation[i] = true;
+		});
+	}
+
+	/* I starts, and asks all others which flows are split. */
+	void start(int i)
+	{
+		starts[i]++;
+		frozen_until_ms[i] = 0;
+		f.restart_instance(i);
+		for (int k = 0; k < INSTANCES; k++)
+			if (k != i)
+				answer_inquiry(k, i);
+	}
+
+	/* K answers the inquiry of I, once it runs. */
+	void answer_inquiry(int k, int i)
+	{
+		GArray *rows;
+
+		if (frozen_until_ms[k] > f.now_ms) {
+			when_awake(k, (int)(frozen_until_ms[k] - f.now_ms),
+				   [=] { answer_inquiry(k, i); });
+			return;
+		}
+		if (stage[k] == AWAY)
+			return;
+		rows = g_array_new(FALSE, FALSE, sizeof(struct split_flow));
+		list_split_flows(cookie_split_flows(f.instances[k].steering),
+				 f.now_ms, rows);
+		receive_notice(i, rows, f.now_ms);
+	}
+
+	/* Delivers ROWS, sent at SENT_MS, to I, once it runs. */
+	void receive_notice(int i, GArray *rows, uint64_t sent_ms)
+	{
+		if (frozen_until_ms[i] > f.now_ms) {
+			when_awake(i, (int)(frozen_until_ms[i] - f.now_ms),
+				   [=] { receive_notice(i, rows, sent_ms); });
+			return;
+		}
+		for (guint k = 0; k < rows->len && stage[i] != AWAY; k++) {
+			struct split_flow row =
+				g_array_index(rows, struct split_flow, k);
+
+			row.age_ms += (uint32_t)(f.now_ms - sent_ms);
+			learn_cookie_split_flow(f.instances[i].steering, &row,
+						f.now_ms);
+		}
+		g_array_unref(rows);
+	}
+
+	/* Tells the other instances the split flows that are due. */
+	void tell_split_flows(int i)
+	{
+		GArray *rows =
+			g_array_new(FALSE, FALSE, sizeof(struct split_flow));
+
+		if (pop_split_flows(cookie_split_flows(f.instances[i].steering),
+				    INSTANCES - 1, stage[i] == STOPPING,
+				    f.now_ms, rows))
+			for (int k = 0; k < INSTANCES; k++) {
+				if (k == i)
+					continue;
+				if (draw(rand, 0, LOST_1_IN) == 0 &&
+				    f.now_ms - lost_ms[i][k] > TELL_MS) {
+					lost_ms[i][k] = f.now_ms;
+					continue;
+				}
+				g_array_ref(rows);
+				uint64_t sent_ms = f.now_ms;
+
+				after(draw(rand, 1, 4), [=] {
+					receive_notice(k, rows, sent_ms);
+				});
+			}
+		g_array_unref(rows);
+	}
+
 	void tick(int i)
 	{
 		struct cookie_instance *in = &f.instances[i];
 
-		if (frozen_until_ms[i] <= f.now_ms) {
+		if (frozen_until_ms[i] <= f.now_ms && stage[i] != AWAY) {
+			tell_split_flows(i);
 			tick_cookie_steering(in->steering, f.now_ms);
 			g_array_set_size(released, 0);
 			release_waiting_syns(in->steering, f.now_ms, released);
@@ -1016,6 +1239,26 @@
 	}
 };
 
+/* A change of rotation, a stop or a loss meets a flow that is known elsewhere. */
+static void known_flows_keep_their_upstream_at_other_instances()
+{
+	GRand *rand = g_rand_new_with_seed(*rc::gen::arbitrary<uint32_t>());
+	int strayed_told;
+	{
+		struct moves m(rand);
+
+		m.run();
+		strayed_told = m.strayed_told;
+		if (getenv("PRINT_MOVES"))
+			printf("%d packets, strayed %d, known there %d, "
+			       "known elsewhere %d\n",
+			       m.packets, m.strayed, m.strayed_known,
+			       m.strayed_told);
+	}
+	g_rand_free(rand);
+	RC_ASSERT(strayed_told == 0);
+}
+
 /*
  * The rotation changes between a SYN, its copies and the later packets of the
  * flow. An instance that saw the handshake or progress of a flow sends the
@@ -1052,5 +1295,7 @@
 			restart_refuses_no_caller_in_vain);
 	ok &= rc::check("late answers move no known flow",
 			late_answers_move_no_known_flow);
+	ok &= rc::check("known flows keep their upstream at other instances",
+			known_flows_keep_their_upstream_at_other_instances);
 	return !ok;
 }
