soak: callers that pause and lose SYN+ACKs, upstreams that repeat them

It now has a sequence number of its own, repeats its SYN+ACK like the platform's upstreams, and resets packets of flows that it does not hold. The callers' stand-in can lose SYN+ACKs.

--- a/stand-in/cookie-caller.c
+++ b/stand-in/cookie-caller.c
@@ -1,13 +1,13 @@
 /*
  * cookie-caller-stand-in ADDRESS:PORT SERVICE INSTANCES FLOWS SECONDS PAUSE-MS
- *			  [REQUESTS]
+ *			  [REQUESTS [LOST]]
  * Simulates the callers of the users' platform, and the routers in front of
  * the instances, for tests. INSTANCES are addresses separated by commas;
  * packets go to PORT there, and readiness is checked at PORT + 1. Each of FLOWS
  * flows repeatedly sends a request, waits for its answer and pauses; a flow
  * that ends early is opened again. With REQUESTS, a flow is closed after so
- * many answers, and opened again. Ends after SECONDS or on SIGTERM, and closes
- * its flows then.
+ * many answers, and opened again; 0 is no limit. Of a thousand SYN+ACKs, LOST do
+ * not arrive. Ends after SECONDS or on SIGTERM, and closes its flows then.
  *
  * Prints "flow on UPSTREAM" when a flow gets its first answer, and "all flows
  * answered" once every flow had one. Prints "reset on UPSTREAM T PORT" (T in ms
@@ -77,6 +77,7 @@
 	size_t flow_nr;
 	uint64_t pause_ms;
 	unsigned int requests_per_flow; /* 0: no limit */
+	gint32 lost_per_1000;		/* of SYN+ACKs */
 	uint64_t end_ms;		/* loop time */
 	uint16_t next_port;
 	unsigned int answered, opened, refused, reset, lost, wrong, moved;
@@ -353,6 +354,8 @@
 		handle_reset(c, f);
 		return;
 	}
+	if (p.flags & TCP_SYN && g_random_int_range(0, 1000) < c->lost_per_1000)
+		return;
 	f->cookie = p.cookie;
 	if (p.flags & TCP_SYN && f->phase == PHASE_OPENING) {
 		c->opened++;
@@ -436,19 +439,20 @@
 	struct cookie_caller c = { 0 };
 	struct status st = { 0 };
 
-	if ((argc != 7 && argc != 8) ||
+	if (argc < 7 || argc > 9 ||
 	    parse_endpoint(argv[1], &c.own, &st) != STATUS_OK ||
 	    parse_endpoint(argv[2], &c.service, &st) != STATUS_OK ||
 	    !read_instances(&c, argv[3])) {
 		fprintf(stderr, "usage: cookie-caller-stand-in ADDRESS:PORT "
 				"SERVICE INSTANCES FLOWS SECONDS PAUSE-MS "
-				"[REQUESTS]\n");
+				"[REQUESTS [LOST]]\n");
 		return 1;
 	}
 	c.loop = uv_default_loop();
 	c.flow_nr = (size_t)atoi(argv[4]);
 	c.pause_ms = (uint64_t)atoi(argv[6]);
-	c.requests_per_flow = argc == 8 ? (unsigned int)atoi(argv[7]) : 0;
+	c.requests_per_flow = argc > 7 ? (unsigned int)atoi(argv[7]) : 0;
+	c.lost_per_1000 = argc > 8 ? atoi(argv[8]) : 0;
 	c.dg = create_datagrams(c.loop, &c.own, on_datagram, &c, &st);
 	if (!c.dg) {
 		fprintf(stderr, "cookie-caller-stand-in: %s\n", st.message);
--- a/stand-in/cookie-upstream.c
+++ b/stand-in/cookie-upstream.c
@@ -2,7 +2,9 @@
  * cookie-upstream-stand-in ID SERVICE DOMAIN ADDRESS:PORT CALLER-PORT
  * STORE WORK-MS: one upstream of the users' platform for tests. Registers
  * itself in the store, receives packets over UDP, answers health checks over
- * TCP, and answers each request after WORK-MS with "ID REQUEST".
+ * TCP, and answers each request after WORK-MS with "ID REQUEST". Answers a SYN
+ * again until a packet acknowledges its own sequence number, which opens the
+ * flow; other packets of flows that are not open get a reset.
  *
  * On SIGTERM it announces that it is draining, serves for another DRAIN_MS,
  * then deletes its entry in the store and exits. Prints "late syn T" (T in ms
@@ -25,7 +27,10 @@
 #define HEARTBEAT_MS 400
 #define DRAIN_MS 4500
 #define LATE_SYN_AFTER_MS 3000
-#define FLOW_SEQ 7000 /* initial sequence number of all flows */
+#define SYN_ACKS_MAX 9 /* for a SYN */
+#define SYN_ACK_MIN_MS 200
+#define SYN_ACK_MAX_MS 1600
+#define SYN_ACK_TICK_MS 20
 
 struct served_flow {
 	struct flow_key key;
@@ -33,11 +38,15 @@
 	uint32_t expected_seq; /* next byte from the caller */
 	char last_answer[256]; /* resent when the request is repeated */
 	bool open;
+	struct cookie_packet syn_ack;
+	unsigned int syn_ack_nr;
+	uint64_t syn_ack_due_ms; /* loop time */
 };
 
 struct cookie_stand_in {
 	uv_loop_t *loop;
 	uv_timer_t heartbeat;
+	uv_timer_t syn_ack_timer;
 	uv_signal_t sigterm;
 	const char *name;
 	const char *service;
@@ -46,7 +55,8 @@
 	struct endpoint store;
 	uint16_t caller_port;
 	uint64_t work_ms;
-	uint64_t id; /* hexadecimal end of NAME; prefix of its packets */
+	uint64_t id;	    /* hexadecimal end of NAME; prefix of its packets */
+	uint32_t first_seq; /* of all flows; differs from that of others */
 	uint64_t start_ms;
 	json_int_t write_count;
 	uint64_t drain_until_ms;     /* loop time; 0: not draining */
@@ -201,11 +211,58 @@
 	send_packet(u, &ack, NULL);
 }
 
+static void send_syn_ack(struct cookie_stand_in *u, struct served_flow *f)
+{
+	uint64_t wait_ms = (uint64_t)SYN_ACK_MIN_MS << f->syn_ack_nr++;
+
+	f->syn_ack_due_ms = uv_now(u->loop) + MIN(wait_ms, SYN_ACK_MAX_MS);
+	send_packet(u, &f->syn_ack, NULL);
+}
+
+static void on_syn_ack_timer(uv_timer_t *timer)
+{
+	struct cookie_stand_in *u = timer->data;
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, u->flows);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct served_flow *f = value;
+
+		if (!f->open && f->syn_ack_nr < SYN_ACKS_MAX &&
+		    uv_now(u->loop) >= f->syn_ack_due_ms)
+			send_syn_ack(u, f);
+	}
+	flush_datagrams(u->dg);
+}
+
+static void handle_syn(struct cookie_stand_in *u, const struct cookie_packet *p)
+{
+	struct served_flow *f = g_hash_table_lookup(u->flows, &p->key);
+	struct cookie_packet a = reply_to_packet(p);
+
+	if (f && f->open && f->syn_ack.ack == p->seq + 1)
+		return;
+	if (!f) {
+		f = g_new0(struct served_flow, 1);
+		f->key = p->key;
+		g_hash_table_insert(u->flows, &f->key, f);
+	}
+	f->open = false;
+	f->seq = u->first_seq + 1;
+	f->expected_seq = p->seq + 1;
+	a.flags |= TCP_SYN;
+	a.seq = u->first_seq;
+	a.ack = f->expected_seq;
+	f->syn_ack = a;
+	f->syn_ack_nr = 0;
+	send_syn_ack(u, f);
+}
+
 static void handle_packet(struct cookie_stand_in *u,
 			  const struct cookie_packet *p, const uint8_t *data)
 {
 	struct served_flow *f = g_hash_table_lookup(u->flows, &p->key);
-	struct cookie_packet a = reply_to_packet(p);
 
 	if (is_cookie_syn(p)) {
 		if (u->drain_announced_ms &&
@@ -214,20 +271,12 @@
 			printf("late syn %llu\n", (unsigned long long)now_ms());
 			fflush(stdout);
 		}
-		if (!f) {
-			f = g_new0(struct served_flow, 1);
-			f->key = p->key;
-			g_hash_table_insert(u->flows, &f->key, f);
-		}
-		f->seq = FLOW_SEQ + 1;
-		f->expected_seq = p->seq + 1;
-		a.flags |= TCP_SYN;
-		a.seq = FLOW_SEQ;
-		a.ack = f->expected_seq;
-		send_packet(u, &a, NULL);
+		handle_syn(u, p);
 		return;
 	}
-	if (!f) {
+	if (f && !f->open && p->ack == f->seq)
+		f->open = true;
+	if (!f || !f->open) {
 		reset_caller(u, p);
 	} else if (p->flags & (TCP_FIN | TCP_RST)) {
 		g_hash_table_remove(u->flows, &p->key);
@@ -308,6 +357,10 @@
 	uv_timer_init(u->loop, &u->heartbeat);
 	u->heartbeat.data = u;
 	uv_timer_start(&u->heartbeat, on_heartbeat, 0, HEARTBEAT_MS);
+	uv_timer_init(u->loop, &u->syn_ack_timer);
+	u->syn_ack_timer.data = u;
+	uv_timer_start(&u->syn_ack_timer, on_syn_ack_timer, SYN_ACK_TICK_MS,
+		       SYN_ACK_TICK_MS);
 	uv_signal_init(u->loop, &u->sigterm);
 	u->sigterm.data = u;
 	uv_signal_start(&u->sigterm, on_sigterm, SIGTERM);
@@ -334,6 +387,7 @@
 	u.work_ms = (uint64_t)atoi(argv[7]);
 	dash = strrchr(u.name, '-');
 	u.id = g_ascii_strtoull(dash ? dash + 1 : u.name, NULL, 16);
+	u.first_seq = (uint32_t)(u.id * 0x01000193);
 	if (!start(&u, &st)) {
 		fprintf(stderr, "cookie-upstream-stand-in: %s\n", st.message);
 		return 1;
