flow: one hash of flow keys, and one search for a member by address

The tables of flows and of split flows had a copy each, and so had the searches for live and for all members. No change in what they do; check-cookie, check-split-flows, check-moved-flows and check-heartbeat pass. check-cookie also shows now that a waiting SYN whose copy went elsewhere is told as split when it is placed.

--- a/fleet/heartbeat.c
+++ b/fleet/heartbeat.c
@@ -273,10 +273,10 @@
 	}
 }
 
-/* The member at address AT that is not dead; NULL if there is none. */
-static const struct member *
-find_live_member_at(const struct heartbeat_tracker *ht,
-		    const struct endpoint *at)
+/* The member at address AT, if WANT_DEAD also a dead one; NULL: none. */
+static const struct member *find_member_at(const struct heartbeat_tracker *ht,
+					   const struct endpoint *at,
+					   bool want_dead)
 {
 	const struct member *ms;
 	size_t nr;
@@ -285,7 +285,8 @@
 	for (size_t i = 0; i < nr; i++) {
 		struct endpoint ep = member_endpoint(&ms[i]);
 
-		if (ms[i].state != MEMBER_DEAD && same_endpoint(&ep, at))
+		if ((want_dead || ms[i].state != MEMBER_DEAD) &&
+		    same_endpoint(&ep, at))
 			return &ms[i];
 	}
 	return NULL;
@@ -446,17 +447,7 @@
 bool is_member_address(const struct heartbeat_tracker *ht,
 		       const struct endpoint *at)
 {
-	const struct member *ms;
-	size_t nr;
-
-	ms = view_members(ht->view, &nr);
-	for (size_t i = 0; i < nr; i++) {
-		struct endpoint ep = member_endpoint(&ms[i]);
-
-		if (same_endpoint(&ep, at))
-			return true;
-	}
-	return false;
+	return find_member_at(ht, at, true);
 }
 
 bool pick_member_ahead(const struct heartbeat_tracker *ht,
@@ -504,7 +495,7 @@
 			&g_array_index(ht->addresses, struct address, i);
 
 		const struct member *m =
-			find_live_member_at(ht, &a->peer_endpoint);
+			find_member_at(ht, &a->peer_endpoint, false);
 
 		if (!m && a->last_tried_ms &&
 		    now_ms - a->last_tried_ms < HEARTBEAT_SEARCH_MS)
--- a/flow/cookie-flows.c
+++ b/flow/cookie-flows.c
@@ -8,16 +8,6 @@
 #define RESPONSE_PAUSE_MS 250 /* without packets: the response has ended */
 #define SWEEP_INTERVAL_MS 500 /* between two scans of all flows for timeouts */
 
-static guint hash_flow_key(gconstpointer data)
-{
-	return (guint)XXH3_64bits(data, sizeof(struct flow_key));
-}
-
-static gboolean flow_keys_equal(gconstpointer a, gconstpointer b)
-{
-	return !memcmp(a, b, sizeof(struct flow_key));
-}
-
 static void free_cookie_flow(gpointer data)
 {
 	struct cookie_flow *f = data;
--- a/flow/cookie-packet.h
+++ b/flow/cookie-packet.h
@@ -7,16 +7,9 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "flow/flow-key.h"
 #include "flow/packet.h" /* enum tcp_flags */
 
-/* Identifies a flow; IPv4 addresses and ports in host order. */
-struct flow_key {
-	uint32_t caller_ip;
-	uint32_t service_ip;
-	uint16_t caller_port;
-	uint16_t service_port;
-};
-
 struct cookie_packet {
 	struct flow_key key;
 	uint8_t flags;	      /* enum tcp_flags */
--- a/flow/split-flows.c
+++ b/flow/split-flows.c
@@ -1,8 +1,5 @@
 #include "flow/split-flows.h"
 
-#include <string.h>
-#include <xxhash.h>
-
 #include "fleet/peer-format.h"
 
 #define ROW_FIELDS 8  /* of a flow on the wire */
@@ -31,21 +28,12 @@
 	uint64_t lifetime_ms; /* of flows */
 };
 
-static guint hash_key(gconstpointer data)
-{
-	return (guint)XXH3_64bits(data, sizeof(struct flow_key));
-}
-
-static gboolean keys_equal(gconstpointer a, gconstpointer b)
-{
-	return !memcmp(a, b, sizeof(struct flow_key));
-}
-
 struct split_flows *create_split_flows(void)
 {
 	struct split_flows *sf = g_new0(struct split_flows, 1);
 
-	sf->known = g_hash_table_new_full(hash_key, keys_equal, NULL, g_free);
+	sf->known = g_hash_table_new_full(hash_flow_key, flow_keys_equal, NULL,
+					  g_free);
 	sf->pending = g_array_new(FALSE, FALSE, sizeof(struct flow_key));
 	sf->repeats = g_array_new(FALSE, FALSE, sizeof(struct repeat));
 	return sf;
--- a/t/check-cookie.c
+++ b/t/check-cookie.c
@@ -962,6 +962,27 @@
 }
 END_TEST
 
+/* Against a flow that is open elsewhere and gets a second upstream here. */
+START_TEST(waiting_syn_whose_copy_went_elsewhere_is_told_as_split)
+{
+	struct cookie_packet p;
+
+	fill_upstream(put_upstream("u-a", 0));
+	ck_assert_int_eq(send_syn(4000, 0, 1000).verdict, COOKIE_WAIT);
+	ck_assert_int_eq(send_syn(4001, 0, 1000).verdict, COOKIE_WAIT);
+	send_syn(4001, 1, 1200);
+	put_upstream("u-b", 1210);
+	put_upstream("u-c", 1210);
+	ck_assert_uint_eq(release_syns(1000 + COOKIE_SYN_INTERVAL_MS(0) +
+				       COOKIE_SYN_COPY_SLACK_MS),
+			  2);
+	ck_assert_uint_eq(split_flow_count(cookie_split_flows(in.steering)), 1);
+	p = make_cookie_packet(CALLER, 4000, TCP_SYN, 0);
+	ck_assert_ptr_nonnull(find_split_flow_of_syn(
+		cookie_split_flows(in.steering), &p, 1300));
+}
+END_TEST
+
 START_TEST(waiting_syn_obeys_changes_made_meanwhile)
 {
 	const uint16_t other_port = 1;
@@ -1678,6 +1699,8 @@
 		       syn_is_not_sent_on_after_its_limit_though_there_is_room);
 	tcase_add_test(tc, syn_is_placed_after_its_wait_right_after_start);
 	tcase_add_test(tc, waiting_syn_obeys_changes_made_meanwhile);
+	tcase_add_test(tc,
+		       waiting_syn_whose_copy_went_elsewhere_is_told_as_split);
 	tcase_add_test(tc, syn_leaves_the_queue_if_its_flow_opens_elsewhere);
 	tcase_add_test(tc, route_gives_way_only_within_its_service);
 	tcase_add_test(tc, urgent_syn_waits_while_all_are_full_and_goes_first);
