split-flows: list receivers only when a notice is due

The members that get a notice were listed every 10 ms while one waited for its repetition or for its pace, which at 5,300 members costs more than the notice. When a notice is sent, and to whom, does not change. check-split-flows asks for it now.

--- a/flow/split-flows.c
+++ b/flow/split-flows.c
@@ -25,6 +25,8 @@
 	GArray *pending; /* of struct flow_key; told for the first time */
 	GArray *repeats; /* of struct repeat, by DUE_MS */
 	uint64_t sent_ms;
+	uint64_t
+		interval_ms; /* between notices, by the last number of members */
 	uint64_t lifetime_ms; /* of flows */
 };
 
@@ -262,20 +264,29 @@
 	g_array_remove_range(sf->repeats, 0, nr);
 }
 
-bool has_untold_split_flows(const struct split_flows *sf)
+bool has_untold_split_flows(const struct split_flows *sf, bool at_once,
+			    uint64_t now_ms)
 {
-	return sf->pending->len || sf->repeats->len;
+	if (!sf->pending->len && !sf->repeats->len)
+		return false;
+	if (at_once)
+		return true;
+	if (now_ms - sf->sent_ms < sf->interval_ms)
+		return false;
+	if (sf->pending->len)
+		return true;
+	return g_array_index(sf->repeats, struct repeat, 0).due_ms <= now_ms;
 }
 
 bool pop_split_flows(struct split_flows *sf, size_t member_nr, bool at_once,
 		     uint64_t now_ms, GArray *rows)
 {
-	uint64_t interval_ms = MAX((uint64_t)SPLIT_FLOWS_INTERVAL_MS,
-				   SPLIT_FLOWS_PER_MEMBER_MS * member_nr);
 	guint pending_nr = MIN(sf->pending->len, SPLIT_FLOWS_PER_DATAGRAM);
 	guint rows_before = rows->len;
 
-	if (!at_once && now_ms - sf->sent_ms < interval_ms)
+	sf->interval_ms = MAX((uint64_t)SPLIT_FLOWS_INTERVAL_MS,
+			      SPLIT_FLOWS_PER_MEMBER_MS * member_nr);
+	if (!at_once && now_ms - sf->sent_ms < sf->interval_ms)
 		return false;
 	/* in this order: a flow is told again in another datagram */
 	pop_repeats(sf, at_once, SPLIT_FLOWS_PER_DATAGRAM - pending_nr, now_ms,
--- a/flow/split-flows.h
+++ b/flow/split-flows.h
@@ -109,8 +109,12 @@
 /* Forgets flows whose time has ended. */
 void expire_split_flows(struct split_flows *sf, uint64_t now_ms);
 
-/* True if flows wait to be told, now or again. */
-bool has_untold_split_flows(const struct split_flows *sf);
+/*
+ * True if flows may be due to be told, now or again, to however many members.
+ * AT_ONCE as for pop_split_flows().
+ */
+bool has_untold_split_flows(const struct split_flows *sf, bool at_once,
+			    uint64_t now_ms);
 
 /*
  * True if flows are to be told now to MEMBER_NR members; then appends up to
--- a/net/edge-split-flows.c
+++ b/net/edge-split-flows.c
@@ -23,15 +23,16 @@
 static void tell_split_flows(struct edge *e)
 {
 	struct split_flows *sf = cookie_split_flows(e->steering);
+	bool is_stopping = e->stop_began_ms;
 	GArray *rows;
 	GArray *to;
 
-	if (!has_untold_split_flows(sf))
+	if (!has_untold_split_flows(sf, is_stopping, e->now_ms))
 		return;
 	rows = g_array_new(FALSE, FALSE, sizeof(struct split_flow));
 	to = g_array_new(FALSE, FALSE, sizeof(struct endpoint));
 	list_takeover_endpoints(e->instance_heartbeats, to);
-	if (pop_split_flows(sf, to->len, e->stop_began_ms, e->now_ms, rows))
+	if (pop_split_flows(sf, to->len, is_stopping, e->now_ms, rows))
 		send_rows(e, SPLIT_FLOWS_NOTICE,
 			  (struct split_flow *)(void *)rows->data, rows->len,
 			  to);
--- a/t/check-split-flows.c
+++ b/t/check-split-flows.c
@@ -165,7 +165,8 @@
 	ck_assert(
 		!send_data(&first, 4000, cookie_of(opened_at), 1001, 500, 1010)
 			 .settled);
-	ck_assert(!has_untold_split_flows(cookie_split_flows(first.steering)));
+	ck_assert(!has_untold_split_flows(cookie_split_flows(first.steering),
+					  true, 1010));
 	ck_assert(send_data(&first, 4000, cookie_of(other), 1101, 900, 3000)
 			  .settled);
 	tell(&first, &second, 3010);
@@ -342,12 +343,16 @@
 	note_split_flow(sf, &row, 1000);
 	ck_assert(pop_split_flows(sf, 5, false, 1000, rows));
 	ck_assert_uint_eq(rows->len, 1);
+	ck_assert(!has_untold_split_flows(sf, false,
+					  1000 + SPLIT_FLOWS_REPEAT_MS - 1));
 	ck_assert(!pop_split_flows(sf, 5, false,
 				   1000 + SPLIT_FLOWS_REPEAT_MS - 1, rows));
+	ck_assert(has_untold_split_flows(sf, false,
+					 1000 + SPLIT_FLOWS_REPEAT_MS));
 	ck_assert(pop_split_flows(sf, 5, false, 1000 + SPLIT_FLOWS_REPEAT_MS,
 				  rows));
 	ck_assert_uint_eq(rows->len, 2);
-	ck_assert(!has_untold_split_flows(sf));
+	ck_assert(!has_untold_split_flows(sf, true, 5002));
 	/* an instance that stops has no time to wait */
 	row = make_row(4001, 1001, 7);
 	note_split_flow(sf, &row, 5000);
@@ -356,7 +361,7 @@
 	ck_assert_uint_eq(rows->len, 1);
 	ck_assert(pop_split_flows(sf, 5, true, 5001, rows));
 	ck_assert_uint_eq(rows->len, 2);
-	ck_assert(!has_untold_split_flows(sf));
+	ck_assert(!has_untold_split_flows(sf, true, 5002));
 }
 END_TEST
 
