heartbeat: tell which instances understand notices of split flows

It does not know the notices and takes them for store updates. A flag in the heartbeat, which earlier builds pass over, now says who understands them, and no other member gets one or is asked. Seeds are not asked any more before their heartbeats were heard; an instance that starts and has heard no such member that is ready waits 0.15 s (0.1 s before), and asks later ones as long as the inquiry lasts. check-heartbeat has a member without the flag.

--- a/fleet/heartbeat.c
+++ b/fleet/heartbeat.c
@@ -14,6 +14,7 @@
 	struct store_position store_position; /* the latest that it reported */
 	uint64_t config_version;	      /* in force there */
 	bool ready;
+	bool takes_split_flows; /* understands notices of them */
 };
 
 struct address {
@@ -203,6 +204,7 @@
 	p->last_heard_ms = now_ms;
 	note_heard_domain(ht, m.domain, now_ms);
 	p->ready = hm->flags & HEARTBEAT_READY;
+	p->takes_split_flows = hm->flags & HEARTBEAT_SPLIT_FLOWS;
 	p->store_position = hm->store_position;
 	p->config_version = hm->config_version;
 	if (hm->flags & HEARTBEAT_READS_STORE)
@@ -427,18 +429,19 @@
 		live_member_count(ht->view) <= HEARTBEAT_REMOTE_FLEET_MEMBERS ||
 		GPOINTER_TO_UINT(g_hash_table_lookup(counts, ht->self.domain)) <
 			TAKEOVER_DOMAIN_MIN;
-	const struct member *ms;
-	size_t nr;
 
-	ms = view_members(ht->view, &nr);
-	for (size_t i = 0; i < nr; i++) {
-		struct endpoint at = member_endpoint(&ms[i]);
-		guint in_domain = GPOINTER_TO_UINT(
-			g_hash_table_lookup(counts, ms[i].domain));
+	for (guint i = 0; i < ht->peers->len; i++) {
+		const struct peer *p =
+			&g_array_index(ht->peers, struct peer, i);
+		const struct member *m = find_member(ht->view, p->id);
+		struct endpoint at;
 
-		if (ms[i].id != ht->self.id && ms[i].state != MEMBER_DEAD &&
-		    (to_all || !is_remote(ht, &ms[i]) ||
-		     in_domain <= TAKEOVER_DOMAIN_MIN))
+		if (!p->takes_split_flows || !m || m->state == MEMBER_DEAD)
+			continue;
+		at = member_endpoint(m);
+		if (to_all || !is_remote(ht, m) ||
+		    GPOINTER_TO_UINT(g_hash_table_lookup(counts, m->domain)) <=
+			    TAKEOVER_DOMAIN_MIN)
 			g_array_append_val(to, at);
 	}
 	g_hash_table_destroy(counts);
@@ -509,8 +512,8 @@
 }
 
 static size_t pick_ready_members(const struct heartbeat_tracker *ht,
-				 bool in_own_domain, GRand *rand,
-				 struct endpoint *to, size_t nr)
+				 bool in_own_domain, bool takes_split_flows,
+				 GRand *rand, struct endpoint *to, size_t nr)
 {
 	guint n = ht->peers->len;
 	guint at = n ? (guint)g_rand_int_range(rand, 0, (gint32)n) : 0;
@@ -522,7 +525,8 @@
 		const struct member *m = find_member(ht->view, p->id);
 
 		if (!p->ready || !m || m->state != MEMBER_ALIVE ||
-		    (in_own_domain && is_remote(ht, m)))
+		    (in_own_domain && is_remote(ht, m)) ||
+		    (takes_split_flows && !p->takes_split_flows))
 			continue;
 		to[found++] = member_endpoint(m);
 	}
@@ -532,13 +536,14 @@
 size_t pick_relays(const struct heartbeat_tracker *ht, GRand *rand,
 		   struct endpoint *to, size_t nr)
 {
-	return pick_ready_members(ht, false, rand, to, nr);
+	return pick_ready_members(ht, false, false, rand, to, nr);
 }
 
 size_t pick_neighbours(const struct heartbeat_tracker *ht, GRand *rand,
 		       struct endpoint *to, size_t nr)
 {
-	size_t found = pick_ready_members(ht, true, rand, to, nr);
+	size_t found = pick_ready_members(ht, true, true, rand, to, nr);
 
-	return found ? found : pick_relays(ht, rand, to, nr);
+	return found ? found
+		     : pick_ready_members(ht, false, true, rand, to, nr);
 }
--- a/fleet/heartbeat.h
+++ b/fleet/heartbeat.h
@@ -45,8 +45,10 @@
 
 enum heartbeat_flag {
 	HEARTBEAT_LEAVING = 1,
-	HEARTBEAT_READY = 2,	  /* has a configuration and upstreams */
-	HEARTBEAT_READS_STORE = 4 /* reads the store, and the store answers */
+	HEARTBEAT_READY = 2,	   /* has a configuration and upstreams */
+	HEARTBEAT_READS_STORE = 4, /* reads the store, and the store answers */
+	/* understands notices of split flows; earlier builds do not */
+	HEARTBEAT_SPLIT_FLOWS = 8
 };
 
 struct heartbeat_message {
@@ -123,8 +125,8 @@
 void list_domain_endpoints(const struct heartbeat_tracker *ht, GArray *to);
 
 /*
- * The same for the members that routers may choose instead of this instance:
- * those of its domain, and of other domains where either side has less than
+ * The same for the members that routers may choose instead of this instance and
+ * that understand notices of split flows: those of its domain, and of other domains where either side has less than
  * TAKEOVER_DOMAIN_MIN other live members. All in a small fleet.
  */
 void list_takeover_endpoints(const struct heartbeat_tracker *ht, GArray *to);
@@ -148,7 +150,10 @@
 size_t pick_relays(const struct heartbeat_tracker *ht, GRand *rand,
 		   struct endpoint *to, size_t nr);
 
-/* The same, of the own domain if any is ready there. */
+/*
+ * The same for members that understand notices of split flows, of the own domain
+ * if any is ready there.
+ */
 size_t pick_neighbours(const struct heartbeat_tracker *ht, GRand *rand,
 		       struct endpoint *to, size_t nr);
 
--- a/flow/split-flows.c
+++ b/flow/split-flows.c
@@ -368,15 +368,17 @@
 bool tick_split_inquiry(struct split_inquiry *si, bool has_ready_peer,
 			uint64_t now_ms)
 {
-	uint64_t limit_ms =
-		has_ready_peer ? SPLIT_INQUIRY_MAX_MS : SPLIT_INQUIRY_ALONE_MS;
+	uint64_t waited_ms;
 
 	if (si->done)
 		return false;
 	if (!si->began_ms)
 		si->began_ms = now_ms;
-	si->done = si->answered || now_ms - si->began_ms >= limit_ms;
-	if (si->done ||
+	waited_ms = now_ms - si->began_ms;
+	si->done = si->answered || waited_ms >= SPLIT_INQUIRY_MAX_MS;
+	si->may_serve = si->done || (!has_ready_peer &&
+				     waited_ms >= SPLIT_INQUIRY_ALONE_MS);
+	if (si->done || !has_ready_peer ||
 	    (si->asked_ms && now_ms - si->asked_ms < SPLIT_INQUIRY_ASK_MS))
 		return false;
 	si->asked_ms = now_ms;
--- a/flow/split-flows.h
+++ b/flow/split-flows.h
@@ -51,7 +51,7 @@
 
 /* Between two questions, and the end of the wait for an answer. */
 #define SPLIT_INQUIRY_ASK_MS 100
-#define SPLIT_INQUIRY_ALONE_MS 100 /* without a ready member */
+#define SPLIT_INQUIRY_ALONE_MS 150 /* without a ready member */
 #define SPLIT_INQUIRY_MAX_MS 300
 #define SPLIT_INQUIRY_TARGETS 3 /* that are asked at once */
 
@@ -144,18 +144,19 @@
 
 /*
  * The questions of an instance that starts, or was paused. One that starts is
- * not ready before they are done.
+ * not ready before they are answered, or have been asked for long enough.
  */
 struct split_inquiry {
 	uint64_t began_ms; /* 0: not yet */
 	uint64_t asked_ms; /* 0: not yet */
 	bool answered;	   /* by a member that knows all */
+	bool may_serve;	   /* one that starts need not wait any longer */
 	bool done;
 };
 
 /*
- * Advances SI. HAS_READY_PEER: a member is known that may know all. True if
- * others are to be asked now.
+ * Advances SI. HAS_READY_PEER: a member is known that may know all. True if it
+ * is to be asked now.
  */
 bool tick_split_inquiry(struct split_inquiry *si, bool has_ready_peer,
 			uint64_t now_ms);
--- a/net/edge-packets.c
+++ b/net/edge-packets.c
@@ -538,7 +538,8 @@
 		   (is_edge_ready(e) ? HEARTBEAT_READY : 0) |
 		   (mirror_is_watching(e->mirror, e->now_ms)
 			    ? HEARTBEAT_READS_STORE
-			    : 0);
+			    : 0) |
+		   HEARTBEAT_SPLIT_FLOWS;
 	b->config_version = catalog_version(e->catalog);
 	b->store_position = mirror_position(e->mirror);
 	b->store_digest = mirror_digest(e->mirror);
--- a/net/edge-split-flows.c
+++ b/net/edge-split-flows.c
@@ -40,43 +40,14 @@
 	g_array_free(rows, TRUE);
 }
 
-/* The address where the instance of SEED, from the settings, hears peers. */
-static struct endpoint seed_peer_address(const struct edge *e, size_t seed)
-{
-	struct endpoint at = e->settings.seeds.at[seed];
-
-	at.port = e->settings.peer_port;
-	return at;
-}
-
-/*
- * Lists whom to ask: ready members, or as long as none is known the seeds.
- * Returns their number.
- */
-static size_t list_asked(struct edge *e,
-			 struct endpoint to[SPLIT_INQUIRY_TARGETS],
-			 bool *has_ready_peer)
-{
-	size_t nr = pick_neighbours(e->instance_heartbeats, e->rand, to,
-				    SPLIT_INQUIRY_TARGETS);
-
-	*has_ready_peer = nr;
-	if (nr)
-		return nr;
-	nr = MIN(e->settings.seeds.nr, SPLIT_INQUIRY_TARGETS);
-	for (size_t i = 0; i < nr; i++)
-		to[i] = seed_peer_address(e, i);
-	return nr;
-}
-
 static void ask_for_split_flows(struct edge *e)
 {
 	struct endpoint to[SPLIT_INQUIRY_TARGETS];
-	bool has_ready_peer;
-	size_t nr = list_asked(e, to, &has_ready_peer);
+	size_t nr = pick_neighbours(e->instance_heartbeats, e->rand, to,
+				    SPLIT_INQUIRY_TARGETS);
 	struct wire_writer w;
 
-	if (!tick_split_inquiry(&e->split_inquiry, has_ready_peer, e->now_ms))
+	if (!tick_split_inquiry(&e->split_inquiry, nr, e->now_ms))
 		return;
 	init_wire_writer(&w);
 	write_split_flows_request(&w);
@@ -91,7 +62,7 @@
 	tell_split_flows(e);
 	if (!e->split_inquiry.done)
 		ask_for_split_flows(e);
-	e->has_known_split_flows |= e->split_inquiry.done;
+	e->has_known_split_flows |= e->split_inquiry.may_serve;
 }
 
 void restart_split_inquiry(struct edge *e)
@@ -99,18 +70,6 @@
 	e->split_inquiry = (struct split_inquiry){ 0 };
 }
 
-/* Whether AT is a member, or a seed that was asked before members are known. */
-static bool is_trusted_address(const struct edge *e, const struct endpoint *at)
-{
-	for (size_t i = 0; i < e->settings.seeds.nr; i++) {
-		struct endpoint seed = seed_peer_address(e, i);
-
-		if (same_endpoint(&seed, at))
-			return true;
-	}
-	return is_member_address(e->instance_heartbeats, at);
-}
-
 void handle_split_flows(struct edge *e, const uint8_t *data, size_t len,
 			const struct endpoint *from)
 {
@@ -118,7 +77,7 @@
 	uint32_t unread_ms = datagram_age_ms(e->peer_socket);
 	enum split_flows_part part;
 
-	if (!is_trusted_address(e, from)) {
+	if (!is_member_address(e->instance_heartbeats, from)) {
 		count(&e->counters, COUNT_FLOW_STRANGER);
 	} else if (!read_split_flows(data, len, &part, rows)) {
 		count(&e->counters, COUNT_PEER_MALFORMED);
@@ -146,7 +105,8 @@
 	bool is_last;
 
 	/* one that has just started knows too little itself */
-	if (!e->split_inquiry.done || !is_trusted_address(e, from))
+	if (!e->split_inquiry.done ||
+	    !is_member_address(e->instance_heartbeats, from))
 		return;
 	rows = g_array_new(FALSE, FALSE, sizeof(struct split_flow));
 	to = g_array_new(FALSE, FALSE, sizeof(struct endpoint));
--- a/t/check-heartbeat.c
+++ b/t/check-heartbeat.c
@@ -334,7 +334,8 @@
 
 		g_snprintf(name, sizeof(name), "%s-%d", domain, i);
 		receive_heartbeat(name, domain, (uint16_t)(port + i),
-				  HEARTBEAT_READY, 2000);
+				  HEARTBEAT_READY | HEARTBEAT_SPLIT_FLOWS,
+				  2000);
 	}
 }
 
@@ -351,6 +352,9 @@
 	/* all of a small fleet: a domain of one has no other */
 	receive_domain("south", 100, 8);
 	ck_assert_uint_eq(count_takeover_members(), 8);
+	/* earlier builds do not understand the notice */
+	receive_heartbeat("old", "south", 99, HEARTBEAT_READY, 2000);
+	ck_assert_uint_eq(count_takeover_members(), 8);
 	/* of a large one the own domain, and domains of few members */
 	receive_domain("north", 200, TAKEOVER_DOMAIN_MIN);
 	receive_domain("west", 300, HEARTBEAT_REMOTE_FLEET_MEMBERS);
--- a/t/check-split-flows.c
+++ b/t/check-split-flows.c
@@ -445,17 +445,22 @@
 	ck_assert_int_eq(asked, SPLIT_INQUIRY_MAX_MS / SPLIT_INQUIRY_ASK_MS);
 	ck_assert(!tick_split_inquiry(&si, true, 1000 + SPLIT_INQUIRY_MAX_MS));
 	ck_assert(si.done);
-	/* an instance that is alone does not wait as long */
+	/* an instance that is alone does not wait as long, but asks later */
 	si = (struct split_inquiry){ 0 };
-	ck_assert(tick_split_inquiry(&si, false, 1000));
+	ck_assert(!tick_split_inquiry(&si, false, 1000));
+	ck_assert(!tick_split_inquiry(&si, false,
+				      1000 + SPLIT_INQUIRY_ALONE_MS - 1));
+	ck_assert(!si.may_serve);
 	ck_assert(
 		!tick_split_inquiry(&si, false, 1000 + SPLIT_INQUIRY_ALONE_MS));
-	ck_assert(si.done);
+	ck_assert(si.may_serve);
+	ck_assert(!si.done);
+	ck_assert(tick_split_inquiry(&si, true, 1001 + SPLIT_INQUIRY_ALONE_MS));
 	si = (struct split_inquiry){ 0 };
 	ck_assert(tick_split_inquiry(&si, true, 1000));
 	si.answered = true;
 	ck_assert(!tick_split_inquiry(&si, true, 1001));
-	ck_assert(si.done);
+	ck_assert(si.done && si.may_serve);
 }
 END_TEST
 
