whole-upgrade: a flow that two instances reset names its upstream once

The flow had no answer yet, so the test takes its upstream from flow-reset lines. in-5 and in-6, both of the build in production, each had a record of the flow and reset it within a millisecond when i-a2 was killed and replaced; the two equal names together were not found among the killed ones. Equal names count once now; different ones, or one that was not killed, still fail.

--- a/t/whole-upgrade.sh
+++ b/t/whole-upgrade.sh
@@ -209,7 +209,7 @@
 }
 
 # check_reset_flows NAME ADDRESS: that caller's flows that were reset were of
-# killed upstreams.
+# killed upstreams. Several instances may reset a flow, all must name the same one.
 check_reset_flows () {
 	sed -n 's/^reset on \([^ ]*\) [0-9]* \([0-9]*\)$/\1 \2/p' \
 		"$work/$1.log" >"$work/resets"
@@ -218,7 +218,8 @@
 		test "$upstream" != none ||
 			upstream=$(grep -h "event=flow-reset flow=$2:$from-" \
 				"$work"/in-*.log |
-				sed 's/.* upstream=\([^ ]*\) .*/\1/')
+				sed 's/.* upstream=\([^ ]*\) .*/\1/' |
+				sort -u)
 		grep -qx "upstream=$upstream " "$work/killed" ||
 			fail "$1 flow $2:$from of '$upstream' was reset"
 	done <"$work/resets"
