--- a/t/whole-upgrade.sh
+++ b/t/whole-upgrade.sh
@@ -209,7 +209,8 @@
 }
 
 # check_reset_flows NAME ADDRESS: that caller's flows that were reset were of
-# killed upstreams. Several instances may reset a flow, all must name the same one.
+# killed upstreams. Several instances may reset a flow; all must name the same
+# upstream.
 check_reset_flows () {
 	sed -n 's/^reset on \([^ ]*\) [0-9]* \([0-9]*\)$/\1 \2/p' \
 		"$work/$1.log" >"$work/resets"
