--- a/fleet/heartbeat.h
+++ b/fleet/heartbeat.h
@@ -126,8 +126,8 @@
 
 /*
  * The same for the members that routers may choose instead of this instance and
- * that understand notices of split flows: those of its domain, and of other domains where either side has less than
- * TAKEOVER_DOMAIN_MIN other live members. All in a small fleet.
+ * that understand notices of split flows: those of its domain, and of other
+ * domains where either side is small. All in a small fleet.
  */
 void list_takeover_endpoints(const struct heartbeat_tracker *ht, GArray *to);
 
--- a/fleet/peer-format.h
+++ b/fleet/peer-format.h
@@ -27,8 +27,7 @@
 	INTRODUCTION = 18,	   /* addresses of members */
 	VALUE_REQUEST = 19,	   /* for a value that updates leave out */
 	VALUE_PART = 20,
-	SPLIT_FLOWS =
-		21, /* flows whose SYN may have gone to several upstreams */
+	SPLIT_FLOWS = 21,	 /* flows with several upstreams */
 	SPLIT_FLOWS_REQUEST = 22 /* for all that the receiver knows */
 };
 
--- a/flow/split-flows.c
+++ b/flow/split-flows.c
@@ -25,8 +25,7 @@
 	GArray *pending; /* of struct flow_key; told for the first time */
 	GArray *repeats; /* of struct repeat, by DUE_MS */
 	uint64_t sent_ms;
-	uint64_t
-		interval_ms; /* between notices, by the last number of members */
+	uint64_t interval_ms; /* between notices, at the last member number */
 	uint64_t lifetime_ms; /* of flows */
 };
 
--- a/flow/split-flows.h
+++ b/flow/split-flows.h
@@ -27,9 +27,8 @@
 #define SPLIT_FLOWS_UNSETTLED_MAX 4096
 #define SPLIT_FLOWS_PENDING_MAX 1024 /* that wait to be told */
 #define SPLIT_FLOWS_PER_DATAGRAM 32
-#define SPLIT_FLOWS_ANSWER_DATAGRAMS                                           \
-	128			  /* in one answer; the rest is left out */
-#define SPLIT_FLOWS_REPEAT_MS 300 /* until a notice is sent again */
+#define SPLIT_FLOWS_ANSWER_DATAGRAMS 128 /* in one; the rest is left out */
+#define SPLIT_FLOWS_REPEAT_MS 300	 /* until a notice is sent again */
 
 /*
  * Shortest time between the notices of one instance, and what each receiver
