check-split-flows, check-heartbeat: cover who answers a notice, and who is told

Of 23 changes that each take one part of the split-flow code away, four went unnoticed: notices to all of a small fleet, questions to earlier builds, and the two ways in which an instance that knows where a flow is open answers a notice (either one hid the other's absence).

Three tests and one more case notice them.

--- a/t/check-heartbeat.c
+++ b/t/check-heartbeat.c
@@ -349,7 +349,7 @@
 /* Routers choose them for flows of this instance when it is stopped. */
 START_TEST(members_that_may_take_over_flows_are_told)
 {
-	/* all of a small fleet: a domain of one has no other */
+	/* a domain of one has no other */
 	receive_domain("south", 100, 8);
 	ck_assert_uint_eq(count_takeover_members(), 8);
 	/* earlier builds do not understand the notice */
@@ -378,6 +378,14 @@
 }
 END_TEST
 
+START_TEST(all_members_of_a_small_fleet_are_told)
+{
+	receive_domain("north", 200, 8);
+	receive_domain("south", 100, 8);
+	ck_assert_uint_eq(count_takeover_members(), 16);
+}
+END_TEST
+
 START_TEST(members_of_few_in_the_own_domain_tell_all)
 {
 	receive_domain("north", 200, TAKEOVER_DOMAIN_MIN - 1);
@@ -395,6 +403,10 @@
 
 	receive_domain("west", 300, 8);
 	ck_assert_uint_eq(pick_neighbours(ht, rand, got, 3), 3);
+	/* earlier builds do not understand the question */
+	receive_heartbeat("old", "north", 299, HEARTBEAT_READY, 2000);
+	ck_assert_uint_eq(pick_neighbours(ht, rand, got, 3), 3);
+	ck_assert_uint_ge(got[0].port, 300);
 	receive_domain("north", 200, 2);
 	ck_assert_uint_eq(pick_neighbours(ht, rand, got, 3), 2);
 	ck_assert_uint_lt(got[0].port, 300);
@@ -860,6 +872,7 @@
 	tcase_add_test(tc, each_domain_has_its_expected_interval);
 	tcase_add_test(tc, members_of_large_fleets_are_heard_less_often);
 	tcase_add_test(tc, members_that_may_take_over_flows_are_told);
+	tcase_add_test(tc, all_members_of_a_small_fleet_are_told);
 	tcase_add_test(tc, members_of_few_in_the_own_domain_tell_all);
 	tcase_add_test(tc, neighbours_that_are_asked_are_of_the_own_domain);
 	suite_add_tcase(s, tc);
--- a/t/check-split-flows.c
+++ b/t/check-split-flows.c
@@ -177,13 +177,14 @@
 }
 END_TEST
 
-/* One instance sends on a copy, another one saw where the flow opened. */
-START_TEST(instance_that_knows_better_settles_what_another_told)
+/*
+ * The second instance sends on a copy of the SYN of a flow that the first knows
+ * to be open at OPENED_AT.
+ */
+static void expect_settled_by_first(upstream_index_t opened_at)
 {
-	upstream_index_t opened_at = send_syn(&first, 4000, 0, 1000).upstream;
 	upstream_index_t other = opened_at == a ? b : a;
 
-	send_data(&first, 4000, cookie_of(opened_at), 1001, 500, 1210);
 	send_syn(&second, 4000, 1, 1200);
 	tell(&second, &first, 1220);
 	tell(&first, &second, 1230);
@@ -192,6 +193,31 @@
 			.upstream,
 		opened_at);
 }
+
+/* One instance sends on a copy, another one saw where the flow opened. */
+START_TEST(instance_that_knows_better_settles_what_another_told)
+{
+	upstream_index_t opened_at = send_syn(&first, 4000, 0, 1000).upstream;
+
+	send_data(&first, 4000, cookie_of(opened_at), 1001, 500, 1210);
+	expect_settled_by_first(opened_at);
+}
+END_TEST
+
+/* It did not see the SYN; that tells it that its first packet was the first. */
+START_TEST(instance_that_saw_the_first_data_settles_what_another_told)
+{
+	send_data(&first, 4000, cookie_of(b), 1001, 500, 1210);
+	expect_settled_by_first(b);
+}
+END_TEST
+
+START_TEST(instance_that_saw_progress_settles_what_another_told)
+{
+	send_data(&first, 4000, cookie_of(b), 1101, 500, 1210);
+	send_data(&first, 4000, cookie_of(b), 1201, 900, 1215);
+	expect_settled_by_first(b);
+}
 END_TEST
 
 START_TEST(late_syn_of_an_open_split_flow_is_not_placed)
@@ -480,6 +506,10 @@
 		       late_cookie_at_the_instance_that_knows_better_is_told);
 	tcase_add_test(tc,
 		       instance_that_knows_better_settles_what_another_told);
+	tcase_add_test(
+		tc, instance_that_saw_the_first_data_settles_what_another_told);
+	tcase_add_test(tc,
+		       instance_that_saw_progress_settles_what_another_told);
 	tcase_add_test(tc, late_syn_of_an_open_split_flow_is_not_placed);
 	tcase_add_test(tc, later_flow_of_the_same_ports_goes_by_its_own_cookie);
 	tcase_add_test(
