--- a/review/stage-2-scenarios.h
+++ b/review/stage-2-scenarios.h
@@ -187,9 +187,61 @@
 	run_for(3500);
 }
 
+static unsigned int served_flows(const struct target *t)
+{
+	unsigned int nr = 0;
+
+	for (int i = 0; i < FLOWS_MAX; i++)
+		nr += t->flows[i].used && t->flows[i].open;
+	return nr;
+}
+
+/*
+ * Case: a target is replaced. At the end of its drain it does not listen any
+ * more, serves the requests of its open flows, and exits.
+ */
+static void play_leaving_target(void)
+{
+	struct target *leaving = start_target("i-7f3a91c2", zones[0].name);
+	uint64_t drained_ms;
+
+	work_ms = 310;
+	start_fleet();
+	wait_for_rotation(15000);
+	run_for(4500);
+	for (int i = 0; i < 12; i++) {
+		open_flow();
+		run_for(400);
+	}
+	run_for(1000);
+	start_target("i-2b60d4e1", zones[0].name);
+	run_for(1000);
+	if (has_trouble()) {
+		leaving->state = TARGET_DRAINING;
+		write_target_entry(leaving);
+	}
+	/* drainMs, and a little longer */
+	drained_ms = now_ms() + 3000 + 500;
+	wait_until(drained_ms);
+	if (has_trouble())
+		stop_listening(leaving);
+	run_for(100);
+	/* clients go on after their pause */
+	for (int i = 0; i < flow_nr; i++)
+		if (flows[i].phase == IDLE)
+			ask(&flows[i]);
+	while (now_ms() < drained_ms + 5000)
+		run_once(1);
+	note("%u flows are open at target %s", served_flows(leaving),
+	     leaving->name);
+	if (has_trouble())
+		stop_target(leaving);
+}
+
 static const struct {
 	const char *name;
 	void (*play)(void);
 } scenarios[] = { { "all-killed", play_all_killed },
 		  { "same-number", play_same_number },
-		  { "restarted-in-turn", play_restarted_in_turn } };
+		  { "restarted-in-turn", play_restarted_in_turn },
+		  { "leaving-target", play_leaving_target } };
--- a/review/stage-2.c
+++ b/review/stage-2.c
@@ -599,8 +599,8 @@
 	uint32_t ip;
 	const char *zone;
 	uint64_t born_ms;
-	unsigned int seq; /* of its writings */
-	int udp, tcp;
+	unsigned int seq;      /* of its writings */
+	int udp, tcp;	       /* TCP: -1 while it does not listen */
 	uint64_t lose_syn_ack; /* so many SYN+ACKs are lost on their way */
 	uint64_t slot_free_ms[SLOTS];
 	struct served_flow flows[FLOWS_MAX];
@@ -648,13 +648,22 @@
 	return t;
 }
 
+/* It accepts no more health checks and flows, and keeps those that are open. */
+static void stop_listening(struct target *t)
+{
+	close(t->tcp);
+	t->tcp = -1;
+	note("target %s does not listen any more", t->name);
+}
+
 static void stop_target(struct target *t)
 {
 	char key[80];
 
 	t->state = TARGET_OFF;
 	close(t->udp);
-	close(t->tcp);
+	if (t->tcp >= 0)
+		close(t->tcp);
 	snprintf(key, sizeof(key), "servers/%s", t->name);
 	remove_key(key);
 	note("target %s has left", t->name);
@@ -804,11 +813,11 @@
 	     "%.*s",
 	     t->name, p.sport, flag_text(p.flags), p.seq, p.ack, p.echo, p.len,
 	     (const char *)p.data);
-	if (p.flags & SYN) {
+	if (p.flags & SYN && t->tcp >= 0) {
 		take_syn(t, &p);
 		return;
 	}
-	f = find_served(t, p.src, p.sport);
+	f = p.flags & SYN ? NULL : find_served(t, p.src, p.sport);
 	if (f && !f->open && p.ack == f->seq)
 		f->open = true;
 	if (!f || !f->open) {
@@ -1475,7 +1484,7 @@
 		if (targets[i].state == TARGET_OFF)
 			continue;
 		fds[nr++].fd = targets[i].udp;
-		fds[nr++].fd = targets[i].tcp;
+		fds[nr++].fd = targets[i].tcp; /* poll() skips -1 */
 	}
 	for (int i = 0; i < CONNECTIONS_MAX; i++)
 		if (connections[i].fd)
@@ -1489,7 +1498,8 @@
 		if (targets[i].state == TARGET_OFF)
 			continue;
 		read_datagrams(targets[i].udp, &targets[i]);
-		c = accept_connection(targets[i].tcp);
+		c = targets[i].tcp >= 0 ? accept_connection(targets[i].tcp)
+					: NULL;
 		if (c) {
 			c->is_health = true;
 			c->nr = i;
