placement: a refused check does not end the flows of a draining upstream

An upstream that drains stops listening before it exits, and serves its open flows meanwhile.

A refusal proves nothing now while the upstream drains, or while the copy of the store is older than the drain time, so that a report may be unread. Such an upstream is dead once its entry has ended and a check is refused, or after a silence of three repeats of a packet (1.4 s) and the longest target of its routes. Peers' verdicts that rest on a refusal are not adopted for it. Crashes of upstreams that do not drain are found as before.

--- a/config/catalog.c
+++ b/config/catalog.c
@@ -296,6 +296,7 @@
 		struct catalog_service *sv = g_ptr_array_index(c->services, i);
 
 		sv->lowest_priority = 0;
+		sv->longest_target_ms = 0;
 	}
 	for (guint i = 0; i < routes->len; i++) {
 		const struct catalog_route *r =
@@ -308,6 +309,8 @@
 			note_configured(c, sv);
 			sv->lowest_priority =
 				MAX(sv->lowest_priority, r->priority);
+			sv->longest_target_ms =
+				MAX(sv->longest_target_ms, r->slo_ms);
 		}
 	}
 	for (guint i = 0; services && i < services->len; i++)
--- a/config/catalog.h
+++ b/config/catalog.h
@@ -80,8 +80,9 @@
 	uint64_t version;	 /* the last configuration that names it */
 	uint64_t since_version; /* first of those without a gap up to VERSION */
 	uint64_t left_at_ms;	/* a configuration left it out; 0: did not */
-	uint32_t lowest_priority; /* of its routes: the largest number */
-	GArray *upstreams;	  /* of upstream_index_t */
+	uint32_t lowest_priority;   /* of its routes: the largest number */
+	uint32_t longest_target_ms; /* of its routes, to answer a request */
+	GArray *upstreams;	    /* of upstream_index_t */
 };
 
 /* A service that new flows of a route go to, and its weight. */
--- a/config/mirror.c
+++ b/config/mirror.c
@@ -686,8 +686,12 @@
 bool mirror_is_watching(const struct mirror *m, uint64_t now_ms)
 {
 	return m->state == MIRROR_STATE_WATCHING && m->store_up_since_ms &&
-	       now_ms - m->last_answer_ms <
-		       m->pace.wait_ms + MIRROR_WATCH_SLACK_MS;
+	       now_ms - m->last_answer_ms < mirror_watch_age_ms(m);
+}
+
+uint64_t mirror_watch_age_ms(const struct mirror *m)
+{
+	return (uint64_t)m->pace.wait_ms + MIRROR_WATCH_SLACK_MS;
 }
 
 uint64_t mirror_last_answer_ms(const struct mirror *m)
--- a/config/mirror.h
+++ b/config/mirror.h
@@ -210,6 +210,12 @@
 /* A watch that answers this much later than its wait is not relied on. */
 #define MIRROR_WATCH_SLACK_MS 700
 
+/*
+ * Longest time since a store that a mirror with this one's pace watches has
+ * answered it.
+ */
+uint64_t mirror_watch_age_ms(const struct mirror *m);
+
 /*
  * False while this mirror watches the store and the store does not answer: it
  * would not learn that what it is about to remove came back.
--- a/flow/cookie.c
+++ b/flow/cookie.c
@@ -626,6 +626,8 @@
 	if (!is_seq_after(next_seq, f->caller_next_seq)) {
 		note_upstream_silent(cs->placer, f->upstream, f->last_packet_ms,
 				     now_ms);
+		note_repeated_packet(cs->placer, f->upstream, f->last_packet_ms,
+				     now_ms);
 		return;
 	}
 	f->caller_next_seq = next_seq;
--- a/flow/placement-health.c
+++ b/flow/placement-health.c
@@ -103,6 +103,7 @@
 	ul->silence_count = 0;
 	ul->unreachable_checks = 0;
 	ul->refused_ms = 0;
+	ul->repeats_since_ms = 0;
 	ul->adopted = false;
 	ul->flow_in_doubt = false;
 	ul->check_unproved = false;
@@ -130,6 +131,7 @@
 		if (pl->quality)
 			reset_upstream_quality(pl->quality, nr);
 		clear_suspicion(pl, nr, ul, now_ms);
+		ul->unlistening = false;
 	}
 	/* a new entry shows that it runs, not that it is reachable */
 	if (up->listed && ul->health == HEALTH_DEAD &&
@@ -276,6 +278,8 @@
 		return false;
 	if (is_dead_or_cut_off(ul))
 		return up->listed || ul->flow_in_doubt;
+	if (is_check_pointless(pl, nr, ul, now_ms))
+		return false;
 	return ul->suspect_since_ms &&
 	       (ul->flow_in_doubt ||
 		!is_own_check_deferred(pl, nr, ul, now_ms));
@@ -393,6 +397,14 @@
 	schedule_check_for_peer(ul, now_ms);
 }
 
+void note_silent_leaver(struct placer *pl, upstream_index_t nr,
+			struct upstream_load *ul, uint64_t now_ms)
+{
+	note_own_verdict(ul, EVIDENCE_REFUSED, now_ms);
+	set_verdict(pl, nr, ul, HEALTH_DEAD, false, now_ms);
+	post_silence_verdict(pl, nr, now_ms);
+}
+
 void note_unreachable(struct placer *pl, upstream_index_t nr,
 		      struct upstream_load *ul, uint64_t now_ms)
 {
@@ -472,6 +484,11 @@
 			ul->suspect_since_ms = now_ms;
 		break;
 	case CHECK_REFUSED:
+		if (ul->health != HEALTH_DEAD &&
+		    may_serve_unlistening(pl, nr, now_ms)) {
+			note_unproved_refusal(pl, nr, ul, now_ms);
+			break;
+		}
 		if (!is_refusal_confirmed(pl, nr, ul, now_ms))
 			break;
 		/* fall through */
--- /dev/null
+++ b/flow/placement-leaving.c
@@ -0,0 +1,109 @@
+/*
+ * Upstreams that may have stopped listening while they serve their open flows.
+ * A refused check does not show that such an upstream is gone.
+ */
+
+#include "flow/placement-state.h"
+
+void set_placer_drain_time(struct placer *pl, uint64_t drain_ms)
+{
+	pl->drain_ms = drain_ms;
+}
+
+void note_store_current(struct placer *pl, uint64_t at_ms)
+{
+	pl->store_current_ms = MAX(pl->store_current_ms, at_ms);
+}
+
+bool may_serve_unlistening(const struct placer *pl, upstream_index_t nr,
+			   uint64_t now_ms)
+{
+	const struct catalog_upstream *up = get_upstream(pl->catalog, nr);
+
+	if (!up)
+		return false;
+	/* an entry ends when its upstream has left */
+	if (!up->has_entry)
+		return up->overwritten;
+	if (up->report.draining)
+		return true;
+	/* its report that it drains may not have come here yet */
+	return pl->drain_ms &&
+	       now_ms - MIN(now_ms, pl->store_current_ms) >= pl->drain_ms;
+}
+
+/*
+ * Whether NR showed life after SINCE_MS. A packet sent at SINCE_MS itself may
+ * acknowledge what came before.
+ */
+static bool was_alive_after(const struct placer *pl, upstream_index_t nr,
+			    uint64_t since_ms)
+{
+	return was_alive_since(pl, nr, since_ms + 1);
+}
+
+/* Longest time in which requests to the service of UP should be answered. */
+static uint64_t longest_target_ms(const struct placer *pl,
+				  const struct catalog_upstream *up)
+{
+	const struct catalog_service *sv =
+		get_service(pl->catalog, up->service);
+
+	return sv ? sv->longest_target_ms : 0;
+}
+
+/* Whether NR has answered nothing for as long as it serves and repeats. */
+static bool is_silence_complete(const struct placer *pl, upstream_index_t nr,
+				const struct upstream_load *ul, uint64_t now_ms)
+{
+	const struct catalog_upstream *up = get_upstream(pl->catalog, nr);
+
+	if (!up || !ul->repeats_since_ms ||
+	    was_alive_after(pl, nr, ul->repeats_since_ms))
+		return false;
+	return ul->repeated_ms - ul->repeats_since_ms >=
+		       PLACEMENT_LAST_REPEAT_MS &&
+	       now_ms - ul->repeats_since_ms >=
+		       PLACEMENT_REPEATS_MS + longest_target_ms(pl, up) &&
+	       was_link_open_since(pl, nr, ul->repeats_since_ms);
+}
+
+void note_repeated_packet(struct placer *pl, upstream_index_t nr,
+			  uint64_t sent_ms, uint64_t now_ms)
+{
+	struct upstream_load *ul = get_or_create_upstream_load(pl, nr);
+
+	/* after a pause the answer may be unread */
+	if (pl->notices && notice_held_ms(pl->notices, now_ms))
+		sent_ms = now_ms;
+	if (was_alive_after(pl, nr, sent_ms))
+		return;
+	if (!ul->repeats_since_ms ||
+	    was_alive_after(pl, nr, ul->repeats_since_ms))
+		ul->repeats_since_ms = MAX(sent_ms, 1);
+	else if (now_ms - ul->repeated_ms > PLACEMENT_REPEAT_GAP_MS)
+		ul->repeats_since_ms = now_ms;
+	ul->repeated_ms = now_ms;
+}
+
+void note_unproved_refusal(struct placer *pl, upstream_index_t nr,
+			   struct upstream_load *ul, uint64_t now_ms)
+{
+	ul->unlistening = true;
+	set_upstream_health(pl, nr, ul, HEALTH_SUSPECTED, now_ms);
+	if (!ul->suspect_since_ms)
+		ul->suspect_since_ms = now_ms;
+}
+
+bool is_check_pointless(const struct placer *pl, upstream_index_t nr,
+			const struct upstream_load *ul, uint64_t now_ms)
+{
+	return ul->unlistening && may_serve_unlistening(pl, nr, now_ms);
+}
+
+bool is_leaving_upstream_gone(const struct placer *pl, upstream_index_t nr,
+			      const struct upstream_load *ul, uint64_t now_ms)
+{
+	return ul->unlistening && ul->health == HEALTH_SUSPECTED &&
+	       is_silence_complete(pl, nr, ul, now_ms);
+}
--- a/flow/placement-notices.c
+++ b/flow/placement-notices.c
@@ -40,6 +40,13 @@
 		    now_ms - ul->check_started_ms, now_ms);
 }
 
+void post_silence_verdict(struct placer *pl, upstream_index_t nr,
+			  uint64_t now_ms)
+{
+	post_notice(pl, nr, NOTICE_VERDICT, HEALTH_DEAD,
+		    PLACEMENT_SILENCE_TOLD_MS, now_ms);
+}
+
 void post_failed_link_check(struct placer *pl, upstream_index_t nr,
 			    const struct upstream_load *ul, uint64_t now_ms)
 {
@@ -132,6 +139,10 @@
 {
 	uint64_t unanswered_ms = now_ms - ul->unanswered_since_ms;
 
+	if (is_leaving_upstream_gone(pl, nr, ul, now_ms)) {
+		note_silent_leaver(pl, nr, ul, now_ms);
+		return;
+	}
 	if (!pl->notices || ul->health != HEALTH_SUSPECTED)
 		return;
 	if (ul->unanswered_since_ms && unanswered_ms >= HEALTH_UNANSWERED_MS)
@@ -184,6 +195,11 @@
 	/* builds that use such entries may have checked the other address */
 	if (is_contested(pl->catalog, nr, now_ms))
 		return VERDICT_CONTESTED;
+	/* a shorter silence rests on a refused check alone */
+	if (n->health == HEALTH_DEAD &&
+	    n->check_ms < PLACEMENT_SILENCE_TOLD_MS &&
+	    may_serve_unlistening(pl, nr, now_ms))
+		return VERDICT_LEAVING;
 	/* a refusal takes one round trip, and the sender alone may be cut off */
 	if (ul->open_flows &&
 	    was_alive_since(pl, nr, now_ms - MIN(now_ms, PLACEMENT_QUIET_MS)))
@@ -329,7 +345,8 @@
 	static const char *const names[VERDICT_OUTCOME_NR] = {
 		"none",	  "adopted",	   "known",	   "no-upstream",
 		"stale",  "link-doubtful", "alive-since",  "other-domain",
-		"paused", "restarted",	   "alive-lately", "contested"
+		"paused", "restarted",	   "alive-lately", "contested",
+		"leaving"
 	};
 
 	return names[o];
--- a/flow/placement-state.h
+++ b/flow/placement-state.h
@@ -73,6 +73,10 @@
 	uint64_t surveyed_ms; /* when a survey of its domain last came to it */
 	/* first refused check that waits for a confirming one; 0: none */
 	uint64_t refused_ms;
+	bool unlistening; /* it refused a check, but may serve open flows */
+	/* first transmission of what callers repeat without an answer; 0 */
+	uint64_t repeats_since_ms;
+	uint64_t repeated_ms; /* the last repeat */
 	/* ring buffer: when it got flows while cold */
 	uint64_t cold_flow_ms[PLACEMENT_COLD_FLOWS_MAX];
 	uint32_t cold_flow_next;
@@ -139,6 +143,8 @@
 	double cold_factor;
 	double cold_slack;
 	struct upstream_quality *quality; /* NULL: not enabled */
+	uint64_t drain_ms;	   /* 0: reports of draining are never late */
+	uint64_t store_current_ms; /* see note_store_current() */
 };
 
 /* The load of NR; NULL if there is none yet. */
@@ -299,6 +305,38 @@
 /* Appends the upstreams whose check is due to CHECKS, marked as running. */
 void list_due_checks(struct placer *pl, uint64_t now_ms, GArray *checks);
 
+/* placement-leaving.c: upstreams that stop listening before they exit */
+
+/*
+ * Whether NR may serve open flows without listening: it drains, or may have
+ * reported so in an entry that this instance has not read yet.
+ */
+bool may_serve_unlistening(const struct placer *pl, upstream_index_t nr,
+			   uint64_t now_ms);
+
+/* A check of NR was refused, which does not show that it is gone. */
+void note_unproved_refusal(struct placer *pl, upstream_index_t nr,
+			   struct upstream_load *ul, uint64_t now_ms);
+
+/* Whether a check of NR would only be refused again, proving nothing. */
+bool is_check_pointless(const struct placer *pl, upstream_index_t nr,
+			const struct upstream_load *ul, uint64_t now_ms);
+
+/*
+ * Whether NR, which does not listen, is gone: it has not answered callers who
+ * repeated their packets for longer than an upstream takes that serves.
+ */
+bool is_leaving_upstream_gone(const struct placer *pl, upstream_index_t nr,
+			      const struct upstream_load *ul, uint64_t now_ms);
+
+/* Makes such an upstream dead, and tells peers. */
+void note_silent_leaver(struct placer *pl, upstream_index_t nr,
+			struct upstream_load *ul, uint64_t now_ms);
+
+/* Tells peers that NR is dead, as it has been silent for long enough. */
+void post_silence_verdict(struct placer *pl, upstream_index_t nr,
+			  uint64_t now_ms);
+
 /* placement-links.c: links between failure domains */
 
 /* A flow to NR made progress. */
--- a/flow/placement.h
+++ b/flow/placement.h
@@ -98,6 +98,22 @@
  */
 #define PLACEMENT_VERDICT_MAX_AGE_MS 3000
 
+/*
+ * An upstream that drains stops listening before it exits, and serves its open
+ * flows meanwhile. It is gone if it has not answered anything since a packet
+ * that its caller then repeated three times, 200, 600 and 1,400 ms later, and
+ * the time in which requests should be answered. The last repeat may come some
+ * ms early; repeats that are further apart than GAP are of different packets.
+ */
+#define PLACEMENT_REPEATS_MS 1400
+#define PLACEMENT_LAST_REPEAT_MS 1300
+#define PLACEMENT_REPEAT_GAP_MS 1700
+/*
+ * Age of the evidence that a verdict of such a silence tells: longer than any
+ * check runs, and not too old for a notice.
+ */
+#define PLACEMENT_SILENCE_TOLD_MS 900
+
 /* Result of a check of an upstream. */
 enum check_result {
 	CHECK_GOOD,	   /* it answered that it is healthy */
@@ -142,6 +158,15 @@
  */
 void set_placer_quality(struct placer *pl, bool enabled);
 
+/*
+ * An upstream listens for DRAIN_MS or longer after the store has its report that
+ * it drains. By default, or if DRAIN_MS is 0, no report counts as late.
+ */
+void set_placer_drain_time(struct placer *pl, uint64_t drain_ms);
+
+/* The entries that are known here were those in the store at AT_MS. */
+void note_store_current(struct placer *pl, uint64_t at_ms);
+
 /* Replaces PLACEMENT_REMOTE_DOMAIN_COST; for tests and benchmarks. */
 void set_remote_domain_cost(struct placer *pl, double cost);
 
@@ -271,6 +296,13 @@
 void note_upstream_silent(struct placer *pl, upstream_index_t nr,
 			  uint64_t sent_ms, uint64_t now_ms);
 
+/*
+ * A caller repeats data on an open flow of NR whose packet before came at
+ * SENT_MS. Ignored if NR showed life since then.
+ */
+void note_repeated_packet(struct placer *pl, upstream_index_t nr,
+			  uint64_t sent_ms, uint64_t now_ms);
+
 /*
  * A flow of NR that another instance forwarded before sends data here. Its
  * caller may be retransmitting data that the upstream did not acknowledge.
@@ -301,6 +333,7 @@
 	VERDICT_RESTARTED, /* the sender may not know of the last start yet */
 	VERDICT_ALIVE_LATELY, /* there was a sign of life shortly before */
 	VERDICT_CONTESTED, /* it may be about another entry with that cookie */
+	VERDICT_LEAVING,   /* it may serve open flows without listening */
 	VERDICT_OUTCOME_NR
 };
 
--- a/net/edge-packets.c
+++ b/net/edge-packets.c
@@ -396,6 +396,19 @@
 		  m->name, m->domain, member_state_name(m->state));
 }
 
+/* What B, a store reader's heartbeat, shows of the entries that are known here. */
+static void note_reader_position(struct edge *e,
+				 const struct heartbeat_message *b)
+{
+	if (b->flags & HEARTBEAT_READS_STORE &&
+	    compare_store_positions(mirror_position(e->mirror),
+				    b->store_position) >= 0)
+		note_store_current(
+			e->placement,
+			e->now_ms -
+				MIN(e->now_ms, mirror_watch_age_ms(e->mirror)));
+}
+
 static void on_heartbeat_datagram(struct edge *e, const uint8_t *data,
 				  size_t len)
 {
@@ -428,6 +441,7 @@
 		peer_state.digest = b.store_digest;
 		peer_state.watching = b.flags & HEARTBEAT_READS_STORE;
 		step_edge_mirror(e, &ev);
+		note_reader_position(e, &b);
 	}
 	g_array_free(b.rows, TRUE);
 }
--- a/net/edge.c
+++ b/net/edge.c
@@ -134,6 +134,7 @@
 	set_store_endpoints(e->store, &new->store);
 	set_edge_hold_times(e);
 	set_catalog_flow_ttl(e->catalog, new->bounds.flow_lifetime_ms);
+	set_placer_drain_time(e->placement, new->bounds.drain_ms);
 	set_cold_bounds(e->placement, new->bounds.cold_factor,
 			new->bounds.cold_slack);
 	e->settings.compare_upstreams = new->compare_upstreams;
@@ -307,6 +308,9 @@
 	e->now_ms = edge_clock_ms();
 	detect_pause(e, e->now_ms);
 	tick_edge_store(e);
+	if (mirror_is_watching(e->mirror, e->now_ms))
+		note_store_current(e->placement,
+				   mirror_last_answer_ms(e->mirror));
 	update_quotas(e->upstream_quotas, e->now_ms);
 	expire_catalog(e->catalog, e->now_ms);
 	forget_expired_upstreams(e->steering);
@@ -392,6 +396,7 @@
 	e->health_notices = create_health_notices(e->view);
 	set_notice_link_test(e->health_notices, is_link_doubtful, e);
 	set_placer_notices(e->placement, e->health_notices);
+	set_placer_drain_time(e->placement, e->settings.bounds.drain_ms);
 	set_cold_bounds(e->placement, e->settings.bounds.cold_factor,
 			e->settings.bounds.cold_slack);
 	set_placer_quality(e->placement, e->settings.compare_upstreams);
