cookie: send the first copy of a SYN where the SYN went

If one SYN+ACK was lost, the first copy of the SYN went to a second upstream although the first one lived. Both then answer, the late one for 9.4 s, and the cookie of a caller that pauses becomes the wrong one.

The first copy stays with the upstream now unless that is dead, cut off or takes no new flows. The second copy goes elsewhere as before. This makes split flows rarer; it mends none of the ways in which they are lost.

check-cookie asked that the first copy goes elsewhere. It asks now that the first one stays, the second one goes elsewhere, and the first one leaves an upstream that drains. Tests that need a split flow use the second copy.

--- a/flow/cookie.c
+++ b/flow/cookie.c
@@ -418,10 +418,17 @@
 	return h == HEALTH_DEAD || h == HEALTH_UNREACHABLE;
 }
 
-/* Whether a copy of the SYN of F goes where the SYN went. */
+/*
+ * Whether P, a copy of the SYN of F, goes where the SYN went. The first copy
+ * does as long as nothing else speaks against the upstream: if only its answer
+ * was lost, another upstream would answer as well, and the caller's packets
+ * could carry the cookie of either.
+ */
 static bool may_answer_syn(struct cookie_steering *cs,
-			   const struct cookie_flow *f, uint64_t now_ms)
+			   const struct cookie_flow *f,
+			   const struct cookie_packet *p, uint64_t now_ms)
 {
+	bool is_first_copy = p->ack == 1 && f->syn_upstream_nr == 1;
 	/* both waited unread: the upstream has had no time to answer */
 	bool is_early = now_ms - f->syn_ms < handshake_limit_ms(cs);
 
@@ -431,7 +438,7 @@
 		note_upstream_silent(cs->placer, f->upstream, f->syn_ms,
 				     now_ms);
 	/* an upstream that answered other flows lost only this SYN */
-	return (is_early ||
+	return (is_early || is_first_copy ||
 		was_alive_since(cs->placer, f->upstream, f->syn_ms)) &&
 	       accepts_flows(cs->catalog, f->upstream) &&
 	       !is_upstream_dead_or_cut_off(cs, f->upstream);
@@ -480,7 +487,7 @@
 	}
 	f->last_packet_ms = now_ms;
 	f->caller_next_seq = p->seq + 1;
-	if (may_answer_syn(cs, f, now_ms))
+	if (may_answer_syn(cs, f, p, now_ms))
 		return steer_to(cs, f->upstream, COOKIE_REOPENED);
 	return place_syn(cs, f, p, route, now_ms);
 }
--- a/t/check-cookie.c
+++ b/t/check-cookie.c
@@ -112,17 +112,37 @@
 }
 END_TEST
 
-START_TEST(retransmitted_syn_goes_to_another_upstream)
+/* After one lost answer two upstreams would have the flow. */
+START_TEST(only_second_copy_of_a_syn_goes_to_another_upstream)
 {
 	struct cookie_decision first;
 	struct cookie_decision second;
+	struct cookie_decision third;
 
 	put_upstream("u-a", 0);
 	put_upstream("u-b", 0);
 	first = send_syn(4000, 0, 1000);
 	second = send_syn(4000, 1, 1200);
+	third = send_syn(4000, 2, 1600);
 	ck_assert_int_eq(second.reason, COOKIE_REOPENED);
-	ck_assert_uint_ne(first.upstream, second.upstream);
+	ck_assert_uint_eq(first.upstream, second.upstream);
+	ck_assert_int_eq(third.reason, COOKIE_REOPENED);
+	ck_assert_uint_ne(first.upstream, third.upstream);
+}
+END_TEST
+
+START_TEST(first_copy_of_a_syn_leaves_a_draining_upstream)
+{
+	struct upstream_report r;
+	struct cookie_decision first;
+
+	put_upstream("u-a", 0);
+	put_upstream("u-b", 0);
+	first = send_syn(4000, 0, 1000);
+	r = get_upstream(in.catalog, first.upstream)->report;
+	r.draining = true;
+	put_test_upstream(&in, &r, 1100);
+	ck_assert_uint_ne(send_syn(4000, 1, 1200).upstream, first.upstream);
 }
 END_TEST
 
@@ -159,8 +179,10 @@
 
 	put_upstream("u-a", 0);
 	put_upstream("u-b", 0);
-	first = send_syn(4000, 0, 1000);
-	second = send_syn(4000, 1, 1200);
+	first = send_syn(4000, 0, 600);
+	send_syn(4000, 1, 800);
+	second = send_syn(4000, 2, 1200);
+	ck_assert_uint_ne(first.upstream, second.upstream);
 	ck_assert_uint_eq(
 		send_data(4000, first.cookie, 1001, 0, 500, 1210).upstream,
 		first.upstream);
@@ -1649,7 +1671,8 @@
 	tcase_add_loop_test(tc, slow_upstream_is_known_by_its_responses, 0, 2);
 	tcase_add_test(tc, cookie_selects_upstream_without_flow_state);
 	tcase_add_test(tc, unknown_cookie_is_relayed_only_once);
-	tcase_add_test(tc, retransmitted_syn_goes_to_another_upstream);
+	tcase_add_test(tc, only_second_copy_of_a_syn_goes_to_another_upstream);
+	tcase_add_test(tc, first_copy_of_a_syn_leaves_a_draining_upstream);
 	tcase_add_test(tc, retransmitted_syn_stays_with_answering_upstream);
 	tcase_add_test(tc, retransmitted_syn_leaves_an_upstream_found_dead);
 	tcase_add_test(tc, late_answer_to_a_syn_copy_does_not_move_flow);
--- a/t/check-split-flows.c
+++ b/t/check-split-flows.c
@@ -97,14 +97,16 @@
 }
 
 /*
- * The first instance sends the SYN from PORT to one upstream and its copy to
- * the other. Returns the one that gets the SYN.
+ * The first instance sends the SYN from PORT to one upstream and its last copy
+ * to the other. Returns the one that gets the SYN.
  */
 static upstream_index_t split_flow(uint16_t port)
 {
-	upstream_index_t got_syn = send_syn(&first, port, 0, 1000).upstream;
-	upstream_index_t got_copy = send_syn(&first, port, 1, 1200).upstream;
+	upstream_index_t got_syn = send_syn(&first, port, 0, 600).upstream;
+	upstream_index_t got_copy;
 
+	send_syn(&first, port, 1, 800);
+	got_copy = send_syn(&first, port, 2, 1200).upstream;
 	ck_assert_uint_ne(got_syn, got_copy);
 	return got_syn;
 }
