cookie: let a later flow inherit nothing of one that has ended

A port is used again, and the first sequence number of the new flow is within 76,800 of the end of the old one by chance (1 in 28,000). An instance that still had the record of the old flow, whose caller had closed it, steered packets of the new one to the old one's upstream, and dropped its SYN as a late copy.

The record of a closing flow is of this flow only if the acknowledgment number is near, too, or the SYN is the same. The new test failed before in both of its cases.

--- a/flow/cookie.c
+++ b/flow/cookie.c
@@ -13,15 +13,30 @@
 	return (int32_t)(a - b) > 0;
 }
 
-/* True if P, by its sequence number, belongs to the flow F of its key. */
-static bool is_packet_of_flow(const struct cookie_flow *f,
-			      const struct cookie_packet *p)
+/* True if A and B may be numbers in consecutive packets of one flow. */
+static bool is_seq_near(uint32_t a, uint32_t b)
 {
-	int32_t distance = (int32_t)(p->seq - f->caller_next_seq);
+	int32_t distance = (int32_t)(a - b);
 
 	return distance <= COOKIE_SEQ_WINDOW && distance >= -COOKIE_SEQ_WINDOW;
 }
 
+/*
+ * True if P, by its numbers, belongs to the flow F of its key. A later flow may
+ * begin near the end of F by chance.
+ */
+static bool is_packet_of_flow(const struct cookie_flow *f,
+			      const struct cookie_packet *p)
+{
+	if (!is_seq_near(p->seq, f->caller_next_seq))
+		return false;
+	if (f->phase != PHASE_CLOSING)
+		return true;
+	if (is_cookie_syn(p))
+		return !f->saw_syn || p->seq + 1 == f->first_seq;
+	return is_seq_near(p->ack, f->caller_ack);
+}
+
 static struct cookie_decision make_decision(enum cookie_verdict verdict,
 					    enum cookie_reason reason)
 {
--- a/t/check-cookie.c
+++ b/t/check-cookie.c
@@ -195,6 +195,43 @@
 }
 END_TEST
 
+/* Its numbers were near those of a flow that had ended, by chance. */
+START_TEST(later_flow_inherits_nothing_of_one_that_ended)
+{
+	upstream_index_t open = open_flow_at(put_upstream("u-a", 0), 4000);
+	upstream_index_t later = put_upstream("u-b", 1020);
+	struct cookie_packet fin =
+		make_cookie_packet(CALLER, 4000, TCP_ACK | TCP_FIN,
+				   get_upstream(in.catalog, open)->cookie);
+
+	fin.seq = 1101;
+	fin.ack = 900;
+	steer_cookie_packet(in.steering, &fin, false, 1100);
+	/* a late packet of the flow itself */
+	ck_assert_uint_eq(send_data(4000,
+				    get_upstream(in.catalog, open)->cookie,
+				    1001, 100, 900, 1200)
+				  .upstream,
+			  open);
+	if (_i) {
+		ck_assert_int_eq(send_syn(4000, 0, 2000).reason,
+				 COOKIE_LATE_COPY);
+		fin = make_cookie_packet(CALLER, 4000, TCP_SYN, 0);
+		fin.seq = 3000;
+		ck_assert_int_eq(
+			steer_cookie_packet(in.steering, &fin, false, 2100)
+				.reason,
+			COOKIE_OPENED);
+		return;
+	}
+	ck_assert_uint_eq(send_data(4000,
+				    get_upstream(in.catalog, later)->cookie,
+				    3001, 100, 900000, 2200)
+				  .upstream,
+			  later);
+}
+END_TEST
+
 /* Routers sent a copy of the SYN to another instance, which chose u-a. */
 START_TEST(late_answer_to_a_syn_of_another_instance_does_not_move_flow)
 {
@@ -1676,6 +1713,8 @@
 	tcase_add_test(tc, retransmitted_syn_stays_with_answering_upstream);
 	tcase_add_test(tc, retransmitted_syn_leaves_an_upstream_found_dead);
 	tcase_add_test(tc, late_answer_to_a_syn_copy_does_not_move_flow);
+	tcase_add_loop_test(tc, later_flow_inherits_nothing_of_one_that_ended,
+			    0, 2);
 	tcase_add_loop_test(
 		tc, late_answer_to_a_syn_of_another_instance_does_not_move_flow,
 		0, 2);
