edge: steer no unknown flow before members have told of split flows

An instance that starts sent packets of open flows on by their cookies as soon as it had read the store, some 50 ms before members told it where split flows are open.

Packets of flows that it does not know go to a member that knows more, or wait until the inquiry ends. What is relayed is not relayed again. The queue of early packets is worked off before later ones. A process that was paused lets those that it asks steer what it does not know.

--- a/flow/split-flows.c
+++ b/flow/split-flows.c
@@ -384,6 +384,17 @@
 	return true;
 }
 
+enum unknown_packet decide_unknown_packet(const struct split_inquiry *si,
+					  bool started, bool relayed,
+					  bool has_target)
+{
+	if (si->done)
+		return UNKNOWN_STEER;
+	if (!relayed && has_target)
+		return UNKNOWN_RELAY;
+	return started ? UNKNOWN_STEER : UNKNOWN_WAIT;
+}
+
 void note_split_question(struct split_inquiry *si, const struct endpoint *to)
 {
 	for (size_t i = 0; i < si->asked_nr; i++)
--- a/flow/split-flows.h
+++ b/flow/split-flows.h
@@ -167,6 +167,22 @@
 bool tick_split_inquiry(struct split_inquiry *si, bool has_ready_peer,
 			uint64_t now_ms);
 
+/* What becomes of a packet of a flow of which only the cookie is known. */
+enum unknown_packet {
+	UNKNOWN_STEER, /* by its cookie */
+	UNKNOWN_RELAY, /* a member that knows more steers it */
+	UNKNOWN_WAIT   /* until the inquiry ends */
+};
+
+/*
+ * Decides about such a packet. STARTED: an inquiry has ended before, so this is
+ * no instance that has just started. RELAYED: another member sent it, which
+ * knows even less. HAS_TARGET: a member is known that may know more.
+ */
+enum unknown_packet decide_unknown_packet(const struct split_inquiry *si,
+					  bool started, bool relayed,
+					  bool has_target);
+
 /* The member at TO is asked. */
 void note_split_question(struct split_inquiry *si, const struct endpoint *to);
 
--- a/net/edge-packets.c
+++ b/net/edge-packets.c
@@ -17,15 +17,17 @@
 #define FLOW_TEXT_MAX_BYTES 64
 
 /*
- * Packets that arrive before the first read of the store are queued until it
- * ends. A read takes some 50 ms; callers retransmit a dropped packet only after
- * 200 ms, and later ones at growing intervals.
+ * Packets that arrive before the first read of the store, or before members have
+ * told of split flows, are queued until then if no member can steer them. A read
+ * takes some 50 ms; callers retransmit a dropped packet only after 200 ms, and
+ * later ones at growing intervals.
  */
 #define EARLY_PACKETS_MAX 512
 #define EARLY_PACKET_MAX_AGE_MS 1000 /* older ones have been retransmitted */
 
 struct early_packet {
 	uint64_t received_ms; /* the earliest that it may have been received */
+	bool relayed;	      /* by another instance */
 	size_t len;
 	uint8_t data[];
 };
@@ -271,10 +273,8 @@
 static void handle_flow_packet(struct edge *e, uint8_t *data, size_t len,
 			       uint32_t age_ms, bool relayed)
 {
-	struct endpoint knowing[RELAY_TARGETS_MAX];
 	struct cookie_packet p;
 	struct cookie_decision d;
-	size_t nr;
 
 	if (!read_platform_packet(data, len, &p)) {
 		count(&e->counters, COUNT_FLOW_MALFORMED);
@@ -283,11 +283,6 @@
 	p.datagram = data;
 	p.datagram_len = len;
 	p.age_ms = age_ms;
-	nr = relayed ? 0 : list_knowing_members(e, &p, knowing);
-	if (nr) {
-		relay_packet_to(e, data, len, knowing, nr);
-		return;
-	}
 	d = steer_cookie_packet(e->steering, &p, relayed, e->now_ms);
 	if (relayed && d.verdict == COOKIE_TO_PEER)
 		d.verdict = COOKIE_DROP;
@@ -317,20 +312,65 @@
 	flush_datagrams(e->packet_socket);
 }
 
-/* Lets one other instance steer the packet; false if none is ready. */
-static bool relay_early_packet(struct edge *e, const uint8_t *data, size_t len)
+/*
+ * What becomes of a packet now. SYNs need all that decides about new flows, but
+ * for stale ones, which go nowhere; packets of open flows at least the entries.
+ * TO and *NR as in decide_edge_packet().
+ */
+static enum unknown_packet decide_early_packet(struct edge *e,
+					       const uint8_t *data, size_t len,
+					       uint32_t age_ms, bool relayed,
+					       struct endpoint *to, size_t *nr)
+{
+	struct cookie_packet p;
+	bool may_steer;
+
+	*nr = 0;
+	if (!read_platform_packet(data, len, &p))
+		return UNKNOWN_STEER; /* it is counted and dropped */
+	p.age_ms = age_ms;
+	may_steer = is_cookie_syn(&p)
+			    ? may_place_flows(e) || is_stale_syn(&p)
+			    : e->synced && catalog_version(e->catalog);
+	if (may_steer)
+		return is_cookie_syn(&p)
+			       ? UNKNOWN_STEER
+			       : decide_edge_packet(e, &p, relayed, to, nr);
+	if (!relayed)
+		*nr = pick_relays(e->instance_heartbeats, e->rand, to, 1);
+	return *nr ? UNKNOWN_RELAY : UNKNOWN_WAIT;
+}
+
+/* Steers or relays a packet; false if it has to wait. */
+static bool handle_early_packet(struct edge *e, uint8_t *data, size_t len,
+				uint32_t age_ms, bool relayed)
 {
-	return relay_packet(e, data, len, 1);
+	struct endpoint to[RELAY_TARGETS_MAX];
+	size_t nr;
+
+	switch (decide_early_packet(e, data, len, age_ms, relayed, to, &nr)) {
+	case UNKNOWN_STEER:
+		handle_flow_packet(e, data, len, age_ms, relayed);
+		return true;
+	case UNKNOWN_RELAY:
+		relay_packet_to(e, data, len, to, nr);
+		return true;
+	case UNKNOWN_WAIT:
+		break;
+	}
+	return false;
 }
 
-static void queue_early_packet(struct edge *e, const uint8_t *data, size_t len)
+static void queue_early_packet(struct edge *e, const uint8_t *data, size_t len,
+			       uint32_t age_ms, bool relayed)
 {
 	struct early_packet *ep;
 
 	if (e->early_packets.length >= EARLY_PACKETS_MAX)
 		return;
 	ep = g_malloc(sizeof(*ep) + len);
-	ep->received_ms = e->now_ms - datagram_age_ms(e->packet_socket);
+	ep->received_ms = e->now_ms - age_ms;
+	ep->relayed = relayed;
 	ep->len = len;
 	memcpy(ep->data, data, len);
 	g_queue_push_tail(&e->early_packets, ep);
@@ -338,36 +378,28 @@
 
 void steer_early_packets(struct edge *e)
 {
-	struct early_packet *ep;
-
-	while ((ep = g_queue_pop_head(&e->early_packets))) {
+	for (guint n = e->early_packets.length; n; n--) {
+		struct early_packet *ep = g_queue_pop_head(&e->early_packets);
 		uint64_t age_ms = e->now_ms - ep->received_ms;
 
-		if (age_ms <= EARLY_PACKET_MAX_AGE_MS)
-			handle_flow_packet(e, ep->data, ep->len,
-					   (uint32_t)age_ms, false);
-		g_free(ep);
+		if (age_ms <= EARLY_PACKET_MAX_AGE_MS &&
+		    !handle_early_packet(e, ep->data, ep->len, (uint32_t)age_ms,
+					 ep->relayed))
+			g_queue_push_tail(&e->early_packets, ep);
+		else
+			g_free(ep);
 	}
 	flush_datagrams(e->packet_socket);
 }
 
-/*
- * Packets of open flows go where their cookies say; SYNs need all that decides
- * about new flows, but for stale ones, which go nowhere.
- */
-static bool may_steer(const struct edge *e, const uint8_t *data, size_t len,
-		      uint32_t age_ms)
+/* Handles a packet, after those that were queued before. */
+static void receive_flow_packet(struct edge *e, uint8_t *data, size_t len,
+				uint32_t age_ms, bool relayed)
 {
-	struct cookie_packet p;
-
-	if (may_place_flows(e))
-		return true;
-	if (!read_platform_packet(data, len, &p))
-		return false;
-	p.age_ms = age_ms;
-	if (is_cookie_syn(&p))
-		return is_stale_syn(&p);
-	return e->synced && catalog_version(e->catalog);
+	if (e->early_packets.length)
+		steer_early_packets(e);
+	if (!handle_early_packet(e, data, len, age_ms, relayed))
+		queue_early_packet(e, data, len, age_ms, relayed);
 }
 
 /*
@@ -394,10 +426,7 @@
 	if (age_ms > COOKIE_LATE_TICK_MS)
 		read_peers_first(e);
 	e->last_packet_ms = e->now_ms;
-	if (may_steer(e, data, len, age_ms))
-		handle_flow_packet(e, data, len, age_ms, false);
-	else if (!relay_early_packet(e, data, len))
-		queue_early_packet(e, data, len);
+	receive_flow_packet(e, data, len, age_ms, false);
 }
 
 static void log_member_change(struct edge *e, const struct member *before,
@@ -531,8 +560,8 @@
 	e->now_ms = edge_clock_ms();
 	count_n(&e->counters, COUNT_PEER_RECEIVED_BYTES, len);
 	if (len && data[0] == RELAY_MARKER) {
-		handle_flow_packet(e, data + 1, len - 1,
-				   datagram_age_ms(e->peer_socket), true);
+		receive_flow_packet(e, data + 1, len - 1,
+				    datagram_age_ms(e->peer_socket), true);
 		flush_datagrams(e->packet_socket);
 	} else if (len && is_heartbeat(data, len)) {
 		on_heartbeat_datagram(e, data, len);
--- a/net/edge-split-flows.c
+++ b/net/edge-split-flows.c
@@ -119,21 +119,34 @@
 	e->has_known_split_flows |= e->split_inquiry.may_serve;
 }
 
-size_t list_knowing_members(const struct edge *e, const struct cookie_packet *p,
-			    struct endpoint to[RELAY_TARGETS_MAX])
+/* Members that know more than this instance while its inquiry is open. */
+static size_t list_knowing_members(struct edge *e,
+				   struct endpoint to[RELAY_TARGETS_MAX])
 {
 	const struct split_inquiry *si = &e->split_inquiry;
 	/* one of two keepers may have been lost with its domain's flows */
 	size_t nr = MIN(si->asked_nr, si->domain[0] ? RELAY_TARGETS_MAX : 1);
 
-	if (si->done || !e->has_known_split_flows || is_cookie_syn(p) ||
-	    knows_packet_upstream(e->steering, p, e->now_ms))
-		return 0;
+	if (!e->has_known_split_flows)
+		return pick_neighbours(e->instance_heartbeats, e->rand, to, 1);
 	for (size_t i = 0; i < nr; i++)
 		to[i] = si->asked[si->asked_nr - 1 - i];
 	return nr;
 }
 
+enum unknown_packet
+decide_edge_packet(struct edge *e, const struct cookie_packet *p, bool relayed,
+		   struct endpoint to[RELAY_TARGETS_MAX], size_t *nr)
+{
+	*nr = 0;
+	if (e->split_inquiry.done ||
+	    knows_packet_upstream(e->steering, p, e->now_ms))
+		return UNKNOWN_STEER;
+	*nr = list_knowing_members(e, to);
+	return decide_unknown_packet(&e->split_inquiry,
+				     e->has_known_split_flows, relayed, *nr);
+}
+
 void restart_split_inquiry(struct edge *e)
 {
 	e->split_inquiry = (struct split_inquiry){ 0 };
--- a/net/edge-state.h
+++ b/net/edge-state.h
@@ -143,11 +143,12 @@
 			const struct endpoint *from);
 void answer_split_flows_request(struct edge *e, const struct endpoint *from);
 /*
- * The members that know better than this instance while its inquiry is open
- * where P goes; returns their number, 0: P is steered here.
+ * Decides about P, a packet that is no SYN and whose upstream may be known here.
+ * Sets TO and *NR to the members that get it if it is to be relayed.
  */
-size_t list_knowing_members(const struct edge *e, const struct cookie_packet *p,
-			    struct endpoint to[RELAY_TARGETS_MAX]);
+enum unknown_packet
+decide_edge_packet(struct edge *e, const struct cookie_packet *p, bool relayed,
+		   struct endpoint to[RELAY_TARGETS_MAX], size_t *nr);
 /* After a pause: what members told meanwhile may be lost. */
 void restart_split_inquiry(struct edge *e);
 
@@ -173,7 +174,7 @@
 void send_to_target(const void *data, size_t len, void *user);
 /* Sends the health notices that are queued. */
 void send_edge_notices(struct edge *e);
-/* Steers the packets queued before the first store read; drops old ones. */
+/* Steers or relays queued packets as soon as that is possible; drops old ones. */
 void steer_early_packets(struct edge *e);
 /* Tells peers of the domain which of their flows come here now. */
 void tick_edge_moved_flows(struct edge *e);
--- a/net/edge-store.c
+++ b/net/edge-store.c
@@ -62,8 +62,6 @@
 		pick_relays(e->instance_heartbeats, e->rand, &any, 1);
 	if (tick_start_check(&e->start_check, &state, e->now_ms))
 		request_held_records(e);
-	if (may_place_flows(e))
-		steer_early_packets(e);
 }
 
 /* Appends to W the value of this instance's own entry: where it is reached. */
--- a/net/edge.c
+++ b/net/edge.c
@@ -297,6 +297,8 @@
 	tick_edge_waiting_syns(e);
 	tick_edge_moved_flows(e);
 	tick_edge_split_flows(e);
+	if (e->early_packets.length)
+		steer_early_packets(e);
 	if (has_load_changed(e->placement))
 		tick_edge_heartbeats(e);
 }
--- a/t/check-split-flows.c
+++ b/t/check-split-flows.c
@@ -461,6 +461,66 @@
 }
 END_TEST
 
+/*
+ * An instance that starts sent packets of open flows to upstreams that do not
+ * hold them, as soon as it had read the store and before members told it.
+ */
+START_TEST(packet_of_an_unknown_flow_waits_for_who_knows_more)
+{
+	struct split_inquiry si = { 0 };
+
+	/* others steer it, or it waits; once relayed it goes no further */
+	ck_assert_int_eq(decide_unknown_packet(&si, false, false, true),
+			 UNKNOWN_RELAY);
+	ck_assert_int_eq(decide_unknown_packet(&si, false, false, false),
+			 UNKNOWN_WAIT);
+	ck_assert_int_eq(decide_unknown_packet(&si, false, true, true),
+			 UNKNOWN_WAIT);
+	/* one that has run before does not let packets wait */
+	ck_assert_int_eq(decide_unknown_packet(&si, true, false, true),
+			 UNKNOWN_RELAY);
+	ck_assert_int_eq(decide_unknown_packet(&si, true, false, false),
+			 UNKNOWN_STEER);
+	ck_assert_int_eq(decide_unknown_packet(&si, true, true, true),
+			 UNKNOWN_STEER);
+	/* the wait ends, with an answer or without */
+	si.done = true;
+	for (int i = 0; i < 8; i++)
+		ck_assert_int_eq(
+			decide_unknown_packet(&si, i & 1, i & 2, i & 4),
+			UNKNOWN_STEER);
+}
+END_TEST
+
+/* What was placed or proved here, or told, needs no other member. */
+START_TEST(instance_that_knows_a_flow_asks_nobody_about_it)
+{
+	struct cookie_packet p =
+		make_cookie_packet(CALLER, 4000, TCP_ACK, cookie_of(b));
+	upstream_index_t opened_at;
+
+	p.seq = 1001;
+	ck_assert(!knows_packet_upstream(first.steering, &p, 1000));
+	opened_at = send_syn(&first, 4000, 0, 1000).upstream;
+	ck_assert(knows_packet_upstream(first.steering, &p, 1010));
+	/* without its SYN only progress proves where the flow is open */
+	send_data(&second, 4000, cookie_of(opened_at), 1101, 500, 1210);
+	p.seq = 1201;
+	ck_assert(!knows_packet_upstream(second.steering, &p, 1220));
+	send_data(&second, 4000, cookie_of(opened_at), 1201, 900, 1230);
+	ck_assert(knows_packet_upstream(second.steering, &p, 1240));
+	/* or what members told */
+	p.key.caller_port = 4001;
+	learn_cookie_split_flow(second.steering,
+				&(struct split_flow){ .key = p.key,
+						      .first_seq = 1001,
+						      .saw_syn = true,
+						      .cookie = cookie_of(b) },
+				1240);
+	ck_assert(knows_packet_upstream(second.steering, &p, 1250));
+}
+END_TEST
+
 START_TEST(inquiry_ends_without_an_answer)
 {
 	struct split_inquiry si = { 0 };
@@ -524,6 +584,8 @@
 	tcase_add_test(tc, notices_are_paced_by_the_number_of_members);
 	tcase_add_test(
 		tc, notice_is_read_as_written_and_malformed_ones_are_refused);
+	tcase_add_test(tc, packet_of_an_unknown_flow_waits_for_who_knows_more);
+	tcase_add_test(tc, instance_that_knows_a_flow_asks_nobody_about_it);
 	tcase_add_test(tc, inquiry_ends_without_an_answer);
 	suite_add_tcase(s, tc);
 	sr = srunner_create(s);
