cookie: mark the cookies of SYNs that go to a second upstream

Two upstreams answer a SYN that went to both.

When a SYN goes to a second upstream, both get a copy with a marked cookie; packets of open flows carry plain ones. An instance that knows nothing of a flow does not go by a marked cookie, but relays the packet, which is dropped if nobody knows. Marks need all live members to understand them.

prop-cookie asked that all packets of open flows are sent to an upstream. A packet with a marked cookie may be relayed now.

--- a/fleet/heartbeat-state.h
+++ b/fleet/heartbeat-state.h
@@ -15,6 +15,7 @@
 	uint64_t config_version;	      /* in force there */
 	bool ready;
 	bool takes_split_flows; /* understands notices of them */
+	bool takes_marks;	/* understands marked cookies */
 };
 
 struct address {
--- a/fleet/heartbeat.c
+++ b/fleet/heartbeat.c
@@ -177,6 +177,7 @@
 	p->ready = hm->flags & HEARTBEAT_READY;
 	note_heard_domain(ht, m.domain, p->ready, now_ms);
 	p->takes_split_flows = hm->flags & HEARTBEAT_SPLIT_FLOWS;
+	p->takes_marks = hm->flags & HEARTBEAT_MARKED_COOKIES;
 	p->store_position = hm->store_position;
 	p->config_version = hm->config_version;
 	if (hm->flags & HEARTBEAT_READS_STORE)
@@ -390,6 +391,19 @@
 	}
 }
 
+bool all_members_take_marks(const struct heartbeat_tracker *ht)
+{
+	for (guint i = 0; i < ht->peers->len; i++) {
+		const struct peer *p =
+			&g_array_index(ht->peers, struct peer, i);
+		const struct member *m = find_member(ht->view, p->id);
+
+		if (m && m->state != MEMBER_DEAD && !p->takes_marks)
+			return false;
+	}
+	return true;
+}
+
 bool is_member_address(const struct heartbeat_tracker *ht,
 		       const struct endpoint *at)
 {
--- a/fleet/heartbeat.h
+++ b/fleet/heartbeat.h
@@ -61,7 +61,9 @@
 	HEARTBEAT_READY = 2,	   /* has a configuration and upstreams */
 	HEARTBEAT_READS_STORE = 4, /* reads the store, and the store answers */
 	/* understands notices of split flows; earlier builds do not */
-	HEARTBEAT_SPLIT_FLOWS = 8
+	HEARTBEAT_SPLIT_FLOWS = 8,
+	/* understands marked cookies, see flow/cookie.h; earlier builds do not */
+	HEARTBEAT_MARKED_COOKIES = 16
 };
 
 struct heartbeat_message {
@@ -171,6 +173,9 @@
 size_t pick_members_of(const struct heartbeat_tracker *ht, const char *domain,
 		       GRand *rand, struct endpoint *to, size_t nr);
 
+/* Whether all members that are not known to be dead understand marked cookies. */
+bool all_members_take_marks(const struct heartbeat_tracker *ht);
+
 /* Whether AT is the address of a member, also of one that fell silent lately. */
 bool is_member_address(const struct heartbeat_tracker *ht,
 		       const struct endpoint *at);
--- a/flow/cookie-packet.h
+++ b/flow/cookie-packet.h
@@ -15,6 +15,7 @@
 	uint8_t flags;	      /* enum tcp_flags */
 	uint16_t payload_len; /* length of the data, bytes */
 	uint32_t cookie;      /* identifies the flow's upstream; 0: none yet */
+	bool marked;	      /* COOKIE was; set while the packet is steered */
 	uint32_t seq;	      /* of the first byte of data */
 	uint32_t ack; /* next byte that the caller expects; in a SYN, the
 			   * number of times it was sent before */
--- a/flow/cookie-state.h
+++ b/flow/cookie-state.h
@@ -73,6 +73,7 @@
 	struct syn_queue *syn_queue; /* owners: struct cookie_flow */
 	struct split_flows *split_flows;
 	bool isolated;		  /* see set_cookie_isolated() */
+	bool marks_cookies;	  /* see set_cookie_marks() */
 	uint64_t first_packet_ms; /* 0: no packet was received yet */
 	uint64_t last_sweep_ms;
 	uint64_t last_tick_ms;
--- a/flow/cookie.c
+++ b/flow/cookie.c
@@ -42,7 +42,8 @@
 {
 	struct cookie_decision d = { .verdict = verdict,
 				     .reason = reason,
-				     .upstream = CATALOG_NONE };
+				     .upstream = CATALOG_NONE,
+				     .second_upstream = CATALOG_NONE };
 
 	return d;
 }
@@ -89,6 +90,47 @@
 	return d;
 }
 
+static bool is_upstream_dead_or_cut_off(const struct cookie_steering *cs,
+					upstream_index_t nr)
+{
+	enum upstream_health h = assessed_health(cs->placer, nr);
+
+	return h == HEALTH_DEAD || h == HEALTH_UNREACHABLE;
+}
+
+/* The marked form of COOKIE; of a marked one, the plain form. */
+static uint32_t toggle_mark(uint32_t cookie)
+{
+	return cookie ^ COOKIE_MARK;
+}
+
+/* The cookie of NR for a SYN that may have gone to others; plain if it must be. */
+static uint32_t mark_cookie(const struct cookie_steering *cs,
+			    upstream_index_t nr)
+{
+	uint32_t cookie = get_upstream(cs->catalog, nr)->cookie;
+	uint32_t marked = toggle_mark(cookie);
+
+	if (!cs->marks_cookies || !marked ||
+	    find_upstream_by_cookie(cs->catalog, marked) != CATALOG_NONE)
+		return cookie;
+	return marked;
+}
+
+/* Replaces a marked cookie of P by the plain one of its upstream. */
+static void remove_mark(const struct cookie_steering *cs,
+			struct cookie_packet *p)
+{
+	uint32_t plain = toggle_mark(p->cookie);
+
+	p->marked = p->cookie && plain &&
+		    find_upstream_by_cookie(cs->catalog, p->cookie) ==
+			    CATALOG_NONE &&
+		    find_upstream_by_cookie(cs->catalog, plain) != CATALOG_NONE;
+	if (p->marked)
+		p->cookie = plain;
+}
+
 static void add_avoided_upstream(upstream_index_t *avoid, size_t *nr,
 				 upstream_index_t up)
 {
@@ -224,6 +266,26 @@
 	return note_split_flow(cs->split_flows, &flow, now_ms);
 }
 
+/*
+ * Lets D send the SYN of F, which goes to a second upstream, to the first one
+ * again, so that its answers carry a marked cookie from now on, too.
+ */
+static void mark_first_upstream(struct cookie_steering *cs,
+				const struct cookie_flow *f,
+				struct cookie_decision *d, uint64_t now_ms)
+{
+	upstream_index_t first = f->upstream;
+
+	if (first == CATALOG_NONE || first == d->upstream ||
+	    !accepts_flows(cs->catalog, first) ||
+	    is_upstream_dead_or_cut_off(cs, first) ||
+	    /* it may take no more than its cold limit */
+	    is_cold_upstream(cs->catalog, first, now_ms))
+		return;
+	d->second_upstream = first;
+	d->second_cookie = mark_cookie(cs, first);
+}
+
 static struct cookie_decision
 send_syn_to(struct cookie_steering *cs, struct cookie_flow *f,
 	    const struct cookie_packet *p, service_index_t service,
@@ -238,8 +300,12 @@
 	note_syn_placed(cs->syn_queue, service, rank, now_ms);
 	f->may_be_split |=
 		f->syn_upstream_nr && !was_syn_sent_to(f, best->upstream);
-	if (f->may_be_split)
+	if (f->may_be_split) {
 		note_cookie_split_flow(cs, f, 0, now_ms);
+		d.cookie = mark_cookie(cs, best->upstream);
+		if (d.cookie != get_upstream(cs->catalog, d.upstream)->cookie)
+			mark_first_upstream(cs, f, &d, now_ms);
+	}
 	unassign_cookie_flow(cs, f);
 	assign_cookie_flow(cs, f, best->upstream);
 	f->syn_upstreams[f->syn_upstream_nr++ % COOKIE_SYN_UPSTREAMS_MAX] =
@@ -425,14 +491,6 @@
 			;
 }
 
-static bool is_upstream_dead_or_cut_off(const struct cookie_steering *cs,
-					upstream_index_t nr)
-{
-	enum upstream_health h = assessed_health(cs->placer, nr);
-
-	return h == HEALTH_DEAD || h == HEALTH_UNREACHABLE;
-}
-
 /*
  * Whether P, a copy of the SYN of F, goes where the SYN went. The first copy
  * does as long as nothing else speaks against the upstream: if only its answer
@@ -532,7 +590,8 @@
 		return find_upstream_by_cookie(cs->catalog, split->cookie);
 	if (!has_upstream)
 		return by_cookie;
-	if (!p->cookie)
+	/* a packet came with the cookie that the open flow has */
+	if (!p->cookie || (p->marked && f->phase != PHASE_OPENING))
 		return f->upstream;
 	if (f->phase != PHASE_OPENING && was_syn_sent_to(f, by_cookie))
 		return f->upstream;
@@ -578,7 +637,9 @@
 {
 	if ((split && split->cookie) || completes_handshake(f, p, split))
 		return true;
+	/* data brings a plain cookie */
 	return f->phase != PHASE_OPENING && f->upstream != CATALOG_NONE &&
+	       !p->marked &&
 	       p->cookie == get_upstream(cs->catalog, f->upstream)->cookie &&
 	       is_seq_after(p->ack, f->caller_ack);
 }
@@ -708,10 +769,29 @@
 	cs->isolated = isolated;
 }
 
+void set_cookie_marks(struct cookie_steering *cs, bool enabled)
+{
+	cs->marks_cookies = enabled;
+}
+
+/*
+ * Whether P, whose cookie was marked, may go by it. F and SPLIT (each may be
+ * NULL) are what is known of its flow: that it was placed here, or that it has
+ * just been opened, as members told. Else the flow may be open elsewhere.
+ */
+static bool may_follow_mark(const struct cookie_packet *p,
+			    const struct cookie_flow *f,
+			    const struct split_flow *split)
+{
+	return f || (split && (split->cookie || p->seq == split->first_seq));
+}
+
 struct cookie_decision steer_cookie_packet(struct cookie_steering *cs,
-					   const struct cookie_packet *p,
+					   const struct cookie_packet *received,
 					   bool relayed, uint64_t now_ms)
 {
+	struct cookie_packet plain = *received;
+	const struct cookie_packet *p = &plain;
 	struct cookie_decision d;
 	const struct split_flow *split;
 	struct cookie_flow *f;
@@ -719,6 +799,7 @@
 	bool moved_in;
 	bool settled;
 
+	remove_mark(cs, &plain);
 	count(cs->counters, COUNT_FLOW_PACKETS);
 	if (!cs->first_packet_ms)
 		cs->first_packet_ms = now_ms;
@@ -733,6 +814,8 @@
 		cancel_held_syn(cs, f); /* opened through another instance */
 	split = find_split_flow(cs->split_flows, &p->key, p->seq, now_ms);
 	nr = find_packet_upstream(cs, p, f, split);
+	if (p->marked && !may_follow_mark(p, f, split))
+		nr = CATALOG_NONE;
 	if (nr == CATALOG_NONE)
 		return make_decision(relayed ? COOKIE_DROP : COOKIE_TO_PEER,
 				     COOKIE_UNKNOWN);
--- a/flow/cookie.h
+++ b/flow/cookie.h
@@ -8,6 +8,12 @@
  * flows by load, to detect upstreams that no longer answer, and to reset flows
  * whose upstream is lost. An instance that restarts loses no flow.
  *
+ * Until a flow is open, its caller returns the cookie of a SYN+ACK, and a late
+ * one of another upstream may replace it later. When a SYN goes to a second
+ * upstream, both get a copy with a marked cookie. So a plain cookie is that of
+ * the upstream where the flow is open, and a marked one tells an instance that
+ * knows nothing else of the flow not to go by it.
+ *
  * An open flow is reset only if its route is gone or its upstream is known to
  * be dead or cut off. A flow that cannot be placed is refused at its SYN.
  */
@@ -36,6 +42,8 @@
  */
 #define COOKIE_SYN_INTERVAL_MS(n)                                              \
 	(UINT64_C(200) << MIN(n, COOKIE_SYN_LAST_COPY))
+/* Of the bits of a cookie, those that its marked form has inverted. */
+#define COOKIE_MARK UINT32_C(0x5bd1e995)
 #define COOKIE_FLOWS_MAX 200000	       /* tracked at once */
 #define COOKIE_CLOSING_TIMEOUT_MS 3000 /* packets may follow the last FIN */
 #define COOKIE_OPENING_TIMEOUT_MS 1400 /* callers abandon their SYN then */
@@ -102,6 +110,9 @@
 	enum cookie_reason reason;
 	upstream_index_t upstream;
 	uint32_t cookie;
+	/* another upstream to send the packet to, a SYN, and its cookie there */
+	upstream_index_t second_upstream; /* CATALOG_NONE: there is none */
+	uint32_t second_cookie;
 	uint32_t reset_seq;
 	bool moved_in; /* the flow's earlier packets did not come here */
 	bool settled;  /* it became known where a split flow is open */
@@ -140,6 +151,12 @@
  */
 void set_cookie_isolated(struct cookie_steering *cs, bool isolated);
 
+/*
+ * Whether cookies are marked, which earlier builds do not understand: all
+ * members do. Off at first.
+ */
+void set_cookie_marks(struct cookie_steering *cs, bool enabled);
+
 /*
  * Whether P, a SYN, waited unread until its caller sent the next copy, or gave
  * up. The copy may have come to another instance and opened the flow elsewhere.
--- a/net/edge-packets.c
+++ b/net/edge-packets.c
@@ -88,15 +88,14 @@
 	flush_datagrams(e->packet_socket);
 }
 
-static void send_to_upstream(struct edge *e, const struct cookie_decision *d,
-			     uint8_t *data, size_t len)
+static void send_to_upstream(struct edge *e, upstream_index_t nr,
+			     uint32_t cookie, uint8_t *data, size_t len)
 {
-	const struct catalog_upstream *up =
-		get_upstream(e->catalog, d->upstream);
+	const struct catalog_upstream *up = get_upstream(e->catalog, nr);
 	const struct endpoint *at = &up->report.address;
 	uint8_t prefix[PLATFORM_PREFIX_BYTES];
 
-	write_platform_cookie(data, d->cookie);
+	write_platform_cookie(data, cookie);
 	write_platform_prefix(prefix, up->report.id);
 	queue_datagram(e->packet_socket, endpoint_ipv4(at), at->port, prefix,
 		       sizeof(prefix), data, len);
@@ -243,7 +242,10 @@
 	case COOKIE_TO_UPSTREAM:
 		if (d->reason != COOKIE_STEERED)
 			log_placement(e, p, d, waited_ms);
-		send_to_upstream(e, d, data, len);
+		send_to_upstream(e, d->upstream, d->cookie, data, len);
+		if (d->second_upstream != CATALOG_NONE)
+			send_to_upstream(e, d->second_upstream,
+					 d->second_cookie, data, len);
 		break;
 	case COOKIE_TO_PEER:
 		if (!relay_packet(e, data, len, RELAY_TARGETS_MAX))
@@ -596,7 +598,7 @@
 		   (mirror_is_watching(e->mirror, e->now_ms)
 			    ? HEARTBEAT_READS_STORE
 			    : 0) |
-		   HEARTBEAT_SPLIT_FLOWS;
+		   HEARTBEAT_SPLIT_FLOWS | HEARTBEAT_MARKED_COOKIES;
 	b->config_version = catalog_version(e->catalog);
 	b->store_position = mirror_position(e->mirror);
 	b->store_digest = mirror_digest(e->mirror);
--- a/t/check-split-flows.c
+++ b/t/check-split-flows.c
@@ -521,6 +521,120 @@
 }
 END_TEST
 
+/* A split flow at the first instance, whose SYN's last copy has marked cookies. */
+static struct cookie_decision split_marked_flow(void)
+{
+	set_cookie_marks(first.steering, true);
+	send_syn(&first, 4000, 0, 600);
+	send_syn(&first, 4000, 1, 800);
+	return send_syn(&first, 4000, 2, 1200);
+}
+
+/*
+ * All instances were killed: none knew that the caller's cookie was that of an
+ * upstream that does not hold the flow.
+ */
+START_TEST(instance_that_knows_nothing_does_not_follow_a_late_answer)
+{
+	struct cookie_decision d = split_marked_flow();
+	uint32_t late[2] = { d.cookie, d.second_cookie };
+
+	ck_assert_int_eq(d.verdict, COOKIE_TO_UPSTREAM);
+	ck_assert_uint_ne(d.second_upstream, CATALOG_NONE);
+	ck_assert_uint_ne(d.second_upstream, d.upstream);
+	for (int i = 0; i < 2; i++) {
+		struct cookie_packet p =
+			make_cookie_packet(CALLER, 4000, TCP_ACK, late[i]);
+
+		p.seq = 1101;
+		p.payload_len = 100;
+		ck_assert_int_eq(
+			steer_cookie_packet(second.steering, &p, false, 12000)
+				.verdict,
+			COOKIE_TO_PEER);
+		ck_assert_int_eq(
+			steer_cookie_packet(second.steering, &p, true, 12000)
+				.verdict,
+			COOKIE_DROP);
+	}
+}
+END_TEST
+
+/* Whichever of the two the flow opens at, its packets carry a plain cookie. */
+START_TEST(flow_opens_with_a_marked_cookie_and_goes_on_with_a_plain_one)
+{
+	struct cookie_decision syn = split_marked_flow();
+	upstream_index_t opened_at = _i ? syn.upstream : syn.second_upstream;
+	upstream_index_t other = _i ? syn.second_upstream : syn.upstream;
+	uint32_t marked = _i ? syn.cookie : syn.second_cookie;
+	uint32_t late = _i ? syn.second_cookie : syn.cookie;
+	struct cookie_decision d =
+		send_data(&first, 4000, marked, 1001, 500, 1210);
+
+	ck_assert_uint_eq(d.upstream, opened_at);
+	ck_assert_uint_eq(d.cookie, cookie_of(opened_at));
+	ck_assert(d.settled);
+	d = send_data(&first, 4000, late, 1101, 900, 3000);
+	ck_assert_uint_eq(d.upstream, opened_at);
+	/* one that knows nothing goes by the plain one */
+	d = send_data(&second, 4000, cookie_of(opened_at), 1201, 1300, 4000);
+	ck_assert_uint_eq(d.upstream, opened_at);
+	/* and keeps to it */
+	d = send_data(&second, 4000, late, 1301, 1300, 6000);
+	ck_assert_uint_eq(d.upstream, opened_at);
+	ck_assert_uint_ne(opened_at, other);
+}
+END_TEST
+
+/* Rotation changes between the copy and the end of the handshake. */
+START_TEST(handshake_may_end_at_an_instance_that_was_told)
+{
+	struct cookie_decision syn = split_marked_flow();
+
+	tell(&first, &second, 1220);
+	ck_assert_uint_eq(
+		send_data(&second, 4000, syn.cookie, 1001, 500, 1230).upstream,
+		syn.upstream);
+}
+END_TEST
+
+START_TEST(cookies_are_marked_only_if_they_can_be_understood)
+{
+	struct upstream_report r;
+	struct cookie_decision d;
+	upstream_index_t got_syn;
+
+	/* members of earlier builds do not understand them */
+	split_flow(4000);
+	d = send_syn(&first, 4001, 2, 1200);
+	ck_assert_uint_eq(d.cookie, cookie_of(d.upstream));
+	ck_assert_uint_eq(d.second_upstream, CATALOG_NONE);
+	/* the first upstream bears no more new flows than it got */
+	set_cookie_marks(first.steering, true);
+	got_syn = send_syn(&first, 4002, 0, 2000).upstream;
+	send_syn(&first, 4002, 1, 2200);
+	r = get_upstream(first.catalog, got_syn)->report;
+	r.cold_left_ms = 9000;
+	put_test_upstream(&first, &r, 2300);
+	d = send_syn(&first, 4002, 2, 2600);
+	ck_assert_uint_ne(d.upstream, got_syn);
+	ck_assert_uint_ne(d.cookie, cookie_of(d.upstream));
+	ck_assert_uint_eq(d.second_upstream, CATALOG_NONE);
+	/* other upstreams have the numbers that marks would give */
+	r = make_upstream_report("u-x", "south");
+	r.draining = true;
+	r.id = cookie_of(a) ^ COOKIE_MARK;
+	put_test_upstream(&first, &r, 2700);
+	r = make_upstream_report("u-y", "south");
+	r.draining = true;
+	r.id = cookie_of(b) ^ COOKIE_MARK;
+	put_test_upstream(&first, &r, 2700);
+	d = send_syn(&first, 4003, 2, 3000);
+	ck_assert_int_eq(d.verdict, COOKIE_TO_UPSTREAM);
+	ck_assert_uint_eq(d.cookie, cookie_of(d.upstream));
+}
+END_TEST
+
 START_TEST(inquiry_ends_without_an_answer)
 {
 	struct split_inquiry si = { 0 };
@@ -586,6 +700,14 @@
 		tc, notice_is_read_as_written_and_malformed_ones_are_refused);
 	tcase_add_test(tc, packet_of_an_unknown_flow_waits_for_who_knows_more);
 	tcase_add_test(tc, instance_that_knows_a_flow_asks_nobody_about_it);
+	tcase_add_test(
+		tc, instance_that_knows_nothing_does_not_follow_a_late_answer);
+	tcase_add_loop_test(
+		tc,
+		flow_opens_with_a_marked_cookie_and_goes_on_with_a_plain_one, 0,
+		2);
+	tcase_add_test(tc, handshake_may_end_at_an_instance_that_was_told);
+	tcase_add_test(tc, cookies_are_marked_only_if_they_can_be_understood);
 	tcase_add_test(tc, inquiry_ends_without_an_answer);
 	suite_add_tcase(s, tc);
 	sr = srunner_create(s);
--- a/t/prop-cookie.cc
+++ b/t/prop-cookie.cc
@@ -664,10 +664,12 @@
 	uint32_t initial_seq;
 	uint32_t seq;
 	uint32_t ack;
-	uint32_t echo;			  /* last cookie that the caller got */
-	uint32_t upstream_seq[UPSTREAMS]; /* 0: got no SYN */
-	int answered;			  /* whose SYN+ACK it took; -1 */
-	int open;			  /* upstream that holds it; -1 */
+	uint32_t echo;			   /* last cookie that the caller got */
+	uint32_t upstream_seq[UPSTREAMS];  /* 0: got no SYN */
+	uint32_t upstream_echo[UPSTREAMS]; /* last cookie that it got */
+	int answered;			   /* whose SYN+ACK it took; -1 */
+	int open;			   /* upstream that holds it; -1 */
+	uint64_t opened_ms;
 	int requests;
 	bool ended;
 	/* when an instance knew it, of those that live or stopped as planned */
@@ -722,19 +724,23 @@
 	int strayed;	   /* to another upstream than the open flow's */
 	int strayed_known; /* from an instance that could know better */
 	int strayed_told;  /* while another one knew, or had before its stop */
+	int strayed_lost;  /* after all instances were killed */
+	uint64_t all_killed_ms; /* when they were last; 0: never */
 
 	explicit moves(GRand *r)
 		: rand(r), records(), frozen_until_ms(), stage(), starts(),
 		  lost_ms(), packets(0), strayed(0), strayed_known(0),
-		  strayed_told(0)
+		  strayed_told(0), strayed_lost(0), all_killed_ms(0)
 	{
 		released =
 			g_array_new(FALSE, FALSE, sizeof(struct released_syn));
 		f.now_ms = 1000;
 		for (int u = 0; u < UPSTREAMS; u++)
 			f.put_upstream(u, 0);
-		for (int i = 0; i < INSTANCES; i++)
+		for (int i = 0; i < INSTANCES; i++) {
 			in_rotation[i] = true;
+			set_cookie_marks(f.instances[i].steering, true);
+		}
 	}
 
 	~moves()
@@ -836,24 +842,60 @@
 		}
 	}
 
+	bool is_marked(uint32_t cookie)
+	{
+		for (int u = 0; u < UPSTREAMS; u++)
+			if (cookie == (cookie_of(u) ^ COOKIE_MARK))
+				return true;
+		return false;
+	}
+
 	void execute(int i, const struct steered_packet &sp,
 		     const struct cookie_decision *d)
 	{
 		bool is_syn = is_cookie_syn(&sp.p);
 
-		/* no upstream is dead, and all cookies are known */
-		RC_ASSERT(is_syn || d->verdict == COOKIE_TO_UPSTREAM);
+		/* no upstream is dead, and all plain cookies are known */
+		RC_ASSERT(is_syn || d->verdict == COOKIE_TO_UPSTREAM ||
+			  (d->verdict == COOKIE_TO_PEER &&
+			   is_marked(sp.p.cookie)));
+		if (d->verdict == COOKIE_TO_PEER)
+			relay(i, sp);
 		if (d->verdict != COOKIE_TO_UPSTREAM)
 			return;
 		for (int u = 0; u < UPSTREAMS; u++) {
-			if (f.upstreams[i][u] != d->upstream)
-				continue;
-			RC_ASSERT(d->cookie == cookie_of(u));
-			note_forwarded(i, sp, u);
-			after(draw(rand, 1, 3), [=] { reach(u, sp); });
+			if (f.upstreams[i][u] == d->upstream)
+				forward(i, sp, u, d->cookie);
+			if (f.upstreams[i][u] == d->second_upstream)
+				forward(i, sp, u, d->second_cookie);
 		}
 	}
 
+	/* Another instance steers SP; its caller gives up if that knows no more. */
+	void relay(int i, const struct steered_packet &sp)
+	{
+		int k = (i + 1) % INSTANCES;
+		struct cookie_decision d;
+
+		if (stage[k] == AWAY || frozen_until_ms[k] > f.now_ms)
+			return;
+		d = steer_cookie_packet(f.instances[k].steering, &sp.p, true,
+					f.now_ms);
+		if (d.verdict == COOKIE_TO_UPSTREAM)
+			execute(k, sp, &d);
+		else
+			flows[(size_t)sp.nr].ended = true;
+	}
+
+	void forward(int i, const struct steered_packet &sp, int u,
+		     uint32_t cookie)
+	{
+		RC_ASSERT(cookie == cookie_of(u) ||
+			  (is_cookie_syn(&sp.p) && is_marked(cookie)));
+		note_forwarded(i, sp, u);
+		after(draw(rand, 1, 3), [=] { reach(u, sp, cookie); });
+	}
+
 	void note_forwarded(int i, const struct steered_packet &sp, int u)
 	{
 		const struct steered_flow *fl = &flows[(size_t)sp.nr];
@@ -873,8 +915,12 @@
 			strayed_told += u != fl->open && !fl->untold &&
 					fl->known_ms &&
 					f.now_ms - fl->known_ms >= TELL_MS;
+			strayed_lost +=
+				u != fl->open && all_killed_ms > fl->opened_ms;
 		}
-		if (u == fl->answered && sp.p.cookie == cookie_of(u)) {
+		if (u == fl->answered &&
+		    (sp.p.cookie == cookie_of(u) ||
+		     sp.p.cookie == (cookie_of(u) ^ COOKIE_MARK))) {
 			r->known |= r->syn && !r->other &&
 				    sp.p.seq == fl->initial_seq + 1;
 			r->known |= r->has_own_ack && sp.p.ack > r->own_ack;
@@ -930,11 +976,13 @@
 	}
 
 	/* Upstream U gets a packet. */
-	void reach(int u, const struct steered_packet &sp)
+	void reach(int u, const struct steered_packet &sp, uint32_t cookie)
 	{
 		struct steered_flow *fl = &flows[(size_t)sp.nr];
 		uint32_t *seq = &fl->upstream_seq[u];
 
+		fl->upstream_echo[u] = cookie;
+
 		if (is_cookie_syn(&sp.p)) {
 			if (!*seq)
 				*seq = (uint32_t)draw(rand, 1, 1 << 30);
@@ -943,8 +991,10 @@
 			repeat_answer(u, sp.nr, 200);
 			return;
 		}
-		if (fl->open < 0 && *seq && sp.p.ack == *seq + 1)
+		if (fl->open < 0 && *seq && sp.p.ack == *seq + 1) {
 			fl->open = u;
+			fl->opened_ms = f.now_ms;
+		}
 		if (fl->open != u) {
 			/* its reset ends the flow */
 			fl->ended = fl->ended || fl->open >= 0;
@@ -980,7 +1030,7 @@
 
 			if (fl->ended)
 				return;
-			fl->echo = cookie_of(u);
+			fl->echo = fl->upstream_echo[u];
 			if (fl->answered >= 0)
 				return;
 			fl->answered = u;
@@ -1013,7 +1063,7 @@
 
 		if (fl->ended)
 			return;
-		fl->echo = cookie_of(u);
+		fl->echo = fl->upstream_echo[u];
 		fl->ack += PACKET_BYTES;
 		send(nr, TCP_ACK, 0, 0);
 		if (!last)
@@ -1021,7 +1071,8 @@
 		if (fl->requests < REQUESTS) {
 			bool pause = draw(rand, 0, 3) == 0;
 
-			after(draw(rand, 0, pause ? 3000 : 400), [=] {
+			/* longer than an upstream waits to repeat its answer */
+			after(draw(rand, 0, pause ? 4000 : 400), [=] {
 				if (!flows[(size_t)nr].ended)
 					send_request(nr);
 			});
@@ -1070,6 +1121,8 @@
 	{
 		int i = draw(rand, 0, INSTANCES);
 
+		if (draw(rand, 0, 60) == 0)
+			kill_all();
 		switch (draw(rand, 0, 9)) {
 		case 0:
 			if (stage[i] != RUNNING)
@@ -1096,6 +1149,28 @@
 		after(draw(rand, 20, 200), [=] { disturb(); });
 	}
 
+	/* Nobody knows any flow any more. */
+	void kill_all()
+	{
+		for (int i = 0; i < INSTANCES; i++)
+			if (stage[i] != RUNNING)
+				return;
+		for (int i = 0; i < INSTANCES; i++) {
+			silence(i);
+			lose_records(i, false);
+		}
+		/* also what was told before a planned stop */
+		for (struct steered_flow &fl : flows)
+			fl.known_ms = 0;
+		for (int i = 0; i < INSTANCES; i++) {
+			starts[i]++;
+			frozen_until_ms[i] = 0;
+			f.restart_instance(i);
+			set_cookie_marks(f.instances[i].steering, true);
+		}
+		all_killed_ms = f.now_ms;
+	}
+
 	void keep_one_in_rotation()
 	{
 		for (int i = 0; i < INSTANCES; i++)
@@ -1135,6 +1210,7 @@
 		starts[i]++;
 		frozen_until_ms[i] = 0;
 		f.restart_instance(i);
+		set_cookie_marks(f.instances[i].steering, true);
 		for (int k = 0; k < INSTANCES; k++)
 			if (k != i)
 				answer_inquiry(k, i);
@@ -1257,9 +1333,9 @@
 		strayed_told = m.strayed_told;
 		if (getenv("PRINT_MOVES"))
 			printf("%d packets, strayed %d, known there %d, "
-			       "known elsewhere %d\n",
+			       "known elsewhere %d, all killed %d\n",
 			       m.packets, m.strayed, m.strayed_known,
-			       m.strayed_told);
+			       m.strayed_told, m.strayed_lost);
 	}
 	g_rand_free(rand);
 	RC_ASSERT(strayed_told == 0);
