catalog: of two ids with one cookie the first upstream keeps it

A release started an upstream whose id folds to the same 32 bits as that of another one, and has the lower id.

Of two ids the one that started first owns the cookie, also while its entry is gone, until its flows are over; the other one gets no flows until then. When the order changes, since the first one starts again or clocks differ, the owner keeps the cookie for the lifetime of flows and neither gets new ones.

--- a/config/catalog.c
+++ b/config/catalog.c
@@ -12,6 +12,12 @@
  */
 #define CONTESTED_MS 10000
 
+/*
+ * Entries that are read at once, in any order, name the owner of a cookie
+ * together. One that has owned it for longer may have flows.
+ */
+#define COOKIE_OWNER_SETTLE_MS 1000
+
 struct domain {
 	char *name;
 	bool out;
@@ -171,33 +177,36 @@
 	       (sv->version && now_ms - sv->left_at_ms <= c->flow_ttl_ms);
 }
 
+/* Whether UP has an entry, or may have it again, and its service is configured. */
+static bool is_usable(const struct catalog *c,
+		      const struct catalog_upstream *up)
+{
+	return (up->has_entry || up->overwritten) &&
+	       is_configured(c, g_ptr_array_index(c->services, up->service));
+}
+
 /*
- * Whether upstream A rather than B owns the cookie of both. One that can get new
- * flows goes before one that has at most old ones. Of two names for one id, who
- * started first does: the other one has no flows, as it never owned the cookie.
+ * Whether upstream A rather than B owns the cookie of both: the one that started
+ * first. Flows of an upstream that has left may be open until it is forgotten.
+ * Of two names for one id, one that can get new flows goes first: the other one
+ * has no flows, as it never owned the cookie.
  */
-static bool precedes_in_cookie(const struct catalog_upstream *a,
-			       const struct catalog_upstream *b, bool a_usable,
-			       bool b_usable)
+static bool precedes_in_cookie(const struct catalog *c,
+			       const struct catalog_upstream *a,
+			       const struct catalog_upstream *b)
 {
-	if (a_usable != b_usable)
+	bool a_usable = is_usable(c, a);
+
+	if (a->report.id == b->report.id && a_usable != is_usable(c, b))
 		return a_usable;
-	if (a->report.id != b->report.id)
-		return a->report.id < b->report.id;
 	if (a->report.started_at_ms != b->report.started_at_ms)
 		return a->report.started_at_ms < b->report.started_at_ms;
+	if (a->report.id != b->report.id)
+		return a->report.id < b->report.id;
 	return strcmp(a->report.name, b->report.name) > 0;
 }
 
-/* Whether UP has an entry, or may have it again, and its service is configured. */
-static bool is_usable(const struct catalog *c,
-		      const struct catalog_upstream *up)
-{
-	return (up->has_entry || up->overwritten) &&
-	       is_configured(c, g_ptr_array_index(c->services, up->service));
-}
-
-/* The first upstream with COOKIE, in no particular order. */
+/* The owner of COOKIE, followed by the others that have it. */
 static upstream_index_t first_of_cookie(const struct catalog *c,
 					uint32_t cookie)
 {
@@ -231,7 +240,7 @@
 	upstream_by_index(c, at)->next_of_cookie = up->next_of_cookie;
 }
 
-static void link_to_cookie(struct catalog *c, upstream_index_t nr)
+static void make_first_of_cookie(struct catalog *c, upstream_index_t nr)
 {
 	struct catalog_upstream *up = upstream_by_index(c, nr);
 
@@ -239,40 +248,96 @@
 	set_first_of_cookie(c, up->cookie, nr);
 }
 
-/* Makes the owner of COOKIE the first, and updates what follows from that. */
-static void resolve_cookie(struct catalog *c, uint32_t cookie)
+/* Adds NR to those with its cookie; it owns the cookie if there is no other. */
+static void link_to_cookie(struct catalog *c, upstream_index_t nr)
+{
+	struct catalog_upstream *up = upstream_by_index(c, nr);
+	upstream_index_t owner = first_of_cookie(c, up->cookie);
+
+	if (owner == CATALOG_NONE) {
+		make_first_of_cookie(c, nr);
+		return;
+	}
+	up->next_of_cookie = upstream_by_index(c, owner)->next_of_cookie;
+	upstream_by_index(c, owner)->next_of_cookie = nr;
+}
+
+/* The one of those with COOKIE that should own it. */
+static upstream_index_t find_rightful_owner(const struct catalog *c,
+					    uint32_t cookie)
+{
+	upstream_index_t best = first_of_cookie(c, cookie);
+
+	for (upstream_index_t nr = best; nr != CATALOG_NONE;
+	     nr = upstream_by_index(c, nr)->next_of_cookie)
+		if (precedes_in_cookie(c, upstream_by_index(c, nr),
+				       upstream_by_index(c, best)))
+			best = nr;
+	return best;
+}
+
+/*
+ * Whether OWNER keeps its cookie although the upstream NEXT should own it, since
+ * its flows may be open: NEXT has another id, and OWNER was given flows before.
+ */
+static bool keeps_cookie(const struct catalog *c,
+			 struct catalog_upstream *owner,
+			 const struct catalog_upstream *next, uint64_t now_ms)
+{
+	if (owner == next || owner->report.id == next->report.id ||
+	    now_ms - owner->owner_since_ms < COOKIE_OWNER_SETTLE_MS) {
+		owner->yields_since_ms = 0;
+		return owner == next;
+	}
+	if (!owner->yields_since_ms)
+		owner->yields_since_ms = now_ms;
+	return now_ms - owner->yields_since_ms <= c->flow_ttl_ms;
+}
+
+/*
+ * Makes the owner of COOKIE the first, and updates what follows from that. While
+ * an owner yields to another one, neither gets new flows.
+ */
+static void resolve_cookie(struct catalog *c, uint32_t cookie, uint64_t now_ms)
 {
 	upstream_index_t owner = first_of_cookie(c, cookie);
+	struct catalog_upstream *up;
+	upstream_index_t next;
 
 	if (owner == CATALOG_NONE)
 		return;
+	next = find_rightful_owner(c, cookie);
+	if (upstream_by_index(c, owner)->owner_since_ms &&
+	    keeps_cookie(c, upstream_by_index(c, owner),
+			 upstream_by_index(c, next), now_ms))
+		next = owner;
 	for (upstream_index_t nr = owner; nr != CATALOG_NONE;
-	     nr = upstream_by_index(c, nr)->next_of_cookie) {
-		struct catalog_upstream *up = upstream_by_index(c, nr);
-		const struct catalog_upstream *o = upstream_by_index(c, owner);
-
-		up->ambiguous = true;
+	     nr = up->next_of_cookie) {
+		up = upstream_by_index(c, nr);
+		up->ambiguous = nr != next;
 		up->listed = false;
-		if (nr != owner && precedes_in_cookie(up, o, is_usable(c, up),
-						      is_usable(c, o)))
-			owner = nr;
+		if (nr != next)
+			up->owner_since_ms = up->yields_since_ms = 0;
 	}
-	unlink_from_cookie(c, owner);
-	link_to_cookie(c, owner);
-	upstream_by_index(c, owner)->ambiguous = false;
-	upstream_by_index(c, owner)->listed =
-		is_usable(c, upstream_by_index(c, owner)) &&
-		upstream_by_index(c, owner)->has_entry;
+	unlink_from_cookie(c, next);
+	make_first_of_cookie(c, next);
+	up = upstream_by_index(c, next);
+	if (!up->owner_since_ms)
+		up->owner_since_ms = MAX(now_ms, 1);
+	up->listed = is_usable(c, up) && up->has_entry && !up->yields_since_ms;
 }
 
 static void resolve_cookies_of_service(struct catalog *c,
-				       const struct catalog_service *sv)
+				       const struct catalog_service *sv,
+				       uint64_t now_ms)
 {
 	for (guint i = 0; i < sv->upstreams->len; i++)
-		resolve_cookie(c, upstream_by_index(
-					  c, g_array_index(sv->upstreams,
+		resolve_cookie(
+			c,
+			upstream_by_index(c, g_array_index(sv->upstreams,
 							   upstream_index_t, i))
-					  ->cookie);
+				->cookie,
+			now_ms);
 }
 
 /* Notes that the configuration in force names SV. */
@@ -342,7 +407,7 @@
 		if (left)
 			sv->left_at_ms = now_ms;
 		if (left || sv->since_version == version)
-			resolve_cookies_of_service(c, sv);
+			resolve_cookies_of_service(c, sv, now_ms);
 	}
 	return true;
 }
@@ -518,7 +583,7 @@
 		up->overwritten_ms = now_ms;
 	if (had_entry)
 		up->removed_at_ms = now_ms;
-	resolve_cookie(c, up->cookie);
+	resolve_cookie(c, up->cookie, now_ms);
 	return had_entry;
 }
 
@@ -614,7 +679,7 @@
 	up->reported_at_ms = now_ms;
 	up->cold_until_ms = r->cold_left_ms ? now_ms + r->cold_left_ms : 0;
 	forget_ignored_entry(c, r->name);
-	resolve_cookie(c, up->cookie);
+	resolve_cookie(c, up->cookie, now_ms);
 	return nr;
 }
 
@@ -702,7 +767,8 @@
 	d->out = out;
 }
 
-static void forget_upstream(struct catalog *c, upstream_index_t nr)
+static void forget_upstream(struct catalog *c, upstream_index_t nr,
+			    uint64_t now_ms)
 {
 	struct catalog_upstream *up = upstream_by_index(c, nr);
 	uint32_t cookie = up->cookie;
@@ -713,7 +779,7 @@
 	g_free(up);
 	g_ptr_array_index(c->upstreams, nr) = NULL;
 	c->lowest_free = MIN(c->lowest_free, nr);
-	resolve_cookie(c, cookie);
+	resolve_cookie(c, cookie, now_ms);
 }
 
 void set_catalog_flow_ttl(struct catalog *c, uint64_t flow_ttl_ms)
@@ -732,12 +798,14 @@
 		if (up->overwritten &&
 		    now_ms - up->removed_at_ms >= CONTESTED_MS) {
 			up->overwritten = false;
-			resolve_cookie(c, up->cookie);
+			resolve_cookie(c, up->cookie, now_ms);
 		}
 		if ((up->removed_at_ms &&
 		     now_ms - up->removed_at_ms > c->flow_ttl_ms) ||
 		    !may_have_flows(c, get_service(c, up->service), now_ms))
-			forget_upstream(c, (upstream_index_t)i);
+			forget_upstream(c, (upstream_index_t)i, now_ms);
+		else if (up->yields_since_ms)
+			resolve_cookie(c, up->cookie, now_ms);
 	}
 }
 
--- a/config/catalog.h
+++ b/config/catalog.h
@@ -14,6 +14,11 @@
  * is decided about one depends on the configuration and the entries as they are
  * now, not on the order in which they were read, so that all instances decide
  * alike, also those that have just started.
+ *
+ * Ids of two upstreams may give the same cookie. The one that started first owns
+ * it, and the other ones get no flows until its flows are over. When that order
+ * changes, since the first one started again, the owner keeps the cookie for as
+ * long as flows to it may be open, and none of them gets new ones.
  */
 
 #include <glib.h>
@@ -59,9 +64,12 @@
 	domain_index_t domain;
 	bool has_entry;	  /* its entry exists and names it */
 	bool overwritten; /* lately, by another writer: it may come back */
-	bool ambiguous;	  /* another upstream has its cookie */
+	bool ambiguous;	  /* another upstream owns its cookie */
 	/* has its entry and its cookie, and its service is configured */
 	bool listed;
+	uint64_t owner_since_ms; /* of its cookie; 0: is not */
+	/* another upstream should own the cookie since then; 0: does not */
+	uint64_t yields_since_ms;
 	uint64_t revision;	 /* store revision of its entry */
 	uint64_t reported_at_ms; /* when REPORT was received */
 	uint64_t cold_until_ms;	 /* end of its cold start */
--- a/net/edge-records.c
+++ b/net/edge-records.c
@@ -115,6 +115,12 @@
 		nr = update_catalog_upstream(e->catalog, r, revision,
 					     e->now_ms);
 		log_upstream_report(e, r, revision);
+		if (nr != CATALOG_NONE &&
+		    get_upstream(e->catalog, nr)->ambiguous)
+			log_event(e->log, EVENT_UPSTREAM_INVALID,
+				  "upstream=%.64s revision=%llu "
+				  "why=\"another upstream has its cookie\"",
+				  name, (unsigned long long)revision);
 	}
 	if (nr != CATALOG_NONE)
 		update_placer_upstream(e->placement, nr, e->now_ms);
