t/soak: upstreams stop listening, routers turn to other domains

Callers' packets go to the instances of one domain, and to the other one while none is in rotation there.

--- a/stand-in/cookie-caller.c
+++ b/stand-in/cookie-caller.c
@@ -2,8 +2,9 @@
  * cookie-caller-stand-in ADDRESS:PORT SERVICE INSTANCES FLOWS SECONDS PAUSE-MS
  *			  [REQUESTS [LOST]]
  * Simulates the callers of the users' platform, and the routers in front of
- * the instances, for tests. INSTANCES are addresses separated by commas;
- * packets go to PORT there, and readiness is checked at PORT + 1. Each of FLOWS
+ * the instances, for tests. INSTANCES are addresses separated by commas, and
+ * failure domains by slashes, the callers' own first; packets go to PORT there,
+ * and readiness is checked at PORT + 1. Each of FLOWS
  * flows repeatedly sends a request, waits for its answer and pauses; a flow
  * that ends early is opened again. With REQUESTS, a flow is closed after so
  * many answers, and opened again; 0 is no limit. Of a thousand SYN+ACKs, LOST do
@@ -60,6 +61,7 @@
 
 struct router_target {
 	struct endpoint at;
+	unsigned int domain; /* 0: that of the callers */
 	unsigned int misses; /* failed readiness checks in a row */
 };
 
@@ -86,9 +88,10 @@
 };
 
 /*
- * Picks by rendezvous hashing among the instances in rotation, those that
- * failed fewer than two readiness checks in a row; among all instances if
- * fewer than half are in rotation.
+ * Picks by rendezvous hashing among the instances of the own domain that are in
+ * rotation, those that failed fewer than two readiness checks in a row; among
+ * all instances there if fewer than half are in rotation. If none is, picks
+ * among those in rotation of other domains.
  */
 static const struct router_target *pick_instance(const struct cookie_caller *c,
 						 const struct caller_flow *f)
@@ -96,9 +99,19 @@
 	const struct router_target *best = NULL;
 	uint64_t best_weight = 0;
 	size_t in_rotation = 0;
+	size_t elsewhere = 0;
+	size_t own = 0;
+	bool use_others;
 
-	for (size_t i = 0; i < c->instance_nr; i++)
-		in_rotation += c->instances[i].misses < 2;
+	for (size_t i = 0; i < c->instance_nr; i++) {
+		bool is_own = !c->instances[i].domain;
+		bool is_used = c->instances[i].misses < 2;
+
+		own += is_own;
+		in_rotation += is_own && is_used;
+		elsewhere += !is_own && is_used;
+	}
+	use_others = !in_rotation && elsewhere;
 	for (size_t i = 0; i < c->instance_nr; i++) {
 		uint64_t weight = (f->port * 2654435761ULL) ^
 				  ((i + 1) * 0x9e3779b97f4a7c15ULL);
@@ -106,8 +119,9 @@
 		weight ^= weight >> 29;
 		weight *= 0xbf58476d1ce4e5b9ULL;
 		weight ^= weight >> 32;
-		if (2 * in_rotation >= c->instance_nr &&
-		    c->instances[i].misses >= 2)
+		if (!c->instances[i].domain == use_others ||
+		    ((use_others || 2 * in_rotation >= own) &&
+		     c->instances[i].misses >= 2))
 			continue;
 		if (!best || weight > best_weight) {
 			best = &c->instances[i];
@@ -396,17 +410,24 @@
 
 static bool read_instances(struct cookie_caller *c, const char *list)
 {
-	char **parts = g_strsplit(list, ",", -1);
+	char **domains = g_strsplit(list, "/", -1);
 	bool ok = true;
 
-	for (char **p = parts; *p && ok && c->instance_nr < INSTANCES_MAX;
-	     p++) {
-		struct endpoint *at = &c->instances[c->instance_nr++].at;
+	for (unsigned int d = 0; domains[d] && ok; d++) {
+		char **parts = g_strsplit(domains[d], ",", -1);
 
-		ok = parse_address(*p, at, NULL) == STATUS_OK;
-		at->port = (uint16_t)(c->own.port + 1);
+		for (char **p = parts;
+		     *p && ok && c->instance_nr < INSTANCES_MAX; p++) {
+			struct router_target *rt =
+				&c->instances[c->instance_nr++];
+
+			rt->domain = d;
+			ok = parse_address(*p, &rt->at, NULL) == STATUS_OK;
+			rt->at.port = (uint16_t)(c->own.port + 1);
+		}
+		g_strfreev(parts);
 	}
-	g_strfreev(parts);
+	g_strfreev(domains);
 	return ok;
 }
 
--- a/stand-in/cookie-upstream.c
+++ b/stand-in/cookie-upstream.c
@@ -6,9 +6,10 @@
  * again until a packet acknowledges its own sequence number, which opens the
  * flow; other packets of flows that are not open get a reset.
  *
- * On SIGTERM it announces that it is draining, serves for another DRAIN_MS,
- * then deletes its entry in the store and exits. Prints "late syn T" (T in ms
- * since 1970) for a SYN that arrives more than LATE_SYN_AFTER_MS after the
+ * On SIGTERM it announces that it is draining, serves for another DRAIN_MS, stops
+ * listening and serves open flows for UNLISTENING_MS more; then it deletes its
+ * entry in the store and exits. Prints "exit ID T" (T in ms since 1970) then,
+ * "late syn T" for a SYN that arrives more than LATE_SYN_AFTER_MS after the
  * announcement, and "changed packet" for a packet whose checksum is wrong.
  */
 
@@ -26,6 +27,7 @@
 
 #define HEARTBEAT_MS 400
 #define DRAIN_MS 4500
+#define UNLISTENING_MS 2500
 #define LATE_SYN_AFTER_MS 3000
 #define SYN_ACKS_MAX 9 /* for a SYN */
 #define SYN_ACK_MIN_MS 200
@@ -59,10 +61,12 @@
 	uint32_t first_seq; /* of all flows; differs from that of others */
 	uint64_t start_ms;
 	json_int_t write_count;
-	uint64_t drain_until_ms;     /* loop time; 0: not draining */
+	uint64_t
+		drain_until_ms; /* end of its service; loop time, 0: not draining */
 	uint64_t drain_announced_ms; /* loop time */
 	GHashTable *flows;	     /* of struct served_flow */
 	struct datagrams *dg;
+	struct http_server *health; /* NULL: does not listen any more */
 };
 
 struct delayed_answer {
@@ -264,6 +268,10 @@
 {
 	struct served_flow *f = g_hash_table_lookup(u->flows, &p->key);
 
+	if (is_cookie_syn(p) && !u->health) {
+		reset_caller(u, p);
+		return;
+	}
 	if (is_cookie_syn(p)) {
 		if (u->drain_announced_ms &&
 		    uv_now(u->loop) - u->drain_announced_ms >
@@ -325,9 +333,16 @@
 {
 	struct cookie_stand_in *u = timer->data;
 
+	if (u->health && u->drain_until_ms &&
+	    uv_now(u->loop) - u->drain_announced_ms >= DRAIN_MS) {
+		destroy_http_server(u->health);
+		u->health = NULL;
+	}
 	if (!u->drain_until_ms || uv_now(u->loop) < u->drain_until_ms) {
 		announce(u, false);
 	} else {
+		printf("exit %s %llu\n", u->name, (unsigned long long)now_ms());
+		fflush(stdout);
 		announce(u, true);
 		uv_timer_stop(timer);
 		uv_stop(u->loop);
@@ -340,7 +355,7 @@
 
 	(void)signum;
 	u->drain_announced_ms = uv_now(u->loop);
-	u->drain_until_ms = u->drain_announced_ms + DRAIN_MS;
+	u->drain_until_ms = u->drain_announced_ms + DRAIN_MS + UNLISTENING_MS;
 	announce(u, false);
 }
 
@@ -352,7 +367,10 @@
 	u->loop = uv_default_loop();
 	u->flows = g_hash_table_new_full(hash_key, keys_equal, NULL, g_free);
 	u->dg = create_datagrams(u->loop, &u->at, on_datagram, u, st);
-	if (!u->dg || !create_http_server(u->loop, &u->at, 4096, &handler, st))
+	if (!u->dg)
+		return false;
+	u->health = create_http_server(u->loop, &u->at, 4096, &handler, st);
+	if (!u->health)
 		return false;
 	uv_timer_init(u->loop, &u->heartbeat);
 	u->heartbeat.data = u;
