--- a/net/edge-packets.c
+++ b/net/edge-packets.c
@@ -343,14 +343,13 @@
 	return *nr ? UNKNOWN_RELAY : UNKNOWN_WAIT;
 }
 
-/* Steers or relays a packet; false if it has to wait. */
-static bool handle_early_packet(struct edge *e, uint8_t *data, size_t len,
-				uint32_t age_ms, bool relayed)
+/* Does with a packet what was decided; false if it has to wait. */
+static bool execute_early_packet(struct edge *e, enum unknown_packet decision,
+				 uint8_t *data, size_t len, uint32_t age_ms,
+				 bool relayed, const struct endpoint *to,
+				 size_t nr)
 {
-	struct endpoint to[RELAY_TARGETS_MAX];
-	size_t nr;
-
-	switch (decide_early_packet(e, data, len, age_ms, relayed, to, &nr)) {
+	switch (decision) {
 	case UNKNOWN_STEER:
 		handle_flow_packet(e, data, len, age_ms, relayed);
 		return true;
@@ -380,13 +379,18 @@
 
 void steer_early_packets(struct edge *e)
 {
+	struct endpoint to[RELAY_TARGETS_MAX];
+	size_t nr;
+
 	for (guint n = e->early_packets.length; n; n--) {
 		struct early_packet *ep = g_queue_pop_head(&e->early_packets);
-		uint64_t age_ms = e->now_ms - ep->received_ms;
+		uint32_t age_ms = (uint32_t)(e->now_ms - ep->received_ms);
+		enum unknown_packet decision = decide_early_packet(
+			e, ep->data, ep->len, age_ms, ep->relayed, to, &nr);
 
 		if (age_ms <= EARLY_PACKET_MAX_AGE_MS &&
-		    !handle_early_packet(e, ep->data, ep->len, (uint32_t)age_ms,
-					 ep->relayed))
+		    !execute_early_packet(e, decision, ep->data, ep->len,
+					  age_ms, ep->relayed, to, nr))
 			g_queue_push_tail(&e->early_packets, ep);
 		else
 			g_free(ep);
@@ -394,13 +398,19 @@
 	flush_datagrams(e->packet_socket);
 }
 
-/* Handles a packet, after those that were queued before. */
+/* Handles a packet; before it is relayed, those that could not be before. */
 static void receive_flow_packet(struct edge *e, uint8_t *data, size_t len,
 				uint32_t age_ms, bool relayed)
 {
-	if (e->early_packets.length)
+	struct endpoint to[RELAY_TARGETS_MAX];
+	size_t nr;
+	enum unknown_packet decision =
+		decide_early_packet(e, data, len, age_ms, relayed, to, &nr);
+
+	if (decision == UNKNOWN_RELAY && e->early_packets.length)
 		steer_early_packets(e);
-	if (!handle_early_packet(e, data, len, age_ms, relayed))
+	if (!execute_early_packet(e, decision, data, len, age_ms, relayed, to,
+				  nr))
 		queue_early_packet(e, data, len, age_ms, relayed);
 }
 
