--- a/t/check-shared-numbers.c
+++ b/t/check-shared-numbers.c
@@ -22,7 +22,7 @@
 			   { "i-03c0ffee37", 0x03c0ffee37, 300 } };
 
 static struct cookie_instance in;
-static struct upstream_report reports[UPSTREAMS];
+static uint64_t started_at_ms[UPSTREAMS];
 static uint32_t cookie;
 
 static void setup(void)
@@ -30,13 +30,22 @@
 	init_cookie_instance(&in, "front-1", "north");
 	cookie = make_cookie(upstreams[0].id);
 	for (int i = 0; i < UPSTREAMS; i++) {
-		reports[i] = make_upstream_report(upstreams[i].name, "north");
-		reports[i].id = upstreams[i].id;
-		reports[i].started_at_ms = upstreams[i].started_at_ms;
-		ck_assert_uint_eq(make_cookie(reports[i].id), cookie);
+		started_at_ms[i] = upstreams[i].started_at_ms;
+		ck_assert_uint_eq(make_cookie(upstreams[i].id), cookie);
 	}
 }
 
+/* The entry of upstream NR is read. */
+static void put(int nr, uint64_t now_ms)
+{
+	struct upstream_report r =
+		make_upstream_report(upstreams[nr].name, "north");
+
+	r.id = upstreams[nr].id;
+	r.started_at_ms = started_at_ms[nr];
+	put_test_upstream(&in, &r, now_ms);
+}
+
 static void teardown(void)
 {
 	release_cookie_instance(&in);
@@ -83,11 +92,11 @@
 /* A release started an upstream that got all open flows of another one. */
 START_TEST(newcomer_takes_no_flows_of_an_upstream_with_its_number)
 {
-	put_test_upstream(&in, &reports[0], 1000);
+	put(0, 1000);
 	expect("i-05c0ffee31", "i-05c0ffee31", 5000);
-	put_test_upstream(&in, &reports[1], 6000);
+	put(1, 6000);
 	expect("i-05c0ffee31", "i-05c0ffee31", 6000);
-	put_test_upstream(&in, &reports[2], 7000);
+	put(2, 7000);
 	expect("i-05c0ffee31", "i-05c0ffee31", 90000);
 }
 END_TEST
@@ -98,9 +107,9 @@
 	int first = _i / 2;
 	int second = (first + 1 + _i % 2) % UPSTREAMS;
 
-	put_test_upstream(&in, &reports[first], 1000);
-	put_test_upstream(&in, &reports[second], 1010);
-	put_test_upstream(&in, &reports[UPSTREAMS - first - second], 1020);
+	put(first, 1000);
+	put(second, 1010);
+	put(UPSTREAMS - first - second, 1020);
 	expect("i-05c0ffee31", "i-05c0ffee31", 1030);
 }
 END_TEST
@@ -108,21 +117,21 @@
 /* The store was away, and entries lapsed. */
 START_TEST(upstream_whose_entry_lapses_keeps_its_number)
 {
-	put_test_upstream(&in, &reports[0], 1000);
-	put_test_upstream(&in, &reports[1], 1000);
+	put(0, 1000);
+	put(1, 1000);
 	remove_catalog_upstream(in.catalog, upstreams[0].name, 5000);
 	expect("i-05c0ffee31", "none", 5000);
 	expire(5000 + TEST_ENTRY_TTL_MS);
 	expect("i-05c0ffee31", "none", 5000 + TEST_ENTRY_TTL_MS);
-	put_test_upstream(&in, &reports[0], 5000 + TEST_ENTRY_TTL_MS);
+	put(0, 5000 + TEST_ENTRY_TTL_MS);
 	expect("i-05c0ffee31", "i-05c0ffee31", 5000 + TEST_ENTRY_TTL_MS);
 }
 END_TEST
 
 START_TEST(number_of_an_upstream_that_left_is_free_after_its_flows)
 {
-	put_test_upstream(&in, &reports[0], 1000);
-	put_test_upstream(&in, &reports[1], 1000);
+	put(0, 1000);
+	put(1, 1000);
 	remove_catalog_upstream(in.catalog, upstreams[0].name, 5000);
 	expire(5001 + TEST_ENTRY_TTL_MS);
 	expect("i-01c0ffee35", "i-01c0ffee35", 5001 + TEST_ENTRY_TTL_MS);
@@ -136,10 +145,10 @@
  */
 START_TEST(upstream_that_starts_again_keeps_its_number_for_its_flows)
 {
-	put_test_upstream(&in, &reports[0], 1000);
-	put_test_upstream(&in, &reports[1], 1000);
-	reports[0].started_at_ms = 900;
-	put_test_upstream(&in, &reports[0], 5000);
+	put(0, 1000);
+	put(1, 1000);
+	started_at_ms[0] = 900;
+	put(0, 5000);
 	expect("i-05c0ffee31", "none", 5000);
 	expire(5000 + TEST_ENTRY_TTL_MS);
 	expect("i-05c0ffee31", "none", 5000 + TEST_ENTRY_TTL_MS);
@@ -150,9 +159,9 @@
 
 START_TEST(instance_that_starts_after_that_follows_the_later_owner)
 {
-	reports[0].started_at_ms = 900;
-	put_test_upstream(&in, &reports[_i], 1000);
-	put_test_upstream(&in, &reports[1 - _i], 1010);
+	started_at_ms[0] = 900;
+	put(_i, 1000);
+	put(1 - _i, 1010);
 	expect("i-01c0ffee35", "i-01c0ffee35", 1020);
 }
 END_TEST
@@ -160,8 +169,8 @@
 /* Clocks differ: an upstream may seem to have started before it did. */
 START_TEST(newcomer_that_seems_older_waits_for_the_flows_to_end)
 {
-	put_test_upstream(&in, &reports[1], 1000);
-	put_test_upstream(&in, &reports[0], 5000);
+	put(1, 1000);
+	put(0, 5000);
 	expect("i-01c0ffee35", "none", 5000);
 	/* the one that waits leaves again */
 	remove_catalog_upstream(in.catalog, upstreams[0].name, 6000);
