--- a/config/catalog.c
+++ b/config/catalog.c
@@ -285,7 +285,7 @@
 			 const struct catalog_upstream *next, uint64_t now_ms)
 {
 	if (owner == next || owner->report.id == next->report.id ||
-	    now_ms - owner->owner_since_ms < COOKIE_OWNER_SETTLE_MS) {
+	    now_ms < owner->owner_since_ms + COOKIE_OWNER_SETTLE_MS) {
 		owner->yields_since_ms = 0;
 		return owner == next;
 	}
