--- a/review/stage-3.c
+++ b/review/stage-3.c
@@ -53,10 +53,18 @@
 #define ANSWER_BYTES 600
 #define DEADLINE_MS 4000
 #define SYN_END_MS 1400
+#define UPLOAD_DEADLINE_MS 8000
+#define UPLOAD_BYTES 1200 /* in a packet */
+#define UPLOAD_PACKETS 34 /* 40,800 bytes */
+#define UPLOAD_PACE_MS 220
+/* drainMs is 3,000; a target serves a little longer */
+#define LISTENS_MS 3200
 
 enum { SYN = 128, ACK = 64, FIN = 32, RST = 2 };
 
 static FILE *record;
+static int lost_per_10000; /* datagrams that do not arrive */
+static bool hash_is_mod;
 static int net;
 static int base_port;
 static uint64_t began_ms;
@@ -109,6 +117,12 @@
 	return a;
 }
 
+/* Whether a datagram is lost on its way. */
+static bool is_lost(void)
+{
+	return random() % 10000 < lost_per_10000;
+}
+
 static int open_udp(const struct sockaddr_in *a)
 {
 	int fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK, 0);
@@ -138,7 +152,7 @@
 	uint8_t flags;
 	uint32_t echo, src, dst, seq, ack;
 	uint16_t sport, dport, len;
-	const uint8_t *data;
+	bool ends; /* the request; in its data */
 };
 
 static void put16(uint8_t *p, uint16_t v)
@@ -187,6 +201,8 @@
 	put32(out + 26, p->ack);
 	put16(out + 30, p->len);
 	memset(out + HEAD, 'x', p->len);
+	if (p->len && p->ends)
+		out[HEAD] = 'E';
 	put32(out + 6, sum_of(out, HEAD + (size_t)p->len));
 	return HEAD + (size_t)p->len;
 }
@@ -205,7 +221,7 @@
 			      .seq = get32(b + 22),
 			      .ack = get32(b + 26),
 			      .len = get16(b + 30),
-			      .data = b + HEAD };
+			      .ends = len > HEAD && b[HEAD] == 'E' };
 	return get32(b + 6) == sum_of(b, len) ||
 	       (p->flags == RST && !get32(b + 6));
 }
@@ -470,7 +486,11 @@
 /* ---- targets ---- */
 
 struct tflow {
-	bool used, open, answered;
+	bool used, open;
+	unsigned int received;	/* packets with data */
+	unsigned int repeats;	/* of what was sent last */
+	uint64_t repeat_ms;	/* when it is sent again; 0: never */
+	uint16_t unacked;	/* bytes of an answer */
 	uint32_t client;
 	uint16_t sport, dport;
 	uint32_t dst;
@@ -494,6 +514,7 @@
 	int udp, tcp; /* -1: it is down */
 	uint64_t start_ms, born_ms;
 	bool cold_start;
+	bool draining;
 	uint64_t written_ms;
 	long seq;
 	bool written; /* its entry is up to date, but for the count */
@@ -507,6 +528,17 @@
 };
 
 static struct target targets[TARGETS_MAX];
+
+/* A flow as FLOW sees it, by the client's port. */
+struct watched {
+	bool open;	   /* its target has the end of the handshake */
+	int target;	   /* where it is open */
+	int elsewhere;	   /* packets at others since the last at its own */
+	uint64_t since_ms; /* when the first of these came */
+};
+
+static struct watched watched[65536];
+static int resets_seen, moves_seen;
 static int target_nr;
 static uint64_t syn_sent_ms[65536]; /* of the last SYN of a client's port */
 
@@ -526,9 +558,10 @@
 	snprintf(key, sizeof(key), "servers/%s", t->name);
 	snprintf(text, sizeof(text),
 		 "{\"service\":\"desk\",\"addr\":\"%s:%d\",\"zone\":\"%s\","
-		 "\"version\":\"v1\",\"slots\":%d,\"state\":\"ready\","
+		 "\"version\":\"v1\",\"slots\":%d,\"state\":\"%s\","
 		 "\"warmupLeftMs\":%llu,\"seq\":%ld,\"born\":%llu}",
 		 ip, ntohs(t->at.sin_port), t->zone, SLOTS,
+		 t->draining ? "draining" : "ready",
 		 (unsigned long long)(is_cold(t) ? WARMUP_MS - age : 0),
 		 ++t->seq, (unsigned long long)t->born_ms);
 	store_put_text(key, text);
@@ -541,6 +574,7 @@
 	t->start_ms = now_ms();
 	t->born_ms = wall_ms();
 	t->cold_start = during_traffic;
+	t->draining = false;
 	t->written_ms = 0;
 	t->seq = 0;
 	t->written = false;
@@ -548,11 +582,18 @@
 	memset(t->flows, 0, 65536 * sizeof(*t->flows));
 }
 
+static void stop_listening(struct target *t)
+{
+	if (t->tcp >= 0)
+		close(t->tcp);
+	t->tcp = -1;
+}
+
 static void stop_target(struct target *t)
 {
 	close(t->udp);
-	close(t->tcp);
-	t->udp = t->tcp = -1;
+	t->udp = -1;
+	stop_listening(t);
 	for (int i = 0; i < CONNS_MAX; i++)
 		if (conns[i].fd >= 0 && conns[i].target == (int)(t - targets))
 			close_conn(&conns[i]);
@@ -575,8 +616,19 @@
 				  .sin_port = htons((uint16_t)(base_port + 1)),
 				  .sin_addr.s_addr = htonl(f->client) };
 
-	sendto(t->udp, out, write_packet(&p, out), 0, (struct sockaddr *)&to,
-	       sizeof(to));
+	if (!is_lost())
+		sendto(t->udp, out, write_packet(&p, out), 0,
+		       (struct sockaddr *)&to, sizeof(to));
+}
+
+/* Sends what waits for an acknowledgment, and sets when it is sent again. */
+static void send_awaited(struct target *t, struct tflow *f)
+{
+	uint64_t gap = 200ULL << (f->repeats < 3 ? f->repeats : 3);
+
+	f->repeat_ms = now_ms() + gap;
+	f->repeats++;
+	send_to_client(t, f, f->open ? ACK : SYN | ACK, f->unacked);
 }
 
 /* Starts jobs that wait while slots are free. */
@@ -612,6 +664,14 @@
 	return peak;
 }
 
+/* Drops the jobs of F, which has ended. */
+static void end_jobs(struct target *t, const struct tflow *f)
+{
+	for (int i = 0; i < t->job_nr; i++)
+		if (t->jobs[i].f == f)
+			t->jobs[i--] = t->jobs[--t->job_nr];
+}
+
 static void take_syn(struct target *t, struct tflow *f, const struct packet *p)
 {
 	bool is_copy = f->used && f->expected == p->seq + 1;
@@ -627,6 +687,8 @@
 		     t->name, t->cold_nr,
 		     (unsigned long long)(now_ms() - t->start_ms));
 	}
+	if (!is_copy)
+		end_jobs(t, f);
 	*f = (struct tflow){ .used = true,
 			     .client = p->src,
 			     .sport = p->sport,
@@ -635,23 +697,66 @@
 			     .seq = (uint32_t)t->id * 2654435761U + p->sport,
 			     .expected = p->seq + 1,
 			     .echo = p->echo };
-	send_to_client(t, f, SYN | ACK, 0);
+	send_awaited(t, f);
 	if (!t->over_ms && t->cold_nr &&
 	    cold_peak(t) > WARMUP_PER_S * WARMUP_FACTOR + WARMUP_SLACK)
 		t->over_ms = now_ms();
 }
 
+static void note_open(const struct target *t, const struct packet *p)
+{
+	watched[p->sport] = (struct watched){ .open = true,
+					      .target = (int)(t - targets) };
+}
+
+/* FLOW (b): packets of an open flow that reach other targets. */
+static void note_arrival(const struct target *t, const struct packet *p)
+{
+	struct watched *w = &watched[p->sport];
+
+	if (!w->open)
+		return;
+	if (w->target == (int)(t - targets)) {
+		w->elsewhere = 0;
+		return;
+	}
+	if (!w->elsewhere++)
+		w->since_ms = now_ms();
+	note("a packet of the flow of port %d, open at %s, reaches %s (%d)",
+	     p->sport, targets[w->target].name, t->name, w->elsewhere);
+	if (w->elsewhere >= 3 && now_ms() - w->since_ms <= 2000) {
+		note("FLOW (b): three packets of the flow of port %d reached "
+		     "other targets, none its own",
+		     p->sport);
+		moves_seen++;
+		w->elsewhere = 0;
+	}
+}
+
 static void take_packet(struct target *t, const struct packet *p)
 {
 	struct tflow *f = &t->flows[p->sport];
 
 	if (p->flags & SYN) {
+		if (t->tcp < 0) {
+			struct tflow none = { .client = p->src,
+					      .sport = p->sport,
+					      .dst = p->dst,
+					      .dport = p->dport };
+
+			send_to_client(t, &none, RST, 0);
+			return;
+		}
 		take_syn(t, f, p);
 		return;
 	}
+	note_arrival(t, p);
 	if (f->used && !f->open && p->ack == f->seq + 1) {
 		f->open = true;
 		f->seq++;
+		f->repeat_ms = 0;
+		f->repeats = 0;
+		note_open(t, p);
 	}
 	if (!f->used || !f->open) {
 		struct tflow none = { .client = p->src,
@@ -661,12 +766,21 @@
 				      .seq = p->ack,
 				      .expected = p->seq + p->len };
 
-		if (!(p->flags & (FIN | RST)))
+		if (p->flags & FIN)
+			send_to_client(t, &none, ACK, 0);
+		else if (!(p->flags & RST))
 			send_to_client(t, &none, RST, 0);
 		return;
 	}
 	f->echo = p->echo;
+	if (f->unacked && p->ack == f->seq + f->unacked) {
+		f->seq += f->unacked;
+		f->unacked = 0;
+		f->repeat_ms = 0;
+		f->repeats = 0;
+	}
 	if (p->flags & (FIN | RST)) {
+		end_jobs(t, f);
 		f->used = false;
 		return;
 	}
@@ -674,15 +788,14 @@
 		return;
 	if (p->seq == f->expected) {
 		f->expected += p->len;
-		if (t->job_nr < SLOTS + QUEUE) {
+		if (p->ends && t->job_nr < SLOTS + QUEUE) {
 			t->jobs[t->job_nr++] = (struct job){ f, 0 };
 			run_jobs(t);
 		}
 	}
-	if (f->answered)
-		send_to_client(t, f, ACK, ANSWER_BYTES);
-	else
-		send_to_client(t, f, ACK, 0);
+	/* each end acknowledges every second packet */
+	if (++f->received % 2 == 0)
+		send_to_client(t, f, ACK, f->unacked);
 }
 
 static void read_target(struct target *t)
@@ -694,7 +807,7 @@
 	while (t->udp >= 0 && (n = recv(t->udp, b, sizeof(b), 0)) > 8) {
 		uint64_t id = (uint64_t)get32(b) << 32 | get32(b + 4);
 
-		if ((id && id != t->id) ||
+		if ((id && id != t->id) || is_lost() ||
 		    !read_packet(b + 8, (size_t)n - 8, &p))
 			continue;
 		take_packet(t, &p);
@@ -717,11 +830,22 @@
 	for (int i = 0; i < t->job_nr; i++) {
 		if (!t->jobs[i].end_ms || t_ms < t->jobs[i].end_ms)
 			continue;
-		t->jobs[i].f->answered = true;
-		send_to_client(t, t->jobs[i].f, ACK, ANSWER_BYTES);
+		t->jobs[i].f->unacked = ANSWER_BYTES;
+		t->jobs[i].f->repeats = 0;
+		send_awaited(t, t->jobs[i].f);
 		t->jobs[i--] = t->jobs[--t->job_nr];
 		run_jobs(t);
 	}
+	for (int i = 0; i < 65536; i++) {
+		struct tflow *f = &t->flows[i];
+
+		if (!f->used || !f->repeat_ms || t_ms < f->repeat_ms)
+			continue;
+		if (f->repeats > 8)
+			f->repeat_ms = 0;
+		else
+			send_awaited(t, f);
+	}
 	if (t->over_ms && t_ms >= t->over_ms + 1000) {
 		t->lost = t->job_nr;
 		note("%s falls over, with %d requests that it had accepted",
@@ -736,6 +860,13 @@
 
 struct cflow {
 	int state;
+	bool is_long;	 /* many requests on one flow */
+	int packets;	 /* of an upload; 0: it is none */
+	int sent_nr;	 /* packets of it that were sent */
+	uint32_t first_seq;
+	uint64_t pace_ms, send_ms; /* between two packets; next one */
+	bool waiting;	 /* for an answer */
+	uint64_t idle_ms; /* when the next request is due, if it is long */
 	int zone;
 	uint32_t seq, ack, echo;
 	int syns, tries;
@@ -754,8 +885,10 @@
 static struct instance instances[INSTANCES_MAX];
 static int instance_nr;
 static struct cflow cflows[65536];
+static void open_attempt(int zone, int tries, uint64_t began, bool is_long);
 static int client_fd;
 static uint16_t next_port = 1024;
+static int uploads, uploads_done;
 static int sent, answered_nr, refused, timed_out, resets;
 
 static const struct instance *pick_instance(int zone, uint16_t sport)
@@ -770,6 +903,17 @@
 		in_rotation += instances[i].zone == zone &&
 			       instances[i].misses < 2;
 	}
+	if (hash_is_mod) {
+		uint64_t h = sport * 0x9e3779b97f4a7c15ULL;
+		bool all = 2 * in_rotation < in_zone;
+		int k = (int)((h >> 33) %
+			      (uint64_t)(all ? in_zone : in_rotation));
+
+		for (int i = 0; i < instance_nr; i++)
+			if (instances[i].zone == zone &&
+			    (all || instances[i].misses < 2) && !k--)
+				return &instances[i];
+	}
 	for (int i = 0; i < instance_nr; i++) {
 		uint64_t w = (sport + 1) * 0x9e3779b97f4a7c15ULL ^
 			     (uint64_t)(i + 1) * 0xbf58476d1ce4e5b9ULL;
@@ -790,8 +934,8 @@
 	return best;
 }
 
-static void send_flow(struct cflow *f, uint8_t flags, uint32_t ack,
-		      uint16_t len)
+static void send_packet(struct cflow *f, uint8_t flags, uint32_t seq,
+			uint32_t ack, uint16_t len, bool ends)
 {
 	uint16_t sport = (uint16_t)(f - cflows);
 	const struct instance *to = pick_instance(f->zone, sport);
@@ -803,15 +947,22 @@
 			    .sport = sport,
 			    .dst = 0xc6120001, /* 198.18.0.1 */
 			    .dport = 8443,
-			    .seq = f->seq,
+			    .seq = seq,
 			    .ack = ack,
-			    .len = len };
+			    .len = len,
+			    .ends = ends };
 
-	if (to)
+	if (to && !is_lost())
 		sendto(client_fd, out, write_packet(&p, out), 0,
 		       (const struct sockaddr *)&to->at, sizeof(to->at));
 }
 
+static void send_flow(struct cflow *f, uint8_t flags, uint32_t ack,
+		      uint16_t len)
+{
+	send_packet(f, flags, f->seq, ack, len, true);
+}
+
 static void send_syn(struct cflow *f)
 {
 	syn_sent_ms[f - cflows] = now_ms();
@@ -819,7 +970,7 @@
 }
 
 /* A new attempt of a request, on a new port. */
-static void open_attempt(int zone, int tries, uint64_t began)
+static void open_attempt(int zone, int tries, uint64_t began, bool is_long)
 {
 	struct cflow *f;
 
@@ -829,11 +980,13 @@
 		f = &cflows[next_port];
 	} while (f->state != CLOSED);
 	*f = (struct cflow){ .state = OPENING,
+			     .is_long = is_long,
 			     .zone = zone,
 			     .seq = (uint32_t)random(),
 			     .tries = tries,
 			     .began_ms = began,
 			     .next_ms = now_ms() + 200 };
+	watched[next_port] = (struct watched){ 0 };
 	f->gap_ms = now_ms(); /* when the attempt began */
 	send_syn(f);
 }
@@ -843,41 +996,130 @@
 {
 	f->state = CLOSED;
 	if (f->tries < 2 && now_ms() < f->began_ms + DEADLINE_MS)
-		open_attempt(f->zone, f->tries + 1, f->began_ms);
+		open_attempt(f->zone, f->tries + 1, f->began_ms, f->is_long);
 	else
 		timed_out++;
 }
 
-static void take_answer(const struct packet *p)
+/* FROM: who sent the reset. */
+static void take_reset(struct cflow *f, const struct packet *p, uint32_t from)
+{
+	struct watched *w = &watched[p->dport];
+	int target = -1;
+
+	for (int i = 0; i < target_nr; i++)
+		if (targets[i].at.sin_addr.s_addr == from)
+			target = i;
+	if (w->open && targets[w->target].udp >= 0 && target != w->target) {
+		note("FLOW (a): the open flow of port %d gets a reset of %s, "
+		     "while its target %s serves",
+		     p->dport, target < 0 ? "an instance" : targets[target].name,
+		     targets[w->target].name);
+		resets_seen++;
+	}
+	w->open = false;
+	if (f->state == OPENING) {
+		refused++;
+		end_attempt(f);
+		return;
+	}
+	resets++;
+	f->state = CLOSED;
+	if (f->is_long)
+		open_attempt(f->zone, 0, now_ms(), true);
+}
+
+static void send_request(struct cflow *f)
+{
+	f->waiting = true;
+	f->began_ms = now_ms();
+	f->gap_ms = 200;
+	f->next_ms = now_ms() + f->gap_ms;
+	send_flow(f, ACK, f->ack, REQUEST_BYTES);
+}
+
+/* Sends packet I of the upload F. */
+static void send_part(struct cflow *f, int i)
+{
+	send_packet(f, ACK, f->first_seq + (uint32_t)i * UPLOAD_BYTES, f->ack,
+		    UPLOAD_BYTES, i == f->packets - 1);
+}
+
+/*
+ * Sends the packets of the upload F, one each PACE_MS, at most 16 at once, and
+ * the first that is not acknowledged again after 200 ms, 400 ms, ...
+ */
+static void tick_upload(struct cflow *f, uint64_t t)
+{
+	int acked = (int)((f->seq - f->first_seq) / UPLOAD_BYTES);
+
+	if (f->sent_nr < f->packets && f->sent_nr - acked < 16 &&
+	    t >= f->send_ms) {
+		if (f->sent_nr == acked) {
+			f->gap_ms = 200;
+			f->next_ms = t + f->gap_ms;
+		}
+		send_part(f, f->sent_nr++);
+		f->send_ms = t + f->pace_ms;
+	}
+	if (f->sent_nr > acked && t >= f->next_ms) {
+		f->gap_ms = f->gap_ms < 1600 ? 2 * f->gap_ms : 1600;
+		f->next_ms = t + f->gap_ms;
+		send_part(f, acked);
+	}
+}
+
+/* The target has acknowledged data of the upload F. */
+static void take_ack(struct cflow *f, const struct packet *p)
+{
+	if ((int32_t)(p->ack - f->seq) <= 0)
+		return;
+	f->seq = p->ack;
+	f->gap_ms = 200;
+	f->next_ms = now_ms() + f->gap_ms;
+}
+
+static void take_answer(const struct packet *p, uint32_t from)
 {
 	struct cflow *f = &cflows[p->dport];
 
 	if (f->state == CLOSED)
 		return;
 	if (p->flags & RST) {
-		if (f->state == OPENING) {
-			refused++;
-			end_attempt(f);
-		} else {
-			resets++;
-			f->state = CLOSED;
-		}
+		take_reset(f, p, from);
 		return;
 	}
 	f->echo = p->echo;
+	if (f->packets && f->state == OPEN && !(p->flags & SYN))
+		take_ack(f, p);
 	if (p->flags & SYN && f->state == OPENING) {
 		f->state = OPEN;
 		f->seq++;
 		f->ack = p->seq + 1;
-		f->gap_ms = 200;
-		f->next_ms = now_ms() + f->gap_ms;
-		send_flow(f, ACK, f->ack, REQUEST_BYTES);
-	} else if (p->len && f->state == OPEN) {
+		f->first_seq = f->seq;
+		f->waiting = true;
+		if (!f->packets)
+			send_request(f);
+		return;
+	}
+	if (p->len && f->state == OPEN && p->seq == f->ack &&
+		   f->waiting) {
 		answered_nr++;
-		f->seq += REQUEST_BYTES;
+		uploads_done += f->packets > 0;
+		f->waiting = false;
+		if (!f->packets)
+			f->seq += REQUEST_BYTES;
 		f->ack += p->len;
-		send_flow(f, FIN | ACK, f->ack, 0);
-		f->state = CLOSED;
+		f->idle_ms = now_ms() + 100 + (uint64_t)random() % 1500;
+		if (!f->is_long) {
+			watched[p->dport].open = false;
+			send_flow(f, FIN | ACK, f->ack, 0);
+			f->state = CLOSED;
+			return;
+		}
+		send_flow(f, ACK, f->ack, 0);
+	} else if (p->len && f->state == OPEN) {
+		send_flow(f, ACK, f->ack, 0); /* it was sent again */
 	}
 }
 
@@ -885,11 +1127,14 @@
 {
 	uint8_t b[2048];
 	struct packet p;
+	struct sockaddr_in from;
+	socklen_t len = sizeof(from);
 	ssize_t n;
 
-	while ((n = recv(client_fd, b, sizeof(b), 0)) > 0)
+	while ((n = recvfrom(client_fd, b, sizeof(b), 0,
+			     (struct sockaddr *)&from, &len)) > 0)
 		if (read_packet(b, (size_t)n, &p))
-			take_answer(&p);
+			take_answer(&p, from.sin_addr.s_addr);
 }
 
 static void tick_flow(struct cflow *f, uint64_t t)
@@ -899,9 +1144,18 @@
 	} else if (f->state == OPENING && f->syns < 3 && t >= f->next_ms) {
 		f->next_ms += 400;
 		send_syn(f);
+	} else if (f->state == OPEN && !f->waiting) {
+		if (t >= f->idle_ms)
+			send_request(f);
+	} else if (f->state == OPEN && f->packets &&
+		   t < f->began_ms + UPLOAD_DEADLINE_MS) {
+		tick_upload(f, t);
 	} else if (f->state == OPEN && t >= f->began_ms + DEADLINE_MS) {
+		watched[f - cflows].open = false;
 		f->state = CLOSED;
 		timed_out++;
+		if (f->is_long)
+			open_attempt(f->zone, 0, t, true);
 	} else if (f->state == OPEN && t >= f->next_ms) {
 		f->gap_ms = f->gap_ms < 1600 ? 2 * f->gap_ms : 1600;
 		f->next_ms = t + f->gap_ms;
@@ -988,7 +1242,7 @@
 	    strlen(body) < strtoul(length + 15, NULL, 10))
 		return;
 	if (c->target >= 0)
-		answer(c, 200, "{}");
+		answer(c, targets[c->target].draining ? 503 : 200, "{}");
 	else if (!store_silent)
 		answer_store(c, body);
 	c->len = 0;
@@ -1019,7 +1273,8 @@
 	for (int i = 0; i < target_nr; i++) {
 		if (targets[i].udp < 0)
 			continue;
-		accept_conns(targets[i].tcp, i);
+		if (targets[i].tcp >= 0)
+			accept_conns(targets[i].tcp, i);
 		read_target(&targets[i]);
 	}
 	for (int i = 0; i < CONNS_MAX; i++)
@@ -1091,7 +1346,7 @@
 		credit += per_s * (double)(now_ms() - last) / 1000;
 		last = now_ms();
 		for (; credit >= 1; credit--) {
-			open_attempt(0, 0, now_ms());
+			open_attempt(0, 0, now_ms(), false);
 			sent++;
 		}
 	}
@@ -1151,6 +1406,98 @@
 	return peak > bound;
 }
 
+/* Opens an upload of PACKETS packets, one each PACE_MS. */
+static void open_upload(int packets, uint64_t pace_ms)
+{
+	struct cflow *f;
+
+	open_attempt(0, 2, now_ms(), false);
+	f = &cflows[next_port];
+	f->packets = packets;
+	f->pace_ms = pace_ms;
+	uploads++;
+}
+
+/* The target with most uploads that are under way. */
+static struct target *find_busiest(void)
+{
+	int n[TARGETS_MAX] = { 0 };
+	int best = 0;
+
+	for (int i = 0; i < 65536; i++)
+		if (cflows[i].state == OPEN && cflows[i].packets &&
+		    watched[i].open)
+			n[watched[i].target]++;
+	for (int i = 0; i < target_nr; i++)
+		if (n[i] > n[best])
+			best = i;
+	note("%d uploads are under way at %s", n[best], targets[best].name);
+	return &targets[best];
+}
+
+/*
+ * FLOW: a target drains and leaves while slow uploads are under way there. It
+ * stops listening when its time has passed, and serves on until they end.
+ */
+static int play_drain(bool trouble)
+{
+	struct target *t;
+
+	run_until(4000, 40);
+	for (int i = 0; i < 12; i++) {
+		open_upload(UPLOAD_PACKETS, UPLOAD_PACE_MS);
+		run_until(4000 + (uint64_t)(i + 1) * 60, 40);
+	}
+	run_until(5500, 40);
+	t = find_busiest();
+	if (trouble) {
+		note("%s reports that it drains", t->name);
+		t->draining = true;
+		t->written = false;
+		t->written_ms = 0;
+	}
+	run_until(5500 + LISTENS_MS, 40);
+	if (trouble) {
+		note("%s stops listening and serves its open flows", t->name);
+		stop_listening(t);
+	}
+	run_until(14000, 40);
+	if (trouble) {
+		note("%s exits", t->name);
+		stop_target(t);
+	}
+	run_until(16000, 0);
+	note("requests: %d sent, %d answered; uploads: %d begun, %d answered; "
+	     "resets of open flows: %d, given up: %d",
+	     sent, answered_nr, uploads, uploads_done, resets, timed_out);
+	note("FLOW (a): %d; FLOW (b): %d", resets_seen, moves_seen);
+	if (answered_nr < sent / 2)
+		cannot_run("too few answers");
+	return resets_seen + moves_seen > 0;
+}
+
+/*
+ * FLOW: instances are stopped and started in turn by the script, while routers
+ * hash by `mod` and datagrams are lost occasionally.
+ */
+static int play_roll(void)
+{
+	const char *s = getenv("SECONDS_TO_PLAY");
+	const char *lost = getenv("LOST_PER_10000");
+
+	hash_is_mod = true;
+	lost_per_10000 = lost ? atoi(lost) : 10;
+	for (int i = 0; i < 60; i++)
+		open_attempt(0, 0, now_ms(), true);
+	run_until((uint64_t)(s ? atoi(s) : 60) * 1000, getenv("PER_S") ? atof(getenv("PER_S")) : 60);
+	lost_per_10000 = 0;
+	note("requests: %d answered, %d attempts refused, %d resets of open "
+	     "flows, %d given up",
+	     answered_nr, refused, resets, timed_out);
+	note("FLOW (a): %d; FLOW (b): %d", resets_seen, moves_seen);
+	return resets_seen + moves_seen > 0;
+}
+
 int main(int argc, char **argv)
 {
 	char path[512];
@@ -1184,6 +1531,10 @@
 	began_ms = now_ms();
 	if (!strcmp(argv[4], "cold-start"))
 		broken = play_cold_start(trouble);
+	else if (!strcmp(argv[4], "drain"))
+		broken = play_drain(trouble);
+	else if (!strcmp(argv[4], "roll"))
+		broken = play_roll();
 	else
 		cannot_run("no such scenario");
 	note("%s", broken ? "the rule was broken" : "the rule held");
