--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,24 +1,33 @@
 #!/bin/sh
-# Case 12: a target that starts again under its id while the store is down, see
-# claim.txt. TROUBLE=0 leaves out the outage and the crash.
+# Case 12: configurations in quick succession while an instance is stopped, see
+# claim.txt. TROUBLE=0 leaves out both.
 dir=$(cd "$(dirname "$0")" && pwd)
 . "$dir/../lib-3.sh"
 
 write_settings 1 north
-write_settings 2 north
-write_settings 3 south
+write_settings 2 south 2
+write_settings 3 south 2
 for n in 1 2 3
 do
 	start_instance $n
 done
-"$stage" "$net" "$base" "$dir" cold-start "${TROUBLE:-1}" 1/north 2/north 3/south
+PID_TO_STOP=$(cat "$work/1.pid") "$stage" "$net" "$base" "$dir" storm \
+	"${TROUBLE:-1}" 1/north 2/south 3/south &
+stage_pid=$!
+pids="$pids $stage_pid"
+if test "${TROUBLE:-1}" = 1
+then
+	# the platform starts it again
+	wait "$(cat "$work/1.pid")"
+	start_instance 1
+fi
+wait $stage_pid
 code=$?
-echo "what the instances wrote of health and checks:" >>"$dir/record.txt"
+echo "what the instances wrote of resets and configurations:" >>"$dir/record.txt"
 for n in 1 2 3
 do
-	grep -e "event=health.*health=dead" -e "event=health.*before=dead" \
-		-e "event=check" -e "event=store" -e "event=upstream" \
-		"$work/$n.log" | sed "s/^/$n: /" >>"$dir/record.txt"
+	grep -e "event=flow-reset" -e "event=routes" -e "event=stop" \
+		-e "event=start" "$work/$n.log" |
+		sed "s/^/$n: /" >>"$dir/record.txt"
 done
-tail -n 3 "$dir/record.txt" >/dev/null
 exit $code
--- a/review/stage-3.c
+++ b/review/stage-3.c
@@ -53,6 +53,9 @@
 #define ANSWER_BYTES 600
 #define DEADLINE_MS 4000
 #define SYN_END_MS 1400
+#define FIRST_PORT 8443 /* of the routes */
+#define NEWEST_ROUTES 8
+#define PAUSE_SPAN_MS 1500 /* how much pauses of a client differ */
 #define UPLOAD_DEADLINE_MS 8000
 #define UPLOAD_BYTES 1200 /* in a packet */
 #define UPLOAD_PACKETS 34 /* 40,800 bytes */
@@ -66,6 +69,9 @@
 static int lost_per_10000; /* datagrams that do not arrive */
 static bool hash_is_mod;
 static int net;
+static int version = 3; /* of the configuration */
+static int route_nr = 1;
+static uint64_t pause_min_ms = 100; /* of a client that keeps its flow */
 static int base_port;
 static uint64_t began_ms;
 
@@ -228,23 +234,25 @@
 
 /* ---- the store ---- */
 
+#define VALUE_MAX 40000 /* base64 characters */
+
 struct item {
 	char key[200];
-	char value[4096]; /* base64 */
+	char *value; /* base64 */
 	long rev, create_rev;
 	long lease;
 };
 
 struct event {
 	char key[200];
-	char value[4096];
+	char *value;
 	long rev;
 	bool removed;
 };
 
 struct conn {
 	int fd;		/* -1: free */
-	int target;	/* -1: of the store */
+	int target;	/* below 0: of the store, -1 or -2 by its address */
 	char in[16384];
 	size_t len;
 	bool watching;
@@ -259,7 +267,7 @@
 static long revision = 10;
 static long last_lease = 100;
 static bool store_silent;
-static int store_fd;
+static int store_fd, second_store_fd; /* the store has two addresses */
 static struct conn conns[CONNS_MAX];
 
 static void encode64(const char *in, char *out)
@@ -299,7 +307,7 @@
 		cannot_run("too many changes of the store");
 	e = &events[event_nr++];
 	snprintf(e->key, sizeof(e->key), "%s", key);
-	snprintf(e->value, sizeof(e->value), "%s", value);
+	e->value = strdup(value);
 	e->rev = revision;
 	e->removed = removed;
 }
@@ -317,7 +325,8 @@
 		it->create_rev = revision;
 		snprintf(it->key, sizeof(it->key), "%s", key);
 	}
-	snprintf(it->value, sizeof(it->value), "%s", value);
+	free(it->value);
+	it->value = strdup(value);
 	it->rev = revision;
 	it->lease = lease;
 	add_event(key, value, false);
@@ -325,7 +334,7 @@
 
 static void store_put_text(const char *key, const char *text)
 {
-	char value[4096];
+	static char value[VALUE_MAX];
 
 	encode64(text, value);
 	store_put(key, value, 0);
@@ -371,7 +380,7 @@
 
 static void answer_range(struct conn *c)
 {
-	static char body[ITEMS_MAX * 4600];
+	static char body[ITEMS_MAX * 1000 + 2 * VALUE_MAX];
 	size_t n = (size_t)sprintf(body, "{\"items\":[");
 
 	for (int i = 0; i < item_nr; i++)
@@ -388,11 +397,11 @@
 
 static bool answer_watch(struct conn *c, bool due)
 {
-	static char body[1 << 20];
+	static char body[1 << 22];
 	size_t n = (size_t)sprintf(body, "{\"events\":[");
 	bool any = false;
 
-	for (int i = 0; i < event_nr && n < sizeof(body) - 8192; i++) {
+	for (int i = 0; i < event_nr && n < sizeof(body) - 2 * VALUE_MAX; i++) {
 		const struct event *e = &events[i];
 
 		if (e->rev <= c->after)
@@ -438,8 +447,8 @@
 
 static void answer_txn(struct conn *c, const char *body)
 {
+	static char value[VALUE_MAX];
 	char key[200];
-	char value[4096];
 	char reply[64];
 	const char *p = strstr(body, "\"puts\"");
 	const char *end = strstr(body, "\"delete\"");
@@ -869,6 +878,7 @@
 	uint64_t idle_ms; /* when the next request is due, if it is long */
 	int zone;
 	uint32_t seq, ack, echo;
+	uint16_t dport;
 	int syns, tries;
 	uint64_t began_ms, next_ms, gap_ms;
 };
@@ -885,7 +895,8 @@
 static struct instance instances[INSTANCES_MAX];
 static int instance_nr;
 static struct cflow cflows[65536];
-static void open_attempt(int zone, int tries, uint64_t began, bool is_long);
+static struct cflow *open_attempt(int zone, uint16_t dport, int tries,
+				  uint64_t began, bool is_long);
 static int client_fd;
 static uint16_t next_port = 1024;
 static int uploads, uploads_done;
@@ -946,7 +957,7 @@
 			    .src = ntohl(from.sin_addr.s_addr),
 			    .sport = sport,
 			    .dst = 0xc6120001, /* 198.18.0.1 */
-			    .dport = 8443,
+			    .dport = f->dport,
 			    .seq = seq,
 			    .ack = ack,
 			    .len = len,
@@ -970,7 +981,8 @@
 }
 
 /* A new attempt of a request, on a new port. */
-static void open_attempt(int zone, int tries, uint64_t began, bool is_long)
+static struct cflow *open_attempt(int zone, uint16_t dport, int tries,
+				  uint64_t began, bool is_long)
 {
 	struct cflow *f;
 
@@ -982,6 +994,7 @@
 	*f = (struct cflow){ .state = OPENING,
 			     .is_long = is_long,
 			     .zone = zone,
+			     .dport = dport,
 			     .seq = (uint32_t)random(),
 			     .tries = tries,
 			     .began_ms = began,
@@ -989,6 +1002,7 @@
 	watched[next_port] = (struct watched){ 0 };
 	f->gap_ms = now_ms(); /* when the attempt began */
 	send_syn(f);
+	return f;
 }
 
 /* The attempt ended before the flow opened: the client may try again. */
@@ -996,7 +1010,8 @@
 {
 	f->state = CLOSED;
 	if (f->tries < 2 && now_ms() < f->began_ms + DEADLINE_MS)
-		open_attempt(f->zone, f->tries + 1, f->began_ms, f->is_long);
+		open_attempt(f->zone, f->dport, f->tries + 1, f->began_ms,
+			     f->is_long);
 	else
 		timed_out++;
 }
@@ -1026,7 +1041,7 @@
 	resets++;
 	f->state = CLOSED;
 	if (f->is_long)
-		open_attempt(f->zone, 0, now_ms(), true);
+		open_attempt(f->zone, f->dport, 0, now_ms(), true);
 }
 
 static void send_request(struct cflow *f)
@@ -1110,7 +1125,8 @@
 		if (!f->packets)
 			f->seq += REQUEST_BYTES;
 		f->ack += p->len;
-		f->idle_ms = now_ms() + 100 + (uint64_t)random() % 1500;
+		f->idle_ms = now_ms() + pause_min_ms +
+			     (uint64_t)random() % PAUSE_SPAN_MS;
 		if (!f->is_long) {
 			watched[p->dport].open = false;
 			send_flow(f, FIN | ACK, f->ack, 0);
@@ -1155,7 +1171,7 @@
 		f->state = CLOSED;
 		timed_out++;
 		if (f->is_long)
-			open_attempt(f->zone, 0, t, true);
+			open_attempt(f->zone, f->dport, 0, t, true);
 	} else if (f->state == OPEN && t >= f->next_ms) {
 		f->gap_ms = f->gap_ms < 1600 ? 2 * f->gap_ms : 1600;
 		f->next_ms = t + f->gap_ms;
@@ -1177,8 +1193,9 @@
 			return;
 		if (n > 12 && !strncmp(b, "HTTP/1.1 200", 12))
 			in->misses = 0;
-		else
-			in->misses++;
+		else if (++in->misses == 2)
+			note("instance %d is out of rotation",
+			     (int)(in - instances) + 1);
 		close(in->ready_fd);
 		in->ready_fd = -1;
 	}
@@ -1255,12 +1272,22 @@
 			answer_watch(&conns[i], now_ms() >= conns[i].until_ms);
 }
 
+/* Cuts the watches that wait at the store's second address. */
+static void cut_watches(void)
+{
+	for (int i = 0; i < CONNS_MAX; i++)
+		if (conns[i].fd >= 0 && conns[i].watching &&
+		    conns[i].target == -2)
+			close_conn(&conns[i]);
+}
+
 static void step(void)
 {
-	struct pollfd p[CONNS_MAX + TARGETS_MAX * 2 + 2];
+	struct pollfd p[CONNS_MAX + TARGETS_MAX * 2 + 3];
 	int n = 0;
 
 	p[n++] = (struct pollfd){ store_fd, POLLIN, 0 };
+	p[n++] = (struct pollfd){ second_store_fd, POLLIN, 0 };
 	p[n++] = (struct pollfd){ client_fd, POLLIN, 0 };
 	for (int i = 0; i < target_nr; i++) {
 		p[n++] = (struct pollfd){ targets[i].udp, POLLIN, 0 };
@@ -1270,6 +1297,7 @@
 		p[n++] = (struct pollfd){ conns[i].fd, POLLIN, 0 };
 	poll(p, (nfds_t)n, 2);
 	accept_conns(store_fd, -1);
+	accept_conns(second_store_fd, -2);
 	for (int i = 0; i < target_nr; i++) {
 		if (targets[i].udp < 0)
 			continue;
@@ -1291,6 +1319,28 @@
 		tick_readiness(&instances[i]);
 }
 
+/* A configuration with a route for each of the ports FIRST_PORT and following. */
+static void write_config(void)
+{
+	static char text[VALUE_MAX * 3 / 4];
+	size_t n = (size_t)sprintf(text, "{\"version\":%d,\"routes\":[",
+				   version);
+
+	for (int i = 0; i < route_nr; i++)
+		n += (size_t)sprintf(
+			text + n,
+			"%s{\"name\":\"r-%d\",\"host\":\"198.18.0.1\","
+			"\"prefix\":\"/%d/\",\"kind\":\"unsafe\","
+			"\"timeoutMs\":4000,\"sloMs\":250,\"priority\":1,"
+			"\"service\":\"desk\",\"attempts\":2}",
+			i ? "," : "", i, FIRST_PORT + i);
+	sprintf(text + n,
+		"],\"services\":[{\"name\":\"desk\",\"healthPath\":"
+		"\"/health\",\"maxConns\":2000,\"warmupS\":2.0,"
+		"\"warmupPerS\":5.0}],\"limits\":{\"idleTimeoutMs\":15000}}");
+	store_put_text("op/config", text);
+}
+
 static void set_up(int argc, char **argv)
 {
 	struct sockaddr_in a;
@@ -1300,6 +1350,8 @@
 		conns[i].fd = -1;
 	a = address(1, 1, base_port);
 	store_fd = open_tcp(&a);
+	a = address(1, 2, base_port);
+	second_store_fd = open_tcp(&a);
 	/* the clients of both zones, each at its own address */
 	a = (struct sockaddr_in){ .sin_family = AF_INET,
 				  .sin_port = htons((uint16_t)(base_port + 1)) };
@@ -1312,14 +1364,7 @@
 		in->at = address(71, atoi(argv[i]), base_port + 1);
 		in->ready_fd = -1;
 	}
-	store_put_text(
-		"op/config",
-		"{\"version\":3,\"routes\":[{\"name\":\"r-1\",\"host\":"
-		"\"198.18.0.1\",\"prefix\":\"/8443/\",\"kind\":\"unsafe\","
-		"\"timeoutMs\":4000,\"sloMs\":250,\"priority\":1,\"service\":"
-		"\"desk\",\"attempts\":2}],\"services\":[{\"name\":\"desk\","
-		"\"healthPath\":\"/health\",\"maxConns\":2000,\"warmupS\":2.0,"
-		"\"warmupPerS\":5.0}],\"limits\":{\"idleTimeoutMs\":15000}}");
+	write_config();
 	for (int i = 0; i < TARGETS_AT_START; i++) {
 		struct target *t = &targets[target_nr++];
 
@@ -1346,7 +1391,7 @@
 		credit += per_s * (double)(now_ms() - last) / 1000;
 		last = now_ms();
 		for (; credit >= 1; credit--) {
-			open_attempt(0, 0, now_ms(), false);
+			open_attempt(0, FIRST_PORT, 0, now_ms(), false);
 			sent++;
 		}
 	}
@@ -1409,10 +1454,8 @@
 /* Opens an upload of PACKETS packets, one each PACE_MS. */
 static void open_upload(int packets, uint64_t pace_ms)
 {
-	struct cflow *f;
+	struct cflow *f = open_attempt(0, FIRST_PORT, 2, now_ms(), false);
 
-	open_attempt(0, 2, now_ms(), false);
-	f = &cflows[next_port];
 	f->packets = packets;
 	f->pace_ms = pace_ms;
 	uploads++;
@@ -1476,6 +1519,66 @@
 	return resets_seen + moves_seen > 0;
 }
 
+/* One of the last routes that were added, of which there are N. */
+static uint16_t newest_route(int n)
+{
+	return (uint16_t)(FIRST_PORT + n + 1 -
+			  random() % (n < NEWEST_ROUTES ? n + 1
+							 : NEWEST_ROUTES));
+}
+
+/*
+ * FLOW: configurations come in quick succession, each with a route more, while
+ * the only instance of the clients' zone is stopped. Clients open a flow on each
+ * new route and keep it.
+ */
+static int play_storm(bool trouble)
+{
+	const char *pid = getenv("PID_TO_STOP");
+	uint64_t gap = 100;
+	int steps = 48;
+
+	pause_min_ms = 3000;
+	for (int i = 0; i < instance_nr; i++)
+		instances[i].checked_ms += 80;
+
+	run_until(3990, 40);
+	if (trouble) {
+		note("the store cuts the watches of the other zone");
+		cut_watches();
+	}
+	run_until(4000, 40);
+	for (int i = 0; i < steps; i++) {
+		if (trouble || i == 0) {
+			route_nr += trouble ? 1 : steps;
+			version += 3;
+			write_config();
+			note("version %d is acknowledged, with the routes %d "
+			     "to %d",
+			     version, FIRST_PORT, FIRST_PORT + route_nr - 1);
+		}
+		if (trouble && i == 12 && pid) {
+			note("the instance of the clients' zone gets SIGTERM");
+			kill(atoi(pid), SIGTERM);
+		}
+		/* clients use the newest routes */
+		for (int k = 0; k < 25; k++) {
+			if (i < 24)
+				open_attempt(0, newest_route(i), 0, now_ms(),
+					     true);
+			run_until(4000 + (uint64_t)i * gap +
+					  (uint64_t)(k + 1) * 4,
+				  40);
+		}
+	}
+	run_until(13000, 40);
+	note("requests: %d answered, %d attempts refused, %d resets of open "
+	     "flows, %d given up",
+	     answered_nr, refused, resets, timed_out);
+	note("FLOW (a): %d; FLOW (b): %d", resets_seen, moves_seen);
+	return resets_seen + moves_seen > 0;
+}
+
 /*
  * FLOW: instances are stopped and started in turn by the script, while routers
  * hash by `mod` and datagrams are lost occasionally.
@@ -1488,7 +1591,7 @@
 	hash_is_mod = true;
 	lost_per_10000 = lost ? atoi(lost) : 10;
 	for (int i = 0; i < 60; i++)
-		open_attempt(0, 0, now_ms(), true);
+		open_attempt(0, FIRST_PORT, 0, now_ms(), true);
 	run_until((uint64_t)(s ? atoi(s) : 60) * 1000, getenv("PER_S") ? atof(getenv("PER_S")) : 60);
 	lost_per_10000 = 0;
 	note("requests: %d answered, %d attempts refused, %d resets of open "
@@ -1533,6 +1636,8 @@
 		broken = play_cold_start(trouble);
 	else if (!strcmp(argv[4], "drain"))
 		broken = play_drain(trouble);
+	else if (!strcmp(argv[4], "storm"))
+		broken = play_storm(trouble);
 	else if (!strcmp(argv[4], "roll"))
 		broken = play_roll();
 	else
