--- a/review/stage-3.c
+++ b/review/stage-3.c
@@ -54,7 +54,7 @@
 #define DEADLINE_MS 4000
 #define SYN_END_MS 1400
 #define FIRST_PORT 8443 /* of the routes */
-#define NEWEST_ROUTES 8
+#define NEWEST_ROUTES 6
 #define PAUSE_SPAN_MS 1500 /* how much pauses of a client differ */
 #define UPLOAD_DEADLINE_MS 8000
 #define UPLOAD_BYTES 1200 /* in a packet */
@@ -66,8 +66,6 @@
 enum { SYN = 128, ACK = 64, FIN = 32, RST = 2 };
 
 static FILE *record;
-static int lost_per_10000; /* datagrams that do not arrive */
-static bool hash_is_mod;
 static int net;
 static int version = 3; /* of the configuration */
 static int route_nr = 1;
@@ -123,12 +121,6 @@
 	return a;
 }
 
-/* Whether a datagram is lost on its way. */
-static bool is_lost(void)
-{
-	return random() % 10000 < lost_per_10000;
-}
-
 static int open_udp(const struct sockaddr_in *a)
 {
 	int fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK, 0);
@@ -251,8 +243,8 @@
 };
 
 struct conn {
-	int fd;		/* -1: free */
-	int target;	/* below 0: of the store, -1 or -2 by its address */
+	int fd;	    /* -1: free */
+	int target; /* below 0: of the store, -1 or -2 by its address */
 	char in[16384];
 	size_t len;
 	bool watching;
@@ -475,8 +467,8 @@
 	} else if (!strncmp(c->in, "GET /kv-watch", 13)) {
 		c->watching = true;
 		c->after = after ? atol(after + 6) : 0;
-		c->until_ms = now_ms() + (wait ? strtoul(wait + 7, NULL, 10)
-					       : 0);
+		c->until_ms =
+			now_ms() + (wait ? strtoul(wait + 7, NULL, 10) : 0);
 		answer_watch(c, false);
 	} else if (!strncmp(c->in, "POST /kv-txn", 12)) {
 		answer_txn(c, body);
@@ -496,10 +488,10 @@
 
 struct tflow {
 	bool used, open;
-	unsigned int received;	/* packets with data */
-	unsigned int repeats;	/* of what was sent last */
-	uint64_t repeat_ms;	/* when it is sent again; 0: never */
-	uint16_t unacked;	/* bytes of an answer */
+	unsigned int received; /* packets with data */
+	unsigned int repeats;  /* of what was sent last */
+	uint64_t repeat_ms;    /* when it is sent again; 0: never */
+	uint16_t unacked;      /* bytes of an answer */
 	uint32_t client;
 	uint16_t sport, dport;
 	uint32_t dst;
@@ -526,14 +518,15 @@
 	bool draining;
 	uint64_t written_ms;
 	long seq;
-	bool written; /* its entry is up to date, but for the count */
+	bool written;	     /* its entry is up to date, but for the count */
 	struct tflow *flows; /* by the client's port */
 	struct job jobs[JOBS_MAX];
 	int job_nr;
 	struct arrival *cold; /* opening packets that it took while cold */
 	int cold_nr;
-	uint64_t over_ms;  /* when it took more than it bears; 0: never */
-	int lost;	   /* requests that it had accepted when it fell over */
+	uint64_t over_ms; /* when it took more than it bears; 0: never */
+	int lost;	  /* requests that it had accepted when it fell over */
+	int ran;	  /* requests that it ran to the end */
 };
 
 static struct target targets[TARGETS_MAX];
@@ -625,9 +618,8 @@
 				  .sin_port = htons((uint16_t)(base_port + 1)),
 				  .sin_addr.s_addr = htonl(f->client) };
 
-	if (!is_lost())
-		sendto(t->udp, out, write_packet(&p, out), 0,
-		       (struct sockaddr *)&to, sizeof(to));
+	sendto(t->udp, out, write_packet(&p, out), 0, (struct sockaddr *)&to,
+	       sizeof(to));
 }
 
 /* Sends what waits for an acknowledgment, and sets when it is sent again. */
@@ -688,9 +680,8 @@
 	if (is_copy && f->open)
 		return;
 	if (!is_copy && is_cold(t) && t->cold_nr < ARRIVALS_MAX) {
-		t->cold[t->cold_nr++] = (struct arrival){
-			now_ms(), syn_sent_ms[p->sport]
-		};
+		t->cold[t->cold_nr++] =
+			(struct arrival){ now_ms(), syn_sent_ms[p->sport] };
 		note("cold target %s takes opening packet %d, %llu ms after "
 		     "its start",
 		     t->name, t->cold_nr,
@@ -714,8 +705,8 @@
 
 static void note_open(const struct target *t, const struct packet *p)
 {
-	watched[p->sport] = (struct watched){ .open = true,
-					      .target = (int)(t - targets) };
+	watched[p->sport] =
+		(struct watched){ .open = true, .target = (int)(t - targets) };
 }
 
 /* FLOW (b): packets of an open flow that reach other targets. */
@@ -816,7 +807,7 @@
 	while (t->udp >= 0 && (n = recv(t->udp, b, sizeof(b), 0)) > 8) {
 		uint64_t id = (uint64_t)get32(b) << 32 | get32(b + 4);
 
-		if ((id && id != t->id) || is_lost() ||
+		if ((id && id != t->id) ||
 		    !read_packet(b + 8, (size_t)n - 8, &p))
 			continue;
 		take_packet(t, &p);
@@ -839,6 +830,7 @@
 	for (int i = 0; i < t->job_nr; i++) {
 		if (!t->jobs[i].end_ms || t_ms < t->jobs[i].end_ms)
 			continue;
+		t->ran++;
 		t->jobs[i].f->unacked = ANSWER_BYTES;
 		t->jobs[i].f->repeats = 0;
 		send_awaited(t, t->jobs[i].f);
@@ -869,12 +861,12 @@
 
 struct cflow {
 	int state;
-	bool is_long;	 /* many requests on one flow */
-	int packets;	 /* of an upload; 0: it is none */
-	int sent_nr;	 /* packets of it that were sent */
+	bool is_long; /* many requests on one flow */
+	int packets;  /* of an upload; 0: it is none */
+	int sent_nr;  /* packets of it that were sent */
 	uint32_t first_seq;
 	uint64_t pace_ms, send_ms; /* between two packets; next one */
-	bool waiting;	 /* for an answer */
+	bool waiting;		   /* for an answer */
 	uint64_t idle_ms; /* when the next request is due, if it is long */
 	int zone;
 	uint32_t seq, ack, echo;
@@ -911,19 +903,8 @@
 
 	for (int i = 0; i < instance_nr; i++) {
 		in_zone += instances[i].zone == zone;
-		in_rotation += instances[i].zone == zone &&
-			       instances[i].misses < 2;
-	}
-	if (hash_is_mod) {
-		uint64_t h = sport * 0x9e3779b97f4a7c15ULL;
-		bool all = 2 * in_rotation < in_zone;
-		int k = (int)((h >> 33) %
-			      (uint64_t)(all ? in_zone : in_rotation));
-
-		for (int i = 0; i < instance_nr; i++)
-			if (instances[i].zone == zone &&
-			    (all || instances[i].misses < 2) && !k--)
-				return &instances[i];
+		in_rotation +=
+			instances[i].zone == zone && instances[i].misses < 2;
 	}
 	for (int i = 0; i < instance_nr; i++) {
 		uint64_t w = (sport + 1) * 0x9e3779b97f4a7c15ULL ^
@@ -963,7 +944,7 @@
 			    .len = len,
 			    .ends = ends };
 
-	if (to && !is_lost())
+	if (to)
 		sendto(client_fd, out, write_packet(&p, out), 0,
 		       (const struct sockaddr *)&to->at, sizeof(to->at));
 }
@@ -1028,7 +1009,8 @@
 	if (w->open && targets[w->target].udp >= 0 && target != w->target) {
 		note("FLOW (a): the open flow of port %d gets a reset of %s, "
 		     "while its target %s serves",
-		     p->dport, target < 0 ? "an instance" : targets[target].name,
+		     p->dport,
+		     target < 0 ? "an instance" : targets[target].name,
 		     targets[w->target].name);
 		resets_seen++;
 	}
@@ -1117,10 +1099,11 @@
 			send_request(f);
 		return;
 	}
-	if (p->len && f->state == OPEN && p->seq == f->ack &&
-		   f->waiting) {
+	if (p->len && f->state == OPEN && p->seq == f->ack && f->waiting) {
 		answered_nr++;
 		uploads_done += f->packets > 0;
+		if (f->packets)
+			note("the upload of port %d is answered", p->dport);
 		f->waiting = false;
 		if (!f->packets)
 			f->seq += REQUEST_BYTES;
@@ -1323,8 +1306,8 @@
 static void write_config(void)
 {
 	static char text[VALUE_MAX * 3 / 4];
-	size_t n = (size_t)sprintf(text, "{\"version\":%d,\"routes\":[",
-				   version);
+	size_t n =
+		(size_t)sprintf(text, "{\"version\":%d,\"routes\":[", version);
 
 	for (int i = 0; i < route_nr; i++)
 		n += (size_t)sprintf(
@@ -1354,7 +1337,8 @@
 	second_store_fd = open_tcp(&a);
 	/* the clients of both zones, each at its own address */
 	a = (struct sockaddr_in){ .sin_family = AF_INET,
-				  .sin_port = htons((uint16_t)(base_port + 1)) };
+				  .sin_port =
+					  htons((uint16_t)(base_port + 1)) };
 	a = address(90, 1, base_port + 1);
 	client_fd = open_udp(&a);
 	for (int i = 6; i < argc; i++) {
@@ -1379,6 +1363,19 @@
 	}
 }
 
+/* Writes what was sent, run and answered. */
+static void note_totals(void)
+{
+	note("requests with a flow each: %d sent; uploads: %d begun, %d "
+	     "answered",
+	     sent, uploads, uploads_done);
+	note("of all requests: %d answered, %d attempts refused, %d given up; "
+	     "open flows that were reset: %d",
+	     answered_nr, refused, timed_out, resets);
+	for (int i = 0; i < target_nr; i++)
+		note("%s ran %d requests", targets[i].name, targets[i].ran);
+}
+
 static void run_until(uint64_t t, double per_s)
 {
 	static double credit;
@@ -1440,9 +1437,7 @@
 	run_until(14000, 83.4);
 	run_until(18500, 0);
 	peak = cold_peak(t);
-	note("requests: %d sent, %d answered, %d attempts refused, %d resets "
-	     "of open flows, %d given up",
-	     sent, answered_nr, refused, resets, timed_out);
+	note_totals();
 	note("opening packets that the cold target took: %d, at most %d in one "
 	     "second; the bound is %.1f",
 	     t->cold_nr, peak, bound);
@@ -1459,6 +1454,7 @@
 	f->packets = packets;
 	f->pace_ms = pace_ms;
 	uploads++;
+	note("the upload of port %d begins", next_port);
 }
 
 /* The target with most uploads that are under way. */
@@ -1510,9 +1506,7 @@
 		stop_target(t);
 	}
 	run_until(16000, 0);
-	note("requests: %d sent, %d answered; uploads: %d begun, %d answered; "
-	     "resets of open flows: %d, given up: %d",
-	     sent, answered_nr, uploads, uploads_done, resets, timed_out);
+	note_totals();
 	note("FLOW (a): %d; FLOW (b): %d", resets_seen, moves_seen);
 	if (answered_nr < sent / 2)
 		cannot_run("too few answers");
@@ -1523,8 +1517,8 @@
 static uint16_t newest_route(int n)
 {
 	return (uint16_t)(FIRST_PORT + n + 1 -
-			  random() % (n < NEWEST_ROUTES ? n + 1
-							 : NEWEST_ROUTES));
+			  random() %
+				  (n < NEWEST_ROUTES ? n + 1 : NEWEST_ROUTES));
 }
 
 /*
@@ -1540,7 +1534,7 @@
 
 	pause_min_ms = 3000;
 	for (int i = 0; i < instance_nr; i++)
-		instances[i].checked_ms += 80;
+		instances[i].checked_ms += 60;
 
 	run_until(3990, 40);
 	if (trouble) {
@@ -1572,31 +1566,7 @@
 		}
 	}
 	run_until(13000, 40);
-	note("requests: %d answered, %d attempts refused, %d resets of open "
-	     "flows, %d given up",
-	     answered_nr, refused, resets, timed_out);
-	note("FLOW (a): %d; FLOW (b): %d", resets_seen, moves_seen);
-	return resets_seen + moves_seen > 0;
-}
-
-/*
- * FLOW: instances are stopped and started in turn by the script, while routers
- * hash by `mod` and datagrams are lost occasionally.
- */
-static int play_roll(void)
-{
-	const char *s = getenv("SECONDS_TO_PLAY");
-	const char *lost = getenv("LOST_PER_10000");
-
-	hash_is_mod = true;
-	lost_per_10000 = lost ? atoi(lost) : 10;
-	for (int i = 0; i < 60; i++)
-		open_attempt(0, FIRST_PORT, 0, now_ms(), true);
-	run_until((uint64_t)(s ? atoi(s) : 60) * 1000, getenv("PER_S") ? atof(getenv("PER_S")) : 60);
-	lost_per_10000 = 0;
-	note("requests: %d answered, %d attempts refused, %d resets of open "
-	     "flows, %d given up",
-	     answered_nr, refused, resets, timed_out);
+	note_totals();
 	note("FLOW (a): %d; FLOW (b): %d", resets_seen, moves_seen);
 	return resets_seen + moves_seen > 0;
 }
@@ -1638,8 +1608,6 @@
 		broken = play_drain(trouble);
 	else if (!strcmp(argv[4], "storm"))
 		broken = play_storm(trouble);
-	else if (!strcmp(argv[4], "roll"))
-		broken = play_roll();
 	else
 		cannot_run("no such scenario");
 	note("%s", broken ? "the rule was broken" : "the rule held");
