--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -5,8 +5,8 @@
 . "$dir/../lib-3.sh"
 
 write_settings 1 north
-write_settings 2 south 2
-write_settings 3 south 2
+write_settings 2 south
+write_settings 3 south
 for n in 1 2 3
 do
 	start_instance $n
--- a/review/lib-3.sh
+++ b/review/lib-3.sh
@@ -22,9 +22,8 @@
 trap cleanup EXIT
 trap 'exit 2' HUP INT PIPE TERM
 
-# write_settings N ZONE [Y]: the settings of an instance at 127.$net.71.N, as the
-# platform fills in deploy/settings.ini. The store is at 127.$net.1.Y, Y is 1 or
-# 2.
+# write_settings N ZONE: the settings of an instance at 127.$net.71.N, as the
+# platform fills in deploy/settings.ini.
 write_settings () {
 	at=127.$net.71.$1
 	sed -e "s/{{node}}/front-$2-$1/" -e "s/{{zone}}/$2/" \
@@ -33,7 +32,7 @@
 		-e "s/{{listen.packetAddr}}/$at:$((base + 1))/" \
 		-e "s/{{listen.ready}}/$at:$((base + 2))/" \
 		-e "s/{{listen.control}}/$at:$((base + 3))/" \
-		-e "s/{{platform.addr}}/127.$net.1.${3:-1}:$base/" \
+		-e "s/{{platform.addr}}/127.$net.1.1:$base/" \
 		-e "s/{{seeds}}/127.$net.71.1:$((base + 3))/" \
 		-e "s/{{heartbeatMs}}/1200/" -e "s/{{bounds.flowTtlS}}/60/" \
 		-e "s/{{bounds.graceS}}/6/" -e "s/{{bounds.warmupFactor}}/1.5/" \
--- a/review/stage-3.c
+++ b/review/stage-3.c
@@ -54,7 +54,7 @@
 #define DEADLINE_MS 4000
 #define SYN_END_MS 1400
 #define FIRST_PORT 8443 /* of the routes */
-#define NEWEST_ROUTES 6
+#define NEWEST_ROUTES 2
 #define PAUSE_SPAN_MS 1500 /* how much pauses of a client differ */
 #define UPLOAD_DEADLINE_MS 8000
 #define UPLOAD_BYTES 1200 /* in a packet */
@@ -244,7 +244,7 @@
 
 struct conn {
 	int fd;	    /* -1: free */
-	int target; /* below 0: of the store, -1 or -2 by its address */
+	int target; /* -1: of the store */
 	char in[16384];
 	size_t len;
 	bool watching;
@@ -259,7 +259,7 @@
 static long revision = 10;
 static long last_lease = 100;
 static bool store_silent;
-static int store_fd, second_store_fd; /* the store has two addresses */
+static int store_fd;
 static struct conn conns[CONNS_MAX];
 
 static void encode64(const char *in, char *out)
@@ -1255,22 +1255,12 @@
 			answer_watch(&conns[i], now_ms() >= conns[i].until_ms);
 }
 
-/* Cuts the watches that wait at the store's second address. */
-static void cut_watches(void)
-{
-	for (int i = 0; i < CONNS_MAX; i++)
-		if (conns[i].fd >= 0 && conns[i].watching &&
-		    conns[i].target == -2)
-			close_conn(&conns[i]);
-}
-
 static void step(void)
 {
-	struct pollfd p[CONNS_MAX + TARGETS_MAX * 2 + 3];
+	struct pollfd p[CONNS_MAX + TARGETS_MAX * 2 + 2];
 	int n = 0;
 
 	p[n++] = (struct pollfd){ store_fd, POLLIN, 0 };
-	p[n++] = (struct pollfd){ second_store_fd, POLLIN, 0 };
 	p[n++] = (struct pollfd){ client_fd, POLLIN, 0 };
 	for (int i = 0; i < target_nr; i++) {
 		p[n++] = (struct pollfd){ targets[i].udp, POLLIN, 0 };
@@ -1280,7 +1270,6 @@
 		p[n++] = (struct pollfd){ conns[i].fd, POLLIN, 0 };
 	poll(p, (nfds_t)n, 2);
 	accept_conns(store_fd, -1);
-	accept_conns(second_store_fd, -2);
 	for (int i = 0; i < target_nr; i++) {
 		if (targets[i].udp < 0)
 			continue;
@@ -1333,8 +1322,6 @@
 		conns[i].fd = -1;
 	a = address(1, 1, base_port);
 	store_fd = open_tcp(&a);
-	a = address(1, 2, base_port);
-	second_store_fd = open_tcp(&a);
 	/* the clients of both zones, each at its own address */
 	a = (struct sockaddr_in){ .sin_family = AF_INET,
 				  .sin_port =
@@ -1532,15 +1519,10 @@
 	uint64_t gap = 100;
 	int steps = 48;
 
-	pause_min_ms = 3000;
+	pause_min_ms = 200;
 	for (int i = 0; i < instance_nr; i++)
-		instances[i].checked_ms += 60;
+		instances[i].checked_ms += 100;
 
-	run_until(3990, 40);
-	if (trouble) {
-		note("the store cuts the watches of the other zone");
-		cut_watches();
-	}
 	run_until(4000, 40);
 	for (int i = 0; i < steps; i++) {
 		if (trouble || i == 0) {
@@ -1557,7 +1539,7 @@
 		}
 		/* clients use the newest routes */
 		for (int k = 0; k < 25; k++) {
-			if (i < 24)
+			if (i >= 17 && i < 24)
 				open_attempt(0, newest_route(i), 0, now_ms(),
 					     true);
 			run_until(4000 + (uint64_t)i * gap +
