--- a/review/stage-3.c
+++ b/review/stage-3.c
@@ -62,6 +62,7 @@
 #define UPLOAD_PACE_MS 220
 /* drainMs is 3,000; a target serves a little longer */
 #define LISTENS_MS 3200
+#define QUEUE_FULL_MS 700
 
 enum { SYN = 128, ACK = 64, FIN = 32, RST = 2 };
 
@@ -516,6 +517,7 @@
 	uint64_t start_ms, born_ms;
 	bool cold_start;
 	bool draining;
+	bool queue_full; /* of new connections; see fill_queue() */
 	uint64_t written_ms;
 	long seq;
 	bool written;	     /* its entry is up to date, but for the count */
@@ -1273,7 +1275,7 @@
 	for (int i = 0; i < target_nr; i++) {
 		if (targets[i].udp < 0)
 			continue;
-		if (targets[i].tcp >= 0)
+		if (targets[i].tcp >= 0 && !targets[i].queue_full)
 			accept_conns(targets[i].tcp, i);
 		read_target(&targets[i]);
 	}
@@ -1461,6 +1463,50 @@
 	return &targets[best];
 }
 
+/*
+ * Fills the queue of new connections of T: the kernel drops the opening packets
+ * of further ones, which are sent again a second later.
+ */
+static void fill_queue(struct target *t)
+{
+	listen(t->tcp, 0);
+	t->queue_full = true;
+	for (int i = 0; i < 3; i++) {
+		int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+
+		connect(fd, (struct sockaddr *)&t->at, sizeof(t->at));
+	}
+}
+
+/*
+ * FLOW: the queue of new connections of a target with slow uploads is full for
+ * a moment.
+ */
+static int play_full_queue(bool trouble)
+{
+	struct target *t;
+
+	run_until(4000, 40);
+	for (int i = 0; i < 12; i++) {
+		open_upload(UPLOAD_PACKETS, UPLOAD_PACE_MS);
+		run_until(4000 + (uint64_t)(i + 1) * 60, 40);
+	}
+	run_until(6500, 40);
+	t = find_busiest();
+	if (trouble) {
+		note("the queue of new connections of %s is full for %d ms",
+		     t->name, QUEUE_FULL_MS);
+		fill_queue(t);
+	}
+	run_until(6500 + QUEUE_FULL_MS, 40);
+	t->queue_full = false;
+	run_until(14000, 40);
+	run_until(16000, 0);
+	note_totals();
+	note("FLOW (a): %d; FLOW (b): %d", resets_seen, moves_seen);
+	return resets_seen + moves_seen > 0;
+}
+
 /*
  * FLOW: a target drains and leaves while slow uploads are under way there. It
  * stops listening when its time has passed, and serves on until they end.
@@ -1588,6 +1634,8 @@
 		broken = play_cold_start(trouble);
 	else if (!strcmp(argv[4], "drain"))
 		broken = play_drain(trouble);
+	else if (!strcmp(argv[4], "full-queue"))
+		broken = play_full_queue(trouble);
 	else if (!strcmp(argv[4], "storm"))
 		broken = play_storm(trouble);
 	else
