--- a/review/stage-3.c
+++ b/review/stage-3.c
@@ -63,6 +63,7 @@
 /* drainMs is 3,000; a target serves a little longer */
 #define LISTENS_MS 3200
 #define QUEUE_FULL_MS 700
+#define LOST_ANSWERS 2
 
 enum { SYN = 128, ACK = 64, FIN = 32, RST = 2 };
 
@@ -490,6 +491,7 @@
 struct tflow {
 	bool used, open;
 	unsigned int received; /* packets with data */
+	bool drops_answers;    /* its first answers to a SYN are lost */
 	unsigned int repeats;  /* of what was sent last */
 	uint64_t repeat_ms;    /* when it is sent again; 0: never */
 	uint16_t unacked;      /* bytes of an answer */
@@ -533,6 +535,10 @@
 
 static struct target targets[TARGETS_MAX];
 
+/* See play_herd(). */
+static uint16_t unlucky_port;	    /* of a client; 0: none */
+static struct target *first_target; /* that its SYN came to */
+
 /* A flow as FLOW sees it, by the client's port. */
 struct watched {
 	bool open;	   /* its target has the end of the handshake */
@@ -631,6 +637,11 @@
 
 	f->repeat_ms = now_ms() + gap;
 	f->repeats++;
+	if (f->drops_answers && f->repeats <= LOST_ANSWERS) {
+		note("answer %u of %s to the SYN of port %d is lost",
+		     f->repeats, t->name, f->sport);
+		return;
+	}
 	send_to_client(t, f, f->open ? ACK : SYN | ACK, f->unacked);
 }
 
@@ -699,6 +710,16 @@
 			     .seq = (uint32_t)t->id * 2654435761U + p->sport,
 			     .expected = p->seq + 1,
 			     .echo = p->echo };
+	if (p->sport == unlucky_port && !first_target) {
+		first_target = t;
+		f->drops_answers = true;
+		note("the SYN of port %d comes to %s, which reports that it "
+		     "drains",
+		     p->sport, t->name);
+		t->draining = true;
+		t->written = false;
+		t->written_ms = 0;
+	}
 	send_awaited(t, f);
 	if (!t->over_ms && t->cold_nr &&
 	    cold_peak(t) > WARMUP_PER_S * WARMUP_FACTOR + WARMUP_SLACK)
@@ -1507,6 +1528,49 @@
 	return resets_seen + moves_seen > 0;
 }
 
+/*
+ * FLOW: a flow's first target begins to drain before the copy of its SYN comes,
+ * and repeats its lost answer later. Then all instances are killed.
+ */
+static int play_herd(bool trouble)
+{
+	struct cflow *f;
+	uint64_t began;
+
+	pause_min_ms = 8000;
+	run_until(4000, 40);
+	began = now_ms();
+	f = open_attempt(0, FIRST_PORT, 2, began, true);
+	unlucky_port = (uint16_t)(f - cflows);
+	run_until(4600, 40);
+	if (f->state != OPEN || !watched[unlucky_port].open)
+		cannot_run("the flow is not open");
+	note("the flow of port %d is open at %s", unlucky_port,
+	     targets[watched[unlucky_port].target].name);
+	if (first_target == &targets[watched[unlucky_port].target])
+		cannot_run("the flow is open at its first target");
+	run_until(5500, 40);
+	if (trouble) {
+		note("all instances are killed");
+		/* the script starts them again 0.5 s later */
+		for (int i = 0; i < instance_nr; i++) {
+			char name[32];
+			const char *pid;
+
+			snprintf(name, sizeof(name), "PID_%d", i + 1);
+			pid = getenv(name);
+			if (pid)
+				kill(atoi(pid), SIGKILL);
+		}
+	}
+	/* the pause ends when its first target has just answered again */
+	f->idle_ms = began + 7900;
+	run_until(14500, 40);
+	note_totals();
+	note("FLOW (a): %d; FLOW (b): %d", resets_seen, moves_seen);
+	return resets_seen + moves_seen > 0;
+}
+
 /*
  * FLOW: a target drains and leaves while slow uploads are under way there. It
  * stops listening when its time has passed, and serves on until they end.
@@ -1636,6 +1700,8 @@
 		broken = play_drain(trouble);
 	else if (!strcmp(argv[4], "full-queue"))
 		broken = play_full_queue(trouble);
+	else if (!strcmp(argv[4], "herd"))
+		broken = play_herd(trouble);
 	else if (!strcmp(argv[4], "storm"))
 		broken = play_storm(trouble);
 	else
