cookie: judge the silence of each flow by its own repeats

Cause: both ends acknowledge every second packet and repeat the first that is missing after 200 ms, so a caller that sends a packet every 220 ms repeats packets all the time. Each repeat counted as a packet without an answer, those of all flows were added up, and that the caller moved on was no sign of life. The first refused check then made the upstream dead at all members.

Now repeats of later and later packets are a sign of life. A flow is silent if the same packet is repeated until the interval is the longest, 3.0 s, and the upstream shows no life to anybody meanwhile. That resets this flow only. A peer's verdict on an upstream that may serve without listening is not adopted, whatever its age: earlier builds rest it on such repeats.

Two tests asked for the fault: one that the silence of a flow end another flow after three repeats, one that a verdict of a peer be adopted that looks 900 ms old. They now ask which flow ends, when, and that others stay.

--- a/flow/cookie-flows.c
+++ b/flow/cookie-flows.c
@@ -201,7 +201,7 @@
 	return true;
 }
 
-static void add_reset(struct cookie_flow *f, enum cookie_reason reason,
+void add_cookie_reset(struct cookie_flow *f, enum cookie_reason reason,
 		      uint64_t now_ms, GArray *resets)
 {
 	struct cookie_reset r = { .key = f->key,
@@ -230,7 +230,8 @@
 
 		/* the caller of an opening flow retransmits its SYN */
 		if (f->phase != PHASE_OPENING) {
-			add_reset(f, COOKIE_UPSTREAM_DEAD, now_ms, resets);
+			add_cookie_reset(f, COOKIE_UPSTREAM_DEAD, now_ms,
+					 resets);
 			remove_cookie_flow(cs, f);
 		}
 		f = next;
@@ -280,7 +281,8 @@
 
 			if (f->request_pending &&
 			    is_better_repeated(cs, &f->key, nr, now_ms)) {
-				add_reset(f, COOKIE_LINK_LOST, now_ms, resets);
+				add_cookie_reset(f, COOKIE_LINK_LOST, now_ms,
+						 resets);
 				remove_cookie_flow(cs, f);
 			}
 			f = next;
@@ -301,7 +303,7 @@
 		if (find_catalog_route(cs->catalog, f->key.service_ip,
 				       f->key.service_port))
 			continue;
-		add_reset(f, COOKIE_ROUTE_GONE, now_ms, resets);
+		add_cookie_reset(f, COOKIE_ROUTE_GONE, now_ms, resets);
 		detach_cookie_flow(cs, f);
 		g_hash_table_iter_remove(&it);
 	}
--- a/flow/cookie-state.h
+++ b/flow/cookie-state.h
@@ -1,7 +1,7 @@
 #ifndef FLOW_COOKIE_STATE_H
 #define FLOW_COOKIE_STATE_H
 
-/* Private to flow/cookie.c and flow/cookie-flows.c. */
+/* Private to flow/cookie*.c. */
 
 #include "flow/cookie.h"
 #include "flow/split-flows.h"
@@ -21,6 +21,20 @@
 	uint64_t sent_ms; /* the earliest that its caller may have sent it */
 };
 
+/* The packet of a flow that its caller repeats, the first one that is missing. */
+struct repeated_packet {
+	uint32_t seq;
+	uint32_t repeat_nr; /* repeats of it, in a row; 0: there is none */
+	/*
+	 * the earliest transmission of it after which its upstream showed no
+	 * life, or a little later
+	 */
+	uint64_t sent_ms;
+	uint64_t followed_ms; /* when a later one was sent; 0: none was */
+	uint64_t repeated_ms; /* the last repeat */
+	bool moved_on;	      /* the caller repeated earlier ones before */
+};
+
 struct cookie_flow {
 	struct flow_key key;
 	struct held_syn *held_syn;	   /* NULL: its SYN does not wait */
@@ -44,6 +58,7 @@
 	bool is_listed;		  /* in pending_flows */
 	uint32_t caller_next_seq; /* follows the last byte sent by the caller */
 	uint32_t caller_ack;	  /* last acknowledgment number of the caller */
+	struct repeated_packet repeated;
 	uint32_t deadline_ms;	  /* longest time that a request may take */
 	uint64_t syn_ms;	  /* when the SYN was sent to the upstream */
 	uint64_t request_sent_ms; /* of its first transmission */
@@ -133,6 +148,20 @@
 /* F is idle, or its caller has ended it. */
 void end_flow_load(struct cookie_steering *cs, struct cookie_flow *f);
 
+/* P repeats data of F, which is open. */
+void observe_repeat(struct cookie_steering *cs, struct cookie_flow *f,
+		    const struct cookie_packet *p, uint64_t now_ms);
+
+/* The caller of F sends data for the first time. */
+void observe_new_data(struct cookie_flow *f, uint64_t now_ms);
+
+/* The upstream of F has answered, or the next request begins. */
+void forget_repeats(struct cookie_flow *f);
+
+/* Appends the reset of F to RESETS, unless its caller has ended it. */
+void add_cookie_reset(struct cookie_flow *f, enum cookie_reason reason,
+		      uint64_t now_ms, GArray *resets);
+
 /* Updates the weights of all pending requests and of opening flows. */
 void update_flow_loads(struct cookie_steering *cs, uint64_t now_ms);
 
--- a/flow/cookie.c
+++ b/flow/cookie.c
@@ -716,18 +716,18 @@
 					   now_ms - f->request_sent_ms, now_ms);
 		}
 		observe_answer(cs, f, p, now_ms);
+		forget_repeats(f);
 	}
 	if (!p->payload_len)
 		return;
 	if (!is_seq_after(next_seq, f->caller_next_seq)) {
-		note_upstream_silent(cs->placer, f->upstream, f->last_packet_ms,
-				     now_ms);
-		note_repeated_packet(cs->placer, f->upstream, f->last_packet_ms,
-				     now_ms);
+		observe_repeat(cs, f, p, now_ms);
 		return;
 	}
+	observe_new_data(f, now_ms);
 	f->caller_next_seq = next_seq;
 	if (!f->request_pending) {
+		forget_repeats(f);
 		note_response_end(cs, f, now_ms);
 		f->request_ack = f->caller_ack;
 		start_request(cs, f, now_ms);
@@ -865,10 +865,10 @@
 const char *cookie_reason_name(enum cookie_reason r)
 {
 	static const char *const names[COOKIE_REASON_NR] = {
-		"opened",     "reopened", "steered",   "no-route",
-		"route-gone", "crowded",  "refused",   "upstream-dead",
-		"link-lost",  "unknown",  "not-ready", "isolated",
-		"late-copy",  "stale-syn"
+		"opened",	   "reopened",	"steered",  "no-route",
+		"route-gone",	   "crowded",	"refused",  "upstream-dead",
+		"upstream-silent", "link-lost", "unknown",  "not-ready",
+		"isolated",	   "late-copy", "stale-syn"
 	};
 
 	return names[r];
--- a/flow/cookie.h
+++ b/flow/cookie.h
@@ -15,7 +15,7 @@
  * knows nothing else of the flow not to go by it.
  *
  * An open flow is reset only if its route is gone or its upstream is known to
- * be dead or cut off. A flow that cannot be placed is refused at its SYN.
+ * be dead or cut off, or on that flow silent. A flow that cannot be placed is refused at its SYN.
  */
 
 #include "base/counters.h"
@@ -95,13 +95,14 @@
 	COOKIE_ROUTE_GONE, /* the flow's route was removed */
 	COOKIE_CROWDED,	   /* all upstreams are crowded: it waits */
 	COOKIE_REFUSED,	   /* no upstream can take the flow */
-	COOKIE_UPSTREAM_DEAD, /* or cut off */
-	COOKIE_LINK_LOST,     /* the link to the upstream's domain is cut */
-	COOKIE_UNKNOWN,	      /* the cookie is of no upstream known here */
-	COOKIE_NOT_READY,     /* no configuration yet */
-	COOKIE_ISOLATED,      /* no upstream can be reached from here */
-	COOKIE_LATE_COPY,     /* of the SYN of a flow that is open */
-	COOKIE_STALE_SYN,     /* its caller has sent a copy since, or left */
+	COOKIE_UPSTREAM_DEAD,	/* or cut off */
+	COOKIE_UPSTREAM_SILENT, /* it answers nothing on this flow any more */
+	COOKIE_LINK_LOST,	/* the link to the upstream's domain is cut */
+	COOKIE_UNKNOWN,		/* the cookie is of no upstream known here */
+	COOKIE_NOT_READY,	/* no configuration yet */
+	COOKIE_ISOLATED,	/* no upstream can be reached from here */
+	COOKIE_LATE_COPY,	/* of the SYN of a flow that is open */
+	COOKIE_STALE_SYN,	/* its caller has sent a copy since, or left */
 	COOKIE_REASON_NR
 };
 
@@ -192,6 +193,14 @@
 void end_upstream_flows(struct cookie_steering *cs, upstream_index_t nr,
 			uint64_t now_ms, GArray *resets);
 
+/*
+ * Ends flows of upstreams that serve without listening, if they do: those whose
+ * callers repeat the same packet for longer than an upstream takes that lives;
+ * RESETS as above. Other flows of the same upstream may be served.
+ */
+void end_silent_flows(struct cookie_steering *cs, uint64_t now_ms,
+		      GArray *resets);
+
 /*
  * Ends flows behind cut links on which a request waits that its caller may
  * repeat, if it can be placed elsewhere; RESETS as above. A request that may
--- a/flow/placement-health.c
+++ b/flow/placement-health.c
@@ -103,7 +103,6 @@
 	ul->silence_count = 0;
 	ul->unreachable_checks = 0;
 	ul->refused_ms = 0;
-	ul->repeats_since_ms = 0;
 	ul->adopted = false;
 	ul->flow_in_doubt = false;
 	ul->check_unproved = false;
@@ -155,6 +154,21 @@
 		clear_suspicion(pl, nr, ul, now_ms);
 }
 
+void note_upstream_alive_at(struct placer *pl, upstream_index_t nr,
+			    uint64_t alive_ms, uint64_t now_ms)
+{
+	struct upstream_load *ul = get_or_create_upstream_load(pl, nr);
+	bool is_told = ul->unanswered_since_ms;
+
+	ul->last_alive_ms = MAX(ul->last_alive_ms, alive_ms);
+	ul->own_alive_ms = MAX(ul->own_alive_ms, alive_ms);
+	if (ul->health != HEALTH_SUSPECTED || alive_ms <= ul->suspect_since_ms)
+		return;
+	clear_suspicion(pl, nr, ul, now_ms);
+	if (is_told)
+		post_sign_of_life(pl, nr, now_ms);
+}
+
 void note_upstream_answer(struct placer *pl, upstream_index_t nr,
 			  uint64_t sent_ms, uint64_t now_ms)
 {
@@ -397,14 +411,6 @@
 	schedule_check_for_peer(ul, now_ms);
 }
 
-void note_silent_leaver(struct placer *pl, upstream_index_t nr,
-			struct upstream_load *ul, uint64_t now_ms)
-{
-	note_own_verdict(ul, EVIDENCE_REFUSED, now_ms);
-	set_verdict(pl, nr, ul, HEALTH_DEAD, false, now_ms);
-	post_silence_verdict(pl, nr, now_ms);
-}
-
 void note_unreachable(struct placer *pl, upstream_index_t nr,
 		      struct upstream_load *ul, uint64_t now_ms)
 {
--- a/flow/placement-leaving.c
+++ b/flow/placement-leaving.c
@@ -52,38 +52,33 @@
 	return sv ? sv->longest_target_ms : 0;
 }
 
-/* Whether NR has answered nothing for as long as it serves and repeats. */
-static bool is_silence_complete(const struct placer *pl, upstream_index_t nr,
-				const struct upstream_load *ul, uint64_t now_ms)
+bool is_unlistening_silent(const struct placer *pl, upstream_index_t nr,
+			   uint64_t since_ms, uint64_t now_ms)
 {
 	const struct catalog_upstream *up = get_upstream(pl->catalog, nr);
+	const struct upstream_load *ul = find_upstream_load(pl, nr);
 
-	if (!up || !ul->repeats_since_ms ||
-	    was_alive_after(pl, nr, ul->repeats_since_ms))
+	/* after a pause answers may be unread */
+	if (!up || !ul || (pl->notices && notice_held_ms(pl->notices, now_ms)))
 		return false;
-	return ul->repeated_ms - ul->repeats_since_ms >=
-		       PLACEMENT_LAST_REPEAT_MS &&
-	       now_ms - ul->repeats_since_ms >=
+	return ul->unlistening && ul->health == HEALTH_SUSPECTED &&
+	       now_ms - since_ms >=
 		       PLACEMENT_REPEATS_MS + longest_target_ms(pl, up) &&
-	       was_link_open_since(pl, nr, ul->repeats_since_ms);
+	       !was_alive_after(pl, nr, since_ms) &&
+	       was_link_open_since(pl, nr, since_ms);
 }
 
-void note_repeated_packet(struct placer *pl, upstream_index_t nr,
-			  uint64_t sent_ms, uint64_t now_ms)
+bool has_unlistening_upstream(const struct placer *pl)
 {
-	struct upstream_load *ul = get_or_create_upstream_load(pl, nr);
+	for (guint i = 0; pl->has_unhealthy && i < pl->upstream_loads->len;
+	     i++) {
+		const struct upstream_load *ul =
+			g_ptr_array_index(pl->upstream_loads, i);
 
-	/* after a pause the answer may be unread */
-	if (pl->notices && notice_held_ms(pl->notices, now_ms))
-		sent_ms = now_ms;
-	if (was_alive_after(pl, nr, sent_ms))
-		return;
-	if (!ul->repeats_since_ms ||
-	    was_alive_after(pl, nr, ul->repeats_since_ms))
-		ul->repeats_since_ms = MAX(sent_ms, 1);
-	else if (now_ms - ul->repeated_ms > PLACEMENT_REPEAT_GAP_MS)
-		ul->repeats_since_ms = now_ms;
-	ul->repeated_ms = now_ms;
+		if (ul && ul->unlistening && ul->health == HEALTH_SUSPECTED)
+			return true;
+	}
+	return false;
 }
 
 void note_unproved_refusal(struct placer *pl, upstream_index_t nr,
@@ -100,10 +95,3 @@
 {
 	return ul->unlistening && may_serve_unlistening(pl, nr, now_ms);
 }
-
-bool is_leaving_upstream_gone(const struct placer *pl, upstream_index_t nr,
-			      const struct upstream_load *ul, uint64_t now_ms)
-{
-	return ul->unlistening && ul->health == HEALTH_SUSPECTED &&
-	       is_silence_complete(pl, nr, ul, now_ms);
-}
--- a/flow/placement-notices.c
+++ b/flow/placement-notices.c
@@ -40,13 +40,6 @@
 		    now_ms - ul->check_started_ms, now_ms);
 }
 
-void post_silence_verdict(struct placer *pl, upstream_index_t nr,
-			  uint64_t now_ms)
-{
-	post_notice(pl, nr, NOTICE_VERDICT, HEALTH_DEAD,
-		    PLACEMENT_SILENCE_TOLD_MS, now_ms);
-}
-
 void post_failed_link_check(struct placer *pl, upstream_index_t nr,
 			    const struct upstream_load *ul, uint64_t now_ms)
 {
@@ -76,6 +69,11 @@
 		    now_ms - ul->unanswered_since_ms, now_ms);
 }
 
+void post_sign_of_life(struct placer *pl, upstream_index_t nr, uint64_t now_ms)
+{
+	post_notice(pl, nr, NOTICE_SUSPICION, HEALTH_GOOD, 0, now_ms);
+}
+
 void withdraw_suspicion(struct placer *pl, upstream_index_t nr,
 			struct upstream_load *ul, uint64_t now_ms)
 {
@@ -89,7 +87,7 @@
 	ul->unanswered_since_ms = 0;
 	/* others hear of signs of life from those who saw them */
 	if (ul->own_alive_ms == now_ms)
-		post_notice(pl, nr, NOTICE_SUSPICION, HEALTH_GOOD, 0, now_ms);
+		post_sign_of_life(pl, nr, now_ms);
 }
 
 void forget_unanswered_packets(struct placer *pl)
@@ -139,10 +137,6 @@
 {
 	uint64_t unanswered_ms = now_ms - ul->unanswered_since_ms;
 
-	if (is_leaving_upstream_gone(pl, nr, ul, now_ms)) {
-		note_silent_leaver(pl, nr, ul, now_ms);
-		return;
-	}
 	if (!pl->notices || ul->health != HEALTH_SUSPECTED)
 		return;
 	if (ul->unanswered_since_ms && unanswered_ms >= HEALTH_UNANSWERED_MS)
@@ -195,10 +189,8 @@
 	/* builds that use such entries may have checked the other address */
 	if (is_contested(pl->catalog, nr, now_ms))
 		return VERDICT_CONTESTED;
-	/* a shorter silence rests on a refused check alone */
-	if (n->health == HEALTH_DEAD &&
-	    n->check_ms < PLACEMENT_SILENCE_TOLD_MS &&
-	    may_serve_unlistening(pl, nr, now_ms))
+	/* it rests on a refused check, or on the silence of some flows */
+	if (n->health == HEALTH_DEAD && may_serve_unlistening(pl, nr, now_ms))
 		return VERDICT_LEAVING;
 	/* a refusal takes one round trip, and the sender alone may be cut off */
 	if (ul->open_flows &&
--- a/flow/placement-state.h
+++ b/flow/placement-state.h
@@ -74,9 +74,6 @@
 	/* first refused check that waits for a confirming one; 0: none */
 	uint64_t refused_ms;
 	bool unlistening; /* it refused a check, but may serve open flows */
-	/* first transmission of what callers repeat without an answer; 0 */
-	uint64_t repeats_since_ms;
-	uint64_t repeated_ms; /* the last repeat */
 	/* ring buffer: when it got flows while cold */
 	uint64_t cold_flow_ms[PLACEMENT_COLD_FLOWS_MAX];
 	uint32_t cold_flow_next;
@@ -247,6 +244,9 @@
 			    struct upstream_load *ul, uint64_t sent_ms,
 			    uint64_t now_ms);
 
+/* Tells NR's assessors when it showed life here last. */
+void post_sign_of_life(struct placer *pl, upstream_index_t nr, uint64_t now_ms);
+
 /* Ends what was told and heard of packets without an answer. */
 void withdraw_suspicion(struct placer *pl, upstream_index_t nr,
 			struct upstream_load *ul, uint64_t now_ms);
@@ -322,21 +322,6 @@
 bool is_check_pointless(const struct placer *pl, upstream_index_t nr,
 			const struct upstream_load *ul, uint64_t now_ms);
 
-/*
- * Whether NR, which does not listen, is gone: it has not answered callers who
- * repeated their packets for longer than an upstream takes that serves.
- */
-bool is_leaving_upstream_gone(const struct placer *pl, upstream_index_t nr,
-			      const struct upstream_load *ul, uint64_t now_ms);
-
-/* Makes such an upstream dead, and tells peers. */
-void note_silent_leaver(struct placer *pl, upstream_index_t nr,
-			struct upstream_load *ul, uint64_t now_ms);
-
-/* Tells peers that NR is dead, as it has been silent for long enough. */
-void post_silence_verdict(struct placer *pl, upstream_index_t nr,
-			  uint64_t now_ms);
-
 /* placement-links.c: links between failure domains */
 
 /* A flow to NR made progress. */
--- a/flow/placement.h
+++ b/flow/placement.h
@@ -100,19 +100,17 @@
 
 /*
  * An upstream that drains stops listening before it exits, and serves its open
- * flows meanwhile. It is gone if it has not answered anything since a packet
- * that its caller then repeated three times, 200, 600 and 1,400 ms later, and
- * the time in which requests should be answered. The last repeat may come some
- * ms early; repeats that are further apart than GAP are of different packets.
+ * flows meanwhile. A flow of it has ended if it has not answered anything since
+ * a packet that the caller of the flow then repeated 200, 600, 1,400 and 3,000
+ * ms later, the whole series up to the longest interval, and the time in which
+ * requests should be answered. Callers that send a packet every second or two
+ * repeat each one three times, as only every second one is acknowledged. The
+ * last repeat may come some ms early; repeats that are further apart than GAP
+ * are of different packets.
  */
-#define PLACEMENT_REPEATS_MS 1400
-#define PLACEMENT_LAST_REPEAT_MS 1300
+#define PLACEMENT_REPEATS_MS 3000
+#define PLACEMENT_LAST_REPEAT_MS 2900
 #define PLACEMENT_REPEAT_GAP_MS 1700
-/*
- * Age of the evidence that a verdict of such a silence tells: longer than any
- * check runs, and not too old for a notice.
- */
-#define PLACEMENT_SILENCE_TOLD_MS 900
 
 /* Result of a check of an upstream. */
 enum check_result {
@@ -297,11 +295,21 @@
 			  uint64_t sent_ms, uint64_t now_ms);
 
 /*
- * A caller repeats data on an open flow of NR whose packet before came at
- * SENT_MS. Ignored if NR showed life since then.
+ * NR showed life at ALIVE_MS or later, as was learned at NOW_MS from a packet
+ * that acknowledges nothing itself.
  */
-void note_repeated_packet(struct placer *pl, upstream_index_t nr,
-			  uint64_t sent_ms, uint64_t now_ms);
+void note_upstream_alive_at(struct placer *pl, upstream_index_t nr,
+			    uint64_t alive_ms, uint64_t now_ms);
+
+/* True if an upstream refused a check and may serve its open flows. */
+bool has_unlistening_upstream(const struct placer *pl);
+
+/*
+ * True if NR is such an upstream and has answered nothing since SINCE_MS, for
+ * as long as callers repeat a packet and requests should take.
+ */
+bool is_unlistening_silent(const struct placer *pl, upstream_index_t nr,
+			   uint64_t since_ms, uint64_t now_ms);
 
 /*
  * A flow of NR that another instance forwarded before sends data here. Its
--- a/net/edge-evidence.c
+++ b/net/edge-evidence.c
@@ -90,6 +90,7 @@
 {
 	switch (reason) {
 	case COOKIE_UPSTREAM_DEAD:
+	case COOKIE_UPSTREAM_SILENT:
 		format_health_evidence(e, nr, text);
 		break;
 	case COOKIE_LINK_LOST:
--- a/net/edge.c
+++ b/net/edge.c
@@ -221,12 +221,16 @@
 	g_array_free(heard, TRUE);
 }
 
-/* Lets callers repeat elsewhere what waits behind cut links. */
-static void reset_flows_behind_cut_links(struct edge *e)
+/*
+ * Lets callers repeat elsewhere what waits behind cut links, or at upstreams
+ * that are silent on their flows.
+ */
+static void reset_unanswered_flows(struct edge *e)
 {
 	GArray *resets = g_array_new(FALSE, FALSE, sizeof(struct cookie_reset));
 
 	end_flows_behind_cut_links(e->steering, e->now_ms, resets);
+	end_silent_flows(e->steering, e->now_ms, resets);
 	send_edge_resets(e, resets);
 	g_array_free(resets, TRUE);
 }
@@ -291,7 +295,7 @@
 			 e->now_ms);
 	set_cookie_isolated(e->steering, e->isolation.isolated);
 	log_link_changes(e);
-	reset_flows_behind_cut_links(e);
+	reset_unanswered_flows(e);
 	handle_health_changes(e);
 	log_quality_changes(e);
 	tick_edge_waiting_syns(e);
--- a/t/check-leaving-upstream.c
+++ b/t/check-leaving-upstream.c
@@ -93,24 +93,33 @@
 				check_result, t);
 		if (may_end_flows(in.placer, leaving, t))
 			end_upstream_flows(in.steering, leaving, t, resets);
+		end_silent_flows(in.steering, t, resets);
 	}
 	return check_nr;
 }
 
-/* A request sent at 10 s and repeated at 0.2, 0.6 and 1.4 s; no answer. */
-static unsigned int repeat_request(void)
+/*
+ * A request of the flow from PORT, sent at T_MS and repeated 0.2, 0.6 and 1.4 s
+ * later without an answer, until a fourth repeat is due.
+ */
+static unsigned int repeat_request_of(uint16_t port, uint64_t t_ms)
 {
-	unsigned int check_nr;
+	static const uint64_t sent_ms[] = { 0, 200, 600, 1400, 3000 };
+	unsigned int check_nr = 0;
 
-	send_request(PORT, 1301, 800, 10000);
-	check_nr = tick(10000, 10200);
-	send_request(PORT, 1301, 800, 10200);
-	check_nr += tick(10200, 10600);
-	send_request(PORT, 1301, 800, 10600);
-	check_nr += tick(10600, 11400);
+	for (size_t i = 0; i + 1 < G_N_ELEMENTS(sent_ms); i++) {
+		send_request(port, 1301, 800, t_ms + sent_ms[i]);
+		check_nr += tick(t_ms + sent_ms[i], t_ms + sent_ms[i + 1]);
+	}
 	return check_nr;
 }
 
+/* The same for a request that is sent at 10 s. */
+static unsigned int repeat_request(void)
+{
+	return repeat_request_of(PORT, 10000);
+}
+
 /* Callers lost requests that ran at an upstream that drained. */
 START_TEST(refused_check_of_a_draining_upstream_resets_nothing)
 {
@@ -120,8 +129,8 @@
 	repeat_request();
 	ck_assert_uint_eq(resets->len, 0);
 	/* the answer comes, and the flow goes on */
-	send_request(PORT, 1401, 900, 11500);
-	tick(11500, 14000);
+	send_request(PORT, 1401, 900, 13100);
+	tick(13100, 17000);
 	ck_assert_uint_eq(resets->len, 0);
 	ck_assert_uint_eq(cookie_flow_count(in.steering), 2);
 }
@@ -136,17 +145,34 @@
 }
 END_TEST
 
-/* Its callers would wait until their deadlines. */
-START_TEST(draining_upstream_that_crashes_is_found_gone)
+static const struct cookie_reset *get_reset(guint i)
+{
+	return &g_array_index(resets, struct cookie_reset, i);
+}
+
+/*
+ * Callers of a draining upstream that crashes would wait until their deadlines.
+ * What one flow shows ends no other flow.
+ */
+START_TEST(silence_of_a_draining_upstream_ends_the_flows_that_show_it)
 {
 	open_flow(PORT);
 	open_flow(PORT + 1);
 	drain(6000);
 	repeat_request();
-	send_request(PORT, 1301, 800, 11400);
-	tick(11400, 11500);
+	ck_assert_uint_eq(resets->len, 0);
+	send_request(PORT, 1301, 800, 13000);
+	tick(13000, 13100);
+	ck_assert_uint_eq(resets->len, 1);
+	ck_assert_uint_eq(get_reset(0)->key.caller_port, PORT);
+	ck_assert_int_eq(get_reset(0)->reason, COOKIE_UPSTREAM_SILENT);
+	ck_assert(!may_end_flows(in.placer, leaving, 13100));
+	repeat_request_of(PORT + 1, 14000);
+	ck_assert_uint_eq(resets->len, 1);
+	send_request(PORT + 1, 1301, 800, 17000);
+	tick(17000, 17100);
 	ck_assert_uint_eq(resets->len, 2);
-	ck_assert_int_eq(assessed_health(in.placer, leaving), HEALTH_DEAD);
+	ck_assert_uint_eq(get_reset(1)->key.caller_port, PORT + 1);
 }
 END_TEST
 
@@ -170,10 +196,10 @@
 	open_flow(PORT);
 	drain(6000);
 	repeat_request();
-	send_request(PORT, 1301, 800, 11400);
-	tick(11400, 11640);
+	send_request(PORT, 1301, 800, 13000);
+	tick(13000, 13240);
 	ck_assert_uint_eq(resets->len, 0);
-	tick(11640, 11700);
+	tick(13240, 13300);
 	ck_assert_uint_eq(resets->len, 1);
 }
 END_TEST
@@ -186,9 +212,11 @@
 	drain(6000);
 	send_request(PORT + 1, 1301, 800, 10000);
 	repeat_request();
-	send_request(PORT + 1, 1401, 900, 11390);
-	send_request(PORT, 1301, 800, 11400);
-	tick(11400, 12900);
+	send_request(PORT + 1, 1401, 900, 12990);
+	send_request(PORT, 1301, 800, 13000);
+	tick(13000, 14600);
+	send_request(PORT, 1301, 800, 14600);
+	tick(14600, 15900);
 	ck_assert_uint_eq(resets->len, 0);
 }
 END_TEST
@@ -202,7 +230,9 @@
 	send_request(PORT, 1301, 800, 10200);
 	tick(10200, 12500);
 	send_request(PORT, 1301, 800, 12500);
-	tick(12500, 13200);
+	tick(12500, 13500);
+	send_request(PORT, 1301, 800, 13500);
+	tick(13500, 14000);
 	ck_assert_uint_eq(resets->len, 0);
 }
 END_TEST
@@ -255,17 +285,21 @@
 	return handle_health_notice(in.placer, &n, now_ms);
 }
 
-/* Earlier builds tell verdicts that rest on one refused check. */
-START_TEST(verdict_of_a_peer_that_rests_on_a_refusal_is_not_adopted)
+/*
+ * Earlier builds tell verdicts that rest on one refused check, or that are made
+ * to look 900 ms old as they rest on repeats of some flows, too.
+ */
+START_TEST(verdict_of_a_peer_on_a_leaving_upstream_is_not_adopted)
 {
 	open_flow(PORT);
 	drain(6000);
 	ck_assert_int_eq(receive_verdict(20, 10000), VERDICT_LEAVING);
 	tick(10000, 12000);
 	ck_assert(!may_end_flows(in.placer, leaving, 12000));
-	ck_assert_int_eq(receive_verdict(PLACEMENT_SILENCE_TOLD_MS, 12000),
-			 VERDICT_ADOPTED);
-	ck_assert(may_end_flows(in.placer, leaving, 12000));
+	ck_assert_int_eq(receive_verdict(900, 12000), VERDICT_LEAVING);
+	tick(12000, 14000);
+	ck_assert(!may_end_flows(in.placer, leaving, 14000));
+	ck_assert_uint_eq(resets->len, 0);
 }
 END_TEST
 
@@ -318,8 +352,8 @@
 	put_test_upstream(&in, &report, 8000);
 	check_result = CHECK_BAD;
 	repeat_request();
-	send_request(PORT, 1301, 800, 11400);
-	tick(11400, 11500);
+	send_request(PORT, 1301, 800, 13000);
+	tick(13000, 13100);
 	ck_assert_uint_eq(resets->len, 0);
 }
 END_TEST
@@ -341,6 +375,57 @@
 }
 END_TEST
 
+/*
+ * Sends and repeats the packets of an upload, one each PACE_MS from 10 s to
+ * END_MS, at an upstream that acknowledges every second one: the first that is
+ * missing is repeated 0.2, 0.6 and 1.4 s after it was sent.
+ */
+static void upload(uint16_t port, uint64_t pace_ms, uint64_t end_ms)
+{
+	static const uint64_t repeats_ms[] = { 200, 600, 1400 };
+	uint64_t sent_nr = 0;
+	uint64_t missing = 0;
+
+	for (uint64_t t = 10000; t < end_ms; t += COOKIE_TICK_MS) {
+		uint64_t sent_ms = 10000 + missing * pace_ms;
+
+		for (size_t i = 0; i < G_N_ELEMENTS(repeats_ms); i++)
+			if (missing < sent_nr && t == sent_ms + repeats_ms[i])
+				send_request(port,
+					     1301 + (uint32_t)missing * 100,
+					     800, t);
+		if (t == 10000 + sent_nr * pace_ms) {
+			send_request(port, 1301 + (uint32_t)sent_nr * 100, 800,
+				     t);
+			if (++sent_nr % 2 == 0)
+				missing = sent_nr;
+		}
+		tick(t, t + COOKIE_TICK_MS);
+	}
+}
+
+/* Uploads at an upstream that drained and stopped listening were reset. */
+START_TEST(slow_upload_to_an_upstream_that_does_not_listen_is_no_silence)
+{
+	open_flow(PORT);
+	open_flow(PORT + 1);
+	drain(6000);
+	upload(PORT, 220, 18000);
+	ck_assert_uint_eq(resets->len, 0);
+	ck_assert_uint_eq(cookie_flow_count(in.steering), 2);
+}
+END_TEST
+
+/* So were those of callers that send a packet each second or two. */
+START_TEST(very_slow_upload_is_no_silence)
+{
+	open_flow(PORT);
+	drain(6000);
+	upload(PORT, 1500, 18000);
+	ck_assert_uint_eq(resets->len, 0);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("leaving-upstream");
@@ -351,7 +436,8 @@
 	tcase_add_checked_fixture(tc, setup, teardown);
 	tcase_add_test(tc, refused_check_of_a_draining_upstream_resets_nothing);
 	tcase_add_test(tc, upstream_that_does_not_listen_is_not_checked_again);
-	tcase_add_test(tc, draining_upstream_that_crashes_is_found_gone);
+	tcase_add_test(
+		tc, silence_of_a_draining_upstream_ends_the_flows_that_show_it);
 	tcase_add_test(tc, silence_takes_the_time_of_an_answer);
 	tcase_add_test(tc, progress_of_another_flow_ends_the_silence);
 	tcase_add_test(tc, repeats_of_different_requests_do_not_add_up);
@@ -359,12 +445,16 @@
 		       upstream_whose_entry_ended_is_gone_with_a_refused_check);
 	tcase_add_test(tc, refusal_proves_nothing_while_a_report_may_be_unread);
 	tcase_add_test(tc, crashed_upstream_is_found_dead_by_a_refusal);
-	tcase_add_test(
-		tc, verdict_of_a_peer_that_rests_on_a_refusal_is_not_adopted);
+	tcase_add_test(tc,
+		       verdict_of_a_peer_on_a_leaving_upstream_is_not_adopted);
 	tcase_add_test(tc, refusal_does_not_renew_the_verdict_of_a_cut_link);
 	tcase_add_test(tc, new_start_is_checked_as_any_upstream);
 	tcase_add_test(tc, new_start_that_drains_and_listens_is_not_gone);
 	tcase_add_test(tc, caller_that_waits_without_repeating_keeps_its_flow);
+	tcase_add_test(
+		tc,
+		slow_upload_to_an_upstream_that_does_not_listen_is_no_silence);
+	tcase_add_test(tc, very_slow_upload_is_no_silence);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_ENV);
 	failed = srunner_ntests_failed(sr);
