cookie: end flows by a configuration only if their route was known before

Cause: an instance that was behind tracked flows that came to it from others, applied the versions that it had missed one by one, and after each reset the flows whose route is not in it. That a route was dropped and that it was not heard of yet were the same.

A flow now remembers whether its route was ever known here; else it ends once a copy of the store from a later time lacks the route. Versions that are learned at once end flows once, by the last one. A route that becomes known later brings its flows their deadline and load.

--- a/config/mirror.c
+++ b/config/mirror.c
@@ -683,6 +683,11 @@
 	return m->store_up_since_ms;
 }
 
+bool mirror_lacks_value(const struct mirror *m)
+{
+	return m->missing_key;
+}
+
 bool mirror_is_watching(const struct mirror *m, uint64_t now_ms)
 {
 	return m->state == MIRROR_STATE_WATCHING && m->store_up_since_ms &&
--- a/config/mirror.h
+++ b/config/mirror.h
@@ -192,6 +192,9 @@
 /* Start of the current run of successful store calls; 0 after a failure. */
 uint64_t mirror_store_up_since_ms(const struct mirror *m);
 
+/* Whether the value of a key is not here yet that changed up to the position. */
+bool mirror_lacks_value(const struct mirror *m);
+
 /*
  * True if this mirror watches the store, which answered when the watch's pace
  * says, within MIRROR_WATCH_SLACK_MS.
--- a/flow/cookie-flows.c
+++ b/flow/cookie-flows.c
@@ -136,6 +136,8 @@
 	f->key = p->key;
 	f->upstream = CATALOG_NONE;
 	f->load.counted = true;
+	f->route_known = route;
+	cs->has_flow_of_unknown_route |= !route;
 	if (route)
 		f->load.route =
 			get_placer_route(cs->placer, route->ip, route->port);
@@ -144,6 +146,7 @@
 	f->first_seq = p->seq + f->saw_syn;
 	f->deadline_ms =
 		route ? route->deadline_ms : catalog_idle_ms(cs->catalog);
+	f->added_ms = now_ms;
 	f->last_packet_ms = now_ms;
 	g_hash_table_insert(cs->flows, &f->key, f);
 	link_caller_flow(cs, f);
@@ -290,19 +293,52 @@
 	}
 }
 
+/* The route of F, which came from another instance, is known here now. */
+static void set_late_route(struct cookie_steering *cs, struct cookie_flow *f,
+			   const struct catalog_route *route)
+{
+	f->route_known = true;
+	f->deadline_ms = route->deadline_ms;
+	if (f->upstream != CATALOG_NONE)
+		remove_flow_load(cs->placer, f->upstream, &f->load);
+	f->load.route = get_placer_route(cs->placer, route->ip, route->port);
+	if (f->upstream != CATALOG_NONE)
+		add_flow_load(cs->placer, f->upstream, &f->load);
+}
+
+void note_routes_current(struct cookie_steering *cs, uint64_t at_ms)
+{
+	cs->routes_current_ms = MAX(cs->routes_current_ms, at_ms);
+}
+
+bool has_flow_of_unknown_route(const struct cookie_steering *cs)
+{
+	return cs->has_flow_of_unknown_route;
+}
+
 void end_flows_without_route(struct cookie_steering *cs, uint64_t now_ms,
 			     GArray *resets)
 {
 	GHashTableIter it;
 	gpointer value;
 
+	cs->has_flow_of_unknown_route = false;
 	g_hash_table_iter_init(&it, cs->flows);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct cookie_flow *f = value;
+		const struct catalog_route *route = find_catalog_route(
+			cs->catalog, f->key.service_ip, f->key.service_port);
 
-		if (find_catalog_route(cs->catalog, f->key.service_ip,
-				       f->key.service_port))
+		if (route) {
+			if (!f->route_known)
+				set_late_route(cs, f, route);
 			continue;
+		}
+		/* it was in force before the flow came here */
+		if (!f->route_known && cs->routes_current_ms <= f->added_ms) {
+			cs->has_flow_of_unknown_route = true;
+			continue;
+		}
 		add_cookie_reset(f, COOKIE_ROUTE_GONE, now_ms, resets);
 		detach_cookie_flow(cs, f);
 		g_hash_table_iter_remove(&it);
--- a/flow/cookie-state.h
+++ b/flow/cookie-state.h
@@ -48,6 +48,7 @@
 	enum flow_phase phase;
 	bool upstream_known;	  /* the flow is open at its upstream */
 	bool may_be_split;	  /* others may have got its SYN */
+	bool route_known;	  /* its route was in force here at a time */
 	bool saw_syn;		  /* FIRST_SEQ is that of the first byte */
 	uint32_t first_seq;	  /* of the first byte that was seen of it */
 	uint32_t first_cookie;	  /* of its first packet that is no SYN */
@@ -60,6 +61,7 @@
 	uint32_t caller_ack;	  /* last acknowledgment number of the caller */
 	struct repeated_packet repeated;
 	uint32_t deadline_ms;	  /* longest time that a request may take */
+	uint64_t added_ms;	  /* when its first packet came here */
 	uint64_t syn_ms;	  /* when the SYN was sent to the upstream */
 	uint64_t request_sent_ms; /* of its first transmission */
 	uint32_t request_ack;	  /* caller_ack then */
@@ -87,9 +89,11 @@
 	uint64_t weights_updated_ms;
 	struct syn_queue *syn_queue; /* owners: struct cookie_flow */
 	struct split_flows *split_flows;
-	bool isolated;		  /* see set_cookie_isolated() */
-	bool marks_cookies;	  /* see set_cookie_marks() */
-	uint64_t first_packet_ms; /* 0: no packet was received yet */
+	bool isolated;			/* see set_cookie_isolated() */
+	bool marks_cookies;		/* see set_cookie_marks() */
+	uint64_t routes_current_ms;	/* see note_routes_current() */
+	bool has_flow_of_unknown_route; /* there may be one */
+	uint64_t first_packet_ms;	/* 0: no packet was received yet */
 	uint64_t last_sweep_ms;
 	uint64_t last_tick_ms;
 	/* from a forwarded SYN to the caller's next packet */
--- a/flow/cookie.h
+++ b/flow/cookie.h
@@ -216,10 +216,22 @@
  */
 void forget_expired_upstreams(struct cookie_steering *cs);
 
-/* Ends flows whose route is no longer configured; RESETS as above. */
+/*
+ * Ends flows whose route is no longer configured; RESETS as above. A flow that
+ * came from another instance may have a route that is not known here yet. So it
+ * ends only if its route was known here before, or if note_routes_current()
+ * shows that it was dropped meanwhile. To be called for each configuration,
+ * after the last one of those that are learned at once.
+ */
 void end_flows_without_route(struct cookie_steering *cs, uint64_t now_ms,
 			     GArray *resets);
 
+/* The routes of the catalog are at least those that were in force at AT_MS. */
+void note_routes_current(struct cookie_steering *cs, uint64_t at_ms);
+
+/* Whether flows may be tracked whose route has not been known here. */
+bool has_flow_of_unknown_route(const struct cookie_steering *cs);
+
 /*
  * The flow KEY now sends its packets to another instance, see
  * flow/moved-flows.h: it is not tracked here any more. False if it was not.
--- a/flow/placement-leaving.c
+++ b/flow/placement-leaving.c
@@ -15,6 +15,11 @@
 	pl->store_current_ms = MAX(pl->store_current_ms, at_ms);
 }
 
+uint64_t store_current_ms(const struct placer *pl)
+{
+	return pl->store_current_ms;
+}
+
 bool may_serve_unlistening(const struct placer *pl, upstream_index_t nr,
 			   uint64_t now_ms)
 {
--- a/flow/placement.h
+++ b/flow/placement.h
@@ -165,6 +165,9 @@
 /* The entries that are known here were those in the store at AT_MS. */
 void note_store_current(struct placer *pl, uint64_t at_ms);
 
+/* The latest such time; 0: none is known. */
+uint64_t store_current_ms(const struct placer *pl);
+
 /* Replaces PLACEMENT_REMOTE_DOMAIN_COST; for tests and benchmarks. */
 void set_remote_domain_cost(struct placer *pl, double cost);
 
--- a/net/edge-records.c
+++ b/net/edge-records.c
@@ -177,7 +177,6 @@
 
 static void handle_routes_entry(struct edge *e, const struct mirror_action *a)
 {
-	GArray *resets;
 	struct status st;
 	enum status_kind kind = read_operator_config(e->catalog, a->value,
 						     a->len, e->now_ms, &st);
@@ -198,6 +197,29 @@
 		  (unsigned long long)catalog_version(e->catalog),
 		  (unsigned long long)a->revision,
 		  catalog_route_count(e->catalog));
+}
+
+/*
+ * The latest time at which the routes that are known here were surely the newest
+ * ones; 0 if there is none. A change is in force everywhere CHANGE_MS later.
+ */
+static uint64_t routes_current_ms(const struct edge *e)
+{
+	uint64_t at_ms = store_current_ms(e->placement);
+
+	return at_ms - MIN(at_ms, e->settings.bounds.change_ms);
+}
+
+void end_flows_of_dropped_routes(struct edge *e)
+{
+	GArray *resets;
+
+	if (!mirror_lacks_value(e->mirror))
+		note_routes_current(e->steering, routes_current_ms(e));
+	if (e->routes_version == catalog_version(e->catalog) &&
+	    !has_flow_of_unknown_route(e->steering))
+		return;
+	e->routes_version = catalog_version(e->catalog);
 	resets = g_array_new(FALSE, FALSE, sizeof(struct cookie_reset));
 	end_flows_without_route(e->steering, e->now_ms, resets);
 	send_edge_resets(e, resets);
--- a/net/edge-state.h
+++ b/net/edge-state.h
@@ -85,6 +85,8 @@
 	unsigned int registration_failures; /* of such calls, in a row */
 	/* configuration up to which entries of new services were applied */
 	uint64_t services_version;
+	/* the last one after which flows of dropped routes were ended */
+	uint64_t routes_version;
 	bool synced;	      /* all store entries have been read once */
 	bool logged_ready;    /* readiness as last logged */
 	char incarnation[17]; /* random id of this process, for logs */
@@ -127,6 +129,8 @@
  * been applied.
  */
 void apply_new_services(struct edge *e);
+/* To be called then, too, and from time to time. */
+void end_flows_of_dropped_routes(struct edge *e);
 /* Lets what the store has of records that are no longer held go into force. */
 void tick_edge_records(struct edge *e);
 /* Takes over the records that a peer holds, which N lists. */
--- a/net/edge.c
+++ b/net/edge.c
@@ -317,6 +317,7 @@
 	if (mirror_is_watching(e->mirror, e->now_ms))
 		note_store_current(e->placement,
 				   mirror_last_answer_ms(e->mirror));
+	end_flows_of_dropped_routes(e);
 	update_quotas(e->upstream_quotas, e->now_ms);
 	expire_catalog(e->catalog, e->now_ms);
 	forget_expired_upstreams(e->steering);
