edge: give SYNs of routes that are unknown here to members that are ahead

A SYN on a route that had been added a moment before was refused by an instance that had not read that configuration yet, though a member would have served it.

While a ready member tells of a later configuration, such a SYN goes to one of those members, which places or refuses it. Without a member that is ahead it is refused at once, as before.

--- a/fleet/heartbeat.c
+++ b/fleet/heartbeat.c
@@ -410,31 +410,65 @@
 	return find_member_at(ht, at, true);
 }
 
+/* Members to choose from at random, those of the own domain if there are any. */
+struct member_choice {
+	GRand *rand;
+	struct endpoint *at; /* of the one that is chosen */
+	bool in_own_domain;
+	gint32 found;
+};
+
+static void offer_member(struct member_choice *mc,
+			 const struct heartbeat_tracker *ht,
+			 const struct member *m)
+{
+	bool is_remote = is_remote_member(ht, m);
+
+	if (mc->in_own_domain && is_remote)
+		return;
+	if (!mc->in_own_domain && !is_remote) {
+		mc->in_own_domain = true;
+		mc->found = 0;
+	}
+	/* reservoir sampling: all candidates are equally likely */
+	if (g_rand_int_range(mc->rand, 0, ++mc->found) == 0)
+		*mc->at = member_endpoint(m);
+}
+
 bool pick_member_ahead(const struct heartbeat_tracker *ht,
 		       struct store_position position, GRand *rand,
 		       struct endpoint *at)
 {
-	bool in_own_domain = false;
-	gint32 found = 0;
+	struct member_choice mc = { .rand = rand, .at = at };
 
 	for (guint i = 0; i < ht->peers->len; i++) {
 		const struct peer *p =
 			&g_array_index(ht->peers, struct peer, i);
 		const struct member *m = find_member(ht->view, p->id);
 
-		if (!m || m->state == MEMBER_DEAD ||
-		    compare_store_positions(p->store_position, position) <= 0 ||
-		    (in_own_domain && is_remote_member(ht, m)))
-			continue;
-		if (!in_own_domain && !is_remote_member(ht, m)) {
-			in_own_domain = true;
-			found = 0;
-		}
-		/* reservoir sampling: all candidates are equally likely */
-		if (g_rand_int_range(rand, 0, ++found) == 0)
-			*at = member_endpoint(m);
+		if (m && m->state != MEMBER_DEAD &&
+		    compare_store_positions(p->store_position, position) > 0)
+			offer_member(&mc, ht, m);
 	}
-	return found;
+	return mc.found;
+}
+
+bool pick_member_configured_after(const struct heartbeat_tracker *ht,
+				  uint64_t version, GRand *rand,
+				  struct endpoint *at)
+{
+	struct member_choice mc = { .rand = rand, .at = at };
+
+	for (guint i = 0; i < ht->peers->len; i++) {
+		const struct peer *p =
+			&g_array_index(ht->peers, struct peer, i);
+		const struct member *m = find_member(ht->view, p->id);
+
+		if (m && m->state == MEMBER_ALIVE && p->ready &&
+		    p->config_version > version)
+			offer_member(&mc, ht, m);
+	}
+	return mc.found;
 }
 
 bool tick_heartbeats(struct heartbeat_tracker *ht, uint64_t now_ms, bool urgent,
--- a/fleet/heartbeat.h
+++ b/fleet/heartbeat.h
@@ -188,6 +188,11 @@
 		       struct store_position position, GRand *rand,
 		       struct endpoint *at);
 
+/* The same for a ready member whose configuration is later than VERSION. */
+bool pick_member_configured_after(const struct heartbeat_tracker *ht,
+				  uint64_t version, GRand *rand,
+				  struct endpoint *at);
+
 /*
  * Picks up to NR members that are alive and ready, starting at a random one,
  * to relay packets to. Returns their number.
--- a/flow/cookie-state.h
+++ b/flow/cookie-state.h
@@ -90,6 +90,7 @@
 	struct syn_queue *syn_queue; /* owners: struct cookie_flow */
 	struct split_flows *split_flows;
 	bool isolated;			/* see set_cookie_isolated() */
+	bool routes_behind;		/* see set_cookie_routes_behind() */
 	bool marks_cookies;		/* see set_cookie_marks() */
 	uint64_t routes_current_ms;	/* see note_routes_current() */
 	bool has_flow_of_unknown_route; /* there may be one */
--- a/flow/cookie.c
+++ b/flow/cookie.c
@@ -532,6 +532,8 @@
 	}
 	if (!catalog_version(cs->catalog))
 		return make_decision(COOKIE_TO_PEER, COOKIE_NOT_READY);
+	if (!route && cs->routes_behind)
+		return make_decision(COOKIE_TO_PEER, COOKIE_NOT_READY);
 	if (!route)
 		return make_reset_decision(p, COOKIE_NO_ROUTE);
 	if (f && !is_packet_of_flow(f, p)) {
@@ -769,6 +771,11 @@
 	cs->isolated = isolated;
 }
 
+void set_cookie_routes_behind(struct cookie_steering *cs, bool behind)
+{
+	cs->routes_behind = behind;
+}
+
 void set_cookie_marks(struct cookie_steering *cs, bool enabled)
 {
 	cs->marks_cookies = enabled;
--- a/flow/cookie.h
+++ b/flow/cookie.h
@@ -99,7 +99,7 @@
 	COOKIE_UPSTREAM_SILENT, /* it answers nothing on this flow any more */
 	COOKIE_LINK_LOST,	/* the link to the upstream's domain is cut */
 	COOKIE_UNKNOWN,		/* the cookie is of no upstream known here */
-	COOKIE_NOT_READY,	/* no configuration yet */
+	COOKIE_NOT_READY,	/* no configuration yet, or an older one */
 	COOKIE_ISOLATED,	/* no upstream can be reached from here */
 	COOKIE_LATE_COPY,	/* of the SYN of a flow that is open */
 	COOKIE_STALE_SYN,	/* its caller has sent a copy since, or left */
@@ -158,6 +158,12 @@
  */
 void set_cookie_marks(struct cookie_steering *cs, bool enabled);
 
+/*
+ * Whether members have a later configuration. Then a SYN whose route is not
+ * known here is for one of them.
+ */
+void set_cookie_routes_behind(struct cookie_steering *cs, bool behind);
+
 /*
  * Whether P, a SYN, waited unread until its caller sent the next copy, or gave
  * up. The copy may have come to another instance and opened the flow elsewhere.
--- a/net/edge-packets.c
+++ b/net/edge-packets.c
@@ -129,6 +129,22 @@
 	return n;
 }
 
+/*
+ * Sends a SYN to an instance that knows a later configuration. To one only, so
+ * that the flow is placed once. False if none is known.
+ */
+static bool relay_syn(struct edge *e, const uint8_t *data, size_t len)
+{
+	struct endpoint to;
+
+	if (!pick_member_configured_after(e->instance_heartbeats,
+					  catalog_version(e->catalog), e->rand,
+					  &to))
+		return false;
+	relay_packet_to(e, data, len, &to, 1);
+	return true;
+}
+
 /* A packet of an open flow was answered with a reset. */
 static void log_packet_reset(struct edge *e, const struct cookie_packet *p,
 			     const struct cookie_decision *d)
@@ -248,7 +264,9 @@
 					 d->second_cookie, data, len);
 		break;
 	case COOKIE_TO_PEER:
-		if (!relay_packet(e, data, len, RELAY_TARGETS_MAX))
+		if (!(is_cookie_syn(p)
+			      ? relay_syn(e, data, len)
+			      : relay_packet(e, data, len, RELAY_TARGETS_MAX)))
 			log_unknown_flow(e, p, d);
 		break;
 	case COOKIE_RESET:
--- a/net/edge.c
+++ b/net/edge.c
@@ -294,6 +294,10 @@
 	update_isolation(&e->isolation, e->domain_links, e->placement,
 			 e->now_ms);
 	set_cookie_isolated(e->steering, e->isolation.isolated);
+	set_cookie_routes_behind(
+		e->steering,
+		highest_ready_config_version(e->instance_heartbeats) >
+			catalog_version(e->catalog));
 	log_link_changes(e);
 	reset_unanswered_flows(e);
 	handle_health_changes(e);
--- a/t/check-heartbeat.c
+++ b/t/check-heartbeat.c
@@ -618,6 +618,25 @@
 }
 END_TEST
 
+/* A SYN must not go to one that would refuse it, too, or is not ready. */
+START_TEST(member_with_a_later_configuration_is_picked_if_it_is_ready)
+{
+	GRand *rand = g_rand_new_with_seed(20261208);
+	struct heartbeat_message hm = { .member = make_member("b", "north", 2),
+					.config_version = 7 };
+	struct endpoint at;
+
+	handle_heartbeat(ht, &hm, 1000);
+	ck_assert(!pick_member_configured_after(ht, 6, rand, &at));
+	hm.flags = HEARTBEAT_READY;
+	handle_heartbeat(ht, &hm, 1010);
+	ck_assert(!pick_member_configured_after(ht, 7, rand, &at));
+	ck_assert(pick_member_configured_after(ht, 6, rand, &at));
+	ck_assert_uint_eq(at.port, 2);
+	g_rand_free(rand);
+}
+END_TEST
+
 START_TEST(a_large_domain_delays_the_store_reader_role)
 {
 	char name[8];
@@ -868,6 +887,8 @@
 	tcase_add_test(tc, many_changes_fit_in_few_datagrams);
 	tcase_add_test(tc,
 		       requests_go_to_members_ahead_in_the_own_domain_first);
+	tcase_add_test(
+		tc, member_with_a_later_configuration_is_picked_if_it_is_ready);
 	tcase_add_test(tc, a_large_domain_delays_the_store_reader_role);
 	tcase_add_test(tc, differences_after_a_restore_lead_to_its_position);
 	tcase_add_test(tc, heartbeats_of_a_domain_are_spread_over_rounds);
--- a/t/check-late-routes.c
+++ b/t/check-late-routes.c
@@ -96,6 +96,26 @@
 }
 END_TEST
 
+/* Callers were refused whom a member would have served. */
+START_TEST(syn_of_an_unknown_route_goes_to_a_member_that_is_ahead)
+{
+	struct cookie_packet p =
+		make_cookie_packet(CALLER, FLOW_PORT, TCP_SYN, 0);
+	struct cookie_decision d;
+
+	p.key.service_port = NEW_PORT;
+	set_cookie_routes_behind(in.steering, true);
+	d = steer_cookie_packet(in.steering, &p, false, 1000);
+	ck_assert_int_eq(d.verdict, COOKIE_TO_PEER);
+	ck_assert_int_eq(d.reason, COOKIE_NOT_READY);
+	ck_assert_uint_eq(cookie_flow_count(in.steering), 0);
+	set_cookie_routes_behind(in.steering, false);
+	d = steer_cookie_packet(in.steering, &p, false, 1010);
+	ck_assert_int_eq(d.verdict, COOKIE_RESET);
+	ck_assert_int_eq(d.reason, COOKIE_NO_ROUTE);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("late-routes");
@@ -108,6 +128,8 @@
 	tcase_add_test(tc, flow_ends_when_its_late_route_is_dropped);
 	tcase_add_test(
 		tc, flow_ends_once_a_later_copy_of_the_store_lacks_its_route);
+	tcase_add_test(tc,
+		       syn_of_an_unknown_route_goes_to_a_member_that_is_ahead);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_ENV);
 	failed = srunner_ntests_failed(sr);
