cookie: mark the cookies of all SYNs

Cause: marks tell late answers to a SYN from answers of the flow's own upstream. They were put on once a SYN went to a second upstream, with another copy for the first one, which got none if it drained, was cold, out or cut off, or if its SYN had come to another instance. Its late answer brought a plain cookie, which instances that know nothing follow.

Now every SYN carries a marked cookie, and all later packets plain ones. The copies for the sake of marks are gone. An instance that knows nothing of a flow follows its mark if it knows all split flows that may be in use: it has missed no notice for as long as a late cookie lasts, or was told by a member that had not, as heartbeats say. Another one relays the packet to a member that knows, or to its neighbours.

--- a/fleet/heartbeat-state.h
+++ b/fleet/heartbeat-state.h
@@ -16,6 +16,7 @@
 	bool ready;
 	bool takes_split_flows; /* understands notices of them */
 	bool takes_marks;	/* understands marked cookies */
+	bool knows_split_flows; /* all of them */
 };
 
 struct address {
--- a/fleet/heartbeat.c
+++ b/fleet/heartbeat.c
@@ -178,6 +178,7 @@
 	note_heard_domain(ht, m.domain, p->ready, now_ms);
 	p->takes_split_flows = hm->flags & HEARTBEAT_SPLIT_FLOWS;
 	p->takes_marks = hm->flags & HEARTBEAT_MARKED_COOKIES;
+	p->knows_split_flows = hm->flags & HEARTBEAT_KNOWS_SPLIT_FLOWS;
 	p->store_position = hm->store_position;
 	p->config_version = hm->config_version;
 	if (hm->flags & HEARTBEAT_READS_STORE)
@@ -530,6 +531,57 @@
 	return pick_ready_members(ht, false, false, rand, to, nr);
 }
 
+/* Appends those of the NEW_NR endpoints at NEW that TO does not have yet. */
+static size_t add_endpoints(struct endpoint *to, size_t found, size_t nr,
+			    const struct endpoint *new, size_t new_nr)
+{
+	for (size_t i = 0; i < new_nr && found < nr; i++) {
+		size_t k = 0;
+
+		while (k < found && !same_endpoint(&to[k], &new[i]))
+			k++;
+		if (k == found)
+			to[found++] = new[i];
+	}
+	return found;
+}
+
+size_t pick_knowing_members(const struct heartbeat_tracker *ht, GRand *rand,
+			    struct endpoint *to, size_t nr)
+{
+	struct endpoint *new = g_new(struct endpoint, nr);
+	struct member_choice mc = { .rand = rand, .at = new };
+	size_t found = 0;
+
+	for (guint i = 0; i < ht->peers->len; i++) {
+		const struct peer *p =
+			&g_array_index(ht->peers, struct peer, i);
+		const struct member *m = find_member(ht->view, p->id);
+
+		if (m && m->state == MEMBER_ALIVE && p->ready &&
+		    p->knows_split_flows)
+			offer_member(&mc, ht, m);
+	}
+	found = add_endpoints(to, found, nr, new, mc.found > 0);
+	found = add_endpoints(
+		to, found, nr, new,
+		pick_ready_members(ht, true, false, rand, new, nr));
+	found = add_endpoints(
+		to, found, nr, new,
+		pick_ready_members(ht, false, false, rand, new, nr));
+	g_free(new);
+	return found;
+}
+
+bool knows_split_flows(const struct heartbeat_tracker *ht,
+		       const struct endpoint *at)
+{
+	const struct member *m = find_member_at(ht, at, false);
+	const struct peer *p = m ? find_heartbeat_peer(ht, m->id) : NULL;
+
+	return p && p->knows_split_flows;
+}
+
 size_t pick_neighbours(const struct heartbeat_tracker *ht, GRand *rand,
 		       struct endpoint *to, size_t nr)
 {
--- a/fleet/heartbeat.h
+++ b/fleet/heartbeat.h
@@ -63,7 +63,9 @@
 	/* understands notices of split flows; earlier builds do not */
 	HEARTBEAT_SPLIT_FLOWS = 8,
 	/* understands marked cookies, see flow/cookie.h; earlier builds do not */
-	HEARTBEAT_MARKED_COOKIES = 16
+	HEARTBEAT_MARKED_COOKIES = 16,
+	/* has missed no notice of a split flow that may be in use */
+	HEARTBEAT_KNOWS_SPLIT_FLOWS = 32
 };
 
 struct heartbeat_message {
@@ -200,6 +202,18 @@
 size_t pick_relays(const struct heartbeat_tracker *ht, GRand *rand,
 		   struct endpoint *to, size_t nr);
 
+/*
+ * The same for a packet whose upstream is not known here: first a member that
+ * knows all split flows, then others of the own domain, which may have its flow,
+ * then any.
+ */
+size_t pick_knowing_members(const struct heartbeat_tracker *ht, GRand *rand,
+			    struct endpoint *to, size_t nr);
+
+/* Whether the member at AT knows all split flows. */
+bool knows_split_flows(const struct heartbeat_tracker *ht,
+		       const struct endpoint *at);
+
 /*
  * The same for members that understand notices of split flows, of the own domain
  * if any is ready there.
--- a/flow/cookie-state.h
+++ b/flow/cookie-state.h
@@ -91,6 +91,7 @@
 	struct split_flows *split_flows;
 	bool isolated;			/* see set_cookie_isolated() */
 	bool routes_behind;		/* see set_cookie_routes_behind() */
+	bool splits_known;		/* see set_cookie_splits_known() */
 	bool marks_cookies;		/* see set_cookie_marks() */
 	uint64_t routes_current_ms;	/* see note_routes_current() */
 	bool has_flow_of_unknown_route; /* there may be one */
--- a/flow/cookie.c
+++ b/flow/cookie.c
@@ -42,8 +42,7 @@
 {
 	struct cookie_decision d = { .verdict = verdict,
 				     .reason = reason,
-				     .upstream = CATALOG_NONE,
-				     .second_upstream = CATALOG_NONE };
+				     .upstream = CATALOG_NONE };
 
 	return d;
 }
@@ -104,7 +103,7 @@
 	return cookie ^ COOKIE_MARK;
 }
 
-/* The cookie of NR for a SYN that may have gone to others; plain if it must be. */
+/* The cookie of NR for a SYN; plain if it must be. */
 static uint32_t mark_cookie(const struct cookie_steering *cs,
 			    upstream_index_t nr)
 {
@@ -117,6 +116,16 @@
 	return marked;
 }
 
+static struct cookie_decision steer_syn_to(struct cookie_steering *cs,
+					   upstream_index_t nr,
+					   enum cookie_reason reason)
+{
+	struct cookie_decision d = steer_to(cs, nr, reason);
+
+	d.cookie = mark_cookie(cs, nr);
+	return d;
+}
+
 /* Replaces a marked cookie of P by the plain one of its upstream. */
 static void remove_mark(const struct cookie_steering *cs,
 			struct cookie_packet *p)
@@ -266,46 +275,22 @@
 	return note_split_flow(cs->split_flows, &flow, now_ms);
 }
 
-/*
- * Lets D send the SYN of F, which goes to a second upstream, to the first one
- * again, so that its answers carry a marked cookie from now on, too.
- */
-static void mark_first_upstream(struct cookie_steering *cs,
-				const struct cookie_flow *f,
-				struct cookie_decision *d, uint64_t now_ms)
-{
-	upstream_index_t first = f->upstream;
-
-	if (first == CATALOG_NONE || first == d->upstream ||
-	    !accepts_flows(cs->catalog, first) ||
-	    is_upstream_dead_or_cut_off(cs, first) ||
-	    /* it may take no more than its cold limit */
-	    is_cold_upstream(cs->catalog, first, now_ms))
-		return;
-	d->second_upstream = first;
-	d->second_cookie = mark_cookie(cs, first);
-}
-
 static struct cookie_decision
 send_syn_to(struct cookie_steering *cs, struct cookie_flow *f,
 	    const struct cookie_packet *p, service_index_t service,
 	    struct syn_rank rank, const struct placement *best, uint64_t now_ms)
 {
 	struct pending_handshake pending = { p->key, now_ms };
-	struct cookie_decision d =
-		steer_to(cs, best->upstream,
-			 f->syn_upstream_nr ? COOKIE_REOPENED : COOKIE_OPENED);
+	struct cookie_decision d = steer_syn_to(
+		cs, best->upstream,
+		f->syn_upstream_nr ? COOKIE_REOPENED : COOKIE_OPENED);
 
 	d.placement = *best;
 	note_syn_placed(cs->syn_queue, service, rank, now_ms);
 	f->may_be_split |=
 		f->syn_upstream_nr && !was_syn_sent_to(f, best->upstream);
-	if (f->may_be_split) {
+	if (f->may_be_split)
 		note_cookie_split_flow(cs, f, 0, now_ms);
-		d.cookie = mark_cookie(cs, best->upstream);
-		if (d.cookie != get_upstream(cs->catalog, d.upstream)->cookie)
-			mark_first_upstream(cs, f, &d, now_ms);
-	}
 	unassign_cookie_flow(cs, f);
 	assign_cookie_flow(cs, f, best->upstream);
 	f->syn_upstreams[f->syn_upstream_nr++ % COOKIE_SYN_UPSTREAMS_MAX] =
@@ -563,7 +548,7 @@
 	f->last_packet_ms = now_ms;
 	f->caller_next_seq = p->seq + 1;
 	if (may_answer_syn(cs, f, p, now_ms))
-		return steer_to(cs, f->upstream, COOKIE_REOPENED);
+		return steer_syn_to(cs, f->upstream, COOKIE_REOPENED);
 	return place_syn(cs, f, p, route, now_ms);
 }
 
@@ -781,16 +766,27 @@
 	cs->marks_cookies = enabled;
 }
 
+void set_cookie_splits_known(struct cookie_steering *cs, bool known)
+{
+	cs->splits_known = known;
+}
+
 /*
  * Whether P, whose cookie was marked, may go by it. F and SPLIT (each may be
  * NULL) are what is known of its flow: that it was placed here, or that it has
- * just been opened, as members told. Else the flow may be open elsewhere.
+ * just been opened, as members told. Else the flow may be open elsewhere, unless
+ * members would have told that.
  */
-static bool may_follow_mark(const struct cookie_packet *p,
+static bool may_follow_mark(const struct cookie_steering *cs,
+			    const struct cookie_packet *p,
 			    const struct cookie_flow *f,
 			    const struct split_flow *split)
 {
-	return f || (split && (split->cookie || p->seq == split->first_seq));
+	if (f)
+		return true;
+	if (!split)
+		return cs->splits_known;
+	return split->cookie || p->seq == split->first_seq;
 }
 
 struct cookie_decision steer_cookie_packet(struct cookie_steering *cs,
@@ -821,7 +817,7 @@
 		cancel_held_syn(cs, f); /* opened through another instance */
 	split = find_split_flow(cs->split_flows, &p->key, p->seq, now_ms);
 	nr = find_packet_upstream(cs, p, f, split);
-	if (p->marked && !may_follow_mark(p, f, split))
+	if (p->marked && !may_follow_mark(cs, p, f, split))
 		nr = CATALOG_NONE;
 	if (nr == CATALOG_NONE)
 		return make_decision(relayed ? COOKIE_DROP : COOKIE_TO_PEER,
--- a/flow/cookie.h
+++ b/flow/cookie.h
@@ -9,10 +9,11 @@
  * whose upstream is lost. An instance that restarts loses no flow.
  *
  * Until a flow is open, its caller returns the cookie of a SYN+ACK, and a late
- * one of another upstream may replace it later. When a SYN goes to a second
- * upstream, both get a copy with a marked cookie. So a plain cookie is that of
- * the upstream where the flow is open, and a marked one tells an instance that
- * knows nothing else of the flow not to go by it.
+ * one of another upstream may replace it later. So SYNs carry marked cookies,
+ * and all later packets plain ones: a plain cookie is that of the upstream where
+ * the flow is open. A marked one may be that of another upstream, if the SYN
+ * went to several. An instance that knows nothing else of the flow goes by it
+ * only if it would know of such SYNs, see set_cookie_splits_known().
  *
  * An open flow is reset only if its route is gone or its upstream is known to
  * be dead or cut off, or on that flow silent. A flow that cannot be placed is refused at its SYN.
@@ -111,9 +112,6 @@
 	enum cookie_reason reason;
 	upstream_index_t upstream;
 	uint32_t cookie;
-	/* another upstream to send the packet to, a SYN, and its cookie there */
-	upstream_index_t second_upstream; /* CATALOG_NONE: there is none */
-	uint32_t second_cookie;
 	uint32_t reset_seq;
 	bool moved_in; /* the flow's earlier packets did not come here */
 	bool settled;  /* it became known where a split flow is open */
@@ -158,6 +156,12 @@
  */
 void set_cookie_marks(struct cookie_steering *cs, bool enabled);
 
+/*
+ * Whether this instance knows of all flows that their callers may still use and
+ * whose SYNs went to several upstreams, see flow/split-flows.h. Off at first.
+ */
+void set_cookie_splits_known(struct cookie_steering *cs, bool known);
+
 /*
  * Whether members have a later configuration. Then a SYN whose route is not
  * known here is for one of them.
--- a/flow/split-flows.c
+++ b/flow/split-flows.c
@@ -404,8 +404,13 @@
 		si->asked[si->asked_nr++] = *to;
 }
 
-void note_split_answer(struct split_inquiry *si, const struct endpoint *from)
+void note_split_answer(struct split_inquiry *si, const struct endpoint *from,
+		       bool knows_all)
 {
-	for (size_t i = 0; i < si->asked_nr; i++)
-		si->answered |= same_endpoint(&si->asked[i], from);
+	for (size_t i = 0; i < si->asked_nr; i++) {
+		if (!same_endpoint(&si->asked[i], from))
+			continue;
+		si->answered = true;
+		si->told_all |= knows_all;
+	}
 }
--- a/flow/split-flows.h
+++ b/flow/split-flows.h
@@ -155,7 +155,8 @@
 	size_t asked_nr;
 	uint64_t began_ms; /* 0: not yet */
 	uint64_t asked_ms; /* 0: not yet */
-	bool answered;	   /* by a member that knows all */
+	bool answered;	   /* by a member that was asked */
+	bool told_all;	   /* one of those that answered knew all */
 	bool may_serve;	   /* one that starts need not wait any longer */
 	bool done;
 };
@@ -186,7 +187,11 @@
 /* The member at TO is asked. */
 void note_split_question(struct split_inquiry *si, const struct endpoint *to);
 
-/* Notes the end of an answer of FROM. Others than those asked know too little. */
-void note_split_answer(struct split_inquiry *si, const struct endpoint *from);
+/*
+ * Notes the end of an answer of FROM, which KNOWS_ALL split flows or not. Others
+ * than those asked know too little.
+ */
+void note_split_answer(struct split_inquiry *si, const struct endpoint *from,
+		       bool knows_all);
 
 #endif
--- a/net/edge-packets.c
+++ b/net/edge-packets.c
@@ -117,13 +117,14 @@
 
 /*
  * Sends a packet to at most NR (up to RELAY_TARGETS_MAX) other instances that
- * are ready. False if none is known.
+ * are ready and may know its flow. False if none is known.
  */
 static bool relay_packet(struct edge *e, const uint8_t *data, size_t len,
 			 size_t nr)
 {
 	struct endpoint to[RELAY_TARGETS_MAX];
-	size_t n = pick_relays(e->instance_heartbeats, e->rand, to, nr);
+	size_t n =
+		pick_knowing_members(e->instance_heartbeats, e->rand, to, nr);
 
 	relay_packet_to(e, data, len, to, n);
 	return n;
@@ -259,9 +260,6 @@
 		if (d->reason != COOKIE_STEERED)
 			log_placement(e, p, d, waited_ms);
 		send_to_upstream(e, d->upstream, d->cookie, data, len);
-		if (d->second_upstream != CATALOG_NONE)
-			send_to_upstream(e, d->second_upstream,
-					 d->second_cookie, data, len);
 		break;
 	case COOKIE_TO_PEER:
 		if (!(is_cookie_syn(p)
@@ -626,7 +624,8 @@
 		   (mirror_is_watching(e->mirror, e->now_ms)
 			    ? HEARTBEAT_READS_STORE
 			    : 0) |
-		   HEARTBEAT_SPLIT_FLOWS | HEARTBEAT_MARKED_COOKIES;
+		   HEARTBEAT_SPLIT_FLOWS | HEARTBEAT_MARKED_COOKIES |
+		   (knows_all_split_flows(e) ? HEARTBEAT_KNOWS_SPLIT_FLOWS : 0);
 	b->config_version = catalog_version(e->catalog);
 	b->store_position = mirror_position(e->mirror);
 	b->store_digest = mirror_digest(e->mirror);
--- a/net/edge-split-flows.c
+++ b/net/edge-split-flows.c
@@ -107,6 +107,33 @@
 					     e->rand, to, TAKEOVER_KEEPERS));
 }
 
+/*
+ * Longest time from a SYN to a packet whose cookie an answer to it brought: while
+ * upstreams repeat that answer, and the caller then pauses.
+ */
+static uint64_t late_cookie_ms(const struct edge *e)
+{
+	return SPLIT_FLOW_UNSETTLED_MS + catalog_idle_ms(e->catalog);
+}
+
+bool knows_all_split_flows(const struct edge *e)
+{
+	return e->split_inquiry.done &&
+	       (!e->splits_missed_ms ||
+		e->now_ms - e->splits_missed_ms >= late_cookie_ms(e));
+}
+
+/* The inquiry has ended: what was missed before it is known now, or is not. */
+static void note_inquiry_done(struct edge *e)
+{
+	const struct split_inquiry *si = &e->split_inquiry;
+
+	if (!si->told_all)
+		e->splits_missed_ms = e->now_ms;
+	else if (!si->domain[0])
+		e->splits_missed_ms = 0;
+}
+
 void tick_edge_split_flows(struct edge *e)
 {
 	tell_split_flows(e);
@@ -114,9 +141,13 @@
 		ask_about_away_domain(e);
 		ask_about_kept_domain(e);
 	}
-	if (!e->split_inquiry.done)
+	if (!e->split_inquiry.done) {
 		ask_for_split_flows(e);
+		if (e->split_inquiry.done)
+			note_inquiry_done(e);
+	}
 	e->has_known_split_flows |= e->split_inquiry.may_serve;
+	set_cookie_splits_known(e->steering, knows_all_split_flows(e));
 }
 
 /* Members that know more than this instance while its inquiry is open. */
@@ -173,7 +204,10 @@
 			learn_cookie_split_flow(e->steering, row, e->now_ms);
 		}
 		if (part == SPLIT_FLOWS_ANSWER_END)
-			note_split_answer(&e->split_inquiry, from);
+			note_split_answer(
+				&e->split_inquiry, from,
+				knows_split_flows(e->instance_heartbeats,
+						  from));
 	}
 	g_array_free(rows, TRUE);
 }
--- a/net/edge-state.h
+++ b/net/edge-state.h
@@ -48,6 +48,7 @@
 	struct moved_flows *moved_flows;
 	struct split_inquiry split_inquiry;
 	bool has_known_split_flows; /* that inquiry was done once */
+	uint64_t splits_missed_ms;  /* see knows_all_split_flows(); 0: never */
 	struct heartbeat_tracker *instance_heartbeats;
 	struct introduction *introduction;
 	struct mirror *mirror;
@@ -153,6 +154,11 @@
 enum unknown_packet
 decide_edge_packet(struct edge *e, const struct cookie_packet *p, bool relayed,
 		   struct endpoint to[RELAY_TARGETS_MAX], size_t *nr);
+/*
+ * Whether this instance knows all split flows that callers may still use: it
+ * has missed no notice for long enough, or was told by a member that knew all.
+ */
+bool knows_all_split_flows(const struct edge *e);
 /* After a pause: what members told meanwhile may be lost. */
 void restart_split_inquiry(struct edge *e);
 
--- a/net/edge.c
+++ b/net/edge.c
@@ -326,9 +326,8 @@
 	expire_catalog(e->catalog, e->now_ms);
 	forget_expired_upstreams(e->steering);
 	tick_edge_heartbeats(e);
-	set_cookie_marks(e->steering, is_view_settled(e->view) &&
-					      all_members_take_marks(
-						      e->instance_heartbeats));
+	set_cookie_marks(e->steering,
+			 all_members_take_marks(e->instance_heartbeats));
 	tick_edge_introduction(e);
 	check_settings_file(e);
 	log_readiness(e);
--- a/t/check-heartbeat.c
+++ b/t/check-heartbeat.c
@@ -637,6 +637,32 @@
 }
 END_TEST
 
+/* Relayed at random, most packets with marks came to members that dropped them. */
+START_TEST(packet_of_an_unknown_flow_goes_to_who_knows_then_to_neighbours)
+{
+	GRand *rand = g_rand_new_with_seed(20261208);
+	struct heartbeat_message hm = { .flags = HEARTBEAT_READY };
+	struct endpoint at[4];
+
+	hm.member = make_member("b", "north", 2);
+	handle_heartbeat(ht, &hm, 1000);
+	hm.member = make_member("c", "south", 3);
+	handle_heartbeat(ht, &hm, 1000);
+	ck_assert_uint_eq(pick_knowing_members(ht, rand, at, 1), 1);
+	ck_assert_uint_eq(at[0].port, 2);
+	hm.flags |= HEARTBEAT_KNOWS_SPLIT_FLOWS;
+	hm.member = make_member("d", "south", 4);
+	handle_heartbeat(ht, &hm, 1000);
+	ck_assert_uint_eq(pick_knowing_members(ht, rand, at, 4), 3);
+	ck_assert_uint_eq(at[0].port, 4);
+	ck_assert_uint_eq(at[1].port, 2);
+	ck_assert_uint_eq(at[2].port, 3);
+	ck_assert(knows_split_flows(ht, &at[0]));
+	ck_assert(!knows_split_flows(ht, &at[1]));
+	g_rand_free(rand);
+}
+END_TEST
+
 START_TEST(a_large_domain_delays_the_store_reader_role)
 {
 	char name[8];
@@ -889,6 +915,9 @@
 		       requests_go_to_members_ahead_in_the_own_domain_first);
 	tcase_add_test(
 		tc, member_with_a_later_configuration_is_picked_if_it_is_ready);
+	tcase_add_test(
+		tc,
+		packet_of_an_unknown_flow_goes_to_who_knows_then_to_neighbours);
 	tcase_add_test(tc, a_large_domain_delays_the_store_reader_role);
 	tcase_add_test(tc, differences_after_a_restore_lead_to_its_position);
 	tcase_add_test(tc, heartbeats_of_a_domain_are_spread_over_rounds);
--- a/t/check-split-flows.c
+++ b/t/check-split-flows.c
@@ -521,13 +521,37 @@
 }
 END_TEST
 
-/* A split flow at the first instance, whose SYN's last copy has marked cookies. */
-static struct cookie_decision split_marked_flow(void)
+/* A split flow at the first instance, whose SYNs went to these upstreams. */
+struct marked_syns {
+	struct cookie_decision first;
+	struct cookie_decision last;
+};
+
+static struct marked_syns split_marked_flow(void)
 {
+	struct marked_syns ms;
+
 	set_cookie_marks(first.steering, true);
-	send_syn(&first, 4000, 0, 600);
-	send_syn(&first, 4000, 1, 800);
-	return send_syn(&first, 4000, 2, 1200);
+	set_cookie_marks(second.steering, true);
+	ms.first = send_syn(&first, 4000, 0, 600);
+	ck_assert_uint_eq(send_syn(&first, 4000, 1, 800).cookie,
+			  ms.first.cookie);
+	ms.last = send_syn(&first, 4000, 2, 1200);
+	ck_assert_int_eq(ms.last.verdict, COOKIE_TO_UPSTREAM);
+	ck_assert_uint_ne(ms.last.upstream, ms.first.upstream);
+	return ms;
+}
+
+/* What an instance decides that knows nothing of the flow of P. */
+static void check_not_followed(struct cookie_packet p, uint64_t now_ms)
+{
+	p.payload_len = 100;
+	ck_assert_int_eq(
+		steer_cookie_packet(second.steering, &p, false, now_ms).verdict,
+		COOKIE_TO_PEER);
+	ck_assert_int_eq(
+		steer_cookie_packet(second.steering, &p, true, now_ms).verdict,
+		COOKIE_DROP);
 }
 
 /*
@@ -536,38 +560,97 @@
  */
 START_TEST(instance_that_knows_nothing_does_not_follow_a_late_answer)
 {
-	struct cookie_decision d = split_marked_flow();
-	uint32_t late[2] = { d.cookie, d.second_cookie };
+	struct marked_syns ms = split_marked_flow();
+	uint32_t late[2] = { ms.first.cookie, ms.last.cookie };
 
-	ck_assert_int_eq(d.verdict, COOKIE_TO_UPSTREAM);
-	ck_assert_uint_ne(d.second_upstream, CATALOG_NONE);
-	ck_assert_uint_ne(d.second_upstream, d.upstream);
 	for (int i = 0; i < 2; i++) {
 		struct cookie_packet p =
 			make_cookie_packet(CALLER, 4000, TCP_ACK, late[i]);
 
 		p.seq = 1101;
-		p.payload_len = 100;
-		ck_assert_int_eq(
-			steer_cookie_packet(second.steering, &p, false, 12000)
-				.verdict,
-			COOKIE_TO_PEER);
-		ck_assert_int_eq(
-			steer_cookie_packet(second.steering, &p, true, 12000)
-				.verdict,
-			COOKIE_DROP);
+		check_not_followed(p, 12000);
 	}
 }
 END_TEST
 
+/*
+ * The first upstream began to drain, turned cold, or was taken out, before the
+ * copy of the SYN came. It was not marked, and its late answer was followed
+ * after a loss of all instances.
+ */
+START_TEST(late_answer_of_an_upstream_that_takes_no_copy_is_not_followed)
+{
+	struct cookie_packet p;
+	struct upstream_report r;
+	struct cookie_decision syn;
+
+	set_cookie_marks(first.steering, true);
+	set_cookie_marks(second.steering, true);
+	syn = send_syn(&first, 4000, 0, 1000);
+	r = get_upstream(first.catalog, syn.upstream)->report;
+	if (_i == 0)
+		r.draining = true;
+	else if (_i == 1)
+		r.cold_left_ms = 9000;
+	put_test_upstream(&first, &r, 1100);
+	if (_i == 2)
+		set_catalog_domain_out(first.catalog, "north", true, 0, 1100);
+	send_syn(&first, 4000, 1, 1200);
+	p = make_cookie_packet(CALLER, 4000, TCP_ACK, syn.cookie);
+	p.seq = 1101;
+	check_not_followed(p, 9000);
+}
+END_TEST
+
+/* The SYN and its copy came to two instances, the first of which knew nothing. */
+START_TEST(late_answer_to_a_syn_that_came_elsewhere_is_not_followed)
+{
+	struct cookie_packet p;
+	struct cookie_decision syn;
+
+	set_cookie_marks(first.steering, true);
+	set_cookie_marks(second.steering, true);
+	syn = send_syn(&first, 4000, 0, 1000);
+	p = make_cookie_packet(CALLER, 4000, TCP_ACK, syn.cookie);
+	p.seq = 1101;
+	check_not_followed(p, 9000);
+}
+END_TEST
+
+/* Without a split flow in sight the mark is as good as a plain cookie. */
+START_TEST(instance_that_knows_all_split_flows_follows_a_mark)
+{
+	struct cookie_packet p;
+	struct cookie_decision syn;
+	struct cookie_decision d;
+
+	set_cookie_marks(first.steering, true);
+	set_cookie_marks(second.steering, true);
+	set_cookie_splits_known(second.steering, true);
+	syn = send_syn(&first, 4005, 0, 500);
+	p = make_cookie_packet(CALLER, 4005, TCP_ACK, syn.cookie);
+	p.seq = 1001;
+	p.payload_len = 100;
+	d = steer_cookie_packet(second.steering, &p, false, 510);
+	ck_assert_uint_eq(d.upstream, syn.upstream);
+	ck_assert_uint_eq(d.cookie, cookie_of(syn.upstream));
+	/* one that is split, and open somewhere already */
+	syn = split_marked_flow().last;
+	tell(&first, &second, 1300);
+	p = make_cookie_packet(CALLER, 4000, TCP_ACK, syn.cookie);
+	p.seq = 1101;
+	check_not_followed(p, 1320);
+}
+END_TEST
+
 /* Whichever of the two the flow opens at, its packets carry a plain cookie. */
 START_TEST(flow_opens_with_a_marked_cookie_and_goes_on_with_a_plain_one)
 {
-	struct cookie_decision syn = split_marked_flow();
-	upstream_index_t opened_at = _i ? syn.upstream : syn.second_upstream;
-	upstream_index_t other = _i ? syn.second_upstream : syn.upstream;
-	uint32_t marked = _i ? syn.cookie : syn.second_cookie;
-	uint32_t late = _i ? syn.second_cookie : syn.cookie;
+	struct marked_syns ms = split_marked_flow();
+	upstream_index_t opened_at = _i ? ms.last.upstream : ms.first.upstream;
+	upstream_index_t other = _i ? ms.first.upstream : ms.last.upstream;
+	uint32_t marked = _i ? ms.last.cookie : ms.first.cookie;
+	uint32_t late = _i ? ms.first.cookie : ms.last.cookie;
 	struct cookie_decision d =
 		send_data(&first, 4000, marked, 1001, 500, 1210);
 
@@ -589,7 +672,7 @@
 /* Rotation changes between the copy and the end of the handshake. */
 START_TEST(handshake_may_end_at_an_instance_that_was_told)
 {
-	struct cookie_decision syn = split_marked_flow();
+	struct cookie_decision syn = split_marked_flow().last;
 
 	tell(&first, &second, 1220);
 	ck_assert_uint_eq(
@@ -602,24 +685,14 @@
 {
 	struct upstream_report r;
 	struct cookie_decision d;
-	upstream_index_t got_syn;
 
 	/* members of earlier builds do not understand them */
 	split_flow(4000);
-	d = send_syn(&first, 4001, 2, 1200);
+	d = send_syn(&first, 4001, 0, 1200);
 	ck_assert_uint_eq(d.cookie, cookie_of(d.upstream));
-	ck_assert_uint_eq(d.second_upstream, CATALOG_NONE);
-	/* the first upstream bears no more new flows than it got */
 	set_cookie_marks(first.steering, true);
-	got_syn = send_syn(&first, 4002, 0, 2000).upstream;
-	send_syn(&first, 4002, 1, 2200);
-	r = get_upstream(first.catalog, got_syn)->report;
-	r.cold_left_ms = 9000;
-	put_test_upstream(&first, &r, 2300);
-	d = send_syn(&first, 4002, 2, 2600);
-	ck_assert_uint_ne(d.upstream, got_syn);
+	d = send_syn(&first, 4002, 0, 2000);
 	ck_assert_uint_ne(d.cookie, cookie_of(d.upstream));
-	ck_assert_uint_eq(d.second_upstream, CATALOG_NONE);
 	/* other upstreams have the numbers that marks would give */
 	r = make_upstream_report("u-x", "south");
 	r.draining = true;
@@ -708,6 +781,13 @@
 		2);
 	tcase_add_test(tc, handshake_may_end_at_an_instance_that_was_told);
 	tcase_add_test(tc, cookies_are_marked_only_if_they_can_be_understood);
+	tcase_add_loop_test(
+		tc,
+		late_answer_of_an_upstream_that_takes_no_copy_is_not_followed,
+		0, 3);
+	tcase_add_test(
+		tc, late_answer_to_a_syn_that_came_elsewhere_is_not_followed);
+	tcase_add_test(tc, instance_that_knows_all_split_flows_follows_a_mark);
 	tcase_add_test(tc, inquiry_ends_without_an_answer);
 	suite_add_tcase(s, tc);
 	sr = srunner_create(s);
--- a/t/check-takeover.c
+++ b/t/check-takeover.c
@@ -250,12 +250,14 @@
 
 	ck_assert(tick_split_inquiry(&si, true, 1000));
 	note_split_question(&si, &keeper);
-	note_split_answer(&si, &other);
+	note_split_answer(&si, &other, true);
 	tick_split_inquiry(&si, true, 1010);
-	ck_assert(!si.done);
-	note_split_answer(&si, &keeper);
+	ck_assert(!si.done && !si.told_all);
+	note_split_answer(&si, &keeper, false);
 	tick_split_inquiry(&si, true, 1020);
-	ck_assert(si.done);
+	ck_assert(si.done && !si.told_all);
+	note_split_answer(&si, &keeper, true);
+	ck_assert(si.told_all);
 }
 END_TEST
 
--- a/t/prop-cookie.cc
+++ b/t/prop-cookie.cc
@@ -718,6 +718,7 @@
 	uint64_t frozen_until_ms[INSTANCES];
 	enum { RUNNING, STOPPING, AWAY } stage[INSTANCES];
 	int starts[INSTANCES];
+	bool knows_splits[INSTANCES];
 	uint64_t lost_ms[INSTANCES][INSTANCES]; /* the last lost notice */
 	GArray *released;
 	int packets;
@@ -725,12 +726,14 @@
 	int strayed_known; /* from an instance that could know better */
 	int strayed_told;  /* while another one knew, or had before its stop */
 	int strayed_lost;  /* after all instances were killed */
+	int given_up;	   /* flows whose packets nobody could steer */
 	uint64_t all_killed_ms; /* when they were last; 0: never */
 
 	explicit moves(GRand *r)
 		: rand(r), records(), frozen_until_ms(), stage(), starts(),
-		  lost_ms(), packets(0), strayed(0), strayed_known(0),
-		  strayed_told(0), strayed_lost(0), all_killed_ms(0)
+		  knows_splits(), lost_ms(), packets(0), strayed(0),
+		  strayed_known(0), strayed_told(0), strayed_lost(0),
+		  given_up(0), all_killed_ms(0)
 	{
 		released =
 			g_array_new(FALSE, FALSE, sizeof(struct released_syn));
@@ -740,9 +743,17 @@
 		for (int i = 0; i < INSTANCES; i++) {
 			in_rotation[i] = true;
 			set_cookie_marks(f.instances[i].steering, true);
+			know_split_flows(i);
 		}
 	}
 
+	/* I knows all split flows from now on. */
+	void know_split_flows(int i)
+	{
+		knows_splits[i] = true;
+		set_cookie_splits_known(f.instances[i].steering, true);
+	}
+
 	~moves()
 	{
 		g_array_free(released, TRUE);
@@ -863,12 +874,9 @@
 			relay(i, sp);
 		if (d->verdict != COOKIE_TO_UPSTREAM)
 			return;
-		for (int u = 0; u < UPSTREAMS; u++) {
+		for (int u = 0; u < UPSTREAMS; u++)
 			if (f.upstreams[i][u] == d->upstream)
 				forward(i, sp, u, d->cookie);
-			if (f.upstreams[i][u] == d->second_upstream)
-				forward(i, sp, u, d->second_cookie);
-		}
 	}
 
 	/* Another instance steers SP; its caller gives up if that knows no more. */
@@ -884,7 +892,14 @@
 		if (d.verdict == COOKIE_TO_UPSTREAM)
 			execute(k, sp, &d);
 		else
-			flows[(size_t)sp.nr].ended = true;
+			give_up(sp.nr);
+	}
+
+	/* Nobody knows where flow NR is open. */
+	void give_up(int nr)
+	{
+		given_up += !flows[(size_t)nr].ended;
+		flows[(size_t)nr].ended = true;
 	}
 
 	void forward(int i, const struct steered_packet &sp, int u,
@@ -1164,6 +1179,7 @@
 			fl.known_ms = 0;
 		for (int i = 0; i < INSTANCES; i++) {
 			starts[i]++;
+			knows_splits[i] = false;
 			frozen_until_ms[i] = 0;
 			f.restart_instance(i);
 			set_cookie_marks(f.instances[i].steering, true);
@@ -1208,6 +1224,7 @@
 	void start(int i)
 	{
 		starts[i]++;
+		knows_splits[i] = false;
 		frozen_until_ms[i] = 0;
 		f.restart_instance(i);
 		set_cookie_marks(f.instances[i].steering, true);
@@ -1232,6 +1249,8 @@
 		list_split_flows(cookie_split_flows(f.instances[k].steering),
 				 f.now_ms, rows.get());
 		receive_notice(i, rows, f.now_ms);
+		if (knows_splits[k])
+			know_split_flows(i);
 	}
 
 	/* Delivers ROWS, sent at SENT_MS, to I, once it runs. */
@@ -1321,24 +1340,32 @@
 	}
 };
 
-/* A change of rotation, a stop or a loss meets a flow that is known elsewhere. */
+/*
+ * A change of rotation, a stop or a loss meets a flow that is known elsewhere, or
+ * one whose instances were all killed.
+ */
 static void known_flows_keep_their_upstream_at_other_instances()
 {
 	GRand *rand = g_rand_new_with_seed(*rc::gen::arbitrary<uint32_t>());
 	int strayed_told;
+	int strayed_lost;
 	{
 		struct moves m(rand);
 
 		m.run();
 		strayed_told = m.strayed_told;
+		strayed_lost = m.strayed_lost;
 		if (getenv("PRINT_MOVES"))
 			printf("%d packets, strayed %d, known there %d, "
-			       "known elsewhere %d, all killed %d\n",
+			       "known elsewhere %d, all killed %d, "
+			       "flows given up %d of %zu\n",
 			       m.packets, m.strayed, m.strayed_known,
-			       m.strayed_told, m.strayed_lost);
+			       m.strayed_told, m.strayed_lost, m.given_up,
+			       m.flows.size());
 	}
 	g_rand_free(rand);
 	RC_ASSERT(strayed_told == 0);
+	RC_ASSERT(strayed_lost == 0);
 }
 
 /*
