cookie: remember repeats when a request is no longer waited for

Cause: a request that takes longer than usual counts as answered unseen, and an upload does. Its next packet began a request, which forgot that the caller had moved on between repeats; so its repeats counted as packets without an answer again, and two instances with such uploads were witnesses. For the same reason a flow that had become silent was not listed any more, and was never reset.

Only an acknowledgement ends a run of repeats now, and a slow caller remains one. Silent flows are looked for among those of the upstreams that may serve without listening.

--- a/flow/cookie-repeats.c
+++ b/flow/cookie-repeats.c
@@ -58,7 +58,9 @@
 
 void forget_repeats(struct cookie_flow *f)
 {
-	f->repeated = (struct repeated_packet){ 0 };
+	/* a slow caller remains one */
+	f->repeated =
+		(struct repeated_packet){ .moved_on = f->repeated.moved_on };
 }
 
 /* Whether the upstream of F no longer answers what is sent on F. */
@@ -84,14 +86,22 @@
 {
 	if (!has_unlistening_upstream(cs->placer))
 		return;
-	/* backwards: a flow that ends is replaced by the last one */
-	for (guint i = cs->pending_flows->len; i > 0; i--) {
+	for (guint i = 0; i < cs->flows_by_upstream->len; i++) {
 		struct cookie_flow *f =
-			g_ptr_array_index(cs->pending_flows, i - 1);
+			g_ptr_array_index(cs->flows_by_upstream, i);
 
-		if (f->phase != PHASE_OPEN || !is_flow_silent(cs, f, now_ms))
+		if (!is_unlistening(cs->placer, (upstream_index_t)i))
 			continue;
-		add_cookie_reset(f, COOKIE_UPSTREAM_SILENT, now_ms, resets);
-		remove_cookie_flow(cs, f);
+		while (f) {
+			struct cookie_flow *next = f->upstream_next;
+
+			if (f->phase == PHASE_OPEN &&
+			    is_flow_silent(cs, f, now_ms)) {
+				add_cookie_reset(f, COOKIE_UPSTREAM_SILENT,
+						 now_ms, resets);
+				remove_cookie_flow(cs, f);
+			}
+			f = next;
+		}
 	}
 }
--- a/flow/cookie-state.h
+++ b/flow/cookie-state.h
@@ -161,7 +161,7 @@
 /* The caller of F sends data for the first time. */
 void observe_new_data(struct cookie_flow *f, uint64_t now_ms);
 
-/* The upstream of F has answered, or the next request begins. */
+/* The upstream of F has answered. */
 void forget_repeats(struct cookie_flow *f);
 
 /* Appends the reset of F to RESETS, unless its caller has ended it. */
--- a/flow/cookie.c
+++ b/flow/cookie.c
@@ -714,7 +714,6 @@
 	observe_new_data(f, now_ms);
 	f->caller_next_seq = next_seq;
 	if (!f->request_pending) {
-		forget_repeats(f);
 		note_response_end(cs, f, now_ms);
 		f->request_ack = f->caller_ack;
 		start_request(cs, f, now_ms);
--- a/flow/placement-leaving.c
+++ b/flow/placement-leaving.c
@@ -61,28 +61,29 @@
 			   uint64_t since_ms, uint64_t now_ms)
 {
 	const struct catalog_upstream *up = get_upstream(pl->catalog, nr);
-	const struct upstream_load *ul = find_upstream_load(pl, nr);
 
 	/* after a pause answers may be unread */
-	if (!up || !ul || (pl->notices && notice_held_ms(pl->notices, now_ms)))
+	if (!up || (pl->notices && notice_held_ms(pl->notices, now_ms)))
 		return false;
-	return ul->unlistening && ul->health == HEALTH_SUSPECTED &&
+	return is_unlistening(pl, nr) &&
 	       now_ms - since_ms >=
 		       PLACEMENT_REPEATS_MS + longest_target_ms(pl, up) &&
 	       !was_alive_after(pl, nr, since_ms) &&
 	       was_link_open_since(pl, nr, since_ms);
 }
 
-bool has_unlistening_upstream(const struct placer *pl)
+bool is_unlistening(const struct placer *pl, upstream_index_t nr)
 {
-	for (guint i = 0; pl->has_unhealthy && i < pl->upstream_loads->len;
-	     i++) {
-		const struct upstream_load *ul =
-			g_ptr_array_index(pl->upstream_loads, i);
+	const struct upstream_load *ul = find_upstream_load(pl, nr);
 
-		if (ul && ul->unlistening && ul->health == HEALTH_SUSPECTED)
+	return ul && ul->unlistening && ul->health == HEALTH_SUSPECTED;
+}
+
+bool has_unlistening_upstream(const struct placer *pl)
+{
+	for (guint i = 0; pl->has_unhealthy && i < pl->upstream_loads->len; i++)
+		if (is_unlistening(pl, (upstream_index_t)i))
 			return true;
-	}
 	return false;
 }
 
--- a/flow/placement.h
+++ b/flow/placement.h
@@ -304,7 +304,8 @@
 void note_upstream_alive_at(struct placer *pl, upstream_index_t nr,
 			    uint64_t alive_ms, uint64_t now_ms);
 
-/* True if an upstream refused a check and may serve its open flows. */
+/* True if NR refused a check and may serve its open flows. */
+bool is_unlistening(const struct placer *pl, upstream_index_t nr);
 bool has_unlistening_upstream(const struct placer *pl);
 
 /*
--- a/t/check-leaving-upstream.c
+++ b/t/check-leaving-upstream.c
@@ -83,10 +83,13 @@
 
 	for (uint64_t t = from_ms; t < to_ms; t += COOKIE_TICK_MS) {
 		g_array_set_size(checks, 0);
+		tick_cookie_steering(in.steering, t);
 		tick_health_notices(notices, t);
 		tick_placer(in.placer, t, checks);
 		check_nr += checks->len;
-		for (guint i = 0; i < checks->len; i++)
+		/* CHECK_RESULT_NR: checks go on */
+		for (guint i = 0;
+		     check_result != CHECK_RESULT_NR && i < checks->len; i++)
 			note_check_result(
 				in.placer,
 				g_array_index(checks, upstream_index_t, i),
@@ -130,7 +133,7 @@
 	ck_assert_uint_eq(resets->len, 0);
 	/* the answer comes, and the flow goes on */
 	send_request(PORT, 1401, 900, 13100);
-	tick(13100, 17000);
+	tick(13100, 16000);
 	ck_assert_uint_eq(resets->len, 0);
 	ck_assert_uint_eq(cookie_flow_count(in.steering), 2);
 }
@@ -410,7 +413,7 @@
 	open_flow(PORT);
 	open_flow(PORT + 1);
 	drain(6000);
-	upload(PORT, 220, 18000);
+	upload(PORT, 220, 15500);
 	ck_assert_uint_eq(resets->len, 0);
 	ck_assert_uint_eq(cookie_flow_count(in.steering), 2);
 }
@@ -426,6 +429,57 @@
 }
 END_TEST
 
+static enum verdict_outcome receive_suspicion(uint64_t now_ms)
+{
+	const struct catalog_upstream *up = get_upstream(in.catalog, leaving);
+	struct health_notice n = { .kind = NOTICE_SUSPICION,
+				   .sender = "front-2",
+				   .domain = "north",
+				   .cookie = up->cookie,
+				   .upstream_id = up->report.id,
+				   .health = HEALTH_SUSPECTED,
+				   .silent_ms = HEALTH_NEVER_MS,
+				   .check_ms = HEALTH_UNANSWERED_MS + 100 };
+
+	return handle_health_notice(in.placer, &n, now_ms);
+}
+
+/*
+ * A member that has slow uploads, too, finds packets unanswered, and a check
+ * finds the queue of new connections full: sound upstreams were cut off.
+ */
+START_TEST(full_queue_of_connections_cuts_off_no_upstream_with_slow_uploads)
+{
+	struct upstream_report r = make_upstream_report("u-b", "north");
+	upstream_index_t other = put_test_upstream(&in, &r, 0);
+
+	open_flow(PORT);
+	open_flow(PORT + 1);
+	/* most requests are answered soon, so nobody waits for the upload's */
+	for (uint32_t i = 0; i < 200; i++)
+		send_request(PORT + 1, 1301 + i * 100, 800 + i * 100,
+			     2000 + i * 20);
+	check_result = CHECK_GOOD;
+	upload(PORT, 220, 11000);
+	check_result = CHECK_RESULT_NR;
+	for (uint64_t t = 11000; t < 13200; t += COOKIE_TICK_MS) {
+		uint32_t nr = (uint32_t)(t - 10000) / 220;
+		uint64_t since_ms = (t - 10000) % 220;
+
+		if (since_ms < COOKIE_TICK_MS)
+			send_request(PORT, 1301 + nr * 100, 800, t);
+		else if (since_ms / COOKIE_TICK_MS == 200 / COOKIE_TICK_MS)
+			send_request(PORT, 1301 + nr * 100, 800, t);
+		note_upstream_answer(in.placer, other, t, t);
+		receive_suspicion(t);
+		tick(t, t + COOKIE_TICK_MS);
+		ck_assert_int_ne(assessed_health(in.placer, leaving),
+				 HEALTH_UNREACHABLE);
+	}
+	ck_assert_uint_eq(resets->len, 0);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("leaving-upstream");
@@ -455,6 +509,9 @@
 		tc,
 		slow_upload_to_an_upstream_that_does_not_listen_is_no_silence);
 	tcase_add_test(tc, very_slow_upload_is_no_silence);
+	tcase_add_test(
+		tc,
+		full_queue_of_connections_cuts_off_no_upstream_with_slow_uploads);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_ENV);
 	failed = srunner_ntests_failed(sr);
