placement: cut no upstream off on checks without a connection alone

Cause: the first repeat of a packet, which any slow caller sends, was a reason to check and evidence at once, to peers, too; and two checks in a row without a connection needed no other evidence. Both checks meet the same full queue.

A first repeat is only a reason to check now. Checks without a connection cut an upstream off only if a SYN, or a packet that was repeated twice, has no answer here or at a peer. A failed control check is no packet.

--- a/flow/cookie-repeats.c
+++ b/flow/cookie-repeats.c
@@ -45,9 +45,12 @@
 		rp->sent_ms = f->last_packet_ms;
 	rp->repeat_nr++;
 	rp->repeated_ms = now_ms;
-	if (!rp->moved_on || rp->repeat_nr > 1)
+	if (rp->repeat_nr > 1 && (!rp->moved_on || rp->followed_ms))
 		note_upstream_silent(cs->placer, f->upstream, f->last_packet_ms,
 				     now_ms);
+	else if (!rp->moved_on)
+		note_packet_repeated(cs->placer, f->upstream, f->last_packet_ms,
+				     now_ms);
 }
 
 void observe_new_data(struct cookie_flow *f, uint64_t now_ms)
--- a/flow/placement-links.c
+++ b/flow/placement-links.c
@@ -241,7 +241,7 @@
 	/* the next control check goes to another upstream */
 	if (only_control &&
 	    (result == CHECK_REFUSED || result == CHECK_UNREACHABLE))
-		note_upstream_silent(pl, nr, ul->check_started_ms, now_ms);
+		note_silence(pl, nr, ul->check_started_ms, now_ms);
 	return only_control;
 }
 
--- a/flow/placement-notices.c
+++ b/flow/placement-notices.c
@@ -58,10 +58,10 @@
 			    struct upstream_load *ul, uint64_t sent_ms,
 			    uint64_t now_ms)
 {
-	if (!pl->notices || is_dead_or_cut_off(ul))
+	if (is_dead_or_cut_off(ul))
 		return;
 	/* after a pause the answer may be unread */
-	if (notice_held_ms(pl->notices, now_ms))
+	if (pl->notices && notice_held_ms(pl->notices, now_ms))
 		sent_ms = now_ms;
 	if (!ul->unanswered_since_ms)
 		ul->unanswered_since_ms = MAX(sent_ms, 1);
@@ -78,13 +78,14 @@
 			struct upstream_load *ul, uint64_t now_ms)
 {
 	const struct catalog_upstream *up = get_upstream(pl->catalog, nr);
+	bool was_unanswered = ul->unanswered_since_ms;
 
+	ul->unanswered_since_ms = 0;
 	if (!pl->notices || !up)
 		return;
 	forget_witnesses(pl->notices, up->report.id);
-	if (!ul->unanswered_since_ms)
+	if (!was_unanswered)
 		return;
-	ul->unanswered_since_ms = 0;
 	/* others hear of signs of life from those who saw them */
 	if (ul->own_alive_ms == now_ms)
 		post_sign_of_life(pl, nr, now_ms);
@@ -123,12 +124,16 @@
 bool is_proved_unreachable(const struct placer *pl, upstream_index_t nr,
 			   const struct upstream_load *ul, uint64_t now_ms)
 {
+	unsigned int unanswered = unanswered_attempts(pl, nr, ul, now_ms);
+
+	/* else only its queue of new connections may be full */
+	if (!ul->unanswered_since_ms && !unanswered)
+		return false;
 	/* else the fault, or a queue, is likely on this side */
 	if (!was_answered_since(pl, ul->check_started_ms) ||
 	    !was_link_open_since(pl, nr, ul->check_started_ms))
 		return false;
-	return ul->unreachable_checks +
-		       unanswered_attempts(pl, nr, ul, now_ms) >=
+	return ul->unreachable_checks + unanswered >=
 	       PLACEMENT_UNREACHABLE_CHECKS;
 }
 
--- a/flow/placement.h
+++ b/flow/placement.h
@@ -297,6 +297,13 @@
 void note_upstream_silent(struct placer *pl, upstream_index_t nr,
 			  uint64_t sent_ms, uint64_t now_ms);
 
+/*
+ * A caller repeats a packet, before which one came at SENT_MS, for the first
+ * time. That is a reason to check NR, but no evidence against it.
+ */
+void note_packet_repeated(struct placer *pl, upstream_index_t nr,
+			  uint64_t sent_ms, uint64_t now_ms);
+
 /*
  * NR showed life at ALIVE_MS or later, as was learned at NOW_MS from a packet
  * that acknowledges nothing itself.
