--- a/stand-in/cookie-caller.c
+++ b/stand-in/cookie-caller.c
@@ -1,6 +1,6 @@
 /*
  * cookie-caller-stand-in ADDRESS:PORT SERVICE INSTANCES FLOWS SECONDS PAUSE-MS
- *			  [REQUESTS [LOST]]
+ *			  [REQUESTS [LOST [PARTS PACE-MS]]]
  * Simulates the callers of the users' platform, and the routers in front of
  * the instances, for tests. INSTANCES are addresses separated by commas, and
  * failure domains by slashes, the callers' own first; packets go to PORT there,
@@ -8,7 +8,8 @@
  * flows repeatedly sends a request, waits for its answer and pauses; a flow
  * that ends early is opened again. With REQUESTS, a flow is closed after so
  * many answers, and opened again; 0 is no limit. Of a thousand SYN+ACKs, LOST do
- * not arrive. Ends after SECONDS or on SIGTERM, and closes its flows then.
+ * not arrive. With PARTS, a request is an upload of so many packets, one each
+ * PACE-MS, of which the first that is missing is sent again. Ends after SECONDS or on SIGTERM, and closes its flows then.
  *
  * Prints "flow on UPSTREAM" when a flow gets its first answer, and "all flows
  * answered" once every flow had one. Prints "reset on UPSTREAM T PORT" (T in ms
@@ -41,6 +42,7 @@
 #define DEADLINE_MS 3000
 #define REOPEN_DELAY_MS 20 /* before a flow that ended early is opened again */
 #define INSTANCES_MAX 64
+#define PARTS_MAX 16 /* that are not acknowledged */
 
 enum phase { PHASE_CLOSED, PHASE_OPENING, PHASE_IDLE, PHASE_WAITING };
 
@@ -52,6 +54,9 @@
 	uint32_t ack;
 	unsigned int request;
 	unsigned int syns_sent;
+	unsigned int parts_sent; /* of an upload */
+	unsigned int parts_acked;
+	uint64_t next_part_ms;	   /* loop time */
 	uint64_t phase_started_ms; /* loop time */
 	uint64_t next_resend_ms;   /* loop time */
 	uint32_t resend_interval_ms;
@@ -80,7 +85,9 @@
 	uint64_t pause_ms;
 	unsigned int requests_per_flow; /* 0: no limit */
 	gint32 lost_per_1000;		/* of SYN+ACKs */
-	uint64_t end_ms;		/* loop time */
+	unsigned int parts; /* of an upload, before its last packet */
+	uint64_t pace_ms;
+	uint64_t end_ms; /* loop time */
 	uint16_t next_port;
 	unsigned int answered, opened, refused, reset, lost, wrong, moved;
 	uint64_t longest_wait_ms;
@@ -161,12 +168,29 @@
 	g_snprintf(text, size, "f%u-%u", f->port, f->request);
 }
 
-static void send_request(struct cookie_caller *c, const struct caller_flow *f)
+/* Sends part NR of the request of F, of which the last one is its text. */
+static void send_part(struct cookie_caller *c, const struct caller_flow *f,
+		      unsigned int nr)
 {
+	struct caller_flow at = *f;
 	char text[32];
 
-	request_text(f, text, sizeof(text));
-	send_flow(c, f, TCP_ACK, f->ack, text);
+	at.seq += nr * (uint32_t)strlen(COOKIE_PART_TEXT);
+	if (nr < c->parts)
+		g_strlcpy(text, COOKIE_PART_TEXT, sizeof(text));
+	else
+		request_text(f, text, sizeof(text));
+	send_flow(c, &at, TCP_ACK, f->ack, text);
+}
+
+static void send_next_part(struct cookie_caller *c, struct caller_flow *f)
+{
+	f->next_part_ms = uv_now(c->loop) + c->pace_ms;
+	if (f->parts_sent == f->parts_acked) {
+		f->resend_interval_ms = RESEND_MIN_MS;
+		f->next_resend_ms = uv_now(c->loop) + f->resend_interval_ms;
+	}
+	send_part(c, f, f->parts_sent++);
 }
 
 /* Reports that F ended early: WHAT is "reset" or "lost". */
@@ -208,9 +232,9 @@
 	f->phase = PHASE_WAITING;
 	f->request++;
 	f->phase_started_ms = uv_now(c->loop);
-	f->resend_interval_ms = RESEND_MIN_MS;
-	f->next_resend_ms = f->phase_started_ms + f->resend_interval_ms;
-	send_request(c, f);
+	f->parts_sent = 0;
+	f->parts_acked = 0;
+	send_next_part(c, f);
 }
 
 static void tick_opening(struct cookie_caller *c, struct caller_flow *f,
@@ -229,19 +253,37 @@
 static void tick_waiting(struct cookie_caller *c, struct caller_flow *f,
 			 uint64_t now)
 {
-	if (now - f->phase_started_ms >= DEADLINE_MS) {
+	if (f->parts_sent <= c->parts && now >= f->next_part_ms &&
+	    f->parts_sent - f->parts_acked < PARTS_MAX)
+		send_next_part(c, f);
+	if (now - f->phase_started_ms >= DEADLINE_MS + c->parts * c->pace_ms) {
 		c->lost++;
 		report_early_end(f, "lost");
 		send_flow(c, f, TCP_ACK | TCP_FIN, f->ack, NULL);
 		close_flow(c, f);
-	} else if (now >= f->next_resend_ms) {
+	} else if (f->parts_sent > f->parts_acked && now >= f->next_resend_ms) {
 		f->resend_interval_ms =
 			MIN(2 * f->resend_interval_ms, RESEND_MAX_MS);
 		f->next_resend_ms = now + f->resend_interval_ms;
-		send_request(c, f);
+		send_part(c, f, f->parts_acked);
 	}
 }
 
+/* The upstream has acknowledged the bytes of F before ACK. */
+static void note_parts(struct cookie_caller *c, struct caller_flow *f,
+		       uint32_t ack)
+{
+	unsigned int parts =
+		(ack - f->seq) / (uint32_t)strlen(COOKIE_PART_TEXT);
+
+	if ((int32_t)(ack - f->seq) <= 0 || parts <= f->parts_acked ||
+	    parts > f->parts_sent || parts > c->parts)
+		return;
+	f->parts_acked = parts;
+	f->resend_interval_ms = RESEND_MIN_MS;
+	f->next_resend_ms = uv_now(c->loop) + f->resend_interval_ms;
+}
+
 /* Closes the flows, so that they are no load for later callers, and reports. */
 static void end(struct cookie_caller *c)
 {
@@ -325,7 +367,8 @@
 	}
 	c->answered++;
 	c->longest_wait_ms = MAX(c->longest_wait_ms, took);
-	f->seq += (uint32_t)strlen(expected);
+	f->seq += (uint32_t)strlen(expected) +
+		  c->parts * (uint32_t)strlen(COOKIE_PART_TEXT);
 	f->ack += p->payload_len;
 	f->phase = PHASE_IDLE;
 	f->phase_started_ms = uv_now(c->loop);
@@ -377,6 +420,8 @@
 		f->ack = p.seq + 1;
 		send_flow(c, f, TCP_ACK, f->ack, NULL);
 		start_request(c, f);
+	} else if (!p.payload_len && f->phase == PHASE_WAITING) {
+		note_parts(c, f, p.ack);
 	} else if (p.payload_len) {
 		handle_answer(c, f, data + PLATFORM_HEADER_BYTES, &p);
 	}
@@ -460,13 +505,13 @@
 	struct cookie_caller c = { 0 };
 	struct status st = { 0 };
 
-	if (argc < 7 || argc > 9 ||
+	if (argc < 7 || argc == 10 || argc > 11 ||
 	    parse_endpoint(argv[1], &c.own, &st) != STATUS_OK ||
 	    parse_endpoint(argv[2], &c.service, &st) != STATUS_OK ||
 	    !read_instances(&c, argv[3])) {
 		fprintf(stderr, "usage: cookie-caller-stand-in ADDRESS:PORT "
 				"SERVICE INSTANCES FLOWS SECONDS PAUSE-MS "
-				"[REQUESTS [LOST]]\n");
+				"[REQUESTS [LOST [PARTS PACE-MS]]]\n");
 		return 1;
 	}
 	c.loop = uv_default_loop();
@@ -474,6 +519,8 @@
 	c.pause_ms = (uint64_t)atoi(argv[6]);
 	c.requests_per_flow = argc > 7 ? (unsigned int)atoi(argv[7]) : 0;
 	c.lost_per_1000 = argc > 8 ? atoi(argv[8]) : 0;
+	c.parts = argc > 9 ? (unsigned int)atoi(argv[9]) - 1 : 0;
+	c.pace_ms = argc > 9 ? (uint64_t)atoi(argv[10]) : 0;
 	c.dg = create_datagrams(c.loop, &c.own, on_datagram, &c, &st);
 	if (!c.dg) {
 		fprintf(stderr, "cookie-caller-stand-in: %s\n", st.message);
--- a/stand-in/cookie-upstream.c
+++ b/stand-in/cookie-upstream.c
@@ -40,6 +40,7 @@
 	uint32_t expected_seq; /* next byte from the caller */
 	char last_answer[256]; /* resent when the request is repeated */
 	bool open;
+	unsigned int part_nr; /* of uploads, also those that were repeated */
 	struct cookie_packet syn_ack;
 	unsigned int syn_ack_nr;
 	uint64_t syn_ack_due_ms; /* loop time */
@@ -192,6 +193,13 @@
 	send_packet(u, &a, NULL);
 }
 
+/* Whether P is part of an upload and not its last one. */
+static bool is_part(const struct cookie_packet *p, const uint8_t *data)
+{
+	return p->payload_len == strlen(COOKIE_PART_TEXT) &&
+	       !memcmp(data, COOKIE_PART_TEXT, p->payload_len);
+}
+
 static void handle_data(struct cookie_stand_in *u, struct served_flow *f,
 			const struct cookie_packet *p, const uint8_t *data)
 {
@@ -205,11 +213,15 @@
 		return;
 	if (p->seq == f->expected_seq) {
 		f->expected_seq += p->payload_len;
-		run_request(u, p, data);
+		if (!is_part(p, data))
+			run_request(u, p, data);
 	} else if (f->last_answer[0]) {
 		send_answer(u, f, p);
 		return;
 	}
+	/* every second one of an upload is acknowledged */
+	if (is_part(p, data) && ++f->part_nr % 2)
+		return;
 	ack.seq = f->seq;
 	ack.ack = f->expected_seq;
 	send_packet(u, &ack, NULL);
--- a/stand-in/cookie-wire.h
+++ b/stand-in/cookie-wire.h
@@ -5,6 +5,9 @@
 
 #include "platform/packet.h"
 
+/* Data of all packets of an upload but the last one. */
+#define COOKIE_PART_TEXT "+part----"
+
 /*
  * Writes the packet P with P->payload_len bytes at DATA into OUT, which has
  * room for PLATFORM_HEADER_BYTES + PLATFORM_DATA_MAX_BYTES bytes. Returns its
