--- a/flow/cookie.h
+++ b/flow/cookie.h
@@ -15,8 +15,9 @@
  * went to several. An instance that knows nothing else of the flow goes by it
  * only if it would know of such SYNs, see set_cookie_splits_known().
  *
- * An open flow is reset only if its route is gone or its upstream is known to
- * be dead or cut off, or on that flow silent. A flow that cannot be placed is refused at its SYN.
+ * An open flow is reset only if its route is gone, or its upstream is known to
+ * be dead or cut off, or silent on that flow. A flow that cannot be placed is
+ * refused at its SYN.
  */
 
 #include "base/counters.h"
