--- a/t/check-leaving-upstream.c
+++ b/t/check-leaving-upstream.c
@@ -466,9 +466,8 @@
 		uint32_t nr = (uint32_t)(t - 10000) / 220;
 		uint64_t since_ms = (t - 10000) % 220;
 
-		if (since_ms < COOKIE_TICK_MS)
-			send_request(PORT, 1301 + nr * 100, 800, t);
-		else if (since_ms / COOKIE_TICK_MS == 200 / COOKIE_TICK_MS)
+		if (since_ms < COOKIE_TICK_MS ||
+		    since_ms / COOKIE_TICK_MS == 200 / COOKIE_TICK_MS)
 			send_request(PORT, 1301 + nr * 100, 800, t);
 		note_upstream_answer(in.placer, other, t, t);
 		receive_suspicion(t);
