heartbeat, cookie: less work for each packet and tick of a large fleet

A flow whose route was not known yet let each tick look at all flows, and note_packet_repeated() was another name of note_silence().

One function picks members now, from a random one on until it has enough. All flows are looked at only when the copy of the routes has become new enough to end one.

check-heartbeat, check-late-routes, check-cookie, check-placement, check-leaving-upstream, check-split-flows, check-takeover and check-domain-link pass.

--- a/fleet/heartbeat.c
+++ b/fleet/heartbeat.c
@@ -411,65 +411,31 @@
 	return find_member_at(ht, at, true);
 }
 
-/* Members to choose from at random, those of the own domain if there are any. */
-struct member_choice {
-	GRand *rand;
-	struct endpoint *at; /* of the one that is chosen */
-	bool in_own_domain;
-	gint32 found;
-};
-
-static void offer_member(struct member_choice *mc,
-			 const struct heartbeat_tracker *ht,
-			 const struct member *m)
-{
-	bool is_remote = is_remote_member(ht, m);
-
-	if (mc->in_own_domain && is_remote)
-		return;
-	if (!mc->in_own_domain && !is_remote) {
-		mc->in_own_domain = true;
-		mc->found = 0;
-	}
-	/* reservoir sampling: all candidates are equally likely */
-	if (g_rand_int_range(mc->rand, 0, ++mc->found) == 0)
-		*mc->at = member_endpoint(m);
-}
-
 bool pick_member_ahead(const struct heartbeat_tracker *ht,
 		       struct store_position position, GRand *rand,
 		       struct endpoint *at)
 {
-	struct member_choice mc = { .rand = rand, .at = at };
+	bool in_own_domain = false;
+	gint32 found = 0;
 
 	for (guint i = 0; i < ht->peers->len; i++) {
 		const struct peer *p =
 			&g_array_index(ht->peers, struct peer, i);
 		const struct member *m = find_member(ht->view, p->id);
 
-		if (m && m->state != MEMBER_DEAD &&
-		    compare_store_positions(p->store_position, position) > 0)
-			offer_member(&mc, ht, m);
-	}
-	return mc.found;
-}
-
-bool pick_member_configured_after(const struct heartbeat_tracker *ht,
-				  uint64_t version, GRand *rand,
-				  struct endpoint *at)
-{
-	struct member_choice mc = { .rand = rand, .at = at };
-
-	for (guint i = 0; i < ht->peers->len; i++) {
-		const struct peer *p =
-			&g_array_index(ht->peers, struct peer, i);
-		const struct member *m = find_member(ht->view, p->id);
-
-		if (m && m->state == MEMBER_ALIVE && p->ready &&
-		    p->config_version > version)
-			offer_member(&mc, ht, m);
+		if (!m || m->state == MEMBER_DEAD ||
+		    compare_store_positions(p->store_position, position) <= 0 ||
+		    (in_own_domain && is_remote_member(ht, m)))
+			continue;
+		if (!in_own_domain && !is_remote_member(ht, m)) {
+			in_own_domain = true;
+			found = 0;
+		}
+		/* reservoir sampling: all candidates are equally likely */
+		if (g_rand_int_range(rand, 0, ++found) == 0)
+			*at = member_endpoint(m);
 	}
-	return mc.found;
+	return found;
 }
 
 bool tick_heartbeats(struct heartbeat_tracker *ht, uint64_t now_ms, bool urgent,
@@ -503,74 +469,102 @@
 	return true;
 }
 
-static size_t pick_ready_members(const struct heartbeat_tracker *ht,
-				 bool in_own_domain, bool takes_split_flows,
-				 GRand *rand, struct endpoint *to, size_t nr)
+/* Which of the ready members may be picked. */
+struct member_filter {
+	bool in_own_domain;
+	bool takes_split_flows;
+	bool knows_split_flows;
+	uint64_t configured_after; /* a version; 0: with any */
+};
+
+static bool passes_filter(const struct heartbeat_tracker *ht,
+			  const struct peer *p, const struct member *m,
+			  const struct member_filter *mf)
+{
+	return p->ready && m && m->state == MEMBER_ALIVE &&
+	       !(mf->in_own_domain && is_remote_member(ht, m)) &&
+	       !(mf->takes_split_flows && !p->takes_split_flows) &&
+	       !(mf->knows_split_flows && !p->knows_split_flows) &&
+	       !(mf->configured_after &&
+		 p->config_version <= mf->configured_after);
+}
+
+static bool has_endpoint(const struct endpoint *list, size_t nr,
+			 const struct endpoint *at)
+{
+	for (size_t i = 0; i < nr; i++)
+		if (same_endpoint(&list[i], at))
+			return true;
+	return false;
+}
+
+/*
+ * Adds up to NR ready members that MF lets pass to the FOUND ones at TO, which
+ * are not picked again. Returns the number of all.
+ */
+static size_t add_ready_members(const struct heartbeat_tracker *ht,
+				const struct member_filter *mf, GRand *rand,
+				struct endpoint *to, size_t found, size_t nr)
 {
 	guint n = ht->peers->len;
 	guint at = n ? (guint)g_rand_int_range(rand, 0, (gint32)n) : 0;
-	size_t found = 0;
 
 	for (guint i = 0; i < n && found < nr; i++) {
 		const struct peer *p =
 			&g_array_index(ht->peers, struct peer, (at + i) % n);
 		const struct member *m = find_member(ht->view, p->id);
+		struct endpoint ep;
 
-		if (!p->ready || !m || m->state != MEMBER_ALIVE ||
-		    (in_own_domain && is_remote_member(ht, m)) ||
-		    (takes_split_flows && !p->takes_split_flows))
+		if (!passes_filter(ht, p, m, mf))
 			continue;
-		to[found++] = member_endpoint(m);
+		ep = member_endpoint(m);
+		if (!has_endpoint(to, found, &ep))
+			to[found++] = ep;
 	}
 	return found;
 }
 
-size_t pick_relays(const struct heartbeat_tracker *ht, GRand *rand,
-		   struct endpoint *to, size_t nr)
+/* Members that MF lets pass, of the own domain if there are any. */
+static size_t pick_near_members(const struct heartbeat_tracker *ht,
+				struct member_filter mf, GRand *rand,
+				struct endpoint *to, size_t nr)
 {
-	return pick_ready_members(ht, false, false, rand, to, nr);
+	size_t found;
+
+	mf.in_own_domain = true;
+	found = add_ready_members(ht, &mf, rand, to, 0, nr);
+	mf.in_own_domain = false;
+	return found ? found : add_ready_members(ht, &mf, rand, to, 0, nr);
 }
 
-/* Appends those of the NEW_NR endpoints at NEW that TO does not have yet. */
-static size_t add_endpoints(struct endpoint *to, size_t found, size_t nr,
-			    const struct endpoint *new, size_t new_nr)
+bool pick_member_configured_after(const struct heartbeat_tracker *ht,
+				  uint64_t version, GRand *rand,
+				  struct endpoint *at)
 {
-	for (size_t i = 0; i < new_nr && found < nr; i++) {
-		size_t k = 0;
+	/* any version is later than none */
+	struct member_filter mf = { .configured_after = version };
 
-		while (k < found && !same_endpoint(&to[k], &new[i]))
-			k++;
-		if (k == found)
-			to[found++] = new[i];
-	}
-	return found;
+	return pick_near_members(ht, mf, rand, at, 1);
+}
+
+size_t pick_relays(const struct heartbeat_tracker *ht, GRand *rand,
+		   struct endpoint *to, size_t nr)
+{
+	const struct member_filter any = { 0 };
+
+	return add_ready_members(ht, &any, rand, to, 0, nr);
 }
 
 size_t pick_knowing_members(const struct heartbeat_tracker *ht, GRand *rand,
 			    struct endpoint *to, size_t nr)
 {
-	struct endpoint *new = g_new(struct endpoint, nr);
-	struct member_choice mc = { .rand = rand, .at = new };
-	size_t found = 0;
+	const struct member_filter knowing = { .knows_split_flows = true };
+	const struct member_filter neighbour = { .in_own_domain = true };
+	const struct member_filter any = { 0 };
+	size_t found = add_ready_members(ht, &knowing, rand, to, 0, 1);
 
-	for (guint i = 0; i < ht->peers->len; i++) {
-		const struct peer *p =
-			&g_array_index(ht->peers, struct peer, i);
-		const struct member *m = find_member(ht->view, p->id);
-
-		if (m && m->state == MEMBER_ALIVE && p->ready &&
-		    p->knows_split_flows)
-			offer_member(&mc, ht, m);
-	}
-	found = add_endpoints(to, found, nr, new, mc.found > 0);
-	found = add_endpoints(
-		to, found, nr, new,
-		pick_ready_members(ht, true, false, rand, new, nr));
-	found = add_endpoints(
-		to, found, nr, new,
-		pick_ready_members(ht, false, false, rand, new, nr));
-	g_free(new);
-	return found;
+	found = add_ready_members(ht, &neighbour, rand, to, found, nr);
+	return add_ready_members(ht, &any, rand, to, found, nr);
 }
 
 bool knows_split_flows(const struct heartbeat_tracker *ht,
@@ -585,8 +579,7 @@
 size_t pick_neighbours(const struct heartbeat_tracker *ht, GRand *rand,
 		       struct endpoint *to, size_t nr)
 {
-	size_t found = pick_ready_members(ht, true, true, rand, to, nr);
+	const struct member_filter mf = { .takes_split_flows = true };
 
-	return found ? found
-		     : pick_ready_members(ht, false, true, rand, to, nr);
+	return pick_near_members(ht, mf, rand, to, nr);
 }
--- a/flow/cookie-flows.c
+++ b/flow/cookie-flows.c
@@ -137,7 +137,8 @@
 	f->upstream = CATALOG_NONE;
 	f->load.counted = true;
 	f->route_known = route;
-	cs->has_flow_of_unknown_route |= !route;
+	if (!route && !cs->unknown_route_ms)
+		cs->unknown_route_ms = MAX(now_ms, 1);
 	if (route)
 		f->load.route =
 			get_placer_route(cs->placer, route->ip, route->port);
@@ -311,9 +312,10 @@
 	cs->routes_current_ms = MAX(cs->routes_current_ms, at_ms);
 }
 
-bool has_flow_of_unknown_route(const struct cookie_steering *cs)
+bool may_end_unknown_routes(const struct cookie_steering *cs)
 {
-	return cs->has_flow_of_unknown_route;
+	return cs->unknown_route_ms &&
+	       cs->routes_current_ms > cs->unknown_route_ms;
 }
 
 void end_flows_without_route(struct cookie_steering *cs, uint64_t now_ms,
@@ -322,7 +324,7 @@
 	GHashTableIter it;
 	gpointer value;
 
-	cs->has_flow_of_unknown_route = false;
+	cs->unknown_route_ms = 0;
 	g_hash_table_iter_init(&it, cs->flows);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct cookie_flow *f = value;
@@ -336,7 +338,10 @@
 		}
 		/* it was in force before the flow came here */
 		if (!f->route_known && cs->routes_current_ms <= f->added_ms) {
-			cs->has_flow_of_unknown_route = true;
+			cs->unknown_route_ms =
+				cs->unknown_route_ms
+					? MIN(cs->unknown_route_ms, f->added_ms)
+					: MAX(f->added_ms, 1);
 			continue;
 		}
 		add_cookie_reset(f, COOKIE_ROUTE_GONE, now_ms, resets);
--- a/flow/cookie-repeats.c
+++ b/flow/cookie-repeats.c
@@ -49,8 +49,8 @@
 		note_upstream_silent(cs->placer, f->upstream, f->last_packet_ms,
 				     now_ms);
 	else if (!rp->moved_on)
-		note_packet_repeated(cs->placer, f->upstream, f->last_packet_ms,
-				     now_ms);
+		note_silence(cs->placer, f->upstream, f->last_packet_ms,
+			     now_ms);
 }
 
 void observe_new_data(struct cookie_flow *f, uint64_t now_ms)
--- a/flow/cookie-state.h
+++ b/flow/cookie-state.h
@@ -89,13 +89,14 @@
 	uint64_t weights_updated_ms;
 	struct syn_queue *syn_queue; /* owners: struct cookie_flow */
 	struct split_flows *split_flows;
-	bool isolated;			/* see set_cookie_isolated() */
-	bool routes_behind;		/* see set_cookie_routes_behind() */
-	bool splits_known;		/* see set_cookie_splits_known() */
-	bool marks_cookies;		/* see set_cookie_marks() */
-	uint64_t routes_current_ms;	/* see note_routes_current() */
-	bool has_flow_of_unknown_route; /* there may be one */
-	uint64_t first_packet_ms;	/* 0: no packet was received yet */
+	bool isolated;		    /* see set_cookie_isolated() */
+	bool routes_behind;	    /* see set_cookie_routes_behind() */
+	bool splits_known;	    /* see set_cookie_splits_known() */
+	bool marks_cookies;	    /* see set_cookie_marks() */
+	uint64_t routes_current_ms; /* see note_routes_current() */
+	/* when the first flow came whose route is unknown; 0: there is none */
+	uint64_t unknown_route_ms;
+	uint64_t first_packet_ms; /* 0: no packet was received yet */
 	uint64_t last_sweep_ms;
 	uint64_t last_tick_ms;
 	/* from a forwarded SYN to the caller's next packet */
--- a/flow/cookie.h
+++ b/flow/cookie.h
@@ -240,8 +240,11 @@
 /* The routes of the catalog are at least those that were in force at AT_MS. */
 void note_routes_current(struct cookie_steering *cs, uint64_t at_ms);
 
-/* Whether flows may be tracked whose route has not been known here. */
-bool has_flow_of_unknown_route(const struct cookie_steering *cs);
+/*
+ * Whether the routes are current enough to end flows whose route has not been
+ * known here, if there are such flows.
+ */
+bool may_end_unknown_routes(const struct cookie_steering *cs);
 
 /*
  * The flow KEY now sends its packets to another instance, see
--- a/flow/placement-health.c
+++ b/flow/placement-health.c
@@ -222,12 +222,6 @@
 			       sent_ms, now_ms);
 }
 
-void note_packet_repeated(struct placer *pl, upstream_index_t nr,
-			  uint64_t sent_ms, uint64_t now_ms)
-{
-	note_silence(pl, nr, sent_ms, now_ms);
-}
-
 /* Whether the last sign of life is old; false if there never was one. */
 static bool is_quiet(const struct upstream_load *ul, uint64_t now_ms)
 {
--- a/flow/placement-state.h
+++ b/flow/placement-state.h
@@ -232,13 +232,6 @@
 void post_verdict(struct placer *pl, upstream_index_t nr,
 		  const struct upstream_load *ul, uint64_t now_ms);
 
-/*
- * Notes that the answer to a packet sent at SENT_MS is overdue, like
- * note_upstream_silent(), but without telling peers.
- */
-void note_silence(struct placer *pl, upstream_index_t nr, uint64_t sent_ms,
-		  uint64_t now_ms);
-
 /* Tells NR's assessors that a packet sent at SENT_MS was not answered. */
 void note_unanswered_packet(struct placer *pl, upstream_index_t nr,
 			    struct upstream_load *ul, uint64_t sent_ms,
--- a/flow/placement.h
+++ b/flow/placement.h
@@ -298,11 +298,11 @@
 			  uint64_t sent_ms, uint64_t now_ms);
 
 /*
- * A caller repeats a packet, before which one came at SENT_MS, for the first
- * time. That is a reason to check NR, but no evidence against it.
+ * The same for what is a reason to check NR, but no evidence against it: peers
+ * are not told.
  */
-void note_packet_repeated(struct placer *pl, upstream_index_t nr,
-			  uint64_t sent_ms, uint64_t now_ms);
+void note_silence(struct placer *pl, upstream_index_t nr, uint64_t sent_ms,
+		  uint64_t now_ms);
 
 /*
  * NR showed life at ALIVE_MS or later, as was learned at NOW_MS from a packet
--- a/net/edge-records.c
+++ b/net/edge-records.c
@@ -217,7 +217,7 @@
 	if (!mirror_lacks_value(e->mirror))
 		note_routes_current(e->steering, routes_current_ms(e));
 	if (e->routes_version == catalog_version(e->catalog) &&
-	    !has_flow_of_unknown_route(e->steering))
+	    !may_end_unknown_routes(e->steering))
 		return;
 	e->routes_version = catalog_version(e->catalog);
 	resets = g_array_new(FALSE, FALSE, sizeof(struct cookie_reset));
--- a/net/edge-store.c
+++ b/net/edge-store.c
@@ -496,8 +496,7 @@
 		execute_action(
 			e, &g_array_index(actions, struct mirror_action, i));
 	apply_new_services(e);
-	if (e->routes_version != catalog_version(e->catalog))
-		end_flows_of_dropped_routes(e);
+	end_flows_of_dropped_routes(e);
 	g_array_free(actions, TRUE);
 }
 
--- a/net/edge.c
+++ b/net/edge.c
@@ -294,10 +294,6 @@
 	update_isolation(&e->isolation, e->domain_links, e->placement,
 			 e->now_ms);
 	set_cookie_isolated(e->steering, e->isolation.isolated);
-	set_cookie_routes_behind(
-		e->steering,
-		highest_ready_config_version(e->instance_heartbeats) >
-			catalog_version(e->catalog));
 	log_link_changes(e);
 	reset_unanswered_flows(e);
 	handle_health_changes(e);
@@ -326,6 +322,10 @@
 	expire_catalog(e->catalog, e->now_ms);
 	forget_expired_upstreams(e->steering);
 	tick_edge_heartbeats(e);
+	set_cookie_routes_behind(
+		e->steering,
+		highest_ready_config_version(e->instance_heartbeats) >
+			catalog_version(e->catalog));
 	set_cookie_marks(e->steering,
 			 all_members_take_marks(e->instance_heartbeats));
 	tick_edge_introduction(e);
--- a/t/check-late-routes.c
+++ b/t/check-late-routes.c
@@ -88,11 +88,12 @@
 	note_routes_current(in.steering, 1000);
 	apply_routes(2, 1, 2000);
 	ck_assert_uint_eq(resets->len, 0);
+	ck_assert(!may_end_unknown_routes(in.steering));
 	note_routes_current(in.steering, 1001);
-	ck_assert(has_flow_of_unknown_route(in.steering));
+	ck_assert(may_end_unknown_routes(in.steering));
 	end_flows_without_route(in.steering, 2010, resets);
 	ck_assert_uint_eq(resets->len, 1);
-	ck_assert(!has_flow_of_unknown_route(in.steering));
+	ck_assert(!may_end_unknown_routes(in.steering));
 }
 END_TEST
 
