--- a/t/check-split-flows.c
+++ b/t/check-split-flows.c
@@ -521,6 +521,14 @@
 }
 END_TEST
 
+/* The first SYN of a flow, at the first instance. */
+static struct cookie_decision send_marked_syn(uint16_t port, uint64_t now_ms)
+{
+	set_cookie_marks(first.steering, true);
+	set_cookie_marks(second.steering, true);
+	return send_syn(&first, port, 0, now_ms);
+}
+
 /* A split flow at the first instance, whose SYNs went to these upstreams. */
 struct marked_syns {
 	struct cookie_decision first;
@@ -531,9 +539,7 @@
 {
 	struct marked_syns ms;
 
-	set_cookie_marks(first.steering, true);
-	set_cookie_marks(second.steering, true);
-	ms.first = send_syn(&first, 4000, 0, 600);
+	ms.first = send_marked_syn(4000, 600);
 	ck_assert_uint_eq(send_syn(&first, 4000, 1, 800).cookie,
 			  ms.first.cookie);
 	ms.last = send_syn(&first, 4000, 2, 1200);
@@ -542,9 +548,13 @@
 	return ms;
 }
 
-/* What an instance decides that knows nothing of the flow of P. */
-static void check_not_followed(struct cookie_packet p, uint64_t now_ms)
+/* An instance that knows nothing of a flow gets its packet with COOKIE. */
+static void check_not_followed(uint32_t cookie, uint64_t now_ms)
 {
+	struct cookie_packet p =
+		make_cookie_packet(CALLER, 4000, TCP_ACK, cookie);
+
+	p.seq = 1101;
 	p.payload_len = 100;
 	ck_assert_int_eq(
 		steer_cookie_packet(second.steering, &p, false, now_ms).verdict,
@@ -561,15 +571,9 @@
 START_TEST(instance_that_knows_nothing_does_not_follow_a_late_answer)
 {
 	struct marked_syns ms = split_marked_flow();
-	uint32_t late[2] = { ms.first.cookie, ms.last.cookie };
 
-	for (int i = 0; i < 2; i++) {
-		struct cookie_packet p =
-			make_cookie_packet(CALLER, 4000, TCP_ACK, late[i]);
-
-		p.seq = 1101;
-		check_not_followed(p, 12000);
-	}
+	check_not_followed(ms.first.cookie, 12000);
+	check_not_followed(ms.last.cookie, 12000);
 }
 END_TEST
 
@@ -580,14 +584,10 @@
  */
 START_TEST(late_answer_of_an_upstream_that_takes_no_copy_is_not_followed)
 {
-	struct cookie_packet p;
-	struct upstream_report r;
-	struct cookie_decision syn;
+	struct cookie_decision syn = send_marked_syn(4000, 1000);
+	struct upstream_report r =
+		get_upstream(first.catalog, syn.upstream)->report;
 
-	set_cookie_marks(first.steering, true);
-	set_cookie_marks(second.steering, true);
-	syn = send_syn(&first, 4000, 0, 1000);
-	r = get_upstream(first.catalog, syn.upstream)->report;
 	if (_i == 0)
 		r.draining = true;
 	else if (_i == 1)
@@ -596,50 +596,31 @@
 	if (_i == 2)
 		set_catalog_domain_out(first.catalog, "north", true, 0, 1100);
 	send_syn(&first, 4000, 1, 1200);
-	p = make_cookie_packet(CALLER, 4000, TCP_ACK, syn.cookie);
-	p.seq = 1101;
-	check_not_followed(p, 9000);
+	check_not_followed(syn.cookie, 9000);
 }
 END_TEST
 
 /* The SYN and its copy came to two instances, the first of which knew nothing. */
 START_TEST(late_answer_to_a_syn_that_came_elsewhere_is_not_followed)
 {
-	struct cookie_packet p;
-	struct cookie_decision syn;
-
-	set_cookie_marks(first.steering, true);
-	set_cookie_marks(second.steering, true);
-	syn = send_syn(&first, 4000, 0, 1000);
-	p = make_cookie_packet(CALLER, 4000, TCP_ACK, syn.cookie);
-	p.seq = 1101;
-	check_not_followed(p, 9000);
+	check_not_followed(send_marked_syn(4000, 1000).cookie, 9000);
 }
 END_TEST
 
 /* Without a split flow in sight the mark is as good as a plain cookie. */
 START_TEST(instance_that_knows_all_split_flows_follows_a_mark)
 {
-	struct cookie_packet p;
-	struct cookie_decision syn;
+	struct cookie_decision syn = send_marked_syn(4005, 500);
 	struct cookie_decision d;
 
-	set_cookie_marks(first.steering, true);
-	set_cookie_marks(second.steering, true);
 	set_cookie_splits_known(second.steering, true);
-	syn = send_syn(&first, 4005, 0, 500);
-	p = make_cookie_packet(CALLER, 4005, TCP_ACK, syn.cookie);
-	p.seq = 1001;
-	p.payload_len = 100;
-	d = steer_cookie_packet(second.steering, &p, false, 510);
+	d = send_data(&second, 4005, syn.cookie, 1001, 500, 510);
 	ck_assert_uint_eq(d.upstream, syn.upstream);
 	ck_assert_uint_eq(d.cookie, cookie_of(syn.upstream));
 	/* one that is split, and open somewhere already */
 	syn = split_marked_flow().last;
 	tell(&first, &second, 1300);
-	p = make_cookie_packet(CALLER, 4000, TCP_ACK, syn.cookie);
-	p.seq = 1101;
-	check_not_followed(p, 1320);
+	check_not_followed(syn.cookie, 1320);
 }
 END_TEST
 
