--- a/flow/split-flows.c
+++ b/flow/split-flows.c
@@ -414,3 +414,20 @@
 		si->told_all |= knows_all;
 	}
 }
+
+void note_inquiry_end(struct split_knowledge *sk,
+		      const struct split_inquiry *si, uint64_t now_ms)
+{
+	if (!si->told_all)
+		sk->missed_ms = now_ms;
+	/* the answer about another domain's flows tells nothing of the own */
+	else if (!si->domain[0])
+		sk->missed_ms = 0;
+}
+
+bool are_all_splits_known(const struct split_knowledge *sk, uint64_t idle_ms,
+			  uint64_t now_ms)
+{
+	return !sk->missed_ms ||
+	       now_ms - sk->missed_ms >= SPLIT_FLOW_UNSETTLED_MS + idle_ms;
+}
--- a/flow/split-flows.h
+++ b/flow/split-flows.h
@@ -168,6 +168,25 @@
 bool tick_split_inquiry(struct split_inquiry *si, bool has_ready_peer,
 			uint64_t now_ms);
 
+/* Whether a member may have missed notices of split flows. */
+struct split_knowledge {
+	uint64_t missed_ms; /* the last time that it may have; 0: never */
+};
+
+/*
+ * The inquiry SI has ended: what was missed before is known now if one that knew
+ * all has answered.
+ */
+void note_inquiry_end(struct split_knowledge *sk,
+		      const struct split_inquiry *si, uint64_t now_ms);
+
+/*
+ * Whether all split flows are known that callers may still use. They pause for
+ * IDLE_MS at most after the last answer to a SYN has come.
+ */
+bool are_all_splits_known(const struct split_knowledge *sk, uint64_t idle_ms,
+			  uint64_t now_ms);
+
 /* What becomes of a packet of a flow of which only the cookie is known. */
 enum unknown_packet {
 	UNKNOWN_STEER, /* by its cookie */
--- a/net/edge-split-flows.c
+++ b/net/edge-split-flows.c
@@ -107,31 +107,11 @@
 					     e->rand, to, TAKEOVER_KEEPERS));
 }
 
-/*
- * Longest time from a SYN to a packet whose cookie an answer to it brought: while
- * upstreams repeat that answer, and the caller then pauses.
- */
-static uint64_t late_cookie_ms(const struct edge *e)
-{
-	return SPLIT_FLOW_UNSETTLED_MS + catalog_idle_ms(e->catalog);
-}
-
 bool knows_all_split_flows(const struct edge *e)
 {
 	return e->split_inquiry.done &&
-	       (!e->splits_missed_ms ||
-		e->now_ms - e->splits_missed_ms >= late_cookie_ms(e));
-}
-
-/* The inquiry has ended: what was missed before it is known now, or is not. */
-static void note_inquiry_done(struct edge *e)
-{
-	const struct split_inquiry *si = &e->split_inquiry;
-
-	if (!si->told_all)
-		e->splits_missed_ms = e->now_ms;
-	else if (!si->domain[0])
-		e->splits_missed_ms = 0;
+	       are_all_splits_known(&e->split_knowledge,
+				    catalog_idle_ms(e->catalog), e->now_ms);
 }
 
 void tick_edge_split_flows(struct edge *e)
@@ -144,7 +124,8 @@
 	if (!e->split_inquiry.done) {
 		ask_for_split_flows(e);
 		if (e->split_inquiry.done)
-			note_inquiry_done(e);
+			note_inquiry_end(&e->split_knowledge, &e->split_inquiry,
+					 e->now_ms);
 	}
 	e->has_known_split_flows |= e->split_inquiry.may_serve;
 	set_cookie_splits_known(e->steering, knows_all_split_flows(e));
--- a/net/edge-state.h
+++ b/net/edge-state.h
@@ -48,7 +48,7 @@
 	struct moved_flows *moved_flows;
 	struct split_inquiry split_inquiry;
 	bool has_known_split_flows; /* that inquiry was done once */
-	uint64_t splits_missed_ms;  /* see knows_all_split_flows(); 0: never */
+	struct split_knowledge split_knowledge;
 	struct heartbeat_tracker *instance_heartbeats;
 	struct introduction *introduction;
 	struct mirror *mirror;
--- a/t/check-split-flows.c
+++ b/t/check-split-flows.c
@@ -720,6 +720,31 @@
 }
 END_TEST
 
+/*
+ * After a loss of all, instances that told each other what little they knew
+ * would follow late answers.
+ */
+START_TEST(answer_of_one_that_knows_too_little_makes_nobody_know_all)
+{
+	struct split_knowledge sk = { 0 };
+	struct split_inquiry si = { .done = true, .answered = true };
+	uint64_t known_ms = 1000 + SPLIT_FLOW_UNSETTLED_MS + TEST_IDLE_MS;
+
+	note_inquiry_end(&sk, &si, 1000);
+	ck_assert(!are_all_splits_known(&sk, TEST_IDLE_MS, 1000));
+	ck_assert(!are_all_splits_known(&sk, TEST_IDLE_MS, known_ms - 1));
+	ck_assert(are_all_splits_known(&sk, TEST_IDLE_MS, known_ms));
+	/* one that knows all was asked about another domain, then about all */
+	si.told_all = true;
+	g_strlcpy(si.domain, "south", sizeof(si.domain));
+	note_inquiry_end(&sk, &si, 1100);
+	ck_assert(!are_all_splits_known(&sk, TEST_IDLE_MS, 1100));
+	si.domain[0] = '\0';
+	note_inquiry_end(&sk, &si, 1200);
+	ck_assert(are_all_splits_known(&sk, TEST_IDLE_MS, 1200));
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("split-flows");
@@ -770,6 +795,8 @@
 		tc, late_answer_to_a_syn_that_came_elsewhere_is_not_followed);
 	tcase_add_test(tc, instance_that_knows_all_split_flows_follows_a_mark);
 	tcase_add_test(tc, inquiry_ends_without_an_answer);
+	tcase_add_test(
+		tc, answer_of_one_that_knows_too_little_makes_nobody_know_all);
 	suite_add_tcase(s, tc);
 	sr = srunner_create(s);
 	srunner_run_all(sr, CK_NORMAL);
